chore: scaffold with design, interfaces and continuous integration

Cause: the project starts empty. Change: design page, typed interfaces to the platform and between the parts of an entry instance, build of the single binary, linter, formatter and test runner. Conclusion: the tree builds and checks cleanly; no behaviour yet.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,26 @@
+import eslint from "@eslint/js";
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+  { ignores: ["dist/", "build/", "node_modules/", "eslint.config.js"] },
+  eslint.configs.recommended,
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      "@typescript-eslint/restrict-template-expressions": [
+        "error",
+        { allowNumber: true, allowBoolean: true },
+      ],
+      "max-lines": ["error", { max: 300, skipBlankLines: true, skipComments: true }],
+      "no-restricted-imports": ["error", { patterns: ["**/index", "**/index.ts"] }],
+    },
+  },
+  {
+    files: ["test/**/*.ts", "bench/**/*.ts"],
+    rules: { "@typescript-eslint/no-non-null-assertion": "off" },
+  },
+);
--- /dev/null
+++ b/src/cli/version.ts
@@ -0,0 +1,2 @@
+/** Version printed by `teaselspool --version`. */
+export const VERSION = "0.1.0";
--- /dev/null
+++ b/src/platform/clock.ts
@@ -0,0 +1,31 @@
+/** A pending callback of a {@link Clock}. */
+export interface Timer {
+  /** Stops the callback from running. Does nothing once it has run. */
+  cancel(): void;
+}
+
+/** Source of time and timers, passed in so that decisions also run on a virtual clock. */
+export abstract class Clock {
+  /** Monotonic time in milliseconds, for durations and leases. */
+  abstract now(): number;
+
+  /** Wall-clock time in milliseconds since the Unix epoch, for ids and stored documents. */
+  abstract wallTime(): number;
+
+  /** Runs the callback once after the delay. */
+  abstract schedule(delayMs: number, callback: () => void): Timer;
+
+  /** Resolves after the delay, or at once when the signal aborts. Never rejects. */
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted === true) return Promise.resolve();
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        timer.cancel();
+        signal?.removeEventListener("abort", finish);
+        resolve();
+      };
+      const timer = this.schedule(delayMs, finish);
+      signal?.addEventListener("abort", finish);
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/random.ts
@@ -0,0 +1,11 @@
+/** Source of random numbers and identifiers, passed in so that runs can be repeated by seed. */
+export abstract class Random {
+  /** A number in [0, 1). */
+  abstract next(): number;
+
+  /** A UUID version 7 for the given wall-clock time in milliseconds. */
+  abstract uuidV7(wallTimeMs: number): string;
+
+  /** Random bytes as lower-case hexadecimal, two characters a byte. */
+  abstract hex(bytes: number): string;
+}
--- /dev/null
+++ b/src/protocol/peer-messages.ts
@@ -0,0 +1,265 @@
+import type { Payload, Priority, TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { RanState } from "./problem.ts";
+
+/** Version of the peer protocol; connections between different versions are refused. */
+export const PEER_PROTOCOL_VERSION = 1;
+
+/** First message in both directions on a connection. */
+export interface Hello {
+  readonly version: number;
+  readonly incarnation: string;
+  /** Address on which the sender accepts peer connections, `IP:PORT`. */
+  readonly address: string;
+  readonly zone: string;
+  readonly group: string;
+}
+
+/** Free capacity and queue of one pool as seen by the sender. */
+export interface PoolLoad {
+  readonly pool: string;
+  readonly freeSlots: number;
+  readonly totalSlots: number;
+  readonly queued: number;
+  /** Expected wait of a normal request in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** Budget use of one team at the sender. */
+export interface TeamLoad {
+  readonly team: string;
+  readonly running: number;
+  readonly budget: number;
+  readonly queued: number;
+}
+
+/** Load and freshness, exchanged regularly with every peer. */
+export interface GossipMessage {
+  readonly type: "gossip";
+  readonly configRevision: number;
+  /** Age in milliseconds of the last confirmation that the revision is current. */
+  readonly configAgeMs: number;
+  readonly platformReachable: boolean;
+  readonly fleetRevision: number;
+  readonly homesRevision: number;
+  readonly pools: readonly PoolLoad[];
+  readonly teams: readonly TeamLoad[];
+  /** Backend servers the sender holds; empty between zones. */
+  readonly held: readonly string[];
+  /** Backend servers known to be leaving. */
+  readonly leaving: readonly string[];
+  /** The sender is shutting down and takes no new work. */
+  readonly stopping: boolean;
+}
+
+/** Asks for the sender's configuration document. */
+export interface ConfigRequest {
+  readonly type: "config";
+}
+
+/** A request as its home needs it. */
+export interface RequestSpec {
+  readonly requestId: string;
+  readonly team: string | undefined;
+  readonly queue: string;
+  readonly priority: Priority;
+  readonly idempotent: boolean;
+  /** Time in milliseconds until the caller's deadline, as of sending. */
+  readonly timeoutMs: number;
+  readonly payload: Payload;
+}
+
+/** Passes a request to its home. Waits up to `waitMs` for the outcome. */
+export interface SubmitRequest {
+  readonly type: "submit";
+  readonly spec: RequestSpec;
+  readonly waitMs: number;
+}
+
+/** Asks a home for the state of a request, waiting up to `waitMs` for its outcome. */
+export interface QueryRequest {
+  readonly type: "query";
+  readonly requestId: string;
+  readonly team: string | undefined;
+  readonly waitMs: number;
+}
+
+/** Cancels a request at its home. */
+export interface CancelRequest {
+  readonly type: "cancel";
+  readonly requestId: string;
+  readonly team: string | undefined;
+}
+
+/** Offers one attempt to a peer with room. The peer starts it before the offer ends, or declines. */
+export interface RunRequest {
+  readonly type: "run";
+  readonly spec: RequestSpec;
+  readonly attempt: number;
+  readonly home: string;
+  /** Time in milliseconds after which the peer must decline if it has not started the attempt. */
+  readonly offerMs: number;
+}
+
+/** Withdraws an offer, or stops the attempt if it has started. */
+export interface RunCancelRequest extends TaskRef {
+  readonly type: "run-cancel";
+}
+
+/** Reports to a request's home how an attempt ended. */
+export interface ResultRequest extends TaskRef {
+  readonly type: "result";
+  readonly server: string;
+  readonly result: TaskResult;
+}
+
+/** Asks the lease holder of a backend server what became of an attempt. */
+export interface TaskStatusRequest extends TaskRef {
+  readonly type: "task-status";
+  readonly server: string;
+}
+
+/** Asks a peer to give back unused budget of a team. */
+export interface BudgetRequest {
+  readonly type: "budget-request";
+  readonly team: string;
+  readonly wanted: number;
+}
+
+/** Tells an incarnation that tasks charged to its budget have ended. */
+export interface ChargeReleaseRequest {
+  readonly type: "charge-release";
+  readonly tasks: readonly TaskRef[];
+}
+
+/** Asks a peer to report its leases as evidence that an incarnation holds none. */
+export interface LeaseReportRequest {
+  readonly type: "lease-report";
+  readonly incarnation: string;
+  readonly fleetRevision: number;
+  readonly homesRevision: number;
+}
+
+/** A stored outcome moved with its home slot. */
+export interface SlotRecord {
+  readonly spec: RequestSpec;
+  /** Digest of the request body, hexadecimal. */
+  readonly digest: string;
+  readonly state: RequestState;
+  /** Wall-clock time of acceptance, milliseconds since the Unix epoch. */
+  readonly acceptedAt: number;
+  /** Last attempt that was dispatched, 0 if none. */
+  readonly attempt: number;
+}
+
+/** Moves the records of home slots to their next home. */
+export interface SlotTransferRequest {
+  readonly type: "slot-transfer";
+  readonly slots: readonly number[];
+  readonly records: readonly SlotRecord[];
+}
+
+/** Every request between peers. */
+export type PeerRequest =
+  | GossipMessage
+  | ConfigRequest
+  | SubmitRequest
+  | QueryRequest
+  | CancelRequest
+  | RunRequest
+  | RunCancelRequest
+  | ResultRequest
+  | TaskStatusRequest
+  | BudgetRequest
+  | ChargeReleaseRequest
+  | LeaseReportRequest
+  | SlotTransferRequest;
+
+/** State of a request as its home knows it. */
+export type RequestState =
+  | { readonly kind: "pending"; readonly started: boolean }
+  | { readonly kind: "answered"; readonly payload: Payload }
+  | {
+      readonly kind: "refused";
+      readonly reason: string;
+      readonly detail: string;
+      readonly ran: RanState;
+      /** Time in milliseconds after which a later try can succeed. */
+      readonly retryAfterMs?: number;
+    };
+
+/** Reply to `submit`, `query` and `cancel`. */
+export interface StateReply {
+  readonly type: "state";
+  /** Undefined if the home has no record of the id. */
+  readonly state: RequestState | undefined;
+}
+
+/** Reply to `config`: the stored document as JSON text. */
+export interface ConfigReply {
+  readonly type: "config-reply";
+  readonly revision: number;
+  readonly document: string | undefined;
+}
+
+/** Reply to `run`. `declined` is a certain statement that the attempt was not started. */
+export type RunReply =
+  | { readonly type: "run-reply"; readonly kind: "started"; readonly server: string }
+  | { readonly type: "run-reply"; readonly kind: "uncertain"; readonly server: string }
+  | { readonly type: "run-reply"; readonly kind: "declined"; readonly reason: string };
+
+/** Reply to `task-status`. `never-started` is certain; `lost` means that the server rebooted. */
+export interface TaskStatusReply {
+  readonly type: "task-status-reply";
+  readonly status: "running" | "finished" | "never-started" | "lost" | "not-holder";
+}
+
+/** A lease as evidence for a fencing proof. */
+export interface LeaseEvidence {
+  readonly server: string;
+  /** Time in milliseconds for which the lease stays valid, as of replying. */
+  readonly validMs: number;
+}
+
+/** Running tasks of a team charged to the incarnation under proof. */
+export interface AdoptedCharge {
+  readonly team: string;
+  readonly tasks: number;
+}
+
+/** Reply to `lease-report`. */
+export interface LeaseReport {
+  readonly type: "lease-report-reply";
+  /** The replier has seen the retired mark in the fleet and the homes document. */
+  readonly seenMark: boolean;
+  readonly leases: readonly LeaseEvidence[];
+  readonly adopted: readonly AdoptedCharge[];
+}
+
+/** Reply without content. `accepted: false` asks the sender to try again later. */
+export interface AckReply {
+  readonly type: "ack";
+  readonly accepted: boolean;
+}
+
+/** Every reply between peers. `gossip` is answered with the receiver's own gossip. */
+export type PeerReply =
+  GossipMessage | StateReply | ConfigReply | RunReply | TaskStatusReply | LeaseReport | AckReply;
+
+interface ReplyMap {
+  readonly gossip: GossipMessage;
+  readonly config: ConfigReply;
+  readonly submit: StateReply;
+  readonly query: StateReply;
+  readonly cancel: StateReply;
+  readonly run: RunReply;
+  readonly "run-cancel": AckReply;
+  readonly result: AckReply;
+  readonly "task-status": TaskStatusReply;
+  readonly "budget-request": AckReply;
+  readonly "charge-release": AckReply;
+  readonly "lease-report": LeaseReport;
+  readonly "slot-transfer": AckReply;
+}
+
+/** The reply type that belongs to a request type. */
+export type ReplyTo<T extends PeerRequest> = ReplyMap[T["type"]];
