--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,10 @@
         "error",
         { allowNumber: true, allowBoolean: true },
       ],
+      "@typescript-eslint/no-unused-vars": [
+        "error",
+        { varsIgnorePattern: "^_", argsIgnorePattern: "^_" },
+      ],
       "max-lines": ["error", { max: 300, skipBlankLines: true, skipComments: true }],
       "no-restricted-imports": ["error", { patterns: ["**/index", "**/index.ts"] }],
     },
--- /dev/null
+++ b/src/stand-ins/simulated-backend-server.ts
@@ -0,0 +1,276 @@
+import { Err, Ok } from "ts-results";
+import {
+  BackendServer,
+  type BackendError,
+  type BackendEvents,
+  type BackendResult,
+  type LeaseGrant,
+  type TaskRecord,
+  type TaskRef,
+  type TaskResult,
+  type TaskSpec,
+} from "../platform/backend-server.ts";
+import type { Clock } from "../platform/clock.ts";
+
+/** How long only the named successor may acquire a released server, in milliseconds. */
+const SUCCESSOR_HOLD_MS = 2000;
+
+/** Runs tasks; replaced by tests that need failures or long runs. */
+export abstract class TaskRunner {
+  /** Run time in milliseconds and result of a task. */
+  abstract run(spec: TaskSpec): { readonly runMs: number; readonly result: TaskResult };
+}
+
+/** Answers each task with its own body after a fixed run time. */
+export class EchoRunner extends TaskRunner {
+  readonly #runMs: number;
+
+  constructor({ runMs = 20 }: { readonly runMs?: number } = {}) {
+    super();
+    this.#runMs = runMs;
+  }
+
+  run(spec: TaskSpec): { readonly runMs: number; readonly result: TaskResult } {
+    return { runMs: this.#runMs, result: { kind: "answer", payload: spec.payload } };
+  }
+}
+
+/** Options of {@link SimulatedBackendServer}. */
+export interface SimulatedBackendServerOptions {
+  readonly clock: Clock;
+  readonly name: string;
+  /** @default 8 */
+  readonly slots?: number;
+  /** @default EchoRunner */
+  readonly runner?: TaskRunner;
+  /** Finished tasks that nobody acknowledges are kept this long, in milliseconds. @default 600000 */
+  readonly resultRetentionMs?: number;
+  /** Called when a task starts and when it ends, for a test's own record. */
+  readonly observe?: (event: "start" | "end", spec: TaskSpec) => void;
+}
+
+interface Task {
+  readonly spec: TaskSpec;
+  result: TaskResult | undefined;
+  position: number;
+  finish: (result: TaskResult) => void;
+}
+
+interface HeldLease {
+  readonly id: string;
+  readonly holder: string;
+  expiresAt: number;
+}
+
+/** In-memory backend server: leases, tasks and events as section 10.2 of the design states. */
+export class SimulatedBackendServer extends BackendServer {
+  readonly #options: Required<Omit<SimulatedBackendServerOptions, "observe">> &
+    Pick<SimulatedBackendServerOptions, "observe">;
+  readonly #tasks = new Map<string, Task>();
+  readonly #seen = new Set<string>();
+  readonly #waiting = new Set<() => void>();
+  #lease: HeldLease | undefined;
+  #successor: { readonly holder: string; readonly until: number } | undefined;
+  #leaseCount = 0;
+  #position = 0;
+  #boot = 1;
+  #leaving = false;
+
+  constructor({
+    slots = 8,
+    runner = new EchoRunner(),
+    resultRetentionMs = 600_000,
+    ...rest
+  }: SimulatedBackendServerOptions) {
+    super();
+    this.#options = { slots, runner, resultRetentionMs, ...rest };
+  }
+
+  /** Tasks running now. */
+  get running(): readonly TaskSpec[] {
+    return [...this.#tasks.values()]
+      .filter((task) => task.result === undefined)
+      .map((task) => task.spec);
+  }
+
+  /** Announces that the server leaves and refuses new tasks. */
+  leave(): void {
+    this.#leaving = true;
+    this.#position++;
+    this.#wake();
+  }
+
+  /** Loses every task and lease, as a reboot or a crash does. */
+  restart(): void {
+    for (const spec of this.running) this.#options.observe?.("end", spec);
+    this.#tasks.clear();
+    this.#seen.clear();
+    this.#lease = undefined;
+    this.#successor = undefined;
+    this.#leaving = false;
+    this.#boot++;
+    this.#wake();
+  }
+
+  acquireLease(holder: string, ttlMs: number): BackendResult<LeaseGrant> {
+    const now = this.#options.clock.now();
+    const current = this.#validLease();
+    if (current !== undefined && current.holder !== holder)
+      return fail({ kind: "held", holder: current.holder });
+    if (
+      this.#successor !== undefined &&
+      this.#successor.until > now &&
+      this.#successor.holder !== holder
+    ) {
+      return fail({ kind: "held", holder: this.#successor.holder });
+    }
+    this.#successor = undefined;
+    this.#lease = {
+      id: `${this.#options.name}-${this.#boot}-${++this.#leaseCount}`,
+      holder,
+      expiresAt: now + ttlMs,
+    };
+    this.#wake();
+    return Promise.resolve(
+      Ok({ leaseId: this.#lease.id, bootId: `${this.#options.name}-${this.#boot}` }),
+    );
+  }
+
+  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
+    const lease = this.#validLease();
+    if (lease?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    lease.expiresAt = this.#options.clock.now() + ttlMs;
+    return Promise.resolve(Ok(undefined));
+  }
+
+  releaseLease(leaseId: string, successor?: string): BackendResult<void> {
+    if (this.#validLease()?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    this.#lease = undefined;
+    if (successor !== undefined) {
+      this.#successor = { holder: successor, until: this.#options.clock.now() + SUCCESSOR_HOLD_MS };
+    }
+    this.#wake();
+    return Promise.resolve(Ok(undefined));
+  }
+
+  startTask(leaseId: string, spec: TaskSpec): BackendResult<void> {
+    if (this.#validLease()?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    const key = taskKey(spec);
+    if (this.#seen.has(key)) return fail({ kind: "duplicate" });
+    if (this.#leaving) return fail({ kind: "leaving" });
+    if (this.running.length >= this.#options.slots) return fail({ kind: "full" });
+    this.#seen.add(key);
+    this.#begin(key, spec);
+    return Promise.resolve(Ok(undefined));
+  }
+
+  listTasks(leaseId: string): BackendResult<readonly TaskRecord[]> {
+    if (this.#validLease()?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    return Promise.resolve(Ok([...this.#tasks.values()].map(toRecord)));
+  }
+
+  async pollEvents(
+    leaseId: string,
+    after: number,
+    waitMs: number,
+  ): Promise<Awaited<BackendResult<BackendEvents>>> {
+    const end = this.#options.clock.now() + waitMs;
+    while (this.#validLease()?.id === leaseId && this.#position <= after) {
+      const left = end - this.#options.clock.now();
+      if (left <= 0) break;
+      await this.#waitForChange(left);
+    }
+    if (this.#validLease()?.id !== leaseId) return Err({ kind: "lease-lapsed" });
+    const finished = [...this.#tasks.values()].filter(
+      (task) => task.result !== undefined && task.position > after,
+    );
+    return Ok({ next: this.#position, finished: finished.map(toRecord), leaving: this.#leaving });
+  }
+
+  stopTask(leaseId: string, ref: TaskRef): BackendResult<void> {
+    return this.#stop(leaseId, ref, false);
+  }
+
+  checkpointTask(leaseId: string, ref: TaskRef): BackendResult<void> {
+    return this.#stop(leaseId, ref, true);
+  }
+
+  acknowledgeTask(leaseId: string, ref: TaskRef): BackendResult<void> {
+    if (this.#validLease()?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    const task = this.#tasks.get(taskKey(ref));
+    if (task?.result !== undefined) this.#tasks.delete(taskKey(ref));
+    return Promise.resolve(Ok(undefined));
+  }
+
+  reboot(leaseId: string): BackendResult<void> {
+    if (this.#validLease()?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    if (this.running.length > 0) return fail({ kind: "full" });
+    this.restart();
+    return Promise.resolve(Ok(undefined));
+  }
+
+  #begin(key: string, spec: TaskSpec): void {
+    const { clock, runner, observe, resultRetentionMs } = this.#options;
+    const { runMs, result } = runner.run(spec);
+    const task: Task = {
+      spec,
+      result: undefined,
+      position: 0,
+      finish: (ended) => {
+        if (task.result !== undefined || this.#tasks.get(key) !== task) return;
+        task.result = ended;
+        task.position = ++this.#position;
+        observe?.("end", spec);
+        this.#wake();
+        clock.schedule(resultRetentionMs, () => {
+          if (this.#tasks.get(key) === task) this.#tasks.delete(key);
+        });
+      },
+    };
+    this.#tasks.set(key, task);
+    observe?.("start", spec);
+    clock.schedule(runMs, () => {
+      task.finish(result);
+    });
+  }
+
+  #stop(leaseId: string, ref: TaskRef, checkpointed: boolean): BackendResult<void> {
+    if (this.#validLease()?.id !== leaseId) return fail({ kind: "lease-lapsed" });
+    this.#tasks.get(taskKey(ref))?.finish({ kind: "stopped", checkpointed });
+    return Promise.resolve(Ok(undefined));
+  }
+
+  #validLease(): HeldLease | undefined {
+    if (this.#lease !== undefined && this.#lease.expiresAt <= this.#options.clock.now())
+      this.#lease = undefined;
+    return this.#lease;
+  }
+
+  #wake(): void {
+    for (const wake of this.#waiting) wake();
+  }
+
+  async #waitForChange(ms: number): Promise<void> {
+    const abort = new AbortController();
+    const wake = (): void => {
+      abort.abort();
+    };
+    this.#waiting.add(wake);
+    await this.#options.clock.sleep(ms, abort.signal);
+    this.#waiting.delete(wake);
+  }
+}
+
+function taskKey(ref: TaskRef): string {
+  return `${ref.requestId}#${ref.attempt}`;
+}
+
+function toRecord(task: Task): TaskRecord {
+  const { payload: _payload, ...record } = task.spec;
+  if (task.result === undefined) return { ...record, state: "running" };
+  return { ...record, state: "finished", result: task.result };
+}
+
+function fail(err: BackendError): Promise<Err<BackendError>> {
+  return Promise.resolve(Err(err));
+}
