feat(coordination): peer exchange with changes only

Ruled out: freshness from pushed messages, because a message delayed by the network would look fresh; a reply is at most as old as the time since its request was sent. Conclusion: ready to be wired.

--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -32,9 +32,18 @@
   readonly queued: number;
 }
 
-/** Load and freshness, exchanged regularly with every peer. */
+/**
+ * Load and freshness, exchanged regularly with every peer.
+ *
+ * Only replies carry loads and are used for freshness: a reply was produced after its request was
+ * sent, so its age is bounded by the sender's own clock however long the network delayed it.
+ */
 export interface GossipMessage {
   readonly type: "gossip";
+  /** In a reply: number of this snapshot. In a request: number of the last snapshot received. */
+  readonly sequence: number;
+  /** In a reply: snapshot that `pools` and `teams` are changes to; 0 if they are complete. */
+  readonly baseline: number;
   readonly configRevision: number;
   /** Age in milliseconds of the last confirmation that the revision is current. */
   readonly configAgeMs: number;
--- /dev/null
+++ b/test/coordination/gossip-delta.test.ts
@@ -0,0 +1,64 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { decodeGossip, GossipEncoder } from "../../src/coordination/gossip-delta.ts";
+import type { GossipMessage, TeamLoad } from "../../src/protocol/peer-messages.ts";
+
+function snapshot(...teams: readonly TeamLoad[]): GossipMessage {
+  return {
+    type: "gossip",
+    sequence: 0,
+    baseline: 0,
+    configRevision: 1,
+    configAgeMs: 0,
+    platformReachable: true,
+    fleetRevision: 1,
+    homesRevision: 1,
+    pools: [],
+    teams,
+    held: [],
+    leaving: [],
+    stopping: false,
+  };
+}
+
+function load(team: string, running: number): TeamLoad {
+  return { team, running, budget: 4, queued: 0 };
+}
+
+// Guards against a receiver that keeps an old figure because a change was left out.
+test("a reply carries only the teams that changed and restores the full snapshot", () => {
+  const encoder = new GossipEncoder();
+  const first = encoder.encode("b", 0, snapshot(load("x", 1), load("y", 1)));
+  const second = encoder.encode("b", first.sequence, snapshot(load("x", 2), load("y", 1)));
+  assert.equal(second.teams, [load("x", 2)]);
+  assert.equal(decodeGossip(first, second).teams, [load("x", 2), load("y", 1)]);
+});
+
+// Guards against merging changes into a snapshot that they do not refer to.
+test("a lost reply is followed by a full snapshot", () => {
+  const encoder = new GossipEncoder();
+  const first = encoder.encode("b", 0, snapshot(load("x", 1)));
+  encoder.encode("b", first.sequence, snapshot(load("x", 2)));
+  const third = encoder.encode("b", first.sequence, snapshot(load("x", 2), load("y", 3)));
+  assert.is(third.baseline, 0);
+  assert.equal(decodeGossip(first, third).teams, [load("x", 2), load("y", 3)]);
+});
+
+// Guards against teams that are gone staying in the receiver's view with their last load.
+test("a team that disappears is sent once with zero figures", () => {
+  const encoder = new GossipEncoder();
+  const first = encoder.encode("b", 0, snapshot(load("x", 1)));
+  const second = encoder.encode("b", first.sequence, snapshot());
+  assert.equal(second.teams, [{ team: "x", running: 0, budget: 0, queued: 0 }]);
+});
+
+// Guards against changes that arrive out of order overwriting newer figures.
+test("changes to another snapshot than the last one received are left out", () => {
+  const encoder = new GossipEncoder();
+  const first = encoder.encode("b", 0, snapshot(load("x", 1)));
+  const second = encoder.encode("b", first.sequence, snapshot(load("x", 2)));
+  const newer = { ...snapshot(load("x", 9)), sequence: 99 };
+  assert.equal(decodeGossip(newer, second).teams, [load("x", 9)]);
+});
+
+test.run();
