feat(transport): framed TCP connections between peers

Cause: entry instances need calls between processes that say truthfully whether a call was sent. Change: TcpPeerTransport with hello and version check, cbor-x frames of at most 1 MiB, call id matching, 256 calls in flight on both sides, write back-pressure, valibot schemas for every message, a counter for each reason for closing, and closing a connection on which nothing arrives for 3 s. A frame counts as written once it is handed to the socket; before that a call is reported as not sent. Ruled out: counting a call as sent only when the socket's write callback runs, because the peer may have processed it before; keeping a silent connection, because TCP retransmits for minutes after a partition has healed. Conclusion: the coordination layer can use PeerTransport over sockets.

--- /dev/null
+++ b/src/transport/frames.ts
@@ -0,0 +1,79 @@
+import { Encoder, setSizeLimits } from "cbor-x";
+import { Err, Ok, type Result } from "ts-results";
+
+/** Largest frame body in bytes. */
+export const MAX_FRAME_BYTES = 1024 * 1024;
+
+const LENGTH_BYTES = 4;
+
+// A declared length is allocated before its elements are read, so it is bounded here. No frame
+// can hold more elements than bytes.
+setSizeLimits({
+  maxArraySize: MAX_FRAME_BYTES,
+  maxMapSize: MAX_FRAME_BYTES,
+  maxObjectSize: MAX_FRAME_BYTES,
+});
+
+const codec = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  variableMapSize: true,
+  tagUint8Array: false,
+  // Bodies are kept for as long as their request is remembered; a view would keep whole frames.
+  copyBuffers: true,
+});
+
+/** Why bytes are not a frame; also the name of the counter. */
+export type FrameError = "frame_oversized" | "frame_empty" | "frame_not_cbor";
+
+/** Encodes a value with its length in front. */
+export function encodeFrame(value: unknown): Result<Buffer, FrameError> {
+  const body = codec.encode(value);
+  if (body.length > MAX_FRAME_BYTES) return Err("frame_oversized");
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  frame.set(body, LENGTH_BYTES);
+  return Ok(frame);
+}
+
+/** Decodes the body of a frame. */
+export function decodeBody(body: Uint8Array): Result<unknown, FrameError> {
+  try {
+    return Ok(codec.decode(body) as unknown);
+  } catch {
+    return Err("frame_not_cbor");
+  }
+}
+
+/** Cuts a byte stream into frame bodies, however the chunks are divided. */
+export class FrameSplitter {
+  #chunks: Buffer[] = [];
+  #buffered = 0;
+  /** Bytes needed before the next step: a length, or a whole frame once its length is known. */
+  #needed = LENGTH_BYTES;
+
+  /** Adds a chunk and returns the frame bodies that it completes. No use after an error. */
+  push(chunk: Buffer): Result<readonly Buffer[], FrameError> {
+    this.#chunks.push(chunk);
+    this.#buffered += chunk.length;
+    if (this.#buffered < this.#needed) return Ok([]);
+    const data = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks, this.#buffered);
+    const bodies: Buffer[] = [];
+    let start = 0;
+    for (;;) {
+      const left = data.length - start;
+      this.#needed = LENGTH_BYTES;
+      if (left < LENGTH_BYTES) break;
+      const length = data.readUInt32BE(start);
+      if (length > MAX_FRAME_BYTES) return Err("frame_oversized");
+      if (length === 0) return Err("frame_empty");
+      this.#needed = LENGTH_BYTES + length;
+      if (left < this.#needed) break;
+      bodies.push(data.subarray(start + LENGTH_BYTES, start + this.#needed));
+      start += this.#needed;
+    }
+    this.#chunks = start === data.length ? [] : [data.subarray(start)];
+    this.#buffered = data.length - start;
+    return Ok(bodies);
+  }
+}
--- /dev/null
+++ b/src/transport/peer-tcp.ts
@@ -0,0 +1,141 @@
+import { connect as connectTcp, createServer, type AddressInfo, type Socket } from "node:net";
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { Clock } from "../platform/clock.ts";
+import type { Log } from "../platform/log.ts";
+import {
+  PeerTransport,
+  type PeerConnection,
+  type PeerError,
+  type PeerHandler,
+} from "../platform/peer-transport.ts";
+import { PEER_PROTOCOL_VERSION, type Hello } from "../protocol/peer-messages.ts";
+import { HelloSchema } from "../protocol/peer-schemas.ts";
+import { encodeFrame } from "./frames.ts";
+import { FrameSocket, type EventCounter } from "./frame-socket.ts";
+import { formatIpAddress, parseIpAddress } from "./ip-address.ts";
+import { TcpPeerConnection } from "./peer-client.ts";
+import { PeerServer } from "./peer-server.ts";
+
+/** Options of {@link TcpPeerTransport}. */
+export interface TcpPeerTransportOptions {
+  readonly clock: Clock;
+  readonly counter: EventCounter;
+  readonly log: Pick<Log, "error">;
+  /** Time for connecting and for the other side's hello, in milliseconds. @default 2000 */
+  readonly connectTimeoutMs?: number;
+}
+
+/** Connections between entry instances as framed TCP, see section 10.4 of the design. */
+export class TcpPeerTransport extends PeerTransport {
+  readonly #options: Required<TcpPeerTransportOptions>;
+  readonly #server = createServer();
+  readonly #sockets = new Set<Socket>();
+
+  constructor({ connectTimeoutMs = 2000, ...rest }: TcpPeerTransportOptions) {
+    super();
+    this.#options = { connectTimeoutMs, ...rest };
+  }
+
+  /** Address listened on as `IP:PORT`; differs from the requested one when that had port 0. */
+  get address(): string | undefined {
+    const bound = this.#server.address() as AddressInfo | null;
+    return bound === null ? undefined : formatIpAddress({ host: bound.address, port: bound.port });
+  }
+
+  async listen(self: Hello, handler: PeerHandler): Promise<Result<void, string>> {
+    const address = parseIpAddress(self.address);
+    if (address.err) return address;
+    this.#server.on("connection", (socket) => {
+      void this.#serve(socket, self, handler);
+    });
+    return new Promise((resolve) => {
+      this.#server.once("error", (err) => {
+        resolve(Err(`cannot listen on ${self.address}: ${err.message}`));
+      });
+      this.#server.listen(address.val, () => {
+        resolve(Ok(undefined));
+      });
+    });
+  }
+
+  async connect(address: string, self: Hello): Promise<Result<PeerConnection, PeerError>> {
+    const target = parseIpAddress(address);
+    if (target.err) return Err({ kind: "not-sent", detail: target.val });
+    const { clock, counter } = this.#options;
+    const socket = connectTcp(target.val);
+    const frameSocket = this.#track(socket);
+    const opened = await this.#handshake(socket, frameSocket, self);
+    if (opened.err) return Err({ kind: "not-sent", detail: opened.val });
+    const { remote, frames } = opened.val;
+    const connection = new TcpPeerConnection({ clock, counter, socket: frameSocket, remote });
+    void connection.run(frames);
+    return Ok(connection);
+  }
+
+  close(): Promise<void> {
+    for (const socket of this.#sockets) socket.destroy();
+    if (!this.#server.listening) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  async #serve(socket: Socket, self: Hello, handler: PeerHandler): Promise<void> {
+    const { counter, log } = this.#options;
+    const frameSocket = this.#track(socket);
+    const opened = await this.#handshake(socket, frameSocket, self);
+    if (opened.err) return;
+    const { remote, frames } = opened.val;
+    await new PeerServer({ counter, log, socket: frameSocket, remote, handler }).run(frames);
+  }
+
+  #track(socket: Socket): FrameSocket {
+    this.#sockets.add(socket);
+    socket.on("close", () => this.#sockets.delete(socket));
+    return new FrameSocket(socket, this.#options.counter);
+  }
+
+  /** Exchanges hellos; the same in both directions. */
+  async #handshake(
+    socket: Socket,
+    frameSocket: FrameSocket,
+    self: Hello,
+  ): Promise<Result<Opened, string>> {
+    const { clock, connectTimeoutMs } = this.#options;
+    const timer = clock.schedule(connectTimeoutMs, () => {
+      frameSocket.fail("hello_timeout");
+    });
+    const hello = encodeFrame({ kind: "hello", hello: self });
+    if (hello.ok) frameSocket.send(hello.val);
+    const frames = frameSocket.frames();
+    const first = await frames.next();
+    timer.cancel();
+    if (first.done === true) return Err(socket.errored?.message ?? "closed before the hello");
+    const remote = checkHello(first.value);
+    if (remote.err) {
+      frameSocket.fail(remote.val);
+      return remote;
+    }
+    return Ok({ remote: remote.val, frames });
+  }
+}
+
+interface Opened {
+  readonly remote: Hello;
+  readonly frames: AsyncGenerator<unknown, void>;
+}
+
+const HelloFrameSchema = v.strictObject({ kind: v.literal("hello"), hello: v.unknown() });
+const VersionSchema = v.object({ version: v.number() });
+
+/** The version is checked before the rest, because other versions may have other fields. */
+function checkHello(frame: unknown): Result<Hello, "hello_malformed" | "version_mismatch"> {
+  const parsed = v.safeParse(HelloFrameSchema, frame);
+  if (!parsed.success || !v.is(VersionSchema, parsed.output.hello)) return Err("hello_malformed");
+  if (parsed.output.hello.version !== PEER_PROTOCOL_VERSION) return Err("version_mismatch");
+  const hello = v.safeParse(HelloSchema, parsed.output.hello);
+  return hello.success ? Ok(hello.output) : Err("hello_malformed");
+}
--- /dev/null
+++ b/test/transport/peer-tcp.test.ts
@@ -0,0 +1,208 @@
+import { connect as connectTcp, createServer, type AddressInfo, type Socket } from "node:net";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { SystemClock } from "../../src/platform/system-clock.ts";
+import type { Clock } from "../../src/platform/clock.ts";
+import type { PeerHandler } from "../../src/platform/peer-transport.ts";
+import type { Hello } from "../../src/protocol/peer-messages.ts";
+import { encodeFrame } from "../../src/transport/frames.ts";
+import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
+import { EventLog } from "../fakes/event-log.ts";
+import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
+import { waitUntil } from "../fakes/wait.ts";
+
+const test = suite("peer-tcp");
+const CONFIG = { type: "config" } as const;
+const REPLY = { type: "config-reply", revision: 7, document: undefined } as const;
+const cleanUp: (() => Promise<void> | void)[] = [];
+let events = new EventLog();
+
+test.before.each(() => {
+  events = new EventLog();
+});
+test.after.each(async () => {
+  for (const step of cleanUp.splice(0)) await step();
+});
+
+function hello(incarnation: string, address = "127.0.0.1:0"): Hello {
+  return { version: 1, incarnation, address, zone: "z1", group: "g1" };
+}
+
+function transport(clock: Clock = new SystemClock()): TcpPeerTransport {
+  const log = { error: (): void => undefined };
+  const made = new TcpPeerTransport({ clock, counter: events, log });
+  cleanUp.push(() => made.close());
+  return made;
+}
+
+async function listening(handler: PeerHandler): Promise<string> {
+  const server = transport();
+  (await server.listen(hello("server"), handler)).unwrap();
+  return server.address!;
+}
+
+/** A peer written by hand, which gets every chunk that the client sends. */
+async function scripted(onData: (socket: Socket, chunk: number) => void): Promise<string> {
+  const server = createServer((socket) => {
+    let chunk = 0;
+    socket.on("error", () => undefined);
+    socket.on("data", () => {
+      onData(socket, chunk++);
+    });
+    cleanUp.push(() => void socket.destroy());
+  });
+  cleanUp.push(() => void server.close());
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+const frame = (value: unknown): Buffer => encodeFrame(value).unwrap();
+const helloFrame = (): Buffer => frame({ kind: "hello", hello: hello("scripted") });
+
+// Guards against replies given to the wrong call when handlers finish out of order.
+test("concurrent calls each get their own reply", async () => {
+  const address = await listening(async (_from, req) => {
+    const wanted = req.type === "budget-request" ? req.wanted : 0;
+    await new Promise((resolve) => setTimeout(resolve, 20 - wanted));
+    return { type: "ack", accepted: wanted % 2 === 0 };
+  });
+  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  assert.is(peer.remote.incarnation, "server");
+  const calls = Array.from({ length: 20 }, (_, wanted) =>
+    peer.call({ type: "budget-request", team: "t", wanted }, 1000),
+  );
+  const replies = await Promise.all(calls);
+  replies.forEach((reply, wanted) => {
+    assert.is(reply.unwrap().accepted, wanted % 2 === 0);
+  });
+});
+
+// Guards against a late reply being taken for the reply to another call.
+test("a reply after the time-out is dropped and counted", async () => {
+  let release = (): void => undefined;
+  const held = new Promise<void>((resolve) => (release = resolve));
+  let calls = 0;
+  const address = await listening(async () => {
+    const revision = ++calls;
+    if (revision === 1) await held;
+    return { ...REPLY, revision };
+  });
+  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const late = await peer.call(CONFIG, 30);
+  assert.is(late.err && late.val.kind, "ambiguous");
+  release();
+  await waitUntil(() => events.of("peer_reply_unmatched") === 1);
+  assert.is((await peer.call(CONFIG, 1000)).unwrap().revision, 2);
+});
+
+// Guards against a call that may have run being reported as certainly not run, and the reverse.
+test("calls are ambiguous once written and not sent before", async () => {
+  const address = await scripted((socket, chunk) => {
+    if (chunk === 0) socket.write(helloFrame());
+    else socket.destroy();
+  });
+  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const lost = await peer.call(CONFIG, 1000);
+  assert.is(lost.err && lost.val.kind, "ambiguous");
+  await waitUntil(() => !peer.open);
+  const closed = await peer.call(CONFIG, 1000);
+  assert.is(closed.err && closed.val.kind, "not-sent");
+  const refused = await transport().connect("127.0.0.1:1", hello("client"));
+  assert.is(refused.err && refused.val.kind, "not-sent");
+});
+
+// Guards against unbounded buffering towards a peer that stops reading, and against calls that
+// only waited in this process being reported as possibly run.
+test("calls that wait behind a full connection are not sent", async () => {
+  const address = await scripted((socket) => {
+    socket.write(helloFrame());
+    socket.pause();
+  });
+  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const records = [
+    {
+      spec: {
+        requestId: "r",
+        team: undefined,
+        queue: "q",
+        priority: "normal",
+        idempotent: false,
+        timeoutMs: 1,
+        payload: { contentType: "a/b", body: Buffer.alloc(1_000_000) },
+      },
+      digest: "",
+      state: { kind: "pending", started: false },
+      acceptedAt: 0,
+      attempt: 0,
+    },
+  ] as const;
+  const results = await Promise.all(
+    Array.from({ length: 300 }, () =>
+      peer.call({ type: "slot-transfer", slots: [], records }, 100),
+    ),
+  );
+  const kinds = results.map((result) => (result.err ? result.val.kind : "ok"));
+  assert.is(kinds[0], "ambiguous");
+  assert.is(kinds[255], "not-sent");
+  assert.equal(new Set(kinds.slice(256)), new Set(["busy"]));
+});
+
+// Guards against a connection kept after the other side stopped speaking the protocol.
+test("malformed frames and calls close the connection, counted by reason", async () => {
+  const address = await listening(() => Promise.resolve(REPLY));
+  const oversized = Buffer.from([0x7f, 0, 0, 0]);
+  const cases: readonly (readonly [string, readonly Buffer[]])[] = [
+    ["peer_frame_oversized", [helloFrame(), oversized]],
+    ["peer_frame_not_cbor", [helloFrame(), Buffer.from([0, 0, 0, 1, 0xff])]],
+    ["peer_call_malformed", [helloFrame(), frame({ kind: "call", callId: 1, req: { type: "x" } })]],
+    ["peer_hello_malformed", [frame({ kind: "call", callId: 1, req: CONFIG })]],
+    ["peer_version_mismatch", [frame({ kind: "hello", hello: { version: 99 } })]],
+  ];
+  for (const [reason, bytes] of cases) {
+    const { port } = new URL(`tcp://${address}`);
+    const socket = connectTcp(Number(port), "127.0.0.1");
+    const closed = new Promise((resolve) => socket.on("close", resolve).resume());
+    socket.on("error", () => undefined);
+    for (const part of bytes) socket.write(part);
+    await closed;
+    await waitUntil(() => events.of(reason) === 1);
+  }
+});
+
+// Guards against a reply of another type reaching decision code.
+test("a reply that does not belong to the request closes the connection", async () => {
+  const wrong = { kind: "reply", callId: 1, reply: { type: "ack", accepted: true } };
+  const address = await scripted((socket, chunk) => {
+    socket.write(chunk === 0 ? helloFrame() : frame(wrong));
+  });
+  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const reply = await peer.call(CONFIG, 1000);
+  assert.is(reply.err && reply.val.kind, "ambiguous");
+  assert.is(events.of("peer_reply_malformed"), 1);
+});
+
+// Guards against a connection kept for minutes of TCP retransmission after a partition.
+test("a connection on which nothing arrives any more is closed", async () => {
+  const clock = new VirtualClock();
+  const address = await scripted((socket, chunk) => {
+    if (chunk === 0) socket.write(helloFrame());
+  });
+  const peer = (await transport(clock).connect(address, hello("client"))).unwrap();
+  assert.is((await onClock(clock, peer.call(CONFIG, 1000))).err, true);
+  assert.ok(peer.open);
+  const calls = [peer.call(CONFIG, 2500), peer.call(CONFIG, 3500)];
+  for (const call of calls) assert.is((await onClock(clock, call)).err, true);
+  assert.not.ok(peer.open);
+  assert.is(events.of("peer_silent"), 1);
+});
+
+// Guards against a failing handler leaving its caller waiting.
+test("a failing handler gives an ambiguous result", async () => {
+  const address = await listening(() => Promise.reject(new Error("fault")));
+  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const reply = await peer.call(CONFIG, 1000);
+  assert.is(reply.err && reply.val.kind, "ambiguous");
+  assert.is(events.of("peer_handler_failed"), 1);
+});
+
+test.run();
