feat(settings): entry settings and template files with examples

Cause: an entry instance and an operator need settings that are checked before anything starts or changes. Change: INI text is parsed by ini and read through valibot schemas. Every fault of a file is reported at once with file, line, section, key, value and what is allowed; unknown sections and keys name the nearest valid one. Ruled out: reading values through ini alone, which takes a repeated key or a malformed header silently.

--- /dev/null
+++ b/src/settings/section-reader.ts
@@ -0,0 +1,87 @@
+import * as v from "valibot";
+import type { IniEntry, IniSection, IniText } from "./ini-text.ts";
+import { suggestion, type SettingsProblem } from "./problem.ts";
+
+/** Schema of a section: keys in snake_case, values read from text. */
+export type SectionSchema = v.ObjectSchema<v.ObjectEntries, undefined>;
+
+/** Collects faults while a file is read, so that all are reported at once. */
+export class SettingsReader {
+  readonly #ini: IniText;
+  readonly #problems: SettingsProblem[];
+  readonly #substitute: (entry: IniEntry) => string;
+
+  constructor(ini: IniText, substitute: (entry: IniEntry) => string = (entry) => entry.value) {
+    this.#ini = ini;
+    this.#problems = [...ini.problems];
+    this.#substitute = substitute;
+  }
+
+  get problems(): readonly SettingsProblem[] {
+    return this.#problems;
+  }
+
+  get file(): string {
+    return this.#ini.file;
+  }
+
+  /** Reports a fault at a key of a section, or at the section if the key is not given. */
+  report(section: IniSection, key: string | undefined, detail: string): void {
+    const entry = section.entries.find((candidate) => candidate.key === key);
+    this.#problems.push({
+      file: this.#ini.file,
+      line: entry?.line ?? section.line,
+      section: section.title,
+      key,
+      value: entry === undefined ? undefined : this.#substitute(entry),
+      detail,
+    });
+  }
+
+  /** Reports a fault of the whole file. */
+  reportFile(detail: string): void {
+    this.#problems.push({
+      file: this.#ini.file,
+      line: undefined,
+      section: undefined,
+      key: undefined,
+      value: undefined,
+      detail,
+    });
+  }
+
+  /** Reads a section; undefined if it has faults. An absent section reads as an empty one. */
+  read<S extends SectionSchema>(section: IniSection, schema: S): v.InferOutput<S> | undefined {
+    const keys = Object.keys(schema.entries);
+    const values: Record<string, string> = {};
+    let sound = true;
+    for (const entry of section.entries) {
+      if (keys.includes(entry.key)) values[entry.key] = this.#substitute(entry);
+      else {
+        sound = false;
+        this.report(section, entry.key, `unknown key; ${suggestion(entry.key, keys)}`);
+      }
+    }
+    const parsed = v.safeParse(schema, values, { abortPipeEarly: true });
+    if (parsed.success) return sound ? parsed.output : undefined;
+    for (const issue of parsed.issues) {
+      const key = String(issue.path?.[0].key);
+      const missing = !(key in values);
+      this.report(section, key, missing ? `missing; ${allowedText(schema, key)}` : issue.message);
+    }
+    return undefined;
+  }
+}
+
+/** What a key allows, taken from the message for a value that nothing allows. */
+function allowedText(schema: SectionSchema, key: string): string {
+  const entry = schema.entries[key];
+  if (entry === undefined) return "";
+  const parsed = v.safeParse(entry, "\u0000", { abortPipeEarly: true });
+  return parsed.success ? "" : parsed.issues[0].message;
+}
+
+/** Turns snake_case keys of a section into camelCase fields. */
+export function toCamelCase(key: string): string {
+  return key.replace(/_([a-z])/g, (_match, letter: string) => letter.toUpperCase());
+}
--- /dev/null
+++ b/src/settings/template-checks.ts
@@ -0,0 +1,126 @@
+import type * as v from "valibot";
+import type { IniSection } from "./ini-text.ts";
+import { suggestion } from "./problem.ts";
+import type { SettingsReader } from "./section-reader.ts";
+import type {
+  MaintenanceSectionSchema,
+  PoolSectionSchema,
+  QueueSectionSchema,
+  TeamSectionSchema,
+  WeightsSectionSchema,
+} from "./template-file.ts";
+
+/** A named section with its values; undefined values have faults that were reported. */
+export interface NamedSection<T> {
+  readonly section: IniSection;
+  readonly name: string;
+  readonly value: T | undefined;
+}
+
+/** All sections of a template. */
+export interface TemplateSections {
+  readonly pools: readonly NamedSection<v.InferOutput<typeof PoolSectionSchema>>[];
+  readonly queues: readonly NamedSection<v.InferOutput<typeof QueueSectionSchema>>[];
+  readonly teams: readonly NamedSection<v.InferOutput<typeof TeamSectionSchema>>[];
+  readonly maintenanceSection: IniSection | undefined;
+  readonly maintenance: v.InferOutput<typeof MaintenanceSectionSchema> | undefined;
+  readonly weights: v.InferOutput<typeof WeightsSectionSchema> | undefined;
+}
+
+/** Checks between sections. */
+export function checkTemplate(reader: SettingsReader, sections: TemplateSections): void {
+  if (sections.pools.length === 0) reader.reportFile("no pool; allowed: at least one [pool.NAME]");
+  if (sections.queues.length === 0)
+    reader.reportFile("no queue; allowed: at least one [queue.NAME]");
+  checkPools(reader, sections);
+  checkReferences(reader, sections);
+  checkShares(reader, sections);
+  const { maintenance, maintenanceSection } = sections;
+  if (maintenance !== undefined && maintenanceSection !== undefined) {
+    if (maintenance.start_time === maintenance.end_time) {
+      reader.report(
+        maintenanceSection,
+        "end_time",
+        "the window is empty; allowed: a time other than start_time",
+      );
+    }
+  }
+}
+
+function checkPools(reader: SettingsReader, { pools }: TemplateSections): void {
+  const groups = new Map<string, NamedSection<v.InferOutput<typeof PoolSectionSchema>>[]>();
+  for (const pool of pools) {
+    if (pool.value === undefined) continue;
+    groups.set(pool.value.group, [...(groups.get(pool.value.group) ?? []), pool]);
+    if (pool.value.min_available > pool.value.target_size) {
+      reader.report(
+        pool.section,
+        "min_available",
+        `more than target_size ${pool.value.target_size}; allowed: 0 to ${pool.value.target_size}`,
+      );
+    }
+  }
+  // A pool with faults may be the spare one; its group is then judged when the faults are gone.
+  if (pools.some((pool) => pool.value === undefined)) return;
+  for (const [group, members] of groups) {
+    const spares = members.filter((pool) => pool.value?.spare === true);
+    const last = members[members.length - 1];
+    if (spares.length === 0 && members.length > 1 && last !== undefined) {
+      const names = members.map((pool) => pool.name).join(", ");
+      reader.report(
+        last.section,
+        "spare",
+        `group "${group}" has no spare pool; set spare = yes in one of ${names}`,
+      );
+    }
+    for (const extra of spares.slice(1)) {
+      reader.report(
+        extra.section,
+        "spare",
+        `group "${group}" already has the spare pool "${spares[0]?.name ?? ""}"; allowed: one per group`,
+      );
+    }
+  }
+}
+
+function checkReferences(reader: SettingsReader, { pools, queues, teams }: TemplateSections): void {
+  const poolNames = pools.map((pool) => pool.name);
+  const queueNames = queues.map((queue) => queue.name);
+  for (const { section, value } of queues) {
+    if (value !== undefined && !poolNames.includes(value.pool)) {
+      reader.report(
+        section,
+        "pool",
+        `no [pool.${value.pool}] in this file; ${suggestion(value.pool, poolNames)}`,
+      );
+    }
+  }
+  for (const { section, value } of teams) {
+    for (const queue of value?.queues ?? []) {
+      if (!queueNames.includes(queue)) {
+        reader.report(
+          section,
+          "queues",
+          `no [queue.${queue}] in this file; ${suggestion(queue, queueNames)}`,
+        );
+      }
+    }
+  }
+  const keyed = queues.filter((queue) => queue.value?.open !== true);
+  if (keyed.length > 0 && teams.length === 0) {
+    reader.reportFile("queues that need a key but no team; allowed: at least one [team.NAME]");
+  }
+}
+
+function checkShares(reader: SettingsReader, { teams }: TemplateSections): void {
+  const known = teams.flatMap((team) => (team.value === undefined ? [] : [team.value]));
+  const first = teams[0];
+  if (first === undefined || known.length < teams.length) return;
+  if (known.every((team) => team.share === 0)) {
+    reader.report(
+      first.section,
+      "share",
+      "every team has share 0; allowed: at least one share above 0",
+    );
+  }
+}
--- /dev/null
+++ b/src/settings/template-file.ts
@@ -0,0 +1,239 @@
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { ConfigDocument } from "../protocol/config-document.ts";
+import { parseIni, type IniEntry, type IniSection, type IniText } from "./ini-text.ts";
+import { suggestion, type SettingsProblem } from "./problem.ts";
+import { SettingsReader, type SectionSchema } from "./section-reader.ts";
+import { checkTemplate, type TemplateSections } from "./template-checks.ts";
+import { decimalNumber, nameList, nameValue, timeOfDay, wholeNumber, yesOrNo } from "./values.ts";
+
+/** What a template states: the stored configuration without revision and keys. */
+export type TemplateContent = Omit<ConfigDocument, "revision" | "writeId" | "acceptedAt">;
+
+/** Values for `${name}`, which take precedence over the template's own `[parameters]`. */
+export type Parameters = ReadonlyMap<string, string>;
+
+/** Section `[pool.NAME]`. */
+export const PoolSectionSchema = v.object({
+  group: nameValue(),
+  min_available: wholeNumber(0, 10_000, "backend servers"),
+  target_size: wholeNumber(0, 10_000, "backend servers"),
+  urgent_reserve_slots: v.optional(wholeNumber(0, 100_000, "slots"), "0"),
+  spare: v.optional(yesOrNo(), "no"),
+});
+
+/** Section `[queue.NAME]`. */
+export const QueueSectionSchema = v.object({
+  pool: nameValue(),
+  open: v.optional(yesOrNo(), "no"),
+  idempotent: v.optional(yesOrNo(), "no"),
+  declared_run_ms: v.optional(wholeNumber(0, 604_800_000, "milliseconds"), "1000"),
+});
+
+/** Section `[team.NAME]`. */
+export const TeamSectionSchema = v.object({
+  share: decimalNumber(0, 1_000_000, "weight among teams"),
+  upper_limit: wholeNumber(0, 1_000_000, "running tasks"),
+  queues: v.optional(nameList(), ""),
+});
+
+/** Section `[maintenance]`. */
+export const MaintenanceSectionSchema = v.object({
+  start_time: v.optional(timeOfDay(), "00:00"),
+  end_time: v.optional(timeOfDay(), "24:00"),
+  every_days: v.optional(decimalNumber(0, 365, "days, 0 turns waves off"), "0"),
+  max_parallel: v.optional(wholeNumber(1, 10_000, "backend servers"), "2"),
+});
+
+/** Section `[weights]`. */
+export const WeightsSectionSchema = v.object({
+  buffer_cost: v.optional(decimalNumber(0, 1000, "weight"), "1"),
+  rollout_time: v.optional(decimalNumber(0, 1000, "weight"), "1"),
+  moves: v.optional(decimalNumber(0, 1000, "weight"), "1"),
+  closeness_to_share: v.optional(decimalNumber(0, 1000, "weight"), "1"),
+});
+
+const NAMED_KINDS = ["pool", "queue", "team"];
+const PLAIN_KINDS = ["maintenance", "weights", "parameters"];
+
+/** Reads an operators' template. On failure every fault of the file is returned. */
+export function readTemplate(
+  file: string,
+  text: string,
+  overrides: Parameters = new Map(),
+): Result<TemplateContent, readonly SettingsProblem[]> {
+  const ini = parseIni(file, text);
+  const substitution = new Substitution(ini, overrides);
+  const reader = new SettingsReader(ini, (entry) => substitution.apply(entry));
+  for (const section of ini.sections) {
+    checkSectionTitle(reader, section);
+    substitution.check(reader, section);
+  }
+  substitution.checkUse(reader);
+  const sections = readSections(reader, ini);
+  checkTemplate(reader, sections);
+  return reader.problems.length > 0 ? Err(reader.problems) : Ok(toContent(sections));
+}
+
+function checkSectionTitle(
+  reader: SettingsReader,
+  { title, kind, name, ...section }: IniSection,
+): void {
+  const whole = { title, kind, name, ...section };
+  if (NAMED_KINDS.includes(kind)) {
+    const parsed = v.safeParse(nameValue(), name);
+    if (name === undefined) reader.report(whole, undefined, `allowed: [${kind}.NAME]`);
+    else if (!parsed.success)
+      reader.report(whole, undefined, `name "${name}": ${parsed.issues[0].message}`);
+    return;
+  }
+  if (PLAIN_KINDS.includes(title)) return;
+  const candidates = [...NAMED_KINDS.map((named) => `${named}.NAME`), ...PLAIN_KINDS];
+  const nearest = suggestion(kind, [...NAMED_KINDS, ...PLAIN_KINDS]);
+  const hint = nearest.startsWith("did") ? nearest : `allowed: ${candidates.join(", ")}`;
+  reader.report(whole, undefined, `unknown section; ${hint}`);
+}
+
+function readSections(reader: SettingsReader, ini: IniText): TemplateSections {
+  const named = <S extends SectionSchema>(
+    kind: string,
+    schema: S,
+  ): {
+    readonly section: IniSection;
+    readonly name: string;
+    readonly value: v.InferOutput<S> | undefined;
+  }[] =>
+    ini.sections
+      .filter((section) => section.kind === kind && section.name !== undefined)
+      .map((section) => ({
+        section,
+        name: section.name ?? "",
+        value: reader.read(section, schema),
+      }));
+  const plain = <S extends SectionSchema>(title: string, schema: S): v.InferOutput<S> | undefined =>
+    reader.read(
+      ini.sections.find((section) => section.title === title) ?? {
+        title,
+        kind: title,
+        name: undefined,
+        line: undefined,
+        entries: [],
+      },
+      schema,
+    );
+  return {
+    pools: named("pool", PoolSectionSchema),
+    queues: named("queue", QueueSectionSchema),
+    teams: named("team", TeamSectionSchema),
+    maintenanceSection: ini.sections.find((section) => section.title === "maintenance"),
+    maintenance: plain("maintenance", MaintenanceSectionSchema),
+    weights: plain("weights", WeightsSectionSchema),
+  };
+}
+
+function toContent({
+  pools,
+  queues,
+  teams,
+  maintenance,
+  weights,
+}: TemplateSections): TemplateContent {
+  return {
+    pools: pools.flatMap(({ name, value }) =>
+      value === undefined
+        ? []
+        : {
+            name,
+            group: value.group,
+            minAvailable: value.min_available,
+            targetSize: value.target_size,
+            urgentReserveSlots: value.urgent_reserve_slots,
+            spare: value.spare,
+          },
+    ),
+    queues: queues.flatMap(({ name, value }) =>
+      value === undefined
+        ? []
+        : {
+            name,
+            pool: value.pool,
+            open: value.open,
+            idempotent: value.idempotent,
+            declaredRunMs: value.declared_run_ms,
+          },
+    ),
+    teams: teams.flatMap(({ name, value }) =>
+      value === undefined
+        ? []
+        : {
+            name,
+            share: value.share,
+            upperLimit: value.upper_limit,
+            queues: value.queues,
+            keys: [],
+          },
+    ),
+    maintenance: {
+      startMinute: maintenance?.start_time ?? 0,
+      endMinute: maintenance?.end_time ?? 1440,
+      everyDays: maintenance?.every_days ?? 0,
+      maxParallel: maintenance?.max_parallel ?? 2,
+    },
+    weights: {
+      bufferCost: weights?.buffer_cost ?? 1,
+      rolloutTime: weights?.rollout_time ?? 1,
+      moves: weights?.moves ?? 1,
+      closenessToShare: weights?.closeness_to_share ?? 1,
+    },
+  };
+}
+
+const REFERENCE = /\$\{([^}]*)\}/g;
+
+/** Replaces `${name}` in values by parameters. */
+class Substitution {
+  readonly #section: IniSection | undefined;
+  readonly #parameters: Map<string, string>;
+  readonly #overrides: Parameters;
+  readonly #used = new Set<string>();
+
+  constructor(ini: IniText, overrides: Parameters) {
+    this.#section = ini.sections.find((section) => section.title === "parameters");
+    this.#overrides = overrides;
+    this.#parameters = new Map(this.#section?.entries.map((entry) => [entry.key, entry.value]));
+    for (const [key, value] of overrides) this.#parameters.set(key, value);
+  }
+
+  apply(entry: IniEntry): string {
+    return entry.value.replace(
+      REFERENCE,
+      (reference, key: string) => this.#parameters.get(key) ?? reference,
+    );
+  }
+
+  /** Reports references to parameters that have no value. */
+  check(reader: SettingsReader, section: IniSection): void {
+    for (const entry of section.entries) {
+      for (const [, key = ""] of entry.value.matchAll(REFERENCE)) {
+        this.#used.add(key);
+        if (section.title === "parameters") {
+          reader.report(section, entry.key, "allowed: a value without ${...}");
+        } else if (!this.#parameters.has(key)) {
+          const hint = suggestion(key, [...this.#parameters.keys()]);
+          reader.report(section, entry.key, `parameter "${key}" has no value; ${hint}`);
+        }
+      }
+    }
+  }
+
+  /** Reports parameters that no value refers to, which are mostly misspelt. */
+  checkUse(reader: SettingsReader): void {
+    const unused = [...this.#parameters.keys()].filter((key) => !this.#used.has(key));
+    for (const key of unused) {
+      const detail = `no value refers to this parameter; ${suggestion(key, [...this.#used])}`;
+      if (this.#section !== undefined && !this.#overrides.has(key))
+        reader.report(this.#section, key, detail);
+      else reader.reportFile(`parameter "${key}": ${detail}`);
+    }
+  }
+}
--- /dev/null
+++ b/test/settings/examples.test.ts
@@ -0,0 +1,37 @@
+import { readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { readEntrySettings } from "../../src/settings/entry-file.ts";
+import { ENTRY_DEFAULTS } from "../../src/settings/entry-settings.ts";
+import { formatProblem } from "../../src/settings/problem.ts";
+import { readTemplate } from "../../src/settings/template-file.ts";
+
+// Guards against examples that a new user copies and that are refused.
+for (const [file, servers] of [
+  ["examples/piedra-viva.ini", 35],
+  ["examples/waitaha.ini", 40],
+] as const) {
+  test(`${file} is accepted and has ${servers} servers in 5 pools for 6 teams`, () => {
+    const read = readTemplate(file, readFileSync(file, "utf8"));
+    if (read.err) throw new Error(read.val.map(formatProblem).join("\n"));
+    const sizes = read.val.pools.map((pool) => pool.targetSize);
+    assert.is(sizes.length, 5);
+    assert.is(
+      sizes.reduce((sum, size) => sum + size, 0),
+      servers,
+    );
+    assert.is(read.val.teams.length, 6);
+  });
+}
+
+// Guards against defaults in the example that differ from those of the program.
+test("examples/entry.ini is accepted and resolves to the defaults", () => {
+  const read = readEntrySettings("entry.ini", readFileSync("examples/entry.ini", "utf8"));
+  if (read.err) throw new Error(read.val.map(formatProblem).join("\n"));
+  assert.is(read.val.zone, "andina-a");
+  for (const [key, value] of Object.entries(ENTRY_DEFAULTS)) {
+    assert.is(read.val[key as keyof typeof ENTRY_DEFAULTS], value, key);
+  }
+});
+
+test.run();
