feat(config): configuration and fleet followers

Cause: entries need the configuration in force, the age of its last confirmation and the fleet document, without a platform call per request. Change: one waiting read per key; only higher revisions are adopted, from the platform or from peers; confirmations count from the send time. Keyed work stops when the age exceeds key_freshness_ms, except in a platform-wide outage seen by every zone. Keys are indexed by id, so that a request costs one hash. Ruled out: counting a confirmation from its arrival, which adds up to one watch to the time for which a withdrawn key works. Conclusion: a cut-off zone refuses keyed work within 4 s; a platform-wide outage does not stop it.

--- /dev/null
+++ b/src/coordination/config-follower.ts
@@ -0,0 +1,206 @@
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { Clock } from "../platform/clock.ts";
+import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { Log } from "../platform/log.ts";
+import type { Random } from "../platform/random.ts";
+import {
+  CONFIG_KEY,
+  ConfigDocumentSchema,
+  type ConfigDocument,
+} from "../protocol/config-document.ts";
+import { KeyIndex } from "../state/keys.ts";
+import { KeyWatcher } from "./key-watcher.ts";
+import { ConfigView, type Counters, type PeerState, type Unsubscribe } from "./ports.ts";
+
+/** What the rule for a platform-wide outage needs to know about the other entries. */
+export abstract class OutageView {
+  /** Availability zones of the members in `homes`; undefined until it was read. */
+  abstract zones(): ReadonlySet<string> | undefined;
+  /**
+   * Peers with their last gossip. `receivedAt` must not be later than the time at which the peer
+   * stated it plus a known bound, so it counts from the send time of the call that was answered.
+   */
+  abstract peers(): Iterable<PeerState>;
+}
+
+/** Options of {@link ConfigFollower}. */
+export interface ConfigFollowerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly keyValue: KeyValueService;
+  readonly counters: Counters;
+  readonly log: Log;
+  /** Availability zone of this entry. */
+  readonly zone: string;
+  readonly outage: OutageView;
+  /** Longest wait of one watch in milliseconds. @default 1500 */
+  readonly watchMs?: number;
+  /** Age in milliseconds of a confirmation beyond which keyed work stops. @default 4000 */
+  readonly keyFreshnessMs?: number;
+}
+
+/** Follows the configuration from the platform and from peers; adopts higher revisions only. */
+export class ConfigFollower extends ConfigView {
+  readonly #options: Required<ConfigFollowerOptions>;
+  readonly #watcher: KeyWatcher;
+  readonly #listeners = new Set<(config: ConfigDocument) => void>();
+  #current: ConfigDocument | undefined;
+  #text: string | undefined;
+  #keys: KeyIndex | undefined;
+  /** Monotonic time at which the current revision was last known to be the newest. */
+  #confirmedAt = -Infinity;
+  /** Configuration revision that the platform showed last; 0 if it showed none that is usable. */
+  #platformRevision = 0;
+
+  constructor({ watchMs = 1500, keyFreshnessMs = 4000, ...rest }: ConfigFollowerOptions) {
+    super();
+    this.#options = { watchMs, keyFreshnessMs, ...rest };
+    const { clock, random, keyValue, counters } = rest;
+    this.#watcher = new KeyWatcher({
+      clock,
+      random,
+      keyValue,
+      watchMs,
+      key: CONFIG_KEY,
+      listener: {
+        read: (entry, sentAt) => {
+          const usable = entry !== undefined && this.#offer(entry.value, sentAt);
+          this.#platformRevision = usable ? (this.#current?.revision ?? 0) : 0;
+        },
+        confirmed: (sentAt) => {
+          // A peer may have brought a higher revision, which this reply says nothing about.
+          if (this.#platformRevision === this.#current?.revision) this.#confirm(sentAt);
+        },
+        failed: (err) => {
+          counters.retry(err.kind === "ambiguous" ? "kv_ambiguous" : "kv_unavailable");
+        },
+      },
+    });
+  }
+
+  start(): void {
+    this.#watcher.start();
+  }
+
+  stop(): void {
+    this.#watcher.stop();
+  }
+
+  current(): ConfigDocument | undefined {
+    return this.#current;
+  }
+
+  /** The adopted document as stored, for peers that ask for it. */
+  documentText(): string | undefined {
+    return this.#text;
+  }
+
+  ageMs(): number {
+    return this.#options.clock.now() - this.#confirmedAt;
+  }
+
+  platformReachable(): boolean {
+    return this.#watcher.reachable();
+  }
+
+  /**
+   * Takes a document from a peer. `ageMs` is the age of the peer's confirmation plus the time
+   * since the request for it was sent. False if it is malformed or older than the adopted one.
+   */
+  adopt(documentText: string, ageMs: number): boolean {
+    return this.#offer(documentText, this.#options.clock.now() - ageMs);
+  }
+
+  /** Takes a peer's confirmation of a revision, with its age as in {@link ConfigFollower.adopt}. */
+  confirm(revision: number, ageMs: number): void {
+    if (revision !== this.#current?.revision) return;
+    this.#confirm(this.#options.clock.now() - ageMs);
+  }
+
+  keyedWorkAllowed(): boolean {
+    if (this.#current === undefined) return false;
+    return this.ageMs() <= this.#options.keyFreshnessMs || this.#platformWideOutage();
+  }
+
+  teamOfKey(key: string): string | undefined {
+    return this.#keys?.teamOf(key);
+  }
+
+  onChange(listener: (config: ConfigDocument) => void): Unsubscribe {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  /** Adopts the document if its revision is higher. True if it is now the adopted one. */
+  #offer(text: string, confirmedAt: number): boolean {
+    const parsed = parseConfigDocument(text);
+    const { counters, log } = this.#options;
+    if (parsed.err) {
+      counters.event("config_malformed");
+      log.error({ detail: parsed.val }, "stored configuration is malformed");
+      return false;
+    }
+    const offered = parsed.val;
+    const revision = this.#current?.revision ?? 0;
+    if (offered.revision < revision) {
+      counters.event("config_revision_back");
+      log.warn({ revision, offered: offered.revision }, "ignored a lower configuration revision");
+      return false;
+    }
+    if (offered.revision === revision) {
+      if (offered.writeId !== this.#current?.writeId) {
+        counters.event("config_revision_clash");
+        log.error({ revision }, "two configurations have the same revision");
+        return false;
+      }
+      this.#confirm(confirmedAt);
+      return true;
+    }
+    this.#adopt(offered, text, confirmedAt);
+    return true;
+  }
+
+  #adopt(config: ConfigDocument, text: string, confirmedAt: number): void {
+    this.#current = config;
+    this.#text = text;
+    this.#keys = new KeyIndex(config);
+    // A confirmation of the former revision says nothing about this one.
+    this.#confirmedAt = confirmedAt;
+    this.#options.counters.event("config_adopted");
+    this.#options.log.info({ revision: config.revision }, "adopted configuration");
+    for (const listener of this.#listeners) listener(config);
+  }
+
+  #confirm(at: number): void {
+    this.#confirmedAt = Math.max(this.#confirmedAt, at);
+  }
+
+  /** True if every zone is in contact and no entry in contact reaches the platform. */
+  #platformWideOutage(): boolean {
+    const { outage, clock, keyFreshnessMs, zone } = this.#options;
+    const zones = outage.zones();
+    if (zones === undefined || zones.size === 0 || this.#watcher.reachable()) return false;
+    const since = clock.now() - keyFreshnessMs;
+    const inContact = [...outage.peers()].filter((peer) => peer.receivedAt >= since);
+    if (inContact.some((peer) => peer.message.platformReachable)) return false;
+    const heard = new Set([zone, ...inContact.map((peer) => peer.hello.zone)]);
+    return [...zones].every((member) => heard.has(member));
+  }
+}
+
+/** Reads a stored configuration document. The error names the place of the fault. */
+export function parseConfigDocument(text: string): Result<ConfigDocument, string> {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    return Err("not JSON");
+  }
+  const parsed = v.safeParse(ConfigDocumentSchema, json);
+  if (parsed.success) return Ok(parsed.output);
+  const issue = parsed.issues[0];
+  return Err(`${v.getDotPath(issue) ?? "document"}: ${issue.message}`);
+}
--- /dev/null
+++ b/src/coordination/fleet-follower.ts
@@ -0,0 +1,95 @@
+import * as v from "valibot";
+import type { Clock } from "../platform/clock.ts";
+import type { KeyValueService, KvEntry } from "../platform/key-value-service.ts";
+import type { Log } from "../platform/log.ts";
+import type { Random } from "../platform/random.ts";
+import { FleetDocumentSchema, fleetKey, type FleetDocument } from "../protocol/fleet-document.ts";
+import { KeyWatcher } from "./key-watcher.ts";
+import { FleetView, type Counters, type Unsubscribe } from "./ports.ts";
+
+/** Options of {@link FleetFollower}. */
+export interface FleetFollowerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly keyValue: KeyValueService;
+  readonly counters: Counters;
+  readonly log: Log;
+  /** Pool group whose fleet document is followed. */
+  readonly group: string;
+  /** Longest wait of one watch in milliseconds. @default 1500 */
+  readonly watchMs?: number;
+}
+
+/** Follows the fleet document of one pool group. */
+export class FleetFollower extends FleetView {
+  readonly #options: FleetFollowerOptions;
+  readonly #watcher: KeyWatcher;
+  readonly #listeners = new Set<(fleet: FleetDocument) => void>();
+  #current: FleetDocument | undefined;
+
+  constructor(options: FleetFollowerOptions) {
+    super();
+    this.#options = options;
+    const { clock, random, keyValue, counters, group, watchMs = 1500 } = options;
+    this.#watcher = new KeyWatcher({
+      clock,
+      random,
+      keyValue,
+      watchMs,
+      key: fleetKey(group),
+      listener: {
+        read: (entry) => {
+          if (entry !== undefined) this.#read(entry);
+        },
+        confirmed: () => undefined,
+        failed: (err) => {
+          counters.retry(err.kind === "ambiguous" ? "kv_ambiguous" : "kv_unavailable");
+        },
+      },
+    });
+  }
+
+  start(): void {
+    this.#watcher.start();
+  }
+
+  stop(): void {
+    this.#watcher.stop();
+  }
+
+  current(): FleetDocument | undefined {
+    return this.#current;
+  }
+
+  onChange(listener: (fleet: FleetDocument) => void): Unsubscribe {
+    this.#listeners.add(listener);
+    return () => {
+      this.#listeners.delete(listener);
+    };
+  }
+
+  #read(entry: KvEntry): void {
+    // Replies may arrive out of order; an older one must not bring back a former pool or state.
+    if (entry.revision <= (this.#current?.revision ?? 0)) return;
+    const fleet = parseFleetDocument(entry);
+    if (fleet === undefined) {
+      this.#options.counters.event("fleet_malformed");
+      this.#options.log.error({ group: this.#options.group }, "stored fleet document is malformed");
+      return;
+    }
+    this.#current = fleet;
+    for (const listener of this.#listeners) listener(fleet);
+  }
+}
+
+/** Reads a stored fleet document; undefined if it is malformed. */
+export function parseFleetDocument(entry: KvEntry): FleetDocument | undefined {
+  let json: unknown;
+  try {
+    json = JSON.parse(entry.value);
+  } catch {
+    return undefined;
+  }
+  const parsed = v.safeParse(FleetDocumentSchema, json);
+  return parsed.success ? { ...parsed.output, revision: entry.revision } : undefined;
+}
--- /dev/null
+++ b/test/fakes/quiet.ts
@@ -0,0 +1,31 @@
+import { Counters } from "../../src/coordination/ports.ts";
+import type { Log } from "../../src/platform/log.ts";
+
+/** Counters that tests can read. */
+export class RecordedCounters extends Counters {
+  readonly counts = new Map<string, number>();
+
+  refusal(reason: string): void {
+    this.event(`refusal_${reason}`);
+  }
+
+  retry(reason: string): void {
+    this.event(`retry_${reason}`);
+  }
+
+  event(name: string): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  }
+
+  duration(): void {
+    // Durations are not asserted.
+  }
+}
+
+/** A log that writes nothing. */
+export const QUIET_LOG: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
