--- /dev/null
+++ b/src/coordination/budget-keeper.ts
@@ -0,0 +1,320 @@
+/** This entry's budgets: rows in the ledger, raised on demand and returned when idle. */
+import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
+import type { TaskRef } from "../platform/backend-server.ts";
+import { ledgerShardOf } from "../protocol/ledger-document.ts";
+import type { AckReply, BudgetRequest, TeamLoad } from "../protocol/peer-messages.ts";
+import type { ChargeBook } from "../state/charge-book.ts";
+import { retire, type BudgetWish, type UpperLimit } from "../state/ledger.ts";
+import type { DocumentStore } from "./document-store.ts";
+import { IdleWindow } from "./idle-window.ts";
+import type { LeaseCoverage } from "./lease-coverage.ts";
+import { LedgerShard } from "./ledger-shard.ts";
+import { Budgets, type ConfigView, type Counters, type Peers, type Unsubscribe } from "./ports.ts";
+
+/** Least time between two writes of one shard by one entry, which bounds the service's load. */
+const WRITE_INTERVAL_MS = 500;
+/** Longest added delay before a raise is tried again that found nothing left. */
+const RETRY_JITTER_MS = 500;
+/** Longest time between two steps of a shard without any event. */
+const TICK_MS = 500;
+/** Age at which a shard in use is read again, so that caps and marks are seen. */
+const REFRESH_MS = 5000;
+const BUDGET_REQUEST_TIMEOUT_MS = 500;
+const MAX_ASKED_PEERS = 3;
+const MAX_RESERVE = 4;
+
+/** Options of {@link BudgetKeeper}. */
+export interface BudgetKeeperOptions {
+  readonly store: DocumentStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly peers: Peers;
+  readonly config: ConfigView;
+  readonly charges: ChargeBook;
+  readonly coverage: LeaseCoverage;
+  readonly counters: Counters;
+  readonly ledgerShards: number;
+  readonly budgetIdleMs: number;
+  /** Called when a shard shows that this incarnation is retired. */
+  readonly onRetired: () => void;
+}
+
+/** Keeps the own rows of every shard; one task per shard. */
+export class BudgetKeeper extends Budgets {
+  readonly #options: BudgetKeeperOptions;
+  readonly #shards: readonly LedgerShard[];
+  readonly #wakes: (() => void)[] = [];
+  readonly #demand = new Map<string, number>();
+  readonly #returns = new Map<string, number>();
+  readonly #idle: IdleWindow;
+  readonly #listeners = new Set<() => void>();
+  readonly #stopped = new AbortController();
+  #tasks: Promise<unknown> = Promise.resolve();
+
+  constructor(options: BudgetKeeperOptions) {
+    super();
+    this.#options = options;
+    const { store, clock, charges, ledgerShards, budgetIdleMs, peers } = options;
+    const { incarnation } = peers.self;
+    const limitOf = (team: string): UpperLimit | undefined => this.#limitOf(team);
+    this.#shards = Array.from(
+      { length: ledgerShards },
+      (_, shard) => new LedgerShard({ shard, incarnation, store, clock, limitOf }),
+    );
+    this.#idle = new IdleWindow({ clock, windowMs: budgetIdleMs });
+    charges.onChange((team) => {
+      this.#idle.observe(team, this.#spare(team));
+      this.#notify();
+    });
+  }
+
+  /** Runs one task per shard until {@link stop}. */
+  async run(): Promise<void> {
+    const unsubscribe = [
+      this.#options.coverage.onStart(() => {
+        this.#wakeAll();
+      }),
+      this.#options.config.onChange(() => {
+        this.#wakeAll();
+      }),
+    ];
+    this.#tasks = Promise.all(this.#shards.map((shard, index) => this.#runShard(shard, index)));
+    await this.#tasks;
+    for (const end of unsubscribe) end();
+  }
+
+  /** Ends the tasks; rows stay as they are. */
+  stop(): void {
+    this.#stopped.abort();
+    this.#wakeAll();
+  }
+
+  /**
+   * Gives up every budget but what running tasks use and marks this incarnation retired, so that
+   * the rest is reclaimed when those tasks end. False if some shard could not be written.
+   */
+  async retireSelf(): Promise<boolean> {
+    this.stop();
+    await this.#tasks;
+    const { peers, clock } = this.#options;
+    const { incarnation, zone } = peers.self;
+    const done = await Promise.all(
+      this.#shards.map(async (shard) => {
+        const marked = await shard.update((doc, writeId) => {
+          if (!doc?.teams.some(({ rows }) => rows.some((row) => row.incarnation === incarnation))) {
+            return undefined;
+          }
+          const next = retire(doc, { incarnation, zone, at: clock.wallTime() });
+          return next && { ...next, writeId };
+        });
+        if (!marked.ok) return false;
+        const wishes = shard.teams().map((team) => this.#wish(team, this.running(team)));
+        return (await shard.adjust(wishes)).ok;
+      }),
+    );
+    return done.every(Boolean);
+  }
+
+  tryCharge(team: string, ref: TaskRef): boolean {
+    if (this.room(team) <= 0) return false;
+    return this.#options.charges.add(team, ref);
+  }
+
+  release(_team: string, ref: TaskRef): void {
+    this.#options.charges.ended(ref);
+  }
+
+  room(team: string): number {
+    if (this.#stopped.signal.aborted) return 0;
+    const shard = this.#shardOf(team);
+    if (!this.#usable(shard)) return 0;
+    return Math.max(0, shard.allowance(team) - this.running(team));
+  }
+
+  running(team: string): number {
+    return this.#options.charges.running(team);
+  }
+
+  setDemand(team: string, queued: number): void {
+    if (queued > 0) this.#demand.set(team, queued);
+    else this.#demand.delete(team);
+    this.#idle.observe(team, this.#spare(team));
+    if (queued > this.room(team)) this.#wake(team);
+  }
+
+  onChange(listener: () => void): Unsubscribe {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Answers a peer that asks for unused budget. */
+  handleBudgetRequest({ team, wanted }: BudgetRequest): AckReply {
+    const given = Math.min(wanted, this.#spare(team));
+    if (given <= 0) return { type: "ack", accepted: false };
+    this.#returns.set(team, Math.max(given, this.#returns.get(team) ?? 0));
+    this.#wake(team);
+    return { type: "ack", accepted: true };
+  }
+
+  /** Budget use per team for gossip. */
+  loads(): readonly TeamLoad[] {
+    const teams = this.#options.config.current()?.teams ?? [];
+    return teams.map(({ name: team }) => ({
+      team,
+      running: this.running(team),
+      budget: this.#shardOf(team).allowance(team),
+      queued: this.#demand.get(team) ?? 0,
+    }));
+  }
+
+  /** Tasks of a team that run above a limit that was lowered. */
+  excess(team: string): number {
+    return Math.max(0, this.running(team) - this.#shardOf(team).allowance(team));
+  }
+
+  async #runShard(shard: LedgerShard, index: number): Promise<void> {
+    const { clock, random } = this.#options;
+    while (!this.#stopped.signal.aborted) {
+      const unmet = await this.#step(shard, index);
+      const delay = WRITE_INTERVAL_MS + (unmet ? random.next() * RETRY_JITTER_MS : 0);
+      await clock.sleep(delay, this.#stopped.signal);
+      if (!unmet && !this.#pending(shard, index)) await this.#waitForEvent(index);
+    }
+  }
+
+  /** One round of reads and writes of a shard; true if a team still lacks budget. */
+  async #step(shard: LedgerShard, index: number): Promise<boolean> {
+    const { clock, coverage } = this.#options;
+    const age = clock.now() - (shard.confirmedAt ?? -Infinity);
+    const unread = coverage.since() !== undefined && !this.#usable(shard);
+    const teams = this.#teamsOf(shard, index);
+    if (unread || (age > REFRESH_MS && teams.length > 0)) await shard.read();
+    if (shard.retired) this.#options.onRetired();
+    const wishes = this.#wishes(shard, teams);
+    if (wishes.length > 0) {
+      const result = await shard.adjust(wishes);
+      if (!result.ok) this.#options.counters.event(`ledger_${result.val.kind}`);
+    }
+    this.#notify();
+    const short = teams.filter((team) => this.#shortfall(team) > 0);
+    if (short.length === 0 || !this.#usable(shard)) return false;
+    await Promise.all(short.map((team) => this.#askPeers(team, this.#shortfall(team))));
+    await shard.read();
+    return true;
+  }
+
+  #wishes(shard: LedgerShard, teams: readonly string[]): readonly BudgetWish[] {
+    return teams.flatMap((team) => {
+      const budget = shard.budget(team);
+      const target = this.#target(shard, team, budget);
+      return target === budget ? [] : [this.#wish(team, target)];
+    });
+  }
+
+  /** Budget to aim for, from running tasks, demand, requests of peers and idle time. */
+  #target(shard: LedgerShard, team: string, budget: number): number {
+    const running = this.running(team);
+    const allowance = shard.allowance(team);
+    if (allowance < budget) return Math.min(budget, Math.max(running, allowance));
+    const returned = this.#returns.get(team) ?? 0;
+    this.#returns.delete(team);
+    const demand = this.#demand.get(team) ?? 0;
+    const reserve = this.#reserve(team);
+    if (this.#usable(shard) && running + demand > budget) return running + demand + reserve;
+    const idle = Math.max(0, this.#idle.take(team, this.#spare(team)) - reserve);
+    const given = Math.max(Math.min(returned, this.#spare(team)), idle);
+    return Math.max(running, budget - given);
+  }
+
+  /** Budget of a team that neither running nor queued tasks need. */
+  #spare(team: string): number {
+    const shard = this.#shardOf(team);
+    const needed = this.#usable(shard) ? (this.#demand.get(team) ?? 0) : 0;
+    return shard.budget(team) - this.running(team) - needed;
+  }
+
+  #shortfall(team: string): number {
+    return (this.#demand.get(team) ?? 0) - this.room(team);
+  }
+
+  async #askPeers(team: string, wanted: number): Promise<void> {
+    const { peers } = this.#options;
+    const spares = [...peers.gossip().values()].flatMap(({ hello, message }) => {
+      const load = message.teams.find((one) => one.team === team);
+      const spare = load === undefined ? 0 : load.budget - load.running - load.queued;
+      return spare > 0 ? [{ incarnation: hello.incarnation, spare }] : [];
+    });
+    spares.sort((a, b) => b.spare - a.spare);
+    const req: BudgetRequest = { type: "budget-request", team, wanted };
+    await Promise.all(
+      spares
+        .slice(0, MAX_ASKED_PEERS)
+        .map(({ incarnation }) => peers.call(incarnation, req, BUDGET_REQUEST_TIMEOUT_MS)),
+    );
+  }
+
+  /** Unused budget kept here: small against the limit divided by the entries. */
+  #reserve(team: string): number {
+    const entries = this.#options.peers.gossip().size + 1;
+    return Math.min(MAX_RESERVE, Math.floor((this.#limitOf(team)?.limit ?? 0) / (4 * entries)));
+  }
+
+  /** The budget is zero unless the shard was read during the present unbroken lease coverage. */
+  #usable(shard: LedgerShard): boolean {
+    const since = this.#options.coverage.since();
+    return since !== undefined && (shard.confirmedAt ?? -Infinity) >= since;
+  }
+
+  #wish(team: string, target: number): BudgetWish {
+    return { team, target, ...(this.#limitOf(team) ?? { limit: 0, configRevision: 0 }) };
+  }
+
+  /** A team that the configuration does not name has a limit of zero. */
+  #limitOf(team: string): UpperLimit | undefined {
+    const config = this.#options.config.current();
+    if (config === undefined) return undefined;
+    const found = config.teams.find(({ name }) => name === team);
+    return { limit: found?.upperLimit ?? 0, configRevision: config.revision };
+  }
+
+  #teamsOf(shard: LedgerShard, index: number): readonly string[] {
+    const own = [...this.#demand.keys()].filter((team) => this.#indexOf(team) === index);
+    return [...new Set([...shard.teams(), ...own])];
+  }
+
+  #pending(shard: LedgerShard, index: number): boolean {
+    if (this.#options.coverage.since() !== undefined && !this.#usable(shard)) return true;
+    return this.#teamsOf(shard, index).some((team) => this.#shortfall(team) > 0);
+  }
+
+  #indexOf(team: string): number {
+    return ledgerShardOf(team, this.#shards.length);
+  }
+
+  #shardOf(team: string): LedgerShard {
+    const shard = this.#shards[this.#indexOf(team)];
+    if (shard === undefined) throw new Error("a ledger has at least one shard");
+    return shard;
+  }
+
+  async #waitForEvent(index: number): Promise<void> {
+    const event = new AbortController();
+    this.#wakes[index] = () => {
+      event.abort();
+    };
+    await this.#options.clock.sleep(TICK_MS, event.signal);
+  }
+
+  #wake(team: string): void {
+    this.#wakes[this.#indexOf(team)]?.();
+  }
+
+  #wakeAll(): void {
+    for (const wake of this.#wakes) wake();
+  }
+
+  #notify(): void {
+    for (const listener of this.#listeners) listener();
+  }
+}
--- /dev/null
+++ b/src/coordination/ledger-shard.ts
@@ -0,0 +1,186 @@
+/** This entry's view of one ledger shard and its own rows in it. */
+import { Ok, type Result } from "ts-results";
+import type { Clock } from "../platform/clock.ts";
+import {
+  LedgerDocumentSchema,
+  ledgerKey,
+  type LedgerDocument,
+} from "../protocol/ledger-document.ts";
+import {
+  adjust,
+  effectiveBudget,
+  EMPTY_LEDGER,
+  isRetired,
+  rowOf,
+  withLimit,
+  type BudgetWish,
+  type UpperLimit,
+} from "../state/ledger.ts";
+import type {
+  Change,
+  DocumentError,
+  DocumentKind,
+  DocumentStore,
+  UpdateOutcome,
+  Versioned,
+} from "./document-store.ts";
+
+/** Options of {@link LedgerShard}. */
+export interface LedgerShardOptions {
+  readonly shard: number;
+  readonly incarnation: string;
+  readonly store: DocumentStore;
+  readonly clock: Clock;
+  /** Upper limit in the configuration in force; undefined without a configuration. */
+  readonly limitOf: (team: string) => UpperLimit | undefined;
+}
+
+/** A lowering whose write may not have been seen yet. */
+interface Ceiling {
+  readonly budget: number;
+  /** Set when the outcome is unknown: the write can take effect until this revision has passed. */
+  readonly pendingAt: number | undefined;
+}
+
+/** Kind of a ledger shard's document. */
+export function ledgerKind(shard: number): DocumentKind<LedgerDocument> {
+  return { key: ledgerKey(shard), schema: LedgerDocumentSchema };
+}
+
+/** Reads and changes one shard. Calls that write must not overlap. */
+export class LedgerShard {
+  readonly #options: LedgerShardOptions;
+  readonly #kind: DocumentKind<LedgerDocument>;
+  readonly #ceilings = new Map<string, Ceiling>();
+  #known: Versioned<LedgerDocument> | undefined;
+  #confirmedAt: number | undefined;
+
+  constructor(options: LedgerShardOptions) {
+    this.#options = options;
+    this.#kind = ledgerKind(options.shard);
+  }
+
+  get document(): LedgerDocument {
+    return this.#known?.value ?? EMPTY_LEDGER;
+  }
+
+  /** Monotonic time at which the last call was sent that showed the newest document. */
+  get confirmedAt(): number | undefined {
+    return this.#confirmedAt;
+  }
+
+  /** True if this incarnation is marked as retired. */
+  get retired(): boolean {
+    return isRetired(this.document, this.#options.incarnation);
+  }
+
+  /** Budget in the own row, whether usable or not. */
+  budget(team: string): number {
+    return rowOf(this.document, team, this.#options.incarnation)?.budget ?? 0;
+  }
+
+  /** Teams with a row of this incarnation. */
+  teams(): readonly string[] {
+    const { incarnation } = this.#options;
+    return this.document.teams
+      .filter(({ rows }) => rows.some((row) => row.incarnation === incarnation))
+      .map(({ team }) => team);
+  }
+
+  /** Tasks of a team that may run under the own row as last read. */
+  allowance(team: string): number {
+    if (this.retired) return 0;
+    const record = this.document.teams.find((budgets) => budgets.team === team);
+    if (record === undefined) return 0;
+    const limit = this.#options.limitOf(team);
+    const limited = limit === undefined ? record : withLimit(record, limit, this.document.retired);
+    const row = limited.rows.find((one) => one.incarnation === this.#options.incarnation);
+    return Math.min(effectiveBudget(row), this.#ceilings.get(team)?.budget ?? Infinity);
+  }
+
+  /** Reads the newest document; false if the service could not be used. */
+  async read(): Promise<boolean> {
+    const sentAt = this.#options.clock.now();
+    const reply = await this.#options.store.read(this.#kind);
+    if (!reply.ok) return false;
+    this.#take(reply.val, sentAt);
+    return true;
+  }
+
+  /** Moves the own rows towards the wishes. Budget given up is unusable from now on. */
+  async adjust(
+    wishes: readonly BudgetWish[],
+  ): Promise<Result<UpdateOutcome<LedgerDocument>, DocumentError>> {
+    for (const { team, target } of wishes) {
+      if (target < this.budget(team)) this.#lowerCeiling(team, target);
+    }
+    const { incarnation } = this.#options;
+    const result = await this.update((current, writeId) => {
+      const next = adjust(current ?? EMPTY_LEDGER, incarnation, wishes);
+      return next && { ...next, writeId };
+    });
+    this.#settleCeilings(wishes, result);
+    return result;
+  }
+
+  /** Applies any other change to the shard. */
+  async update(
+    change: Change<LedgerDocument>,
+  ): Promise<Result<UpdateOutcome<LedgerDocument>, DocumentError>> {
+    const sentAt = this.#options.clock.now();
+    const from = this.#known;
+    const result = await this.#options.store.update(this.#kind, change, { from });
+    if (!result.ok) return result;
+    const { written, current } = result.val;
+    const contacted = written || from === undefined || current?.revision !== from.revision;
+    if (contacted) this.#take(current, sentAt);
+    return Ok(result.val);
+  }
+
+  #take(next: Versioned<LedgerDocument> | undefined, sentAt: number): void {
+    const revision = next?.revision ?? 0;
+    // A reply that was overtaken by a later one would show budget that was given up since.
+    if (revision < (this.#known?.revision ?? 0)) return;
+    this.#known = next;
+    this.#confirmedAt = Math.max(this.#confirmedAt ?? sentAt, sentAt);
+    for (const [team, { pendingAt }] of this.#ceilings) {
+      if (pendingAt !== undefined && revision > pendingAt) this.#ceilings.delete(team);
+    }
+  }
+
+  #lowerCeiling(team: string, budget: number): void {
+    const before = this.#ceilings.get(team);
+    this.#ceilings.set(team, {
+      budget: Math.min(budget, before?.budget ?? budget),
+      pendingAt: before?.pendingAt,
+    });
+  }
+
+  #settleCeilings(
+    wishes: readonly BudgetWish[],
+    result: Result<UpdateOutcome<LedgerDocument>, DocumentError>,
+  ): void {
+    for (const { team } of wishes) {
+      const ceiling = this.#ceilings.get(team);
+      if (ceiling === undefined) continue;
+      const pendingAt = this.#pendingRevision(ceiling, result);
+      if (pendingAt === undefined) this.#ceilings.delete(team);
+      else this.#ceilings.set(team, { ...ceiling, pendingAt });
+    }
+  }
+
+  /**
+   * Revision up to which a lowering may still take effect. A delayed write could otherwise lower
+   * the row after this entry, told nothing, had gone back to using the whole of it.
+   */
+  #pendingRevision(
+    { pendingAt }: Ceiling,
+    result: Result<UpdateOutcome<LedgerDocument>, DocumentError>,
+  ): number | undefined {
+    const known = this.#known?.revision ?? 0;
+    if (result.ok) return pendingAt !== undefined && known <= pendingAt ? pendingAt : undefined;
+    const err = result.val;
+    if (err.kind === "ambiguous") return Math.max(err.expectedRevision, pendingAt ?? 0);
+    return err.kind === "malformed" ? Math.max(known, pendingAt ?? 0) : pendingAt;
+  }
+}
