test(fuzz): fakes for links, processes and the platform, and the oracle

Cause: the guarantees are to be proved by stateful fuzzing with the real decision code. Ruled out: a cluster simulator; the fakes sit at the interfaces in src/platform. Conclusion: ready for the product to be wired.

--- /dev/null
+++ b/test/fakes/peer-network.ts
@@ -0,0 +1,149 @@
+import { Err, Ok, type Result } from "ts-results";
+import {
+  PeerConnection,
+  PeerTransport,
+  type PeerError,
+  type PeerHandler,
+} from "../../src/platform/peer-transport.ts";
+import type { Hello, PeerReply, PeerRequest, ReplyTo } from "../../src/protocol/peer-messages.ts";
+import type { Links, Party } from "./links.ts";
+
+/** Time a connection attempt may take, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** A party that accepts connections. */
+interface Listener {
+  readonly party: Party;
+  readonly hello: Hello;
+  readonly handler: PeerHandler;
+  closed: boolean;
+}
+
+/** Options of {@link PeerNetwork}. */
+export interface PeerNetworkOptions {
+  readonly links: Links;
+  /** Called for each request when it is delivered, for a test's own record. */
+  readonly observe?: (from: Hello, to: Hello, req: PeerRequest) => void;
+  /** Called when a handler throws, which no handler may do. */
+  readonly onThrow?: (to: Hello, error: unknown) => void;
+}
+
+/** In-memory network between entry instances. */
+export class PeerNetwork {
+  readonly options: PeerNetworkOptions;
+  readonly #listeners = new Map<string, Listener>();
+
+  constructor(options: PeerNetworkOptions) {
+    this.options = options;
+  }
+
+  /** Transport of one process. A process that replaces another gets its own. */
+  transport(party: Party): PeerTransport {
+    return new InMemoryTransport({ network: this, party, listeners: this.#listeners });
+  }
+}
+
+interface TransportOptions {
+  readonly network: PeerNetwork;
+  readonly party: Party;
+  readonly listeners: Map<string, Listener>;
+}
+
+class InMemoryTransport extends PeerTransport {
+  readonly #options: TransportOptions;
+  readonly #connections = new Set<PeerConnection>();
+  #listener: Listener | undefined;
+
+  constructor(options: TransportOptions) {
+    super();
+    this.#options = options;
+  }
+
+  listen(self: Hello, handler: PeerHandler): Promise<Result<void, string>> {
+    const { listeners, party } = this.#options;
+    const current = listeners.get(self.address);
+    if (current !== undefined && !current.closed && !current.party.gate.dead) {
+      return Promise.resolve(Err(`address in use: ${self.address}`));
+    }
+    this.#listener = { party, hello: self, handler, closed: false };
+    listeners.set(self.address, this.#listener);
+    return Promise.resolve(Ok(undefined));
+  }
+
+  async connect(address: string, self: Hello): Promise<Result<PeerConnection, PeerError>> {
+    const { network, party, listeners } = this.#options;
+    const target = listeners.get(address);
+    if (target === undefined || target.closed || target.party.gate.dead) {
+      return Err({ kind: "not-sent", detail: "connection refused" });
+    }
+    const { links } = network.options;
+    const hello = (): Promise<Hello> => Promise.resolve(target.hello);
+    const outcome = await links.call(party, target.party, hello, CONNECT_TIMEOUT_MS);
+    if (outcome.kind !== "ok") return Err({ kind: "not-sent", detail: "no connection" });
+    const connection = new InMemoryConnection({ network, party, target, self });
+    this.#connections.add(connection);
+    return Ok(connection);
+  }
+
+  close(): Promise<void> {
+    if (this.#listener !== undefined) this.#listener.closed = true;
+    for (const connection of this.#connections) connection.close();
+    this.#connections.clear();
+    return Promise.resolve();
+  }
+}
+
+interface ConnectionOptions {
+  readonly network: PeerNetwork;
+  readonly party: Party;
+  readonly target: Listener;
+  readonly self: Hello;
+}
+
+class InMemoryConnection extends PeerConnection {
+  readonly remote: Hello;
+  readonly #options: ConnectionOptions;
+  #closed = false;
+
+  constructor(options: ConnectionOptions) {
+    super();
+    this.#options = options;
+    this.remote = options.target.hello;
+  }
+
+  get open(): boolean {
+    const { target } = this.#options;
+    return !this.#closed && !target.closed && !target.party.gate.dead;
+  }
+
+  close(): void {
+    this.#closed = true;
+  }
+
+  async call<T extends PeerRequest>(
+    req: T,
+    timeoutMs: number,
+  ): Promise<Result<ReplyTo<T>, PeerError>> {
+    if (!this.open) return Err({ kind: "not-sent", detail: "connection closed" });
+    const { network, party, target } = this.#options;
+    const { links } = network.options;
+    const copy = structuredClone(req);
+    const outcome = await links.call(party, target.party, () => this.#handle(copy), timeoutMs);
+    if (outcome.kind === "ok") return Ok(outcome.value as ReplyTo<T>);
+    // A connection that failed while the link is down is seen as lost; a slow peer is not.
+    if (links.isCut(party, target.party) || target.party.gate.dead) this.#closed = true;
+    if (outcome.kind === "not-sent") return Err({ kind: "not-sent", detail: "connection lost" });
+    return Err({ kind: "ambiguous", detail: "no reply" });
+  }
+
+  async #handle(req: PeerRequest): Promise<PeerReply> {
+    const { network, target, self } = this.#options;
+    network.options.observe?.(self, target.hello, req);
+    try {
+      return structuredClone(await target.handler(self, req));
+    } catch (error) {
+      network.options.onThrow?.(target.hello, error);
+      return new Promise(() => undefined);
+    }
+  }
+}
--- /dev/null
+++ b/test/fakes/process-gate.ts
@@ -0,0 +1,91 @@
+import { Clock, type Timer } from "../../src/platform/clock.ts";
+
+/** Whether a simulated process runs. Timers and incoming messages pass through its gate. */
+export class ProcessGate {
+  readonly #clock: Clock;
+  #held: (() => void)[] = [];
+  #state: "running" | "paused" | "dead" = "running";
+
+  constructor({ clock }: { readonly clock: Clock }) {
+    this.#clock = clock;
+  }
+
+  get paused(): boolean {
+    return this.#state === "paused";
+  }
+
+  get dead(): boolean {
+    return this.#state === "dead";
+  }
+
+  pause(): void {
+    if (this.#state === "running") this.#state = "paused";
+  }
+
+  /** Lets the process continue; what was held back runs in order, with promises settling between. */
+  resume(): void {
+    if (this.#state !== "paused") return;
+    this.#state = "running";
+    const held = this.#held;
+    this.#held = [];
+    for (const callback of held) {
+      this.#clock.schedule(0, () => {
+        this.run(callback);
+      });
+    }
+  }
+
+  /** Ends the process: nothing of it runs again. */
+  kill(): void {
+    this.#state = "dead";
+    this.#held = [];
+  }
+
+  /** Runs the callback now, after the pause, or never if the process is dead. */
+  run(callback: () => void): void {
+    if (this.#state === "paused") this.#held.push(callback);
+    else if (this.#state === "running") callback();
+  }
+}
+
+/** Options of {@link ProcessClock}. */
+export interface ProcessClockOptions {
+  readonly base: Clock;
+  readonly gate: ProcessGate;
+  /** Error of this process's wall clock in milliseconds. @default 0 */
+  readonly wallOffsetMs?: number;
+}
+
+/** Clock of one simulated process: its timers stop while it is paused and run late. */
+export class ProcessClock extends Clock {
+  readonly #options: Required<ProcessClockOptions>;
+
+  constructor({ wallOffsetMs = 0, ...rest }: ProcessClockOptions) {
+    super();
+    this.#options = { wallOffsetMs, ...rest };
+  }
+
+  now(): number {
+    return this.#options.base.now();
+  }
+
+  wallTime(): number {
+    return this.#options.base.wallTime() + this.#options.wallOffsetMs;
+  }
+
+  schedule(delayMs: number, callback: () => void): Timer {
+    const { base, gate } = this.#options;
+    let cancelled = false;
+    const timer = base.schedule(delayMs, () => {
+      gate.run(() => {
+        if (!cancelled) callback();
+      });
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        timer.cancel();
+      },
+    };
+  }
+}
--- /dev/null
+++ b/test/fakes/stale-instance-list.ts
@@ -0,0 +1,92 @@
+import { Err, Ok, type Result } from "ts-results";
+import type { Clock } from "../../src/platform/clock.ts";
+import {
+  InstanceList,
+  type InstanceListError,
+  type ListedInstance,
+} from "../../src/platform/instance-list.ts";
+import type { Links, Party } from "./links.ts";
+
+/** Time a call may take, in milliseconds, as the HTTP client allows. */
+const CALL_TIMEOUT_MS = 1000;
+
+interface Version {
+  readonly visibleAt: number;
+  readonly instances: readonly ListedInstance[];
+}
+
+/** Options of {@link LaggingInstances}. */
+export interface LaggingInstancesOptions {
+  readonly clock: Clock;
+  readonly instances: readonly ListedInstance[];
+  /** Time until a change is seen, in milliseconds. @default 300 */
+  readonly lagMs?: number;
+}
+
+/** The platform's instance list: changes become visible late, or not while it is frozen. */
+export class LaggingInstances {
+  readonly #clock: Clock;
+  readonly #lagMs: number;
+  #versions: Version[];
+  #frozenAt: number | undefined;
+
+  constructor({ clock, instances, lagMs = 300 }: LaggingInstancesOptions) {
+    this.#clock = clock;
+    this.#lagMs = lagMs;
+    this.#versions = [{ visibleAt: clock.now(), instances }];
+  }
+
+  /** Replaces the list; readers see it after the lag. */
+  set(instances: readonly ListedInstance[]): void {
+    this.#versions.push({ visibleAt: this.#clock.now() + this.#lagMs, instances });
+  }
+
+  /** The newest version, seen or not. */
+  get latest(): readonly ListedInstance[] {
+    return this.#versions.at(-1)!.instances;
+  }
+
+  freeze(): void {
+    this.#frozenAt ??= this.#clock.now();
+  }
+
+  unfreeze(): void {
+    this.#frozenAt = undefined;
+  }
+
+  get frozen(): boolean {
+    return this.#frozenAt !== undefined;
+  }
+
+  /** What a reader sees now. */
+  get visible(): readonly ListedInstance[] {
+    const now = this.#frozenAt ?? this.#clock.now();
+    return this.#versions.findLast((version) => version.visibleAt <= now)!.instances;
+  }
+}
+
+/** Options of {@link StaleInstanceList}. */
+export interface StaleInstanceListOptions {
+  readonly links: Links;
+  readonly party: Party;
+  readonly platform: Party;
+  readonly instances: LaggingInstances;
+}
+
+/** One process's client of the instance list, over a link that can fail. */
+export class StaleInstanceList extends InstanceList {
+  readonly #options: StaleInstanceListOptions;
+
+  constructor(options: StaleInstanceListOptions) {
+    super();
+    this.#options = options;
+  }
+
+  async list(): Promise<Result<readonly ListedInstance[], InstanceListError>> {
+    const { links, party, platform, instances } = this.#options;
+    const read = (): Promise<readonly ListedInstance[]> => Promise.resolve(instances.visible);
+    const outcome = await links.call(party, platform, read, CALL_TIMEOUT_MS);
+    if (outcome.kind === "ok") return Ok(outcome.value);
+    return Err({ kind: "unavailable", detail: "no reply" });
+  }
+}
--- /dev/null
+++ b/test/fuzz/oracle.test.ts
@@ -0,0 +1,229 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { ServerRecord, ServerState } from "../../src/protocol/fleet-document.ts";
+import { IN_FORCE_MS } from "./operator-history.ts";
+import { LEAVING_LIMIT_MS, LOSS_KNOWN_MS } from "./fleet-history.ts";
+import { answer, call, config, refusal, server, task } from "./history-builders.ts";
+import { Oracle } from "./oracle.ts";
+
+// Each test hands the oracle a history with one violation, since a check that cannot fail proves
+// nothing, and the nearest history without one.
+
+interface Fixture {
+  readonly oracle: Oracle;
+  readonly pass: (ms: number) => void;
+  readonly found: () => string[];
+}
+
+function fixture(): Fixture {
+  let now = 0;
+  const oracle = new Oracle({ now: () => now, expectedAnswer: (nonce, id) => `${nonce}/${id}` });
+  oracle.operators.accepted(config(1, { limit: 2, minAvailable: 1 }));
+  oracle.operators.issuedKey("secret", "key-1", "red");
+  const pass = (ms: number): void => {
+    now += ms;
+    oracle.operators.reachable({ some: true, all: true });
+  };
+  pass(0);
+  return { oracle, pass, found: () => oracle.violations.map((v) => v.property) };
+}
+
+test("a team above its upper limit is reported", () => {
+  const { oracle, found } = fixture();
+  for (const nonce of ["a", "b", "c"]) oracle.requests.sent(call(nonce));
+  oracle.started("s1", "a", task("a"), ["main"]);
+  oracle.started("s2", "b", task("b"), ["main"]);
+  assert.equal(found(), []);
+  oracle.ended("s1", "a", task("a"));
+  oracle.started("s1", "c", task("c"), ["main"]);
+  assert.equal(found(), []);
+  oracle.requests.sent(call("d"));
+  oracle.started("s1", "d", task("d"), ["main"]);
+  assert.equal(found(), ["upper-limit"]);
+});
+
+test("a lowered limit binds once every entry had the time to see it", () => {
+  for (const [waited, expected] of [
+    [IN_FORCE_MS - 1, []],
+    [IN_FORCE_MS, ["upper-limit"]],
+  ] as const) {
+    const { oracle, pass, found } = fixture();
+    oracle.operators.accepted(config(2, { limit: 0, minAvailable: 1 }));
+    pass(0);
+    pass(waited);
+    oracle.requests.sent(call("a"));
+    oracle.started("s1", "a", task("a"), ["main"]);
+    assert.equal(found(), expected);
+  }
+});
+
+test("a second start of a non-idempotent request is reported", () => {
+  const { oracle, found } = fixture();
+  oracle.requests.sent(call("a"));
+  oracle.requests.sent(call("b", { idempotent: true }));
+  oracle.started("s1", "a", task("a"), ["main"]);
+  oracle.started("s1", "b", task("b"), ["main"]);
+  oracle.ended("s1", "a", task("a"));
+  oracle.ended("s1", "b", task("b"));
+  oracle.started("s2", "b", task("b", 2), ["main"]);
+  assert.equal(found(), []);
+  oracle.started("s2", "a", task("a", 2), ["main"]);
+  assert.equal(found(), ["at-most-once"]);
+});
+
+test("a false statement about whether a request ran is reported", () => {
+  const { oracle, found } = fixture();
+  const first = oracle.requests.sent(call("a"));
+  oracle.requests.replied(first, refusal("no"));
+  assert.equal(found(), []);
+  oracle.started("s1", "a", task("a"), ["main"]);
+  assert.equal(found(), ["not-run"]);
+  const second = oracle.requests.sent(call("b"));
+  oracle.started("s1", "b", task("b"), ["main"]);
+  oracle.requests.replied(second, refusal("no"));
+  const third = oracle.requests.sent(call("c"));
+  oracle.requests.replied(third, refusal("yes"));
+  assert.equal(found(), ["not-run", "not-run", "not-run"]);
+});
+
+test("a later call with the same key may run after an earlier refusal", () => {
+  const { oracle, found } = fixture();
+  oracle.requests.replied(oracle.requests.sent(call("a")), refusal("no"));
+  oracle.requests.sent(call("a"));
+  oracle.started("s1", "a", task("a"), ["main"]);
+  assert.equal(found(), []);
+});
+
+test("an answer to another request or a cut answer is reported", () => {
+  const { oracle, found } = fixture();
+  const calls = ["a", "b", "c"].map((nonce) => oracle.requests.sent(call(nonce)));
+  for (const nonce of ["a", "b"]) {
+    oracle.started("s1", nonce, task(nonce), ["main"]);
+    oracle.ended("s1", nonce, task(nonce));
+  }
+  oracle.requests.replied(calls[0]!, answer("a/a", "a"));
+  assert.equal(found(), []);
+  oracle.requests.replied(calls[1]!, answer("a/b", "b"));
+  oracle.requests.replied(calls[1]!, answer("b/", "b"));
+  oracle.requests.replied(calls[2]!, answer("c/c", "c"));
+  assert.equal(found(), ["answers", "answers", "answers"]);
+});
+
+test("work under another team's, an unknown or a withdrawn key is reported", () => {
+  const { oracle, pass, found } = fixture();
+  oracle.requests.sent(call("a", { team: "blue" }));
+  oracle.started("s1", "a", task("a"), ["main"]);
+  oracle.requests.sent(call("b", { key: "guess", team: undefined }));
+  oracle.started("s1", "b", task("b"), ["main"]);
+  assert.equal(found(), ["keys", "keys"]);
+  oracle.operators.accepted(config(2, { limit: 9, minAvailable: 1, keys: [] }));
+  pass(0);
+  assert.is(oracle.operators.keyMayBeValid("secret"), true);
+  pass(IN_FORCE_MS);
+  assert.is(oracle.operators.keyMayBeValid("secret"), false);
+});
+
+test("a start on a leaving server is reported after the stated time", () => {
+  const { oracle, pass, found } = fixture();
+  oracle.requests.sent(call("a"));
+  oracle.requests.sent(call("b"));
+  oracle.fleet.leavingVisible("s1");
+  pass(LEAVING_LIMIT_MS);
+  oracle.started("s1", "a", task("a"), ["main"]);
+  assert.equal(found(), []);
+  pass(1);
+  oracle.started("s1", "b", task("b"), ["main"]);
+  assert.equal(found(), ["leaving-server"]);
+});
+
+test("a drain beyond the availability budget is reported", () => {
+  const { oracle, pass, found } = fixture();
+  const write = (states: readonly ServerState[]): void => {
+    oracle.fleet.written({ group: "g", servers: states.map((s, at) => server(`s${at}`, s)) });
+  };
+  write(["serving", "serving", "serving"]);
+  write(["draining", "serving", "serving"]);
+  write(["draining", "draining", "serving"]);
+  write(["serving", "serving", "serving"]);
+  assert.equal(found(), []);
+  write(["draining", "draining", "draining"]);
+  assert.ok(found().length > 0 && found().every((name) => name === "availability-budget"));
+  const before = found().length;
+  write(["serving", "serving", "serving"]);
+  oracle.fleet.lost("s2");
+  pass(LOSS_KNOWN_MS);
+  write(["serving", "draining", "serving"]);
+  assert.is(found().length, before);
+  write(["serving", "serving", "serving"]);
+  oracle.fleet.lost("s0");
+  pass(LOSS_KNOWN_MS);
+  write(["serving", "draining", "serving"]);
+  assert.is(found().length, before + 1);
+});
+
+test("an instance in two pools, moved in use or used while moving is reported", () => {
+  const { oracle, found } = fixture();
+  const write = (servers: readonly ServerRecord[], group = "g"): void => {
+    oracle.fleet.written({ group, servers: [...servers, server(`other-${group}`, "serving")] });
+  };
+  write([server("s1", "serving")]);
+  write([server("s1", "draining")]);
+  write([server("s1", "empty")]);
+  write([server("s1", "serving", { pool: "other", epoch: 2 })]);
+  assert.equal(found(), []);
+  oracle.requests.sent(call("a"));
+  oracle.started("s1", "a", task("a"), ["main"]);
+  assert.equal(found(), ["one-pool"]);
+  write([server("s1", "empty", { pool: "other", epoch: 2 })]);
+  assert.is(found().length, 2);
+  oracle.requests.sent(call("b"));
+  oracle.started("s1", "b", task("b"), ["other"]);
+  assert.is(found().length, 3);
+  write([server("s1", "serving", { pool: "main", epoch: 2 })]);
+  assert.is(found().length, 4);
+  write([server("s2", "serving"), server("s2", "serving")]);
+  assert.is(found().length, 5);
+  write([server("s2", "serving")]);
+  write([server("s2", "serving")], "h");
+  assert.is(found().length, 6);
+  assert.ok(found().every((name) => name === "one-pool"));
+});
+
+test("a configuration that reverts, in the store or at an entry, is reported", () => {
+  const { oracle, found } = fixture();
+  oracle.operators.accepted(config(2, { limit: 2, minAvailable: 1 }));
+  oracle.operators.reportedRevision("e1", 1);
+  oracle.operators.reportedRevision("e1", 2);
+  assert.equal(found(), []);
+  oracle.operators.reportedRevision("e1", 1);
+  oracle.operators.accepted(config(2, { limit: 2, minAvailable: 1 }));
+  oracle.operators.reportedRevision("e2", 7);
+  assert.equal(found(), ["configuration", "configuration", "configuration"]);
+});
+
+test("a call cut by a shutdown and a late recovery are reported", () => {
+  const { oracle, found } = fixture();
+  oracle.shutDown("e1", []);
+  assert.equal(found(), []);
+  oracle.shutDown("e1", ["a"]);
+  oracle.cutByShutdown("e1", "a", "stopping");
+  oracle.notRecovered("red runs 1 of 2");
+  oracle.threw("handler", new Error("x"));
+  assert.equal(found(), ["shutdown", "shutdown", "liveness", "liveness"]);
+});
+
+test("a call without an outcome stays listed until it has one", () => {
+  const { oracle } = fixture();
+  const [a, b, c] = ["a", "b", "c"].map((nonce) => oracle.requests.sent(call(nonce)));
+  oracle.requests.replied(a!, { kind: "pending", requestId: "id-a" });
+  oracle.requests.lost(b!);
+  assert.equal(oracle.requests.unresolved(), [
+    { call: a, requestId: "id-a" },
+    { call: c, requestId: undefined },
+  ]);
+  oracle.requests.queried(a!, refusal("unknown"));
+  oracle.requests.replied(c!, refusal("unknown"));
+  assert.equal(oracle.requests.unresolved(), []);
+});
+
+test.run();
--- /dev/null
+++ b/test/fuzz/oracle.ts
@@ -0,0 +1,70 @@
+import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import { FleetHistory } from "./fleet-history.ts";
+import { OperatorHistory } from "./operator-history.ts";
+import { RequestHistory } from "./request-history.ts";
+import { Violations, type Violation } from "./violations.ts";
+
+/** Options of {@link Oracle}. */
+export interface OracleOptions {
+  readonly now: () => number;
+  /** The whole answer to a nonce under a request id. */
+  readonly expectedAnswer: (nonce: string, requestId: string) => string;
+}
+
+/**
+ * Judges a run by what callers, backend servers and operators saw. It keeps a few dictionaries
+ * and reads no state or counter of the product.
+ */
+export class Oracle {
+  readonly requests: RequestHistory;
+  readonly operators: OperatorHistory;
+  readonly fleet: FleetHistory;
+  readonly #violations: Violations;
+
+  constructor({ now, expectedAnswer }: OracleOptions) {
+    this.#violations = new Violations({ now });
+    const violations = this.#violations;
+    this.requests = new RequestHistory({ violations, expectedAnswer });
+    this.operators = new OperatorHistory({ now, violations });
+    this.fleet = new FleetHistory({ now, violations, operators: this.operators });
+  }
+
+  get violations(): readonly Violation[] {
+    return this.#violations.found;
+  }
+
+  /** A backend server started a task whose body carries the nonce. */
+  started(server: string, nonce: string, spec: TaskSpec, pools: readonly string[]): void {
+    this.requests.started(nonce, spec);
+    this.fleet.started(server, spec, pools);
+  }
+
+  /** A backend server ended a task. */
+  ended(server: string, nonce: string, spec: TaskSpec): void {
+    this.requests.ended(nonce);
+    this.fleet.ended(server, spec);
+  }
+
+  /** An entry instance finished its graceful shutdown; these calls to it had no reply. */
+  shutDown(entry: string, unanswered: readonly string[]): void {
+    for (const nonce of unanswered) {
+      this.#violations.add("shutdown", `${entry} ended before it answered ${nonce}`);
+    }
+  }
+
+  /** A request that waited at an entry during its undisturbed graceful shutdown got no answer. */
+  cutByShutdown(entry: string, nonce: string, reply: string): void {
+    this.#violations.add("shutdown", `${entry} answered running ${nonce} with ${reply}`);
+  }
+
+  /** A promise to callers or operators was not kept in time after every fault was healed. */
+  notRecovered(detail: string): void {
+    this.#violations.add("liveness", detail);
+  }
+
+  /** A component threw, which only programming errors do; its work is lost. */
+  threw(where: string, error: unknown): void {
+    const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+    this.#violations.add("liveness", `${where} threw ${text}`);
+  }
+}
--- /dev/null
+++ b/test/fuzz/request-history.ts
@@ -0,0 +1,157 @@
+import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { CallerReply } from "../../src/coordination/ports.ts";
+import type { Violations } from "./violations.ts";
+
+/** One call of a caller. Retries under one idempotency key share the nonce in their body. */
+export interface Submission {
+  readonly nonce: string;
+  readonly queue: string;
+  readonly key: string | undefined;
+  /** Team that the key was issued for. */
+  readonly team: string | undefined;
+  readonly idempotent: boolean;
+  /** Whether the key could still be valid when the call was sent. */
+  readonly keyMayBeValid: boolean;
+  /** The queue takes work without a key. */
+  readonly open: boolean;
+}
+
+interface Tracked {
+  readonly submission: Submission;
+  state: "sent" | "pending" | "closed" | "done";
+  requestId: string | undefined;
+}
+
+interface NonceRecord {
+  readonly calls: Tracked[];
+  starts: number;
+  ends: number;
+}
+
+/** Options of {@link RequestHistory}. */
+export interface RequestHistoryOptions {
+  readonly violations: Violations;
+  /** The whole answer to a nonce under a request id. */
+  readonly expectedAnswer: (nonce: string, requestId: string) => string;
+}
+
+/** What callers sent and were told, and what backend servers started. */
+export class RequestHistory {
+  readonly #options: RequestHistoryOptions;
+  readonly #nonces = new Map<string, NonceRecord>();
+  readonly #calls: Tracked[] = [];
+
+  constructor(options: RequestHistoryOptions) {
+    this.#options = options;
+  }
+
+  /** Records a call and returns its number. */
+  sent(submission: Submission): number {
+    const tracked: Tracked = { submission, state: "sent", requestId: undefined };
+    this.#calls.push(tracked);
+    this.#record(submission.nonce).calls.push(tracked);
+    return this.#calls.length - 1;
+  }
+
+  /** The caller got a reply to the numbered call. */
+  replied(call: number, reply: CallerReply): void {
+    const tracked = this.#calls[call]!;
+    if (reply.kind === "pending") {
+      tracked.requestId = reply.requestId;
+      tracked.state = "pending";
+      return;
+    }
+    const certainlyNotRun = this.#judge(tracked.submission.nonce, reply);
+    tracked.state = certainlyNotRun ? "closed" : "done";
+  }
+
+  /** The caller asked for the state of a request that was accepted, or cancelled it. */
+  queried(call: number, reply: CallerReply): void {
+    const tracked = this.#calls[call]!;
+    if (reply.kind === "pending") return;
+    const certainlyNotRun = this.#judge(tracked.submission.nonce, reply);
+    if (tracked.state === "pending") tracked.state = certainlyNotRun ? "closed" : "done";
+  }
+
+  /** The connection was lost; the caller knows nothing. */
+  lost(call: number): void {
+    this.#calls[call]!.state = "done";
+  }
+
+  /** A backend server started a task. */
+  started(nonce: string, spec: TaskSpec): void {
+    const { violations } = this.#options;
+    const record = this.#nonces.get(nonce);
+    if (record === undefined) {
+      violations.add("answers", `${spec.requestId} started with a body that nobody sent`);
+      return;
+    }
+    record.starts++;
+    const calls = record.calls.map((call) => call.submission);
+    if (record.starts > 1 && calls.some((call) => !call.idempotent)) {
+      violations.add("at-most-once", `${nonce} (${spec.requestId}) started ${record.starts} times`);
+    }
+    if (record.calls.every((call) => call.state === "closed")) {
+      violations.add("not-run", `${nonce} (${spec.requestId}) started after "ran: no"`);
+    }
+    if (!calls.some((call) => mayRun(call, spec))) {
+      violations.add("keys", `${nonce} started for ${spec.team ?? "nobody"} without a valid key`);
+    }
+  }
+
+  /** A backend server ended a task. */
+  ended(nonce: string): void {
+    const record = this.#nonces.get(nonce);
+    if (record !== undefined) record.ends++;
+  }
+
+  /** Calls whose caller still waits or that were accepted without an outcome so far. */
+  unresolved(): readonly { readonly call: number; readonly requestId: string | undefined }[] {
+    return this.#calls.flatMap((tracked, call) =>
+      tracked.state === "sent" || tracked.state === "pending"
+        ? [{ call, requestId: tracked.requestId }]
+        : [],
+    );
+  }
+
+  starts(nonce: string): number {
+    return this.#nonces.get(nonce)?.starts ?? 0;
+  }
+
+  /** Checks a final reply; true if it states that the request never ran. */
+  #judge(nonce: string, reply: Exclude<CallerReply, { kind: "pending" }>): boolean {
+    const { violations, expectedAnswer } = this.#options;
+    const record = this.#record(nonce);
+    if (reply.kind === "answer") {
+      const text = Buffer.from(reply.payload.body).toString("utf8");
+      if (text !== expectedAnswer(nonce, reply.requestId)) {
+        violations.add("answers", `${nonce} got another answer: ${text.slice(0, 120)}`);
+      } else if (record.ends === 0) {
+        violations.add("answers", `${nonce} was answered before any task of it ended`);
+      }
+      return false;
+    }
+    const { ran, reason } = reply.refusal;
+    if (ran === "no" && record.starts > 0) {
+      violations.add("not-run", `${nonce} was told "ran: no" (${reason}) after it started`);
+    }
+    if (ran === "yes" && record.starts === 0) {
+      violations.add("not-run", `${nonce} was told "ran: yes" (${reason}) but never started`);
+    }
+    return ran === "no";
+  }
+
+  #record(nonce: string): NonceRecord {
+    const known = this.#nonces.get(nonce);
+    if (known !== undefined) return known;
+    const record: NonceRecord = { calls: [], starts: 0, ends: 0 };
+    this.#nonces.set(nonce, record);
+    return record;
+  }
+}
+
+function mayRun(call: Submission, spec: TaskSpec): boolean {
+  if (call.queue !== spec.queue) return false;
+  if (call.open && call.key === undefined) return spec.team === undefined;
+  return call.team !== undefined && call.team === spec.team && call.keyMayBeValid;
+}
--- /dev/null
+++ b/test/fuzz/violations.ts
@@ -0,0 +1,43 @@
+/** The properties under test: the ten guarantees of section 1.3 of the design, and liveness. */
+export const PROPERTIES = [
+  "availability-budget",
+  "one-pool",
+  "keys",
+  "upper-limit",
+  "answers",
+  "not-run",
+  "at-most-once",
+  "leaving-server",
+  "shutdown",
+  "configuration",
+  "liveness",
+] as const;
+
+/** Name of a property. */
+export type Property = (typeof PROPERTIES)[number];
+
+/** One observed contradiction to a property. */
+export interface Violation {
+  readonly property: Property;
+  /** Virtual time in milliseconds. */
+  readonly at: number;
+  readonly detail: string;
+}
+
+/** Collects violations. */
+export class Violations {
+  readonly #now: () => number;
+  readonly #found: Violation[] = [];
+
+  constructor({ now }: { readonly now: () => number }) {
+    this.#now = now;
+  }
+
+  get found(): readonly Violation[] {
+    return this.#found;
+  }
+
+  add(property: Property, detail: string): void {
+    this.#found.push({ property, at: Math.round(this.#now()), detail });
+  }
+}
