--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -59,6 +59,8 @@
 
 const gossip = v.strictObject({
   type: v.literal("gossip"),
+  sequence: count,
+  baseline: count,
   configRevision: count,
   configAgeMs: milliseconds,
   platformReachable: v.boolean(),
