--- /dev/null
+++ b/src/coordination/server-drain.ts
@@ -0,0 +1,73 @@
+/** Reports a draining server as empty once nothing runs on it. */
+import {
+  fleetKey,
+  FleetDocumentSchema,
+  type FleetDocument,
+  type ServerRecord,
+} from "../protocol/fleet-document.ts";
+import type { Clock } from "../platform/clock.ts";
+import type { DocumentKind, DocumentStore } from "./document-store.ts";
+
+/** Fleet document as stored, without the revision it was read at. */
+export type StoredFleet = Omit<FleetDocument, "revision">;
+
+/** Kind of a group's fleet document. */
+export function fleetKind(group: string): DocumentKind<StoredFleet> {
+  return { key: fleetKey(group), schema: FleetDocumentSchema };
+}
+
+/** Options of {@link ServerDrain}. */
+export interface ServerDrainOptions {
+  readonly store: DocumentStore;
+  readonly clock: Clock;
+  readonly group: string;
+}
+
+/**
+ * Keeps servers from being dispatched to from before `empty` is written until the fleet document as
+ * read here is at least as new as that write. Without this, a late reply with an older revision
+ * would allow dispatch to a server that the planner is about to move or reboot.
+ */
+export class ServerDrain {
+  readonly #options: ServerDrainOptions;
+  /** Revision that must have been read before a server may be dispatched to again. */
+  readonly #blockedUntil = new Map<string, number>();
+
+  constructor(options: ServerDrainOptions) {
+    this.#options = options;
+  }
+
+  /** True while the server may not be dispatched to because of its drain. */
+  blocks(server: string, fleetRevision: number): boolean {
+    const until = this.#blockedUntil.get(server);
+    if (until === undefined) return false;
+    if (fleetRevision < until) return true;
+    this.#blockedUntil.delete(server);
+    return false;
+  }
+
+  /** Writes `empty` if the server still drains and lists no tasks. */
+  async tryEmpty(server: ServerRecord, listsNoTasks: () => Promise<boolean>): Promise<void> {
+    if (this.#blockedUntil.has(server.name)) return;
+    this.#blockedUntil.set(server.name, Infinity);
+    if (!(await listsNoTasks())) {
+      this.#blockedUntil.delete(server.name);
+      return;
+    }
+    const { store, clock, group } = this.#options;
+    const since = clock.wallTime();
+    const result = await store.update(fleetKind(group), (fleet, writeId) => {
+      const drains = (one: ServerRecord): boolean =>
+        one.name === server.name && one.state === "draining" && one.epoch === server.epoch;
+      if (fleet?.servers.some(drains) !== true) return undefined;
+      const servers = fleet.servers.map((one) =>
+        drains(one) ? { ...one, state: "empty" as const, since } : one,
+      );
+      return { ...fleet, servers, writeId };
+    });
+    if (result.ok) this.#blockedUntil.set(server.name, result.val.current?.revision ?? 0);
+    else if (result.val.kind === "ambiguous") {
+      this.#blockedUntil.set(server.name, result.val.expectedRevision + 1);
+    } else this.#blockedUntil.delete(server.name);
+  }
+}
--- /dev/null
+++ b/src/state/rendezvous.ts
@@ -0,0 +1,15 @@
+import { createHash } from "node:crypto";
+
+/** Highest-random-weight choice: the same for all who see the same candidates. */
+export function rendezvous(name: string, candidates: readonly string[]): string | undefined {
+  let best: string | undefined;
+  let bestWeight = "";
+  for (const candidate of candidates) {
+    const weight = createHash("sha256").update(`${name}\n${candidate}`).digest("hex");
+    if (best === undefined || weight > bestWeight) {
+      best = candidate;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
