feat(config): operators' actions on the stored configuration

Cause: several operators edit the configuration at once, and replies of the platform are lost after the write took effect. Change: apply, key give and key withdraw are compare-and-swap edits. The loser of a race is told which sections and keys the others changed; a change of keys alone is no conflict. A lost reply is resolved by the write id, from the history if a further write came in between. Ruled out: reading back once after a lost reply, because a delayed write may still take effect later; the same compare-and-swap is repeated instead.

--- /dev/null
+++ b/src/coordination/config-store.ts
@@ -0,0 +1,159 @@
+import { Err, Ok, type Result } from "ts-results";
+import type { Clock } from "../platform/clock.ts";
+import type { KeyValueService, KvEntry } from "../platform/key-value-service.ts";
+import { CONFIG_KEY, type ConfigDocument } from "../protocol/config-document.ts";
+import { parseConfigDocument } from "./config-follower.ts";
+
+const HISTORY_PREFIX = "config-history/";
+const HISTORY_KEPT = 50;
+const WRITE_ATTEMPTS = 5;
+const RETRY_DELAY_MS = 200;
+
+/** A configuration with its revision in the key-value service. */
+export interface StoredConfig {
+  readonly document: ConfigDocument;
+  readonly kvRevision: number;
+}
+
+/** Why the stored configuration could not be read or written. */
+export type ConfigStoreError =
+  /** Another write came first; nothing was written. */
+  | { readonly kind: "raced" }
+  /** Nothing was read or written. */
+  | { readonly kind: "unavailable"; readonly detail: string }
+  /** The write may take effect later, or has; its `writeId` tells. */
+  | { readonly kind: "unknown"; readonly writeId: string; readonly detail: string }
+  | { readonly kind: "malformed"; readonly detail: string };
+
+/** Options of {@link ConfigStore}. */
+export interface ConfigStoreOptions {
+  readonly clock: Clock;
+  readonly keyValue: KeyValueService;
+}
+
+/** Reads and writes the configuration document and its history. */
+export class ConfigStore {
+  readonly #clock: Clock;
+  readonly #keyValue: KeyValueService;
+
+  constructor({ clock, keyValue }: ConfigStoreOptions) {
+    this.#clock = clock;
+    this.#keyValue = keyValue;
+  }
+
+  /** Undefined if no configuration was stored yet. */
+  async read(): Promise<Result<StoredConfig | undefined, ConfigStoreError>> {
+    const read = await this.#keyValue.get(CONFIG_KEY);
+    if (read.err) return Err({ kind: "unavailable", detail: describe(read.val) });
+    if (read.val === undefined) return Ok(undefined);
+    const document = parseConfigDocument(read.val.value);
+    if (document.err) return Err({ kind: "malformed", detail: document.val });
+    return Ok({ document: document.val, kvRevision: read.val.revision });
+  }
+
+  /** Superseded configurations, newest first. */
+  async history(): Promise<Result<readonly ConfigDocument[], ConfigStoreError>> {
+    const listed = await this.#keyValue.list(HISTORY_PREFIX);
+    if (listed.err) return Err({ kind: "unavailable", detail: describe(listed.val) });
+    const documents = listed.val.flatMap((entry) => {
+      const parsed = parseConfigDocument(entry.value);
+      return parsed.ok ? [parsed.val] : [];
+    });
+    return Ok([...documents].sort((a, b) => b.revision - a.revision));
+  }
+
+  /** One superseded configuration; undefined if it is no longer kept. */
+  async superseded(
+    revision: number,
+  ): Promise<Result<ConfigDocument | undefined, ConfigStoreError>> {
+    const read = await this.#keyValue.get(historyKey(revision));
+    if (read.err) return Err({ kind: "unavailable", detail: describe(read.val) });
+    const parsed = read.val === undefined ? undefined : parseConfigDocument(read.val.value);
+    return Ok(parsed?.ok === true ? parsed.val : undefined);
+  }
+
+  /**
+   * Writes the next configuration over `base`, which was read before. `base` is kept in the
+   * history before the write, so that a later writer and a lost reply find every revision.
+   */
+  async write(
+    base: StoredConfig | undefined,
+    next: ConfigDocument,
+  ): Promise<Result<void, ConfigStoreError>> {
+    if (base !== undefined) {
+      const kept = await this.#keep(base.document);
+      if (kept.err) return kept;
+    }
+    return this.#put(base?.kvRevision ?? 0, next);
+  }
+
+  /** Deletes history entries beyond the newest ones. Failures are left to the next writer. */
+  async prune(): Promise<void> {
+    const listed = await this.#keyValue.list(HISTORY_PREFIX);
+    if (listed.err) return;
+    const old = [...listed.val].sort((a, b) => revisionOf(b) - revisionOf(a)).slice(HISTORY_KEPT);
+    for (const entry of old) {
+      await this.#keyValue.delete({ key: entry.key, expectedRevision: entry.revision });
+    }
+  }
+
+  async #keep(document: ConfigDocument): Promise<Result<void, ConfigStoreError>> {
+    const key = historyKey(document.revision);
+    const value = JSON.stringify(document);
+    const kept = await this.#keyValue.put({ key, value, expectedRevision: 0 });
+    // A conflict means that the revision is kept already; its content never differs.
+    if (kept.ok || kept.val.kind === "conflict") return Ok(undefined);
+    return Err({ kind: "unavailable", detail: `history: ${describe(kept.val)}` });
+  }
+
+  /**
+   * Repeats the same compare-and-swap until its outcome is certain. Repeating is safe, because
+   * at most one of the attempts can meet the expected revision.
+   */
+  async #put(
+    expectedRevision: number,
+    next: ConfigDocument,
+  ): Promise<Result<void, ConfigStoreError>> {
+    const value = JSON.stringify(next);
+    let ambiguous = false;
+    let detail = "";
+    for (let attempt = 1; attempt <= WRITE_ATTEMPTS; attempt++) {
+      const put = await this.#keyValue.put({ key: CONFIG_KEY, value, expectedRevision });
+      if (put.ok) return Ok(undefined);
+      if (put.val.kind === "conflict")
+        return this.#resolveConflict(next, put.val.current, ambiguous);
+      ambiguous ||= put.val.kind === "ambiguous";
+      detail = describe(put.val);
+      await this.#clock.sleep(RETRY_DELAY_MS * attempt);
+    }
+    if (!ambiguous) return Err({ kind: "unavailable", detail });
+    return Err({ kind: "unknown", writeId: next.writeId, detail });
+  }
+
+  /** Tells whether this operator's own earlier attempt is what the conflict met. */
+  async #resolveConflict(
+    next: ConfigDocument,
+    current: KvEntry | undefined,
+    ambiguous: boolean,
+  ): Promise<Result<void, ConfigStoreError>> {
+    if (!ambiguous) return Err({ kind: "raced" });
+    const document = current === undefined ? undefined : parseConfigDocument(current.value);
+    if (document?.ok === true && document.val.writeId === next.writeId) return Ok(undefined);
+    const kept = await this.superseded(next.revision);
+    if (kept.err)
+      return Err({ kind: "unknown", writeId: next.writeId, detail: "history not read" });
+    return kept.val?.writeId === next.writeId ? Ok(undefined) : Err({ kind: "raced" });
+  }
+}
+
+function historyKey(revision: number): string {
+  return `${HISTORY_PREFIX}${revision}`;
+}
+
+function revisionOf(entry: KvEntry): number {
+  return Number(entry.key.slice(HISTORY_PREFIX.length));
+}
+
+function describe(err: { readonly kind: string; readonly detail?: string }): string {
+  return err.detail === undefined ? err.kind : `${err.kind}: ${err.detail}`;
+}
--- /dev/null
+++ b/src/coordination/operator-actions.ts
@@ -0,0 +1,210 @@
+import { Err, Ok, type Result } from "ts-results";
+import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
+import type { ConfigDocument, TeamConfig } from "../protocol/config-document.ts";
+import {
+  diffConfig,
+  isKeyChange,
+  type ConfigChange,
+  type ConfigContent,
+} from "../state/config-diff.ts";
+import { issueKey } from "../state/keys.ts";
+import type { ConfigStore, ConfigStoreError, StoredConfig } from "./config-store.ts";
+
+/** Rounds after which a change that others overtake every time is given up. */
+const RACE_ROUNDS = 20;
+
+/** Why an operator's action was not carried out. */
+export type OperatorError =
+  | Exclude<ConfigStoreError, { readonly kind: "raced" }>
+  /** Another operator changed the configuration meanwhile; nothing was written. */
+  | {
+      readonly kind: "conflict";
+      readonly baseRevision: number;
+      readonly currentRevision: number;
+      /** What the other operators changed; undefined if the base is no longer kept. */
+      readonly changes: readonly ConfigChange[] | undefined;
+    }
+  | { readonly kind: "no-config" }
+  | { readonly kind: "unknown-team"; readonly team: string; readonly teams: readonly string[] }
+  | { readonly kind: "unknown-key"; readonly keyId: string; readonly keyIds: readonly string[] };
+
+/** An accepted configuration. */
+export interface Accepted {
+  readonly revision: number;
+  readonly changes: readonly ConfigChange[];
+}
+
+/** A key that was just issued. The clear text must be shown once and stored nowhere. */
+export interface GivenKey {
+  readonly revision: number;
+  readonly keyId: string;
+  readonly clear: string;
+}
+
+/** Options of {@link OperatorActions}. */
+export interface OperatorActionsOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly store: ConfigStore;
+}
+
+/** What an edit makes of the stored configuration. */
+type Edit<T> = (
+  current: ConfigDocument | undefined,
+) => Promise<Result<{ readonly content: ConfigContent; readonly value: T }, OperatorError>>;
+
+/** Changes of the configuration by operators. */
+export class OperatorActions {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #store: ConfigStore;
+
+  constructor({ clock, random, store }: OperatorActionsOptions) {
+    this.#clock = clock;
+    this.#random = random;
+    this.#store = store;
+  }
+
+  /**
+   * Puts a template into force. Without `baseRevision` it counts as edited from the revision
+   * found first. Stored keys are kept, and a key given or withdrawn meanwhile is no conflict.
+   */
+  async apply(
+    content: ConfigContent,
+    baseRevision?: number,
+  ): Promise<Result<Accepted, OperatorError>> {
+    let base = baseRevision;
+    return this.#edit(async (current) => {
+      const revision = current?.revision ?? 0;
+      base ??= revision;
+      if (base !== revision) {
+        const conflict = await this.#conflict(base, current);
+        if (conflict !== undefined) return Err(conflict);
+      }
+      const next = withStoredKeys(content, current);
+      return Ok({ content: next, value: current === undefined ? [] : diffConfig(current, next) });
+    }).then((edited) =>
+      edited.map(({ revision, value }): Accepted => ({ revision, changes: value })),
+    );
+  }
+
+  /** Issues a key for a team. */
+  async giveKey(team: string): Promise<Result<GivenKey, OperatorError>> {
+    const key = issueKey(this.#random);
+    const edited = await this.#editTeam(team, (found) =>
+      Ok({ ...found, keys: [...found.keys, key.stored] }),
+    );
+    return edited.map((revision) => ({ revision, keyId: key.stored.id, clear: key.clear }));
+  }
+
+  /** Withdraws a key of a team. Returns the revision from which it is refused. */
+  async withdrawKey(team: string, keyId: string): Promise<Result<number, OperatorError>> {
+    return this.#editTeam(team, (found) => {
+      const keyIds = found.keys.map((key) => key.id);
+      if (!keyIds.includes(keyId)) return Err({ kind: "unknown-key", keyId, keyIds });
+      return Ok({ ...found, keys: found.keys.filter((key) => key.id !== keyId) });
+    });
+  }
+
+  /** The stored configuration, or `no-config`. */
+  async show(): Promise<Result<StoredConfig, OperatorError>> {
+    const read = await this.#store.read();
+    if (read.err) return Err(toOperatorError(read.val));
+    return read.val === undefined ? Err({ kind: "no-config" }) : Ok(read.val);
+  }
+
+  /** Superseded configurations, newest first. */
+  async history(): Promise<Result<readonly ConfigDocument[], OperatorError>> {
+    const history = await this.#store.history();
+    return history.mapErr(toOperatorError);
+  }
+
+  async #editTeam(
+    name: string,
+    change: (team: TeamConfig) => Result<TeamConfig, OperatorError>,
+  ): Promise<Result<number, OperatorError>> {
+    const edited = await this.#edit((current) => {
+      if (current === undefined) return Promise.resolve(Err({ kind: "no-config" as const }));
+      const found = current.teams.find((team) => team.name === name);
+      if (found === undefined) {
+        const teams = current.teams.map((team) => team.name);
+        return Promise.resolve(Err({ kind: "unknown-team" as const, team: name, teams }));
+      }
+      const changed = change(found);
+      if (changed.err) return Promise.resolve(changed);
+      const teams = current.teams.map((team) => (team === found ? changed.val : team));
+      return Promise.resolve(Ok({ content: { ...current, teams }, value: undefined }));
+    });
+    return edited.map(({ revision }) => revision);
+  }
+
+  /** Applies an edit to the newest configuration, anew whenever another write came first. */
+  async #edit<T>(
+    edit: Edit<T>,
+  ): Promise<Result<{ readonly revision: number; readonly value: T }, OperatorError>> {
+    for (let round = 0; round < RACE_ROUNDS; round++) {
+      const read = await this.#store.read();
+      if (read.err) return Err(toOperatorError(read.val));
+      const edited = await edit(read.val?.document);
+      if (edited.err) return edited;
+      const revision = await this.#nextRevision(read.val);
+      if (revision.err) return revision;
+      const document: ConfigDocument = {
+        ...edited.val.content,
+        revision: revision.val,
+        writeId: this.#random.uuidV7(this.#clock.wallTime()),
+        acceptedAt: this.#clock.wallTime(),
+      };
+      const written = await this.#store.write(read.val, document);
+      if (written.ok) {
+        await this.#store.prune();
+        return Ok({ revision: revision.val, value: edited.val.value });
+      }
+      if (written.val.kind !== "raced") return Err(toOperatorError(written.val));
+    }
+    return Err({ kind: "unavailable", detail: "other operators' writes came first every time" });
+  }
+
+  /**
+   * A configuration written over a deleted one must not reuse a revision. The deleted one is not
+   * in the history and had the revision after the newest that is.
+   */
+  async #nextRevision(base: StoredConfig | undefined): Promise<Result<number, OperatorError>> {
+    if (base !== undefined) return Ok(base.document.revision + 1);
+    const history = await this.#store.history();
+    if (history.err) return Err(toOperatorError(history.val));
+    const newest = history.val[0]?.revision;
+    return Ok(newest === undefined ? 1 : newest + 2);
+  }
+
+  /** Undefined if only keys changed since the base. */
+  async #conflict(
+    baseRevision: number,
+    current: ConfigDocument | undefined,
+  ): Promise<OperatorError | undefined> {
+    const currentRevision = current?.revision ?? 0;
+    const base = await this.#store.superseded(baseRevision);
+    if (base.err) return toOperatorError(base.val);
+    const changes =
+      base.val === undefined || current === undefined ? undefined : diffConfig(base.val, current);
+    if (changes?.every(isKeyChange) === true) return undefined;
+    return { kind: "conflict", baseRevision, currentRevision, changes };
+  }
+}
+
+function withStoredKeys(
+  content: ConfigContent,
+  current: ConfigDocument | undefined,
+): ConfigContent {
+  const teams = content.teams.map((team) => ({
+    ...team,
+    keys: current?.teams.find((stored) => stored.name === team.name)?.keys ?? [],
+  }));
+  return { ...content, teams };
+}
+
+function toOperatorError(err: ConfigStoreError): OperatorError {
+  // `#edit` repeats raced writes, and reads are never raced.
+  return err.kind === "raced" ? { kind: "unavailable", detail: "raced" } : err;
+}
