feat(cli): config and key commands

Cause: operators act only through templates, parameters and API keys, from the command line. Unknown options are refused, since sade takes any. Ruled out: printing key hashes in JSON output, which no reader needs.

--- /dev/null
+++ b/src/cli/operator-errors.ts
@@ -0,0 +1,39 @@
+import type { OperatorError } from "../coordination/operator-actions.ts";
+import { suggestion } from "../settings/problem.ts";
+import { formatChange } from "../state/config-diff.ts";
+
+/** Explains to an operator why an action was not carried out, and what to do. */
+export function explainError(err: OperatorError): readonly string[] {
+  switch (err.kind) {
+    case "conflict":
+      return explainConflict(err);
+    case "no-config":
+      return ["no configuration is stored yet; store one with: teaselspool config apply FILE"];
+    case "unknown-team":
+      return [`no team "${err.team}" in the configuration; ${suggestion(err.team, err.teams)}`];
+    case "unknown-key":
+      return [`the team has no key "${err.keyId}"; ${suggestion(err.keyId, err.keyIds)}`];
+    case "unknown":
+      return [
+        `outcome unknown (${err.detail}): the change may be in effect, or come into effect later`,
+        `compare writeId ${err.writeId} with: teaselspool config show --json`,
+      ];
+    case "malformed":
+      return [`the stored configuration is malformed: ${err.detail}`];
+    case "unavailable":
+      return [`nothing was changed: ${err.detail}`];
+  }
+}
+
+function explainConflict(
+  err: Extract<OperatorError, { readonly kind: "conflict" }>,
+): readonly string[] {
+  const head = `conflict: the configuration is at revision ${err.currentRevision}, the edit was made from revision ${err.baseRevision}; nothing was changed`;
+  if (err.changes === undefined) return [head, `revision ${err.baseRevision} is not kept`];
+  return [
+    head,
+    "changed by others since:",
+    ...err.changes.map((change) => `  ${formatChange(change)}`),
+    `take these changes over and apply again with: --base ${err.currentRevision}`,
+  ];
+}
--- /dev/null
+++ b/src/coordination/entry-directory.ts
@@ -0,0 +1,84 @@
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { Clock } from "../platform/clock.ts";
+import type { KeyValueService } from "../platform/key-value-service.ts";
+import {
+  SESSION_PREFIX,
+  SessionSchema,
+  type EntryStatus,
+  type Session,
+} from "../protocol/entry-status.ts";
+
+const POLL_INTERVAL_MS = 250;
+
+/** Reads the status of an entry instance at its admin address `IP:PORT`. */
+export abstract class EntryStatusReader {
+  abstract read(adminAddress: string): Promise<Result<EntryStatus, string>>;
+}
+
+/** An entry with its status, or why there is none. */
+export interface KnownEntry {
+  readonly session: Session;
+  readonly status: Result<EntryStatus, string>;
+}
+
+/** Which entries have a revision in force. */
+export interface Confirmations {
+  readonly confirmed: readonly KnownEntry[];
+  /** Entries with a lower revision, or without an answer. */
+  readonly waiting: readonly KnownEntry[];
+}
+
+/** Options of {@link EntryDirectory}. */
+export interface EntryDirectoryOptions {
+  readonly clock: Clock;
+  readonly keyValue: KeyValueService;
+  readonly reader: EntryStatusReader;
+}
+
+/** Finds the entry instances through their sessions and reads their status. */
+export class EntryDirectory {
+  readonly #options: EntryDirectoryOptions;
+
+  constructor(options: EntryDirectoryOptions) {
+    this.#options = options;
+  }
+
+  async entries(): Promise<Result<readonly KnownEntry[], string>> {
+    const { keyValue, reader } = this.#options;
+    const listed = await keyValue.list(SESSION_PREFIX);
+    if (listed.err) return Err(`sessions not read: ${listed.val.kind}`);
+    const sessions = listed.val.flatMap((entry) => parseSession(entry.value));
+    const read = sessions.map(async (session) => ({
+      session,
+      status: await reader.read(session.adminAddress),
+    }));
+    return Ok(await Promise.all(read));
+  }
+
+  /** Waits until every entry has the revision, at most `waitMs` milliseconds. */
+  async confirmations(revision: number, waitMs: number): Promise<Result<Confirmations, string>> {
+    const { clock } = this.#options;
+    const end = clock.now() + waitMs;
+    for (;;) {
+      const entries = await this.entries();
+      if (entries.err) return entries;
+      const hasIt = ({ status }: KnownEntry): boolean =>
+        status.ok && status.val.configRevision >= revision;
+      const confirmed = entries.val.filter(hasIt);
+      const waiting = entries.val.filter((entry) => !hasIt(entry));
+      const left = end - clock.now();
+      if (waiting.length === 0 || left <= 0) return Ok({ confirmed, waiting });
+      await clock.sleep(Math.min(POLL_INTERVAL_MS, left));
+    }
+  }
+}
+
+function parseSession(value: string): readonly Session[] {
+  try {
+    const parsed = v.safeParse(SessionSchema, JSON.parse(value));
+    return parsed.success ? [parsed.output] : [];
+  } catch {
+    return [];
+  }
+}
--- /dev/null
+++ b/src/protocol/entry-status.ts
@@ -0,0 +1,66 @@
+import * as v from "valibot";
+
+/** Value of `sessions/<incarnation>`, as far as operators' commands need it. */
+export const SessionSchema = v.looseObject({
+  incarnation: v.string(),
+  zone: v.string(),
+  adminAddress: v.string(),
+});
+
+/** Running tasks and budget of a team at one entry. */
+export const TeamUseSchema = v.looseObject({
+  team: v.string(),
+  running: v.number(),
+  budget: v.number(),
+  queued: v.number(),
+});
+
+/** A decision of the planner with its reason. */
+export const ExplanationSchema = v.looseObject({
+  /** Wall-clock time in milliseconds since the Unix epoch. */
+  at: v.number(),
+  rule: v.string(),
+  text: v.string(),
+  figures: v.record(v.string(), v.number()),
+});
+
+/** The planner's part of the status of the entry that holds its duty. */
+export const PlannerStatusSchema = v.looseObject({
+  decisions: v.array(ExplanationSchema),
+  withheld: v.array(ExplanationSchema),
+  bufferServers: v.number(),
+  bufferInstanceHours: v.number(),
+  moves: v.number(),
+  /** Duration in milliseconds of the last finished wave; undefined if none has finished. */
+  rolloutMs: v.optional(v.number()),
+});
+
+/** How close each team is to its share, from 0 to 1, over windows of one length. */
+export const ClosenessSchema = v.looseObject({
+  windowMs: v.number(),
+  windows: v.number(),
+  mean: v.number(),
+  lowest: v.number(),
+});
+
+/** `/status` of an entry instance, as far as operators' commands need it. */
+export const EntryStatusSchema = v.looseObject({
+  incarnation: v.string(),
+  zone: v.string(),
+  configRevision: v.number(),
+  configAgeMs: v.optional(v.number()),
+  platformReachable: v.optional(v.boolean()),
+  keyedWorkAllowed: v.optional(v.boolean()),
+  teams: v.optional(v.array(TeamUseSchema)),
+  planner: v.optional(PlannerStatusSchema),
+  closeness: v.optional(v.array(ClosenessSchema)),
+});
+
+export type Session = Readonly<v.InferOutput<typeof SessionSchema>>;
+export type Explanation = Readonly<v.InferOutput<typeof ExplanationSchema>>;
+export type PlannerStatus = Readonly<v.InferOutput<typeof PlannerStatusSchema>>;
+export type Closeness = Readonly<v.InferOutput<typeof ClosenessSchema>>;
+export type EntryStatus = Readonly<v.InferOutput<typeof EntryStatusSchema>>;
+
+/** Prefix of the keys under which entries announce themselves. */
+export const SESSION_PREFIX = "sessions/";
--- /dev/null
+++ b/test/cli/config-commands.test.ts
@@ -0,0 +1,105 @@
+import { readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { TestCli } from "../fakes/test-cli.ts";
+
+const TEMPLATE = readFileSync("examples/piedra-viva.ini", "utf8");
+
+function fixture(): TestCli {
+  const cli = new TestCli();
+  cli.files.set("site.ini", TEMPLATE);
+  return cli;
+}
+
+async function addEntry(cli: TestCli, name: string, revision: number): Promise<void> {
+  const session = { incarnation: name, zone: "andina-a", adminAddress: `${name}:1` };
+  const value = JSON.stringify(session);
+  await cli.store.put({ key: `sessions/${name}`, value, expectedRevision: 0 });
+  const status = { incarnation: name, zone: "andina-a", configRevision: revision };
+  cli.statusReader.statuses.set(`${name}:1`, status);
+}
+
+// Guards against a check that changes something, or that passes a file with faults.
+test("config check names every fault of a file and exits with 2", async () => {
+  const cli = fixture();
+  await cli.run("config check site.ini");
+  assert.is(cli.code, 0);
+  assert.match(cli.out.join(), "5 pools for 35 servers, 6 queues, 6 teams");
+  cli.files.set("bad.ini", TEMPLATE.replace("min_available = 6", "min_availabel = 6"));
+  await cli.run("config check bad.ini");
+  assert.is(cli.code, 2);
+  assert.match(cli.errors.join("\n"), /bad\.ini:\d+: \[pool\.enrolment\] min_availabel = "6"/);
+  assert.match(cli.errors.join("\n"), `did you mean "min_available"?`);
+  await cli.run("config check absent.ini");
+  assert.is(cli.code, 2);
+});
+
+// Guards against misspelt or malformed options that are taken silently.
+test("invalid options are refused and change nothing", async () => {
+  const cli = fixture();
+  await cli.run("config apply site.ini --bas 3");
+  assert.is(cli.code, 2);
+  assert.match(cli.errors.join(), `unknown option --bas; did you mean "base"?`);
+  await cli.run("config apply site.ini --base three");
+  assert.is(cli.code, 2);
+  assert.equal((await cli.store.list("")).unwrap(), []);
+});
+
+// Guards against an apply that claims to be in effect where it is not.
+test("config apply reports which entries have confirmed the revision", async () => {
+  const cli = fixture();
+  await addEntry(cli, "e1", 1);
+  await addEntry(cli, "e2", 0);
+  await cli.run("config apply site.ini --wait 2");
+  assert.is(cli.code, 0);
+  assert.equal(cli.out, ["accepted at revision 1", "in effect on 1 of 2 entries"]);
+  assert.equal(cli.errors, ["not confirmed: e2 in andina-a: at revision 0"]);
+});
+
+// Guards against a printed configuration that cannot be edited and applied again.
+test("config show prints a template that applies without a change", async () => {
+  const cli = fixture();
+  await cli.run("config apply site.ini");
+  await cli.run("config show");
+  cli.files.set("shown.ini", cli.out.join("\n"));
+  await cli.run("config apply shown.ini --base 1");
+  assert.is(cli.code, 0);
+  assert.equal(cli.out, ["accepted at revision 2", "in effect on 0 of 0 entries"]);
+});
+
+// Guards against a conflict that does not tell the operator what to do.
+test("a conflicting apply exits with 1 and names the other change", async () => {
+  const cli = fixture();
+  await cli.run("config apply site.ini");
+  cli.files.set("other.ini", TEMPLATE.replace("share = 30", "share = 31"));
+  await cli.run("config apply other.ini --base 1");
+  await cli.run("config apply site.ini --base 1");
+  assert.is(cli.code, 1);
+  assert.match(cli.errors.join("\n"), "[team.head-office] share: 30 -> 31");
+  assert.match(cli.errors.join("\n"), "--base 2");
+  await cli.run("config history");
+  assert.match(cli.out.join("\n"), /revision 2.*\n {2}\[team\.head-office\] share: 30 -> 31/);
+});
+
+// Guards against a key that is printed a second time by another command.
+test("a key is printed once by key give and by nothing else", async () => {
+  const cli = fixture();
+  await cli.run("config apply site.ini");
+  await cli.run("key give head-office");
+  const [clear = ""] = cli.out;
+  assert.match(clear, /^[0-9a-f]{12}\.[0-9a-f]{64}$/);
+  const [keyId = "", secret = ""] = clear.split(".");
+  for (const line of ["key list", "config show --json", "config history --json"]) {
+    await cli.run(line);
+    assert.not(cli.out.join("\n").includes(secret), line);
+    assert.not(cli.out.join("\n").includes("hash"), line);
+  }
+  await cli.run(`key withdraw head-office ${keyId}`);
+  assert.is(cli.code, 0);
+  await cli.run(`key withdraw head-office ${keyId}`);
+  assert.is(cli.code, 1);
+  await cli.run("key give head-offise");
+  assert.match(cli.errors.join(), `did you mean "head-office"?`);
+});
+
+test.run();
--- /dev/null
+++ b/test/fakes/test-cli.ts
@@ -0,0 +1,81 @@
+import { Err, Ok, type Result } from "ts-results";
+import sade from "sade";
+import { CliContext } from "../../src/cli/context.ts";
+import { addConfigCommands } from "../../src/cli/config-commands.ts";
+import { addKeyCommands } from "../../src/cli/key-commands.ts";
+import { EntryStatusReader } from "../../src/coordination/entry-directory.ts";
+import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
+import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import type { EntryStatus } from "../../src/protocol/entry-status.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { SeededRandom } from "./seeded-random.ts";
+import { onClock, VirtualClock } from "./virtual-clock.ts";
+
+class TestStatusReader extends EntryStatusReader {
+  readonly statuses = new Map<string, EntryStatus>();
+
+  read(adminAddress: string): Promise<Result<EntryStatus, string>> {
+    const status = this.statuses.get(adminAddress);
+    return Promise.resolve(status === undefined ? Err("not reached") : Ok(status));
+  }
+}
+
+class TestInstanceList extends InstanceList {
+  instances: readonly ListedInstance[] = [];
+
+  list(): Promise<Result<readonly ListedInstance[], never>> {
+    return Promise.resolve(Ok(this.instances));
+  }
+}
+
+/** Runs commands in this process against in-memory services and records what they print. */
+export class TestCli extends CliContext {
+  readonly clock = new VirtualClock();
+  readonly random = new SeededRandom(3);
+  readonly statusReader = new TestStatusReader();
+  readonly store = new KeyValueStore({ clock: this.clock });
+  readonly list = new TestInstanceList();
+  readonly files = new Map<string, string>();
+  out: string[] = [];
+  errors: string[] = [];
+  code: number | undefined;
+
+  keyValue(): KeyValueService {
+    return this.store;
+  }
+
+  instanceList(): InstanceList {
+    return this.list;
+  }
+
+  readFile(path: string): string | undefined {
+    return this.files.get(path);
+  }
+
+  print(line: string): void {
+    this.out.push(line);
+  }
+
+  printError(line: string): void {
+    this.errors.push(line);
+  }
+
+  exit(code: number): void {
+    this.code = code;
+  }
+
+  /** Runs a command line, to which the key-value URL is added unless it starts with `config check`. */
+  async run(line: string, addCommands?: (program: sade.Sade) => void): Promise<void> {
+    this.out = [];
+    this.errors = [];
+    this.code = undefined;
+    const program = sade("teaselspool");
+    addConfigCommands(program, this);
+    addKeyCommands(program, this);
+    addCommands?.(program);
+    const url = line.startsWith("config check") ? [] : ["--key-value", "http://127.0.0.1:9100"];
+    const argv = ["node", "teaselspool", ...line.split(" "), ...url];
+    const lazy = program.parse(argv, { lazy: true });
+    await onClock(this.clock, Promise.resolve(Reflect.apply(lazy.handler, undefined, lazy.args)));
+  }
+}
