test(fuzz): world, commands and campaign of the stateful fuzzing

Cause: the properties need command sequences against entry instances. Change: simulated fleet of 2 or 3 zones with 2 entries and 3 backend servers each; commands of callers, operators and the environment; check of the recovery at the end of each run. Ruled out: a model besides the oracle; the oracle's dictionaries are the model. Conclusion: the campaign needs a factory of entry instances.

--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -102,9 +102,11 @@
     return false;
   }
 
-  get faulty(): boolean {
-    const active = (values: Iterable<number>): boolean => [...values].some((value) => value > 0);
-    return this.#cuts.size > 0 || active(this.#slowMs.values()) || active(this.#replyLoss.values());
+  /** Whether messages between the two are slowed down or replies are lost. */
+  impaired(a: Party, b: Party): boolean {
+    return [...a.tags, ...b.tags].some(
+      (tag) => (this.#slowMs.get(tag) ?? 0) > 0 || (this.#replyLoss.get(tag) ?? 0) > 0,
+    );
   }
 
   /** Delivers a call and its reply. Never resolves for a sender that was killed. */
--- a/test/fakes/peer-network.ts
+++ b/test/fakes/peer-network.ts
@@ -37,6 +37,13 @@
     this.options = options;
   }
 
+  /** What each process that accepts connections announces. */
+  get live(): readonly Hello[] {
+    return [...this.#listeners.values()]
+      .filter((listener) => !listener.closed && !listener.party.gate.dead)
+      .map((listener) => listener.hello);
+  }
+
   /** Transport of one process. A process that replaces another gets its own. */
   transport(party: Party): PeerTransport {
     return new InMemoryTransport({ network: this, party, listeners: this.#listeners });
--- /dev/null
+++ b/test/fuzz/commands/faults.ts
@@ -0,0 +1,175 @@
+import fc from "fast-check";
+import type { World } from "../world.ts";
+import { command, type FuzzCommand } from "./command.ts";
+
+const index = fc.nat({ max: 11 });
+
+/** Ends a process and starts another one with empty memory in its place after the delay. */
+function replaceLater(world: World, entry: number, afterMs: number): void {
+  const slot = world.slot(entry);
+  slot.kill();
+  world.memoryLost = true;
+  world.clock.schedule(afterMs, () => {
+    slot.start();
+  });
+}
+
+function shutDown(world: World, entry: number): void {
+  const slot = world.slot(entry);
+  world.memoryLost = true;
+  void slot.shutDown().then(
+    () => {
+      world.clock.schedule(1000, () => {
+        slot.start();
+      });
+    },
+    (error: unknown) => {
+      world.oracle.threw(`${slot.tag} shutdown`, error);
+    },
+  );
+}
+
+function pause(world: World, entry: number, ms: number): void {
+  const gate = world.slot(entry).process?.party.gate;
+  gate?.pause();
+  world.clock.schedule(ms, () => {
+    gate?.resume();
+  });
+}
+
+function cutFor(world: World, a: string, b: string, ms: number, late: boolean): void {
+  world.links.setLateDelivery(late);
+  world.links.cut(a, b);
+  world.clock.schedule(ms, () => {
+    world.links.heal(a, b);
+    world.observe();
+  });
+}
+
+const durationMs = fc.constantFrom(200, 1000, 5000, 12_000, 30_000);
+const pauseMs = fc.constantFrom(500, 3000, 6000, 20_000);
+const late = fc.boolean();
+
+function loseRack(world: World, server: number): void {
+  const { rack } = world.farm.machine(server).instance;
+  for (const machine of world.farm.machines) {
+    if (machine.instance.rack === rack) world.farm.lose(machine);
+  }
+}
+
+function leave(world: World, server: number, listOnly: boolean): void {
+  const machine = world.farm.machine(server);
+  world.farm.leave(machine, { listOnly });
+  world.clock.schedule(20_000, () => {
+    if (machine.leaving) world.farm.lose(machine);
+  });
+}
+
+/** Pauses the entry instance that holds a duty past its lease, and resumes it later. */
+async function pauseHolder(world: World, duty: string, ms: number): Promise<void> {
+  const holder = await world.dutyHolder(duty);
+  if (holder !== undefined) pause(world, holder.index - 1, ms);
+}
+
+const processFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
+  fc.tuple(index, fc.constantFrom(100, 3000, 10_000)).map(command("replace", replaceLater)),
+  fc.tuple(index).map(command("shutDown", shutDown)),
+  fc.tuple(index, pauseMs).map(command("pause", pause)),
+  fc.tuple(fc.constantFrom("planner"), pauseMs).map(command("pauseHolder", pauseHolder)),
+];
+
+const linkFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
+  fc.tuple(index, index, durationMs, late).map(
+    command("cutZones", (world: World, a: number, b: number, ms: number, held: boolean) => {
+      const [first, second] = [world.zone(a), world.zone(b)];
+      if (first !== second) cutFor(world, `zone:${first}`, `zone:${second}`, ms, held);
+    }),
+  ),
+  fc.tuple(index, durationMs, late).map(
+    command("cutZoneFromPlatform", (world: World, zone: number, ms: number, held: boolean) => {
+      cutFor(world, `zone:${world.zone(zone)}`, "platform", ms, held);
+    }),
+  ),
+  fc.tuple(index, index, durationMs, late).map(
+    command("cutEntries", (world: World, a: number, b: number, ms: number, held: boolean) => {
+      if (world.slot(a) !== world.slot(b)) {
+        cutFor(world, world.slot(a).tag, world.slot(b).tag, ms, held);
+      }
+    }),
+  ),
+  fc.tuple(index, index, durationMs, late).map(
+    command("cutEntryFromServer", (world: World, e: number, s: number, ms: number, h: boolean) => {
+      cutFor(world, world.slot(e).tag, world.farm.machine(s).party.tags[0]!, ms, h);
+    }),
+  ),
+  fc.tuple(index, durationMs, late).map(
+    command("cutEntryFromServers", (world: World, entry: number, ms: number, held: boolean) => {
+      cutFor(world, world.slot(entry).tag, "server", ms, held);
+    }),
+  ),
+  fc.tuple(durationMs, late).map(
+    command("platformDown", (world: World, ms: number, held: boolean) => {
+      cutFor(world, "entry", "platform", ms, held);
+    }),
+  ),
+  fc
+    .tuple(
+      fc.constantFrom("platform", "entry", "server"),
+      fc.constantFrom(50, 800, 3000),
+      durationMs,
+    )
+    .map(
+      command("slow", (world: World, tag: string, delayMs: number, ms: number) => {
+        world.links.slow(tag, delayMs);
+        world.clock.schedule(ms, () => {
+          world.links.slow(tag, 0);
+        });
+      }),
+    ),
+  fc
+    .tuple(fc.constantFrom("platform", "entry", "server"), fc.constantFrom(0.1, 0.5, 1), durationMs)
+    .map(
+      command("loseReplies", (world: World, tag: string, share: number, ms: number) => {
+        world.links.loseReplies(tag, share);
+        world.clock.schedule(ms, () => {
+          world.links.loseReplies(tag, 0);
+        });
+      }),
+    ),
+];
+
+const serverFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
+  fc.tuple(index).map(
+    command("loseServer", (world: World, server: number) => {
+      world.farm.lose(world.farm.machine(server));
+    }),
+  ),
+  fc.tuple(index).map(command("loseRack", loseRack)),
+  fc.tuple(index).map(
+    command("restoreServer", (world: World, server: number) => {
+      const machine = world.farm.machine(server);
+      if (machine.lost) world.farm.restore(machine);
+    }),
+  ),
+  fc.tuple(index, fc.boolean()).map(command("leave", leave)),
+  fc.tuple(index, fc.boolean()).map(
+    command("failEverything", (world: World, server: number, on: boolean) => {
+      world.farm.setFailing(world.farm.machine(server), on);
+    }),
+  ),
+  fc.tuple(durationMs).map(
+    command("freezeInstanceList", (world: World, ms: number) => {
+      world.farm.instances.freeze();
+      world.clock.schedule(ms, () => {
+        world.farm.instances.unfreeze();
+      });
+    }),
+  ),
+];
+
+/** Commands of the environment. */
+export const faultCommands: readonly fc.Arbitrary<FuzzCommand>[] = [
+  ...processFaults,
+  ...linkFaults,
+  ...serverFaults,
+];
--- /dev/null
+++ b/test/fuzz/commands/requests.ts
@@ -0,0 +1,120 @@
+import fc from "fast-check";
+import type { Order } from "../callers.ts";
+import { DECLARED_RUN_MS, QUEUES, TEAMS } from "../fleet-plan.ts";
+import type { World } from "../world.ts";
+import { command, type FuzzCommand } from "./command.ts";
+
+type IdKind = "none" | "order-number" | "uuid" | "issued" | "old-uuid" | "future-uuid";
+type KeyKind = "newest" | "oldest" | "other-team" | "unknown" | "none";
+
+interface Draft {
+  readonly entry: number;
+  readonly queue: number;
+  readonly team: number;
+  readonly keyKind: KeyKind;
+  readonly idKind: IdKind;
+  readonly priority: Order["priority"];
+  readonly mode: "sync" | "async";
+  readonly neverTwice: boolean;
+  readonly timeoutMs: number;
+  readonly runMs: number;
+  readonly bad: boolean;
+  readonly count: number;
+}
+
+const index = fc.nat({ max: 11 });
+
+const draft: fc.Arbitrary<Draft> = fc.record({
+  entry: index,
+  queue: fc.nat({ max: QUEUES.length - 1 }),
+  team: fc.nat({ max: TEAMS.length - 1 }),
+  keyKind: fc.constantFrom<KeyKind>(
+    "newest",
+    "newest",
+    "newest",
+    "newest",
+    "oldest",
+    "oldest",
+    "unknown",
+    "none",
+  ),
+  idKind: fc.constantFrom<IdKind>(
+    "none",
+    "none",
+    "order-number",
+    "uuid",
+    "issued",
+    "old-uuid",
+    "future-uuid",
+  ),
+  priority: fc.constantFrom<Order["priority"]>("normal", "urgent", "batch"),
+  mode: fc.constantFrom("sync", "async"),
+  neverTwice: fc.boolean(),
+  timeoutMs: fc.constantFrom(30_000, 10_000, 2000, 300),
+  // The last two are the grossly inaccurate run times: 20 times the declared one and more.
+  runMs: fc.constantFrom(DECLARED_RUN_MS, 20, 1500, 20 * DECLARED_RUN_MS, 25_000),
+  bad: fc.constantFrom(false, false, false, false, true),
+  count: fc.constantFrom(1, 1, 2, 4, 12),
+});
+
+function keyOf(world: World, { keyKind, team }: Draft): string | undefined {
+  const keys = world.keys.get(TEAMS[team]!) ?? [];
+  if (keyKind === "none") return undefined;
+  if (keyKind === "unknown") return "0".repeat(64);
+  return keyKind === "oldest" ? keys[0] : keys.at(-1);
+}
+
+function idOf(world: World, { idKind, entry }: Draft): string | undefined {
+  const wallTime = world.clock.wallTime();
+  const id = Math.floor(world.random.next() * 1e9);
+  if (idKind === "order-number") return `order-${id}`;
+  if (idKind === "uuid") return world.random.uuidV7(wallTime);
+  if (idKind === "old-uuid") return world.random.uuidV7(wallTime - 2 * 3_600_000);
+  if (idKind === "future-uuid") return world.random.uuidV7(wallTime + 60_000);
+  const process = world.slot(entry).process;
+  if (idKind !== "issued" || process === undefined || process.party.gate.paused) return undefined;
+  return process.instance.requests.issueId();
+}
+
+function send(world: World, parts: Draft): void {
+  for (let n = 0; n < parts.count; n++) {
+    const key = keyOf(world, parts);
+    const order: Order = {
+      queue: QUEUES[parts.queue]!.name,
+      team: key === undefined ? undefined : TEAMS[parts.team],
+      key,
+      idempotencyKey: idOf(world, parts),
+      priority: parts.priority,
+      neverTwice: parts.neverTwice,
+      timeoutMs: parts.timeoutMs,
+      job: world.callers.newJob(parts.runMs, parts.bad),
+    };
+    world.callers.submit(order, world.slot(parts.entry + n), parts.mode);
+  }
+}
+
+/** Sends an earlier request again, by default through another entry instance. */
+function retry(world: World, which: number, entry: number, mode: "sync" | "async"): void {
+  const { repeatable } = world.callers;
+  const order = repeatable.at(-1 - (which % Math.max(1, repeatable.length)));
+  if (order !== undefined) world.callers.submit(order, world.slot(entry), mode);
+}
+
+const mode = fc.constantFrom<"sync" | "async">("sync", "async");
+
+/** Commands of callers. */
+export const requestCommands: readonly fc.Arbitrary<FuzzCommand>[] = [
+  fc.tuple(draft).map(command("submit", send)),
+  fc.tuple(draft).map(command("submit", send)),
+  fc.tuple(fc.nat({ max: 5 }), index, mode).map(command("retry", retry)),
+  fc.tuple(index, fc.constantFrom(1, 20)).map(
+    command("cancel", (world: World, entry: number, count: number) => {
+      world.callers.cancel(world.slot(entry), count);
+    }),
+  ),
+  fc.tuple(index).map(
+    command("query", (world: World, entry: number) => {
+      world.callers.queryAll(world.slot(entry), 500);
+    }),
+  ),
+];
--- /dev/null
+++ b/test/fuzz/entry-slot.ts
@@ -0,0 +1,151 @@
+import type { Log } from "../../src/platform/log.ts";
+import type { Hello, PeerRequest } from "../../src/protocol/peer-messages.ts";
+import { ENTRY_DEFAULTS, type EntrySettings } from "../../src/settings/entry-settings.ts";
+import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import { FaultyBackendConnector } from "../fakes/faulty-backend.ts";
+import { FaultyKeyValue } from "../fakes/faulty-key-value.ts";
+import type { Links, Party } from "../fakes/links.ts";
+import { PeerNetwork } from "../fakes/peer-network.ts";
+import { ProcessClock, ProcessGate } from "../fakes/process-gate.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+import { StaleInstanceList } from "../fakes/stale-instance-list.ts";
+import type { VirtualClock } from "../fakes/virtual-clock.ts";
+import type { EntryFactory, EntryParts, EntryUnderTest, Mutant } from "./entry-under-test.ts";
+import { GROUP } from "./fleet-plan.ts";
+import type { Oracle } from "./oracle.ts";
+import type { ServerFarm } from "./server-farm.ts";
+
+/** What all entry instances of a world share. */
+export interface EntryEnvironment {
+  readonly clock: VirtualClock;
+  readonly links: Links;
+  readonly random: SeededRandom;
+  readonly oracle: Oracle;
+  readonly farm: ServerFarm;
+  readonly network: PeerNetwork;
+  readonly store: KeyValueService;
+  readonly platform: Party;
+  readonly factory: EntryFactory;
+  readonly mutant: Mutant | undefined;
+  readonly log: Log;
+}
+
+/** One running process of an entry instance. */
+export interface EntryProcess {
+  readonly party: Party;
+  readonly instance: EntryUnderTest;
+  /** Calls of callers that wait here for a reply. */
+  readonly waiting: Map<number, string>;
+  stopping: boolean;
+}
+
+/** The place of one entry instance: its address stays when the process is replaced. */
+export class EntrySlot {
+  readonly index: number;
+  readonly zone: string;
+  readonly #env: EntryEnvironment;
+  #process: EntryProcess | undefined;
+
+  constructor({ index, zone, env }: { index: number; zone: string; env: EntryEnvironment }) {
+    this.index = index;
+    this.zone = zone;
+    this.#env = env;
+  }
+
+  get tag(): string {
+    return `entry:${this.index}`;
+  }
+
+  get peerAddress(): string {
+    return settingsOf(this.index, this.zone).peerAddress;
+  }
+
+  /** The live process, if there is one. */
+  get process(): EntryProcess | undefined {
+    return this.#process;
+  }
+
+  /** Starts a process with empty memory, unless one is running. */
+  start(): void {
+    if (this.#process !== undefined) return;
+    const { clock, factory, mutant, oracle } = this.#env;
+    const party: Party = {
+      tags: [this.tag, `zone:${this.zone}`, "entry"],
+      gate: new ProcessGate({ clock }),
+    };
+    const parts = this.#parts(party);
+    const instance = factory(mutant?.parts?.(parts, this.index) ?? parts);
+    this.#process = { party, instance, waiting: new Map(), stopping: false };
+    instance.start().catch((error: unknown) => {
+      if (!party.gate.dead) oracle.threw(`${this.tag} start`, error);
+    });
+  }
+
+  /** Ends the process without notice. Its callers lose their connections. */
+  kill(): void {
+    const ended = this.#process;
+    if (ended === undefined) return;
+    const { links, oracle } = this.#env;
+    this.#process = undefined;
+    ended.party.gate.kill();
+    links.partyDied(ended.party);
+    ended.instance.kill();
+    for (const call of ended.waiting.keys()) oracle.requests.lost(call);
+    ended.waiting.clear();
+  }
+
+  /** Ends the process gracefully; calls that it leaves without a reply are violations. */
+  async shutDown(): Promise<void> {
+    const ended = this.#process;
+    if (ended === undefined || ended.stopping || ended.party.gate.paused) return;
+    ended.stopping = true;
+    const { mutant, oracle } = this.#env;
+    if (mutant?.cutShutdown !== true) await ended.instance.shutdown();
+    if (this.#process !== ended) return;
+    oracle.shutDown(this.tag, [...ended.waiting.values()]);
+    this.kill();
+  }
+
+  #parts(party: Party): EntryParts {
+    const { clock, links, platform, store, farm, network, log } = this.#env;
+    const random = new SeededRandom(Math.floor(this.#env.random.next() * 2 ** 32));
+    const wallOffsetMs = Math.floor((random.next() - 0.5) * 2000);
+    return {
+      settings: settingsOf(this.index, this.zone),
+      clock: new ProcessClock({ base: clock, gate: party.gate, wallOffsetMs }),
+      random,
+      keyValue: new FaultyKeyValue({ links, party, platform, store }),
+      instanceList: new StaleInstanceList({ links, party, platform, instances: farm.instances }),
+      backends: new FaultyBackendConnector({ links, party, servers: farm.machines }),
+      peerTransport: network.transport(party),
+      log,
+    };
+  }
+}
+
+function settingsOf(index: number, zone: string): EntrySettings {
+  return {
+    ...ENTRY_DEFAULTS,
+    zone,
+    group: GROUP,
+    callerAddress: `10.0.0.${index}:7000`,
+    adminAddress: `10.0.0.${index}:7001`,
+    peerAddress: `10.0.0.${index}:7002`,
+    keyValueUrl: "http://10.2.0.1:2379",
+    instanceListUrl: "http://10.2.0.2:2380",
+  };
+}
+
+/** The network between the entry instances, watched by the oracle. */
+export function observedNetwork(links: Links, oracle: Oracle): PeerNetwork {
+  return new PeerNetwork({
+    links,
+    observe: (from: Hello, _to: Hello, req: PeerRequest) => {
+      if (req.type !== "gossip") return;
+      oracle.operators.reportedRevision(from.incarnation, req.configRevision);
+    },
+    onThrow: (to, error) => {
+      oracle.threw(`peer handler of ${to.incarnation}`, error);
+    },
+  });
+}
--- a/test/fuzz/oracle.test.ts
+++ b/test/fuzz/oracle.test.ts
@@ -199,6 +199,10 @@
   oracle.operators.accepted(config(2, { limit: 2, minAvailable: 1 }));
   oracle.operators.reportedRevision("e2", 7);
   assert.equal(found(), ["configuration", "configuration", "configuration"]);
+  oracle.raced([true, false]);
+  assert.is(found().length, 3);
+  oracle.raced([true, true]);
+  assert.is(found().length, 4);
 });
 
 test("a call cut by a shutdown and a late recovery are reported", () => {
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -57,6 +57,13 @@
     this.#violations.add("shutdown", `${entry} answered running ${nonce} with ${reply}`);
   }
 
+  /** Operators raced from one base; at most one of them may be told that it was accepted. */
+  raced(accepted: readonly boolean[]): void {
+    if (accepted.filter(Boolean).length > 1) {
+      this.#violations.add("configuration", "two edits of one base revision were accepted");
+    }
+  }
+
   /** A promise to callers or operators was not kept in time after every fault was healed. */
   notRecovered(detail: string): void {
     this.#violations.add("liveness", detail);
--- /dev/null
+++ b/test/fuzz/recovery.ts
@@ -0,0 +1,113 @@
+import type { Order } from "./callers.ts";
+import { DECLARED_RUN_MS, TEAMS } from "./fleet-plan.ts";
+import type { World } from "./world.ts";
+
+/** Time within which every accepted request has an outcome after healing, in milliseconds. */
+export const OUTCOME_LIMIT_MS = 90_000;
+/** Time within which each team reaches its limit again after healing, in milliseconds. */
+export const CAPACITY_LIMIT_MS = 60_000;
+/** Time within which every live entry has the last configuration after healing. */
+export const CONFIG_LIMIT_MS = 20_000;
+/** Run time of the tasks that fill a team's limit, in milliseconds. */
+const FILL_RUN_MS = 4000;
+/** Limits above this are not filled, since the fleet may be smaller than they are. */
+const FILL_LIMIT = 6;
+
+/** Ends every fault, as an operator and the platform would after an incident. */
+export async function healEverything(world: World): Promise<void> {
+  world.links.healAll();
+  world.farm.instances.unfreeze();
+  for (const machine of world.farm.machines) {
+    if (machine.lost || machine.leaving) world.farm.restore(machine);
+    world.farm.setFailing(machine, false);
+  }
+  for (const slot of world.slots) {
+    slot.process?.party.gate.resume();
+    slot.start();
+  }
+  world.observe();
+  await world.operators.apply((doc) => ({
+    ...doc,
+    maintenance: { ...doc.maintenance, everyDays: 0 },
+  }));
+}
+
+/** Heals everything and checks that every promise is kept in the stated time. */
+export async function checkRecovery(world: World): Promise<void> {
+  await healEverything(world);
+  const keys = new Map<string, string>();
+  for (const team of TEAMS) keys.set(team, await world.giveKey(team));
+  await checkConfiguration(world);
+  await checkCapacity(world, keys);
+  await checkOutcomes(world, keys);
+}
+
+async function checkConfiguration(world: World): Promise<void> {
+  const { operators } = world.oracle;
+  const arrived = await world.advanceUntil(
+    () =>
+      world
+        .incarnations()
+        .every((name) => operators.revisionOf(name) === operators.latest?.revision),
+    CONFIG_LIMIT_MS,
+  );
+  if (arrived) return;
+  const seen = world
+    .incarnations()
+    .map((name) => `${name}: ${operators.revisionOf(name) ?? "none"}`);
+  world.oracle.notRecovered(
+    `revision ${operators.latest?.revision ?? 0} did not arrive within ${CONFIG_LIMIT_MS} ms (${seen.join(", ")})`,
+  );
+}
+
+async function checkCapacity(world: World, keys: ReadonlyMap<string, string>): Promise<void> {
+  const { operators, fleet } = world.oracle;
+  const end = world.clock.now() + CAPACITY_LIMIT_MS;
+  for (const team of TEAMS) {
+    const limit = operators.latest?.teams.find((t) => t.name === team)?.upperLimit ?? 0;
+    const target = Math.min(limit, FILL_LIMIT);
+    let best = 0;
+    const reached = (): boolean => {
+      best = Math.max(best, fleet.running(team));
+      return best >= target;
+    };
+    while (!reached() && world.clock.now() < end) {
+      for (let n = 0; n < target; n++) fill(world, team, keys.get(team)!, n);
+      await world.advanceUntil(reached, FILL_RUN_MS);
+    }
+    if (best < target) {
+      world.oracle.notRecovered(
+        `${team} ran at most ${best} of ${target} in ${CAPACITY_LIMIT_MS} ms`,
+      );
+    }
+  }
+}
+
+function fill(world: World, team: string, key: string, n: number): void {
+  const order: Order = {
+    queue: "plans",
+    team,
+    key,
+    idempotencyKey: undefined,
+    priority: "normal",
+    neverTwice: false,
+    timeoutMs: 2 * FILL_RUN_MS,
+    job: world.callers.newJob(FILL_RUN_MS + DECLARED_RUN_MS),
+  };
+  world.callers.submit(order, world.slot(n), "sync");
+}
+
+async function checkOutcomes(world: World, keys: ReadonlyMap<string, string>): Promise<void> {
+  const end = world.clock.now() + OUTCOME_LIMIT_MS;
+  const options = { keys, lossExcused: world.memoryLost };
+  const unresolved = (): number => world.oracle.requests.unresolved().length;
+  for (let turn = 0; unresolved() > 0 && world.clock.now() < end; turn++) {
+    world.callers.queryAll(world.slot(turn), 1000, options);
+    await world.advanceUntil(() => unresolved() === 0, 5000);
+  }
+  for (const { call, requestId } of world.oracle.requests.unresolved()) {
+    world.oracle.notRecovered(
+      `call ${call} (${requestId ?? "no id"}) has no outcome ${OUTCOME_LIMIT_MS} ms after healing`,
+    );
+  }
+}
