--- a/src/ambient.d.ts
+++ b/src/ambient.d.ts
@@ -7,3 +7,10 @@
     options: { readonly sentinelFuse: string },
   ): Promise<void>;
 }
+
+// The package's main file needs a module that it does not declare, so `paths` in tsconfig.json
+// leads to its ES modules, which have no types of their own.
+declare module "ts-results" {
+  export * from "ts-results/result";
+  export * from "ts-results/option";
+}
--- /dev/null
+++ b/src/coordination/entry-requests.ts
@@ -0,0 +1,296 @@
+import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
+import type {
+  AckReply,
+  CancelRequest,
+  Hello,
+  QueryRequest,
+  RequestSpec,
+  RequestState,
+  ResultRequest,
+  RunCancelRequest,
+  RunReply,
+  RunRequest,
+  StateReply,
+  SubmitRequest,
+} from "../protocol/peer-messages.ts";
+import { REFUSAL_REASONS, type Refusal, type RefusalReason } from "../protocol/problem.ts";
+import { grantAccess } from "./access.ts";
+import type { HomeAnswer, HomeClient } from "./home-client.ts";
+import { homeMoving, lateState, refused, type HomeRequests } from "./home-requests.ts";
+import {
+  RequestService,
+  type CallerReply,
+  type CallerRequest,
+  type ConfigView,
+  type Counters,
+  type Homes,
+  type Peers,
+} from "./ports.ts";
+import type { ResultDelivery } from "./result-delivery.ts";
+import type { RunOffers } from "./run-offers.ts";
+
+/** A queued request is withdrawn at its deadline; its refusal is awaited this much longer. */
+const DEADLINE_GRACE_MS = 150;
+/** Taken off the time passed to another home, so that its refusal arrives before the deadline. */
+const FORWARD_MARGIN_MS = 20;
+/** How long a cancellation waits for a running task to stop. */
+const CANCEL_WAIT_MS = 2000;
+const HOMELESS_QUERY_TIMEOUT_MS = 1000;
+const RETRY_AFTER_MS = 1000;
+
+/** Messages between entries that this service answers. */
+export type RequestMessage =
+  SubmitRequest | QueryRequest | CancelRequest | RunRequest | RunCancelRequest | ResultRequest;
+
+/** Replies to {@link RequestMessage}. */
+export type RequestMessageReply = StateReply | RunReply | AckReply;
+
+/** Options of {@link EntryRequests}. */
+export interface EntryRequestsOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly config: ConfigView;
+  readonly homes: Homes;
+  readonly peers: Peers;
+  readonly counters: Counters;
+  readonly home: HomeRequests;
+  readonly homeClient: HomeClient;
+  readonly offers: RunOffers;
+  readonly results: ResultDelivery;
+}
+
+/** Answers callers and peers: finds each request's home and reports its outcome. */
+export class EntryRequests extends RequestService {
+  readonly #options: EntryRequestsOptions;
+  #stopping = false;
+  #waiting = 0;
+
+  constructor(options: EntryRequestsOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Refuses new requests from now on. */
+  stop(): void {
+    this.#stopping = true;
+    this.#options.home.stop();
+  }
+
+  /** Callers that wait here for an outcome, wherever its home is. */
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  issueId(): string {
+    return this.#options.homes.issue();
+  }
+
+  async submit(req: CallerRequest, mode: "sync" | "async"): Promise<CallerReply> {
+    const { clock, config, homes } = this.#options;
+    const deadline = clock.now() + req.timeoutMs;
+    // A caller's key may have been used before, which only its home knows.
+    const ran = req.idempotencyKey === undefined ? "no" : "unknown";
+    if (this.#stopping) {
+      const detail = "The entry instance shuts down.";
+      return this.#refuse({ reason: "stopping", detail, ran, retryAfterMs: RETRY_AFTER_MS });
+    }
+    const access = grantAccess(config, req);
+    if (access.err) return this.#refuse({ ...access.val, ran });
+    const { team, queue } = access.val;
+    const { idempotencyKey: key } = req;
+    const spec: RequestSpec = {
+      requestId: key === undefined ? homes.issue() : homes.requestId(team, queue.name, key),
+      team,
+      queue: queue.name,
+      priority: req.priority,
+      idempotent: queue.idempotent && req.idempotent !== false,
+      timeoutMs: req.timeoutMs,
+      payload: req.payload,
+    };
+    this.#waiting++;
+    const reply =
+      key === undefined
+        ? await this.#submitHere(spec, "issued-now", deadline, mode)
+        : await this.#submitToHome(spec, deadline, mode);
+    this.#waiting--;
+    return reply;
+  }
+
+  async query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
+    const { clock, home, homes, homeClient } = this.#options;
+    const team = this.#teamOf(key);
+    const deadline = clock.now() + waitMs;
+    const record = home.find(requestId, team);
+    if (record !== undefined)
+      return this.#reply(requestId, await home.wait(record, waitMs), "async");
+    if (homes.lookup(requestId).kind === "self") return this.#unknownId(requestId);
+    const answer = await homeClient.query(requestId, team, deadline);
+    return this.#fromHome(requestId, team, answer, "async");
+  }
+
+  async cancel(requestId: string, key: string | undefined): Promise<CallerReply> {
+    const { home, homes, homeClient } = this.#options;
+    const team = this.#teamOf(key);
+    const record = home.find(requestId, team);
+    if (record !== undefined) {
+      home.cancel(record);
+      return this.#reply(requestId, await home.wait(record, CANCEL_WAIT_MS), "async");
+    }
+    if (homes.lookup(requestId).kind === "self") return this.#unknownId(requestId);
+    const answer = await homeClient.cancel(requestId, team);
+    return this.#fromHome(requestId, team, answer, "async");
+  }
+
+  /** Answers a peer's message. */
+  async handlePeer(from: Hello, req: RequestMessage): Promise<RequestMessageReply> {
+    switch (req.type) {
+      case "submit":
+        return this.#peerSubmit(req);
+      case "query":
+        return this.#peerQuery(req);
+      case "cancel":
+        return this.#peerCancel(req);
+      case "run":
+        if (this.#stopping) return { type: "run-reply", kind: "declined", reason: "stopping" };
+        return this.#options.offers.run(from.incarnation, req);
+      case "run-cancel":
+        this.#options.offers.cancel(req);
+        return { type: "ack", accepted: true };
+      case "result":
+        return { type: "ack", accepted: this.#peerResult(req) };
+    }
+  }
+
+  async #submitHere(
+    spec: RequestSpec,
+    origin: "issued-now" | "caller",
+    deadline: number,
+    mode: "sync" | "async",
+  ): Promise<CallerReply> {
+    const { home, clock } = this.#options;
+    const admitted = home.submit(spec, origin);
+    if ("kind" in admitted) return this.#reply(spec.requestId, admitted, mode);
+    const waitMs = mode === "async" ? 0 : deadline - clock.now() + DEADLINE_GRACE_MS;
+    return this.#reply(spec.requestId, await home.wait(admitted, waitMs), mode);
+  }
+
+  async #submitToHome(
+    spec: RequestSpec,
+    deadline: number,
+    mode: "sync" | "async",
+  ): Promise<CallerReply> {
+    const { homes, homeClient } = this.#options;
+    if (homes.lookup(spec.requestId).kind === "self")
+      return this.#submitHere(spec, "caller", deadline, mode);
+    const answer = await homeClient.submit(spec, deadline - FORWARD_MARGIN_MS, mode === "sync");
+    if (answer.kind === "self") return this.#submitHere(spec, "caller", deadline, mode);
+    return this.#fromHome(spec.requestId, spec.team, answer, mode);
+  }
+
+  async #fromHome(
+    requestId: string,
+    team: string | undefined,
+    answer: HomeAnswer,
+    mode: "sync" | "async",
+  ): Promise<CallerReply> {
+    if (answer.kind === "gone") {
+      const found = await this.#findHomeless(requestId, team);
+      const detail = "The request's home is gone and its result was not found.";
+      return this.#reply(requestId, found ?? refused("home_unknown", detail, "unknown"), mode);
+    }
+    if (answer.kind === "self") {
+      const record = this.#options.home.find(requestId, team);
+      return record === undefined
+        ? this.#unknownId(requestId)
+        : this.#reply(requestId, record.state, mode);
+    }
+    if (answer.state === undefined) return this.#unknownId(requestId);
+    return this.#reply(requestId, answer.state, mode);
+  }
+
+  /** Looks for the result of a gone home's request on the servers held here and by peers. */
+  async #findHomeless(
+    requestId: string,
+    team: string | undefined,
+  ): Promise<RequestState | undefined> {
+    const { results, peers } = this.#options;
+    const here = results.homeless(requestId, team);
+    if (here !== undefined) return lateState(here);
+    const req = { type: "query", requestId, team, waitMs: 0 } as const;
+    const replies = await Promise.all(
+      [...peers.gossip().keys()].map((peer) => peers.call(peer, req, HOMELESS_QUERY_TIMEOUT_MS)),
+    );
+    return replies.map((reply) => (reply.ok ? reply.val.state : undefined)).find(Boolean);
+  }
+
+  async #peerSubmit({ spec, waitMs }: SubmitRequest): Promise<StateReply> {
+    const { home, homes } = this.#options;
+    if (homes.lookup(spec.requestId).kind !== "self") return stateReply(homeMoving());
+    const admitted = home.submit(spec, "caller");
+    if ("kind" in admitted) return stateReply(admitted);
+    return stateReply(await home.wait(admitted, waitMs));
+  }
+
+  async #peerQuery({ requestId, team, waitMs }: QueryRequest): Promise<StateReply> {
+    const { home, homes, results } = this.#options;
+    const record = home.find(requestId, team);
+    if (record !== undefined) return stateReply(await home.wait(record, waitMs));
+    const homeless = results.homeless(requestId, team);
+    if (homeless !== undefined) return stateReply(lateState(homeless));
+    const { kind } = homes.lookup(requestId);
+    return stateReply(kind === "self" || kind === "gone" ? undefined : homeMoving());
+  }
+
+  async #peerCancel({ requestId, team }: CancelRequest): Promise<StateReply> {
+    const { home, homes } = this.#options;
+    const record = home.find(requestId, team);
+    if (record === undefined)
+      return stateReply(homes.lookup(requestId).kind === "self" ? undefined : homeMoving());
+    home.cancel(record);
+    return stateReply(await home.wait(record, CANCEL_WAIT_MS / 2));
+  }
+
+  /** False asks the sender to look for the home again. */
+  #peerResult({ requestId, attempt, server, result }: ResultRequest): boolean {
+    const { home, homes } = this.#options;
+    if (!home.knows(requestId) && homes.lookup(requestId).kind !== "self") return false;
+    home.deliver({ requestId, attempt }, server, result);
+    return true;
+  }
+
+  #teamOf(key: string | undefined): string | undefined {
+    return key === undefined ? undefined : this.#options.config.teamOfKey(key);
+  }
+
+  #unknownId(requestId: string): CallerReply {
+    const detail = "There is no record of this id.";
+    return this.#refuse({ reason: "id_unknown", detail, ran: "unknown", requestId });
+  }
+
+  #reply(requestId: string, state: RequestState, mode: "sync" | "async"): CallerReply {
+    if (state.kind === "answered") return { kind: "answer", requestId, payload: state.payload };
+    if (state.kind === "pending") {
+      if (mode === "async") return { kind: "pending", requestId };
+      const detail = "The request has no outcome yet; ask for it by its id.";
+      return this.#refuse({ reason: "outcome_unknown", detail, ran: "unknown", requestId });
+    }
+    const { detail, ran, retryAfterMs } = state;
+    const refusal = { reason: knownReason(state.reason), detail, ran, requestId };
+    return this.#refuse(retryAfterMs === undefined ? refusal : { ...refusal, retryAfterMs });
+  }
+
+  #refuse(refusal: Refusal): CallerReply {
+    this.#options.counters.refusal(refusal.reason);
+    return { kind: "refusal", refusal };
+  }
+}
+
+function stateReply(state: RequestState | undefined): StateReply {
+  return { type: "state", state };
+}
+
+/** Reasons come over the wire as text. */
+function knownReason(reason: string): RefusalReason {
+  return REFUSAL_REASONS.find((each) => each === reason) ?? "internal";
+}
--- /dev/null
+++ b/src/coordination/home-requests.ts
@@ -0,0 +1,198 @@
+import type { Clock } from "../platform/clock.ts";
+import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
+import type { RanState, RefusalReason } from "../protocol/problem.ts";
+import { idTime } from "../state/id-time.ts";
+import {
+  mayRunAgain,
+  newRecord,
+  payloadDigest,
+  type RequestRecord,
+} from "../state/request-record.ts";
+import type { RequestTable } from "../state/request-table.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { Counters, FinishedTask, Homes } from "./ports.ts";
+import type { RequestDriver } from "./request-driver.ts";
+
+const RETRY_AFTER_MS = 1000;
+
+/** Options of {@link HomeRequests}. */
+export interface HomeRequestsOptions {
+  readonly clock: Clock;
+  readonly table: RequestTable;
+  readonly driver: RequestDriver;
+  readonly dispatcher: Dispatcher;
+  readonly homes: Homes;
+  readonly counters: Counters;
+}
+
+/** Where a request's id came from. */
+export type IdOrigin = "issued-now" | "caller";
+
+/** The requests whose home is this entry: admission, lookup, cancellation and results. */
+export class HomeRequests {
+  readonly #options: HomeRequestsOptions;
+  #stopping = false;
+
+  constructor(options: HomeRequestsOptions) {
+    this.#options = options;
+  }
+
+  /** Refuses new requests from now on; known ones can still be asked for. */
+  stop(): void {
+    this.#stopping = true;
+  }
+
+  /** Accepts a request, or attaches to the one known under its id. */
+  submit(spec: RequestSpec, origin: IdOrigin): RequestRecord | RequestState {
+    const { table } = this.#options;
+    const known = table.find(spec.requestId);
+    if (known !== undefined) {
+      const differs = known.digest !== undefined && known.digest !== payloadDigest(spec.payload);
+      if (differs || known.team !== spec.team || known.queue !== spec.queue)
+        return refused("id_body_mismatch", "Another request was made under this id.", "no");
+      if (!mayRunAgain(known)) return known;
+    }
+    const refusal = this.#refusal(spec, origin, known);
+    return refusal ?? this.#accept(spec, origin, known);
+  }
+
+  /** Record of a request, if the team may see it. */
+  find(requestId: string, team: string | undefined): RequestRecord | undefined {
+    const record = this.#options.table.find(requestId);
+    return record !== undefined && record.team === team ? record : undefined;
+  }
+
+  /** True if there is a record of the id, whatever its team. */
+  knows(requestId: string): boolean {
+    return this.#options.table.find(requestId) !== undefined;
+  }
+
+  cancel(record: RequestRecord): void {
+    if (record.state.kind === "pending") this.#options.driver.cancel(record);
+  }
+
+  /** Waits for the outcome of a request, at most the given time. */
+  wait(record: RequestRecord, waitMs: number): Promise<RequestState> {
+    return this.#options.table.wait(record, waitMs);
+  }
+
+  /** Takes a result from the holder of its server; results that match no attempt are dropped. */
+  deliver(ref: TaskRef, server: string, result: TaskResult): void {
+    const { table, driver, counters } = this.#options;
+    if (driver.deliver(ref, server, result)) return;
+    const record = table.find(ref.requestId);
+    if (record?.attempt === ref.attempt && isUnknown(record.state)) {
+      counters.event("result_after_unknown");
+      table.finish(record, lateState(result));
+    } else counters.event("result_unmatched");
+  }
+
+  /** Stores a result found on an adopted server for an id whose former home is gone. */
+  adopt({ record: task }: FinishedTask): void {
+    const { table, clock } = this.#options;
+    const { result } = task;
+    if (result === undefined || table.find(task.requestId) !== undefined) return;
+    const record: RequestRecord = {
+      requestId: task.requestId,
+      team: task.team,
+      queue: task.queue,
+      priority: task.priority,
+      idempotent: task.idempotent,
+      digest: undefined,
+      acceptedAt: clock.wallTime(),
+      deadline: clock.now(),
+      pinned: !task.idempotent,
+      payload: undefined,
+      state: { kind: "pending", started: true },
+      attempt: task.attempt,
+      runs: 1,
+      ran: "yes",
+      cancelRequested: false,
+      failures: [],
+    };
+    table.add(record);
+    table.finish(record, lateState(result));
+  }
+
+  #accept(spec: RequestSpec, origin: IdOrigin, known: RequestRecord | undefined): RequestRecord {
+    const { clock, table, driver } = this.#options;
+    const at = { wallTime: clock.wallTime(), now: clock.now() };
+    const record = newRecord(spec, at, origin === "caller" && !spec.idempotent);
+    // Attempt numbers go on, so that a result of an earlier attempt matches none of the new ones.
+    record.attempt = known?.attempt ?? 0;
+    table.add(record);
+    driver.begin(record);
+    return record;
+  }
+
+  #refusal(
+    spec: RequestSpec,
+    origin: IdOrigin,
+    known: RequestRecord | undefined,
+  ): RequestState | undefined {
+    const ran: RanState = known?.ran ?? "no";
+    if (origin === "caller" && known === undefined) {
+      const refusal = this.#idRefusal(spec);
+      if (refusal !== undefined) return refusal;
+    }
+    if (this.#stopping)
+      return refused("stopping", "The entry instance shuts down.", ran, RETRY_AFTER_MS);
+    const wait = this.#options.dispatcher.expectedWait(spec.queue, spec.team, spec.priority);
+    if (wait > spec.timeoutMs) {
+      const detail = `The expected wait of ${Math.round(wait)} ms exceeds the deadline.`;
+      return refused("overload", detail, ran, Math.max(RETRY_AFTER_MS, wait - spec.timeoutMs));
+    }
+    return undefined;
+  }
+
+  #idRefusal(spec: RequestSpec): RequestState | undefined {
+    const { homes, table } = this.#options;
+    const verdict = homes.classify(spec.requestId);
+    if (verdict === "not-home") return homeMoving();
+    if (verdict === "from-future")
+      return refused("id_from_future", "The id's creation time is in the future.", "no");
+    if (verdict === "too-old" || this.#evicted(spec.requestId))
+      return refused("id_too_old", "The id is too old to know whether it was used.", "unknown");
+    if (!spec.idempotent && !table.hasRoomForPinned()) {
+      this.#options.counters.event("id_memory_full");
+      const detail = "The memory for idempotency keys is full.";
+      return refused("id_memory_full", detail, "no", RETRY_AFTER_MS);
+    }
+    return undefined;
+  }
+
+  /** An issued id whose record may have been dropped early cannot be called unused. */
+  #evicted(requestId: string): boolean {
+    const time = idTime(requestId);
+    return time !== undefined && time <= this.#options.table.evictedThrough;
+  }
+}
+
+/** State of a request whose home slot is being moved. */
+export function homeMoving(): RequestState {
+  const detail = "The home of this id is being moved.";
+  return refused("home_moving", detail, "unknown", RETRY_AFTER_MS);
+}
+
+/** A refused state of a request. */
+export function refused(
+  reason: RefusalReason,
+  detail: string,
+  ran: RanState,
+  retryAfterMs?: number,
+): Extract<RequestState, { readonly kind: "refused" }> {
+  const state = { kind: "refused", reason, detail, ran } as const;
+  return retryAfterMs === undefined ? state : { ...state, retryAfterMs };
+}
+
+function isUnknown(state: RequestState): boolean {
+  return state.kind === "refused" && state.reason === "outcome_unknown" && state.ran === "unknown";
+}
+
+/** State after a result that needs no further attempt. */
+export function lateState(result: TaskResult): RequestState {
+  if (result.kind === "answer") return { kind: "answered", payload: result.payload };
+  if (result.kind === "failure") return refused("task_failed", result.reason, "yes");
+  return refused("cancelled", "The task was stopped while it ran.", "yes");
+}
--- /dev/null
+++ b/src/coordination/local-policy.ts
@@ -0,0 +1,47 @@
+import type { Priority } from "../platform/backend-server.ts";
+import { OPEN_TEAM, SharePolicy } from "../state/fair-share-queue.ts";
+import type { TeamUsage } from "../state/team-usage.ts";
+import type { PoolLending } from "./pool-lending.ts";
+import type { PoolWaits } from "./pool-waits.ts";
+import type { Budgets } from "./ports.ts";
+import type { ServerPicker } from "./server-picker.ts";
+
+/** Options of {@link LocalPolicy}. */
+export interface LocalPolicyOptions {
+  readonly pool: string;
+  readonly picker: ServerPicker;
+  readonly lending: PoolLending;
+  readonly budgets: Budgets;
+  readonly waits: PoolWaits;
+  readonly usage: TeamUsage;
+  /** Number of open tasks started here that still run. */
+  readonly openRunning: () => number;
+  /** True while a team is passed over because a charge was refused. */
+  readonly paused: (team: string) => boolean;
+}
+
+/** Lets items leave a pool's queue when this entry can start them now. */
+export class LocalPolicy extends SharePolicy {
+  readonly #options: LocalPolicyOptions;
+
+  constructor(options: LocalPolicyOptions) {
+    super();
+    this.#options = options;
+  }
+
+  slotFree(precedence: Priority): boolean {
+    const { picker, lending, pool } = this.#options;
+    return lending.poolsFor(pool).some((each) => picker.freeSlots(each, precedence) > 0);
+  }
+
+  budgetFree(team: string): boolean {
+    if (team === OPEN_TEAM) return true;
+    return this.#options.budgets.room(team) > 0 && !this.#options.paused(team);
+  }
+
+  usage(team: string): number {
+    const { budgets, usage, waits, openRunning } = this.#options;
+    const here = team === OPEN_TEAM ? openRunning() : budgets.running(team);
+    return (here + usage.remote(team)) / waits.weight(team);
+  }
+}
--- /dev/null
+++ b/src/coordination/peer-offers.ts
@@ -0,0 +1,149 @@
+import type { Clock } from "../platform/clock.ts";
+import type { Priority } from "../platform/backend-server.ts";
+import type { PoolLoad, RunReply } from "../protocol/peer-messages.ts";
+import { OPEN_TEAM } from "../state/fair-share-queue.ts";
+import type { Counters, Peers, PeerState } from "./ports.ts";
+import { type Work } from "./work.ts";
+import type { TaskRef } from "../platform/backend-server.ts";
+
+/** A peer that declined is not offered work of that pool for this long. */
+const DECLINE_PAUSE_MS = 100;
+/** An offer to a peer with a queue must shorten the wait by at least this much. */
+const MIN_GAIN_MS = 20;
+const MAX_OFFER_MS = 2000;
+/** A peer without budget must first raise it: about one gossip round and two writes. */
+const BUDGET_RAISE_MS = 500;
+/** Time for the reply to an offer beyond the offer itself. */
+const REPLY_MARGIN_MS = 1000;
+/** An offer ends this long before the deadline, so that the decline arrives before it. */
+const DEADLINE_MARGIN_MS = 50;
+
+/** What the home would wait for if it kept the work. */
+export interface OfferNeed {
+  /** Pools whose slots may be used, in order. */
+  readonly pools: readonly string[];
+  readonly team: string;
+  readonly precedence: Priority;
+  readonly ownWaitMs: number;
+  /** Expected run time in milliseconds. */
+  readonly runMs: number;
+}
+
+/** How an offer ended. */
+export type OfferOutcome =
+  | Exclude<RunReply, { readonly kind: "declined" }>
+  | { readonly kind: "declined" }
+  /** No reply arrived; the peer may have started the attempt. */
+  | { readonly kind: "lost" };
+
+/** Options of {@link PeerOffers}. */
+export interface PeerOffersOptions {
+  readonly clock: Clock;
+  readonly peers: Peers;
+  readonly counters: Counters;
+}
+
+/** Chooses peers for work that cannot start here, from gossip and the offers made since. */
+export class PeerOffers {
+  readonly #options: PeerOffersOptions;
+  /** Offers made since the peer's last gossip, which does not show them yet. */
+  readonly #recent = new Map<string, { receivedAt: number; count: number }>();
+  readonly #pausedUntil = new Map<string, number>();
+
+  constructor(options: PeerOffersOptions) {
+    this.#options = options;
+  }
+
+  /** The peer where the work would start soonest, if sooner than here. */
+  choose(need: OfferNeed): string | undefined {
+    let best: string | undefined;
+    let bestWait = need.ownWaitMs - MIN_GAIN_MS;
+    for (const [incarnation, peer] of this.#options.peers.gossip()) {
+      if (peer.message.stopping || this.#paused(incarnation, need)) continue;
+      const wait = this.#expectedWait(incarnation, peer, need);
+      if (wait < bestWait) {
+        best = incarnation;
+        bestWait = wait;
+      }
+    }
+    return best;
+  }
+
+  /** Makes an offer and waits for its end. */
+  async offer(peer: string, work: Work, ref: TaskRef): Promise<OfferOutcome> {
+    const { clock, peers, counters } = this.#options;
+    const remaining = work.expiresAt - clock.now();
+    const offerMs = Math.min(MAX_OFFER_MS, remaining - DEADLINE_MARGIN_MS);
+    if (offerMs <= 0) return { kind: "declined" };
+    this.#countOffer(peer);
+    counters.event("offer_made");
+    const req = {
+      type: "run",
+      spec: { ...work.spec, timeoutMs: remaining },
+      attempt: ref.attempt,
+      home: work.home,
+      offerMs,
+    } as const;
+    const reply = await peers.call(peer, req, offerMs + REPLY_MARGIN_MS);
+    if (reply.err) {
+      this.#pause(peer);
+      if (reply.val.kind === "ambiguous") return { kind: "lost" };
+      counters.retry("peer_unreachable");
+      return { kind: "declined" };
+    }
+    if (reply.val.kind !== "declined") return reply.val;
+    this.#pause(peer);
+    counters.retry("peer_declined");
+    return { kind: "declined" };
+  }
+
+  /** Withdraws an offer, or stops the attempt if the peer has started it. */
+  withdraw(offer: { readonly peer: string; readonly ref: TaskRef }): void {
+    const req = { type: "run-cancel", ...offer.ref } as const;
+    void this.#options.peers.call(offer.peer, req, REPLY_MARGIN_MS);
+  }
+
+  #expectedWait(incarnation: string, peer: PeerState, need: OfferNeed): number {
+    const recent = this.#recentCount(incarnation, peer);
+    let best = Infinity;
+    for (const pool of need.pools) {
+      const load = peer.message.pools.find((each) => each.pool === pool);
+      if (load !== undefined) best = Math.min(best, waitAt(load, recent, need));
+    }
+    return best + budgetPenalty(peer, need.team);
+  }
+
+  #recentCount(incarnation: string, peer: PeerState): number {
+    const recent = this.#recent.get(incarnation);
+    return recent?.receivedAt === peer.receivedAt ? recent.count : 0;
+  }
+
+  #countOffer(incarnation: string): void {
+    const peer = this.#options.peers.gossip().get(incarnation);
+    if (peer === undefined) return;
+    const count = this.#recentCount(incarnation, peer) + 1;
+    this.#recent.set(incarnation, { receivedAt: peer.receivedAt, count });
+  }
+
+  #paused(incarnation: string, need: OfferNeed): boolean {
+    const until = this.#pausedUntil.get(incarnation) ?? 0;
+    return need.precedence !== "urgent" && until > this.#options.clock.now();
+  }
+
+  #pause(incarnation: string): void {
+    this.#pausedUntil.set(incarnation, this.#options.clock.now() + DECLINE_PAUSE_MS);
+  }
+}
+
+function waitAt(load: PoolLoad, recent: number, need: OfferNeed): number {
+  if (load.totalSlots === 0) return Infinity;
+  const free = load.freeSlots - recent;
+  if (free > 0) return 0;
+  return load.waitMs + ((1 - free) * need.runMs) / load.totalSlots;
+}
+
+function budgetPenalty(peer: PeerState, team: string): number {
+  if (team === OPEN_TEAM) return 0;
+  const load = peer.message.teams.find((each) => each.team === team);
+  return load !== undefined && load.budget > load.running ? 0 : BUDGET_RAISE_MS;
+}
--- /dev/null
+++ b/src/coordination/pool-lending.ts
@@ -0,0 +1,48 @@
+import type { PoolConfig } from "../protocol/config-document.ts";
+import { Lending, type LendingOptions } from "../state/lending.ts";
+import type { ConfigView } from "./ports.ts";
+
+/** Options of {@link PoolLending}. */
+export interface PoolLendingOptions extends LendingOptions {
+  readonly config: ConfigView;
+}
+
+/** Which pools' slots a pool's work may use: its own, and those of the spare pool when lent. */
+export class PoolLending {
+  readonly #config: ConfigView;
+  readonly #lending: Lending;
+
+  constructor({ config, ...lending }: PoolLendingOptions) {
+    this.#config = config;
+    this.#lending = new Lending(lending);
+  }
+
+  update(pool: string, waitMs: number, now: number): void {
+    this.#lending.update(pool, waitMs, now);
+  }
+
+  /** The pool itself first, then the spare pool if the pool borrows from it. */
+  poolsFor(pool: string): readonly string[] {
+    if (!this.#lending.borrowing(pool)) return [pool];
+    const spare = this.#spareOf(pool);
+    return spare === undefined || spare === pool ? [pool] : [pool, spare];
+  }
+
+  /** Configured pools, spare pools first, so that their own work precedes borrowers. */
+  poolsInOrder(): readonly string[] {
+    const pools = this.#config.current()?.pools ?? [];
+    return [...pools.filter(isSpare), ...pools.filter((pool) => !isSpare(pool))].map(
+      (pool) => pool.name,
+    );
+  }
+
+  #spareOf(pool: string): string | undefined {
+    const pools = this.#config.current()?.pools ?? [];
+    const group = pools.find((each) => each.name === pool)?.group;
+    return pools.find((each) => each.spare && each.group === group)?.name;
+  }
+}
+
+function isSpare(pool: PoolConfig): boolean {
+  return pool.spare;
+}
--- /dev/null
+++ b/src/coordination/pool-queue.ts
@@ -0,0 +1,130 @@
+import PQueue from "p-queue";
+import type { Priority, TaskRef } from "../platform/backend-server.ts";
+import {
+  FairShareQueue,
+  OPEN_TEAM,
+  type FairShareOptions,
+  type SharePolicy,
+} from "../state/fair-share-queue.ts";
+import type { StartOutcome, WithdrawReason, Work } from "./work.ts";
+
+/** Work in a pool's queue. */
+export interface QueuedItem {
+  readonly id: string;
+  readonly work: Work;
+  readonly pool: string;
+  readonly team: string;
+  stage: "queued" | "starting" | "offered" | "settled";
+  /** Set when the item is wanted back while it is being started or offered. */
+  withdrawn: WithdrawReason | undefined;
+  /** Set while an offer to a peer is open. */
+  offeredTo: { readonly peer: string; readonly ref: TaskRef } | undefined;
+  /** Leaves the queue of `p-queue` when aborted. */
+  leave: AbortController;
+  readonly settle: (outcome: StartOutcome) => void;
+}
+
+/** Options of {@link PoolQueue}. */
+export interface PoolQueueOptions {
+  readonly policy: SharePolicy;
+  /** Starts an item that left the queue. The part before its first await decides on a server. */
+  readonly launch: (item: QueuedItem) => Promise<void>;
+}
+
+/** The dispatch queue of one pool: a `PQueue` whose order is that of {@link FairShareQueue}. */
+export class PoolQueue {
+  readonly #launch: (item: QueuedItem) => Promise<void>;
+  readonly #order: FairShareQueue;
+  readonly #queue: PQueue<FairShareQueue, FairShareOptions>;
+  readonly #items = new Map<string, QueuedItem>();
+  /** Items that may be offered to a peer. */
+  readonly #own = new Map<string, QueuedItem>();
+
+  constructor({ policy, launch }: PoolQueueOptions) {
+    this.#launch = launch;
+    const order = new FairShareQueue({ policy });
+    this.#order = order;
+    this.#queue = new PQueue({ queueClass: sharedQueueClass(order) });
+  }
+
+  get length(): number {
+    return this.#order.length;
+  }
+
+  get items(): Iterable<QueuedItem> {
+    return this.#items.values();
+  }
+
+  /** Items that no peer offered, in the order in which they were queued. */
+  get ownItems(): Iterable<QueuedItem> {
+    return this.#own.values();
+  }
+
+  get ownLength(): number {
+    return this.#own.size;
+  }
+
+  queued(precedence: Priority, team?: string): number {
+    return this.#order.queued(precedence, team);
+  }
+
+  queuedByTeam(): ReadonlyMap<string, number> {
+    return this.#order.queuedByTeam();
+  }
+
+  oldest(precedence: Priority): number | undefined {
+    return this.#order.oldest(precedence);
+  }
+
+  /** Queues an item, and starts it at once if the policy allows it. */
+  add(item: QueuedItem, returned: boolean): void {
+    item.stage = "queued";
+    item.leave = new AbortController();
+    this.#items.set(item.id, item);
+    if (!item.work.offered) this.#own.set(item.id, item);
+    const options = {
+      id: item.id,
+      signal: item.leave.signal,
+      team: item.team,
+      precedence: item.work.spec.priority,
+      acceptedAt: item.work.acceptedAt,
+      returned,
+    };
+    const run = async (): Promise<void> => {
+      this.#forget(item);
+      await this.#launch(item);
+    };
+    // The only rejection is the abort by which an item leaves; its outcome is settled elsewhere.
+    this.#queue.add(run, options).catch(() => undefined);
+  }
+
+  /** Takes an item out of the queue at constant cost. False if it is no longer queued. */
+  take(item: QueuedItem): boolean {
+    if (!this.#forget(item)) return false;
+    item.leave.abort();
+    return true;
+  }
+
+  /** Starts whatever the policy allows now. */
+  pump(): void {
+    this.#queue.pause();
+    this.#queue.start();
+  }
+
+  #forget(item: QueuedItem): boolean {
+    this.#own.delete(item.id);
+    return this.#items.delete(item.id);
+  }
+}
+
+/** `p-queue` creates its queue from a class without arguments; this class yields a given queue. */
+function sharedQueueClass(order: FairShareQueue): new () => FairShareQueue {
+  return function sharedQueue() {
+    return order;
+  } as unknown as new () => FairShareQueue;
+}
+
+/** Team under which the queue counts a request. */
+export function shareTeam(team: string | undefined): string {
+  return team ?? OPEN_TEAM;
+}
--- /dev/null
+++ b/src/coordination/pool-waits.ts
@@ -0,0 +1,130 @@
+import type { Clock } from "../platform/clock.ts";
+import type { Priority } from "../platform/backend-server.ts";
+import { OPEN_TEAM } from "../state/fair-share-queue.ts";
+import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
+import type { PoolLending } from "./pool-lending.ts";
+import type { PoolQueue } from "./pool-queue.ts";
+import type { Budgets, ConfigView, Peers } from "./ports.ts";
+import type { ServerPicker } from "./server-picker.ts";
+
+const UNKNOWN_QUEUE_RUN_MS = 1000;
+/** Expected time until a budget without room is raised: about one gossip round and two writes. */
+const BUDGET_RAISE_MS = 500;
+/** Weight of open work, and of teams that left the configuration. */
+const DEFAULT_WEIGHT = 1;
+
+/** Options of {@link PoolWaits}. */
+export interface PoolWaitsOptions {
+  readonly clock: Clock;
+  readonly config: ConfigView;
+  readonly budgets: Budgets;
+  readonly peers: Peers;
+  readonly estimates: RunTimeEstimates;
+  readonly picker: ServerPicker;
+  readonly lending: PoolLending;
+  readonly queues: ReadonlyMap<string, PoolQueue>;
+}
+
+/** A request as far as its wait depends on it. */
+export interface WaitQuery {
+  readonly pool: string;
+  readonly team: string;
+  readonly precedence: Priority;
+}
+
+/** Expected waits from queue lengths, shares, observed run times and slots. */
+export class PoolWaits {
+  readonly #options: PoolWaitsOptions;
+
+  constructor(options: PoolWaitsOptions) {
+    this.#options = options;
+  }
+
+  /** Expected run time of one request in milliseconds. */
+  runMs(queue: string, team: string): number {
+    const { config, estimates } = this.#options;
+    const found = config.current()?.queues.find((each) => each.name === queue);
+    return estimates.expected(queue, team, found?.declaredRunMs ?? UNKNOWN_QUEUE_RUN_MS);
+  }
+
+  /** Expected wait here in milliseconds; infinite without slots. */
+  here({ pool, team, precedence }: WaitQuery): number {
+    const { picker, lending, estimates } = this.#options;
+    const pools = lending.poolsFor(pool);
+    const total = pools.reduce((sum, each) => sum + picker.totalSlots(each), 0);
+    if (total === 0) return Infinity;
+    const free = pools.reduce((sum, each) => sum + picker.freeSlots(each, precedence), 0);
+    const runMs = estimates.expectedOfPool(pool, this.#declaredOfPool(pool));
+    const ahead = this.#queuedAhead(pool, team, precedence);
+    const slotWait = (Math.max(0, ahead + 1 - free) * runMs) / total;
+    return Math.max(slotWait, this.#budgetWait(pool, team, runMs));
+  }
+
+  /** Expected waits at the peers in contact that have slots of the pool. */
+  atPeers(pool: string): readonly number[] {
+    return [...this.#options.peers.gossip().values()].flatMap(({ message }) => {
+      const load = message.pools.find((each) => each.pool === pool);
+      if (load === undefined || load.totalSlots === 0 || message.stopping) return [];
+      return [load.freeSlots > 0 ? 0 : load.waitMs];
+    });
+  }
+
+  /** Wait of urgent and normal work as seen here: expected, or already waited if that is longer. */
+  observed(pool: string): number {
+    const queue = this.#options.queues.get(pool);
+    if (queue === undefined) return 0;
+    const now = this.#options.clock.now();
+    const waited = (["urgent", "normal"] as const).map((precedence) => {
+      const oldest = queue.oldest(precedence);
+      return oldest === undefined ? 0 : now - oldest;
+    });
+    if (queue.queued("urgent") + queue.queued("normal") === 0) return 0;
+    const expected = this.here({ pool, team: OPEN_TEAM, precedence: "normal" });
+    return Math.max(...waited, Number.isFinite(expected) ? expected : 0);
+  }
+
+  weight(team: string): number {
+    const found = this.#options.config.current()?.teams.find((each) => each.name === team);
+    return found === undefined || found.share <= 0 ? DEFAULT_WEIGHT : found.share;
+  }
+
+  /** Queued requests that are likely to start before one of this team. */
+  #queuedAhead(pool: string, team: string, precedence: Priority): number {
+    const queue = this.#options.queues.get(pool);
+    if (queue === undefined) return 0;
+    const urgent = queue.queued("urgent");
+    if (precedence === "urgent") return urgent;
+    const total = urgent + queue.queued("normal") + queue.queued("batch");
+    const teams = queue.queuedByTeam();
+    const own = teams.get(team) ?? 0;
+    if (own === total) return this.#ownAhead(queue, precedence, urgent);
+    const weights = [...new Set([...teams.keys(), team])].map((each) => this.weight(each));
+    const share = this.weight(team) / weights.reduce((sum, weight) => sum + weight, 0);
+    // A team receives its share of the slots, however long the queues of the others are.
+    return Math.min(total, urgent + this.#teamAhead(queue, precedence, team) / share);
+  }
+
+  #ownAhead(queue: PoolQueue, precedence: Priority, urgent: number): number {
+    const batch = precedence === "batch" ? queue.queued("batch") : 0;
+    return urgent + queue.queued("normal") + batch;
+  }
+
+  #teamAhead(queue: PoolQueue, precedence: Priority, team: string): number {
+    const batch = precedence === "batch" ? queue.queued("batch", team) : 0;
+    return queue.queued("normal", team) + batch;
+  }
+
+  #budgetWait(pool: string, team: string, runMs: number): number {
+    const { budgets, queues } = this.#options;
+    if (team === OPEN_TEAM || budgets.room(team) > 0) return 0;
+    const running = budgets.running(team);
+    if (running === 0) return BUDGET_RAISE_MS;
+    const queued = queues.get(pool)?.queuedByTeam().get(team) ?? 0;
+    return Math.max(BUDGET_RAISE_MS, ((queued + 1) * runMs) / running);
+  }
+
+  #declaredOfPool(pool: string): number {
+    const queues = this.#options.config.current()?.queues ?? [];
+    return queues.find((each) => each.pool === pool)?.declaredRunMs ?? UNKNOWN_QUEUE_RUN_MS;
+  }
+}
--- /dev/null
+++ b/src/coordination/request-driver.ts
@@ -0,0 +1,256 @@
+import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
+import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { RequestState } from "../protocol/peer-messages.ts";
+import type { RefusalReason, RetryReason } from "../protocol/problem.ts";
+import type { EntrySettings } from "../settings/entry-settings.ts";
+import type { FailureAttribution } from "../state/failure-attribution.ts";
+import type { RequestRecord } from "../state/request-record.ts";
+import type { RequestTable } from "../state/request-table.ts";
+import type { RetryBudget } from "../state/retry-budget.ts";
+import type { AttemptEnd, AttemptTracker, PlacedOutcome } from "./attempt-tracker.ts";
+import type { Dispatcher, Ticket } from "./dispatcher.ts";
+import type { Budgets, Counters, HeldServers, Peers } from "./ports.ts";
+import { Deferred } from "./wait.ts";
+import type { WithdrawReason } from "./work.ts";
+
+const RETRY_BASE_MS = 50;
+const RETRY_CAP_MS = 2000;
+const RETRY_AFTER_MS = 1000;
+const STOP_CALL_TIMEOUT_MS = 1000;
+
+/** Options of {@link RequestDriver}. */
+export interface RequestDriverOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly settings: Pick<EntrySettings, "maxAttempts">;
+  readonly table: RequestTable;
+  readonly dispatcher: Dispatcher;
+  readonly tracker: AttemptTracker;
+  readonly budgets: Budgets;
+  readonly held: HeldServers;
+  readonly peers: Peers;
+  readonly counters: Counters;
+  readonly retryBudget: RetryBudget;
+  readonly attribution: FailureAttribution;
+}
+
+interface Active {
+  ref: TaskRef | undefined;
+  result: Deferred<AttemptEnd>;
+  ticket: Ticket | undefined;
+  place: PlacedOutcome | undefined;
+}
+
+/** Takes each request of this home from acceptance to its outcome, one loop per request. */
+export class RequestDriver {
+  readonly #options: RequestDriverOptions;
+  readonly #active = new Map<string, Active>();
+
+  constructor(options: RequestDriverOptions) {
+    this.#options = options;
+  }
+
+  /** Requests without an outcome. */
+  get active(): number {
+    return this.#active.size;
+  }
+
+  /** Starts the loop of a new record. */
+  begin(record: RequestRecord): void {
+    this.#options.retryBudget.recordRequest(this.#options.clock.now());
+    void this.#run(record);
+  }
+
+  /** Takes a result; false if no attempt with this number is awaited. */
+  deliver(ref: TaskRef, server: string, result: TaskResult): boolean {
+    const active = this.#active.get(ref.requestId);
+    if (active?.ref?.attempt !== ref.attempt) return false;
+    active.result.resolve({ kind: "result", server, result });
+    return true;
+  }
+
+  /** Removes a queued request, or asks for its running attempt to be stopped. */
+  cancel(record: RequestRecord): void {
+    record.cancelRequested = true;
+    const active = this.#active.get(record.requestId);
+    active?.ticket?.withdraw("cancelled");
+    if (active?.place !== undefined) void this.#stop(active.place);
+  }
+
+  /** Refuses every request that has not started. */
+  withdrawQueued(reason: WithdrawReason): void {
+    for (const active of this.#active.values()) active.ticket?.withdraw(reason);
+  }
+
+  async #run(record: RequestRecord): Promise<void> {
+    const active: Active = {
+      ref: undefined,
+      result: new Deferred(),
+      ticket: undefined,
+      place: undefined,
+    };
+    this.#active.set(record.requestId, active);
+    let state: RequestState | undefined;
+    while (state === undefined) state = await this.#attempt(record, active);
+    this.#active.delete(record.requestId);
+    this.#options.table.finish(record, state);
+  }
+
+  /** One stay in the queue and what followed; undefined if the request is to be tried again. */
+  async #attempt(record: RequestRecord, active: Active): Promise<RequestState | undefined> {
+    if (isCancelled(record)) return this.#withdrawn(record, "cancelled");
+    const ticket = this.#dispatch(record, active);
+    active.ticket = ticket;
+    const early = active.result.promise;
+    const outcome = await Promise.race([ticket.outcome, early]);
+    active.ticket = undefined;
+    if (outcome.kind === "withdrawn") return this.#withdrawn(record, outcome.reason);
+    if (outcome.kind === "declined") return undefined;
+    if (outcome.kind !== "started" && outcome.kind !== "ambiguous") {
+      ticket.withdraw("cancelled");
+      return this.#ended(record, active, outcome);
+    }
+    active.place = outcome;
+    record.state = { kind: "pending", started: true };
+    if (isCancelled(record)) void this.#stop(outcome);
+    const end = await this.#options.tracker.follow(outcome, early, record.idempotent);
+    active.place = undefined;
+    if (end.kind === "never-started") this.#releaseOwn(record, outcome);
+    return this.#ended(record, active, end);
+  }
+
+  #dispatch(record: RequestRecord, active: Active): Ticket {
+    const { clock, dispatcher, peers } = this.#options;
+    const { requestId, team, queue, priority, idempotent, payload } = record;
+    if (payload === undefined) throw new Error("a request without its body cannot be dispatched");
+    const timeoutMs = record.deadline - clock.now();
+    return dispatcher.dispatch({
+      spec: { requestId, team, queue, priority, idempotent, timeoutMs, payload },
+      home: peers.self.incarnation,
+      acceptedAt: clock.now() - (clock.wallTime() - record.acceptedAt),
+      expiresAt: record.deadline,
+      avoid: record.failures.map((failure) => failure.server),
+      offered: false,
+      nextRef: () => {
+        const ref = { requestId, attempt: ++record.attempt };
+        // A result of an earlier attempt no longer counts once another may have started.
+        active.ref = ref;
+        return ref;
+      },
+    });
+  }
+
+  async #ended(
+    record: RequestRecord,
+    active: Active,
+    end: AttemptEnd,
+  ): Promise<RequestState | undefined> {
+    if (end.kind === "never-started") {
+      this.#options.counters.retry("never_started");
+      return record.cancelRequested ? this.#withdrawn(record, "cancelled") : undefined;
+    }
+    active.result = new Deferred();
+    active.ref = undefined;
+    record.runs++;
+    if (end.kind === "lost") {
+      record.ran = record.ran === "yes" ? "yes" : "unknown";
+      return this.#retry(record, "server_lost", lostState());
+    }
+    return this.#resultState(record, end.server, end.result);
+  }
+
+  async #resultState(
+    record: RequestRecord,
+    server: string,
+    result: TaskResult,
+  ): Promise<RequestState | undefined> {
+    const { attribution } = this.#options;
+    record.ran = "yes";
+    if (result.kind === "answer") {
+      attribution.succeeded(record.requestId, server, record.failures);
+      return { kind: "answered", payload: result.payload };
+    }
+    if (result.kind === "stopped") {
+      if (record.cancelRequested)
+        return refused(record, "cancelled", "The request was stopped while it ran.");
+      if (record.idempotent && record.deadline > this.#options.clock.now()) return undefined;
+      return refused(record, "task_failed", "The task was stopped before its end.");
+    }
+    attribution.failed(record.requestId, server);
+    record.failures.push({ server, reason: result.reason });
+    if (attribution.isBadJob(record.failures)) {
+      const reasons = record.failures.map((each) => `${each.server}: ${each.reason}`).join("; ");
+      return refused(record, "bad_job", `The task failed on different servers. ${reasons}`);
+    }
+    return this.#retry(record, "task_failed", refused(record, "task_failed", result.reason));
+  }
+
+  /** Waits before another attempt, or returns the given state if there may be none. */
+  async #retry(
+    record: RequestRecord,
+    reason: RetryReason,
+    otherwise: RequestState,
+  ): Promise<RequestState | undefined> {
+    const { clock, random, settings, retryBudget, counters } = this.#options;
+    if (!record.idempotent || record.cancelRequested) return otherwise;
+    if (record.runs >= settings.maxAttempts) return otherwise;
+    if (clock.now() >= record.deadline) return otherwise;
+    if (!retryBudget.tryTake(clock.now()))
+      return refused(record, "retry_budget", "Too many requests are being retried at the moment.");
+    counters.retry(reason);
+    const cap = Math.min(RETRY_CAP_MS, RETRY_BASE_MS * 2 ** record.attempt);
+    await clock.sleep(Math.min(random.next() * cap, record.deadline - clock.now()));
+    return undefined;
+  }
+
+  #withdrawn(record: RequestRecord, reason: WithdrawReason): RequestState {
+    if (reason === "cancelled") return refused(record, "cancelled", "The request was cancelled.");
+    if (reason === "stopping")
+      return refused(record, "stopping", "The entry instance shuts down.", RETRY_AFTER_MS);
+    const failure = record.failures.at(-1);
+    if (failure !== undefined) return refused(record, "task_failed", failure.reason);
+    if (record.ran !== "no") return lostState();
+    const detail = "The request could not be started before its deadline.";
+    return refused(record, "deadline", detail, RETRY_AFTER_MS);
+  }
+
+  #releaseOwn(record: RequestRecord, outcome: PlacedOutcome): void {
+    const { peers, budgets } = this.#options;
+    if (record.team !== undefined && outcome.holder === peers.self.incarnation)
+      budgets.release(record.team, outcome.ref);
+  }
+
+  async #stop(place: PlacedOutcome): Promise<void> {
+    const { held, peers } = this.#options;
+    const { server, ref, holder } = place;
+    if (server !== undefined && held.status(server, ref) !== "not-holder")
+      await held.stop(server, ref, "stop");
+    else if (holder !== peers.self.incarnation)
+      await peers.call(holder, { type: "run-cancel", ...ref }, STOP_CALL_TIMEOUT_MS);
+  }
+}
+
+/** A function, because the flag changes between two awaits of one loop. */
+function isCancelled(record: RequestRecord): boolean {
+  return record.cancelRequested;
+}
+
+function refused(
+  record: RequestRecord,
+  reason: RefusalReason,
+  detail: string,
+  retryAfterMs?: number,
+): RequestState {
+  const state = { kind: "refused", reason, detail, ran: record.ran } as const;
+  return retryAfterMs === undefined ? state : { ...state, retryAfterMs };
+}
+
+function lostState(): RequestState {
+  return {
+    kind: "refused",
+    reason: "outcome_unknown",
+    detail: "The request may have run; its result was lost.",
+    ran: "unknown",
+  };
+}
--- /dev/null
+++ b/src/coordination/result-delivery.ts
@@ -0,0 +1,88 @@
+import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
+import type { TaskResult } from "../platform/backend-server.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { HomeRequests } from "./home-requests.ts";
+import type { Counters, FinishedTask, HeldServers, Homes, Peers } from "./ports.ts";
+import { refKey } from "./work.ts";
+
+const CALL_TIMEOUT_MS = 2000;
+const RETRY_BASE_MS = 100;
+const RETRY_CAP_MS = 5000;
+
+/** Options of {@link ResultDelivery}. */
+export interface ResultDeliveryOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly held: HeldServers;
+  readonly homes: Homes;
+  readonly peers: Peers;
+  readonly counters: Counters;
+  readonly dispatcher: Dispatcher;
+  readonly home: HomeRequests;
+}
+
+/** Brings each result to its request's home and lets the server forget it only afterwards. */
+export class ResultDelivery {
+  readonly #options: ResultDeliveryOptions;
+  readonly #underway = new Set<string>();
+  /** Results whose home is gone; they stay on their server and are kept here to be asked for. */
+  readonly #homeless = new Map<string, FinishedTask>();
+
+  constructor(options: ResultDeliveryOptions) {
+    this.#options = options;
+    options.held.onFinished((task) => {
+      options.dispatcher.taskEnded(task.record, task.server);
+      void this.#deliver(task);
+    });
+  }
+
+  /** Result of a request whose home is gone, if one of the held servers has it. */
+  homeless(requestId: string, team: string | undefined): TaskResult | undefined {
+    const task = this.#homeless.get(requestId);
+    if (task === undefined || task.record.team !== team) return undefined;
+    if (this.#options.held.status(task.server, task.record) !== "not-holder")
+      return task.record.result;
+    this.#homeless.delete(requestId);
+    return undefined;
+  }
+
+  async #deliver(task: FinishedTask): Promise<void> {
+    const { clock, random, held } = this.#options;
+    const key = refKey(task.record);
+    if (task.record.result === undefined || this.#underway.has(key)) return;
+    this.#underway.add(key);
+    for (let delay = RETRY_BASE_MS; ; delay = Math.min(RETRY_CAP_MS, delay * 2)) {
+      const end = await this.#tryDeliver(task, task.record.result);
+      if (end === "stored") await held.acknowledge(task.server, task.record);
+      if (end !== "again") break;
+      await clock.sleep(delay / 2 + (random.next() * delay) / 2);
+      if (held.status(task.server, task.record) === "not-holder") break;
+    }
+    this.#underway.delete(key);
+  }
+
+  async #tryDeliver(
+    { server, record }: FinishedTask,
+    result: TaskResult,
+  ): Promise<"stored" | "homeless" | "again"> {
+    const { homes, home, peers, counters } = this.#options;
+    const { requestId, attempt } = record;
+    const lookup = homes.lookup(requestId);
+    if (lookup.kind === "self") {
+      const own = record.home === peers.self.incarnation || home.knows(requestId);
+      if (own) home.deliver(record, server, result);
+      else home.adopt({ server, record });
+      return "stored";
+    }
+    if (lookup.kind === "gone") {
+      counters.event("result_homeless");
+      this.#homeless.set(requestId, { server, record });
+      return "homeless";
+    }
+    if (lookup.kind === "moving") return "again";
+    const req = { type: "result", requestId, attempt, server, result } as const;
+    const reply = await peers.call(lookup.incarnation, req, CALL_TIMEOUT_MS);
+    return reply.ok && reply.val.accepted ? "stored" : "again";
+  }
+}
--- /dev/null
+++ b/src/coordination/run-offers.ts
@@ -0,0 +1,120 @@
+import type { Clock } from "../platform/clock.ts";
+import type { TaskRef } from "../platform/backend-server.ts";
+import type { RunReply, RunRequest } from "../protocol/peer-messages.ts";
+import type { AttemptTracker } from "./attempt-tracker.ts";
+import type { Dispatcher, Ticket } from "./dispatcher.ts";
+import type { Budgets, Counters, HeldServers, Homes } from "./ports.ts";
+import { refKey, type StartOutcome } from "./work.ts";
+
+/** How long an offer's end is remembered; homes ask again for at most half of it. */
+const OFFER_MEMORY_MS = 120_000;
+
+/** Options of {@link RunOffers}. */
+export interface RunOffersOptions {
+  readonly clock: Clock;
+  readonly dispatcher: Dispatcher;
+  readonly tracker: AttemptTracker;
+  readonly budgets: Budgets;
+  readonly held: HeldServers;
+  readonly homes: Homes;
+  readonly counters: Counters;
+}
+
+interface Offer {
+  readonly ref: TaskRef;
+  readonly reply: Promise<RunReply>;
+  readonly ticket: Ticket | undefined;
+  server: string | undefined;
+  stopWanted: boolean;
+}
+
+/** Attempts offered by peers. Each attempt is queued once, however often the offer arrives. */
+export class RunOffers {
+  readonly #options: RunOffersOptions;
+  readonly #offers = new Map<string, Offer>();
+
+  constructor(options: RunOffersOptions) {
+    this.#options = options;
+  }
+
+  /** Queues the attempt until the offer ends; the reply states what became of it. */
+  run(from: string, req: RunRequest): Promise<RunReply> {
+    const ref = { requestId: req.spec.requestId, attempt: req.attempt };
+    const known = this.#offers.get(refKey(ref));
+    if (known !== undefined) return known.reply;
+    if (req.home !== from) return this.#refuse(ref, "not_home");
+    if (this.#options.homes.retired(from)) return this.#refuse(ref, "home_retired");
+    if (req.offerMs <= 0) return this.#refuse(ref, "offer_ended");
+    return this.#queue(req, ref);
+  }
+
+  /** Withdraws an offer, or stops its attempt. An offer that arrives later is declined. */
+  cancel(ref: TaskRef): void {
+    const offer = this.#offers.get(refKey(ref));
+    if (offer === undefined) {
+      void this.#refuse(ref, "cancelled");
+      return;
+    }
+    offer.stopWanted = true;
+    offer.ticket?.withdraw("cancelled");
+    this.#stopIfWanted(offer);
+  }
+
+  #queue(req: RunRequest, ref: TaskRef): Promise<RunReply> {
+    const { clock, dispatcher, counters } = this.#options;
+    counters.event("offer_received");
+    const ticket = dispatcher.dispatch({
+      spec: req.spec,
+      home: req.home,
+      acceptedAt: clock.now(),
+      expiresAt: clock.now() + req.offerMs,
+      avoid: [],
+      offered: true,
+      nextRef: () => ref,
+    });
+    const reply = ticket.outcome.then((outcome) => this.#ended(offer, outcome, req.spec.team));
+    const offer: Offer = { ref, reply, ticket, server: undefined, stopWanted: false };
+    this.#remember(offer);
+    return reply;
+  }
+
+  #ended(offer: Offer, outcome: StartOutcome, team: string | undefined): RunReply {
+    this.#options.clock.schedule(OFFER_MEMORY_MS, () => this.#offers.delete(refKey(offer.ref)));
+    if (outcome.kind === "withdrawn" || outcome.kind === "declined")
+      return { type: "run-reply", kind: "declined", reason: outcome.reason };
+    if (outcome.kind === "ambiguous" && outcome.server === undefined)
+      throw new Error("an offered attempt is started on a held server or not at all");
+    offer.server = outcome.server;
+    this.#stopIfWanted(offer);
+    if (outcome.kind === "started")
+      return { type: "run-reply", kind: "started", server: outcome.server };
+    void this.#releaseIfUnstarted(outcome, team);
+    return { type: "run-reply", kind: "uncertain", server: outcome.server ?? "" };
+  }
+
+  async #releaseIfUnstarted(
+    outcome: Extract<StartOutcome, { readonly kind: "ambiguous" }>,
+    team: string | undefined,
+  ): Promise<void> {
+    if (team === undefined) return;
+    if (await this.#options.tracker.neverStarted(outcome))
+      this.#options.budgets.release(team, outcome.ref);
+  }
+
+  #stopIfWanted(offer: Offer): void {
+    if (offer.stopWanted && offer.server !== undefined)
+      void this.#options.held.stop(offer.server, offer.ref, "stop");
+  }
+
+  /** Declines and remembers it, so that a delayed copy of the offer is declined as well. */
+  #refuse(ref: TaskRef, reason: string): Promise<RunReply> {
+    const reply = Promise.resolve({ type: "run-reply", kind: "declined", reason } as const);
+    this.#remember({ ref, reply, ticket: undefined, server: undefined, stopWanted: false });
+    this.#options.clock.schedule(OFFER_MEMORY_MS, () => this.#offers.delete(refKey(ref)));
+    return reply;
+  }
+
+  #remember(offer: Offer): void {
+    this.#offers.set(refKey(offer.ref), offer);
+  }
+}
--- /dev/null
+++ b/src/coordination/server-picker.ts
@@ -0,0 +1,133 @@
+import type { Clock } from "../platform/clock.ts";
+import type { Priority } from "../platform/backend-server.ts";
+import { AdaptiveLimit } from "../state/adaptive-limit.ts";
+import type { FailureAttribution } from "../state/failure-attribution.ts";
+import type { ConfigView, FleetView, HeldServer, HeldServers } from "./ports.ts";
+
+/** A server that refused a start is left alone this long, so that the next try goes elsewhere. */
+const COOL_DOWN_MS = 200;
+
+/** Options of {@link ServerPicker}. */
+export interface ServerPickerOptions {
+  readonly clock: Clock;
+  readonly config: ConfigView;
+  readonly fleet: FleetView;
+  readonly held: HeldServers;
+  readonly attribution: FailureAttribution;
+}
+
+/** Chooses among the held servers by free slots under each server's concurrency limit. */
+export class ServerPicker {
+  readonly #options: ServerPickerOptions;
+  readonly #limits = new Map<string, AdaptiveLimit>();
+  readonly #coolUntil = new Map<string, number>();
+
+  constructor(options: ServerPickerOptions) {
+    this.#options = options;
+  }
+
+  /** Free slots on the held servers of a pool; those kept for urgent work count only for it. */
+  freeSlots(pool: string, precedence: Priority): number {
+    const free = this.#usable(pool).reduce((sum, server) => sum + this.#free(server), 0);
+    return precedence === "urgent" ? free : Math.max(0, free - this.#reserve(pool));
+  }
+
+  /** Slots of the held servers of a pool, under their limits. */
+  totalSlots(pool: string): number {
+    return this.#usable(pool).reduce((sum, server) => sum + this.#limit(server), 0);
+  }
+
+  /** The least loaded server, and among equals the one in the least loaded rack. */
+  pick(pools: readonly string[], avoid: readonly string[]): HeldServer | undefined {
+    for (const pool of pools) {
+      const free = this.#usable(pool).filter((server) => this.#free(server) > 0);
+      const preferred = free.filter((server) => !avoid.includes(server.name));
+      const picked = this.#leastLoaded(preferred) ?? this.#leastLoaded(free);
+      if (picked !== undefined) return picked;
+    }
+    return undefined;
+  }
+
+  /** Leaves a server alone for a moment after it refused a start. */
+  coolDown(server: string): void {
+    this.#coolUntil.set(server, this.#options.clock.now() + COOL_DOWN_MS);
+  }
+
+  /** Adapts the server's limit to an observed run time. */
+  observe(server: string, runMs: number, expectedMs: number): void {
+    this.#limits.get(server)?.observe(runMs, expectedMs);
+  }
+
+  /** Names of the held servers of a pool. */
+  serversOf(pool: string): readonly string[] {
+    return this.#options.held
+      .list()
+      .filter((server) => server.pool === pool)
+      .map((server) => server.name);
+  }
+
+  /** Forgets servers that are no longer held. */
+  prune(): void {
+    const held = new Set(this.#options.held.list().map((server) => server.name));
+    for (const name of this.#limits.keys()) if (!held.has(name)) this.#limits.delete(name);
+    for (const [name, until] of this.#coolUntil) {
+      if (until <= this.#options.clock.now()) this.#coolUntil.delete(name);
+    }
+  }
+
+  #usable(pool: string): readonly HeldServer[] {
+    const now = this.#options.clock.now();
+    return this.#options.held
+      .list()
+      .filter(
+        (server) =>
+          server.pool === pool &&
+          server.dispatchable &&
+          (this.#coolUntil.get(server.name) ?? 0) <= now,
+      );
+  }
+
+  #free(server: HeldServer): number {
+    return Math.max(0, this.#limit(server) - server.running);
+  }
+
+  #limit(server: HeldServer): number {
+    if (this.#options.attribution.onProbation(server.name)) return 1;
+    let limit = this.#limits.get(server.name);
+    if (limit === undefined) {
+      limit = new AdaptiveLimit({ slots: server.slots });
+      this.#limits.set(server.name, limit);
+    }
+    return Math.min(server.slots, limit.current);
+  }
+
+  /**
+   * This entry's part of a pool's urgent reserve. The slots are assigned to the pool's servers in
+   * turn by name, so that the parts of all entries add up to the reserve.
+   */
+  #reserve(pool: string): number {
+    const config = this.#options.config.current()?.pools.find((each) => each.name === pool);
+    const reserve = config?.urgentReserveSlots ?? 0;
+    if (reserve === 0) return 0;
+    const names = (this.#options.fleet.current()?.servers ?? [])
+      .filter((server) => server.pool === pool && server.state === "serving")
+      .map((server) => server.name)
+      .sort();
+    const held = new Set(this.#usable(pool).map((server) => server.name));
+    if (names.length === 0) return reserve;
+    const base = Math.floor(reserve / names.length);
+    return names.reduce((sum, name, index) => {
+      if (!held.has(name)) return sum;
+      return sum + base + (index < reserve % names.length ? 1 : 0);
+    }, 0);
+  }
+
+  #leastLoaded(servers: readonly HeldServer[]): HeldServer | undefined {
+    const racks = new Map<string, number>();
+    for (const server of this.#options.held.list())
+      racks.set(server.rack, (racks.get(server.rack) ?? 0) + server.running);
+    const load = (server: HeldServer): number => server.running / this.#limit(server);
+    const rackLoad = (server: HeldServer): number => racks.get(server.rack) ?? 0;
+    return [...servers].sort((a, b) => load(a) - load(b) || rackLoad(a) - rackLoad(b))[0];
+  }
+}
--- /dev/null
+++ b/src/coordination/task-starter.ts
@@ -0,0 +1,132 @@
+import type { Clock } from "../platform/clock.ts";
+import type { TaskRef, TaskSpec } from "../platform/backend-server.ts";
+import type { PoolLending } from "./pool-lending.ts";
+import type { QueuedItem } from "./pool-queue.ts";
+import type { Budgets, Counters, HeldServer, HeldServers, Homes, Peers } from "./ports.ts";
+import type { ServerPicker } from "./server-picker.ts";
+import { refKey, type StartOutcome } from "./work.ts";
+
+/** A team whose charge was refused although its budget showed room is passed over this long. */
+const BUDGET_PAUSE_MS = 20;
+
+/** Options of {@link TaskStarter}. */
+export interface TaskStarterOptions {
+  readonly clock: Clock;
+  readonly held: HeldServers;
+  readonly budgets: Budgets;
+  readonly homes: Homes;
+  readonly peers: Peers;
+  readonly counters: Counters;
+  readonly picker: ServerPicker;
+  readonly lending: PoolLending;
+}
+
+/** A task started here whose end is not known yet. */
+export interface StartedTask {
+  readonly server: string;
+  readonly team: string | undefined;
+  readonly queue: string;
+  /** Monotonic time in milliseconds. */
+  readonly startedAt: number;
+}
+
+/** Charges the budget and starts one item on a held server. */
+export class TaskStarter {
+  readonly #options: TaskStarterOptions;
+  readonly #started = new Map<string, StartedTask>();
+  readonly #pausedUntil = new Map<string, number>();
+  #openRunning = 0;
+
+  constructor(options: TaskStarterOptions) {
+    this.#options = options;
+  }
+
+  /** Open tasks started here that still run; they are charged to no budget. */
+  get openRunning(): number {
+    return this.#openRunning;
+  }
+
+  /** True while a team is passed over. */
+  paused(team: string): boolean {
+    return (this.#pausedUntil.get(team) ?? 0) > this.#options.clock.now();
+  }
+
+  /** Returns undefined if the item was certainly not started and may be queued again. */
+  async start(item: QueuedItem): Promise<StartOutcome | undefined> {
+    const { homes, picker, lending, budgets } = this.#options;
+    const { work } = item;
+    if (work.offered && homes.retired(work.home))
+      return { kind: "declined", reason: "lease_lapsed" };
+    const server = picker.pick(lending.poolsFor(item.pool), work.avoid);
+    if (server === undefined) return undefined;
+    const ref = work.nextRef();
+    const { team } = work.spec;
+    if (team !== undefined && !budgets.tryCharge(team, ref)) {
+      this.#pausedUntil.set(team, this.#options.clock.now() + BUDGET_PAUSE_MS);
+      return undefined;
+    }
+    return this.#startOn(server, item, ref);
+  }
+
+  /** Forgets a task that ended and returns what was known of it. */
+  ended(ref: TaskRef): StartedTask | undefined {
+    const key = refKey(ref);
+    const task = this.#started.get(key);
+    if (this.#started.delete(key) && task?.team === undefined) this.#openRunning--;
+    return task;
+  }
+
+  /** Forgets tasks on servers that are no longer held. */
+  prune(): void {
+    const held = new Set(this.#options.held.list().map((server) => server.name));
+    for (const [key, task] of this.#started) {
+      if (held.has(task.server)) continue;
+      this.#started.delete(key);
+      if (task.team === undefined) this.#openRunning--;
+    }
+  }
+
+  async #startOn(
+    server: HeldServer,
+    item: QueuedItem,
+    ref: TaskRef,
+  ): Promise<StartOutcome | undefined> {
+    const { clock, held, peers, picker, counters, budgets } = this.#options;
+    const { spec } = item.work;
+    const holder = peers.self.incarnation;
+    this.#started.set(refKey(ref), {
+      server: server.name,
+      team: spec.team,
+      queue: spec.queue,
+      startedAt: clock.now(),
+    });
+    if (spec.team === undefined) this.#openRunning++;
+    const started = await held.start(server.name, taskSpec(item, ref, holder));
+    if (started.ok) {
+      counters.duration("start_wait", clock.now() - item.work.acceptedAt);
+      return { kind: "started", ref, server: server.name, holder };
+    }
+    if (started.val.kind === "ambiguous") {
+      return { kind: "ambiguous", ref, server: server.name, holder };
+    }
+    this.ended(ref);
+    if (spec.team !== undefined) budgets.release(spec.team, ref);
+    picker.coolDown(server.name);
+    counters.retry(started.val.reason);
+    return item.work.offered ? { kind: "declined", reason: started.val.reason } : undefined;
+  }
+}
+
+function taskSpec(item: QueuedItem, ref: TaskRef, holder: string): TaskSpec {
+  const { team, queue, priority, idempotent, payload } = item.work.spec;
+  return {
+    ...ref,
+    home: item.work.home,
+    chargedTo: holder,
+    team,
+    queue,
+    priority,
+    idempotent,
+    payload,
+  };
+}
--- /dev/null
+++ b/src/coordination/wait.ts
@@ -0,0 +1,28 @@
+import type { Clock } from "../platform/clock.ts";
+
+/** Waits for a promise at most the given time; undefined if it has not settled by then. */
+export async function waitAtMost<T>(
+  clock: Clock,
+  promise: Promise<T>,
+  ms: number,
+): Promise<T | undefined> {
+  const abort = new AbortController();
+  const timeout = clock.sleep(ms, abort.signal).then(() => undefined);
+  const first = await Promise.race([promise, timeout]);
+  abort.abort();
+  return first;
+}
+
+/** A promise that is settled from outside. */
+export class Deferred<T> {
+  readonly promise: Promise<T>;
+  #resolve: (value: T) => void = () => undefined;
+
+  constructor() {
+    this.promise = new Promise((resolve) => (this.#resolve = resolve));
+  }
+
+  resolve(value: T): void {
+    this.#resolve(value);
+  }
+}
--- /dev/null
+++ b/src/state/request-record.ts
@@ -0,0 +1,72 @@
+import { createHash } from "node:crypto";
+import type { Payload, Priority } from "../platform/backend-server.ts";
+import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
+import type { RanState } from "../protocol/problem.ts";
+import type { JobFailure } from "./failure-attribution.ts";
+
+/** What the home knows of one request. Only its home's driver and table change it. */
+export interface RequestRecord {
+  readonly requestId: string;
+  readonly team: string | undefined;
+  readonly queue: string;
+  readonly priority: Priority;
+  readonly idempotent: boolean;
+  /** Digest of the payload; undefined for an outcome found on a backend server. */
+  readonly digest: string | undefined;
+  /** Wall-clock time of acceptance, milliseconds since the Unix epoch. */
+  readonly acceptedAt: number;
+  /** Monotonic time in milliseconds until which the request may start. */
+  readonly deadline: number;
+  /** Keeps its place in the table for the whole window, so that it never runs twice. */
+  readonly pinned: boolean;
+  /** Body of the request; dropped once no attempt can follow. */
+  payload: Payload | undefined;
+  state: RequestState;
+  /** Last attempt that was dispatched, 0 if none. */
+  attempt: number;
+  /** Attempts that ran or may have run. */
+  runs: number;
+  /** What is known about the attempts so far. */
+  ran: RanState;
+  cancelRequested: boolean;
+  readonly failures: JobFailure[];
+}
+
+/** Builds a record of a request that was accepted now. */
+export function newRecord(
+  spec: RequestSpec,
+  at: { readonly wallTime: number; readonly now: number },
+  pinned: boolean,
+): RequestRecord {
+  return {
+    requestId: spec.requestId,
+    team: spec.team,
+    queue: spec.queue,
+    priority: spec.priority,
+    idempotent: spec.idempotent,
+    digest: payloadDigest(spec.payload),
+    acceptedAt: at.wallTime,
+    deadline: at.now + spec.timeoutMs,
+    pinned,
+    payload: spec.payload,
+    state: { kind: "pending", started: false },
+    attempt: 0,
+    runs: 0,
+    ran: "no",
+    cancelRequested: false,
+    failures: [],
+  };
+}
+
+/** Hexadecimal SHA-256 of a payload, by which a retry is told from another request. */
+export function payloadDigest(payload: Payload): string {
+  return createHash("sha256").update(`${payload.contentType}\n`).update(payload.body).digest("hex");
+}
+
+/** True if a retry under the same id may be dispatched as if it were new. */
+export function mayRunAgain(record: RequestRecord): boolean {
+  const { state } = record;
+  if (state.kind !== "refused" || state.reason === "cancelled") return false;
+  if (state.ran === "no") return true;
+  return record.idempotent && state.ran === "unknown";
+}
--- /dev/null
+++ b/src/state/request-table.ts
@@ -0,0 +1,158 @@
+import type { Clock } from "../platform/clock.ts";
+import type { RequestState } from "../protocol/peer-messages.ts";
+import type { RequestRecord } from "./request-record.ts";
+
+/** Share of the table kept for requests that need no long memory when keyed ones fill it. */
+const EVICTABLE_FRACTION = 0.1;
+/** Most bytes of results kept; an entry instance has about 128 MB in all. */
+const RETAINED_BYTES = 32 * 1024 * 1024;
+
+/** Options of {@link RequestTable}. Times are in milliseconds. */
+export interface RequestTableOptions {
+  readonly clock: Clock;
+  readonly idempotencyWindowMs: number;
+  readonly idMemoryEntries: number;
+  readonly resultRetentionMs: number;
+  /** @default 33554432 */
+  readonly retainedBytes?: number;
+}
+
+interface Retained {
+  readonly record: RequestRecord;
+  readonly finishedAt: number;
+  readonly bytes: number;
+}
+
+/** Requests whose home is this entry, by request id. */
+export class RequestTable {
+  readonly #options: Required<RequestTableOptions>;
+  /** In order of acceptance. */
+  readonly #records = new Map<string, RequestRecord>();
+  readonly #waiters = new Map<RequestRecord, Set<() => void>>();
+  readonly #retained = new Set<Retained>();
+  #retainedBytes = 0;
+  #pinned = 0;
+  #evictedThrough = -1;
+
+  constructor({ retainedBytes = RETAINED_BYTES, ...rest }: RequestTableOptions) {
+    this.#options = { retainedBytes, ...rest };
+  }
+
+  get size(): number {
+    return this.#records.size;
+  }
+
+  /** Wall-clock time of acceptance of the newest record dropped before its window ended. */
+  get evictedThrough(): number {
+    return this.#evictedThrough;
+  }
+
+  find(requestId: string): RequestRecord | undefined {
+    return this.#records.get(requestId);
+  }
+
+  /** Every record, in order of acceptance. */
+  records(): Iterable<RequestRecord> {
+    return this.#records.values();
+  }
+
+  /** True if another request that must be remembered for the window fits. */
+  hasRoomForPinned(): boolean {
+    this.expire();
+    return this.#pinned < this.#options.idMemoryEntries;
+  }
+
+  /** Adds a record; one that was there under the same id is replaced. */
+  add(record: RequestRecord): void {
+    this.remove(record.requestId);
+    this.#records.set(record.requestId, record);
+    if (record.pinned) this.#pinned++;
+    this.#evict();
+  }
+
+  /** Removes a record that moves to another home. */
+  remove(requestId: string): void {
+    const record = this.#records.get(requestId);
+    if (record === undefined) return;
+    this.#records.delete(requestId);
+    if (record.pinned) this.#pinned--;
+  }
+
+  /** Stores the outcome of a request and wakes whoever waits for it. */
+  finish(record: RequestRecord, state: RequestState): void {
+    record.state = state;
+    record.payload = undefined;
+    if (state.kind === "answered") this.#retain(record, state.payload.body.byteLength);
+    this.#wake(record);
+  }
+
+  /** Waits until the request has an outcome, at most the given time; returns its state. */
+  async wait(record: RequestRecord, waitMs: number): Promise<RequestState> {
+    if (record.state.kind !== "pending" || waitMs <= 0) return record.state;
+    const abort = new AbortController();
+    const wake = (): void => {
+      abort.abort();
+    };
+    const waiters = this.#waiters.get(record) ?? new Set();
+    this.#waiters.set(record, waiters.add(wake));
+    await this.#options.clock.sleep(waitMs, abort.signal);
+    waiters.delete(wake);
+    if (waiters.size === 0) this.#waiters.delete(record);
+    return record.state;
+  }
+
+  /** Requests that someone waits for at this moment. */
+  waitedFor(): number {
+    return this.#waiters.size;
+  }
+
+  /** Drops bodies past their retention and records past the window. */
+  expire(): void {
+    const { clock, idempotencyWindowMs, resultRetentionMs, retainedBytes } = this.#options;
+    for (const retained of this.#retained) {
+      const old = retained.finishedAt + resultRetentionMs <= clock.now();
+      if (!old && this.#retainedBytes <= retainedBytes) break;
+      this.#compact(retained);
+    }
+    for (const record of this.#records.values()) {
+      if (record.acceptedAt + idempotencyWindowMs > clock.wallTime()) break;
+      if (record.state.kind !== "pending") this.remove(record.requestId);
+    }
+  }
+
+  #retain(record: RequestRecord, bytes: number): void {
+    this.#retained.add({ record, finishedAt: this.#options.clock.now(), bytes });
+    this.#retainedBytes += bytes;
+    this.expire();
+  }
+
+  #compact(retained: Retained): void {
+    this.#retained.delete(retained);
+    this.#retainedBytes -= retained.bytes;
+    if (retained.record.state.kind !== "answered") return;
+    retained.record.state = {
+      kind: "refused",
+      reason: "outcome_unknown",
+      detail: "The request ran and succeeded; its answer is no longer stored.",
+      ran: "yes",
+    };
+  }
+
+  #evict(): void {
+    const max = this.#options.idMemoryEntries;
+    const room = Math.max(Math.ceil(max * EVICTABLE_FRACTION), max - this.#pinned);
+    let excess = this.#records.size - this.#pinned - room;
+    if (excess <= 0) return;
+    for (const record of this.#records.values()) {
+      if (record.pinned || record.state.kind === "pending") continue;
+      this.remove(record.requestId);
+      if (!record.idempotent)
+        this.#evictedThrough = Math.max(this.#evictedThrough, record.acceptedAt);
+      if (--excess <= 0) return;
+    }
+  }
+
+  #wake(record: RequestRecord): void {
+    for (const wake of this.#waiters.get(record) ?? []) wake();
+  }
+}
--- /dev/null
+++ b/test/fakes/entry-fixture.ts
@@ -0,0 +1,109 @@
+/** Builds request paths on fakes and connects them to each other. */
+import { RequestPath } from "../../src/coordination/request-path.ts";
+import type { RequestMessage } from "../../src/coordination/entry-requests.ts";
+import type { CallerReply, CallerRequest } from "../../src/coordination/ports.ts";
+import type { ConfigDocument } from "../../src/protocol/config-document.ts";
+import { ENTRY_DEFAULTS, type EntrySettings } from "../../src/settings/entry-settings.ts";
+import { FakeBudgets, FakeConfig, FakeFleet, FakeHeld, fixtureConfig } from "./entry-fakes.ts";
+import { FakeCounters, FakeHomes, FakePeers } from "./peer-fakes.ts";
+import { SeededRandom } from "./seeded-random.ts";
+import { onClock, VirtualClock } from "./virtual-clock.ts";
+
+export interface EntryFixture {
+  readonly clock: VirtualClock;
+  readonly held: FakeHeld;
+  readonly budgets: FakeBudgets;
+  readonly homes: FakeHomes;
+  readonly peers: FakePeers;
+  readonly config: FakeConfig;
+  readonly fleet: FakeFleet;
+  readonly counters: FakeCounters;
+  readonly path: RequestPath;
+  readonly submit: (change?: Partial<CallerRequest>) => Promise<CallerReply>;
+}
+
+export function entryFixture(
+  options: {
+    readonly name?: string;
+    readonly clock?: VirtualClock;
+    readonly config?: ConfigDocument;
+    readonly settings?: Partial<EntrySettings>;
+  } = {},
+): EntryFixture {
+  const { name = "e1", clock = new VirtualClock(), config: document = fixtureConfig() } = options;
+  const held = new FakeHeld(clock);
+  const parts = {
+    clock,
+    held,
+    budgets: new FakeBudgets(held),
+    homes: new FakeHomes(name),
+    peers: new FakePeers(name, clock),
+    config: new FakeConfig(document),
+    fleet: new FakeFleet(),
+    counters: new FakeCounters(),
+  };
+  const path = new RequestPath({
+    ...parts,
+    random: new SeededRandom(1),
+    settings: fixtureSettings(options.settings),
+  });
+  const submit = (change: Partial<CallerRequest> = {}): Promise<CallerReply> =>
+    path.requests.submit(fixtureRequest(change), "sync");
+  return { ...parts, path, submit };
+}
+
+/** Connects entries and lets each know the others' loads as they are now. */
+export function connect(...entries: readonly EntryFixture[]): void {
+  for (const from of entries) {
+    for (const to of entries) {
+      if (from === to) continue;
+      const { incarnation } = to.peers.self;
+      from.peers.handlers.set(incarnation, (hello, req) =>
+        to.path.requests.handlePeer(hello, req as RequestMessage),
+      );
+    }
+  }
+  gossip(...entries);
+}
+
+export function gossip(...entries: readonly EntryFixture[]): void {
+  for (const from of entries) {
+    const held = from.held.list().map((server) => server.name);
+    for (const to of entries)
+      if (from !== to) to.peers.hear(from.peers.self, { ...from.path.contribute(), held });
+  }
+}
+
+export function fixtureRequest(change: Partial<CallerRequest> = {}): CallerRequest {
+  return {
+    queue: "jobs",
+    key: "key-red",
+    idempotencyKey: undefined,
+    priority: "normal",
+    idempotent: undefined,
+    timeoutMs: 10_000,
+    payload: { contentType: "text/plain", body: Buffer.from("hello") },
+    ...change,
+  };
+}
+
+export function fixtureSettings(change: Partial<EntrySettings> = {}): EntrySettings {
+  return {
+    ...ENTRY_DEFAULTS,
+    zone: "z1",
+    group: "g",
+    callerAddress: "127.0.0.1:1",
+    adminAddress: "127.0.0.1:2",
+    peerAddress: "127.0.0.1:3",
+    keyValueUrl: "http://127.0.0.1:4",
+    instanceListUrl: "http://127.0.0.1:5",
+    ...change,
+  };
+}
+
+/** Reason and `ran` of a refusal, or the kind of any other reply. */
+export function summary(reply: CallerReply): string {
+  return reply.kind === "refusal" ? `${reply.refusal.reason} ran=${reply.refusal.ran}` : reply.kind;
+}
+
+export { onClock };
--- /dev/null
+++ b/test/fakes/peer-fakes.ts
@@ -0,0 +1,152 @@
+/** Fakes of homes, peers and counters. */
+import { Err, Ok, type Result } from "ts-results";
+import type { PeerError } from "../../src/platform/peer-transport.ts";
+import type {
+  GossipMessage,
+  Hello,
+  PeerReply,
+  PeerRequest,
+  ReplyTo,
+} from "../../src/protocol/peer-messages.ts";
+import {
+  Counters,
+  Homes,
+  Peers,
+  type HomeLookup,
+  type IdVerdict,
+  type PeerState,
+} from "../../src/coordination/ports.ts";
+import type { VirtualClock } from "./virtual-clock.ts";
+
+/** Ids `<incarnation>.<n>` are at home where issued; ids in `moved` at the named entry. */
+export class FakeHomes extends Homes {
+  readonly placed = new Map<string, HomeLookup>();
+  readonly verdicts = new Map<string, IdVerdict>();
+  readonly retiredOnes = new Set<string>();
+  #issued = 0;
+
+  constructor(readonly self: string) {
+    super();
+  }
+
+  issue(): string {
+    return `${this.self}.${++this.#issued}`;
+  }
+
+  requestId(team: string | undefined, queue: string, callerKey: string): string {
+    return callerKey.includes(".") ? callerKey : `${team ?? ""}:${queue}:${callerKey}`;
+  }
+
+  lookup(requestId: string): HomeLookup {
+    const placed = this.placed.get(requestId);
+    if (placed !== undefined) return placed;
+    const incarnation = /^(e\d+)\./.exec(requestId)?.[1] ?? "e1";
+    if (incarnation === this.self) return { kind: "self" };
+    return { kind: "peer", incarnation };
+  }
+
+  classify(requestId: string): IdVerdict {
+    return this.verdicts.get(requestId) ?? "fresh";
+  }
+
+  retired(incarnation: string): boolean {
+    return this.retiredOnes.has(incarnation);
+  }
+}
+
+/** What the network does with one call: deliver, lose it, or lose the reply. */
+export type CallRule = (
+  to: string,
+  req: PeerRequest,
+) => "deliver" | "not-sent" | "lose-call" | "lose-reply";
+
+export class FakePeers extends Peers {
+  readonly self: Hello;
+  readonly sent: { readonly to: string; readonly req: PeerRequest }[] = [];
+  readonly states = new Map<string, PeerState>();
+  readonly handlers = new Map<string, (from: Hello, req: PeerRequest) => Promise<PeerReply>>();
+  rule: CallRule = () => "deliver";
+
+  constructor(
+    incarnation: string,
+    readonly clock: VirtualClock,
+  ) {
+    super();
+    this.self = { version: 1, incarnation, address: "127.0.0.1:1", zone: "z1", group: "g" };
+  }
+
+  async call<T extends PeerRequest>(
+    to: string,
+    req: T,
+    timeoutMs: number,
+  ): Promise<Result<ReplyTo<T>, PeerError>> {
+    this.sent.push({ to, req });
+    const handler = this.handlers.get(to);
+    const fate = this.rule(to, req);
+    await this.clock.sleep(1);
+    if (handler === undefined || fate === "not-sent")
+      return Err({ kind: "not-sent", detail: "no connection" });
+    const reply =
+      fate === "lose-call" ? new Promise<never>(() => undefined) : handler(this.self, req);
+    const timeout = this.clock.sleep(timeoutMs).then(() => undefined);
+    const done = await Promise.race([fate === "lose-reply" ? timeout : reply, timeout]);
+    if (done === undefined) return Err({ kind: "ambiguous", detail: "no reply" });
+    await this.clock.sleep(1);
+    return Ok(done as ReplyTo<T>);
+  }
+
+  gossip(): ReadonlyMap<string, PeerState> {
+    return this.states;
+  }
+
+  /** Takes a peer's loads as its gossip would bring them. */
+  hear(hello: Hello, part: Partial<GossipMessage>): void {
+    const message: GossipMessage = {
+      type: "gossip",
+      configRevision: 1,
+      configAgeMs: 0,
+      platformReachable: true,
+      fleetRevision: 1,
+      homesRevision: 1,
+      pools: [],
+      teams: [],
+      held: [],
+      leaving: [],
+      stopping: false,
+      ...part,
+    };
+    this.states.set(hello.incarnation, { hello, message, receivedAt: this.clock.now() });
+  }
+
+  announceLeaving(): void {
+    throw new Error("not used by the request path");
+  }
+}
+
+export class FakeCounters extends Counters {
+  readonly counts = new Map<string, number>();
+
+  refusal(reason: string): void {
+    this.#add(`refusal ${reason}`);
+  }
+
+  retry(reason: string): void {
+    this.#add(`retry ${reason}`);
+  }
+
+  event(name: string): void {
+    this.#add(name);
+  }
+
+  duration(): void {
+    this.#add("duration");
+  }
+
+  count(name: string): number {
+    return this.counts.get(name) ?? 0;
+  }
+
+  #add(name: string): void {
+    this.counts.set(name, this.count(name) + 1);
+  }
+}
