--- /dev/null
+++ b/src/transport/caller-request.ts
@@ -0,0 +1,80 @@
+import type { IncomingHttpHeaders } from "node:http";
+import * as v from "valibot";
+import type { CallerRequest } from "../coordination/ports.ts";
+
+const DEFAULT_TIMEOUT_MS = 30_000;
+/** Work may wait overnight; a day bounds how long its body is kept. */
+const MAX_TIMEOUT_MS = 86_400_000;
+const MAX_WAIT_MS = 60_000;
+const DEFAULT_CONTENT_TYPE = "application/octet-stream";
+
+function integer(min: number, max: number) {
+  return v.pipe(
+    v.string(),
+    v.regex(/^\d{1,12}$/, "a whole number"),
+    v.transform(Number),
+    v.minValue(min),
+    v.maxValue(max),
+  );
+}
+
+const HeadersSchema = v.object({
+  authorization: v.optional(
+    v.pipe(
+      v.string(),
+      v.regex(/^Bearer +[\x21-\x7e]+$/i, '"Bearer" and a key'),
+      v.transform((value) => value.replace(/^Bearer +/i, "")),
+    ),
+  ),
+  "idempotency-key": v.optional(
+    v.pipe(v.string(), v.regex(/^[\x21-\x7e]{1,255}$/, "1 to 255 printable characters")),
+  ),
+  "request-timeout-ms": v.optional(integer(1, MAX_TIMEOUT_MS)),
+  priority: v.optional(v.picklist(["urgent", "normal", "batch"]), "normal"),
+  idempotent: v.optional(v.picklist(["true", "false"]), "true"),
+  prefer: v.optional(v.string(), ""),
+  "content-type": v.optional(v.string(), DEFAULT_CONTENT_TYPE),
+});
+
+/** Headers of a submission. */
+export interface SubmitHeaders extends Omit<CallerRequest, "queue" | "payload"> {
+  readonly contentType: string;
+  readonly async: boolean;
+}
+
+/** A value, or which part of the request is wrong. */
+export type Parsed<T> = { readonly value: T } | { readonly problem: string };
+
+/** Checks the headers of a submission. */
+export function parseSubmitHeaders(headers: IncomingHttpHeaders): Parsed<SubmitHeaders> {
+  const parsed = v.safeParse(HeadersSchema, headers);
+  if (!parsed.success) {
+    const [issue] = parsed.issues;
+    // The message of valibot is left out, because it quotes the value, which may be a key.
+    return { problem: `Header "${v.getDotPath(issue) ?? ""}" is not valid.` };
+  }
+  const { output } = parsed;
+  return {
+    value: {
+      key: output.authorization,
+      idempotencyKey: output["idempotency-key"],
+      priority: output.priority,
+      idempotent: output.idempotent === "false" ? false : undefined,
+      timeoutMs: output["request-timeout-ms"] ?? DEFAULT_TIMEOUT_MS,
+      contentType: output["content-type"],
+      async: /(^|[,\s])respond-async($|[,;\s])/i.test(output.prefer),
+    },
+  };
+}
+
+/** Checks the key and `wait_ms` of a question about a request. */
+export function parseQuestion(
+  authorization: string | undefined,
+  waitMs: unknown,
+): Parsed<{ readonly key: string | undefined; readonly waitMs: number }> {
+  const headers = v.safeParse(v.pick(HeadersSchema, ["authorization"]), { authorization });
+  if (!headers.success) return { problem: 'Header "authorization" is not valid.' };
+  const wait = v.safeParse(v.optional(integer(0, MAX_WAIT_MS), "0"), waitMs);
+  if (!wait.success) return { problem: `"wait_ms" must be a number from 0 to ${MAX_WAIT_MS}.` };
+  return { value: { key: headers.output.authorization, waitMs: wait.output } };
+}
--- /dev/null
+++ b/src/transport/caller-server.ts
@@ -0,0 +1,272 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import polka, { type Request } from "polka";
+import type { Clock } from "../platform/clock.ts";
+import type { Log } from "../platform/log.ts";
+import type { CallerReply, Counters, RequestService } from "../coordination/ports.ts";
+import type { RanState, Refusal, RefusalReason } from "../protocol/problem.ts";
+import { parseQuestion, parseSubmitHeaders, type SubmitHeaders } from "./caller-request.ts";
+import { rawProblem, writeProblem } from "./problem-response.ts";
+import { BodyReader } from "./request-body.ts";
+
+const MAX_BODY_BYTES = 256 * 1024;
+const MAX_HEADER_BYTES = 16 * 1024;
+const SEND_TIMEOUT_MS = 10_000;
+/** How often Node.js looks for requests past their time limit; its default is 30 s. */
+const TIMEOUT_CHECK_MS = 500;
+/** An entry instance has about 128 MB in all. */
+const MAX_HELD_BODY_BYTES = 32 * 1024 * 1024;
+const RETRY_AFTER_MS = 1000;
+
+/** Options of {@link CallerServer}. */
+export interface CallerServerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly requests: RequestService;
+  /** Time in milliseconds that a caller has to send a request. @default 10000 */
+  readonly sendTimeoutMs?: number;
+  /** Most bytes of request bodies held at once. @default 33554432 */
+  readonly heldBodyBytes?: number;
+}
+
+/** HTTP interface for callers, section 10.1 of the design. */
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #bodies: BodyReader;
+  readonly #server: Server;
+  #closing = false;
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+    const { clock, sendTimeoutMs = SEND_TIMEOUT_MS, heldBodyBytes } = options;
+    this.#bodies = new BodyReader({
+      clock,
+      maxBytes: MAX_BODY_BYTES,
+      timeoutMs: sendTimeoutMs,
+      heldBytes: heldBodyBytes ?? MAX_HELD_BODY_BYTES,
+    });
+    this.#server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: sendTimeoutMs,
+      // The body has its own limit, whose refusal can name the request; this one only backs it.
+      requestTimeout: sendTimeoutMs * 2,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+    });
+    this.#server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
+      this.#onClientError(err, socket);
+    });
+    this.#route();
+  }
+
+  /** Listens on an address; port 0 takes a free one. Returns the port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.off("error", reject);
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Accepts no further connections; resolves once open requests are answered. */
+  async close(): Promise<void> {
+    this.#closing = true;
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+    this.#server.closeIdleConnections();
+    await closed;
+  }
+
+  #route(): void {
+    const { requests } = this.#options;
+    const app = polka({
+      server: this.#server,
+      onNoMatch: (req, res) => {
+        const detail = `There is no ${req.method ?? ""} on this path.`;
+        this.#refuse(res, { reason: "unsupported", detail, ran: ranBefore(req) });
+      },
+      onError: (err, _req, res) => {
+        this.#failed(err, res);
+      },
+    });
+    app.post("/v1/queues/:queue/requests", this.#guard(this.#submit.bind(this)));
+    app.get("/v1/requests/:id", this.#guard(this.#query.bind(this)));
+    app.delete("/v1/requests/:id", this.#guard(this.#cancel.bind(this)));
+    app.post("/v1/request-ids", (_req, res) => {
+      writeJson(res, 201, { request_id: requests.issueId() });
+    });
+    this.#server.on("request", (req: IncomingMessage, res: ServerResponse) => {
+      if (this.#closing) res.setHeader("Connection", "close");
+      // A connection answered during shutdown would otherwise stay open until its idle time limit.
+      res.once("close", () => {
+        if (this.#closing) this.#server.closeIdleConnections();
+      });
+      app.handler(req as Request, res);
+    });
+  }
+
+  /** Turns a programming error into a truthful answer instead of an open connection. */
+  #guard(handle: (req: Request, res: ServerResponse) => Promise<void>) {
+    return (req: unknown, res: ServerResponse): void => {
+      handle(req as Request, res).catch((err: unknown) => {
+        this.#failed(err, res);
+      });
+    };
+  }
+
+  async #submit(req: Request, res: ServerResponse): Promise<void> {
+    const queue = decoded(req.params.queue);
+    const headers = parseSubmitHeaders(req.headers);
+    if (queue === undefined || "problem" in headers) {
+      const detail = "problem" in headers ? headers.problem : "The queue name is not valid.";
+      this.#refuse(res, { reason: "malformed", detail, ran: ranBefore(req) });
+      return;
+    }
+    const body = await this.#bodies.read(req);
+    if (body.err) {
+      if (body.val !== "gone") this.#refuseBody(req, res, body.val);
+      return;
+    }
+    await this.#pass(queue, headers.value, body.val, res);
+    this.#bodies.release(body.val);
+  }
+
+  async #pass(
+    queue: string,
+    headers: SubmitHeaders,
+    body: Uint8Array,
+    res: ServerResponse,
+  ): Promise<void> {
+    const { contentType, async: respondAsync, ...fields } = headers;
+    const mode = respondAsync ? "async" : "sync";
+    const payload = { contentType, body };
+    writeReply(res, await this.#options.requests.submit({ ...fields, queue, payload }, mode));
+  }
+
+  async #query(req: Request, res: ServerResponse): Promise<void> {
+    const asked = this.#question(req, res, req.query.wait_ms);
+    if (asked === undefined) return;
+    const { id, key, waitMs } = asked;
+    writeReply(res, await this.#options.requests.query(id, key, waitMs));
+  }
+
+  async #cancel(req: Request, res: ServerResponse): Promise<void> {
+    const asked = this.#question(req, res, undefined);
+    if (asked === undefined) return;
+    const reply = await this.#options.requests.cancel(asked.id, asked.key);
+    const cancelled = reply.kind === "refusal" && reply.refusal.reason === "cancelled";
+    if (!cancelled) {
+      writeReply(res, reply);
+      return;
+    }
+    const { ran } = reply.refusal;
+    writeJson(res, 200, { request_id: asked.id, state: "cancelled", ran });
+  }
+
+  #question(
+    req: Request,
+    res: ServerResponse,
+    waitMs: unknown,
+  ):
+    { readonly id: string; readonly key: string | undefined; readonly waitMs: number } | undefined {
+    const id = decoded(req.params.id);
+    const asked = parseQuestion(req.headers.authorization, waitMs);
+    if (id !== undefined && "value" in asked) return { id, ...asked.value };
+    const detail = "problem" in asked ? asked.problem : "The id is not valid.";
+    this.#refuse(res, { reason: "malformed", detail, ran: "unknown" });
+    return undefined;
+  }
+
+  #refuseBody(
+    req: IncomingMessage,
+    res: ServerResponse,
+    reason: Extract<RefusalReason, "too_large" | "slow_request" | "overload">,
+  ): void {
+    const details = {
+      too_large: `The body exceeds ${MAX_BODY_BYTES} bytes.`,
+      slow_request: "The request was not received in time.",
+      overload: "Too many request bodies are being held.",
+    };
+    const refusal = { reason, detail: details[reason], ran: ranBefore(req) };
+    const retry = reason === "overload" ? { retryAfterMs: RETRY_AFTER_MS } : {};
+    this.#refuse(res, { ...refusal, ...retry }, reason === "slow_request");
+  }
+
+  /** Refuses here, before the request service saw the request. */
+  #refuse(res: ServerResponse, refusal: Refusal, close = false): void {
+    this.#options.counters.refusal(refusal.reason);
+    writeProblem(res, refusal, close);
+  }
+
+  #failed(err: unknown, res: ServerResponse): void {
+    this.#options.log.error({ err }, "request handler failed");
+    const detail = "The entry instance failed while it handled the request.";
+    this.#refuse(res, { reason: "internal", detail, ran: "unknown" }, true);
+  }
+
+  /** The request was not parsed, so an idempotency key cannot be excluded. */
+  #onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+    if (err.code === "ECONNRESET" || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const [reason, status] = clientErrorReason(err.code);
+    this.#options.counters.refusal(reason);
+    const detail = "The request could not be read.";
+    socket.end(rawProblem({ reason, detail, ran: "unknown" }, status));
+  }
+}
+
+function clientErrorReason(code: string | undefined): [RefusalReason, number | undefined] {
+  if (code === "HPE_HEADER_OVERFLOW") return ["too_large", 431];
+  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return ["slow_request", undefined];
+  return ["malformed", undefined];
+}
+
+/** Whether a request refused before its home was asked may have run earlier. */
+function ranBefore(req: IncomingMessage): RanState {
+  return req.headers["idempotency-key"] === undefined ? "no" : "unknown";
+}
+
+function decoded(text: string | undefined): string | undefined {
+  try {
+    return text === undefined ? undefined : decodeURIComponent(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function writeReply(res: ServerResponse, reply: CallerReply): void {
+  if (reply.kind === "refusal") {
+    writeProblem(res, reply.refusal);
+    return;
+  }
+  res.setHeader("Request-Id", reply.requestId);
+  if (reply.kind === "answer") {
+    setContentType(res, reply.payload.contentType);
+    res.end(reply.payload.body);
+    return;
+  }
+  res.setHeader("Location", `/v1/requests/${encodeURIComponent(reply.requestId)}`);
+  writeJson(res, 202, { request_id: reply.requestId, state: "pending" });
+}
+
+/** An answer is not lost because its content type cannot be a header. */
+function setContentType(res: ServerResponse, contentType: string): void {
+  try {
+    res.setHeader("Content-Type", contentType);
+  } catch {
+    res.setHeader("Content-Type", "application/octet-stream");
+  }
+}
+
+function writeJson(res: ServerResponse, status: number, value: unknown): void {
+  res.statusCode = status;
+  res.setHeader("Content-Type", "application/json");
+  res.end(JSON.stringify(value));
+}
