feat(limits): home slots, sessions, duties and the fencing proof

Cause: a lost entry's budgets and home slots must return without a second consensus group. Change: homes document with planned transfer and takeover, sessions and duties under key-value leases, detection, marks, proof and reclaim, and the peer requests of this part. A home without certain ownership answers 'moving': a paused home could otherwise state that a request did not run which the next home ran. Ruled out: taking slots over as soon as the proof succeeds; an entry without leases relies on a confirmation of up to 4 s of age.

--- /dev/null
+++ b/src/coordination/duty.ts
@@ -0,0 +1,103 @@
+/** A leader-elected periodic role, held under this entry's session. */
+import type { Clock } from "../platform/clock.ts";
+import type { KeyValueService, KvEntry } from "../platform/key-value-service.ts";
+import type { Random } from "../platform/random.ts";
+import { fullJitterMs } from "./backoff.ts";
+import type { SessionKeeper } from "./session-keeper.ts";
+
+const WATCH_WAIT_MS = 5000;
+const HELD_CHECK_MS = 500;
+const RETRY_BACKOFF = { baseMs: 200, maxMs: 5000 };
+
+/** Options of {@link Duty}. */
+export interface DutyOptions {
+  /** Name of the duty; its key is `duties/<name>`. */
+  readonly name: string;
+  readonly kv: KeyValueService;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly session: SessionKeeper;
+  readonly incarnation: string;
+  /**
+   * Called repeatedly while the duty is held. Two holders can overlap for a moment after a pause,
+   * so every decision must be a compare-and-swap of its own.
+   */
+  readonly step: () => Promise<void>;
+  /** Pause between two steps in milliseconds. */
+  readonly intervalMs: number;
+}
+
+/** Contends for one duty and does its steps while holding it. */
+export class Duty {
+  readonly #options: DutyOptions;
+  readonly #stopped = new AbortController();
+  /** Lease under which the duty's key was written. */
+  #underLease: string | undefined;
+  #revision = 0;
+
+  constructor(options: DutyOptions) {
+    this.#options = options;
+  }
+
+  /** True while this entry holds the duty by its own clock. */
+  get held(): boolean {
+    const { leaseId } = this.#options.session;
+    return leaseId !== undefined && leaseId === this.#underLease;
+  }
+
+  /** Contends for the duty until {@link stop}. */
+  async run(): Promise<void> {
+    const { clock, random, step, intervalMs } = this.#options;
+    let retry = 0;
+    while (!this.#stopped.signal.aborted) {
+      if (this.held) {
+        retry = 0;
+        await step();
+        await clock.sleep(intervalMs, this.#stopped.signal);
+      } else if (!(await this.#contend())) {
+        await clock.sleep(10 + fullJitterMs(random, retry++, RETRY_BACKOFF), this.#stopped.signal);
+      }
+    }
+  }
+
+  /** Gives the duty up, so that another entry takes it at once. */
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+    if (!this.held) return;
+    const { kv, name } = this.#options;
+    await kv.delete({ key: `duties/${name}`, expectedRevision: this.#revision });
+  }
+
+  /** Tries to take the duty, or waits for a change of its holder; false after a failure. */
+  async #contend(): Promise<boolean> {
+    const { kv, name, session, incarnation, clock } = this.#options;
+    const { leaseId } = session;
+    if (leaseId === undefined) {
+      await clock.sleep(HELD_CHECK_MS, this.#stopped.signal);
+      return true;
+    }
+    const key = `duties/${name}`;
+    const read = await kv.get(key);
+    if (!read.ok) return false;
+    if (read.val !== undefined) return this.#onHeld(read.val, leaseId);
+    const value = JSON.stringify({ incarnation, leaseId });
+    const put = await kv.put({ key, value, expectedRevision: 0, leaseId });
+    if (!put.ok) return put.val.kind === "conflict";
+    this.#underLease = leaseId;
+    this.#revision = put.val;
+    return true;
+  }
+
+  async #onHeld(entry: KvEntry, leaseId: string): Promise<boolean> {
+    const { kv, incarnation } = this.#options;
+    // A write of this entry whose reply was lost.
+    if (entry.value === JSON.stringify({ incarnation, leaseId })) {
+      this.#underLease = leaseId;
+      this.#revision = entry.revision;
+      return true;
+    }
+    const { key, revision } = entry;
+    const reply = await kv.watch({ key, afterRevision: revision, waitMs: WATCH_WAIT_MS });
+    return reply.ok;
+  }
+}
--- /dev/null
+++ b/src/coordination/fencing.ts
@@ -0,0 +1,196 @@
+/** Reclaims budgets and home slots of lost incarnations of one zone, after the fencing proof. */
+import type { Clock } from "../platform/clock.ts";
+import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { HomesDocument, Member } from "../protocol/homes-document.ts";
+import { memberOf, retireMember, takeOver } from "../state/homes.ts";
+import { budgetOf, EMPTY_LEDGER, reclaim, retire } from "../state/ledger.ts";
+import type { DocumentFollower } from "./document-follower.ts";
+import type { DocumentStore } from "./document-store.ts";
+import type { FencingProof, Proof } from "./fencing-proof.ts";
+import { ledgerKind } from "./ledger-shard.ts";
+import { HOMES_KIND } from "./member-view.ts";
+import type { Counters, Peers } from "./ports.ts";
+import { fleetKind } from "./server-drain.ts";
+import { SESSION_PREFIX } from "./session-keeper.ts";
+
+/** Interval of the reclaimer's steps. */
+export const RECLAIM_INTERVAL_MS = 1000;
+/**
+ * Time from the mark to the takeover of home slots. Longer than the age of a confirmation that an
+ * entry without leases relies on to act as a home (4000 ms), with a margin for clock drift.
+ */
+const TAKEOVER_DELAY_MS = 5000;
+/** Sessions and gossip must both be missing for this many times the session's time to live. */
+const LOST_SESSIONS = 2;
+const FENCED_KEPT_MS = 24 * 3_600_000;
+
+/** Options of {@link Fencing}. */
+export interface FencingOptions {
+  readonly kv: KeyValueService;
+  readonly store: DocumentStore;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly peers: Peers;
+  readonly homes: DocumentFollower<HomesDocument>;
+  readonly proof: FencingProof;
+  readonly sessionTtlMs: number;
+  readonly ledgerShards: number;
+}
+
+/** What the reclaimer knows of one incarnation that is marked. */
+interface Retiring {
+  /** Monotonic time at which every mark was known to be written. */
+  readonly markedAt: number;
+  readonly fleetRevision: number;
+  /** Shards in which the incarnation still has budget. */
+  readonly shards: Set<number>;
+}
+
+/** Steps of the duty `reclaim-<zone>`. */
+export class Fencing {
+  readonly #options: FencingOptions;
+  /** Monotonic time at which this entry began to look for each member. */
+  readonly #watchedSince = new Map<string, number>();
+  readonly #lastGossip = new Map<string, number>();
+  readonly #retiring = new Map<string, Retiring>();
+
+  constructor(options: FencingOptions) {
+    this.#options = options;
+  }
+
+  /** One round: detect, mark, prove, reclaim. */
+  async step(): Promise<void> {
+    const members = this.#zoneMembers();
+    if (members === undefined) return;
+    const lost = await this.#lost(members.filter(({ state }) => state === "active"));
+    for (const incarnation of lost) await this.#retireMember(incarnation);
+    for (const member of this.#zoneMembers() ?? []) {
+      if (member.state !== "active") await this.#advance(member);
+    }
+  }
+
+  #zoneMembers(): readonly Member[] | undefined {
+    const { zone, group } = this.#options.peers.self;
+    const homes = this.#options.homes.current?.value;
+    return homes?.members.filter((member) => member.zone === zone && member.group === group);
+  }
+
+  /** Active members without a session and without gossip for long enough. */
+  async #lost(members: readonly Member[]): Promise<readonly string[]> {
+    const { kv, clock, peers, sessionTtlMs } = this.#options;
+    const sessions = await kv.list(SESSION_PREFIX);
+    if (!sessions.ok) return [];
+    const keys = new Set(sessions.val.map(({ key }) => key));
+    const now = clock.now();
+    const gossip = peers.gossip();
+    return members.flatMap(({ incarnation }) => {
+      if (incarnation === peers.self.incarnation) return [];
+      const heard = gossip.get(incarnation)?.receivedAt ?? this.#lastGossip.get(incarnation);
+      if (heard !== undefined) this.#lastGossip.set(incarnation, heard);
+      const since = this.#watchedSince.get(incarnation) ?? now;
+      this.#watchedSince.set(incarnation, since);
+      const silentMs = now - Math.max(since, heard ?? since);
+      const gone = !keys.has(`${SESSION_PREFIX}${incarnation}`);
+      return gone && silentMs >= LOST_SESSIONS * sessionTtlMs ? [incarnation] : [];
+    });
+  }
+
+  async #retireMember(incarnation: string): Promise<void> {
+    const { store, homes, clock, counters } = this.#options;
+    const at = clock.wallTime();
+    const result = await store.update(HOMES_KIND, (doc, writeId) => {
+      const next = doc && retireMember(doc, incarnation, at);
+      return next && { ...next, writeId };
+    });
+    if (result.ok && result.val.current !== undefined) homes.adopt(result.val.current);
+    counters.event("incarnation_retired");
+  }
+
+  /** Marks, proves and reclaims as far as possible now. */
+  async #advance(member: Member): Promise<void> {
+    const { incarnation, state } = member;
+    const retiring = this.#retiring.get(incarnation) ?? (await this.#mark(member));
+    if (retiring === undefined) return;
+    this.#retiring.set(incarnation, retiring);
+    if (state === "fenced" && retiring.shards.size === 0) return;
+    const proof = await this.#options.proof.prove(incarnation, retiring.fleetRevision);
+    if (proof === undefined) {
+      this.#options.counters.event("fencing_proof_refused");
+      return;
+    }
+    await this.#reclaimBudgets(incarnation, retiring, proof);
+    if (state === "retired") await this.#takeOverSlots(incarnation, retiring, proof);
+  }
+
+  /** Writes the marks in the fleet document and in every shard, before any proof. */
+  async #mark({ incarnation, zone, state }: Member): Promise<Retiring | undefined> {
+    const { store, clock, peers, ledgerShards } = this.#options;
+    const at = clock.wallTime();
+    const mark = { incarnation, zone, at, fenced: false };
+    const fleet = await store.update(fleetKind(peers.self.group), (doc, writeId) => {
+      if (doc === undefined || doc.retired.some((old) => old.incarnation === incarnation)) {
+        return undefined;
+      }
+      const kept = doc.retired.filter((old) => !old.fenced || at - old.at < FENCED_KEPT_MS);
+      return { ...doc, writeId, retired: [...kept, mark] };
+    });
+    if (!fleet.ok || fleet.val.current === undefined) return undefined;
+    const shards = new Set<number>();
+    for (let shard = 0; shard < ledgerShards; shard++) {
+      const ledger = await store.update(ledgerKind(shard), (doc, writeId) => {
+        // An incarnation that was fenced long ago needs no new mark where it has no budget.
+        if (state === "fenced" && budgetOf(doc ?? EMPTY_LEDGER, incarnation) === 0)
+          return undefined;
+        const next = retire(doc ?? EMPTY_LEDGER, { incarnation, zone, at });
+        return next && { ...next, writeId };
+      });
+      if (!ledger.ok) return undefined;
+      if (budgetOf(ledger.val.current?.value ?? EMPTY_LEDGER, incarnation) > 0) shards.add(shard);
+    }
+    return { markedAt: clock.now(), fleetRevision: fleet.val.current.revision, shards };
+  }
+
+  /** Lowers the rows to the tasks that still run; repeated in later rounds until none is left. */
+  async #reclaimBudgets(incarnation: string, { shards }: Retiring, proof: Proof): Promise<void> {
+    const { store, counters } = this.#options;
+    for (const shard of [...shards]) {
+      const result = await store.update(ledgerKind(shard), (doc, writeId) => {
+        const next = doc && reclaim(doc, incarnation, proof.running);
+        return next && { ...next, writeId };
+      });
+      if (!result.ok) continue;
+      if (result.val.written) counters.event("budget_reclaimed");
+      if (budgetOf(result.val.current?.value ?? EMPTY_LEDGER, incarnation) === 0) {
+        shards.delete(shard);
+      }
+    }
+  }
+
+  async #takeOverSlots(incarnation: string, retiring: Retiring, proof: Proof): Promise<void> {
+    const { store, homes, clock, counters } = this.#options;
+    if (!proof.seenByAll || clock.now() - retiring.markedAt < TAKEOVER_DELAY_MS) return;
+    const at = clock.wallTime();
+    const result = await store.update(HOMES_KIND, (doc, writeId) => {
+      const next = doc && takeOver(doc, incarnation, at);
+      return next && { ...next, writeId };
+    });
+    if (!result.ok || result.val.current === undefined) return;
+    homes.adopt(result.val.current);
+    if (memberOf(result.val.current.value, incarnation)?.state !== "fenced") return;
+    counters.event("incarnation_fenced");
+    await this.#noteFenced(incarnation);
+  }
+
+  async #noteFenced(incarnation: string): Promise<void> {
+    const { store, peers } = this.#options;
+    await store.update(fleetKind(peers.self.group), (doc, writeId) => {
+      if (doc?.retired.some((old) => old.incarnation === incarnation && !old.fenced) !== true) {
+        return undefined;
+      }
+      const retired = doc.retired.map((old) =>
+        old.incarnation === incarnation ? { ...old, fenced: true } : old,
+      );
+      return { ...doc, writeId, retired };
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/home-keeper.ts
@@ -0,0 +1,211 @@
+/** Homes of request ids: membership, home slots and what a home knows about an id. */
+import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
+import type { HomesDocument } from "../protocol/homes-document.ts";
+import type { AckReply, SlotTransferRequest } from "../protocol/peer-messages.ts";
+import { issuedRequestId, parseRequestId, requestIdOfKey } from "../protocol/request-id.ts";
+import {
+  activeMembers,
+  EMPTY_HOMES,
+  excessSlots,
+  freshness,
+  join,
+  memberOf,
+  retireMember,
+  slotsOf,
+} from "../state/homes.ts";
+import type { DocumentFollower } from "./document-follower.ts";
+import type { DocumentStore } from "./document-store.ts";
+import type { LeaseCoverage } from "./lease-coverage.ts";
+import { HOMES_KIND } from "./member-view.ts";
+import type { Membership } from "./membership.ts";
+import { Homes, type Counters, type HomeLookup, type IdVerdict, type Peers } from "./ports.ts";
+import { SlotTransfer, type SlotRecords } from "./slot-transfer.ts";
+
+const BALANCE_MS = 1000;
+const JOIN_RETRY_MS = 500;
+const LEAVE_ATTEMPTS = 3;
+/**
+ * Age of a membership confirmation up to which an entry without leases acts as a home. Home slots
+ * are taken over no sooner than `TAKEOVER_DELAY_MS` after the mark, which is longer.
+ */
+const HOME_FRESH_MS = 4000;
+
+/** Options of {@link HomeKeeper}. */
+export interface HomeKeeperOptions {
+  readonly store: DocumentStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counters: Counters;
+  readonly peers: Peers;
+  readonly homes: DocumentFollower<HomesDocument>;
+  readonly membership: Membership;
+  readonly coverage: LeaseCoverage;
+  readonly records: SlotRecords;
+  readonly idempotencyWindowMs: number;
+  /** Called once when the homes document shows that this incarnation is retired. */
+  readonly onRetired: () => void;
+}
+
+/** Joins the members, owns home slots and moves them. */
+export class HomeKeeper extends Homes {
+  readonly #options: HomeKeeperOptions;
+  readonly #transfer: SlotTransfer;
+  readonly #stopped = new AbortController();
+  #joined = false;
+
+  constructor(options: HomeKeeperOptions) {
+    super();
+    this.#options = options;
+    this.#transfer = new SlotTransfer(options);
+    options.homes.onChange(({ value }) => {
+      this.#checkRetired(value);
+    });
+  }
+
+  /** Adds this entry to the members; resolves once that is stored or the keeper was stopped. */
+  async join(): Promise<void> {
+    const { store, clock, peers, homes } = this.#options;
+    const { incarnation, address, zone, group } = peers.self;
+    while (!this.#joined && !this.#stopped.signal.aborted) {
+      const since = clock.wallTime();
+      const member = { incarnation, address, zone, group, state: "active" as const, since };
+      const result = await store.update(HOMES_KIND, (doc, writeId) => {
+        const next = join(doc ?? EMPTY_HOMES, member);
+        return next && { ...next, writeId };
+      });
+      if (result.ok && result.val.current !== undefined) {
+        this.#joined = true;
+        homes.adopt(result.val.current);
+        this.#checkRetired(result.val.current.value);
+        await homes.refresh();
+      } else await clock.sleep(JOIN_RETRY_MS, this.#stopped.signal);
+    }
+  }
+
+  /** Moves surplus slots to members with fewer until {@link stop}. */
+  async run(): Promise<void> {
+    const { clock, random } = this.#options;
+    while (!this.#stopped.signal.aborted) {
+      await clock.sleep(BALANCE_MS * (0.5 + random.next()), this.#stopped.signal);
+      const doc = this.#options.homes.current?.value;
+      if (doc === undefined || this.#options.peers.gossip().size === 0) continue;
+      const move = excessSlots(doc, this.#self, this.#candidates());
+      if (move !== undefined) await this.#transfer.move(move.to, move.slots);
+    }
+  }
+
+  stop(): void {
+    this.#stopped.abort();
+  }
+
+  /** Moves every slot to the remaining members and marks this incarnation retired. */
+  async leave(): Promise<void> {
+    this.stop();
+    const { store, homes, clock } = this.#options;
+    for (let attempt = 0; attempt < LEAVE_ATTEMPTS; attempt++) {
+      for (const [to, slots] of this.#shares()) await this.#transfer.move(to, slots);
+      if (this.#ownSlots().length === 0) break;
+      await clock.sleep(JOIN_RETRY_MS);
+    }
+    this.#joined = false;
+    const result = await store.update(HOMES_KIND, (doc, writeId) => {
+      const next = doc && retireMember(doc, this.#self, clock.wallTime());
+      return next && { ...next, writeId };
+    });
+    if (result.ok && result.val.current !== undefined) homes.adopt(result.val.current);
+  }
+
+  issue(): string {
+    const { clock, random } = this.#options;
+    return issuedRequestId(this.#self, random.uuidV7(clock.wallTime()));
+  }
+
+  requestId(team: string | undefined, queue: string, callerKey: string): string {
+    return requestIdOfKey(team, queue, callerKey);
+  }
+
+  lookup(requestId: string): HomeLookup {
+    const id = parseRequestId(requestId);
+    if (id === undefined) return { kind: "gone" };
+    if (id.kind === "issued") return this.#lookupIssuer(id.incarnation);
+    const owner = this.#options.homes.current?.value.slots[id.slot]?.incarnation;
+    if (owner === undefined) return { kind: "moving" };
+    if (owner !== this.#self) return { kind: "peer", incarnation: owner };
+    const usable = !this.#transfer.frozen(id.slot) && this.#certainlyHome();
+    return { kind: usable ? "self" : "moving" };
+  }
+
+  classify(requestId: string): IdVerdict {
+    const { clock, homes, idempotencyWindowMs } = this.#options;
+    const id = parseRequestId(requestId);
+    if (id === undefined || this.lookup(requestId).kind !== "self") return "not-home";
+    const slot = id.kind === "keyed" ? homes.current?.value.slots[id.slot] : undefined;
+    return freshness(id, slot?.takeoverAt ?? 0, clock.wallTime(), idempotencyWindowMs);
+  }
+
+  retired(incarnation: string): boolean {
+    return this.#options.membership.retired(incarnation);
+  }
+
+  /** Takes over the records of slots that a peer is about to move here. */
+  handleSlotTransfer({ records }: SlotTransferRequest): AckReply {
+    const accepted = !this.#stopped.signal.aborted && this.#options.records.import(records);
+    return { type: "ack", accepted };
+  }
+
+  get #self(): string {
+    return this.#options.peers.self.incarnation;
+  }
+
+  #lookupIssuer(incarnation: string): HomeLookup {
+    if (incarnation === this.#self) return { kind: "self" };
+    if (this.#options.peers.gossip().has(incarnation)) return { kind: "peer", incarnation };
+    if (this.#options.homes.current === undefined) return { kind: "moving" };
+    return this.retired(incarnation) ? { kind: "gone" } : { kind: "peer", incarnation };
+  }
+
+  /**
+   * False if the slots may have been taken over. A home that was paused could otherwise state that
+   * a request did not run which the next home ran.
+   */
+  #certainlyHome(): boolean {
+    const { membership, coverage, clock } = this.#options;
+    const activeAsOf = membership.activeAsOf();
+    if (activeAsOf === undefined) return false;
+    const since = coverage.since();
+    if (since !== undefined && activeAsOf >= since) return true;
+    return clock.now() - activeAsOf <= HOME_FRESH_MS;
+  }
+
+  #checkRetired(doc: HomesDocument): void {
+    if (!this.#joined || memberOf(doc, this.#self)?.state === "active") return;
+    this.#joined = false;
+    this.#options.onRetired();
+  }
+
+  #ownSlots(): readonly number[] {
+    const doc = this.#options.homes.current?.value;
+    return doc === undefined ? [] : slotsOf(doc, this.#self);
+  }
+
+  /** Peers that may receive slots. */
+  #candidates(): readonly string[] {
+    const doc = this.#options.homes.current?.value;
+    if (doc === undefined) return [];
+    const gossip = this.#options.peers.gossip();
+    return activeMembers(doc)
+      .map((member) => member.incarnation)
+      .filter((one) => one !== this.#self && gossip.get(one)?.message.stopping === false);
+  }
+
+  #shares(): ReadonlyMap<string, readonly number[]> {
+    const candidates = this.#candidates();
+    const shares = new Map<string, number[]>();
+    for (const [index, slot] of this.#ownSlots().entries()) {
+      const to = candidates[index % candidates.length];
+      if (to !== undefined) shares.set(to, [...(shares.get(to) ?? []), slot]);
+    }
+    return shares;
+  }
+}
--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -139,7 +139,12 @@
     if (lease.tasks.occupied >= record.slots) {
       return Err({ kind: "not-started", reason: "server_full" });
     }
-    return lease.start(spec);
+    // Safety net: work of a team never runs without a charge to this entry's own budget.
+    if (spec.team !== undefined && !this.#options.charges.has(spec)) {
+      this.#options.counters.event("start_without_charge");
+      return Err({ kind: "not-started", reason: "never_started" });
+    }
+    return lease.start({ ...spec, chargedTo: this.#self });
   }
 
   async stop(server: string, ref: TaskRef, how: "stop" | "checkpoint"): Promise<void> {
--- /dev/null
+++ b/src/coordination/limits-peer-handler.ts
@@ -0,0 +1,45 @@
+/** Answers the peer requests about leases, budgets and home slots. */
+import type { Hello, PeerReply, PeerRequest } from "../protocol/peer-messages.ts";
+import type { ChargeBook } from "../state/charge-book.ts";
+import type { BudgetKeeper } from "./budget-keeper.ts";
+import type { FencingProof } from "./fencing-proof.ts";
+import type { HomeKeeper } from "./home-keeper.ts";
+import type { LeaseKeeper } from "./lease-keeper.ts";
+
+/** Options of {@link LimitsPeerHandler}. */
+export interface LimitsPeerHandlerOptions {
+  readonly leases: LeaseKeeper;
+  readonly budgets: BudgetKeeper;
+  readonly charges: ChargeBook;
+  readonly homes: HomeKeeper;
+  readonly proof: FencingProof;
+}
+
+/** Dispatches requests to the keepers. */
+export class LimitsPeerHandler {
+  readonly #options: LimitsPeerHandlerOptions;
+
+  constructor(options: LimitsPeerHandlerOptions) {
+    this.#options = options;
+  }
+
+  /** Undefined for a request of another part. */
+  async handlePeer(from: Hello, req: PeerRequest): Promise<PeerReply | undefined> {
+    const { leases, budgets, charges, homes, proof } = this.#options;
+    switch (req.type) {
+      case "task-status":
+        return leases.handleTaskStatus(req);
+      case "budget-request":
+        return budgets.handleBudgetRequest(req);
+      case "charge-release":
+        for (const task of req.tasks) charges.ended(task);
+        return { type: "ack", accepted: true };
+      case "lease-report":
+        return proof.report(from, req);
+      case "slot-transfer":
+        return homes.handleSlotTransfer(req);
+      default:
+        return undefined;
+    }
+  }
+}
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -7,6 +7,6 @@
   abstract activeAsOf(): number | undefined;
   /** Reads the homes document now. */
   abstract refresh(): Promise<boolean>;
-  /** True if the incarnation is marked as retired, or was and is no longer listed. */
+  /** True unless the incarnation is known to be an active member. */
   abstract retired(incarnation: string): boolean;
 }
--- a/src/coordination/server-lease.ts
+++ b/src/coordination/server-lease.ts
@@ -46,6 +46,8 @@
 
 interface Tenure {
   readonly lost: AbortController;
+  /** Aborted to end the present pause between renewals. */
+  hurry: AbortController;
   readonly startedAt: number;
   leaseId: string;
   validity: Validity;
@@ -113,6 +115,7 @@
     const { clock, coverage, name } = this.#options;
     const tenure: Tenure = {
       lost: new AbortController(),
+      hurry: new AbortController(),
       startedAt: clock.now(),
       leaseId,
       validity,
@@ -164,6 +167,7 @@
     this.#options.charges.placed(spec, this.#options.name, this.tasks.bootId);
     const reply = await this.#options.backend.startTask(leaseId, spec);
     const outcome = reply.ok ? Ok(undefined) : this.#startError(leaseId, reply.val);
+    if (!outcome.ok && outcome.val.kind === "ambiguous") this.#tenure?.hurry.abort();
     this.tasks.settle(spec, outcome.ok ? "running" : outcomeOf(outcome.val));
     this.#options.onChange();
     return outcome;
@@ -217,40 +221,47 @@
   }
 
   /** Reads the server's tasks; until that succeeds, nothing is dispatched. */
-  async #adopt(tenure: Tenure, bootId: string): Promise<void> {
+  async #adopt(tenure: Tenure, bootId: string): Promise<boolean> {
     const { clock, backend, charges, name } = this.#options;
     while (!isLost(tenure) && isValid(clock, tenure.validity)) {
       const leaseId = tenure.leaseId;
       const reply = await backend.listTasks(leaseId);
       if (reply.ok) {
-        if (this.#tenure !== tenure || leaseId !== tenure.leaseId) return;
+        if (this.#tenure !== tenure || leaseId !== tenure.leaseId) return false;
         charges.booted(name, bootId);
         for (const ref of this.tasks.adopt(reply.val, bootId)) charges.ended(ref);
         tenure.adopted = true;
         for (const record of reply.val) if (record.state === "finished") this.#announce(record);
-        return;
+        return true;
       }
-      if (reply.val.kind === "lease-lapsed") return;
+      if (reply.val.kind === "lease-lapsed") return false;
       await clock.sleep(RETRY_MS, tenure.lost.signal);
     }
+    return false;
   }
 
   async #renewLoop(tenure: Tenure): Promise<void> {
     const { clock, leaseTtlMs } = this.#options;
-    const { signal } = tenure.lost;
     // Nothing can be dispatched without the task list, so another entry may try.
     if (!tenure.adopted) this.#end(tenure);
-    await clock.sleep(leaseTtlMs * RENEW_PART, signal);
+    await this.#pause(tenure, leaseTtlMs * RENEW_PART);
     while (!isLost(tenure) && isValid(clock, tenure.validity)) {
       const uncertain = this.tasks.uncertain > 0 && this.tasks.starting === 0;
       const ok = await (uncertain ? this.#reacquire(tenure) : this.#renew(tenure));
       for (const record of this.tasks.takeUnacknowledged(ANNOUNCE_MS)) this.#announce(record);
       const soon = !ok || this.tasks.uncertain > 0;
-      await clock.sleep(soon ? RETRY_MS : leaseTtlMs * RENEW_PART, signal);
+      await this.#pause(tenure, soon ? RETRY_MS : leaseTtlMs * RENEW_PART);
     }
     this.#end(tenure);
   }
 
+  /** Waits between renewals; ends early when a start needs to be resolved or the lease is lost. */
+  async #pause(tenure: Tenure, ms: number): Promise<void> {
+    const signal = AbortSignal.any([tenure.lost.signal, tenure.hurry.signal]);
+    await this.#options.clock.sleep(ms, signal);
+    tenure.hurry = new AbortController();
+  }
+
   async #renew(tenure: Tenure): Promise<boolean> {
     const { backend, leaseTtlMs } = this.#options;
     const leaseId = tenure.leaseId;
@@ -284,10 +295,10 @@
     }
     tenure.leaseId = grant.val.leaseId;
     this.#extend(tenure, grant.val.validity);
-    await this.#adopt(tenure, grant.val.bootId);
-    if (!tenure.adopted) this.#end(tenure);
+    const adopted = await this.#adopt(tenure, grant.val.bootId);
+    if (!adopted) this.#end(tenure);
     this.#options.onChange();
-    return tenure.adopted;
+    return adopted;
   }
 
   async #pollLoop(tenure: Tenure): Promise<void> {
--- /dev/null
+++ b/src/coordination/slot-transfer.ts
@@ -0,0 +1,137 @@
+/** Planned hand-over of home slots together with their records. */
+import type { Clock } from "../platform/clock.ts";
+import type { HomesDocument } from "../protocol/homes-document.ts";
+import type { SlotRecord } from "../protocol/peer-messages.ts";
+import { parseRequestId } from "../protocol/request-id.ts";
+import { moveSlots } from "../state/homes.ts";
+import type { DocumentFollower } from "./document-follower.ts";
+import type { DocumentStore } from "./document-store.ts";
+import { HOMES_KIND } from "./member-view.ts";
+import type { Counters, Peers } from "./ports.ts";
+
+const TRANSFER_TIMEOUT_MS = 2000;
+/** Largest sum of bodies in one message, well below the frame limit of 1 MiB. */
+const CHUNK_BYTES = 512 * 1024;
+/** Allowance for the fields of a record besides its bodies. */
+const RECORD_BYTES = 512;
+const RETRY_MS = 500;
+
+/** The request table as far as a hand-over of slots needs it. */
+export abstract class SlotRecords {
+  /**
+   * Records of the ids that match, or undefined if some request cannot be moved at present. Called
+   * after the slots were frozen, so that no record is added to them.
+   */
+  abstract export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined;
+  /** Adds records of slots that this entry is about to own; replaces those of the same ids. */
+  abstract import(records: readonly SlotRecord[]): boolean;
+  /** Drops records whose slots now belong to another entry. */
+  abstract drop(matches: (requestId: string) => boolean): void;
+}
+
+/** Options of {@link SlotTransfer}. */
+export interface SlotTransferOptions {
+  readonly store: DocumentStore;
+  readonly clock: Clock;
+  readonly counters: Counters;
+  readonly peers: Peers;
+  readonly homes: DocumentFollower<HomesDocument>;
+  readonly records: SlotRecords;
+}
+
+/** Moves slots of this entry to a peer; frozen slots take no requests meanwhile. */
+export class SlotTransfer {
+  readonly #options: SlotTransferOptions;
+  readonly #frozen = new Set<number>();
+
+  constructor(options: SlotTransferOptions) {
+    this.#options = options;
+  }
+
+  frozen(slot: number): boolean {
+    return this.#frozen.has(slot);
+  }
+
+  /** Moves the slots; false if they stay here. */
+  async move(to: string, slots: readonly number[]): Promise<boolean> {
+    const { records, counters } = this.#options;
+    for (const slot of slots) this.#frozen.add(slot);
+    try {
+      const matches = inSlots(slots);
+      const exported = records.export(matches);
+      if (exported === undefined || !(await this.#send(to, slots, exported))) return false;
+      if (!(await this.#reassign(to, slots))) return false;
+      records.drop(matches);
+      counters.event("home_slots_moved");
+      return true;
+    } finally {
+      for (const slot of slots) this.#frozen.delete(slot);
+    }
+  }
+
+  async #send(
+    to: string,
+    slots: readonly number[],
+    records: readonly SlotRecord[],
+  ): Promise<boolean> {
+    for (const chunk of chunks(records)) {
+      const req = { type: "slot-transfer" as const, slots, records: chunk };
+      const reply = await this.#options.peers.call(to, req, TRANSFER_TIMEOUT_MS);
+      if (!reply.ok || !reply.val.accepted) return false;
+    }
+    return true;
+  }
+
+  /**
+   * Writes the new owner. Repeats until the outcome is certain: a write that took effect unseen
+   * would give the slots two homes if they were used here again.
+   */
+  async #reassign(to: string, slots: readonly number[]): Promise<boolean> {
+    const { store, peers, homes, clock } = this.#options;
+    const self = peers.self.incarnation;
+    for (;;) {
+      const result = await store.update(HOMES_KIND, (doc, writeId) => {
+        const next = doc && moveSlots(doc, slots, self, to);
+        return next && { ...next, writeId };
+      });
+      if (result.ok) {
+        const { current } = result.val;
+        if (current === undefined) return false;
+        homes.adopt(current);
+        return slots.every((slot) => current.value.slots[slot]?.incarnation !== self);
+      }
+      if (result.val.kind === "unavailable") return false;
+      await clock.sleep(RETRY_MS);
+    }
+  }
+}
+
+/** True for ids of callers' keys that hash into one of the slots. */
+function inSlots(slots: readonly number[]): (requestId: string) => boolean {
+  const set = new Set(slots);
+  return (requestId) => {
+    const id = parseRequestId(requestId);
+    return id?.kind === "keyed" && set.has(id.slot);
+  };
+}
+
+/** Splits records by size; at least one chunk, so that the peer always confirms. */
+function chunks(records: readonly SlotRecord[]): readonly (readonly SlotRecord[])[] {
+  const result: SlotRecord[][] = [[]];
+  let bytes = 0;
+  for (const record of records) {
+    const size = sizeOf(record);
+    if (bytes > 0 && bytes + size > CHUNK_BYTES) {
+      result.push([]);
+      bytes = 0;
+    }
+    result.at(-1)?.push(record);
+    bytes += size;
+  }
+  return result;
+}
+
+function sizeOf({ spec, state }: SlotRecord): number {
+  const answer = state.kind === "answered" ? state.payload.body.length : 0;
+  return RECORD_BYTES + spec.payload.body.length + answer;
+}
--- a/src/state/charge-book.ts
+++ b/src/state/charge-book.ts
@@ -26,6 +26,10 @@
     return true;
   }
 
+  has(ref: TaskRef): boolean {
+    return this.#charges.has(taskKey(ref));
+  }
+
   /** Records where a charged task is being started. Tasks without a charge are ignored. */
   placed(ref: TaskRef, server: string, bootId: string): void {
     const key = taskKey(ref);
