feat(planner): pure planning rules and the planner

Cause: pools, maintenance and failures change the fleet while jobs are placed on it, and several planners may believe to hold the duty. Change: rules without I/O decide one change of the fleet document at a time, with rule and figures; the planner writes each as one compare-and-swap. One function checks the availability budget. Waves go rack by rack and pause on failures; drains return to service when failures eat the budget; the spare pool keeps what the loss of its worst rack or zone needs. Records are removed only after the server itself confirmed that it is gone. Ruled out: removing servers that the list lacks, because it lags and a removed record frees the budget of tasks that may still run. Conclusion: budgets hold with two racing planners and a third that resumes from pauses.

--- /dev/null
+++ b/src/state/fleet-rules.ts
@@ -0,0 +1,58 @@
+import type { Explanation } from "../protocol/entry-status.ts";
+import type { Decision, FleetSituation, Rule } from "./fleet-situation.ts";
+import { finishOrders, orderEmpty, quarantine, repair, returnDrains } from "./health-rules.ts";
+import { addServers, markLeaving, removeOrReturn } from "./listing-rules.ts";
+import { continueWave } from "./maintenance-rules.ts";
+import { moveTowardsTargets } from "./move-rules.ts";
+
+/** All rules by precedence: what exists, what failed, what was ordered, and then new plans. */
+const RULES: readonly Rule[] = [
+  addServers,
+  markLeaving,
+  removeOrReturn,
+  returnDrains,
+  quarantine,
+  finishOrders,
+  moveTowardsTargets,
+  orderEmpty,
+  repair,
+  continueWave,
+];
+
+/** The next decision, and what was withheld by rules before it. */
+export interface Plan {
+  readonly decision: Decision | undefined;
+  readonly withheld: readonly Explanation[];
+}
+
+/** Applies the rules in order until one decides something. */
+export function planNext(situation: FleetSituation): Plan {
+  const withheld: Explanation[] = [];
+  for (const rule of RULES) {
+    const outcome = rule(situation);
+    withheld.push(...outcome.withheld);
+    if (outcome.decision !== undefined) return { decision: outcome.decision, withheld };
+  }
+  return { decision: undefined, withheld };
+}
+
+/** What the rules would decide next, one after the other, as long as nothing else changes. */
+export interface DryRun {
+  readonly decisions: readonly Explanation[];
+  readonly withheld: readonly Explanation[];
+  /** True if the number of decisions was cut off at the limit. */
+  readonly more: boolean;
+}
+
+/** Plans without writing, up to a number of decisions. */
+export function dryRun(situation: FleetSituation, limit: number): DryRun {
+  const decisions: Explanation[] = [];
+  let current = situation;
+  while (decisions.length < limit) {
+    const { decision, withheld } = planNext(current);
+    if (decision === undefined) return { decisions, withheld, more: false };
+    decisions.push(decision.explanation);
+    current = { ...current, servers: decision.servers };
+  }
+  return { decisions, withheld: [], more: true };
+}
--- /dev/null
+++ b/src/state/health-rules.ts
@@ -0,0 +1,117 @@
+/** Rules that react to failures and finish what was ordered. */
+import type { ServerRecord, ServerState } from "../protocol/fleet-document.ts";
+import {
+  available,
+  checkBudget,
+  explain,
+  NOTHING_TO_DO,
+  poolOf,
+  poolsOf,
+  rebootId,
+  type Figures,
+  type FleetSituation,
+  type RuleOutcome,
+} from "./fleet-situation.ts";
+import { goTo, replaceServer, type GoOptions } from "./fleet-transitions.ts";
+
+/** Time in quarantine before a server is drained and rebooted as a repair. */
+export const QUARANTINE_MS = 600_000;
+
+/** A decision that takes one server to its next state. */
+export function step(
+  situation: FleetSituation,
+  server: ServerRecord,
+  to: { readonly state: ServerState; readonly moveTo?: string | undefined },
+  because: { readonly rule: string; readonly text: string; readonly figures?: Figures },
+): RuleOutcome {
+  const options: GoOptions = { at: situation.wallTimeMs, moveTo: to.moveTo };
+  const servers = replaceServer(situation.servers, goTo(server, to.state, options));
+  const explanation = explain(situation, because.rule, because.text, because.figures);
+  return { decision: { servers, explanation }, withheld: [] };
+}
+
+/** Returns planned drains to service when failures have eaten the availability budget. */
+export function returnDrains(situation: FleetSituation): RuleOutcome {
+  for (const pool of poolsOf(situation)) {
+    const now = available(situation, pool.name);
+    if (now >= pool.minAvailable) continue;
+    const usable = (state: ServerState): ServerRecord | undefined =>
+      situation.servers.find(
+        (server) =>
+          server.pool === pool.name &&
+          server.state === state &&
+          situation.health.live(server.name) &&
+          !situation.health.bad(server.name),
+      );
+    const server = usable("draining") ?? usable("empty");
+    if (server === undefined) continue;
+    const text = `${server.name} returns to ${pool.name}, which is short of its availability budget`;
+    const figures = { available: now, minAvailable: pool.minAvailable };
+    return step(situation, server, { state: "serving" }, { rule: "return-drain", text, figures });
+  }
+  return NOTHING_TO_DO;
+}
+
+/** Takes servers that fail other servers' work out of service, within the availability budget. */
+export function quarantine(situation: FleetSituation): RuleOutcome {
+  const withheld = [];
+  for (const server of situation.servers) {
+    // A draining server takes no new work, and one that is repaired must not start over.
+    if (server.state !== "serving" || !situation.health.bad(server.name)) continue;
+    const { allowed, figures } = checkBudget(situation, server);
+    if (allowed) {
+      const text = `${server.name} of ${server.pool} fails tasks that succeed elsewhere`;
+      return step(
+        situation,
+        server,
+        { state: "quarantined" },
+        { rule: "quarantine", text, figures },
+      );
+    }
+    const text = `quarantine of ${server.name} would break the availability budget of ${server.pool}`;
+    withheld.push(explain(situation, "quarantine", text, figures));
+  }
+  return { withheld };
+}
+
+/** Drains servers that were in quarantine long enough, so that they are rebooted. */
+export function repair(situation: FleetSituation): RuleOutcome {
+  const server = situation.servers.find(
+    (s) => s.state === "quarantined" && situation.wallTimeMs - s.since >= QUARANTINE_MS,
+  );
+  if (server === undefined) return NOTHING_TO_DO;
+  const text = `${server.name} is drained for a reboot after its quarantine`;
+  return step(situation, server, { state: "draining" }, { rule: "repair", text });
+}
+
+/** Orders what empty servers were drained for. Servers in any other state get no order. */
+export function orderEmpty(situation: FleetSituation): RuleOutcome {
+  const server = situation.servers.find((s) => s.state === "empty");
+  if (server === undefined) return NOTHING_TO_DO;
+  if (server.moveTo === undefined) {
+    const text = `${server.name} is empty and is rebooted`;
+    return step(situation, server, { state: "rebooting" }, { rule: "order-reboot", text });
+  }
+  if (poolOf(situation, server.moveTo) === undefined) {
+    const text = `pool ${server.moveTo} is gone; ${server.name} stays in ${server.pool}`;
+    return step(situation, server, { state: "serving" }, { rule: "cancel-move", text });
+  }
+  const text = `${server.name} is empty and goes from ${server.pool} to ${server.moveTo}`;
+  const figures = { epoch: server.epoch + 1 };
+  return step(situation, server, { state: "moving" }, { rule: "order-move", text, figures });
+}
+
+/** Puts moved and rebooted servers back into service. */
+export function finishOrders(situation: FleetSituation): RuleOutcome {
+  const { servers, health, rebooted } = situation;
+  const moved = servers.find((s) => s.state === "moving" && health.live(s.name));
+  if (moved !== undefined) {
+    const text = `${moved.name} serves ${moved.pool}`;
+    return step(situation, moved, { state: "serving" }, { rule: "finish-move", text });
+  }
+  const back = servers.find((s) => s.state === "rebooting" && rebooted.has(rebootId(s)));
+  if (back === undefined) return NOTHING_TO_DO;
+  const text = `${back.name} was rebooted and serves ${back.pool}`;
+  const figures = { downMs: situation.wallTimeMs - back.since };
+  return step(situation, back, { state: "serving" }, { rule: "finish-reboot", text, figures });
+}
--- /dev/null
+++ b/src/state/maintenance-rules.ts
@@ -0,0 +1,127 @@
+/** Maintenance waves: rack by rack, zone by zone. */
+import type { ServerRecord } from "../protocol/fleet-document.ts";
+import {
+  checkBudget,
+  explain,
+  NOTHING_TO_DO,
+  type Figures,
+  type FleetSituation,
+  type RuleOutcome,
+} from "./fleet-situation.ts";
+import { step } from "./health-rules.ts";
+
+const DAY_MS = 86_400_000;
+/** A rebooted server that fails within this time counts as a failure of the wave. */
+export const SOAK_MS = 600_000;
+/** A reboot that takes longer counts as a failure of the wave. */
+export const REBOOT_LIMIT_MS = 900_000;
+/** One server down is an ordinary day's failure; two in the wave's zone may have one cause. */
+const DOWN_IN_ZONE_LIMIT = 2;
+
+/** True if drains for maintenance may start at this time of day (UTC). */
+export function inWindow(startMinute: number, endMinute: number, wallTimeMs: number): boolean {
+  const minute = Math.floor((wallTimeMs % DAY_MS) / 60_000);
+  if (startMinute <= endMinute) return minute >= startMinute && minute < endMinute;
+  return minute >= startMinute || minute < endMinute;
+}
+
+/** Servers whose reboot is due, in the order of the wave. */
+export function dueServers({
+  servers,
+  config,
+  wallTimeMs,
+}: FleetSituation): readonly ServerRecord[] {
+  const { everyDays } = config.maintenance;
+  if (everyDays <= 0) return [];
+  return servers
+    .filter((s) => s.state === "serving" && s.rebootedAt + everyDays * DAY_MS <= wallTimeMs)
+    .sort((a, b) => (waveOrder(a) < waveOrder(b) ? -1 : 1));
+}
+
+/** Servers that are being drained for a reboot, or rebooted. */
+export function serversInWave({ servers }: FleetSituation): readonly ServerRecord[] {
+  return servers.filter(
+    (s) =>
+      s.state === "rebooting" ||
+      ((s.state === "draining" || s.state === "empty") && s.moveTo === undefined),
+  );
+}
+
+function waveOrder(server: ServerRecord): string {
+  return [server.zone, server.rack, server.name].join("\u0000");
+}
+
+function rackOf(server: ServerRecord): string {
+  return `${server.zone}/${server.rack}`;
+}
+
+/** Starts the drain of the next server of the wave. */
+export function continueWave(situation: FleetSituation): RuleOutcome {
+  const due = dueServers(situation);
+  const first = due[0];
+  if (first === undefined) return NOTHING_TO_DO;
+  const { startMinute, endMinute, maxParallel } = situation.config.maintenance;
+  if (!inWindow(startMinute, endMinute, situation.wallTimeMs)) return NOTHING_TO_DO;
+  const active = serversInWave(situation);
+  const figures: Figures = { due: due.length, inWave: active.length, maxParallel };
+  const wait = (text: string, more: Figures = {}): RuleOutcome => ({
+    withheld: [explain(situation, "maintenance", text, { ...figures, ...more })],
+  });
+  const failures = waveFailures(situation, active[0] ?? first);
+  if (failures !== undefined) return wait(failures.text, failures.figures);
+  if (active.length >= maxParallel) return wait("the wave has as many servers as allowed at once");
+  return startNext(situation, { due, active, figures });
+}
+
+interface Wave {
+  readonly due: readonly ServerRecord[];
+  readonly active: readonly ServerRecord[];
+  readonly figures: Figures;
+}
+
+/** While a rack is under way only its servers are drained, so that one wave affects one rack. */
+function startNext(situation: FleetSituation, { due, active, figures }: Wave): RuleOutcome {
+  const racks = new Set(active.map(rackOf));
+  const candidates = racks.size === 0 ? due : due.filter((server) => racks.has(rackOf(server)));
+  const withheld = [];
+  for (const server of candidates) {
+    if (situation.health.live(server.name)) {
+      const budget = checkBudget(situation, server);
+      if (budget.allowed) {
+        const text = `${server.name} of ${server.pool} in rack ${rackOf(server)} is drained for its reboot`;
+        const because = { rule: "maintenance", text, figures: { ...figures, ...budget.figures } };
+        return { ...step(situation, server, { state: "draining" }, because), withheld };
+      }
+      const text = `${server.name} waits for the availability budget of ${server.pool}`;
+      withheld.push(explain(situation, "maintenance", text, budget.figures));
+    }
+  }
+  return { withheld };
+}
+
+/** Unplanned failures that pause the wave; undefined if there are none. */
+function waveFailures(
+  { servers, health, wallTimeMs }: FleetSituation,
+  current: ServerRecord,
+): { readonly text: string; readonly figures: Figures } | undefined {
+  const failing = servers.filter(
+    (s) =>
+      (s.state === "serving" || s.state === "quarantined") &&
+      wallTimeMs - s.rebootedAt <= SOAK_MS &&
+      (!health.live(s.name) || health.bad(s.name)),
+  ).length;
+  const stuck = servers.filter(
+    (s) => s.state === "rebooting" && wallTimeMs - s.since > REBOOT_LIMIT_MS,
+  ).length;
+  const down = servers.filter(
+    (s) =>
+      s.zone === current.zone &&
+      (s.state === "serving" || s.state === "draining") &&
+      !health.live(s.name),
+  ).length;
+  if (failing === 0 && stuck === 0 && down < DOWN_IN_ZONE_LIMIT) return undefined;
+  return {
+    text: `the wave is paused because of failures in ${current.zone}`,
+    figures: { failedAfterReboot: failing, stuckRebooting: stuck, downInZone: down },
+  };
+}
--- /dev/null
+++ b/src/state/move-rules.ts
@@ -0,0 +1,150 @@
+/** Moves between pools towards their target sizes. */
+import type { PoolConfig } from "../protocol/config-document.ts";
+import type { ServerRecord } from "../protocol/fleet-document.ts";
+import {
+  available,
+  bufferCoverage,
+  checkBudget,
+  effectiveSize,
+  explain,
+  poolOf,
+  poolsOf,
+  type FleetSituation,
+  type RuleOutcome,
+} from "./fleet-situation.ts";
+import { step } from "./health-rules.ts";
+import { replaceServer } from "./fleet-transitions.ts";
+
+/** Share of the fleet that may be on its way between pools at once; at least two servers. */
+const MOVING_SHARE = 0.05;
+
+/** A pool with what it lacks. */
+interface Shortage {
+  readonly pool: PoolConfig;
+  readonly size: number;
+  readonly lacks: number;
+  /** Short of its availability budget, not only of its target size. */
+  readonly urgent: boolean;
+}
+
+/** Starts one move for the pool with the greatest shortage. */
+export function moveTowardsTargets(situation: FleetSituation): RuleOutcome {
+  const withheld = [];
+  const onTheWay = situation.servers.filter((s) => s.moveTo !== undefined || s.state === "moving");
+  const limit = Math.max(2, Math.floor(situation.servers.length * MOVING_SHARE));
+  for (const shortage of shortages(situation)) {
+    const { pool, size, urgent } = shortage;
+    const figures = { size, targetSize: pool.targetSize, moving: onTheWay.length, limit };
+    const candidates = sources(situation, shortage);
+    const allowed = candidates.find((server) => mayLeave(situation, server));
+    if (allowed === undefined) {
+      const blocked = candidates.length === 0 ? "no other pool has a surplus" : "budgets hold them";
+      const text = `${pool.name} lacks ${shortage.lacks} servers, but ${blocked}`;
+      withheld.push(explain(situation, "move", text, figures));
+    } else if (onTheWay.length >= limit && !urgent) {
+      const text = `${pool.name} waits for other moves to finish`;
+      withheld.push(explain(situation, "move", text, figures));
+    } else {
+      return { ...startMove(situation, allowed, shortage), withheld };
+    }
+  }
+  return { withheld };
+}
+
+function shortages(situation: FleetSituation): readonly Shortage[] {
+  return poolsOf(situation)
+    .map((pool): Shortage => {
+      const size = effectiveSize(situation, pool.name);
+      const urgent = available(situation, pool.name) < pool.minAvailable && size < pool.targetSize;
+      return { pool, size, lacks: pool.targetSize - size, urgent };
+    })
+    .filter(({ lacks }) => lacks > 0)
+    .sort((a, b) => Number(b.urgent) - Number(a.urgent) || ratio(b) - ratio(a));
+}
+
+function ratio({ lacks, pool }: Shortage): number {
+  return lacks / Math.max(1, pool.targetSize);
+}
+
+/** Servers that could move, best first: empty ones, then matching hardware, then spread. */
+function sources(situation: FleetSituation, { pool, urgent }: Shortage): readonly ServerRecord[] {
+  const members = situation.servers.filter((server) => server.pool === pool.name);
+  const giving = new Set(givingPools(situation, pool, urgent));
+  const rank = (server: ServerRecord): readonly number[] => [
+    server.state === "empty" ? 0 : 1,
+    giving.has(server.pool) && poolOf(situation, server.pool)?.spare !== true ? 0 : 1,
+    members.some((member) => sameHardware(member, server)) || members.length === 0 ? 0 : 1,
+    members.filter((member) => member.zone === server.zone && member.rack === server.rack).length,
+    members.filter((member) => member.zone === server.zone).length,
+  ];
+  return situation.servers
+    .filter(
+      (server) =>
+        giving.has(server.pool) &&
+        server.moveTo === undefined &&
+        (server.state === "serving" || server.state === "empty") &&
+        situation.health.live(server.name) &&
+        !situation.health.bad(server.name),
+    )
+    .map((server) => ({ server, rank: rank(server) }))
+    .sort((a, b) => compare(a.rank, b.rank) || (a.server.name < b.server.name ? -1 : 1))
+    .map(({ server }) => server);
+}
+
+/** Pools with a surplus, and the spare pool as long as it covers the largest failure domain. */
+function givingPools(
+  situation: FleetSituation,
+  needing: PoolConfig,
+  urgent: boolean,
+): readonly string[] {
+  const names = new Set(situation.servers.map((server) => server.pool));
+  return [...names].filter((name) => {
+    if (name === needing.name) return false;
+    const pool = poolOf(situation, name);
+    const surplus = effectiveSize(situation, name) - (pool?.targetSize ?? 0);
+    if (pool?.spare !== true) return surplus > 0;
+    if (surplus > 0 || urgent) return true;
+    const { have, need } = bufferCoverage(situation);
+    return have - 1 >= need;
+  });
+}
+
+function mayLeave(situation: FleetSituation, server: ServerRecord): boolean {
+  return checkBudget(situation, server).allowed;
+}
+
+function startMove(
+  situation: FleetSituation,
+  server: ServerRecord,
+  { pool, size, urgent }: Shortage,
+): RuleOutcome {
+  const figures = {
+    ...checkBudget(situation, server).figures,
+    size,
+    targetSize: pool.targetSize,
+    urgent: Number(urgent),
+  };
+  if (server.state === "empty") {
+    const text = `empty ${server.name} goes to ${pool.name}`;
+    const servers = replaceServer(situation.servers, { ...server, moveTo: pool.name });
+    const explanation = explain(situation, "move", text, figures);
+    return { decision: { servers, explanation }, withheld: [] };
+  }
+  const text = `${server.name} is drained to go from ${server.pool} to ${pool.name}`;
+  const to = { state: "draining", moveTo: pool.name } as const;
+  return step(situation, server, to, { rule: "move", text, figures });
+}
+
+function sameHardware(a: ServerRecord, b: ServerRecord): boolean {
+  return (
+    a.cores === b.cores && a.memoryGb === b.memoryGb && a.accelerators > 0 === b.accelerators > 0
+  );
+}
+
+function compare(a: readonly number[], b: readonly number[]): number {
+  for (const [index, value] of a.entries()) {
+    const difference = value - (b[index] ?? 0);
+    if (difference !== 0) return difference;
+  }
+  return 0;
+}
--- /dev/null
+++ b/test/coordination/planner.test.ts
@@ -0,0 +1,172 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { FleetDocument, ServerRecord } from "../../src/protocol/fleet-document.ts";
+import { bufferCoverage } from "../../src/state/fleet-situation.ts";
+import { mayGo } from "../../src/state/fleet-transitions.ts";
+import {
+  exampleConfig,
+  exampleInstances,
+  PlannedFleet,
+  situationOf,
+} from "../fakes/planned-fleet.ts";
+
+const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
+
+/** Counts servers in service by state alone, so that planned work is judged without failures. */
+function serving(servers: readonly ServerRecord[], pool: string): number {
+  return servers.filter((server) => server.pool === pool && server.state === "serving").length;
+}
+
+/** Checks every write: one record per server, allowed transitions, and budgets of planned work. */
+function checkWrites(writes: readonly FleetDocument[]): void {
+  const before = new Map<string, ServerRecord>();
+  for (const [index, fleet] of writes.entries()) {
+    assert.is(new Set(fleet.servers.map((s) => s.name)).size, fleet.servers.length);
+    const former = writes[index - 1]?.servers ?? [];
+    for (const server of fleet.servers) {
+      const old = before.get(server.name);
+      before.set(server.name, server);
+      if (old === undefined) continue;
+      assert.ok(old.state === server.state || mayGo(old.state, server.state));
+      assert.is(server.epoch, old.epoch + (server.pool === old.pool ? 0 : 1));
+      if (server.pool !== old.pool) assert.is(old.state, "empty");
+      if (server.state !== "draining" || old.state !== "serving") continue;
+      const { minAvailable } = exampleConfig().pools.find((pool) => pool.name === old.pool)!;
+      assert.ok(serving(former, old.pool) - 1 >= minAvailable, `budget of ${old.pool}`);
+    }
+  }
+}
+
+// Guards against pools that are filled from one rack, so that its loss empties them.
+test("new servers fill all pools to their targets and are spread over zones", async () => {
+  const fleet = new PlannedFleet();
+  fleet.addPlanner(1);
+  await fleet.clock.advance(2500);
+  const servers = await fleet.servers();
+  for (const pool of exampleConfig().pools) {
+    const members = servers.filter((server) => server.pool === pool.name);
+    assert.is(members.length, pool.targetSize, pool.name);
+    assert.is(new Set(members.map((server) => server.zone)).size, 3, pool.name);
+  }
+  const coverage = bufferCoverage(situationOf(servers));
+  assert.ok(coverage.have >= coverage.need, JSON.stringify(coverage));
+});
+
+// Guards against a wave that breaks budgets, reboots servers with tasks or never finishes.
+test("a wave reboots every server once, one rack at a time, within all budgets", async () => {
+  const fleet = new PlannedFleet();
+  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE });
+  fleet.startHolders();
+  const { planner } = fleet.addPlanner(1);
+  await fleet.clock.until(() => planner.status().rolloutMs !== undefined, 600_000, 500);
+  assert.is(new Set(fleet.rebootOrders.map((server) => server.name)).size, 35);
+  assert.is(fleet.rebootOrders.length, 35);
+  checkWrites(fleet.kv.fleets);
+  for (const { servers } of fleet.kv.fleets) {
+    const inWave = servers.filter((s) => ["draining", "empty", "rebooting"].includes(s.state));
+    assert.ok(new Set(inWave.map((server) => server.rack)).size <= 1);
+    assert.ok(inWave.length <= 3);
+  }
+});
+
+// Guards against a decision that was made before a pause and is written after it.
+test("two racing planners and one that resumes after a pause keep every budget", async () => {
+  const fleet = new PlannedFleet();
+  fleet.config.document = exampleConfig({ maintenance: { ...MAINTENANCE, maxParallel: 8 } });
+  fleet.startHolders();
+  const [first] = [fleet.addPlanner(1), fleet.addPlanner(2)];
+  const third = fleet.addPlanner(3);
+  for (let pause = 0; pause < 10; pause++) {
+    third.store.paused = fleet.clock.sleep(5000);
+    if (pause % 2 === 0) first.store.paused = fleet.clock.sleep(1500);
+    await fleet.clock.advance(6000);
+  }
+  assert.ok((fleet.counters.counts.get("retry_kv_conflict") ?? 0) > 5);
+  assert.ok(new Set(fleet.rebootOrders.map((server) => server.name)).size > 20);
+  checkWrites(fleet.kv.fleets);
+});
+
+// Guards against a wave that goes on although what it does, or the rack, fails.
+test("a rack lost inside a wave pauses it, returns drains and moves in spare servers", async () => {
+  const fleet = new PlannedFleet();
+  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE });
+  fleet.drainMs = 20_000;
+  fleet.startHolders();
+  const { planner } = fleet.addPlanner(1);
+  await fleet.clock.advance(5000);
+  assert.ok((await fleet.servers()).some((server) => server.state === "draining"));
+  // The wave is in rack r0 of zone a; r3 is another rack of the same zone.
+  const lost = exampleInstances().filter((instance) => instance.rack === "r3");
+  for (const { name } of lost) fleet.health.down.add(name);
+  await fleet.clock.advance(3000);
+  const rebooted = fleet.rebootOrders.length;
+  assert.match(
+    planner
+      .status()
+      .withheld.map((e) => e.text)
+      .join(),
+    "the wave is paused",
+  );
+  for (const pool of exampleConfig().pools) {
+    const up = (await fleet.servers()).filter(
+      (s) => s.pool === pool.name && s.state === "serving" && fleet.health.live(s.name),
+    );
+    assert.ok(up.length >= pool.minAvailable, pool.name);
+  }
+  await fleet.clock.advance(60_000);
+  assert.ok(fleet.rebootOrders.length - rebooted <= MAINTENANCE.maxParallel);
+  // The platform takes the rack out of the list, and the wave goes on without it.
+  fleet.list.instances = fleet.list.instances.filter((i) => i.rack !== "r3");
+  await fleet.clock.until(() => planner.status().rolloutMs !== undefined, 2_000_000, 1000);
+  assert.is((await fleet.servers()).length, 31);
+  const names = new Set(fleet.rebootOrders.map((server) => server.name));
+  assert.is(names.size, 31);
+});
+
+// Guards against records removed because the list lags, which would free budget of running tasks.
+test("a server absent from the list is removed only after the server confirms it", async () => {
+  const fleet = new PlannedFleet();
+  fleet.addPlanner(1);
+  await fleet.clock.advance(2000);
+  fleet.list.instances = exampleInstances().slice(1);
+  await fleet.clock.advance(120_000);
+  assert.is((await fleet.servers()).length, 35);
+  fleet.health.down.add("s00");
+  await fleet.clock.advance(5000);
+  assert.is((await fleet.servers()).length, 34);
+});
+
+// Guards against an instance that is removed although the list was merely unreadable or late.
+test("a server listed as leaving takes no work and returns when it is listed as live", async () => {
+  const fleet = new PlannedFleet();
+  fleet.addPlanner(1);
+  await fleet.clock.advance(2000);
+  const leaving = { ...exampleInstances()[0]!, state: "leaving" as const };
+  fleet.list.instances = [leaving, ...exampleInstances().slice(1)];
+  await fleet.clock.advance(2000);
+  assert.is((await fleet.servers()).find((s) => s.name === "s00")?.state, "leaving");
+  fleet.list.instances = exampleInstances();
+  await fleet.clock.advance(2000);
+  assert.is((await fleet.servers()).find((s) => s.name === "s00")?.state, "serving");
+});
+
+// Guards against a change of targets that is not carried out, or by moves of servers with tasks.
+test("changed target sizes are reached by moves of drained servers", async () => {
+  const fleet = new PlannedFleet();
+  fleet.startHolders();
+  const { planner } = fleet.addPlanner(1);
+  await fleet.clock.advance(2000);
+  const sizes: Record<string, number> = { allotments: 4, certification: 8 };
+  const pools = exampleConfig().pools.map((pool) => ({
+    ...pool,
+    targetSize: sizes[pool.name] ?? pool.targetSize,
+  }));
+  fleet.config.document = exampleConfig({ pools });
+  await fleet.clock.until(() => planner.status().moves === 2, 60_000);
+  await fleet.clock.advance(3000);
+  const servers = await fleet.servers();
+  for (const pool of pools) assert.is(serving(servers, pool.name), pool.targetSize, pool.name);
+  checkWrites(fleet.kv.fleets);
+});
+
+test.run();
--- /dev/null
+++ b/test/fakes/planned-fleet.ts
@@ -0,0 +1,200 @@
+import { readFileSync } from "node:fs";
+import { Ok, type Result } from "ts-results";
+import { KeyValueFleetStore, type FleetWrite } from "../../src/coordination/fleet-store.ts";
+import { Planner, PlannerSupport } from "../../src/coordination/planner.ts";
+import { ConfigView } from "../../src/coordination/ports.ts";
+import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
+import type { KvError, KvPut } from "../../src/platform/key-value-service.ts";
+import type { ConfigDocument } from "../../src/protocol/config-document.ts";
+import type { FleetDocument, ServerRecord } from "../../src/protocol/fleet-document.ts";
+import { readTemplate } from "../../src/settings/template-file.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { FleetHealth, type FleetSituation } from "../../src/state/fleet-situation.ts";
+import { markEmpty } from "../../src/state/fleet-transitions.ts";
+import { QUIET_LOG, RecordedCounters } from "./quiet.ts";
+import { SeededRandom } from "./seeded-random.ts";
+import { VirtualClock } from "./virtual-clock.ts";
+
+/** The example deployment Piedra Viva at revision 1, with other settings where given. */
+export function exampleConfig(change: Partial<ConfigDocument> = {}): ConfigDocument {
+  const file = "examples/piedra-viva.ini";
+  const content = readTemplate(file, readFileSync(file, "utf8")).unwrap();
+  return { ...content, revision: 1, writeId: "w", acceptedAt: 0, ...change };
+}
+
+/** 35 instances of the example, four to a rack, spread over three zones. */
+export function exampleInstances(count = 35): readonly ListedInstance[] {
+  return Array.from({ length: count }, (_, index) => {
+    const rackNumber = Math.floor(index / 4);
+    return {
+      name: `s${String(index).padStart(2, "0")}`,
+      address: `http://127.0.0.1:${9000 + index}`,
+      zone: `andina-${"abc"[rackNumber % 3] ?? ""}`,
+      rack: `r${rackNumber}`,
+      ...{ cores: 64, memoryGb: 256, accelerators: 0, slots: 8, state: "live" as const },
+    };
+  });
+}
+
+/** Health that tests set. */
+export class TestHealth extends FleetHealth {
+  readonly down = new Set<string>();
+  readonly failing = new Set<string>();
+
+  live(server: string): boolean {
+    return !this.down.has(server);
+  }
+
+  bad(server: string): boolean {
+    return this.failing.has(server);
+  }
+}
+
+/** A situation for rules alone. */
+export function situationOf(
+  servers: readonly ServerRecord[],
+  change: Partial<FleetSituation> = {},
+): FleetSituation {
+  return {
+    ...{ group: "andina", servers, listed: undefined, wallTimeMs: 1_700_000_000_000 },
+    config: exampleConfig(),
+    health: new TestHealth(),
+    confirmedGone: new Set(),
+    rebooted: new Set(),
+    ...change,
+  };
+}
+
+class FixedConfig extends ConfigView {
+  document = exampleConfig();
+
+  current(): ConfigDocument {
+    return this.document;
+  }
+
+  ageMs(): number {
+    return 0;
+  }
+
+  keyedWorkAllowed(): boolean {
+    return true;
+  }
+
+  teamOfKey(): undefined {
+    return undefined;
+  }
+
+  onChange(): () => void {
+    return () => undefined;
+  }
+}
+
+class FixedList extends InstanceList {
+  instances = exampleInstances();
+
+  list(): Promise<Result<readonly ListedInstance[], never>> {
+    return Promise.resolve(Ok(this.instances));
+  }
+}
+
+/** Records every write that took effect. */
+class RecordingStore extends KeyValueStore {
+  readonly fleets: FleetDocument[] = [];
+
+  override async put(put: KvPut): Promise<Result<number, KvError>> {
+    const reply = await super.put(put);
+    if (reply.ok) this.fleets.push({ ...(JSON.parse(put.value) as FleetDocument), revision: 0 });
+    return reply;
+  }
+}
+
+/** A fleet store whose writes a test can hold back, as a paused process does. */
+class PausableStore extends KeyValueFleetStore {
+  paused: Promise<void> = Promise.resolve();
+
+  override async write(next: FleetDocument): Promise<FleetWrite> {
+    await this.paused;
+    return super.write(next);
+  }
+}
+
+class TestSupport extends PlannerSupport {
+  readonly #fleet: PlannedFleet;
+
+  constructor(fleet: PlannedFleet) {
+    super();
+    this.#fleet = fleet;
+  }
+
+  holdsDuty(): boolean {
+    return true;
+  }
+
+  inGroup(): boolean {
+    return true;
+  }
+
+  async reboot(server: ServerRecord): Promise<Result<void, string>> {
+    this.#fleet.rebootOrders.push(server);
+    await this.#fleet.clock.sleep(2000);
+    return Ok(undefined);
+  }
+
+  confirmGone(server: ServerRecord): Promise<boolean> {
+    return Promise.resolve(this.#fleet.health.down.has(server.name));
+  }
+}
+
+/** The example fleet under any number of planners, with lease holders that drain servers. */
+export class PlannedFleet {
+  readonly clock = new VirtualClock();
+  readonly kv = new RecordingStore({ clock: this.clock });
+  readonly config = new FixedConfig();
+  readonly list = new FixedList();
+  readonly health = new TestHealth();
+  readonly counters = new RecordedCounters();
+  readonly rebootOrders: ServerRecord[] = [];
+  /** Time that a server needs to finish its tasks. */
+  drainMs = 3000;
+  readonly #store = new KeyValueFleetStore({ keyValue: this.kv, group: "andina" });
+
+  /** Starts a planner that believes to hold the duty, as after a takeover from a paused one. */
+  addPlanner(seed: number): { readonly planner: Planner; readonly store: PausableStore } {
+    const store = new PausableStore({ keyValue: this.kv, group: "andina" });
+    const planner = new Planner({
+      ...{ clock: this.clock, counters: this.counters, log: QUIET_LOG, store },
+      ...{ config: this.config, health: this.health, group: "andina" },
+      random: new SeededRandom(seed),
+      instanceList: this.list,
+      support: new TestSupport(this),
+    });
+    planner.start();
+    return { planner, store };
+  }
+
+  async servers(): Promise<readonly ServerRecord[]> {
+    return (await this.#store.read()).unwrap()?.servers ?? [];
+  }
+
+  /** Acts as the lease holders: drained servers are marked empty after their tasks ended. */
+  startHolders(): void {
+    const check = async (): Promise<void> => {
+      for (;;) {
+        await this.clock.sleep(200);
+        await this.#emptyOne();
+      }
+    };
+    void check();
+  }
+
+  async #emptyOne(): Promise<void> {
+    const fleet = (await this.#store.read()).unwrap();
+    const now = this.clock.wallTime();
+    const drained = fleet?.servers.find(
+      (s) => s.state === "draining" && now - s.since >= this.drainMs && this.health.live(s.name),
+    );
+    if (fleet === undefined || drained === undefined) return;
+    const servers = markEmpty(fleet.servers, drained.name, now) ?? fleet.servers;
+    await this.#store.write({ ...fleet, servers, writeId: `holder-${now}` });
+  }
+}
