--- a/test/fakes/peer-network.ts
+++ b/test/fakes/peer-network.ts
@@ -22,7 +22,7 @@
 /** Options of {@link PeerNetwork}. */
 export interface PeerNetworkOptions {
   readonly links: Links;
-  /** Called for each request when it is delivered, for a test's own record. */
+  /** Called for each request when it is sent, for a test's own record. */
   readonly observe?: (from: Hello, to: Hello, req: PeerRequest) => void;
   /** Called when a handler throws, which no handler may do. */
   readonly onThrow?: (to: Hello, error: unknown) => void;
@@ -132,8 +132,9 @@
     timeoutMs: number,
   ): Promise<Result<ReplyTo<T>, PeerError>> {
     if (!this.open) return Err({ kind: "not-sent", detail: "connection closed" });
-    const { network, party, target } = this.#options;
-    const { links } = network.options;
+    const { network, party, target, self } = this.#options;
+    const { links, observe } = network.options;
+    observe?.(self, target.hello, req);
     const copy = structuredClone(req);
     const outcome = await links.call(party, target.party, () => this.#handle(copy), timeoutMs);
     if (outcome.kind === "ok") return Ok(outcome.value as ReplyTo<T>);
@@ -145,7 +146,6 @@
 
   async #handle(req: PeerRequest): Promise<PeerReply> {
     const { network, target, self } = this.#options;
-    network.options.observe?.(self, target.hello, req);
     try {
       return structuredClone(await target.handler(self, req));
     } catch (error) {
--- a/test/fuzz/fleet-plan.ts
+++ b/test/fuzz/fleet-plan.ts
@@ -1,6 +1,5 @@
-import { createHash } from "node:crypto";
 import type { ListedInstance } from "../../src/platform/instance-list.ts";
-import type { ConfigDocument, KeyConfig } from "../../src/protocol/config-document.ts";
+import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { ServerRecord } from "../../src/protocol/fleet-document.ts";
 
 /** The pool group of every simulated pool. */
@@ -94,8 +93,3 @@
     weights: { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 },
   };
 }
-
-/** The stored form of a key. */
-export function storedKey(id: string, salt: string, key: string): KeyConfig {
-  return { id, salt, hash: createHash("sha256").update(salt).update(key).digest("hex") };
-}
--- a/test/fuzz/operator-desk.ts
+++ b/test/fuzz/operator-desk.ts
@@ -1,7 +1,7 @@
+import { issueKey } from "../../src/state/keys.ts";
 import type { KeyValueService } from "../../src/platform/key-value-service.ts";
 import { CONFIG_KEY, type ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { SeededRandom } from "../fakes/seeded-random.ts";
-import { storedKey } from "./fleet-plan.ts";
 import type { Oracle } from "./oracle.ts";
 
 /** A change of the configuration. */
@@ -18,7 +18,6 @@
 /** Operators: they edit what they read and write it by compare-and-swap. */
 export class OperatorDesk {
   readonly #options: OperatorDeskOptions;
-  #keys = 0;
 
   constructor(options: OperatorDeskOptions) {
     this.#options = options;
@@ -46,10 +45,8 @@
   /** Gives the team a new key and returns it in the clear. */
   async giveKey(team: string): Promise<string> {
     const { random, oracle } = this.#options;
-    const id = `key-${++this.#keys}`;
-    const key = random.hex(32);
-    const stored = storedKey(id, random.hex(8), key);
-    oracle.operators.issuedKey(key, id, team);
+    const { clear: key, stored } = issueKey(random);
+    oracle.operators.issuedKey(key, stored.id, team);
     await this.apply((doc) => ({
       ...doc,
       teams: doc.teams.map((t) => (t.name === team ? { ...t, keys: [...t.keys, stored] } : t)),
