--- a/test/fuzz/operator-history.ts
+++ b/test/fuzz/operator-history.ts
@@ -47,6 +47,12 @@
     this.#accepted.push({ doc, firstSeenAt: undefined, allSeenAt: undefined });
   }
 
+  /** An operator was told that an edit is in force from this revision. */
+  toldAccepted(revision: number): void {
+    if (this.#accepted.some(({ doc }) => doc.revision === revision)) return;
+    this.#options.violations.add("configuration", `told of revision ${revision}, never written`);
+  }
+
   issuedKey(key: string, keyId: string, team: string): void {
     this.#keyTeams.set(key, team);
     this.#keyIds.set(key, keyId);
