test(fuzz): check that an undisturbed shutdown cuts no running request

Cause: a refused running request at a shutdown was not distinguished from an answered one. Change: calls whose task runs when an undisturbed shutdown begins must be answered before their deadline; lost connections are told from timeouts; entries may stay away for two minutes. Ruled out: the check while faults are active, since a lost server excuses a missing answer.

--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -14,7 +14,8 @@
   | { readonly kind: "ok"; readonly value: T }
   /** The call certainly did not reach the other side. */
   | { readonly kind: "not-sent" }
-  | { readonly kind: "ambiguous" };
+  /** `reset` tells a lost connection from a call that took too long. */
+  | { readonly kind: "ambiguous"; readonly reset: boolean };
 
 /** Options of {@link Links}. */
 export interface LinksOptions {
@@ -127,11 +128,13 @@
         });
       };
       const fail = (): void => {
-        finish({ kind: "ambiguous" });
+        finish({ kind: "ambiguous", reset: true });
       };
       const call: Call = { from, to, fail };
       this.#calls.add(call);
-      const timer: Timer = clock.schedule(timeoutMs, fail);
+      const timer: Timer = clock.schedule(timeoutMs, () => {
+        finish({ kind: "ambiguous", reset: false });
+      });
       if (to.gate.dead || (this.isCut(from, to) && random.next() < RESET_SHARE)) {
         clock.schedule(this.#delay(from, to), () => {
           finish({ kind: "not-sent" });
--- a/test/fakes/peer-network.ts
+++ b/test/fakes/peer-network.ts
@@ -138,8 +138,8 @@
     const copy = structuredClone(req);
     const outcome = await links.call(party, target.party, () => this.#handle(copy), timeoutMs);
     if (outcome.kind === "ok") return Ok(outcome.value as ReplyTo<T>);
-    // A connection that failed while the link is down is seen as lost; a slow peer is not.
-    if (links.isCut(party, target.party) || target.party.gate.dead) this.#closed = true;
+    // A lost connection is seen as such; a slow or silent peer is not.
+    if (outcome.kind === "not-sent" || outcome.reset) this.#closed = true;
     if (outcome.kind === "not-sent") return Err({ kind: "not-sent", detail: "connection lost" });
     return Err({ kind: "ambiguous", detail: "no reply" });
   }
--- a/test/fuzz/callers.ts
+++ b/test/fuzz/callers.ts
@@ -160,6 +160,8 @@
       idempotent: plan.idempotent && !order.neverTwice,
       keyMayBeValid: order.key !== undefined && this.#oracle.operators.keyMayBeValid(order.key),
       open: plan.open,
+      bad: order.job.bad,
+      timeoutMs: order.timeoutMs,
     };
   }
 }
--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -9,29 +9,16 @@
   const slot = world.slot(entry);
   slot.kill();
   world.memoryLost = true;
+  world.disturb(afterMs);
   world.clock.schedule(afterMs, () => {
     slot.start();
   });
 }
 
-function shutDown(world: World, entry: number): void {
-  const slot = world.slot(entry);
-  world.memoryLost = true;
-  void slot.shutDown().then(
-    () => {
-      world.clock.schedule(1000, () => {
-        slot.start();
-      });
-    },
-    (error: unknown) => {
-      world.oracle.threw(`${slot.tag} shutdown`, error);
-    },
-  );
-}
-
 function pause(world: World, entry: number, ms: number): void {
   const gate = world.slot(entry).process?.party.gate;
   gate?.pause();
+  world.disturb(ms);
   world.clock.schedule(ms, () => {
     gate?.resume();
   });
@@ -40,6 +27,7 @@
 function cutFor(world: World, a: string, b: string, ms: number, late: boolean): void {
   world.links.setLateDelivery(late);
   world.links.cut(a, b);
+  world.disturb(ms);
   world.clock.schedule(ms, () => {
     world.links.heal(a, b);
     world.observe();
@@ -50,8 +38,14 @@
 const pauseMs = fc.constantFrom(500, 3000, 6000, 20_000);
 const late = fc.boolean();
 
+function lose(world: World, server: number): void {
+  world.disturb(Infinity);
+  world.farm.lose(world.farm.machine(server));
+}
+
 function loseRack(world: World, server: number): void {
   const { rack } = world.farm.machine(server).instance;
+  world.disturb(Infinity);
   for (const machine of world.farm.machines) {
     if (machine.instance.rack === rack) world.farm.lose(machine);
   }
@@ -59,6 +53,7 @@
 
 function leave(world: World, server: number, listOnly: boolean): void {
   const machine = world.farm.machine(server);
+  world.disturb(Infinity);
   world.farm.leave(machine, { listOnly });
   world.clock.schedule(20_000, () => {
     if (machine.leaving) world.farm.lose(machine);
@@ -72,8 +67,14 @@
 }
 
 const processFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
-  fc.tuple(index, fc.constantFrom(100, 3000, 10_000)).map(command("replace", replaceLater)),
-  fc.tuple(index).map(command("shutDown", shutDown)),
+  fc
+    .tuple(index, fc.constantFrom(100, 3000, 10_000, 120_000))
+    .map(command("replace", replaceLater)),
+  fc.tuple(index).map(
+    command("shutDown", (world: World, entry: number) => {
+      world.shutDown(world.slot(entry));
+    }),
+  ),
   fc.tuple(index, pauseMs).map(command("pause", pause)),
   fc.tuple(fc.constantFrom("planner"), pauseMs).map(command("pauseHolder", pauseHolder)),
 ];
@@ -107,6 +108,12 @@
       cutFor(world, world.slot(entry).tag, "server", ms, held);
     }),
   ),
+  fc.tuple(index, index).map(
+    command("loseConnections", (world: World, a: number, b: number) => {
+      world.disturb(0);
+      world.links.reset(world.slot(a).tag, world.slot(b).tag);
+    }),
+  ),
   fc.tuple(durationMs, late).map(
     command("platformDown", (world: World, ms: number, held: boolean) => {
       cutFor(world, "entry", "platform", ms, held);
@@ -121,6 +128,7 @@
     .map(
       command("slow", (world: World, tag: string, delayMs: number, ms: number) => {
         world.links.slow(tag, delayMs);
+        world.disturb(ms);
         world.clock.schedule(ms, () => {
           world.links.slow(tag, 0);
         });
@@ -131,6 +139,7 @@
     .map(
       command("loseReplies", (world: World, tag: string, share: number, ms: number) => {
         world.links.loseReplies(tag, share);
+        world.disturb(ms);
         world.clock.schedule(ms, () => {
           world.links.loseReplies(tag, 0);
         });
@@ -139,11 +148,7 @@
 ];
 
 const serverFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
-  fc.tuple(index).map(
-    command("loseServer", (world: World, server: number) => {
-      world.farm.lose(world.farm.machine(server));
-    }),
-  ),
+  fc.tuple(index).map(command("loseServer", lose)),
   fc.tuple(index).map(command("loseRack", loseRack)),
   fc.tuple(index).map(
     command("restoreServer", (world: World, server: number) => {
@@ -154,6 +159,7 @@
   fc.tuple(index, fc.boolean()).map(command("leave", leave)),
   fc.tuple(index, fc.boolean()).map(
     command("failEverything", (world: World, server: number, on: boolean) => {
+      if (on) world.disturb(Infinity);
       world.farm.setFailing(world.farm.machine(server), on);
     }),
   ),
--- a/test/fuzz/entry-slot.ts
+++ b/test/fuzz/entry-slot.ts
@@ -94,16 +94,26 @@
     ended.waiting.clear();
   }
 
-  /** Ends the process gracefully; calls that it leaves without a reply are violations. */
-  async shutDown(): Promise<void> {
+  /** Calls that wait here and whose task runs. */
+  runningCalls(): readonly number[] {
+    const { requests } = this.#env.oracle;
+    return [...(this.#process?.waiting.keys() ?? [])].filter((call) => requests.isRunning(call));
+  }
+
+  /**
+   * Ends the process gracefully; calls that it leaves without a reply are violations. False if
+   * there was nothing to end or the process was killed meanwhile.
+   */
+  async shutDown(): Promise<boolean> {
     const ended = this.#process;
-    if (ended === undefined || ended.stopping || ended.party.gate.paused) return;
+    if (ended === undefined || ended.stopping || ended.party.gate.paused) return false;
     ended.stopping = true;
     const { mutant, oracle } = this.#env;
     if (mutant?.cutShutdown !== true) await ended.instance.shutdown();
-    if (this.#process !== ended) return;
+    if (this.#process !== ended) return false;
     oracle.shutDown(this.tag, [...ended.waiting.values()]);
     this.kill();
+    return true;
   }
 
   #parts(party: Party): EntryParts {
--- a/test/fuzz/history-builders.ts
+++ b/test/fuzz/history-builders.ts
@@ -54,6 +54,8 @@
     idempotent: false,
     keyMayBeValid: true,
     open: false,
+    bad: false,
+    timeoutMs: 1000,
     ...parts,
   };
 }
--- a/test/fuzz/oracle.test.ts
+++ b/test/fuzz/oracle.test.ts
@@ -205,15 +205,33 @@
   assert.is(found().length, 4);
 });
 
-test("a call cut by a shutdown and a late recovery are reported", () => {
+test("a call without a reply at a shutdown and a late recovery are reported", () => {
   const { oracle, found } = fixture();
   oracle.shutDown("e1", []);
   assert.equal(found(), []);
   oracle.shutDown("e1", ["a"]);
-  oracle.cutByShutdown("e1", "a", "stopping");
   oracle.notRecovered("red runs 1 of 2");
   oracle.threw("handler", new Error("x"));
-  assert.equal(found(), ["shutdown", "shutdown", "liveness", "liveness"]);
+  assert.equal(found(), ["shutdown", "liveness", "liveness"]);
+});
+
+test("a running request that an undisturbed shutdown cuts is reported", () => {
+  const { oracle, pass, found } = fixture();
+  const calls = ["a", "b", "c"].map((nonce) => oracle.requests.sent(call(nonce)));
+  for (const nonce of ["a", "b"]) oracle.started("s1", nonce, task(nonce), ["main"]);
+  assert.equal(
+    calls.map((one) => oracle.requests.isRunning(one)),
+    [true, true, false],
+  );
+  oracle.ended("s1", "a", task("a"));
+  oracle.requests.replied(calls[0]!, answer("a/a", "a"));
+  oracle.requests.replied(calls[1]!, refusal("unknown"));
+  oracle.checkCut("e1", [calls[0]!, calls[1]!]);
+  assert.equal(found(), ["shutdown"]);
+  pass(1000);
+  oracle.requests.replied(calls[1]!, refusal("unknown"));
+  oracle.checkCut("e1", [calls[1]!]);
+  assert.equal(found(), ["shutdown"]);
 });
 
 test("a call without an outcome stays listed until it has one", () => {
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -24,7 +24,7 @@
   constructor({ now, expectedAnswer }: OracleOptions) {
     this.#violations = new Violations({ now });
     const violations = this.#violations;
-    this.requests = new RequestHistory({ violations, expectedAnswer });
+    this.requests = new RequestHistory({ now, violations, expectedAnswer });
     this.operators = new OperatorHistory({ now, violations });
     this.fleet = new FleetHistory({ now, violations, operators: this.operators });
   }
@@ -52,9 +52,12 @@
     }
   }
 
-  /** A request that waited at an entry during its undisturbed graceful shutdown got no answer. */
-  cutByShutdown(entry: string, nonce: string, reply: string): void {
-    this.#violations.add("shutdown", `${entry} answered running ${nonce} with ${reply}`);
+  /** These calls waited with running tasks at an entry when its undisturbed shutdown began. */
+  checkCut(entry: string, calls: readonly number[]): void {
+    for (const call of calls) {
+      const outcome = this.requests.cutOutcome(call);
+      if (outcome !== undefined) this.#violations.add("shutdown", `${entry} cut ${outcome}`);
+    }
   }
 
   /** Operators raced from one base; at most one of them may be told that it was accepted. */
--- a/test/fuzz/request-history.ts
+++ b/test/fuzz/request-history.ts
@@ -14,12 +14,18 @@
   readonly keyMayBeValid: boolean;
   /** The queue takes work without a key. */
   readonly open: boolean;
+  /** The job fails wherever it runs. */
+  readonly bad: boolean;
+  readonly timeoutMs: number;
 }
 
 interface Tracked {
   readonly submission: Submission;
   state: "sent" | "pending" | "closed" | "done";
   requestId: string | undefined;
+  readonly sentAt: number;
+  /** The final reply in words, and when it came. */
+  outcome: { readonly text: string; readonly at: number } | undefined;
 }
 
 interface NonceRecord {
@@ -30,6 +36,7 @@
 
 /** Options of {@link RequestHistory}. */
 export interface RequestHistoryOptions {
+  readonly now: () => number;
   readonly violations: Violations;
   /** The whole answer to a nonce under a request id. */
   readonly expectedAnswer: (nonce: string, requestId: string) => string;
@@ -47,7 +54,13 @@
 
   /** Records a call and returns its number. */
   sent(submission: Submission): number {
-    const tracked: Tracked = { submission, state: "sent", requestId: undefined };
+    const tracked: Tracked = {
+      submission,
+      state: "sent",
+      requestId: undefined,
+      sentAt: this.#options.now(),
+      outcome: undefined,
+    };
     this.#calls.push(tracked);
     this.#record(submission.nonce).calls.push(tracked);
     return this.#calls.length - 1;
@@ -61,6 +74,8 @@
       tracked.state = "pending";
       return;
     }
+    const text = reply.kind === "answer" ? "answer" : reply.refusal.reason;
+    tracked.outcome = { text, at: this.#options.now() };
     const certainlyNotRun = this.#judge(tracked.submission.nonce, reply);
     tracked.state = certainlyNotRun ? "closed" : "done";
   }
@@ -114,8 +129,18 @@
     );
   }
 
-  starts(nonce: string): number {
-    return this.#nonces.get(nonce)?.starts ?? 0;
+  /** Whether a task of the call's request runs on a backend server. */
+  isRunning(call: number): boolean {
+    const record = this.#nonces.get(this.#calls[call]!.submission.nonce);
+    return record !== undefined && record.starts > record.ends;
+  }
+
+  /** Describes a call that had no answer although its task ran and its deadline had not passed. */
+  cutOutcome(call: number): string | undefined {
+    const { submission, outcome, sentAt } = this.#calls[call]!;
+    const inTime = outcome === undefined || outcome.at < sentAt + submission.timeoutMs;
+    if (submission.bad || outcome?.text === "answer" || !inTime) return undefined;
+    return `${submission.nonce}: ${outcome?.text ?? "no reply"}`;
   }
 
   /** Checks a final reply; true if it states that the request never ran. */
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -22,6 +22,8 @@
 
 /** Longest step between two looks at who can reach the platform, in milliseconds. */
 const STEP_MS = 250;
+/** Time for which a fault that ended still excuses failures, in milliseconds. */
+const AFTERMATH_MS = 15_000;
 /** Time for the entry instances to acquire their servers at the beginning, in milliseconds. */
 const WARM_UP_MS = 8000;
 
@@ -53,6 +55,7 @@
   readonly operators: OperatorDesk;
   /** Whether a process ended without or with notice, so that its memory is gone. */
   memoryLost = false;
+  #calmFrom = 0;
   readonly #store: ObservedStore;
   readonly #options: WorldOptions;
   readonly #platform: Party;
@@ -160,10 +163,34 @@
     return this.zones[index % this.zones.length]!;
   }
 
+  /** Notes that a fault lasts for the given time; its effects may last somewhat longer. */
+  disturb(forMs: number): void {
+    this.#calmFrom = Math.max(this.#calmFrom, this.clock.now() + forMs + AFTERMATH_MS);
+  }
+
+  /** Whether no fault and none of its effects can excuse a failure now. */
+  isCalm(): boolean {
+    return this.clock.now() >= this.#calmFrom;
+  }
+
+  /** Shuts an entry instance down gracefully and replaces it. */
+  shutDown(slot: EntrySlot): void {
+    this.memoryLost = true;
+    const calm = this.isCalm();
+    const running = slot.runningCalls();
+    const done = async (): Promise<void> => {
+      const ended = await slot.shutDown();
+      if (ended && calm && this.isCalm()) this.oracle.checkCut(slot.tag, running);
+      await this.clock.sleep(1000);
+      slot.start();
+    };
+    this.background(done());
+  }
+
   /** Lets an action go on while time passes; it must not throw. */
   background(action: Promise<unknown>): void {
     action.catch((error: unknown) => {
-      this.oracle.threw("an operator's action", error);
+      this.oracle.threw("a background action", error);
     });
   }
 
--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -147,7 +147,7 @@
   assert.equal(starts, ["start r", "end r"]);
 });
 
-test("peers exchange copies, and a cut closes their connection", async () => {
+test("peers exchange copies, and a reset closes their connection", async () => {
   const { clock, links, party } = fixture();
   const network = new PeerNetwork({ links });
   const received: unknown[] = [];
@@ -164,8 +164,10 @@
     Ok({ type: "ack", accepted: true }),
   );
   assert.equal(received, [{ from: "a", req }]);
+  const cut = connection.call(req, 100);
   links.cut("a", "b");
-  assert.ok((await onClock(clock, connection.call(req, 100))).err);
+  links.reset("a", "b");
+  assert.ok((await onClock(clock, cut)).err);
   assert.is(connection.open, false);
 });
 
