feat(entry): wire the parts into an entry instance

Cause: the parts ran only on fakes of each other. Change: one incarnation builds and joins them; the instance starts a new incarnation when its own was marked as retired. Reboots ordered by the planner go to the lease holder by a peer message. Lists of held servers go to every entry of the pool group, so that a home in another zone finds the holder. Ruled out: stopping the old incarnation's request path on retirement, because its callers would get no answer; without leases it can start nothing.

--- /dev/null
+++ b/src/coordination/entry-incarnation.ts
@@ -0,0 +1,292 @@
+import { PEER_PROTOCOL_VERSION, type Hello } from "../protocol/peer-messages.ts";
+import type { PeerReply, PeerRequest } from "../protocol/peer-messages.ts";
+import type { HomesDocument } from "../protocol/homes-document.ts";
+import type { EntryStatus } from "../protocol/entry-status.ts";
+import { ChargeBook } from "../state/charge-book.ts";
+import { activeMembers } from "../state/homes.ts";
+import { RequestTable } from "../state/request-table.ts";
+import { BudgetKeeper } from "./budget-keeper.ts";
+import { ChargeResolver } from "./charge-resolver.ts";
+import { ConfigFollower, OutageView } from "./config-follower.ts";
+import { ConfigGossip } from "./config-gossip.ts";
+import { DocumentFollower } from "./document-follower.ts";
+import { DocumentStore } from "./document-store.ts";
+import { Duty } from "./duty.ts";
+import type { EntryParts } from "./entry-parts.ts";
+import { EntryPlannerSupport } from "./entry-planner-support.ts";
+import { Fencing, RECLAIM_INTERVAL_MS } from "./fencing.ts";
+import { FencingProof } from "./fencing-proof.ts";
+import { FleetFollower } from "./fleet-follower.ts";
+import { KeyValueFleetStore } from "./fleet-store.ts";
+import { HeldHealth } from "./held-health.ts";
+import { HomeKeeper } from "./home-keeper.ts";
+import { LeaseCoverage } from "./lease-coverage.ts";
+import { LeaseKeeper } from "./lease-keeper.ts";
+import { LimitsPeerHandler } from "./limits-peer-handler.ts";
+import { HOMES_KIND, HOMES_WATCH_MS, MemberView } from "./member-view.ts";
+import { PeerDirectory } from "./peer-directory.ts";
+import { Planner } from "./planner.ts";
+import type { PeerState } from "./ports.ts";
+import { RequestPath } from "./request-path.ts";
+import type { RequestMessage } from "./entry-requests.ts";
+import { SessionKeeper } from "./session-keeper.ts";
+import { TableSlotRecords } from "./table-slot-records.ts";
+
+const DUTY_INTERVAL_MS = 1000;
+
+/** Options of {@link EntryIncarnation}. */
+export interface EntryIncarnationOptions extends EntryParts {
+  /** Called once when this incarnation finds that it was marked as retired. */
+  readonly onRetired: () => void;
+}
+
+/** One life of an entry instance, from joining the members until it is retired. */
+export class EntryIncarnation {
+  readonly path: RequestPath;
+  readonly hello: Hello;
+  readonly #options: EntryIncarnationOptions;
+  readonly #homesFollower: DocumentFollower<HomesDocument>;
+  readonly #fleet: FleetFollower;
+  readonly #config: ConfigFollower;
+  readonly #configGossip: ConfigGossip;
+  readonly #session: SessionKeeper;
+  readonly #leases: LeaseKeeper;
+  readonly #budgets: BudgetKeeper;
+  readonly #homes: HomeKeeper;
+  readonly #resolver: ChargeResolver;
+  readonly #peers: PeerDirectory;
+  readonly #limitsHandler: LimitsPeerHandler;
+  readonly #planner: Planner;
+  readonly #plannerSupport: EntryPlannerSupport;
+  readonly #duties: readonly Duty[];
+  #retired = false;
+
+  constructor(options: EntryIncarnationOptions) {
+    this.#options = options;
+    const { settings, clock, random, keyValue, counters, log, backends, peerTransport } = options;
+    const incarnation = `${settings.zone}-${random.hex(6)}`;
+    const { zone, group, peerAddress: address } = settings;
+    this.hello = { version: PEER_PROTOCOL_VERSION, incarnation, address, zone, group };
+    const base = { ...settings, kv: keyValue, keyValue, clock, random, counters, log };
+    const store = new DocumentStore(base);
+    const homes = new DocumentFollower({ ...base, kind: HOMES_KIND, waitMs: HOMES_WATCH_MS });
+    const fleet = new FleetFollower({ ...base, watchMs: settings.configWatchMs });
+    const config = new ConfigFollower({
+      ...base,
+      watchMs: settings.configWatchMs,
+      outage: new MembersOutageView(homes, () => this.#peers.gossip().values()),
+    });
+    const peers = new PeerDirectory({
+      ...base,
+      self: this.hello,
+      transport: peerTransport,
+      intervalMs: settings.gossipIntervalMs,
+      members: () => (homes.current === undefined ? [] : activeMembers(homes.current.value)),
+      sources: [
+        () => this.path.contribute(),
+        () => this.#leases.contribute(),
+        () => this.#configGossip.contribute(),
+        () => this.#revisions(),
+      ],
+      onGossip: (state) => {
+        this.#onGossip(state);
+      },
+    });
+    const coverage = new LeaseCoverage({ clock });
+    const charges = new ChargeBook();
+    const membership = new MemberView({ homes, incarnation });
+    const table = new RequestTable(base);
+    const records = new TableSlotRecords({ table, clock });
+    const onRetired = (): void => {
+      this.#onRetired();
+    };
+    const shared = { ...base, store, peers, fleet, homes, config, coverage, charges, membership };
+    const keeperOptions = { ...shared, connector: backends, records, onRetired };
+    const leases = new LeaseKeeper(keeperOptions);
+    const budgets = new BudgetKeeper(keeperOptions);
+    const homeKeeper = new HomeKeeper(keeperOptions);
+    const proof = new FencingProof({ ...shared, leases });
+    this.path = new RequestPath({
+      ...shared,
+      settings,
+      held: leases,
+      budgets,
+      homes: homeKeeper,
+      table,
+    });
+    const session = new SessionKeeper({ ...base, self: this.hello });
+    const fencing = new Fencing({ ...shared, proof });
+    const dutyOptions = { ...base, session, incarnation };
+    const plannerDuty = new Duty({
+      ...dutyOptions,
+      name: `planner-${group}`,
+      intervalMs: DUTY_INTERVAL_MS,
+      step: () => Promise.resolve(),
+    });
+    const reclaimDuty = new Duty({
+      ...dutyOptions,
+      name: `reclaim-${zone}`,
+      intervalMs: RECLAIM_INTERVAL_MS,
+      step: () => fencing.step(),
+    });
+    const support = new EntryPlannerSupport({
+      holdsDuty: () => plannerDuty.held,
+      backends,
+      held: leases,
+      peers,
+      fleet,
+    });
+    const health = new HeldHealth({ ...shared, held: leases, isBad: () => false });
+    this.#planner = new Planner({
+      ...base,
+      instanceList: options.instanceList,
+      config,
+      store: new KeyValueFleetStore({ keyValue, group }),
+      health,
+      support,
+      intervalMs: settings.plannerIntervalMs,
+    });
+    this.#limitsHandler = new LimitsPeerHandler({
+      leases,
+      budgets,
+      charges,
+      homes: homeKeeper,
+      proof,
+    });
+    this.#resolver = new ChargeResolver({ ...shared, held: leases });
+    this.#configGossip = new ConfigGossip({ clock, config, peers });
+    this.#homesFollower = homes;
+    this.#fleet = fleet;
+    this.#config = config;
+    this.#session = session;
+    this.#leases = leases;
+    this.#budgets = budgets;
+    this.#homes = homeKeeper;
+    this.#peers = peers;
+    this.#plannerSupport = support;
+    this.#duties = [plannerDuty, reclaimDuty];
+  }
+
+  /** Starts listening for peers and every loop. The error names an address in use. */
+  async start(): Promise<void> {
+    const { peerTransport } = this.#options;
+    const listening = await peerTransport.listen(this.hello, (from, req) =>
+      this.#handlePeer(from, req),
+    );
+    if (listening.err) throw new Error(listening.val);
+    void this.#homesFollower.run();
+    this.#fleet.start();
+    this.#config.start();
+    void this.#session.run();
+    this.#peers.start();
+    void this.#homes.join().then(() => this.#homes.run());
+    void this.#leases.run();
+    void this.#budgets.run();
+    void this.#resolver.run();
+    this.#planner.start();
+    for (const duty of this.#duties) void duty.run();
+  }
+
+  /** Ends every loop at once; running tasks stay on their servers. */
+  async stop(): Promise<void> {
+    this.#planner.stop();
+    for (const duty of this.#duties) void duty.stop();
+    this.#resolver.stop();
+    this.#homes.stop();
+    this.#budgets.stop();
+    void this.#leases.shutdown();
+    this.#peers.stop();
+    this.#config.stop();
+    this.#fleet.stop();
+    this.#homesFollower.stop();
+    void this.#session.stop();
+    await this.#options.peerTransport.close();
+  }
+
+  /** Finishes what callers wait for, hands everything over and ends. */
+  async shutdown(): Promise<void> {
+    this.#retired = true;
+    this.#peers.announceStopping();
+    this.#planner.stop();
+    await Promise.all(this.#duties.map((duty) => duty.stop()));
+    await this.path.shutdown(this.#options.settings.shutdownTimeoutMs);
+    await this.#homes.leave();
+    await this.#leases.shutdown();
+    await this.#budgets.retireSelf();
+    await this.stop();
+  }
+
+  /** Why this entry should get no callers; empty if it is ready. */
+  notReady(): readonly string[] {
+    const reasons: string[] = [];
+    if (this.#config.current() === undefined) reasons.push("no configuration was read yet");
+    if (this.#homesFollower.current === undefined) reasons.push("no homes document was read yet");
+    if (this.#retired) reasons.push("stopping");
+    return reasons;
+  }
+
+  /** State for operators. */
+  status(): EntryStatus {
+    const held = this.#leases.list();
+    return {
+      incarnation: this.hello.incarnation,
+      zone: this.hello.zone,
+      configRevision: this.#config.current()?.revision ?? 0,
+      configAgeMs: this.#config.ageMs(),
+      platformReachable: this.#config.platformReachable(),
+      keyedWorkAllowed: this.#config.keyedWorkAllowed(),
+      teams: this.path.contribute().teams.map((load) => ({ ...load })),
+      pools: this.path.contribute().pools,
+      held,
+      peers: [...this.#peers.gossip().keys()],
+      ...(this.#plannerSupport.holdsDuty() ? { planner: this.#planner.status() } : {}),
+    };
+  }
+
+  #revisions(): { readonly fleetRevision: number; readonly homesRevision: number } {
+    return {
+      fleetRevision: this.#fleet.current()?.revision ?? 0,
+      homesRevision: this.#homesFollower.revision,
+    };
+  }
+
+  #onGossip(state: PeerState): void {
+    this.#configGossip.received(state);
+    this.path.gossipReceived();
+  }
+
+  #onRetired(): void {
+    if (this.#retired) return;
+    this.#retired = true;
+    this.#options.onRetired();
+  }
+
+  async #handlePeer(from: Hello, req: PeerRequest): Promise<PeerReply> {
+    if (req.type === "gossip") return this.#peers.answerGossip(from, req);
+    if (req.type === "config") return this.#configGossip.answer();
+    if (req.type === "reboot") return this.#plannerSupport.handleReboot(req.server);
+    const reply = await this.#limitsHandler.handlePeer(from, req);
+    return reply ?? this.path.requests.handlePeer(from, req as RequestMessage);
+  }
+}
+
+/** Zones and contacts by which a platform-wide outage is recognised. */
+class MembersOutageView extends OutageView {
+  readonly #homes: DocumentFollower<HomesDocument>;
+  readonly #peers: () => Iterable<PeerState>;
+
+  constructor(homes: DocumentFollower<HomesDocument>, peers: () => Iterable<PeerState>) {
+    super();
+    this.#homes = homes;
+    this.#peers = peers;
+  }
+
+  zones(): ReadonlySet<string> | undefined {
+    const homes = this.#homes.current?.value;
+    return homes && new Set(activeMembers(homes).map((member) => member.zone));
+  }
+
+  peers(): Iterable<PeerState> {
+    return this.#peers();
+  }
+}
--- /dev/null
+++ b/src/coordination/entry-instance.ts
@@ -0,0 +1,131 @@
+import type { EntryStatus } from "../protocol/entry-status.ts";
+import { EntryIncarnation } from "./entry-incarnation.ts";
+import type { EntryParts } from "./entry-parts.ts";
+import { Counters, RequestService, type CallerReply, type CallerRequest } from "./ports.ts";
+
+const RESTART_DELAY_MS = 500;
+
+/** Options of {@link EntryInstance}. */
+export interface EntryInstanceOptions extends Omit<EntryParts, "counters"> {
+  /** @default counters that keep nothing */
+  readonly counters?: Counters;
+}
+
+/** An entry instance. It starts again with empty memory when its incarnation was retired. */
+export class EntryInstance {
+  /** Takes callers' requests, whichever incarnation is running. */
+  readonly requests: RequestService;
+  readonly #parts: EntryParts;
+  #incarnation: EntryIncarnation;
+  #stopped = false;
+
+  constructor({ counters = new NoCounters(), ...rest }: EntryInstanceOptions) {
+    this.#parts = { ...rest, counters };
+    this.#incarnation = this.#newIncarnation();
+    this.requests = new CurrentRequests(() => this.#incarnation.path.requests);
+  }
+
+  /** Starts the first incarnation. Rejects if the peer address cannot be listened on. */
+  start(): Promise<void> {
+    return this.#incarnation.start();
+  }
+
+  /** Ends gracefully: no accepted request is cut. */
+  async shutdown(): Promise<void> {
+    this.#stopped = true;
+    await this.#incarnation.shutdown();
+  }
+
+  /** Ends at once. */
+  kill(): void {
+    this.#stopped = true;
+    void this.#incarnation.stop();
+  }
+
+  notReady(): readonly string[] {
+    return this.#incarnation.notReady();
+  }
+
+  status(): EntryStatus {
+    return this.#incarnation.status();
+  }
+
+  #newIncarnation(): EntryIncarnation {
+    return new EntryIncarnation({
+      ...this.#parts,
+      onRetired: () => {
+        void this.#restart();
+      },
+    });
+  }
+
+  /**
+   * The former incarnation's request path is left to answer its callers: without leases it starts
+   * nothing, and each caller learns by its deadline what is known.
+   */
+  async #restart(): Promise<void> {
+    if (this.#stopped) return;
+    const { clock, log, counters } = this.#parts;
+    counters.event("incarnation_retired");
+    log.warn({ incarnation: this.#incarnation.hello.incarnation }, "retired, starting anew");
+    await this.#incarnation.stop();
+    while (!this.#isStopped()) {
+      await clock.sleep(RESTART_DELAY_MS);
+      if (this.#isStopped()) return;
+      this.#incarnation = this.#newIncarnation();
+      try {
+        await this.#incarnation.start();
+        return;
+      } catch (err) {
+        log.error({ err }, "restart failed, will be repeated");
+      }
+    }
+  }
+
+  #isStopped(): boolean {
+    return this.#stopped;
+  }
+}
+
+class CurrentRequests extends RequestService {
+  readonly #current: () => RequestService;
+
+  constructor(current: () => RequestService) {
+    super();
+    this.#current = current;
+  }
+
+  submit(req: CallerRequest, mode: "sync" | "async"): Promise<CallerReply> {
+    return this.#current().submit(req, mode);
+  }
+
+  query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
+    return this.#current().query(requestId, key, waitMs);
+  }
+
+  cancel(requestId: string, key: string | undefined): Promise<CallerReply> {
+    return this.#current().cancel(requestId, key);
+  }
+
+  issueId(): string {
+    return this.#current().issueId();
+  }
+}
+
+class NoCounters extends Counters {
+  refusal(): void {
+    return;
+  }
+
+  retry(): void {
+    return;
+  }
+
+  event(): void {
+    return;
+  }
+
+  duration(): void {
+    return;
+  }
+}
--- /dev/null
+++ b/src/coordination/held-health.ts
@@ -0,0 +1,63 @@
+import type { Clock } from "../platform/clock.ts";
+import { FleetHealth } from "../state/fleet-situation.ts";
+import type { FleetView, HeldServers, Peers } from "./ports.ts";
+
+/** A server that no entry of its zone has held for this long counts as down, in milliseconds. */
+const DOWN_AFTER_MS = 10_000;
+
+/** Options of {@link HeldHealth}. */
+export interface HeldHealthOptions {
+  readonly clock: Clock;
+  readonly held: HeldServers;
+  readonly peers: Peers;
+  readonly fleet: FleetView;
+  /** True if tasks fail on the server that succeed elsewhere. */
+  readonly isBad: (server: string) => boolean;
+}
+
+/** Judges servers by whether some entry holds their lease. */
+export class HeldHealth extends FleetHealth {
+  readonly #options: HeldHealthOptions;
+  readonly #lastHeld = new Map<string, number>();
+
+  constructor(options: HeldHealthOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /**
+   * False if an entry of the server's zone is in contact and nobody has held the server for a
+   * while. A server of a zone without contact counts as live, because nothing is known of it.
+   */
+  live(server: string): boolean {
+    const { clock, fleet } = this.#options;
+    const now = clock.now();
+    this.#observe(now);
+    const since = this.#lastHeld.get(server);
+    if (since === undefined) {
+      this.#lastHeld.set(server, now);
+      return true;
+    }
+    if (now - since <= DOWN_AFTER_MS) return true;
+    const zone = fleet.current()?.servers.find((record) => record.name === server)?.zone;
+    return zone === undefined || !this.#zonesInContact().has(zone);
+  }
+
+  bad(server: string): boolean {
+    return this.#options.isBad(server);
+  }
+
+  #observe(now: number): void {
+    const { held, peers } = this.#options;
+    for (const { name } of held.list()) this.#lastHeld.set(name, now);
+    for (const { message } of peers.gossip().values()) {
+      for (const name of message.held) this.#lastHeld.set(name, now);
+    }
+  }
+
+  #zonesInContact(): ReadonlySet<string> {
+    const { peers } = this.#options;
+    const others = [...peers.gossip().values()].map(({ hello }) => hello.zone);
+    return new Set([peers.self.zone, ...others]);
+  }
+}
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -107,7 +107,7 @@
   /** Answers a peer's exchange with this entry's own state. */
   answerGossip(from: Hello, req: GossipMessage): GossipMessage {
     this.#options.onGossip({ hello: from, message: req, receivedAt: -Infinity });
-    const snapshot = this.#snapshot(from.zone === this.self.zone);
+    const snapshot = this.#snapshot(from.group === this.self.group);
     return this.#encoder.encode(from.incarnation, req.sequence, snapshot);
   }
 
@@ -210,7 +210,7 @@
     return { ...this.#snapshot(false), sequence: known, pools: [], teams: [] };
   }
 
-  #snapshot(sameZone: boolean): GossipMessage {
+  #snapshot(sameGroup: boolean): GossipMessage {
     const empty: GossipMessage = {
       type: "gossip",
       sequence: 0,
@@ -226,10 +226,10 @@
       leaving: [],
       stopping: this.#stopping,
     };
-    const parts = this.#options.sources.map((source) => source.contribute());
+    const parts = this.#options.sources.map((source) => source());
     const full = parts.reduce<GossipMessage>((message, part) => ({ ...message, ...part }), empty);
     const leaving = [...new Set([...full.leaving, ...this.#announcedLeaving()])];
-    return { ...full, leaving, stopping: this.#stopping, held: sameZone ? full.held : [] };
+    return { ...full, leaving, stopping: this.#stopping, held: sameGroup ? full.held : [] };
   }
 
   #announcedLeaving(): readonly string[] {
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -161,10 +161,8 @@
   readonly receivedAt: number;
 }
 
-/** Contributes its part to this entry's gossip. */
-export abstract class GossipSource {
-  abstract contribute(): Partial<GossipMessage>;
-}
+/** Gives one part's contribution to this entry's gossip. */
+export type GossipSource = () => Partial<GossipMessage>;
 
 /** A caller's request after its HTTP form was checked. */
 export interface CallerRequest {
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -13,7 +13,6 @@
 import { HomeClient } from "./home-client.ts";
 import { HomeRequests } from "./home-requests.ts";
 import {
-  GossipSource,
   type Budgets,
   type ConfigView,
   type Counters,
@@ -40,10 +39,12 @@
   readonly homes: Homes;
   readonly peers: Peers;
   readonly counters: Counters;
+  /** Passed in where other parts share it; built from the settings by default. */
+  readonly table?: RequestTable;
 }
 
 /** Builds the parts of the request path on the other parts of an entry instance. */
-export class RequestPath extends GossipSource {
+export class RequestPath {
   /** For the caller server and, with `handlePeer`, for peers. */
   readonly requests: EntryRequests;
   readonly #options: RequestPathOptions;
@@ -52,12 +53,12 @@
   readonly #driver: RequestDriver;
 
   constructor(options: RequestPathOptions) {
-    super();
     this.#options = options;
     const estimates = new RunTimeEstimates();
     const attribution = new FailureAttribution(options.settings);
     const retryBudget = new RetryBudget();
-    const table = new RequestTable({ clock: options.clock, ...options.settings });
+    const { clock, settings } = options;
+    const table = options.table ?? new RequestTable({ clock, ...settings });
     const dispatcher = new Dispatcher({ ...options, estimates, attribution });
     const tracker = new AttemptTracker(options);
     const shared = { ...options, table, dispatcher, tracker, retryBudget, attribution };
--- a/src/coordination/session-keeper.ts
+++ b/src/coordination/session-keeper.ts
@@ -18,6 +18,8 @@
   readonly random: Random;
   readonly counters: Counters;
   readonly self: Hello;
+  /** Address of the admin interface, for operators' commands. */
+  readonly adminAddress?: string;
   readonly sessionTtlMs: number;
 }
 
@@ -59,7 +61,7 @@
   }
 
   async #open(): Promise<boolean> {
-    const { kv, clock, self, sessionTtlMs } = this.#options;
+    const { kv, clock, self, sessionTtlMs, adminAddress } = this.#options;
     const sentAt = clock.now();
     const grant = await kv.grantLease(sessionTtlMs);
     if (!grant.ok) return false;
@@ -68,6 +70,7 @@
       incarnation: self.incarnation,
       address: self.address,
       zone: self.zone,
+      adminAddress,
     });
     const old = await kv.get(key);
     if (!old.ok) return false;
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -52,7 +52,7 @@
   readonly homesRevision: number;
   readonly pools: readonly PoolLoad[];
   readonly teams: readonly TeamLoad[];
-  /** Backend servers the sender holds; empty between zones. */
+  /** Backend servers the sender holds; empty between pool groups. */
   readonly held: readonly string[];
   /** Backend servers known to be leaving. */
   readonly leaving: readonly string[];
@@ -167,6 +167,12 @@
   readonly records: readonly SlotRecord[];
 }
 
+/** Asks the lease holder of an empty backend server to reboot it; accepted once that is ordered. */
+export interface RebootRequest {
+  readonly type: "reboot";
+  readonly server: string;
+}
+
 /** Every request between peers. */
 export type PeerRequest =
   | GossipMessage
@@ -181,7 +187,8 @@
   | BudgetRequest
   | ChargeReleaseRequest
   | LeaseReportRequest
-  | SlotTransferRequest;
+  | SlotTransferRequest
+  | RebootRequest;
 
 /** State of a request as its home knows it. */
 export type RequestState =
@@ -268,6 +275,7 @@
   readonly "charge-release": AckReply;
   readonly "lease-report": LeaseReport;
   readonly "slot-transfer": AckReply;
+  readonly reboot: AckReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -133,6 +133,7 @@
     slots: v.array(count),
     records: v.array(slotRecord),
   }),
+  v.strictObject({ type: v.literal("reboot"), server: v.string() }),
 ]);
 
 const state = v.strictObject({ type: v.literal("state"), state: v.undefinedable(requestState) });
@@ -185,6 +186,7 @@
   "charge-release": ack,
   "lease-report": leaseReport,
   "slot-transfer": ack,
+  reboot: ack,
 };
 
 /** One frame after the hello. */
--- a/test/fakes/peer-fakes.ts
+++ b/test/fakes/peer-fakes.ts
@@ -103,6 +103,8 @@
   hear(hello: Hello, part: Partial<GossipMessage>): void {
     const message: GossipMessage = {
       type: "gossip",
+      sequence: 1,
+      baseline: 0,
       configRevision: 1,
       configAgeMs: 0,
       platformReachable: true,
