feat(transport): HTTP clients for the platform and their stand-ins

Cause: entry instances run as processes against a key-value service, an instance list and backend servers, and each failed call must say whether it can have taken effect. Change: an undici client that knows whether a request was written, clients for the three services, and polka front ends for the in-memory stand-ins with switchable faults and a call counter. Wire forms are schemas in src/protocol, used by both sides. A request that timed out before it got a connection is never written, and no request is written twice. A reply without a declared length is not accepted, because a body that was cut off would look whole. Ruled out: undici's request API, because its errors don't tell whether the request was written; its own time-outs, because they don't follow the injected clock. Conclusion: KeyValueService, InstanceList and BackendConnector can be used over sockets.

--- /dev/null
+++ b/src/protocol/backend-http.ts
@@ -0,0 +1,118 @@
+/** HTTP form of a backend server, section 10.2 of the design. Bodies travel as base64. */
+import * as v from "valibot";
+import type {
+  BackendError,
+  BackendEvents,
+  Payload,
+  TaskRecord,
+  TaskResult,
+  TaskSpec,
+} from "../platform/backend-server.ts";
+
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const milliseconds = v.pipe(v.number(), v.minValue(0));
+const payload = { body: v.pipe(v.string(), v.base64()), contentType: v.string() };
+
+const task = {
+  requestId: v.string(),
+  attempt: count,
+  home: v.string(),
+  chargedTo: v.string(),
+  team: v.exactOptional(v.string()),
+  queue: v.string(),
+  priority: v.picklist(["urgent", "normal", "batch"]),
+  idempotent: v.boolean(),
+};
+
+const result = v.variant("kind", [
+  v.object({ kind: v.literal("answer"), ...payload }),
+  v.object({ kind: v.literal("failure"), reason: v.string() }),
+  v.object({ kind: v.literal("stopped"), checkpointed: v.boolean() }),
+]);
+
+const record = v.object({
+  ...task,
+  state: v.picklist(["running", "finished"]),
+  result: v.exactOptional(result),
+});
+
+/** Body of `POST /lease`. */
+export const AcquireSchema = v.object({ holder: v.string(), ttlMs: milliseconds });
+/** Reply of `POST /lease`. */
+export const LeaseGrantSchema = v.object({ leaseId: v.string(), bootId: v.string() });
+/** Body of `PUT /lease/{leaseId}`. */
+export const RenewSchema = v.object({ ttlMs: milliseconds });
+/** Body of `DELETE /lease/{leaseId}`. */
+export const ReleaseSchema = v.object({ successor: v.exactOptional(v.string()) });
+/** Body of `POST /tasks`. */
+export const StartSchema = v.object({ leaseId: v.string(), ...task, ...payload });
+/** Body of the other `POST` calls. */
+export const LeaseBodySchema = v.object({ leaseId: v.string() });
+/** Reply of `GET /tasks`. */
+export const TaskListSchema = v.object({ tasks: v.array(record) });
+/** Reply of `GET /events`. */
+export const EventsSchema = v.object({
+  next: count,
+  finished: v.array(record),
+  leaving: v.boolean(),
+});
+/** Body of a reply that is not a success. */
+export const BackendErrorSchema = v.variant("error", [
+  v.object({ error: v.literal("held"), holder: v.string() }),
+  v.object({ error: v.picklist(["lease-lapsed", "duplicate", "full", "leaving"]) }),
+  v.object({ error: v.picklist(["rejected", "unavailable"]), detail: v.string() }),
+]);
+
+type TaskRecordBody = v.InferOutput<typeof record>;
+
+/** Body of `POST /tasks`. */
+export function startBody(leaseId: string, spec: TaskSpec): v.InferOutput<typeof StartSchema> {
+  const { team, payload: sent, ...rest } = spec;
+  return { leaseId, ...rest, ...(team === undefined ? {} : { team }), ...payloadBody(sent) };
+}
+
+/** The task of a `POST /tasks` body. */
+export function taskOf(start: v.InferOutput<typeof StartSchema>): TaskSpec {
+  const { leaseId: _leaseId, body, contentType, team, ...rest } = start;
+  return { ...rest, team, payload: payloadOf({ body, contentType }) };
+}
+
+/** One entry of `GET /tasks` and `GET /events`. */
+export function recordBody({ team, result: ended, ...rest }: TaskRecord): TaskRecordBody {
+  return {
+    ...rest,
+    ...(team === undefined ? {} : { team }),
+    ...(ended === undefined ? {} : { result: resultBody(ended) }),
+  };
+}
+
+/** The record of an entry of `GET /tasks` and `GET /events`. */
+export function recordOf({ team, result: ended, ...rest }: TaskRecordBody): TaskRecord {
+  return { ...rest, team, ...(ended === undefined ? {} : { result: resultOf(ended) }) };
+}
+
+/** The events of a `GET /events` reply. */
+export function eventsOf(body: v.InferOutput<typeof EventsSchema>): BackendEvents {
+  return { ...body, finished: body.finished.map(recordOf) };
+}
+
+/** Status of the reply for each error that a backend server can give. */
+export const BACKEND_STATUS: Readonly<
+  Record<Exclude<BackendError["kind"], "unreachable" | "ambiguous">, number>
+> = { held: 409, "lease-lapsed": 409, duplicate: 409, full: 429, leaving: 410, rejected: 400 };
+
+function payloadBody({ contentType, body }: Payload): { body: string; contentType: string } {
+  return { contentType, body: Buffer.from(body).toString("base64") };
+}
+
+function payloadOf({ contentType, body }: { body: string; contentType: string }): Payload {
+  return { contentType, body: Buffer.from(body, "base64") };
+}
+
+function resultBody(ended: TaskResult): v.InferOutput<typeof result> {
+  return ended.kind === "answer" ? { kind: "answer", ...payloadBody(ended.payload) } : { ...ended };
+}
+
+function resultOf(ended: v.InferOutput<typeof result>): TaskResult {
+  return ended.kind === "answer" ? { kind: "answer", payload: payloadOf(ended) } : ended;
+}
--- /dev/null
+++ b/src/stand-ins/http-instance-list.ts
@@ -0,0 +1,46 @@
+import * as v from "valibot";
+import type { Clock } from "../platform/clock.ts";
+import { ListedInstanceSchema } from "../protocol/instance-list-http.ts";
+import { StandInServer, withBody } from "./stand-in-server.ts";
+import type { StaticInstanceList } from "./static-instance-list.ts";
+
+const RegistrationSchema = v.omit(ListedInstanceSchema, ["name"]);
+
+/** HTTP front end of an instance list. `PUT` and `DELETE` let backend servers register. */
+export function serveInstanceList(clock: Clock, list: StaticInstanceList): StandInServer {
+  return new StandInServer({
+    clock,
+    switches: {
+      frozen: (on) => {
+        list.freeze(on);
+      },
+    },
+    routes: [
+      {
+        kind: "list",
+        method: "GET",
+        path: "/v1/instances",
+        handle: async () => ({ status: 200, body: (await list.list()).unwrap() }),
+      },
+      {
+        kind: "register",
+        method: "PUT",
+        path: "/v1/instances/:name",
+        handle: (call) =>
+          withBody(call, RegistrationSchema, (instance) => {
+            list.set({ ...instance, name: call.params.name ?? "" });
+            return Promise.resolve({ status: 204 });
+          }),
+      },
+      {
+        kind: "deregister",
+        method: "DELETE",
+        path: "/v1/instances/:name",
+        handle: (call) => {
+          list.remove(call.params.name ?? "");
+          return { status: 204 };
+        },
+      },
+    ],
+  });
+}
--- /dev/null
+++ b/src/stand-ins/static-instance-list.ts
@@ -0,0 +1,35 @@
+import { Ok, type Result } from "ts-results";
+import {
+  InstanceList,
+  type InstanceListError,
+  type ListedInstance,
+} from "../platform/instance-list.ts";
+
+/** In-memory instance list, which can be frozen to stand for one that lags. */
+export class StaticInstanceList extends InstanceList {
+  readonly #instances = new Map<string, ListedInstance>();
+  #frozen: readonly ListedInstance[] | undefined;
+
+  constructor(instances: readonly ListedInstance[] = []) {
+    super();
+    for (const instance of instances) this.set(instance);
+  }
+
+  list(): Promise<Result<readonly ListedInstance[], InstanceListError>> {
+    return Promise.resolve(Ok(this.#frozen ?? [...this.#instances.values()]));
+  }
+
+  /** Adds an instance or replaces the one of its name. */
+  set(instance: ListedInstance): void {
+    this.#instances.set(instance.name, instance);
+  }
+
+  remove(name: string): void {
+    this.#instances.delete(name);
+  }
+
+  /** While frozen, the list shows the state at the time of freezing. */
+  freeze(on: boolean): void {
+    this.#frozen = on ? [...this.#instances.values()] : undefined;
+  }
+}
--- /dev/null
+++ b/src/transport/http-backend-server.ts
@@ -0,0 +1,166 @@
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import {
+  BackendConnector,
+  BackendServer,
+  type BackendError,
+  type BackendEvents,
+  type BackendResult,
+  type LeaseGrant,
+  type TaskRecord,
+  type TaskRef,
+  type TaskSpec,
+} from "../platform/backend-server.ts";
+import type { Clock } from "../platform/clock.ts";
+import {
+  BackendErrorSchema,
+  EventsSchema,
+  eventsOf,
+  LeaseGrantSchema,
+  recordOf,
+  startBody,
+  TaskListSchema,
+} from "../protocol/backend-http.ts";
+import { HttpClient, type HttpCall, type HttpFailure } from "./http-client.ts";
+
+/** Connections that a backend server accepts. */
+const MAX_CONNECTIONS = 64;
+
+/** Options of {@link HttpBackendConnector}. */
+export interface HttpBackendConnectorOptions {
+  readonly clock: Clock;
+  /** Time for a call; a poll for events waits in addition. In milliseconds. @default 1000 */
+  readonly timeoutMs?: number;
+}
+
+/** Clients of backend servers over HTTP, which share one pool of connections. */
+export class HttpBackendConnector extends BackendConnector {
+  readonly #http: HttpClient;
+  readonly #timeoutMs: number;
+
+  constructor({ clock, timeoutMs = 1000 }: HttpBackendConnectorOptions) {
+    super();
+    this.#http = new HttpClient({ clock, connections: MAX_CONNECTIONS });
+    this.#timeoutMs = timeoutMs;
+  }
+
+  connect(address: string): BackendServer {
+    return new HttpBackendServer(this.#http, address, this.#timeoutMs);
+  }
+
+  /** Closes every connection; open calls fail. */
+  close(): Promise<void> {
+    return this.#http.close();
+  }
+}
+
+type Call = Omit<HttpCall, "origin" | "timeoutMs">;
+
+class HttpBackendServer extends BackendServer {
+  readonly #http: HttpClient;
+  readonly #origin: string;
+  readonly #timeoutMs: number;
+
+  constructor(http: HttpClient, origin: string, timeoutMs: number) {
+    super();
+    this.#http = http;
+    this.#origin = origin;
+    this.#timeoutMs = timeoutMs;
+  }
+
+  acquireLease(holder: string, ttlMs: number): BackendResult<LeaseGrant> {
+    const json = { holder, ttlMs };
+    return this.#send({ method: "POST", path: "/lease", json }, LeaseGrantSchema);
+  }
+
+  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
+    return this.#send({ method: "PUT", path: leasePath(leaseId), json: { ttlMs } }, v.void());
+  }
+
+  releaseLease(leaseId: string, successor?: string): BackendResult<void> {
+    const json = { successor };
+    return this.#send({ method: "DELETE", path: leasePath(leaseId), json }, v.void());
+  }
+
+  startTask(leaseId: string, spec: TaskSpec): BackendResult<void> {
+    const json = startBody(leaseId, spec);
+    return this.#send({ method: "POST", path: "/tasks", json }, v.void());
+  }
+
+  async listTasks(leaseId: string): BackendResult<readonly TaskRecord[]> {
+    const path = `/tasks?leaseId=${encodeURIComponent(leaseId)}`;
+    const reply = await this.#send({ method: "GET", path }, TaskListSchema);
+    return reply.map(({ tasks }) => tasks.map(recordOf));
+  }
+
+  async pollEvents(leaseId: string, after: number, waitMs: number): BackendResult<BackendEvents> {
+    const query = `leaseId=${encodeURIComponent(leaseId)}&after=${after}&waitMs=${waitMs}`;
+    const call = { method: "GET", path: `/events?${query}` } as const;
+    return (await this.#send(call, EventsSchema, waitMs)).map(eventsOf);
+  }
+
+  stopTask(leaseId: string, ref: TaskRef): BackendResult<void> {
+    return this.#onTask("stop", leaseId, ref);
+  }
+
+  checkpointTask(leaseId: string, ref: TaskRef): BackendResult<void> {
+    return this.#onTask("checkpoint", leaseId, ref);
+  }
+
+  acknowledgeTask(leaseId: string, ref: TaskRef): BackendResult<void> {
+    return this.#onTask("ack", leaseId, ref);
+  }
+
+  reboot(leaseId: string): BackendResult<void> {
+    return this.#send({ method: "POST", path: "/reboot", json: { leaseId } }, v.void());
+  }
+
+  #onTask(
+    action: "stop" | "checkpoint" | "ack",
+    leaseId: string,
+    { requestId, attempt }: TaskRef,
+  ): BackendResult<void> {
+    const path = `/tasks/${encodeURIComponent(requestId)}/${attempt}/${action}`;
+    return this.#send({ method: "POST", path, json: { leaseId } }, v.void());
+  }
+
+  async #send<T>(
+    call: Call,
+    schema: v.GenericSchema<unknown, T>,
+    waitMs = 0,
+  ): Promise<Result<T, BackendError>> {
+    const timeoutMs = this.#timeoutMs + waitMs;
+    const reply = await this.#http.call({ ...call, origin: this.#origin, timeoutMs });
+    if (reply.err) return Err(fromFailure(reply.val));
+    const { status, body } = reply.val;
+    if (status >= 300) return Err(fromErrorReply(status, body));
+    const parsed = v.safeParse(schema, body);
+    if (parsed.success) return Ok(parsed.output);
+    return Err({ kind: "ambiguous", detail: `unexpected reply to ${call.method} ${call.path}` });
+  }
+}
+
+function leasePath(leaseId: string): string {
+  return `/lease/${encodeURIComponent(leaseId)}`;
+}
+
+function fromFailure({ kind, detail }: HttpFailure): BackendError {
+  return { kind: kind === "not-sent" ? "unreachable" : "ambiguous", detail };
+}
+
+function fromErrorReply(status: number, body: unknown): BackendError {
+  const parsed = v.safeParse(BackendErrorSchema, body);
+  // Only the server itself knows that nothing was done; a reply in another form doesn't say so.
+  if (!parsed.success) return { kind: "ambiguous", detail: `reply with status ${status}` };
+  const reply = parsed.output;
+  switch (reply.error) {
+    case "held":
+      return { kind: "held", holder: reply.holder };
+    case "rejected":
+      return { kind: "rejected", detail: reply.detail };
+    case "unavailable":
+      return { kind: "unreachable", detail: reply.detail };
+    default:
+      return { kind: reply.error };
+  }
+}
--- /dev/null
+++ b/src/transport/http-instance-list.ts
@@ -0,0 +1,52 @@
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { Clock } from "../platform/clock.ts";
+import {
+  InstanceList,
+  type InstanceListError,
+  type ListedInstance,
+} from "../platform/instance-list.ts";
+import { InstancesSchema } from "../protocol/instance-list-http.ts";
+import { HttpClient } from "./http-client.ts";
+
+/** Options of {@link HttpInstanceList}. */
+export interface HttpInstanceListOptions {
+  readonly clock: Clock;
+  /** Base URL, `http://IP:PORT`. */
+  readonly url: string;
+  /** @default 1000 */
+  readonly timeoutMs?: number;
+}
+
+/** Client of the instance list over HTTP. */
+export class HttpInstanceList extends InstanceList {
+  readonly #url: string;
+  readonly #timeoutMs: number;
+  readonly #http: HttpClient;
+
+  constructor({ clock, url, timeoutMs = 1000 }: HttpInstanceListOptions) {
+    super();
+    this.#url = url;
+    this.#timeoutMs = timeoutMs;
+    this.#http = new HttpClient({ clock, connections: 2 });
+  }
+
+  async list(): Promise<Result<readonly ListedInstance[], InstanceListError>> {
+    const reply = await this.#http.call({
+      origin: this.#url,
+      method: "GET",
+      path: "/v1/instances",
+      timeoutMs: this.#timeoutMs,
+    });
+    if (reply.err) return Err({ kind: "unavailable", detail: reply.val.detail });
+    const { status, body } = reply.val;
+    const parsed = v.safeParse(InstancesSchema, body);
+    if (status === 200 && parsed.success) return Ok(parsed.output);
+    return Err({ kind: "unavailable", detail: `unexpected reply with status ${status}` });
+  }
+
+  /** Closes every connection; open calls fail. */
+  close(): Promise<void> {
+    return this.#http.close();
+  }
+}
--- /dev/null
+++ b/test/transport/http-key-value.test.ts
@@ -0,0 +1,112 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { SystemClock } from "../../src/platform/system-clock.ts";
+import { serveKeyValue } from "../../src/stand-ins/http-key-value.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import type { StandInServer } from "../../src/stand-ins/stand-in-server.ts";
+import { HttpKeyValueService } from "../../src/transport/http-key-value.ts";
+import { EventLog } from "../fakes/event-log.ts";
+
+const test = suite("http-key-value");
+const clock = new SystemClock();
+const KEY = "fleet/south coast?&%";
+let store: KeyValueStore;
+let server: StandInServer;
+let kv: HttpKeyValueService;
+let events: EventLog;
+
+test.before.each(async () => {
+  store = new KeyValueStore({ clock });
+  server = serveKeyValue(clock, store);
+  events = new EventLog();
+  const url = (await server.listen("127.0.0.1", 0)).unwrap();
+  kv = new HttpKeyValueService({ clock, counter: events, url, timeoutMs: 300 });
+});
+test.after.each(async () => {
+  await kv.close();
+  await server.close();
+});
+
+// Guards against keys that are cut at a slash, and against a compare-and-swap that lets a
+// stale writer through.
+test("keys with any characters are written by compare-and-swap", async () => {
+  assert.is((await kv.get(KEY)).unwrap(), undefined);
+  const revision = (await kv.put({ key: KEY, value: "a", expectedRevision: 0 })).unwrap();
+  const entry = { key: KEY, value: "a", revision };
+  assert.equal((await kv.get(KEY)).unwrap(), entry);
+  assert.equal((await kv.list("fleet/")).unwrap(), [entry]);
+  const stale = await kv.put({ key: KEY, value: "b", expectedRevision: 0 });
+  assert.equal(stale.val, { kind: "conflict", current: entry });
+  assert.ok((await kv.delete({ key: KEY, expectedRevision: revision })).ok);
+  const gone = await kv.delete({ key: KEY, expectedRevision: revision });
+  assert.equal(gone.val, { kind: "conflict", current: undefined });
+});
+
+// Guards against a write that took effect being reported as certainly not written.
+test("a write whose reply is lost is ambiguous, a read is unavailable", async () => {
+  for (const fault of ["loseReplies", "truncateReplies"]) {
+    server.setFaults({ [fault]: true });
+    const put = await kv.put({ key: fault, value: "a", expectedRevision: 0 });
+    assert.is(put.err && put.val.kind, "ambiguous");
+    const read = await kv.get(fault);
+    assert.is(read.err && read.val.kind, "unavailable");
+    server.setFaults({ [fault]: false });
+    assert.is((await kv.get(fault)).unwrap()?.value, "a");
+  }
+});
+
+// Guards against a write in doubt where the service said, or it is plain, that nothing was written.
+test("a refused call and a refused connection are unavailable", async () => {
+  server.setFaults({ unavailable: true });
+  const refused = await kv.put({ key: "k", value: "a", expectedRevision: 0 });
+  assert.is(refused.err && refused.val.kind, "unavailable");
+  await server.close();
+  const down = await kv.put({ key: "k", value: "a", expectedRevision: 0 });
+  assert.is(down.err && down.val.kind, "unavailable");
+});
+
+// Guards against an instance that loads a slow service, and calls that wait longer than promised.
+test("at most 8 calls run at once, and waiting ones are not sent after the time-out", async () => {
+  server.setFaults({ delayMs: 1000 });
+  const started = clock.now();
+  const puts = Array.from({ length: 20 }, (_, n) =>
+    kv.put({ key: `k${n}`, value: "", expectedRevision: 0 }),
+  );
+  const kinds = (await Promise.all(puts)).map((put) => (put.err ? put.val.kind : "written"));
+  assert.ok(clock.now() - started < 600);
+  assert.is(server.calls().put, 8);
+  assert.equal(
+    kinds.slice(0, 8),
+    Array.from({ length: 8 }, () => "ambiguous"),
+  );
+  assert.equal(
+    kinds.slice(8),
+    Array.from({ length: 12 }, () => "unavailable"),
+  );
+});
+
+// Guards against a follower that misses a change, or takes a lapsed wait for a change.
+test("a watch wakes on a change and confirms an unchanged revision", async () => {
+  const revision = (await kv.put({ key: "k", value: "a", expectedRevision: 0 })).unwrap();
+  const unchanged = await kv.watch({ key: "k", afterRevision: revision, waitMs: 20 });
+  assert.equal(unchanged.unwrap(), { changed: false });
+  const waiting = kv.watch({ key: "k", afterRevision: revision, waitMs: 10_000 });
+  const next = (await kv.put({ key: "k", value: "b", expectedRevision: revision })).unwrap();
+  const entry = { key: "k", value: "b", revision: next };
+  assert.equal((await waiting).unwrap(), { changed: true, entry });
+  assert.is(events.of("kv_call_watch"), 2);
+});
+
+// Guards against keys of a dead entry that stay.
+test("keys under a lease go with it, and a write under a lapsed lease is refused", async () => {
+  const leaseId = (await kv.grantLease(60_000)).unwrap();
+  assert.ok((await kv.put({ key: "s", value: "a", expectedRevision: 0, leaseId })).ok);
+  assert.ok((await kv.renewLease(leaseId)).ok);
+  assert.ok((await kv.revokeLease(leaseId)).ok);
+  assert.is((await kv.get("s")).unwrap(), undefined);
+  const late = await kv.put({ key: "s", value: "a", expectedRevision: 0, leaseId });
+  assert.equal(late.val, { kind: "lease-lapsed" });
+  assert.equal((await kv.renewLease(leaseId)).val, { kind: "lease-lapsed" });
+});
+
+test.run();
