--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -76,7 +76,12 @@
     this.#options = options;
     this.#picker = new ServerPicker(options);
     this.#lending = new PoolLending({ ...options.settings, config: options.config });
-    const shared = { picker: this.#picker, lending: this.#lending, queues: this.#queues };
+    const shared = {
+      picker: this.#picker,
+      lending: this.#lending,
+      queues: this.#queues,
+      usage: this.#usage,
+    };
     this.#waits = new PoolWaits({ ...options, ...shared });
     this.#offers = new PeerOffers(options);
     this.#starter = new TaskStarter({ ...options, ...shared });
@@ -199,6 +204,7 @@
     let queue = this.#queues.get(pool);
     if (queue !== undefined) return queue;
     const policy = new LocalPolicy({
+      clock: this.#options.clock,
       pool,
       picker: this.#picker,
       lending: this.#lending,
--- a/src/coordination/local-policy.ts
+++ b/src/coordination/local-policy.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../platform/clock.ts";
 import type { Priority } from "../platform/backend-server.ts";
 import { OPEN_TEAM, SharePolicy } from "../state/fair-share-queue.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
@@ -8,6 +9,7 @@
 
 /** Options of {@link LocalPolicy}. */
 export interface LocalPolicyOptions {
+  readonly clock: Clock;
   readonly pool: string;
   readonly picker: ServerPicker;
   readonly lending: PoolLending;
@@ -44,4 +46,9 @@
     const here = team === OPEN_TEAM ? openRunning() : budgets.running(team);
     return (here + usage.remote(team)) / waits.weight(team);
   }
+
+  recent(team: string): number {
+    const { clock, usage, waits } = this.#options;
+    return usage.recentStarts(team, clock.now()) / waits.weight(team);
+  }
 }
--- a/src/coordination/task-starter.ts
+++ b/src/coordination/task-starter.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../platform/clock.ts";
 import type { TaskRef, TaskSpec } from "../platform/backend-server.ts";
+import type { TeamUsage } from "../state/team-usage.ts";
 import type { PoolLending } from "./pool-lending.ts";
 import type { QueuedItem } from "./pool-queue.ts";
 import type { Budgets, Counters, HeldServer, HeldServers, Homes, Peers } from "./ports.ts";
@@ -19,6 +20,7 @@
   readonly counters: Counters;
   readonly picker: ServerPicker;
   readonly lending: PoolLending;
+  readonly usage: TeamUsage;
 }
 
 /** A task started here whose end is not known yet. */
@@ -56,7 +58,7 @@
     const { homes, picker, lending, budgets } = this.#options;
     const { work } = item;
     if (work.offered && homes.retired(work.home))
-      return { kind: "declined", reason: "lease_lapsed" };
+      return { kind: "declined", reason: "peer_declined" };
     const server = picker.pick(lending.poolsFor(item.pool), work.avoid);
     if (server === undefined) return undefined;
     const ref = work.nextRef();
@@ -101,6 +103,7 @@
       startedAt: clock.now(),
     });
     if (spec.team === undefined) this.#openRunning++;
+    this.#options.usage.started(item.team, clock.now());
     const started = await held.start(server.name, taskSpec(item, ref, holder));
     if (started.ok) {
       counters.duration("start_wait", clock.now() - item.work.acceptedAt);
--- a/src/state/fair-share-queue.ts
+++ b/src/state/fair-share-queue.ts
@@ -27,6 +27,8 @@
   abstract budgetFree(team: string): boolean;
   /** Running tasks of the team divided by its weight. */
   abstract usage(team: string): number;
+  /** Tasks of the team started lately divided by its weight; decides between equal usages. */
+  abstract recent(team: string): number;
 }
 
 interface Item {
@@ -76,7 +78,8 @@
 
 /**
  * Queue class for `p-queue`: urgent work first, then the team with the least running work per
- * weight, within it normal before batch, then the oldest. Items whose team has no budget, or for
+ * weight, within it normal before batch, then the oldest. Of teams with equal usage the one that
+ * started less lately goes first; with few slots, usage alone would favour whoever queued first. Items whose team has no budget, or for
  * which no slot is free, are passed over.
  */
 export class FairShareQueue {
@@ -170,21 +173,25 @@
   #nextOf(precedences: readonly Priority[]): Item | undefined {
     const policy = this.#policy;
     if (!precedences.some((precedence) => policy.slotFree(precedence))) return undefined;
-    let best: Item | undefined;
-    let bestUsage = Infinity;
+    let best: Candidate | undefined;
     for (const [team, { lanes }] of this.#teams) {
       const item = precedences.map((p) => lanes[p].first()).find((first) => first !== undefined);
       if (item === undefined || !policy.budgetFree(team)) continue;
-      const usage = policy.usage(team);
-      if (best === undefined || usage < bestUsage || (usage === bestUsage && older(item, best))) {
-        best = item;
-        bestUsage = usage;
-      }
+      const candidate = { item, usage: policy.usage(team), recent: policy.recent(team) };
+      if (best === undefined || precedes(candidate, best)) best = candidate;
     }
-    return best;
+    return best?.item;
   }
 }
 
-function older(a: Item, b: Item): boolean {
-  return a.options.acceptedAt < b.options.acceptedAt;
+interface Candidate {
+  readonly item: Item;
+  readonly usage: number;
+  readonly recent: number;
+}
+
+function precedes(a: Candidate, b: Candidate): boolean {
+  if (a.usage !== b.usage) return a.usage < b.usage;
+  if (a.recent !== b.recent) return a.recent < b.recent;
+  return a.item.options.acceptedAt < b.item.options.acceptedAt;
 }
--- a/src/state/request-table.ts
+++ b/src/state/request-table.ts
@@ -48,6 +48,7 @@
   }
 
   find(requestId: string): RequestRecord | undefined {
+    this.expire();
     return this.#records.get(requestId);
   }
 
@@ -58,7 +59,6 @@
 
   /** True if another request that must be remembered for the window fits. */
   hasRoomForPinned(): boolean {
-    this.expire();
     return this.#pinned < this.#options.idMemoryEntries;
   }
 
--- a/src/state/team-usage.ts
+++ b/src/state/team-usage.ts
@@ -1,5 +1,14 @@
-/** Running tasks of each team at the other entries, smoothed. */
+/** Time in milliseconds after which a start counts half. */
+const START_HALF_LIFE_MS = 5000;
+
+interface Starts {
+  readonly at: number;
+  readonly count: number;
+}
+
+/** Running tasks of each team at the other entries, smoothed, and recent starts here. */
 export class TeamUsage {
+  readonly #starts = new Map<string, Starts>();
   #remote = new Map<string, number>();
 
   /**
@@ -18,6 +27,17 @@
     this.#remote = next;
   }
 
+  /** Counts a start here at a monotonic time in milliseconds. */
+  started(team: string, now: number): void {
+    this.#starts.set(team, { at: now, count: this.recentStarts(team, now) + 1 });
+  }
+
+  /** Starts here, each counting less the longer ago it was. */
+  recentStarts(team: string, now: number): number {
+    const starts = this.#starts.get(team);
+    return starts === undefined ? 0 : starts.count * 2 ** ((starts.at - now) / START_HALF_LIFE_MS);
+  }
+
   /** Running tasks elsewhere. */
   remote(team: string): number {
     return this.#remote.get(team) ?? 0;
--- /dev/null
+++ b/test/coordination/access-and-cancel.test.ts
@@ -0,0 +1,110 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { fixtureConfig } from "../fakes/entry-fakes.ts";
+import { entryFixture, fixtureRequest, onClock, summary } from "../fakes/entry-fixture.ts";
+
+// Guards against work taken without a valid key, and against certainty before the home was asked.
+test("work is taken only with a key whose team may use the queue", async () => {
+  const config = fixtureConfig({ shares: { red: 1, narrow: 1 } });
+  const { clock, submit, held } = entryFixture({ config });
+  held.add("s1");
+  const replies = [
+    submit({ key: undefined }),
+    submit({ key: "key-nobody" }),
+    submit({ key: "key-narrow" }),
+    submit({ queue: "none" }),
+    submit({ key: undefined, idempotencyKey: "a" }),
+    submit({ queue: "open", key: undefined }),
+    submit({ queue: "repeat", key: "key-narrow" }),
+  ];
+  assert.equal((await onClock(clock, Promise.all(replies))).map(summary), [
+    "key_missing ran=no",
+    "key_unknown ran=no",
+    "key_not_allowed ran=no",
+    "unknown_queue ran=no",
+    "key_missing ran=unknown",
+    "answer",
+    "answer",
+  ]);
+});
+
+// Guards against keys accepted after they may have been revoked.
+test("a stale configuration stops keyed work and nothing else", async () => {
+  const { clock, submit, held, config, path } = entryFixture();
+  held.add("s1");
+  held.runMs = 1000;
+  const running = submit();
+  await clock.advance(10);
+  config.allowed = false;
+  assert.is(summary(await onClock(clock, submit())), "config_stale ran=no");
+  assert.is(summary(await onClock(clock, submit({ queue: "open" }))), "answer");
+  assert.is(summary(await onClock(clock, running)), "answer");
+  const { requestId } = held.started[0]!.spec;
+  assert.is(summary(await path.requests.query(requestId, "key-red", 0)), "answer");
+  config.document = undefined;
+  assert.is(summary(await onClock(clock, submit())), "config_missing ran=no");
+});
+
+// Guards against cancelled work that still runs, and against a retry that revives it.
+test("a cancelled queued request never starts and its demand ends at once", async () => {
+  const { clock, held, path, budgets, submit } = entryFixture();
+  const order = fixtureRequest({ idempotencyKey: "a" });
+  const pending = await path.requests.submit(order, "async");
+  assert.is(pending.kind, "pending");
+  const { requestId } = pending as { readonly requestId: string };
+  assert.is(budgets.demand.get("red"), 1);
+  const stranger = await path.requests.cancel(requestId, "key-blue");
+  assert.is(summary(stranger), "id_unknown ran=unknown");
+  const reply = await onClock(clock, path.requests.cancel(requestId, "key-red"));
+  assert.is(summary(reply), "cancelled ran=no");
+  held.add("s1");
+  assert.is(summary(await onClock(clock, submit({ idempotencyKey: "a" }))), "cancelled ran=no");
+  assert.is(held.started.length, 0);
+  assert.is(budgets.demand.get("red"), 0);
+});
+
+// Guards against a cancellation that leaves its task running or calls it not run.
+test("a running request is stopped when cancelled", async () => {
+  const { clock, held, path, submit } = entryFixture();
+  held.add("s1");
+  held.runMs = undefined;
+  const reply = submit();
+  await clock.until(() => held.started.length === 1);
+  const { requestId } = held.started[0]!.spec;
+  const cancelled = await onClock(clock, path.requests.cancel(requestId, "key-red"));
+  assert.is(summary(cancelled), "cancelled ran=yes");
+  assert.is(summary(await onClock(clock, reply)), "cancelled ran=yes");
+  assert.is(held.stopped.length, 1);
+});
+
+// Guards against endless retries of a job that cannot run, and of all jobs of a bad server.
+test("a job that fails on three servers is refused with its reasons", async () => {
+  const { clock, held, submit, counters } = entryFixture();
+  for (const name of ["s1", "s2", "s3", "s4"]) held.add(name);
+  held.result = () => ({ kind: "failure", reason: "no input" });
+  const reply = await onClock(clock, submit({ queue: "repeat" }));
+  assert.is(summary(reply), "bad_job ran=yes");
+  assert.match(reply.kind === "refusal" ? reply.refusal.detail : "", /s\d: no input; s\d/);
+  assert.is(new Set(held.started.map((task) => task.server)).size, 3);
+  assert.is(counters.count("retry task_failed"), 2);
+  assert.is(summary(await onClock(clock, submit())), "task_failed ran=yes");
+});
+
+// Guards against queues that grow until every request in them misses its deadline.
+test("a request whose expected wait exceeds its deadline is refused at once", async () => {
+  const { clock, held, submit } = entryFixture();
+  held.add("s1", { slots: 1 });
+  held.runMs = 100;
+  const first = Array.from({ length: 20 }, () => submit({ timeoutMs: 60_000 }));
+  await clock.advance(0);
+  const before = clock.now();
+  const reply = await onClock(clock, submit({ timeoutMs: 500 }));
+  assert.is(summary(reply), "overload ran=no");
+  assert.ok(clock.now() - before < 100);
+  assert.ok(reply.kind === "refusal" && (reply.refusal.retryAfterMs ?? 0) >= 1000);
+  assert.is(summary(await onClock(clock, submit({ key: "key-blue", timeoutMs: 500 }))), "answer");
+  const replies = await onClock(clock, Promise.all(first));
+  assert.ok(replies.every((each) => each.kind === "answer"));
+});
+
+test.run();
--- a/test/coordination/at-most-once.test.ts
+++ b/test/coordination/at-most-once.test.ts
@@ -1,8 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { TaskSpec } from "../../src/platform/backend-server.ts";
 import { entryFixture, onClock, summary } from "../fakes/entry-fixture.ts";
 
-// Guards against a request path that loses or alters the answer.
+const KEYED = { idempotencyKey: "order-1" };
+
+// Guards against a request path that loses or alters the answer, or keeps its charge.
 test("a request is answered with its backend server's response", async () => {
   const { clock, held, submit, budgets } = entryFixture();
   held.add("s1");
@@ -12,11 +15,182 @@
   assert.is(budgets.running("red"), 0);
 });
 
+// Guards against a second run when a caller repeats its request.
+test("a retry attaches to the running request and later gets the stored answer", async () => {
+  const { clock, held, submit } = entryFixture();
+  held.add("s1");
+  const replies = await onClock(clock, Promise.all([submit(KEYED), submit(KEYED)]));
+  const later = await onClock(clock, submit(KEYED));
+  assert.equal([...replies, later].map(summary), ["answer", "answer", "answer"]);
+  assert.is(held.started.length, 1);
+});
+
+// Guards against one caller getting the answer to another request.
+test("another body, or another team's use of an issued id, is refused as not run", async () => {
+  const { clock, held, submit, path } = entryFixture();
+  held.add("s1");
+  const idempotencyKey = path.requests.issueId();
+  await onClock(clock, submit({ idempotencyKey }));
+  const payload = { contentType: "text/plain", body: Buffer.from("other") };
+  const other = await onClock(clock, submit({ idempotencyKey, payload }));
+  assert.is(summary(other), "id_body_mismatch ran=no");
+  const stranger = await onClock(clock, submit({ idempotencyKey, key: "key-blue" }));
+  assert.is(summary(stranger), "id_body_mismatch ran=no");
+  assert.is(held.started.length, 1);
+});
+
+// Guards against a second run after a start whose reply was lost.
+test("an ambiguous start that took effect is answered from the server and not repeated", async () => {
+  const { clock, held, submit } = entryFixture();
+  held.add("s1");
+  held.runMs = 3000;
+  held.rule = () => ({ kind: "ambiguous" });
+  assert.is(summary(await onClock(clock, submit())), "answer");
+  assert.is(held.started.length, 1);
+});
+
+// Guards against requests lost although the server's task list shows that they never started.
+test("an ambiguous start that certainly never happened is dispatched again", async () => {
+  const { clock, held, submit, budgets } = entryFixture();
+  held.add("s1");
+  held.runMs = undefined;
+  held.rule = (_server, spec) => (spec.attempt === 1 ? { kind: "ambiguous" } : undefined);
+  const reply = submit();
+  await clock.until(() => held.started.length === 1);
+  held.statuses.set(`${held.started[0]!.spec.requestId}#1`, "never-started");
+  await clock.until(() => held.started.length === 2);
+  assert.is(budgets.running("red"), 1);
+  held.finish(held.started[1]!.spec, { kind: "stopped", checkpointed: false });
+  assert.is(summary(await onClock(clock, reply)), "task_failed ran=yes");
+});
+
+// Guards against "not run", or a retry, where a non-idempotent request may have run.
+test("a lost attempt is unknown and not retried unless the request is idempotent", async () => {
+  for (const [queue, expected, starts] of [
+    ["jobs", "outcome_unknown ran=unknown", 1],
+    ["repeat", "answer", 2],
+  ] as const) {
+    const { clock, held, submit, counters } = entryFixture();
+    held.add("s1");
+    held.add("s2");
+    held.runMs = undefined;
+    const reply = submit({ queue });
+    await clock.until(() => held.started.length === 1);
+    const first = held.started[0]!;
+    held.statuses.set(`${first.spec.requestId}#1`, "lost");
+    held.runMs = 20;
+    assert.is(summary(await onClock(clock, reply)), expected);
+    assert.is(held.started.length, starts);
+    assert.is(new Set(held.started.map((task) => task.server)).size, starts);
+    assert.is(counters.count("retry server_lost"), starts - 1);
+  }
+});
+
+// Guards against an unknown outcome that stays unknown although the result still arrives.
+test("a result that arrives after the deadline is kept for whoever asks", async () => {
+  const { clock, held, submit, path } = entryFixture();
+  held.add("s1");
+  held.runMs = 5000;
+  const reply = await onClock(clock, submit({ timeoutMs: 1000, ...KEYED }));
+  assert.is(summary(reply), "outcome_unknown ran=unknown");
+  assert.is(summary(await onClock(clock, submit(KEYED))), "answer");
+  const { requestId } = held.started[0]!.spec;
+  assert.is(summary(await path.requests.query(requestId, "key-red", 0)), "answer");
+  assert.is(summary(await path.requests.query(requestId, "key-blue", 0)), "id_unknown ran=unknown");
+  assert.is(held.started.length, 1);
+});
+
+// Guards against answers of earlier attempts that are taken for the current one.
+test("a result of another attempt is dropped and counted", async () => {
+  const { clock, held, submit, counters } = entryFixture();
+  held.add("s1");
+  held.runMs = undefined;
+  const reply = submit();
+  await clock.until(() => held.started.length === 1);
+  const { spec } = held.started[0]!;
+  const payload = { contentType: "text/plain", body: Buffer.from("stale") };
+  held.report({ server: "s1", spec: { ...spec, attempt: 9 } }, { kind: "answer", payload });
+  held.report({ server: "s1", spec: { ...spec, requestId: "e1.99" } }, { kind: "answer", payload });
+  held.finish(spec, { kind: "answer", payload: spec.payload });
+  const answer = await onClock(clock, reply);
+  assert.is(answer.kind === "answer" && Buffer.from(answer.payload.body).toString(), "hello");
+  assert.is(counters.count("result_unmatched"), 2);
+});
+
+// Guards against a lost answer when the result overtakes the reply to the start.
+test("a result that arrives before the reply to the start is taken", async () => {
+  const { clock, held, submit } = entryFixture();
+  held.add("s1");
+  held.runMs = undefined;
+  held.rule = (server: string, spec: TaskSpec) => {
+    held.report({ server, spec }, { kind: "answer", payload: spec.payload });
+    return { kind: "ambiguous" };
+  };
+  assert.is(summary(await onClock(clock, submit())), "answer");
+  assert.is(held.started.length, 1);
+});
+
+// Guards against a request that is given up, or run under one number twice, after a refused start.
+test("a start that certainly did not happen is repeated under a new attempt number", async () => {
+  const { clock, held, submit, budgets, counters } = entryFixture();
+  held.add("s1");
+  held.rule = (_server, spec) =>
+    spec.attempt < 3 ? { kind: "not-started", reason: "server_full" } : undefined;
+  assert.is(summary(await onClock(clock, submit())), "answer");
+  assert.is(held.started[0]!.spec.attempt, 3);
+  assert.is(counters.count("retry server_full"), 2);
+  assert.is(budgets.running("red"), 0);
+});
+
 // Guards against a refusal at the deadline that claims less or more than is known.
-test("a request still queued at its deadline is refused as not run", async () => {
-  const { clock, submit } = entryFixture();
-  const reply = await onClock(clock, submit({ timeoutMs: 500 }));
+test("a request still queued at its deadline is refused as not run and may be repeated", async () => {
+  const { clock, held, submit } = entryFixture();
+  const reply = await onClock(clock, submit({ timeoutMs: 500, ...KEYED }));
   assert.is(summary(reply), "deadline ran=no");
+  held.add("s1");
+  assert.is(summary(await onClock(clock, submit(KEYED))), "answer");
+});
+
+// Guards against a home that claims certainty about ids from before its memory.
+test("ids that the home cannot judge are refused, as not run only where that is certain", async () => {
+  const { clock, held, submit, homes } = entryFixture();
+  held.add("s1");
+  homes.verdicts.set("red:jobs:old", "too-old");
+  homes.verdicts.set("red:jobs:new", "from-future");
+  homes.verdicts.set("red:jobs:moved", "not-home");
+  const replies = ["old", "new", "moved"].map((key) => submit({ idempotencyKey: key }));
+  assert.equal((await onClock(clock, Promise.all(replies))).map(summary), [
+    "id_too_old ran=unknown",
+    "id_from_future ran=no",
+    "home_moving ran=unknown",
+  ]);
+  assert.is(held.started.length, 0);
+});
+
+// Guards against a full memory that forgets ids of requests which must not run twice.
+test("a full id memory refuses new keys of non-idempotent requests only", async () => {
+  const { clock, held, submit } = entryFixture({ settings: { idMemoryEntries: 2 } });
+  held.add("s1");
+  for (const idempotencyKey of ["a", "b"]) await onClock(clock, submit({ idempotencyKey }));
+  assert.is(
+    summary(await onClock(clock, submit({ idempotencyKey: "c" }))),
+    "id_memory_full ran=no",
+  );
+  assert.is(summary(await onClock(clock, submit({ idempotencyKey: "a" }))), "answer");
+  assert.is(summary(await onClock(clock, submit())), "answer");
+  const repeat = { queue: "repeat", idempotencyKey: "d" };
+  assert.is(summary(await onClock(clock, submit(repeat))), "answer");
+  assert.is(held.started.length, 4);
+});
+
+// Guards against a repeated run once the answer is no longer stored.
+test("an answer past its retention is reported as run and not run again", async () => {
+  const { clock, held, submit } = entryFixture({ settings: { resultRetentionMs: 1000 } });
+  held.add("s1");
+  await onClock(clock, submit(KEYED));
+  await clock.advance(1100);
+  assert.is(summary(await onClock(clock, submit(KEYED))), "outcome_unknown ran=yes");
+  assert.is(held.started.length, 1);
 });
 
 test.run();
