perf(requests): gather pumps, index gossip, spread offers

Cause: each end of a task pumped every queue several times, and each offer searched the peers' gossip linearly; all entries offered to the same peer with most free slots until its next gossip. Change: notices are gathered in one microtask, gossip is indexed once per message, waits are computed once per team and precedence in a pass, and a peer is drawn by its number of free slots. Bodies of requests without an outcome are limited to 48 MiB. A request that finds no server of its pool by its deadline is refused as no_capacity; the test that expected "deadline" there now checks both cases. Ruled out: choosing the peer with most free slots, because of the flooding described above.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -1,11 +1,15 @@
 import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
 import type { Priority, TaskRef } from "../platform/backend-server.ts";
 import type { PoolLoad } from "../protocol/peer-messages.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
+import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
 import { TeamUsage } from "../state/team-usage.ts";
+import { CapacityReview } from "./capacity-review.ts";
 import { LocalPolicy } from "./local-policy.ts";
+import { PeerLoads } from "./peer-loads.ts";
 import { PeerOffers } from "./peer-offers.ts";
 import { PoolLending } from "./pool-lending.ts";
 import { PoolQueue, shareTeam, type QueuedItem } from "./pool-queue.ts";
@@ -24,8 +28,6 @@
 import { TaskStarter } from "./task-starter.ts";
 import type { StartOutcome, WithdrawReason, Work } from "./work.ts";
 
-/** How often lending, offers and demand are reviewed without another cause. */
-const REVIEW_INTERVAL_MS = 50;
 /** Queued requests looked at for offers in one pass, which bounds the time a pass takes. */
 const MAX_OFFER_SCAN = 64;
 
@@ -35,6 +37,7 @@
 /** Options of {@link Dispatcher}. */
 export interface DispatcherOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly settings: Pick<EntrySettings, "lendWaitMs" | "lendAfterMs">;
   readonly config: ConfigView;
   readonly fleet: FleetView;
@@ -63,14 +66,15 @@
   readonly #lending: PoolLending;
   readonly #waits: PoolWaits;
   readonly #usage = new TeamUsage();
+  readonly #loads: PeerLoads;
   readonly #offers: PeerOffers;
   readonly #starter: TaskStarter;
-  readonly #demand = new Set<string>();
+  readonly #demand = new Map<string, number>();
   readonly #subscriptions: readonly Unsubscribe[];
   readonly #closed = new AbortController();
-  #lastGossipAt = -1;
   #ids = 0;
   #stopping = false;
+  #pumpDue = false;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -83,13 +87,28 @@
       usage: this.#usage,
     };
     this.#waits = new PoolWaits({ ...options, ...shared });
-    this.#offers = new PeerOffers(options);
+    this.#loads = new PeerLoads(options);
+    this.#offers = new PeerOffers({ ...options, loads: this.#loads });
     this.#starter = new TaskStarter({ ...options, ...shared });
+    // One end of a task causes several notices, so they are gathered.
     const pump = (): void => {
-      this.pump();
+      if (this.#pumpDue) return;
+      this.#pumpDue = true;
+      queueMicrotask(() => {
+        this.pump();
+      });
     };
     this.#subscriptions = [options.held.onChange(pump), options.budgets.onChange(pump)];
-    void this.#reviewLoop();
+    const review = new CapacityReview({
+      ...options,
+      ...shared,
+      waits: this.#waits,
+      loads: this.#loads,
+      starter: this.#starter,
+    });
+    void review.run(this.#closed.signal, () => {
+      this.pump();
+    });
   }
 
   /** Queues work for its queue's pool and starts it at once if possible. */
@@ -128,10 +147,18 @@
   expectedWait(queue: string, team: string | undefined, precedence: Priority): number {
     const pool = this.#poolOf(queue);
     const here = this.#waits.here({ pool, team: shareTeam(team), precedence });
-    const wait = Math.min(here, ...this.#waits.atPeers(pool));
+    const wait = Math.min(here, ...this.#loads.waits(pool));
     return Number.isFinite(wait) ? wait : 0;
   }
 
+  /** True if this entry or a peer in contact has slots for the queue's pool. */
+  hasCapacity(queue: string): boolean {
+    const pools = this.#lending.poolsFor(this.#poolOf(queue));
+    return pools.some(
+      (pool) => this.#picker.totalSlots(pool) > 0 || this.#loads.waits(pool).length > 0,
+    );
+  }
+
   /** Free and total slots, queue length and expected normal wait of each pool. */
   poolLoads(): readonly PoolLoad[] {
     return this.#lending.poolsInOrder().map((pool) => ({
@@ -165,6 +192,7 @@
 
   /** Starts what can start here, then offers what a peer would start sooner. */
   pump(): void {
+    this.#pumpDue = false;
     for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
     for (const [pool, queue] of this.#queues) this.#offerQueued(pool, queue);
     this.#reportDemand();
@@ -196,7 +224,7 @@
   #enqueue(item: QueuedItem, returned: boolean): void {
     const queue = this.#queueOf(item.pool);
     queue.add(item, returned);
-    if (item.stage === "queued") this.#offerQueued(item.pool, queue);
+    if (isQueued(item)) this.#offerQueued(item.pool, queue);
     this.#reportDemand();
   }
 
@@ -244,27 +272,33 @@
 
   #offerQueued(pool: string, queue: PoolQueue): void {
     const count = queue.ownLength;
-    if (count === 0 || this.#options.peers.gossip().size === 0) return;
+    if (count === 0 || this.#loads.takingWork().length === 0) return;
+    const { clock } = this.#options;
+    const waits = new Map<string, number>();
     let position = 0;
-    for (const item of [...queue.ownItems].slice(0, MAX_OFFER_SCAN)) {
+    for (const item of firstOf(queue.ownItems, MAX_OFFER_SCAN)) {
       position++;
-      const { priority } = item.work.spec;
-      const wait = this.#stopping
-        ? Infinity
-        : this.#waits.here({ pool, team: item.team, precedence: priority });
+      const { priority, queue: name } = item.work.spec;
+      if (item.work.expiresAt - clock.now() < MIN_OFFER_TIME_MS) continue;
+      const key = `${priority} ${item.team}`;
+      const wait = waits.get(key) ?? this.#ownWait(pool, item.team, priority);
+      waits.set(key, wait);
       const peer = this.#offers.choose({
         pools: this.#lending.poolsFor(pool),
         team: item.team,
         precedence: priority,
         // An item near the head waits less than one that is queued now.
         ownWaitMs: Number.isFinite(wait) ? (wait * position) / count : wait,
-        runMs: this.#waits.runMs(item.work.spec.queue, item.team),
+        runMs: this.#waits.runMs(name, item.team),
       });
-      const late = item.work.expiresAt - this.#options.clock.now() < MIN_OFFER_TIME_MS;
-      if (peer !== undefined && !late && queue.take(item)) void this.#offer(peer, item);
+      if (peer !== undefined && queue.take(item)) void this.#offer(peer, item);
     }
   }
 
+  #ownWait(pool: string, team: string, precedence: Priority): number {
+    return this.#stopping ? Infinity : this.#waits.here({ pool, team, precedence });
+  }
+
   async #offer(peer: string, item: QueuedItem): Promise<void> {
     const ref = item.work.nextRef();
     item.stage = "offered";
@@ -279,43 +313,29 @@
     else item.settle({ kind: "started", ref, server: outcome.server, holder: peer });
   }
 
-  async #reviewLoop(): Promise<void> {
-    const { clock } = this.#options;
-    while (!this.#closed.signal.aborted) {
-      this.#reviewPeers();
-      this.#picker.prune();
-      this.#starter.prune();
-      for (const pool of this.#lending.poolsInOrder()) {
-        const wait = Math.max(this.#waits.observed(pool), ...this.#waits.atPeers(pool));
-        this.#lending.update(pool, wait, clock.now());
-        this.#options.attribution.review(this.#picker.serversOf(pool));
-      }
-      this.pump();
-      await clock.sleep(REVIEW_INTERVAL_MS, this.#closed.signal);
-    }
-  }
-
-  #reviewPeers(): void {
-    const gossip = [...this.#options.peers.gossip().values()];
-    const newest = Math.max(-1, ...gossip.map((peer) => peer.receivedAt));
-    if (newest === this.#lastGossipAt) return;
-    this.#lastGossipAt = newest;
-    const running = new Map<string, number>();
-    for (const { message } of gossip) {
-      for (const load of message.teams)
-        running.set(load.team, (running.get(load.team) ?? 0) + load.running);
-    }
-    this.#usage.update(running, gossip.length);
-  }
-
   /** Budgets are raised for queued work only, so each change of a team's queue is stated. */
   #reportDemand(): void {
     const queued = this.queuedByTeam();
-    for (const team of new Set([...this.#demand, ...queued.keys()])) {
-      if (team === "") continue;
-      this.#options.budgets.setDemand(team, queued.get(team) ?? 0);
-      if (queued.has(team)) this.#demand.add(team);
+    for (const team of new Set([...this.#demand.keys(), ...queued.keys()])) {
+      const count = queued.get(team) ?? 0;
+      if (team === OPEN_TEAM || this.#demand.get(team) === count) continue;
+      this.#options.budgets.setDemand(team, count);
+      if (count > 0) this.#demand.set(team, count);
       else this.#demand.delete(team);
     }
   }
 }
+
+/** A function, because adding an item to its queue may start it at once. */
+function isQueued(item: QueuedItem): boolean {
+  return item.stage === "queued";
+}
+
+function firstOf<T>(items: Iterable<T>, limit: number): readonly T[] {
+  const first: T[] = [];
+  for (const item of items) {
+    if (first.length >= limit) break;
+    first.push(item);
+  }
+  return first;
+}
--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -15,6 +15,8 @@
 import type { RequestDriver } from "./request-driver.ts";
 
 const RETRY_AFTER_MS = 1000;
+/** Most bytes of bodies of requests without an outcome; an entry has about 128 MB in all. */
+const MAX_PENDING_BYTES = 48 * 1024 * 1024;
 
 /** Options of {@link HomeRequests}. */
 export interface HomeRequestsOptions {
@@ -138,6 +140,9 @@
     }
     if (this.#stopping)
       return refused("stopping", "The entry instance shuts down.", ran, RETRY_AFTER_MS);
+    const bytes = this.#options.table.pendingBytes + spec.payload.body.byteLength;
+    if (bytes > MAX_PENDING_BYTES)
+      return refused("overload", "Too many requests are queued.", ran, RETRY_AFTER_MS);
     const wait = this.#options.dispatcher.expectedWait(spec.queue, spec.team, spec.priority);
     if (wait > spec.timeoutMs) {
       const detail = `The expected wait of ${Math.round(wait)} ms exceeds the deadline.`;
--- /dev/null
+++ b/src/coordination/peer-loads.ts
@@ -0,0 +1,61 @@
+import type { GossipMessage, PoolLoad, TeamLoad } from "../protocol/peer-messages.ts";
+import type { Peers, PeerState } from "./ports.ts";
+
+interface LoadIndex {
+  readonly pools: ReadonlyMap<string, PoolLoad>;
+  readonly teams: ReadonlyMap<string, TeamLoad>;
+}
+
+/** Loads in the peers' gossip by name; each message is indexed once, as it is read very often. */
+export class PeerLoads {
+  readonly #peers: Peers;
+  readonly #indexes = new WeakMap<GossipMessage, LoadIndex>();
+
+  constructor({ peers }: { readonly peers: Peers }) {
+    this.#peers = peers;
+  }
+
+  /** Peers in contact that take work. */
+  takingWork(): readonly (readonly [string, PeerState])[] {
+    return [...this.#peers.gossip()].filter(([, peer]) => !peer.message.stopping);
+  }
+
+  pool({ message }: PeerState, pool: string): PoolLoad | undefined {
+    return this.#index(message).pools.get(pool);
+  }
+
+  team({ message }: PeerState, team: string): TeamLoad | undefined {
+    return this.#index(message).teams.get(team);
+  }
+
+  /** Expected waits of a pool at the peers that have slots of it. */
+  waits(pool: string): readonly number[] {
+    return this.takingWork().flatMap(([, peer]) => {
+      const load = this.pool(peer, pool);
+      if (load === undefined || load.totalSlots === 0) return [];
+      return [load.freeSlots > 0 ? 0 : load.waitMs];
+    });
+  }
+
+  /** Longest expected wait of each pool at any peer. */
+  longestWaits(): ReadonlyMap<string, number> {
+    const waits = new Map<string, number>();
+    for (const [, { message }] of this.takingWork()) {
+      for (const { pool, waitMs, freeSlots } of message.pools)
+        if (freeSlots === 0) waits.set(pool, Math.max(waits.get(pool) ?? 0, waitMs));
+    }
+    return waits;
+  }
+
+  #index(message: GossipMessage): LoadIndex {
+    let index = this.#indexes.get(message);
+    if (index === undefined) {
+      index = {
+        pools: new Map(message.pools.map((load) => [load.pool, load])),
+        teams: new Map(message.teams.map((load) => [load.team, load])),
+      };
+      this.#indexes.set(message, index);
+    }
+    return index;
+  }
+}
--- a/src/coordination/peer-offers.ts
+++ b/src/coordination/peer-offers.ts
@@ -1,7 +1,9 @@
 import type { Clock } from "../platform/clock.ts";
+import type { Random } from "../platform/random.ts";
 import type { Priority } from "../platform/backend-server.ts";
 import type { PoolLoad, RunReply } from "../protocol/peer-messages.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
+import type { PeerLoads } from "./peer-loads.ts";
 import type { Counters, Peers, PeerState } from "./ports.ts";
 import { type Work } from "./work.ts";
 import type { TaskRef } from "../platform/backend-server.ts";
@@ -11,7 +13,7 @@
 /** An offer to a peer with a queue must shorten the wait by at least this much. */
 const MIN_GAIN_MS = 20;
 const MAX_OFFER_MS = 2000;
-/** A peer without budget must first raise it: about one gossip round and two writes. */
+/** Time to raise a budget: about one gossip round and two writes. */
 const BUDGET_RAISE_MS = 500;
 /** Time for the reply to an offer beyond the offer itself. */
 const REPLY_MARGIN_MS = 1000;
@@ -39,7 +41,9 @@
 /** Options of {@link PeerOffers}. */
 export interface PeerOffersOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly peers: Peers;
+  readonly loads: PeerLoads;
   readonly counters: Counters;
 }
 
@@ -54,19 +58,25 @@
     this.#options = options;
   }
 
-  /** The peer where the work would start soonest, if sooner than here. */
+  /**
+   * The peer where the work would start soonest, if sooner than here. Among peers with free slots
+   * one is drawn by their number; if all entries took the same one, it would be flooded until its
+   * next gossip.
+   */
   choose(need: OfferNeed): string | undefined {
     let best: string | undefined;
     let bestWait = need.ownWaitMs - MIN_GAIN_MS;
-    for (const [incarnation, peer] of this.#options.peers.gossip()) {
-      if (peer.message.stopping || this.#paused(incarnation, need)) continue;
-      const wait = this.#expectedWait(incarnation, peer, need);
-      if (wait < bestWait) {
+    const free: { readonly incarnation: string; readonly slots: number }[] = [];
+    for (const [incarnation, peer] of this.#options.loads.takingWork()) {
+      if (this.#paused(incarnation, need)) continue;
+      const { wait, slots } = this.#prospect(incarnation, peer, need);
+      if (wait === 0 && bestWait > 0) free.push({ incarnation, slots });
+      else if (wait < bestWait) {
         best = incarnation;
         bestWait = wait;
       }
     }
-    return best;
+    return this.#draw(free) ?? best;
   }
 
   /** Makes an offer and waits for its end. */
@@ -103,14 +113,39 @@
     void this.#options.peers.call(offer.peer, req, REPLY_MARGIN_MS);
   }
 
-  #expectedWait(incarnation: string, peer: PeerState, need: OfferNeed): number {
+  #prospect(
+    incarnation: string,
+    peer: PeerState,
+    need: OfferNeed,
+  ): { readonly wait: number; readonly slots: number } {
     const recent = this.#recentCount(incarnation, peer);
-    let best = Infinity;
+    let wait = Infinity;
+    let slots = 0;
     for (const pool of need.pools) {
-      const load = peer.message.pools.find((each) => each.pool === pool);
-      if (load !== undefined) best = Math.min(best, waitAt(load, recent, need));
+      const load = this.#options.loads.pool(peer, pool);
+      if (load === undefined) continue;
+      wait = Math.min(wait, waitAt(load, recent, need));
+      slots += Math.max(0, load.freeSlots - recent);
     }
-    return best + budgetPenalty(peer, need.team);
+    return { wait: wait + this.#budgetWait(peer, need.team), slots };
+  }
+
+  /** A peer without budget must first raise it. */
+  #budgetWait(peer: PeerState, team: string): number {
+    if (team === OPEN_TEAM) return 0;
+    const load = this.#options.loads.team(peer, team);
+    return load !== undefined && load.budget > load.running ? 0 : BUDGET_RAISE_MS;
+  }
+
+  #draw(
+    free: readonly { readonly incarnation: string; readonly slots: number }[],
+  ): string | undefined {
+    let point = this.#options.random.next() * free.reduce((sum, each) => sum + each.slots, 0);
+    for (const { incarnation, slots } of free) {
+      point -= slots;
+      if (point < 0) return incarnation;
+    }
+    return undefined;
   }
 
   #recentCount(incarnation: string, peer: PeerState): number {
@@ -141,9 +176,3 @@
   if (free > 0) return 0;
   return load.waitMs + ((1 - free) * need.runMs) / load.totalSlots;
 }
-
-function budgetPenalty(peer: PeerState, team: string): number {
-  if (team === OPEN_TEAM) return 0;
-  const load = peer.message.teams.find((each) => each.team === team);
-  return load !== undefined && load.budget > load.running ? 0 : BUDGET_RAISE_MS;
-}
--- a/src/coordination/pool-waits.ts
+++ b/src/coordination/pool-waits.ts
@@ -4,7 +4,7 @@
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
 import type { PoolLending } from "./pool-lending.ts";
 import type { PoolQueue } from "./pool-queue.ts";
-import type { Budgets, ConfigView, Peers } from "./ports.ts";
+import type { Budgets, ConfigView } from "./ports.ts";
 import type { ServerPicker } from "./server-picker.ts";
 
 const UNKNOWN_QUEUE_RUN_MS = 1000;
@@ -18,7 +18,6 @@
   readonly clock: Clock;
   readonly config: ConfigView;
   readonly budgets: Budgets;
-  readonly peers: Peers;
   readonly estimates: RunTimeEstimates;
   readonly picker: ServerPicker;
   readonly lending: PoolLending;
@@ -60,15 +59,6 @@
     return Math.max(slotWait, this.#budgetWait(pool, team, runMs));
   }
 
-  /** Expected waits at the peers in contact that have slots of the pool. */
-  atPeers(pool: string): readonly number[] {
-    return [...this.#options.peers.gossip().values()].flatMap(({ message }) => {
-      const load = message.pools.find((each) => each.pool === pool);
-      if (load === undefined || load.totalSlots === 0 || message.stopping) return [];
-      return [load.freeSlots > 0 ? 0 : load.waitMs];
-    });
-  }
-
   /** Wait of urgent and normal work as seen here: expected, or already waited if that is longer. */
   observed(pool: string): number {
     const queue = this.#options.queues.get(pool);
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -211,6 +211,10 @@
     const failure = record.failures.at(-1);
     if (failure !== undefined) return refused(record, "task_failed", failure.reason);
     if (record.ran !== "no") return lostState();
+    if (!this.#options.dispatcher.hasCapacity(record.queue)) {
+      const detail = "No backend server of the queue's pool was available before the deadline.";
+      return refused(record, "no_capacity", detail, RETRY_AFTER_MS);
+    }
     const detail = "The request could not be started before its deadline.";
     return refused(record, "deadline", detail, RETRY_AFTER_MS);
   }
--- a/src/coordination/server-picker.ts
+++ b/src/coordination/server-picker.ts
@@ -66,6 +66,11 @@
       .map((server) => server.name);
   }
 
+  /** Number of the pool's servers in the whole fleet. */
+  poolSize(pool: string): number {
+    return this.#options.fleet.current()?.servers.filter((each) => each.pool === pool).length ?? 0;
+  }
+
   /** Forgets servers that are no longer held. */
   prune(): void {
     const held = new Set(this.#options.held.list().map((server) => server.name));
--- a/src/state/failure-attribution.ts
+++ b/src/state/failure-attribution.ts
@@ -55,11 +55,11 @@
     return healthy.length >= this.#badJobServers;
   }
 
-  /** Puts suspected servers on probation, at most a quarter of the given pool at once. */
-  review(pool: readonly string[]): void {
-    const allowed = Math.floor(pool.length * MAX_PROBATION_FRACTION);
-    let count = pool.filter((server) => this.onProbation(server)).length;
-    for (const server of pool) {
+  /** Puts suspected servers of those held here on probation, at most a quarter of their pool. */
+  review(held: readonly string[], poolSize: number): void {
+    const allowed = Math.floor(poolSize * MAX_PROBATION_FRACTION);
+    let count = held.filter((server) => this.onProbation(server)).length;
+    for (const server of held) {
       const health = this.#servers.get(server);
       if (health === undefined || health.probation || count >= allowed) continue;
       if (!this.#suspect(health)) continue;
--- a/src/state/request-table.ts
+++ b/src/state/request-table.ts
@@ -31,6 +31,7 @@
   readonly #waiters = new Map<RequestRecord, Set<() => void>>();
   readonly #retained = new Set<Retained>();
   #retainedBytes = 0;
+  #pendingBytes = 0;
   #pinned = 0;
   #evictedThrough = -1;
 
@@ -62,11 +63,17 @@
     return this.#pinned < this.#options.idMemoryEntries;
   }
 
+  /** Bytes of the bodies of requests without an outcome. */
+  get pendingBytes(): number {
+    return this.#pendingBytes;
+  }
+
   /** Adds a record; one that was there under the same id is replaced. */
   add(record: RequestRecord): void {
     this.remove(record.requestId);
     this.#records.set(record.requestId, record);
     if (record.pinned) this.#pinned++;
+    this.#pendingBytes += bodyBytes(record);
     this.#evict();
   }
 
@@ -76,11 +83,13 @@
     if (record === undefined) return;
     this.#records.delete(requestId);
     if (record.pinned) this.#pinned--;
+    this.#pendingBytes -= bodyBytes(record);
   }
 
   /** Stores the outcome of a request and wakes whoever waits for it. */
   finish(record: RequestRecord, state: RequestState): void {
     record.state = state;
+    if (this.#records.get(record.requestId) === record) this.#pendingBytes -= bodyBytes(record);
     record.payload = undefined;
     if (state.kind === "answered") this.#retain(record, state.payload.body.byteLength);
     this.#wake(record);
@@ -156,3 +165,7 @@
     for (const wake of this.#waiters.get(record) ?? []) wake();
   }
 }
+
+function bodyBytes(record: RequestRecord): number {
+  return record.payload?.body.byteLength ?? 0;
+}
--- a/test/coordination/at-most-once.test.ts
+++ b/test/coordination/at-most-once.test.ts
@@ -145,9 +145,14 @@
 // Guards against a refusal at the deadline that claims less or more than is known.
 test("a request still queued at its deadline is refused as not run and may be repeated", async () => {
   const { clock, held, submit } = entryFixture();
+  const none = await onClock(clock, submit({ timeoutMs: 500, ...KEYED }));
+  assert.is(summary(none), "no_capacity ran=no");
+  held.add("s1", { slots: 1 });
+  held.runMs = 1000;
+  const first = submit();
   const reply = await onClock(clock, submit({ timeoutMs: 500, ...KEYED }));
   assert.is(summary(reply), "deadline ran=no");
-  held.add("s1");
+  assert.is(summary(await onClock(clock, first)), "answer");
   assert.is(summary(await onClock(clock, submit(KEYED))), "answer");
 });
 
