test(limits): entries on a virtual clock under random faults

Cause: the keepers were not yet run together. Change: in-memory cluster with pauses, cuts, reboots, lost replies and delayed messages; fixes the budget keeper, which woke shards whose tasks had not started to wait. Ruled out: real processes, which cannot repeat an order of events. Figures: 5 entries reach a limit of 7 and never pass it in 30 s.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -44,7 +44,7 @@
 export class BudgetKeeper extends Budgets {
   readonly #options: BudgetKeeperOptions;
   readonly #shards: readonly LedgerShard[];
-  readonly #wakes: (() => void)[] = [];
+  readonly #wakes = new Map<number, () => void>();
   readonly #demand = new Map<string, number>();
   readonly #returns = new Map<string, number>();
   readonly #idle: IdleWindow;
@@ -300,18 +300,18 @@
 
   async #waitForEvent(index: number): Promise<void> {
     const event = new AbortController();
-    this.#wakes[index] = () => {
+    this.#wakes.set(index, () => {
       event.abort();
-    };
+    });
     await this.#options.clock.sleep(TICK_MS, event.signal);
   }
 
   #wake(team: string): void {
-    this.#wakes[this.#indexOf(team)]?.();
+    this.#wakes.get(this.#indexOf(team))?.();
   }
 
   #wakeAll(): void {
-    for (const wake of this.#wakes) wake();
+    for (const wake of this.#wakes.values()) wake();
   }
 
   #notify(): void {
--- /dev/null
+++ b/test/coordination/limits.test.ts
@@ -0,0 +1,18 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Cluster } from "../fakes/limits-cluster.ts";
+
+// Guards against two entries raising their budgets from the same remainder, and against budget
+// that is never returned to those who need it.
+test("many entries together stay within the limit and reach it", async () => {
+  const cluster = new Cluster({ limit: 7, servers: 6 });
+  const entries = ["e1", "e2", "e3", "e4", "e5"].map((name) => cluster.add(name));
+  await cluster.clock.until(() => entries.every((one) => one.leases.list().length > 0), 30_000);
+  for (const entry of entries) void entry.generateLoad(4);
+  await cluster.clock.advance(30_000);
+  assert.is(cluster.mostRunning, 7);
+  assert.is(cluster.doubled, 0);
+  assert.ok(cluster.started > 300, `${cluster.started} tasks started`);
+});
+
+test.run();
--- /dev/null
+++ b/test/fakes/limits-cluster.ts
@@ -0,0 +1,182 @@
+/** Entries with the state and membership parts only, servers and a key-value store, in memory. */
+import type { StoredFleet } from "../../src/coordination/server-drain.ts";
+import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import { fleetKey, type ServerRecord } from "../../src/protocol/fleet-document.ts";
+import type { HomesDocument } from "../../src/protocol/homes-document.ts";
+import { ledgerKey, type LedgerDocument } from "../../src/protocol/ledger-document.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import {
+  SimulatedBackendServer,
+  TaskRunner,
+} from "../../src/stand-ins/simulated-backend-server.ts";
+import { Entry, GROUP, type World } from "./limits-entry.ts";
+import { TestConfig } from "./limits-ports.ts";
+import { SeededRandom } from "./seeded-random.ts";
+import { VirtualClock } from "./virtual-clock.ts";
+
+const GOSSIP_MS = 200;
+
+/** Options of {@link Cluster}. */
+export interface ClusterOptions {
+  readonly seed?: number;
+  readonly limit?: number;
+  /** Servers of each zone. */
+  readonly servers?: number;
+  readonly zones?: readonly string[];
+  readonly slots?: number;
+  /** Run time of a task, drawn from the cluster's random source by default. */
+  readonly runMs?: () => number;
+}
+
+/** A small fleet on a virtual clock that records how many tasks of the team run. */
+export class Cluster implements World {
+  readonly clock = new VirtualClock();
+  readonly random: SeededRandom;
+  readonly kv: KeyValueStore;
+  readonly config: TestConfig;
+  readonly entries: Entry[] = [];
+  readonly servers = new Map<string, SimulatedBackendServer>();
+  running = 0;
+  mostRunning = 0;
+  started = 0;
+  /** Attempts that a server started although they had been started before. */
+  doubled = 0;
+  readonly #seen = new Set<string>();
+  readonly #cut = new Set<string>();
+
+  constructor({
+    seed = 1,
+    limit = 6,
+    servers = 3,
+    zones = ["a"],
+    slots = 8,
+    runMs = () => 50 + this.random.next() * 400,
+  }: ClusterOptions = {}) {
+    this.random = new SeededRandom(seed);
+    this.kv = new KeyValueStore({ clock: this.clock });
+    this.config = new TestConfig(limit);
+    const runner = new (class extends TaskRunner {
+      run(): ReturnType<TaskRunner["run"]> {
+        return { runMs: runMs(), result: { kind: "stopped", checkpointed: false } };
+      }
+    })();
+    const records = zones.flatMap((zone) =>
+      Array.from({ length: servers }, (_, i) => serverRecord(`${zone}${i}`, zone, slots)),
+    );
+    for (const { name } of records) {
+      const observe = (event: "start" | "end", spec: TaskSpec): void => {
+        this.#observe(event, spec);
+      };
+      const { clock } = this;
+      this.servers.set(name, new SimulatedBackendServer({ clock, name, slots, runner, observe }));
+    }
+    const fleet: StoredFleet = { writeId: "w", group: GROUP, servers: records, retired: [] };
+    void this.kv.put({
+      key: fleetKey(GROUP),
+      value: JSON.stringify(fleet),
+      expectedRevision: 0,
+    });
+    void this.#gossip();
+  }
+
+  add(incarnation: string, zone = "a"): Entry {
+    const entry = new Entry(this, incarnation, zone);
+    this.entries.push(entry);
+    return entry;
+  }
+
+  entry(incarnation: string): Entry {
+    const entry = this.entries.find((one) => one.hello.incarnation === incarnation);
+    if (entry === undefined) throw new Error(`no entry ${incarnation}`);
+    return entry;
+  }
+
+  server(address: string): SimulatedBackendServer {
+    const server = this.servers.get(address);
+    if (server === undefined) throw new Error(`no server at ${address}`);
+    return server;
+  }
+
+  /** Cuts or heals the connection between two entries. */
+  setCut(a: Entry, b: Entry, cut: boolean): void {
+    const key = [a.hello.incarnation, b.hello.incarnation].sort().join();
+    if (cut) this.#cut.add(key);
+    else this.#cut.delete(key);
+  }
+
+  connected(a: Entry, b: Entry): boolean {
+    if ([a, b].some((entry) => entry.crashed || entry.clock.paused)) return false;
+    return !this.#cut.has([a.hello.incarnation, b.hello.incarnation].sort().join());
+  }
+
+  async ledger(): Promise<LedgerDocument["teams"]> {
+    const shards = await Promise.all([0, 1].map((shard) => this.kv.get(ledgerKey(shard))));
+    return shards.flatMap((reply) => {
+      const entry = reply.unwrap();
+      return entry === undefined ? [] : (JSON.parse(entry.value) as LedgerDocument).teams;
+    });
+  }
+
+  async homes(): Promise<HomesDocument> {
+    return JSON.parse((await this.kv.get("homes")).unwrap()!.value) as HomesDocument;
+  }
+
+  /** Changes the fleet document as the planner would. */
+  async changeFleet(change: (server: ServerRecord) => ServerRecord): Promise<void> {
+    const entry = (await this.kv.get(fleetKey(GROUP))).unwrap()!;
+    const fleet = JSON.parse(entry.value) as StoredFleet;
+    const value = JSON.stringify({ ...fleet, servers: fleet.servers.map(change) });
+    await this.kv.put({ key: entry.key, value, expectedRevision: entry.revision });
+  }
+
+  async fleetRecord(name: string): Promise<ServerRecord> {
+    const fleet = JSON.parse((await this.kv.get(fleetKey(GROUP))).unwrap()!.value) as StoredFleet;
+    return fleet.servers.find((server) => server.name === name)!;
+  }
+
+  #observe(event: "start" | "end", spec: TaskSpec): void {
+    this.running += event === "start" ? 1 : -1;
+    this.mostRunning = Math.max(this.mostRunning, this.running);
+    if (event === "end") return;
+    this.started++;
+    const key = `${spec.requestId}#${spec.attempt}`;
+    if (this.#seen.has(key)) this.doubled++;
+    this.#seen.add(key);
+  }
+
+  async #gossip(): Promise<void> {
+    for (;;) {
+      await this.clock.sleep(GOSSIP_MS);
+      for (const from of this.entries) {
+        for (const to of this.entries) {
+          if (from !== to && this.connected(from, to)) deliverGossip(from, to);
+        }
+      }
+    }
+  }
+}
+
+function deliverGossip(from: Entry, to: Entry): void {
+  to.peers.states.set(from.hello.incarnation, {
+    hello: from.hello,
+    receivedAt: to.clock.now(),
+    message: {
+      type: "gossip",
+      configRevision: 1,
+      configAgeMs: 0,
+      platformReachable: true,
+      fleetRevision: 0,
+      homesRevision: 0,
+      pools: [],
+      teams: from.budgets.loads(),
+      stopping: from.stopping,
+      ...from.leases.contribute(),
+    },
+  });
+}
+
+function serverRecord(name: string, zone: string, slots: number): ServerRecord {
+  const size = { cores: 16, memoryGb: 64, accelerators: 0, slots };
+  const times = { epoch: 0, rebootedAt: 0, since: 0 };
+  return { name, address: name, zone, rack: "r", ...size, pool: "p", state: "serving", ...times };
+}
--- /dev/null
+++ b/test/fakes/limits-entry.ts
@@ -0,0 +1,221 @@
+/** An entry instance with the state and membership parts only. */
+import { Err, Ok, type Result } from "ts-results";
+import { BudgetKeeper } from "../../src/coordination/budget-keeper.ts";
+import { ChargeResolver } from "../../src/coordination/charge-resolver.ts";
+import { DocumentFollower } from "../../src/coordination/document-follower.ts";
+import { DocumentStore } from "../../src/coordination/document-store.ts";
+import { Duty } from "../../src/coordination/duty.ts";
+import { Fencing, RECLAIM_INTERVAL_MS } from "../../src/coordination/fencing.ts";
+import { FencingProof } from "../../src/coordination/fencing-proof.ts";
+import { HomeKeeper } from "../../src/coordination/home-keeper.ts";
+import { LeaseCoverage } from "../../src/coordination/lease-coverage.ts";
+import { LeaseKeeper } from "../../src/coordination/lease-keeper.ts";
+import { LimitsPeerHandler } from "../../src/coordination/limits-peer-handler.ts";
+import { HOMES_KIND, HOMES_WATCH_MS, MemberView } from "../../src/coordination/member-view.ts";
+import { Peers, type PeerState } from "../../src/coordination/ports.ts";
+import { fleetKind } from "../../src/coordination/server-drain.ts";
+import { SessionKeeper } from "../../src/coordination/session-keeper.ts";
+import type { BackendServer, TaskSpec } from "../../src/platform/backend-server.ts";
+import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import type { PeerError } from "../../src/platform/peer-transport.ts";
+import type { HomesDocument } from "../../src/protocol/homes-document.ts";
+import type { Hello, PeerReply, PeerRequest, ReplyTo } from "../../src/protocol/peer-messages.ts";
+import { ChargeBook } from "../../src/state/charge-book.ts";
+import {
+  LinkedBackend,
+  LinkedKeyValue,
+  newLink,
+  PausableClock,
+  type Link,
+} from "./limits-network.ts";
+import {
+  CountingCounters,
+  FollowedFleet,
+  MapRecords,
+  TEAM,
+  type TestConfig,
+} from "./limits-ports.ts";
+import type { SeededRandom } from "./seeded-random.ts";
+import type { VirtualClock } from "./virtual-clock.ts";
+
+const LEASE_TTL_MS = 4000;
+const SESSION_TTL_MS = 6000;
+export const GROUP = "g";
+
+/** What entries share. */
+export interface World {
+  readonly clock: VirtualClock;
+  readonly random: SeededRandom;
+  readonly kv: KeyValueService;
+  readonly config: TestConfig;
+  readonly entries: readonly Entry[];
+  server(address: string): BackendServer;
+  connected(a: Entry, b: Entry): boolean;
+}
+
+class ClusterPeers extends Peers {
+  readonly self: Hello;
+  readonly states = new Map<string, PeerState>();
+  readonly #cluster: World;
+  constructor(cluster: World, self: Hello) {
+    super();
+    this.#cluster = cluster;
+    this.self = self;
+  }
+  async call<T extends PeerRequest>(
+    incarnation: string,
+    req: T,
+  ): Promise<Result<ReplyTo<T>, PeerError>> {
+    const { clock } = this.#cluster;
+    const from = this.#cluster.entries.find((one) => one.peers === this)!;
+    const to = this.#cluster.entries.find((one) => one.hello.incarnation === incarnation);
+    await clock.sleep(1);
+    if (to === undefined || !this.#cluster.connected(from, to)) {
+      await from.clock.running();
+      return Err({ kind: "not-sent", detail: "simulated fault" });
+    }
+    const reply: PeerReply | undefined = await to.handler.handlePeer(this.self, req);
+    await clock.sleep(1);
+    await from.clock.running();
+    return reply === undefined ? Err({ kind: "busy" }) : Ok(reply as ReplyTo<T>);
+  }
+  gossip(): ReadonlyMap<string, PeerState> {
+    const oldest = this.#cluster.clock.now() - 3000;
+    return new Map([...this.states].filter(([, state]) => state.receivedAt >= oldest));
+  }
+  announceLeaving(): void {
+    return;
+  }
+}
+
+/** One entry instance. */
+export class Entry {
+  readonly clock: PausableClock;
+  readonly kvLink: Link = newLink();
+  readonly backendLink: Link = newLink();
+  readonly hello: Hello;
+  readonly peers: ClusterPeers;
+  readonly homesFollower: DocumentFollower<HomesDocument>;
+  readonly fleet: FollowedFleet;
+  readonly coverage: LeaseCoverage;
+  readonly charges = new ChargeBook();
+  readonly leases: LeaseKeeper;
+  readonly budgets: BudgetKeeper;
+  readonly homes: HomeKeeper;
+  readonly proof: FencingProof;
+  readonly handler: LimitsPeerHandler;
+  readonly records = new MapRecords();
+  readonly counters = new CountingCounters();
+  readonly store: DocumentStore;
+  /** Set by a crash: nothing of the entry runs any more. */
+  crashed = false;
+  stopping = false;
+  retiredSeen = 0;
+  #attempts = 0;
+
+  constructor(cluster: World, incarnation: string, zone: string) {
+    const world = cluster.clock;
+    const { random } = cluster;
+    this.clock = new PausableClock(world);
+    const { clock, counters, charges } = this;
+    const kvOptions = { link: this.kvLink, world, clock, random };
+    const kv = new LinkedKeyValue(cluster.kv, kvOptions);
+    this.hello = {
+      version: 1,
+      incarnation,
+      address: `10.0.0.1:${incarnation}`,
+      zone,
+      group: GROUP,
+    };
+    const peers = (this.peers = new ClusterPeers(cluster, this.hello));
+    const store = (this.store = new DocumentStore({ kv, clock, random, counters }));
+    const base = { kv, store, clock, random, counters, peers };
+    const homes = new DocumentFollower({ ...base, kind: HOMES_KIND, waitMs: HOMES_WATCH_MS });
+    const fleetFollower = new DocumentFollower({ ...base, kind: fleetKind(GROUP), waitMs: 1500 });
+    this.homesFollower = homes;
+    const fleet = (this.fleet = new FollowedFleet(fleetFollower));
+    const coverage = (this.coverage = new LeaseCoverage({ clock }));
+    const membership = new MemberView({ homes, incarnation });
+    const onRetired = (): void => {
+      this.retiredSeen++;
+    };
+    const connector = {
+      connect: (address: string) =>
+        new LinkedBackend(cluster.server(address), { ...kvOptions, link: this.backendLink }),
+    };
+    const leaseOptions = { leaseTtlMs: LEASE_TTL_MS, resultRetentionMs: 600_000 };
+    const shared = { ...base, fleet, homes, membership, coverage, charges, connector, onRetired };
+    const sizes = { ledgerShards: 2, budgetIdleMs: 2000, idempotencyWindowMs: 3_600_000 };
+    const options = { ...shared, ...leaseOptions, ...sizes, sessionTtlMs: SESSION_TTL_MS };
+    const leases = (this.leases = new LeaseKeeper(options));
+    const budgets = (this.budgets = new BudgetKeeper({ ...options, config: cluster.config }));
+    const homeKeeper = (this.homes = new HomeKeeper({ ...options, records: this.records }));
+    const proof = (this.proof = new FencingProof({ ...options, leases }));
+    this.handler = new LimitsPeerHandler({ leases, budgets, charges, homes: homeKeeper, proof });
+    const session = new SessionKeeper({ ...options, self: this.hello });
+    const fencing = new Fencing({ ...options, proof });
+    const duty = new Duty({
+      ...options,
+      name: `reclaim-${zone}`,
+      session,
+      incarnation,
+      step: () => fencing.step(),
+      intervalMs: RECLAIM_INTERVAL_MS,
+    });
+    const resolver = new ChargeResolver({ ...options, held: leases });
+    void homes.run();
+    void fleetFollower.run();
+    void session.run();
+    void homeKeeper.join().then(() => homeKeeper.run());
+    void leases.run();
+    void budgets.run();
+    void duty.run();
+    void resolver.run();
+    leases.onFinished(({ server, record }) => void leases.acknowledge(server, record));
+  }
+
+  /** Runs one task of the team if budget and a slot allow it; resolves ambiguous starts. */
+  async runOne(): Promise<"started" | "declined" | "ambiguous"> {
+    const { incarnation } = this.hello;
+    const spec: TaskSpec = {
+      requestId: `${incarnation}-${++this.#attempts}`,
+      attempt: 1,
+      home: incarnation,
+      chargedTo: incarnation,
+      team: TEAM,
+      queue: "q",
+      priority: "normal",
+      idempotent: false,
+      payload: { contentType: "text/plain", body: new Uint8Array() },
+    };
+    const target = this.leases.list().find((one) => one.dispatchable && one.running < one.slots);
+    if (target === undefined || !this.budgets.tryCharge(TEAM, spec)) return "declined";
+    const outcome = await this.leases.start(target.name, spec);
+    if (outcome.ok) return "started";
+    if (outcome.val.kind === "ambiguous") return "ambiguous";
+    this.budgets.release(TEAM, spec);
+    return "declined";
+  }
+
+  /** Starts as many tasks as it can, again and again. */
+  async generateLoad(queued: number): Promise<void> {
+    for (;;) {
+      this.budgets.setDemand(TEAM, queued);
+      await Promise.all(Array.from({ length: queued }, () => this.runOne()));
+      await this.clock.sleep(25);
+    }
+  }
+
+  crash(): void {
+    this.crashed = true;
+    this.clock.paused = true;
+  }
+
+  pause(): void {
+    this.clock.paused = true;
+  }
+
+  resume(): void {
+    this.clock.resume();
+  }
+}
--- /dev/null
+++ b/test/fakes/limits-ports.ts
@@ -0,0 +1,95 @@
+/** Simple implementations of the interfaces between the parts of an entry. */
+import type { DocumentFollower } from "../../src/coordination/document-follower.ts";
+import { ConfigView, Counters, FleetView, type Unsubscribe } from "../../src/coordination/ports.ts";
+import type { StoredFleet } from "../../src/coordination/server-drain.ts";
+import { SlotRecords } from "../../src/coordination/slot-transfer.ts";
+import type { ConfigDocument } from "../../src/protocol/config-document.ts";
+import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
+import type { SlotRecord } from "../../src/protocol/peer-messages.ts";
+
+/** The one team of the tests. */
+export const TEAM = "crew";
+
+export class CountingCounters extends Counters {
+  readonly events = new Map<string, number>();
+  refusal(): void {
+    return;
+  }
+  retry(reason: string): void {
+    this.event(reason);
+  }
+  event(name: string): void {
+    this.events.set(name, (this.events.get(name) ?? 0) + 1);
+  }
+  duration(): void {
+    return;
+  }
+}
+
+export class FollowedFleet extends FleetView {
+  readonly #follower: DocumentFollower<StoredFleet>;
+  constructor(follower: DocumentFollower<StoredFleet>) {
+    super();
+    this.#follower = follower;
+  }
+  current(): FleetDocument | undefined {
+    const known = this.#follower.current;
+    return known && { revision: known.revision, ...known.value };
+  }
+  onChange(listener: (fleet: FleetDocument) => void): Unsubscribe {
+    return this.#follower.onChange(({ revision, value }) => {
+      listener({ revision, ...value });
+    });
+  }
+}
+
+/** Configuration with one team, changed by the test at once for all entries that read it. */
+export class TestConfig extends ConfigView {
+  #limit: number;
+  #revision = 1;
+  readonly #listeners = new Set<(config: ConfigDocument) => void>();
+  constructor(limit: number) {
+    super();
+    this.#limit = limit;
+  }
+  setLimit(limit: number): void {
+    this.#limit = limit;
+    this.#revision++;
+    for (const listener of this.#listeners) listener(this.current());
+  }
+  current(): ConfigDocument {
+    const team = { name: TEAM, share: 1, upperLimit: this.#limit, queues: [], keys: [] };
+    return {
+      revision: this.#revision,
+      writeId: "w",
+      acceptedAt: 0,
+      pools: [],
+      queues: [],
+      teams: [team],
+      maintenance: { startMinute: 0, endMinute: 0, everyDays: 0, maxParallel: 1 },
+      weights: { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 },
+    };
+  }
+  ageMs = (): number => 0;
+  keyedWorkAllowed = (): boolean => true;
+  teamOfKey = (): string => TEAM;
+  onChange(listener: (config: ConfigDocument) => void): Unsubscribe {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+}
+
+/** Keeps transferred records by id. */
+export class MapRecords extends SlotRecords {
+  readonly byId = new Map<string, SlotRecord>();
+  export(matches: (requestId: string) => boolean): readonly SlotRecord[] {
+    return [...this.byId.values()].filter(({ spec }) => matches(spec.requestId));
+  }
+  import(records: readonly SlotRecord[]): boolean {
+    for (const record of records) this.byId.set(record.spec.requestId, record);
+    return true;
+  }
+  drop(matches: (requestId: string) => boolean): void {
+    for (const id of [...this.byId.keys()]) if (matches(id)) this.byId.delete(id);
+  }
+}
