test(planner): budgets that bind, quarantine, spare pool and transitions

Cause: with the example's sizes no drain came close to a budget, so a run with the budget check switched off passed. Change: the racing planners work on racks of one pool each with one server to spare; rule tests cover returned drains, quarantine, the spare pool and the transition table.

--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -18,7 +18,7 @@
 }
 
 /** Checks every write: one record per server, allowed transitions, and budgets of planned work. */
-function checkWrites(writes: readonly FleetDocument[]): void {
+function checkWrites(writes: readonly FleetDocument[], pools = exampleConfig().pools): void {
   const before = new Map<string, ServerRecord>();
   for (const [index, fleet] of writes.entries()) {
     assert.is(new Set(fleet.servers.map((s) => s.name)).size, fleet.servers.length);
@@ -31,7 +31,7 @@
       assert.is(server.epoch, old.epoch + (server.pool === old.pool ? 0 : 1));
       if (server.pool !== old.pool) assert.is(old.state, "empty");
       if (server.state !== "draining" || old.state !== "serving") continue;
-      const { minAvailable } = exampleConfig().pools.find((pool) => pool.name === old.pool)!;
+      const { minAvailable } = pools.find((pool) => pool.name === old.pool)!;
       assert.ok(serving(former, old.pool) - 1 >= minAvailable, `budget of ${old.pool}`);
     }
   }
@@ -72,7 +72,15 @@
 // Guards against a decision that was made before a pause and is written after it.
 test("two racing planners and one that resumes after a pause keep every budget", async () => {
   const fleet = new PlannedFleet();
-  fleet.config.document = exampleConfig({ maintenance: { ...MAINTENANCE, maxParallel: 8 } });
+  await fleet.seed();
+  // One server of each pool may be out of service, and all servers of a rack are of one pool.
+  const pools = exampleConfig().pools.map((pool) => ({
+    ...pool,
+    minAvailable: pool.targetSize - 1,
+  }));
+  const maintenance = { ...MAINTENANCE, maxParallel: 8 };
+  fleet.config.document = exampleConfig({ pools, maintenance });
+  fleet.drainMs = 500;
   fleet.startHolders();
   const [first] = [fleet.addPlanner(1), fleet.addPlanner(2)];
   const third = fleet.addPlanner(3);
@@ -82,8 +90,8 @@
     await fleet.clock.advance(6000);
   }
   assert.ok((fleet.counters.counts.get("retry_kv_conflict") ?? 0) > 5);
-  assert.ok(new Set(fleet.rebootOrders.map((server) => server.name)).size > 20);
-  checkWrites(fleet.kv.fleets);
+  assert.ok(new Set(fleet.rebootOrders.map((server) => server.name)).size >= 10);
+  checkWrites(fleet.kv.fleets, pools);
 });
 
 // Guards against a wave that goes on although what it does, or the rack, fails.
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -36,6 +36,18 @@
   });
 }
 
+/** Serving servers of the example, pool after pool, so that each rack belongs to one pool. */
+export function serversByRack(): readonly ServerRecord[] {
+  const pools = exampleConfig().pools.flatMap((pool) =>
+    Array.from({ length: pool.targetSize }, () => pool.name),
+  );
+  return exampleInstances().map(({ state: _state, ...instance }, index) => ({
+    ...instance,
+    pool: pools[index] ?? "shared",
+    ...{ state: "serving" as const, epoch: 1, rebootedAt: 0, since: 0 },
+  }));
+}
+
 /** Health that tests set. */
 export class TestHealth extends FleetHealth {
   readonly down = new Set<string>();
@@ -172,6 +184,18 @@
     return { planner, store };
   }
 
+  /** Stores the servers of {@link serversByRack}. */
+  async seed(): Promise<void> {
+    const servers = serversByRack();
+    await this.#store.write({
+      revision: 0,
+      writeId: "seed",
+      group: "andina",
+      servers,
+      retired: [],
+    });
+  }
+
   async servers(): Promise<readonly ServerRecord[]> {
     return (await this.#store.read()).unwrap()?.servers ?? [];
   }
--- /dev/null
+++ b/test/state/fleet-rules.test.ts
@@ -0,0 +1,122 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { ServerRecord, ServerState } from "../../src/protocol/fleet-document.ts";
+import { dryRun, planNext } from "../../src/state/fleet-rules.ts";
+import { bufferCoverage, checkBudget } from "../../src/state/fleet-situation.ts";
+import { goTo, markEmpty } from "../../src/state/fleet-transitions.ts";
+import { QUARANTINE_MS } from "../../src/state/health-rules.ts";
+import { inWindow } from "../../src/state/maintenance-rules.ts";
+import { exampleConfig, serversByRack, situationOf, TestHealth } from "../fakes/planned-fleet.ts";
+
+const EVERY_DAY = { startMinute: 0, endMinute: 1440, everyDays: 1, maxParallel: 9 };
+
+/** The example's servers with some in other states. */
+function withStates(states: Readonly<Record<string, ServerState>>): readonly ServerRecord[] {
+  return serversByRack().map((server) => ({
+    ...server,
+    state: states[server.name] ?? server.state,
+  }));
+}
+
+// Guards against drains that count servers as available that are down or on their way out.
+test("the availability budget counts only live servers in service", () => {
+  // Pool enrolment has s00 to s07 and needs 6 of them.
+  const health = new TestHealth();
+  const servers = withStates({ s00: "draining" });
+  const first = servers.find((server) => server.name === "s01")!;
+  assert.ok(checkBudget(situationOf(servers, { health }), first).allowed);
+  health.down.add("s07");
+  const check = checkBudget(situationOf(servers, { health }), first);
+  assert.equal(check, { allowed: false, figures: { available: 6, minAvailable: 6 } });
+});
+
+// Guards against planned drains that go on while failures have eaten the budget.
+test("drains return to service when failures eat the budget, and no other starts", () => {
+  const health = new TestHealth();
+  for (const name of ["s04", "s05"]) health.down.add(name);
+  const config = exampleConfig({ maintenance: EVERY_DAY });
+  const servers = withStates({ s00: "draining", s01: "draining" });
+  const run = dryRun(situationOf(servers, { health, config }), 20);
+  const returned = run.decisions.filter((decision) => decision.rule === "return-drain");
+  assert.equal(
+    returned.map((decision) => decision.figures),
+    [
+      { available: 4, minAvailable: 6 },
+      { available: 5, minAvailable: 6 },
+    ],
+  );
+  assert.not(run.decisions.some((d) => d.rule === "maintenance" && d.text.includes("enrolment")));
+});
+
+// Guards against a quarantine that takes a pool below its budget, as 3 bad servers of 8 would.
+test("quarantine stays within the availability budget and says what it withholds", () => {
+  const health = new TestHealth();
+  for (const name of ["s00", "s01", "s02"]) health.failing.add(name);
+  const spareGone = serversByRack().filter((server) => server.pool !== "shared");
+  const run = dryRun(situationOf(spareGone, { health }), 20);
+  assert.is(run.decisions.filter((decision) => decision.rule === "quarantine").length, 2);
+  assert.match(run.withheld.map((e) => e.text).join(), "quarantine of s02 would break");
+});
+
+// Guards against servers that stay in quarantine for ever.
+test("a server is drained for a reboot after its quarantine", () => {
+  const servers = withStates({ s00: "quarantined" });
+  const now = 1_700_000_000_000;
+  const since = now - QUARANTINE_MS;
+  const aged = servers.map((server) => ({ ...server, since }));
+  const { decision } = planNext(situationOf(aged, { wallTimeMs: now }));
+  // The pool is refilled from the spare first, then the server is repaired.
+  const rules = dryRun(situationOf(aged, { wallTimeMs: now }), 9).decisions.map((d) => d.rule);
+  assert.ok(decision !== undefined && rules.includes("repair"), rules.join());
+});
+
+// Guards against a spare pool that is used up for target sizes and covers no failure any more.
+test("the spare pool gives servers away only beyond what its worst loss needs", () => {
+  const pools = exampleConfig().pools.map((pool) =>
+    pool.name === "ledgers" ? { ...pool, targetSize: 15 } : pool,
+  );
+  const situation = situationOf(serversByRack(), { config: exampleConfig({ pools }) });
+  const run = dryRun(situation, 20);
+  assert.match(run.withheld.map((e) => e.text).join(), "ledgers lacks");
+  const coverage = bufferCoverage(situation);
+  assert.ok(coverage.need > coverage.have, "racks of one pool cannot be covered");
+  assert.is(run.decisions.length, 0);
+});
+
+// Guards against moves that drain servers although an empty or surplus one is there.
+test("a move takes an empty server first, then one of a pool with a surplus", () => {
+  const pools = exampleConfig().pools.map((pool) => {
+    if (pool.name === "enrolment") return { ...pool, targetSize: 10 };
+    return pool.name === "allotments" ? { ...pool, targetSize: 4, minAvailable: 2 } : pool;
+  });
+  const servers = withStates({ s13: "empty" });
+  const { decisions } = dryRun(situationOf(servers, { config: exampleConfig({ pools }) }), 20);
+  assert.is(decisions[0]?.text, "empty s13 goes to enrolment");
+  assert.match(decisions[1]?.text ?? "", /is drained to go from allotments to enrolment/);
+});
+
+// Guards against a reboot or move of a server on which tasks may still run.
+test("only empty servers are ordered, and only the transitions of the design exist", () => {
+  const [server] = serversByRack() as [ServerRecord];
+  for (const state of ["moving", "rebooting", "empty"] as const) {
+    assert.throws(() => goTo(server, state, { at: 1 }), /may not go/);
+  }
+  assert.is(markEmpty([server], server.name, 1), undefined);
+  const draining = goTo(server, "draining", { at: 1, moveTo: "shared" });
+  const [empty] = markEmpty([draining], server.name, 2) as [ServerRecord];
+  const moving = goTo(empty, "moving", { at: 3 });
+  assert.is(moving.pool, "shared");
+  assert.is(moving.epoch, server.epoch + 1);
+  assert.is(moving.moveTo, undefined);
+});
+
+// Guards against maintenance by day because a window crosses midnight.
+test("a maintenance window may cross midnight", () => {
+  const at = (hour: number): number => hour * 3_600_000;
+  assert.ok(inWindow(22 * 60, 4 * 60, at(23)));
+  assert.ok(inWindow(22 * 60, 4 * 60, at(3)));
+  assert.not(inWindow(22 * 60, 4 * 60, at(4)));
+  assert.not(inWindow(3 * 60, 9 * 60, at(2)));
+});
+
+test.run();
