--- a/src/protocol/entry-status.ts
+++ b/src/protocol/entry-status.ts
@@ -5,6 +5,8 @@
   incarnation: v.string(),
   zone: v.string(),
   adminAddress: v.string(),
+  /** Pool group of the entry. */
+  group: v.optional(v.string()),
 });
 
 /** Running tasks and budget of a team at one entry. */
@@ -54,6 +56,9 @@
   teams: v.optional(v.array(TeamUseSchema)),
   planner: v.optional(PlannerStatusSchema),
   closeness: v.optional(v.array(ClosenessSchema)),
+  /** Backend servers that the entry knows to be down, and those that fail others' tasks. */
+  downServers: v.optional(v.array(v.string())),
+  badServers: v.optional(v.array(v.string())),
 });
 
 export type Session = Readonly<v.InferOutput<typeof SessionSchema>>;
