test(settings): every fault as a new user meets it

Cause: messages of settings faults are an interface for operators. Conclusion: each message names file, line, section, key, value and what is allowed.

--- a/src/settings/problem.ts
+++ b/src/settings/problem.ts
@@ -18,7 +18,8 @@
   const section = problem.section === undefined ? "" : ` [${problem.section}]`;
   const value = problem.value === undefined ? "" : ` = ${JSON.stringify(problem.value)}`;
   const key = problem.key === undefined ? "" : ` ${problem.key}${value}`;
-  return `${place}:${section}${key}: ${problem.detail}`;
+  const setting = `${section}${key}`;
+  return `${place}:${setting}${setting === "" ? "" : ":"} ${problem.detail}`;
 }
 
 /** The candidate most similar to a misspelt name, if one is similar enough to be meant. */
--- /dev/null
+++ b/test/settings/template-file.test.ts
@@ -0,0 +1,158 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { formatProblem } from "../../src/settings/problem.ts";
+import { readTemplate, type Parameters } from "../../src/settings/template-file.ts";
+
+const SMALL = `
+[parameters]
+limit = 10
+
+[pool.main]
+group = region
+target_size = 4
+min_available = 3
+
+[pool.spare]
+group = region
+target_size = 2
+min_available = 1
+spare = yes
+
+[queue.jobs]
+pool = main
+
+[team.ops]
+share = 1
+upper_limit = \${limit}
+queues = jobs
+`;
+
+/** Faults of the small template after a replacement, as an operator sees them. */
+function faults(from: string, to: string, parameters: Parameters = new Map()): readonly string[] {
+  assert.ok(SMALL.includes(from), `fixture has no "${from}"`);
+  const read = readTemplate("t.ini", SMALL.replace(from, to), parameters);
+  return read.err ? read.val.map(formatProblem) : [];
+}
+
+// Guards against messages that do not name file, line, section, key, value and what is allowed.
+const CASES: readonly (readonly [name: string, from: string, to: string, fault: string])[] = [
+  [
+    "a misspelt key",
+    "min_available = 3",
+    "min_avialable = 3",
+    `t.ini:8: [pool.main] min_avialable = "3": unknown key; did you mean "min_available"?`,
+  ],
+  [
+    "a misspelt section",
+    "[team.ops]",
+    "[taem.ops]",
+    `t.ini:19: [taem.ops]: unknown section; did you mean "team"?`,
+  ],
+  [
+    "a section without a name",
+    "[queue.jobs]",
+    "[queue]",
+    "t.ini:16: [queue]: allowed: [queue.NAME]",
+  ],
+  [
+    "a number out of range",
+    "target_size = 4",
+    "target_size = -4",
+    `t.ini:7: [pool.main] target_size = "-4": allowed: a whole number from 0 to 10000 (backend servers)`,
+  ],
+  [
+    "a word for a number",
+    "share = 1",
+    "share = much",
+    `t.ini:20: [team.ops] share = "much": allowed: a number from 0 to 1000000 (weight among teams)`,
+  ],
+  [
+    "neither yes nor no",
+    "spare = yes",
+    "spare = maybe",
+    `t.ini:14: [pool.spare] spare = "maybe": allowed: yes or no`,
+  ],
+  [
+    "a missing key",
+    "target_size = 4\n",
+    "",
+    "t.ini:5: [pool.main] target_size: missing; allowed: a whole number from 0 to 10000 (backend servers)",
+  ],
+  [
+    "a queue on a pool that does not exist",
+    "pool = main",
+    "pool = mian",
+    `t.ini:17: [queue.jobs] pool = "mian": no [pool.mian] in this file; did you mean "main"?`,
+  ],
+  [
+    "a team on a queue that does not exist",
+    "queues = jobs",
+    "queues = job",
+    `t.ini:22: [team.ops] queues = "job": no [queue.job] in this file; did you mean "jobs"?`,
+  ],
+  [
+    "a budget above the target size",
+    "min_available = 3",
+    "min_available = 5",
+    `t.ini:8: [pool.main] min_available = "5": more than target_size 4; allowed: 0 to 4`,
+  ],
+  [
+    "a group without a spare pool",
+    "spare = yes",
+    "spare = no",
+    `t.ini:14: [pool.spare] spare = "no": group "region" has no spare pool; set spare = yes in one of main, spare`,
+  ],
+  [
+    "shares that are all 0",
+    "share = 1",
+    "share = 0",
+    `t.ini:20: [team.ops] share = "0": every team has share 0; allowed: at least one share above 0`,
+  ],
+  [
+    "an undefined parameter",
+    "${limit}",
+    "${limti}",
+    `t.ini:21: [team.ops] upper_limit = "\${limti}": parameter "limti" has no value; did you mean "limit"?`,
+  ],
+  [
+    "a line that is no setting",
+    "spare = yes",
+    "spare",
+    `t.ini:14: [pool.spare]: "spare" is neither a section header nor KEY = VALUE`,
+  ],
+  [
+    "a key given twice",
+    "share = 1",
+    "share = 1\nshare = 2",
+    "t.ini:21: [team.ops] share: this key was already set on line 20",
+  ],
+  [
+    "a header with text behind it",
+    "[queue.jobs]",
+    "[queue.jobs] ; all jobs",
+    `t.ini:16: [pool.spare]: "[queue.jobs] ; all jobs" is no section header; allowed: [NAME] alone on its line`,
+  ],
+];
+for (const [name, from, to, fault] of CASES) {
+  test(`${name} is named with its place and what is allowed`, () => {
+    const found = faults(from, to);
+    assert.ok(found.includes(fault), found.join("\n"));
+  });
+}
+
+// Guards against a user who repairs one fault at a time.
+test("all faults of a file are reported at once", () => {
+  const found = faults("[pool.main]", "[pool.main]\nsize = 2\nspare = 1");
+  assert.is(found.filter((fault) => /size = "2"|spare = "1"/.test(fault)).length, 2);
+});
+
+// Guards against parameters that are misspelt on the command line and then have no effect.
+test("parameters given with the command replace those of the file and must be used", () => {
+  const read = readTemplate("t.ini", SMALL, new Map([["limit", "77"]])).unwrap();
+  assert.is(read.teams[0]?.upperLimit, 77);
+  assert.equal(faults("share = 1", "share = 1", new Map([["limt", "7"]])), [
+    `t.ini: parameter "limt": no value refers to this parameter; did you mean "limit"?`,
+  ]);
+});
+
+test.run();
