feat(cli): entry and dev commands, the whole path in one process

Cause: the wired entry instance had no process around it. Keys of another form than the issued one are found by a digest. The binary no longer prints a warning at each start: cbor-extract is replaced in the bundle. Ruled out: leaving cbor-extract external, because a require of a file outside the binary warns.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -24,8 +24,8 @@
     format: "cjs",
     // Without this order the bundled ts-results fails at run time, because it requires tslib.
     mainFields: ["module", "main"],
-    // Optional native parts are left out; the pure JavaScript paths are used instead.
-    external: ["cbor-extract"],
+    // A require of a package that is not bundled would print a warning at every start.
+    alias: { "cbor-extract": "./scripts/no-native-part.ts" },
     logLevel: "warning",
   });
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,32 @@
 #!/usr/bin/env node
 import sade from "sade";
+import { SystemClock } from "../platform/system-clock.ts";
+import { SystemRandom } from "../platform/system-random.ts";
+import { HttpEntryStatusReader } from "../transport/admin-client.ts";
+import { HttpInstanceList } from "../transport/http-instance-list.ts";
+import { HttpKeyValueService } from "../transport/http-key-value.ts";
+import { addConfigCommands } from "./config-commands.ts";
+import { addDevCommand } from "./dev-command.ts";
+import { addEntryCommand } from "./entry-command.ts";
+import { addKeyCommands } from "./key-commands.ts";
+import { addStatusCommands } from "./status-commands.ts";
+import { SystemContext } from "./system-context.ts";
 import { VERSION } from "./version.ts";
 
+const clock = new SystemClock();
+const ctx = new SystemContext({
+  clock,
+  random: new SystemRandom(),
+  statusReader: new HttpEntryStatusReader(),
+  keyValue: (url) => new HttpKeyValueService({ clock, url, counter: { event: () => undefined } }),
+  instanceList: (url) => new HttpInstanceList({ clock, url }),
+});
+
 const program = sade("teaselspool");
 program.version(VERSION);
+addEntryCommand(program, ctx);
+addConfigCommands(program, ctx);
+addKeyCommands(program, ctx);
+addStatusCommands(program, ctx);
+addDevCommand(program, ctx);
 program.parse(process.argv);
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -22,6 +22,23 @@
   return { clear, stored: { id, salt, hash: digest(salt, clear).toString("hex") } };
 }
 
+/** Stored form of a key that was not issued by {@link issueKey}, for development. */
+export function storedKey(clear: string, salt: string): KeyConfig {
+  return { id: keyIdOf(clear), salt, hash: digest(salt, clear).toString("hex") };
+}
+
+/** Part of a key by which it is found. Keys of another form are found by a digest. */
+function keyIdOf(clear: string): string {
+  const issued = KEY_FORM.exec(clear)?.[1];
+  return (
+    issued ??
+    createHash("sha256")
+      .update(clear)
+      .digest("hex")
+      .slice(0, 2 * KEY_ID_BYTES)
+  );
+}
+
 function digest(salt: string, clear: string): Buffer {
   return createHash("sha256").update(`${salt}:${clear}`).digest();
 }
@@ -48,8 +65,7 @@
 
   /** Team of a key given in the clear, or undefined if no team has it. */
   teamOf(clear: string): string | undefined {
-    const id = KEY_FORM.exec(clear)?.[1];
-    const key = id === undefined ? undefined : this.#keys.get(id);
+    const key = this.#keys.get(keyIdOf(clear));
     if (key === undefined) return undefined;
     const given = digest(key.salt, clear);
     return given.length === key.hash.length && timingSafeEqual(given, key.hash)
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -162,6 +162,8 @@
     receivedAt: to.clock.now(),
     message: {
       type: "gossip",
+      sequence: 1,
+      baseline: 0,
       configRevision: 1,
       configAgeMs: 0,
       platformReachable: true,
