feat(cli): commands that run the stand-ins as processes

Cause: process tests and benchmarks need the platform's side outside the process under test. Change: stand-in key-value, instance-list and backend-server print one JSON line when they listen and stop on SIGTERM; a backend server can register with the instance list. Ruled out: a fixed boot id per server name, because a restarted process would claim that the tasks of the earlier one still exist. Conclusion: the whole platform side can be run on loopback.

--- /dev/null
+++ b/src/cli/stand-in.ts
@@ -0,0 +1,160 @@
+import type { Sade } from "sade";
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { ListedInstance } from "../platform/instance-list.ts";
+import { SystemClock } from "../platform/system-clock.ts";
+import { SystemRandom } from "../platform/system-random.ts";
+import { ConfigurableRunner } from "../stand-ins/configurable-runner.ts";
+import { serveBackendServer } from "../stand-ins/http-backend-server.ts";
+import { serveInstanceList } from "../stand-ins/http-instance-list.ts";
+import { serveKeyValue } from "../stand-ins/http-key-value.ts";
+import { KeyValueStore } from "../stand-ins/key-value-store.ts";
+import { SimulatedBackendServer } from "../stand-ins/simulated-backend-server.ts";
+import type { StandInServer } from "../stand-ins/stand-in-server.ts";
+import { StaticInstanceList } from "../stand-ins/static-instance-list.ts";
+import { HttpClient } from "../transport/http-client.ts";
+import { parseIpAddress } from "../transport/ip-address.ts";
+
+const EXIT_INVALID_INPUT = 2;
+const REGISTER_TIMEOUT_MS = 2000;
+
+const amount = v.pipe(v.number("a number"), v.minValue(0, "0 or more"));
+const OptionsSchema = v.object({
+  listen: v.string("IP:PORT"),
+  name: v.optional(v.pipe(v.string(), v.nonEmpty("a name")), "server-1"),
+  zone: v.optional(v.pipe(v.string(), v.nonEmpty("a zone")), "zone-1"),
+  rack: v.optional(v.pipe(v.string(), v.nonEmpty("a rack")), "rack-1"),
+  cores: v.optional(amount, 16),
+  "memory-gb": v.optional(amount, 64),
+  accelerators: v.optional(amount, 0),
+  slots: v.optional(amount, 8),
+  "run-ms": v.optional(amount, 20),
+  fail: v.optional(v.boolean("no value"), false),
+  register: v.optional(v.pipe(v.string(), v.url("http://IP:PORT"))),
+});
+type Options = v.InferOutput<typeof OptionsSchema>;
+
+const LISTEN = ["--listen", "Address IP:PORT; port 0 picks a free one", "127.0.0.1:0"] as const;
+
+/** Adds the commands that run the in-memory platform as separate processes for tests. */
+export function addStandInCommands(program: Sade): void {
+  program
+    .command("stand-in key-value", "Run an in-memory key-value service for tests")
+    .option(...LISTEN)
+    .action((raw: unknown) => run(raw, keyValue));
+  program
+    .command("stand-in instance-list", "Run an in-memory instance list for tests")
+    .option(...LISTEN)
+    .action((raw: unknown) => run(raw, instanceList));
+  program
+    .command("stand-in backend-server", "Run a simulated backend server for tests")
+    .option(...LISTEN)
+    .option("--name", "Name in the instance list", "server-1")
+    .option("--zone", "Availability zone", "zone-1")
+    .option("--rack", "Rack", "rack-1")
+    .option("--cores", "CPU cores", 16)
+    .option("--memory-gb", "Memory in GB", 64)
+    .option("--accelerators", "Accelerators", 0)
+    .option("--slots", "Tasks that run at once", 8)
+    .option("--run-ms", "Run time of tasks that name none, in milliseconds", 20)
+    .option("--fail", "Fail every task")
+    .option("--register", "Base URL of an instance list to register with")
+    .action((raw: unknown) => run(raw, backendServer));
+}
+
+/** A stand-in that is not listening yet. */
+interface Prepared {
+  readonly server: StandInServer;
+  readonly started?: (address: string) => Promise<Result<void, string>>;
+  readonly stopping?: () => Promise<unknown>;
+}
+
+async function run(raw: unknown, prepare: (options: Options) => Prepared): Promise<void> {
+  const parsed = v.safeParse(OptionsSchema, raw);
+  if (!parsed.success) {
+    const [issue] = parsed.issues;
+    const name = v.getDotPath(issue) ?? "";
+    return fail(`option --${name}: got ${issue.received}, allowed is ${issue.message}`);
+  }
+  const listen = parseIpAddress(parsed.output.listen);
+  if (listen.err) return fail(`option --listen: ${listen.val}`);
+  const { server, started, stopping } = prepare(parsed.output);
+  const address = await server.listen(listen.val.host, listen.val.port);
+  if (address.err) return fail(`cannot listen on ${parsed.output.listen}: ${address.val}`);
+  const ready = (await started?.(address.val)) ?? Ok(undefined);
+  if (ready.err) return fail(ready.val);
+  const stop = async (): Promise<void> => {
+    await stopping?.();
+    await server.close();
+    // Waits and simulated runs would keep the process for minutes.
+    process.exit(0);
+  };
+  process.once("SIGTERM", () => void stop());
+  process.once("SIGINT", () => void stop());
+  process.stdout.write(`${JSON.stringify({ ready: true, address: address.val })}\n`);
+}
+
+function keyValue(): Prepared {
+  const clock = new SystemClock();
+  return { server: serveKeyValue(clock, new KeyValueStore({ clock })) };
+}
+
+function instanceList(): Prepared {
+  return { server: serveInstanceList(new SystemClock(), new StaticInstanceList()) };
+}
+
+function backendServer(options: Options): Prepared {
+  const clock = new SystemClock();
+  const runner = new ConfigurableRunner({ runMs: options["run-ms"], fail: options.fail });
+  // Boot and lease ids must differ between two processes of the same name, because the tasks of
+  // the earlier one are gone.
+  const name = `${options.name}-${new SystemRandom().hex(4)}`;
+  const backend = new SimulatedBackendServer({ clock, name, slots: options.slots, runner });
+  const server = serveBackendServer(clock, backend, runner);
+  if (options.register === undefined) return { server };
+  const registration = new Registration(clock, options.register, options);
+  return {
+    server,
+    started: (address) => registration.add(address),
+    stopping: () => registration.remove(),
+  };
+}
+
+/** Entry of a backend server in the instance-list stand-in. */
+class Registration {
+  readonly #http: HttpClient;
+  readonly #origin: string;
+  readonly #options: Options;
+
+  constructor(clock: SystemClock, origin: string, options: Options) {
+    this.#http = new HttpClient({ clock, connections: 1 });
+    this.#origin = origin;
+    this.#options = options;
+  }
+
+  async add(address: string): Promise<Result<void, string>> {
+    const { zone, rack, cores, accelerators, slots } = this.#options;
+    const memoryGb = this.#options["memory-gb"];
+    const size = { cores, memoryGb, accelerators, slots };
+    const json: Omit<ListedInstance, "name"> = { address, zone, rack, ...size, state: "live" };
+    const reply = await this.#http.call({ ...this.#call(), method: "PUT", json });
+    if (reply.ok && reply.val.status === 204) return Ok(undefined);
+    const reason = reply.ok ? `status ${reply.val.status}` : reply.val.detail;
+    return Err(`cannot register with ${this.#origin}: ${reason}`);
+  }
+
+  async remove(): Promise<void> {
+    await this.#http.call({ ...this.#call(), method: "DELETE" });
+    await this.#http.close();
+  }
+
+  #call(): { origin: string; path: string; timeoutMs: number } {
+    const path = `/v1/instances/${encodeURIComponent(this.#options.name)}`;
+    return { origin: this.#origin, path, timeoutMs: REGISTER_TIMEOUT_MS };
+  }
+}
+
+function fail(message: string): never {
+  process.stderr.write(`teaselspool stand-in: ${message}\n`);
+  process.exit(EXIT_INVALID_INPUT);
+}
--- /dev/null
+++ b/test/stand-ins/stand-in-command.test.ts
@@ -0,0 +1,77 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { createInterface } from "node:readline";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+
+const test = suite("stand-in command");
+const children: ChildProcess[] = [];
+
+test.after(() => {
+  for (const child of children) child.kill("SIGKILL");
+});
+
+function standIn(...args: readonly string[]): ChildProcess {
+  const command = ["--import", "tsx", "src/cli/main.ts", "stand-in", ...args];
+  const child = spawn(process.execPath, command, { stdio: ["ignore", "pipe", "pipe"] });
+  children.push(child);
+  return child;
+}
+
+async function ready(child: ChildProcess): Promise<string> {
+  const [line] = (await once(createInterface(child.stdout!), "line")) as [string];
+  const { ready: isReady, address } = JSON.parse(line) as { ready: boolean; address: string };
+  assert.ok(isReady);
+  return address;
+}
+
+async function stopped(child: ChildProcess): Promise<number | null> {
+  const exit = once(child, "exit") as Promise<[number | null]>;
+  child.kill("SIGTERM");
+  return (await exit)[0];
+}
+
+// Guards against process tests that cannot find, or cannot stop, the stand-ins.
+test("a backend server registers, serves and leaves the list when it is stopped", async () => {
+  const list = standIn("instance-list", "--listen", "127.0.0.1:0");
+  const listUrl = await ready(list);
+  const server = standIn("backend-server", "--name", "s7", "--slots", "3", "--register", listUrl);
+  const address = await ready(server);
+  const listed = async (): Promise<unknown> => (await fetch(`${listUrl}/v1/instances`)).json();
+  const sizes = { cores: 16, memoryGb: 64, accelerators: 0, slots: 3 };
+  const place = { zone: "zone-1", rack: "rack-1", state: "live" };
+  assert.equal(await listed(), [{ name: "s7", address, ...sizes, ...place }]);
+  const lease = { method: "POST", body: JSON.stringify({ holder: "e1", ttlMs: 60_000 }) };
+  assert.is((await fetch(`${address}/lease`, lease)).status, 200);
+  assert.is(await stopped(server), 0);
+  assert.equal(await listed(), []);
+  assert.is(await stopped(list), 0);
+});
+
+// Guards against a watch that keeps a stopped process.
+test("the key-value service stops while a watch waits", async () => {
+  const child = standIn("key-value");
+  const url = await ready(child);
+  const watch = fetch(`${url}/v1/watch/config?after=0&waitMs=60000`).catch(() => "closed");
+  const calls = async (): Promise<unknown> => (await fetch(`${url}/stats`)).json();
+  while (JSON.stringify(await calls()) !== '{"calls":{"watch":1}}') continue;
+  assert.is(await stopped(child), 0);
+  assert.is(await watch, "closed");
+});
+
+// Guards against a stand-in that starts with other settings than were asked for.
+test("invalid options are refused with exit code 2", async () => {
+  for (const args of [
+    ["--listen", "localhost:1"],
+    ["--slots", "many"],
+  ]) {
+    const child = standIn("backend-server", ...args);
+    let message = "";
+    child.stderr!.on("data", (chunk: Buffer) => (message += chunk.toString()));
+    const [code] = (await once(child, "close")) as [number];
+    assert.is(code, 2);
+    assert.match(message, `option ${args[0]!}`);
+  }
+});
+
+test.run();
