--- a/src/coordination/entry-directory.ts
+++ b/src/coordination/entry-directory.ts
@@ -49,10 +49,11 @@
     const listed = await keyValue.list(SESSION_PREFIX);
     if (listed.err) return Err(`sessions not read: ${listed.val.kind}`);
     const sessions = listed.val.flatMap((entry) => parseSession(entry.value));
-    const read = sessions.map(async (session) => ({
-      session,
-      status: await reader.read(session.adminAddress),
-    }));
+    const read = sessions.map(async (session): Promise<KnownEntry> => {
+      const { adminAddress } = session;
+      if (adminAddress === undefined) return { session, status: Err("no admin address") };
+      return { session, status: await reader.read(adminAddress) };
+    });
     return Ok(await Promise.all(read));
   }
 
--- a/src/protocol/entry-status.ts
+++ b/src/protocol/entry-status.ts
@@ -4,7 +4,7 @@
 export const SessionSchema = v.looseObject({
   incarnation: v.string(),
   zone: v.string(),
-  adminAddress: v.string(),
+  adminAddress: v.optional(v.string()),
   /** Pool group of the entry. */
   group: v.optional(v.string()),
 });
