perf(planner): plan on the followed fleet document

Cause: a planner round read the whole fleet document every second, 53 KB at 280 servers. Change: the planner takes the document from the follower or from its own last write, and reads it only at the start and after another writer came first. A stale document does no harm, because its revision fails the compare-and-swap. Ruled out: a longer interval, which delays the return of drains after failures. Conclusion: the planner's rest load is one watch, which its entry has anyway.

--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -1,4 +1,4 @@
-import type { Result } from "ts-results";
+import { Ok, type Result } from "ts-results";
 import type { Clock } from "../platform/clock.ts";
 import type { InstanceList, ListedInstance } from "../platform/instance-list.ts";
 import type { Log } from "../platform/log.ts";
@@ -16,7 +16,7 @@
 import { BufferMeter, RolloutMeter } from "../state/measures.ts";
 import { AbsenceTracker } from "./absence-tracker.ts";
 import type { FleetStore } from "./fleet-store.ts";
-import type { ConfigView, Counters } from "./ports.ts";
+import type { ConfigView, Counters, FleetView } from "./ports.ts";
 
 /** Decisions of one round, so that a burst leaves room for other writers of the document. */
 const DECISIONS_PER_ROUND = 20;
@@ -53,6 +53,8 @@
   readonly counters: Counters;
   readonly group: string;
   readonly store: FleetStore;
+  /** Saves reading the whole document in every round; without it each round reads it. */
+  readonly fleet?: FleetView;
   readonly instanceList: InstanceList;
   readonly config: ConfigView;
   readonly health: FleetHealth;
@@ -63,7 +65,7 @@
 
 /** Plans moves and maintenance of one pool group while this entry holds the duty. */
 export class Planner {
-  readonly #options: Required<PlannerOptions>;
+  readonly #options: PlannerOptions & { readonly intervalMs: number };
   readonly #stop = new AbortController();
   readonly #buffer = new BufferMeter();
   readonly #rollout = new RolloutMeter();
@@ -73,6 +75,10 @@
   #decisions: readonly Explanation[] = [];
   #withheld: readonly Explanation[] = [];
   #moves = 0;
+  /** The document after this planner's last write or read, which the view may not show yet. */
+  #latest: FleetDocument | undefined;
+  /** The view's document was overtaken by another writer's. */
+  #readAnew = true;
   #started = false;
 
   constructor({ intervalMs = 1000, ...rest }: PlannerOptions) {
@@ -138,7 +144,7 @@
   /** Makes and writes one decision. True if there may be another one. */
   async #decide(listed: readonly ListedInstance[] | undefined): Promise<boolean> {
     const { store, support, counters, log } = this.#options;
-    const read = await store.read();
+    const read = await this.#read();
     if (read.err) {
       counters.event("planner_fleet_unreadable");
       return false;
@@ -154,8 +160,11 @@
     }
     if (!support.holdsDuty()) return false;
     const { explanation } = decision;
-    const written = await store.write(this.#next(fleet, decision.servers));
+    const next = this.#next(fleet, decision.servers);
+    const written = await store.write(next);
+    this.#latest = undefined;
     if (written.kind === "written") {
+      this.#latest = { ...next, revision: written.revision };
       counters.event("planner_decisions");
       log.info({ rule: explanation.rule, figures: explanation.figures }, explanation.text);
       this.#decisions = [...this.#decisions, explanation].slice(-DECISIONS_KEPT);
@@ -163,9 +172,26 @@
       return true;
     }
     counters.retry(written.kind === "raced" ? "kv_conflict" : "kv_unavailable");
+    this.#readAnew = true;
     return written.kind === "raced";
   }
 
+  /** The newest known document. A stale one does no harm, since its revision fails the write. */
+  async #read(): Promise<Result<FleetDocument | undefined, string>> {
+    const { fleet, store } = this.#options;
+    const seen = fleet?.current();
+    if (seen !== undefined && !this.#readAnew) {
+      const ours = this.#latest;
+      return Ok(ours !== undefined && ours.revision > seen.revision ? ours : seen);
+    }
+    const read = await store.read();
+    if (read.ok) {
+      this.#readAnew = false;
+      this.#latest = read.val;
+    }
+    return read;
+  }
+
   #next(fleet: FleetDocument | undefined, servers: readonly ServerRecord[]): FleetDocument {
     const { random, clock, group } = this.#options;
     const base = fleet ?? { revision: 0, group, retired: [] };
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { Ok, type Result } from "ts-results";
+import { FleetFollower } from "../../src/coordination/fleet-follower.ts";
 import { KeyValueFleetStore, type FleetWrite } from "../../src/coordination/fleet-store.ts";
 import { Planner, PlannerSupport } from "../../src/coordination/planner.ts";
 import { ConfigView } from "../../src/coordination/ports.ts";
@@ -173,10 +174,13 @@
   /** Starts a planner that believes to hold the duty, as after a takeover from a paused one. */
   addPlanner(seed: number): { readonly planner: Planner; readonly store: PausableStore } {
     const store = new PausableStore({ keyValue: this.kv, group: "andina" });
+    const random = new SeededRandom(seed);
+    const common = { clock: this.clock, counters: this.counters, log: QUIET_LOG, random };
+    const fleet = new FleetFollower({ ...common, keyValue: this.kv, group: "andina" });
+    fleet.start();
     const planner = new Planner({
-      ...{ clock: this.clock, counters: this.counters, log: QUIET_LOG, store },
-      ...{ config: this.config, health: this.health, group: "andina" },
-      random: new SeededRandom(seed),
+      ...{ ...common, store, fleet, group: "andina" },
+      ...{ config: this.config, health: this.health },
       instanceList: this.list,
       support: new TestSupport(this),
     });
