--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -6,7 +6,7 @@
 const KEY_BYTES = 32;
 const SALT_BYTES = 16;
 /** A key as callers send it: its id, a dot and the secret part. */
-const KEY_FORM = /^([0-9a-f]{12})\.([0-9a-f]{64})$/;
+const KEY_FORM = /^([0-9a-z-]{1,32})\.[!-~]{8,128}$/;
 
 /** A newly issued key. `clear` is shown once and stored nowhere. */
 export interface IssuedKey {
@@ -16,10 +16,15 @@
 
 /** Issues a key. Keys have 256 random bits, so a fast salted hash is enough. */
 export function issueKey(random: Random): IssuedKey {
-  const id = random.hex(KEY_ID_BYTES);
-  const salt = random.hex(SALT_BYTES);
-  const clear = `${id}.${random.hex(KEY_BYTES)}`;
-  return { clear, stored: { id, salt, hash: digest(salt, clear).toString("hex") } };
+  const clear = `${random.hex(KEY_ID_BYTES)}.${random.hex(KEY_BYTES)}`;
+  return { clear, stored: hashKey(clear, random.hex(SALT_BYTES)) };
+}
+
+/** What is stored of a key, also of one that was chosen for a demonstration. */
+export function hashKey(clear: string, salt: string): KeyConfig {
+  const id = KEY_FORM.exec(clear)?.[1];
+  if (id === undefined) throw new Error("a key is an id, a dot and at least 8 characters");
+  return { id, salt, hash: digest(salt, clear).toString("hex") };
 }
 
 function digest(salt: string, clear: string): Buffer {
--- /dev/null
+++ b/test/settings/operations-page.test.ts
@@ -0,0 +1,24 @@
+import { readFileSync } from "node:fs";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { REFUSAL_REASONS, RETRY_REASONS } from "../../src/protocol/problem.ts";
+import * as entry from "../../src/settings/entry-file.ts";
+import * as template from "../../src/settings/template-file.ts";
+
+// Guards against settings and counters that operators cannot look up.
+test("docs/operations.md names every setting, refusal and retry", () => {
+  const page = readFileSync("docs/operations.md", "utf8");
+  const schemas = [
+    ...[entry.EntrySectionSchema, entry.TimingSectionSchema, entry.LimitsSectionSchema],
+    ...[template.PoolSectionSchema, template.QueueSectionSchema, template.TeamSectionSchema],
+    ...[template.MaintenanceSectionSchema, template.WeightsSectionSchema],
+  ];
+  const settings = schemas.flatMap((schema) => Object.keys(schema.entries));
+  const names = [...settings, ...REFUSAL_REASONS, ...RETRY_REASONS];
+  assert.equal(
+    names.filter((name) => !page.includes(`\`${name}\``)),
+    [],
+  );
+});
+
+test.run();
