feat(planner): one more server for pools that have none to spare

Cause: a pool whose budget equals its target size could never drain a server, so its servers were never rebooted; the spare pool gave servers away by the margin before a move, which refused moves that leave the margin as it is. Change: such a pool gets one more server while its reboots are due, and gives it back. A move out of the spare pool is judged by the coverage after it: covered, or no worse than before. The weights of roll-out time and moves set how many servers move at once. Ruled out: lowering the budget during a wave, which operators set for a reason.

--- a/src/state/move-rules.ts
+++ b/src/state/move-rules.ts
@@ -14,10 +14,16 @@
   type RuleOutcome,
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
+import { dueServers, inWindow, serversInWave } from "./maintenance-rules.ts";
 import { replaceServer } from "./fleet-transitions.ts";
 
-/** Share of the fleet that may be on its way between pools at once; at least two servers. */
+/**
+ * Share of the fleet that may be on its way between pools at once, at equal weights of roll-out
+ * time and moves; at least two servers.
+ */
 const MOVING_SHARE = 0.05;
+/** Weights change the share at most by this factor. */
+const WEIGHT_FACTOR_LIMIT = 4;
 
 /** A pool with what it lacks. */
 interface Shortage {
@@ -32,12 +38,12 @@
 export function moveTowardsTargets(situation: FleetSituation): RuleOutcome {
   const withheld = [];
   const onTheWay = situation.servers.filter((s) => s.moveTo !== undefined || s.state === "moving");
-  const limit = Math.max(2, Math.floor(situation.servers.length * MOVING_SHARE));
+  const limit = movingLimit(situation);
   for (const shortage of shortages(situation)) {
     const { pool, size, urgent } = shortage;
     const figures = { size, targetSize: pool.targetSize, moving: onTheWay.length, limit };
     const candidates = sources(situation, shortage);
-    const allowed = candidates.find((server) => mayLeave(situation, server));
+    const allowed = candidates.find((server) => mayLeave(situation, server, shortage));
     if (allowed === undefined) {
       const blocked = candidates.length === 0 ? "no other pool has a surplus" : "budgets hold them";
       const text = `${pool.name} lacks ${shortage.lacks} servers, but ${blocked}`;
@@ -52,12 +58,33 @@
   return { withheld };
 }
 
+/** More moves at once shorten a roll-out, and more of them turn out to be needless. */
+function movingLimit({ servers, config }: FleetSituation): number {
+  const { rolloutTime, moves } = config.weights;
+  const ratio = moves === 0 ? WEIGHT_FACTOR_LIMIT : rolloutTime / moves;
+  const factor = Math.min(WEIGHT_FACTOR_LIMIT, Math.max(1 / WEIGHT_FACTOR_LIMIT, ratio));
+  return Math.max(2, Math.floor(servers.length * MOVING_SHARE * factor));
+}
+
+/**
+ * Size that a pool should have now. A pool whose budget equals its target size could never drain a
+ * server, so it gets one more for as long as reboots of its servers are due.
+ */
+function wantedSize(situation: FleetSituation, pool: PoolConfig): number {
+  const { startMinute, endMinute } = situation.config.maintenance;
+  if (pool.spare || pool.minAvailable < pool.targetSize) return pool.targetSize;
+  if (!inWindow(startMinute, endMinute, situation.wallTimeMs)) return pool.targetSize;
+  const open = [...dueServers(situation), ...serversInWave(situation)];
+  return pool.targetSize + (open.some((server) => server.pool === pool.name) ? 1 : 0);
+}
+
 function shortages(situation: FleetSituation): readonly Shortage[] {
   return poolsOf(situation)
     .map((pool): Shortage => {
       const size = effectiveSize(situation, pool.name);
-      const urgent = available(situation, pool.name) < pool.minAvailable && size < pool.targetSize;
-      return { pool, size, lacks: pool.targetSize - size, urgent };
+      const lacks = wantedSize(situation, pool) - size;
+      const urgent = available(situation, pool.name) < pool.minAvailable && lacks > 0;
+      return { pool, size, lacks, urgent };
     })
     .filter(({ lacks }) => lacks > 0)
     .sort((a, b) => Number(b.urgent) - Number(a.urgent) || ratio(b) - ratio(a));
@@ -68,9 +95,9 @@
 }
 
 /** Servers that could move, best first: empty ones, then matching hardware, then spread. */
-function sources(situation: FleetSituation, { pool, urgent }: Shortage): readonly ServerRecord[] {
+function sources(situation: FleetSituation, { pool }: Shortage): readonly ServerRecord[] {
   const members = situation.servers.filter((server) => server.pool === pool.name);
-  const giving = new Set(givingPools(situation, pool, urgent));
+  const giving = new Set(givingPools(situation, pool));
   const rank = (server: ServerRecord): readonly number[] => [
     server.state === "empty" ? 0 : 1,
     giving.has(server.pool) && poolOf(situation, server.pool)?.spare !== true ? 0 : 1,
@@ -92,26 +119,37 @@
     .map(({ server }) => server);
 }
 
-/** Pools with a surplus, and the spare pool as long as it covers the largest failure domain. */
-function givingPools(
-  situation: FleetSituation,
-  needing: PoolConfig,
-  urgent: boolean,
-): readonly string[] {
+/** Pools with a surplus, and the spare pool. */
+function givingPools(situation: FleetSituation, needing: PoolConfig): readonly string[] {
   const names = new Set(situation.servers.map((server) => server.pool));
   return [...names].filter((name) => {
     if (name === needing.name) return false;
     const pool = poolOf(situation, name);
-    const surplus = effectiveSize(situation, name) - (pool?.targetSize ?? 0);
-    if (pool?.spare !== true) return surplus > 0;
-    if (surplus > 0 || urgent) return true;
-    const { have, need } = bufferCoverage(situation);
-    return have - 1 >= need;
+    if (pool?.spare === true) return true;
+    const wanted = pool === undefined ? 0 : wantedSize(situation, pool);
+    return effectiveSize(situation, name) > wanted;
   });
 }
 
-function mayLeave(situation: FleetSituation, server: ServerRecord): boolean {
-  return checkBudget(situation, server).allowed;
+/**
+ * Checks the budget and, for a server of the spare pool, that the move leaves the worst loss of a
+ * failure domain covered, or no worse than it is. Only a pool short of its budget has precedence.
+ */
+function mayLeave(
+  situation: FleetSituation,
+  server: ServerRecord,
+  { pool, urgent }: Shortage,
+): boolean {
+  if (!checkBudget(situation, server).allowed) return false;
+  if (urgent || poolOf(situation, server.pool)?.spare !== true) return true;
+  const moved = replaceServer(situation.servers, { ...server, pool: pool.name });
+  const after = margin({ ...situation, servers: moved });
+  return after >= Math.min(0, margin(situation));
+}
+
+function margin(situation: FleetSituation): number {
+  const { have, need } = bufferCoverage(situation);
+  return have - need;
 }
 
 function startMove(
