refactor(planner): one way to reboot and one view of health

Cause: the entry instance orders reboots by a message to the lease holder and judges health by gossiped leases, so the reboot keeper and the zone reports had no user. Change: both are removed. A peer state whose time of origin is not known is no contact for the outage exception. Ruled out: keeping two mechanisms for one order. Conclusion: less code with the same guarantees.

--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -184,7 +184,10 @@
     const zones = outage.zones();
     if (zones === undefined || zones.size === 0 || this.#watcher.reachable()) return false;
     const since = clock.now() - keyFreshnessMs;
-    const inContact = [...outage.peers()].filter((peer) => peer.receivedAt >= since);
+    // A state without a known time of origin is no contact.
+    const inContact = [...outage.peers()].filter(
+      ({ receivedAt }) => Number.isFinite(receivedAt) && receivedAt >= since,
+    );
     if (inContact.some((peer) => peer.message.platformReachable)) return false;
     const heard = new Set([zone, ...inContact.map((peer) => peer.hello.zone)]);
     return [...zones].every((member) => heard.has(member));
--- a/src/coordination/fleet-overview.ts
+++ b/src/coordination/fleet-overview.ts
@@ -1,13 +1,12 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { KeyValueService } from "../platform/key-value-service.ts";
 import type { ConfigDocument } from "../protocol/config-document.ts";
-import type { Closeness, PlannerStatus } from "../protocol/entry-status.ts";
+import type { Closeness, EntryStatus, PlannerStatus } from "../protocol/entry-status.ts";
 import type { FleetDocument, ServerState } from "../protocol/fleet-document.ts";
-import type { FleetHealth } from "../state/fleet-situation.ts";
+import { FleetHealth } from "../state/fleet-situation.ts";
 import type { ConfigStore } from "./config-store.ts";
 import type { EntryDirectory, KnownEntry } from "./entry-directory.ts";
 import { KeyValueFleetStore } from "./fleet-store.ts";
-import { ReportedHealth } from "./server-health.ts";
 
 /** One pool with its servers by state. */
 export interface PoolOverview {
@@ -72,10 +71,7 @@
     );
     const fleets = read.flatMap((fleet) => (fleet.ok && fleet.val ? [fleet.val] : []));
     const statuses = entries.val.flatMap(({ status }) => (status.ok ? [status.val] : []));
-    const reports = statuses.map(({ zone, downServers = [], badServers = [] }) => ({
-      ...{ zone, down: downServers, bad: badServers },
-    }));
-    const health = new ReportedHealth({ reports: () => reports, leaving: () => [] });
+    const health = new ReportedHealth(statuses);
     return Ok({
       ...{ config, entries: entries.val, fleets, health },
       pools: poolRows(config, fleets, health),
@@ -86,6 +82,26 @@
   }
 }
 
+/** Health as the entries report it. */
+class ReportedHealth extends FleetHealth {
+  readonly #down: ReadonlySet<string>;
+  readonly #bad: ReadonlySet<string>;
+
+  constructor(statuses: readonly EntryStatus[]) {
+    super();
+    this.#down = new Set(statuses.flatMap((status) => status.downServers ?? []));
+    this.#bad = new Set(statuses.flatMap((status) => status.badServers ?? []));
+  }
+
+  live(server: string): boolean {
+    return !this.#down.has(server);
+  }
+
+  bad(server: string): boolean {
+    return this.#bad.has(server);
+  }
+}
+
 function poolRows(
   config: ConfigDocument,
   fleets: readonly FleetDocument[],
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -30,14 +30,8 @@
   abstract holdsDuty(): boolean;
   /** True if the availability zone belongs to the planner's pool group. */
   abstract inGroup(zone: string): boolean;
-  /**
-   * Has the lease holder reboot an empty server; resolves once the server is back. Undefined
-   * leaves the reboot and its record to the `RebootKeeper` of the holder.
-   */
-  reboot(_server: ServerRecord): Promise<Result<void, string>> | undefined {
-    return undefined;
-  }
-
+  /** Has the lease holder reboot an empty server; resolves once the reboot is certain. */
+  abstract reboot(server: ServerRecord): Promise<Result<void, string>>;
   /**
    * Asks at the server's lease endpoint whether it is gone. Only a certain answer may be true,
    * because the removal of a record counts as proof that the server's tasks have ended.
@@ -235,10 +229,8 @@
     const { support, counters, log } = this.#options;
     const id = rebootId(server);
     if (this.#rebooting.has(id) || this.#rebooted.has(id)) return;
-    const reboot = support.reboot(server);
-    if (reboot === undefined) return;
     this.#rebooting.add(id);
-    const done = await reboot;
+    const done = await support.reboot(server);
     this.#rebooting.delete(id);
     if (done.ok) {
       this.#rebooted.add(id);
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -147,7 +147,7 @@
     return true;
   }
 
-  override async reboot(server: ServerRecord): Promise<Result<void, string>> {
+  async reboot(server: ServerRecord): Promise<Result<void, string>> {
     this.#fleet.rebootOrders.push(server);
     await this.#fleet.clock.sleep(2000);
     return Ok(undefined);
