feat(cli): confirmations of a withdrawn key; closeness to share over the fleet

Cause: an operator who withdraws a key wants to know where it is refused, and closeness to share needs the use of all entries together. Change: key withdraw waits for the entries like config apply does. A monitor adds up the loads of all entries every 250 ms and measures closeness over windows of 1 s and 10 s. Conclusion: both are ready to be wired into the entry instance.

--- a/src/cli/config-commands.ts
+++ b/src/cli/config-commands.ts
@@ -1,6 +1,5 @@
 import type { Sade } from "sade";
 import { ConfigStore } from "../coordination/config-store.ts";
-import { EntryDirectory } from "../coordination/entry-directory.ts";
 import { OperatorActions } from "../coordination/operator-actions.ts";
 import type { ConfigDocument } from "../protocol/config-document.ts";
 import { readEntrySettings } from "../settings/entry-file.ts";
@@ -9,6 +8,7 @@
 import { readTemplate, type Parameters, type TemplateContent } from "../settings/template-file.ts";
 import { diffConfig, formatChange } from "../state/config-diff.ts";
 import { configToIni } from "../settings/template-text.ts";
+import { CONFIRM_WAIT_S, reportConfirmations, waitOption } from "./confirmations.ts";
 import {
   numberOption,
   runCommand,
@@ -21,9 +21,6 @@
 } from "./context.ts";
 import { explainError } from "./operator-errors.ts";
 
-/** Time within which a configuration should be in effect everywhere, in seconds. */
-const CONFIRM_WAIT_S = 20;
-
 /** Adds `config check`, `config apply`, `config show` and `config history`. */
 export function addConfigCommands(program: Sade, ctx: CliContext): void {
   program
@@ -114,7 +111,7 @@
 
 async function apply(ctx: CliContext, file: string, options: CliOptions): Promise<ExitCode> {
   const content = loadTemplate(ctx, file, options);
-  const waitMs = (numberOption(options, "wait", 0) ?? CONFIRM_WAIT_S) * 1000;
+  const waitMs = waitOption(options);
   const base = numberOption(options, "base", 0);
   const applied = await openActions(ctx, options).apply(content, base);
   if (applied.err) {
@@ -126,45 +123,7 @@
     ctx.print(`accepted at revision ${revision}`);
     for (const change of changes) ctx.print(`  ${formatChange(change)}`);
   }
-  return reportConfirmations(ctx, options, { revision, waitMs, changes });
-}
-
-interface AppliedRevision {
-  readonly revision: number;
-  readonly waitMs: number;
-  readonly changes: readonly unknown[];
-}
-
-async function reportConfirmations(
-  ctx: CliContext,
-  options: CliOptions,
-  { revision, waitMs, changes }: AppliedRevision,
-): Promise<ExitCode> {
-  const directory = new EntryDirectory({
-    clock: ctx.clock,
-    keyValue: ctx.keyValue(urlOption(options, "key-value")),
-    reader: ctx.statusReader,
-  });
-  const reply = await directory.confirmations(revision, waitMs);
-  const confirmed = reply.ok ? reply.val.confirmed.map((e) => e.session.incarnation) : [];
-  const waiting = reply.ok
-    ? reply.val.waiting.map(({ session, status }) => ({
-        incarnation: session.incarnation,
-        zone: session.zone,
-        state: status.ok ? `at revision ${status.val.configRevision}` : `no status: ${status.val}`,
-      }))
-    : [];
-  const problem = reply.err ? reply.val : undefined;
-  if (options.json === true) {
-    ctx.print(JSON.stringify({ revision, changes, confirmed, waiting, problem }));
-    return 0;
-  }
-  if (problem !== undefined) ctx.printError(`confirmations unknown: ${problem}`);
-  else
-    ctx.print(`in effect on ${confirmed.length} of ${confirmed.length + waiting.length} entries`);
-  for (const entry of waiting) {
-    ctx.printError(`not confirmed: ${entry.incarnation} in ${entry.zone}: ${entry.state}`);
-  }
+  await reportConfirmations(ctx, options, { revision, waitMs, result: { revision, changes } });
   return 0;
 }
 
--- a/src/cli/key-commands.ts
+++ b/src/cli/key-commands.ts
@@ -1,5 +1,6 @@
 import type { Sade } from "sade";
 import { runCommand, type CliContext, type CliOptions, type ExitCode } from "./context.ts";
+import { CONFIRM_WAIT_S, reportConfirmations, waitOption } from "./confirmations.ts";
 import { openActions } from "./config-commands.ts";
 import { explainError } from "./operator-errors.ts";
 
@@ -18,9 +19,10 @@
     .command("key withdraw <team> <key-id>")
     .describe("Withdraw an API key of a team.")
     .option("--key-value", "Base URL of the key-value service")
+    .option("--wait", `Seconds to wait for the entries' confirmation (default ${CONFIRM_WAIT_S})`)
     .option("--json", "Print JSON")
     .action((team: string, keyId: string, options: CliOptions) =>
-      runCommand(ctx, options, allowed, () => withdraw(ctx, { team, keyId, options })),
+      runCommand(ctx, options, [...allowed, "wait"], () => withdraw(ctx, { team, keyId, options })),
     );
   program
     .command("key list")
@@ -52,14 +54,18 @@
 }
 
 async function withdraw(ctx: CliContext, { team, keyId, options }: Withdrawal): Promise<ExitCode> {
+  const waitMs = waitOption(options);
   const withdrawn = await openActions(ctx, options).withdrawKey(team, keyId);
   if (withdrawn.err) {
     for (const line of explainError(withdrawn.val)) ctx.printError(line);
     return 1;
   }
   const revision = withdrawn.val;
-  if (options.json === true) ctx.print(JSON.stringify({ team, keyId, revision }));
-  else ctx.print(`key ${keyId} of ${team} withdrawn, accepted at revision ${revision}`);
+  if (options.json !== true) {
+    ctx.print(`key ${keyId} of ${team} withdrawn, accepted at revision ${revision}`);
+  }
+  const result = { team, keyId, revision };
+  await reportConfirmations(ctx, options, { revision, waitMs, result });
   return 0;
 }
 
--- a/test/state/measures.test.ts
+++ b/test/state/measures.test.ts
@@ -1,5 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import type { ConfigView } from "../../src/coordination/ports.ts";
+import { ShareMonitor } from "../../src/coordination/share-monitor.ts";
+import type { TeamLoad } from "../../src/protocol/peer-messages.ts";
+import { exampleConfig } from "../fakes/planned-fleet.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
 import {
   BufferMeter,
   ClosenessMeter,
@@ -32,6 +37,34 @@
   assert.equal(meter.summary(), { windowMs: 1000, windows: 2, mean: 0.875, lowest: 0.75 });
 });
 
+// Guards against a team that is counted once per entry instead of over the whole fleet.
+test("the share monitor adds up the loads of all entries", async () => {
+  const clock = new VirtualClock();
+  const [first, second] = exampleConfig().teams;
+  const teams = [
+    { ...first!, share: 1 },
+    { ...second!, share: 3 },
+  ];
+  const load = (name: string, running: number): TeamLoad => ({
+    ...{ team: name, running, budget: running, queued: 5 },
+  });
+  const monitor = new ShareMonitor({
+    clock,
+    config: { current: () => exampleConfig({ teams }) } as unknown as ConfigView,
+    loads: () => [load(first!.name, 10), load(second!.name, 10), load(second!.name, 20)],
+  });
+  monitor.start();
+  await clock.advance(11_000);
+  monitor.stop();
+  assert.equal(
+    monitor.summary().map(({ windowMs, mean }) => ({ windowMs, mean })),
+    [
+      { windowMs: 1000, mean: 1 },
+      { windowMs: 10_000, mean: 1 },
+    ],
+  );
+});
+
 // Guards against figures in the wrong unit.
 test("buffer cost is in instance-hours and roll-out time ends when nothing is due", () => {
   const buffer = new BufferMeter();
