fix(planner): count a rebooted server only once it is seen to be back

Cause: a server was put back into service when its reboot was ordered, so it counted towards the budget while it was down; a reboot that outlasted the list's grace period removed its record, and the server came back as new and due again. Ruled out: a boot id in the fleet document, which the holder would have to write. Conclusion: a wave counts no server that is down.

--- a/src/coordination/absence-tracker.ts
+++ b/src/coordination/absence-tracker.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../platform/clock.ts";
 import type { ListedInstance } from "../platform/instance-list.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
+import { REBOOT_LIMIT_MS } from "../state/maintenance-rules.ts";
 
 /** The list lags, so a server must be absent from it for this long before it is asked itself. */
 const ABSENT_MS = 30_000;
@@ -34,7 +35,7 @@
     const present = new Set(listed.map((instance) => instance.name));
     const now = this.#options.clock.now();
     for (const server of servers) {
-      if (present.has(server.name)) {
+      if (present.has(server.name) || this.#isRebooting(server)) {
         this.#absentSince.delete(server.name);
         this.#gone.delete(server.name);
         continue;
@@ -45,6 +46,11 @@
     }
   }
 
+  /** A server that is rebooted on purpose leaves the list and refuses connections for a while. */
+  #isRebooting({ state, since }: ServerRecord): boolean {
+    return state === "rebooting" && this.#options.clock.wallTime() - since <= REBOOT_LIMIT_MS;
+  }
+
   async #ask(server: ServerRecord): Promise<void> {
     if (this.#asking.has(server.name) || this.#gone.has(server.name)) return;
     this.#asking.add(server.name);
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -30,7 +30,10 @@
   abstract holdsDuty(): boolean;
   /** True if the availability zone belongs to the planner's pool group. */
   abstract inGroup(zone: string): boolean;
-  /** Has the lease holder reboot an empty server; resolves once the reboot is certain. */
+  /**
+   * Has the lease holder reboot an empty server; resolves once the order was carried out. The
+   * server may still be down then: the planner waits until its health shows that it is back.
+   */
   abstract reboot(server: ServerRecord): Promise<Result<void, string>>;
   /**
    * Asks at the server's lease endpoint whether it is gone. Only a certain answer may be true,
@@ -65,7 +68,8 @@
   readonly #rollout = new RolloutMeter();
   readonly #absence: AbsenceTracker;
   readonly #rebooting = new Set<string>();
-  readonly #rebooted = new Set<string>();
+  /** Monotonic time at which the server carried out the order. */
+  readonly #rebooted = new Map<string, number>();
   #decisions: readonly Explanation[] = [];
   #withheld: readonly Explanation[] = [];
   #moves = 0;
@@ -207,10 +211,17 @@
       config: current,
       wallTimeMs: clock.wallTime(),
       confirmedGone: this.#absence.gone,
-      rebooted: this.#rebooted,
+      rebooted: this.#settledReboots(),
     };
   }
 
+  /** Reboots that are long enough ago for the health to show a server that is still down. */
+  #settledReboots(): ReadonlySet<string> {
+    const { clock, health } = this.#options;
+    const before = clock.now() - health.lagMs;
+    return new Set([...this.#rebooted].flatMap(([id, at]) => (at <= before ? [id] : [])));
+  }
+
   /** Measures, and starts what takes longer than a round. */
   #observe(situation: FleetSituation, listed: readonly ListedInstance[] | undefined): void {
     const now = this.#options.clock.now();
@@ -219,7 +230,7 @@
     this.#rollout.record(now, { open: inWave + dueServers(situation).length, inWave });
     this.#absence.observe(situation.servers, listed);
     const rebooting = situation.servers.filter((server) => server.state === "rebooting");
-    for (const id of [...this.#rebooted]) {
+    for (const id of [...this.#rebooted.keys()]) {
       if (!rebooting.some((server) => rebootId(server) === id)) this.#rebooted.delete(id);
     }
     for (const server of rebooting) void this.#reboot(server);
@@ -233,7 +244,7 @@
     const done = await support.reboot(server);
     this.#rebooting.delete(id);
     if (done.ok) {
-      this.#rebooted.add(id);
+      this.#rebooted.set(id, this.#options.clock.now());
       return;
     }
     counters.event("planner_reboot_failed");
--- a/src/state/fleet-situation.ts
+++ b/src/state/fleet-situation.ts
@@ -5,6 +5,9 @@
 
 /** Most recent known health of backend servers. */
 export abstract class FleetHealth {
+  /** Longest time in milliseconds for which a server that went down still counts as live. */
+  readonly lagMs: number = 12_000;
+
   /** False if the server is known to be down; a server of which nothing is known is live. */
   abstract live(server: string): boolean;
   /** True if tasks fail on the server that succeed elsewhere. */
@@ -23,7 +26,7 @@
   readonly listed: readonly ListedInstance[] | undefined;
   /** Servers whose absence from the list was confirmed at the server itself. */
   readonly confirmedGone: ReadonlySet<string>;
-  /** {@link rebootId} of reboots that were carried out. */
+  /** {@link rebootId} of reboots that were carried out at least the health's lag ago. */
   readonly rebooted: ReadonlySet<string>;
 }
 
--- a/src/state/health-rules.ts
+++ b/src/state/health-rules.ts
@@ -109,7 +109,9 @@
     const text = `${moved.name} serves ${moved.pool}`;
     return step(situation, moved, { state: "serving" }, { rule: "finish-move", text });
   }
-  const back = servers.find((s) => s.state === "rebooting" && rebooted.has(rebootId(s)));
+  const back = servers.find(
+    (s) => s.state === "rebooting" && rebooted.has(rebootId(s)) && health.live(s.name),
+  );
   if (back === undefined) return NOTHING_TO_DO;
   const text = `${back.name} was rebooted and serves ${back.pool}`;
   const figures = { downMs: situation.wallTimeMs - back.since };
--- a/src/state/listing-rules.ts
+++ b/src/state/listing-rules.ts
@@ -77,7 +77,7 @@
 }
 
 function place(
-  { wallTimeMs }: FleetSituation,
+  { wallTimeMs, servers }: FleetSituation,
   tallies: readonly PoolTally[],
   instance: ListedInstance,
 ): ServerRecord {
@@ -89,7 +89,8 @@
     pool: tally.pool.name,
     state: "serving",
     epoch: 1,
-    rebootedAt: 0,
+    // All servers of a first placement are of unknown age; a later one has just appeared.
+    rebootedAt: servers.length === 0 ? 0 : wallTimeMs,
     since: wallTimeMs,
   };
 }
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -76,6 +76,24 @@
   }
 });
 
+// Guards against a server that counts as available, or as gone, while it is being rebooted.
+test("a server that takes long to reboot neither serves nor is removed meanwhile", async () => {
+  const fleet = new PlannedFleet();
+  fleet.config.document = exampleConfig({ maintenance: { ...MAINTENANCE, maxParallel: 1 } });
+  fleet.rebootDownMs = 120_000;
+  fleet.startHolders();
+  fleet.addPlanner(1);
+  await fleet.clock.until(() => fleet.health.down.size > 0, 60_000);
+  const [name = ""] = fleet.health.down;
+  fleet.list.missing.add(name);
+  await fleet.clock.advance(110_000);
+  assert.is((await fleet.servers()).find((s) => s.name === name)?.state, "rebooting");
+  fleet.list.missing.delete(name);
+  await fleet.clock.advance(15_000);
+  assert.is((await fleet.servers()).find((s) => s.name === name)?.state, "serving");
+  assert.is(fleet.rebootOrders.filter((server) => server.name === name).length, 1);
+});
+
 // Guards against a decision that was made before a pause and is written after it.
 test("two racing planners and one that resumes after a pause keep every budget", async () => {
   const fleet = new PlannedFleet();
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -51,6 +51,7 @@
 
 /** Health that tests set. */
 export class TestHealth extends FleetHealth {
+  override readonly lagMs = 0;
   readonly down = new Set<string>();
   readonly failing = new Set<string>();
 
@@ -105,8 +106,11 @@
 class FixedList extends InstanceList {
   instances = exampleInstances();
 
+  /** Servers that the list leaves out for now. */
+  readonly missing = new Set<string>();
+
   list(): Promise<Result<readonly ListedInstance[], never>> {
-    return Promise.resolve(Ok(this.instances));
+    return Promise.resolve(Ok(this.instances.filter(({ name }) => !this.missing.has(name))));
   }
 }
 
@@ -148,8 +152,11 @@
   }
 
   async reboot(server: ServerRecord): Promise<Result<void, string>> {
-    this.#fleet.rebootOrders.push(server);
-    await this.#fleet.clock.sleep(2000);
+    const { clock, health, rebootOrders, rebootDownMs } = this.#fleet;
+    rebootOrders.push(server);
+    await clock.sleep(2000);
+    health.down.add(server.name);
+    clock.schedule(rebootDownMs, () => health.down.delete(server.name));
     return Ok(undefined);
   }
 
@@ -169,6 +176,8 @@
   readonly rebootOrders: ServerRecord[] = [];
   /** Time that a server needs to finish its tasks. */
   drainMs = 3000;
+  /** Time for which a server is down after a reboot was ordered. */
+  rebootDownMs = 1000;
   readonly #store = new KeyValueFleetStore({ keyValue: this.kv, group: "andina" });
 
   /** Starts a planner that believes to hold the duty, as after a takeover from a paused one. */
