--- a/test/cli/config-commands.test.ts
+++ b/test/cli/config-commands.test.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from "node:fs";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { findUsageFault } from "../../src/cli/command-line.ts";
 import { TestCli } from "../fakes/test-cli.ts";
 
 const TEMPLATE = readFileSync("examples/piedra-viva.ini", "utf8");
@@ -45,6 +46,20 @@
   assert.equal((await cli.store.list("")).unwrap(), []);
 });
 
+// Guards against invalid input that ends with another code than 2, as sade's own checks do.
+test("a command line without a known command or with too few arguments is refused", () => {
+  const cli = fixture();
+  const fault = (line: string): string | undefined =>
+    findUsageFault(cli.program(), line.split(" "));
+  assert.is(fault("config check site.ini --parameters p.ini"), undefined);
+  assert.is(fault("config --help"), undefined);
+  assert.match(fault("config chek site.ini") ?? "", `did you mean "config check"?`);
+  assert.is(
+    fault("key withdraw --key-value http://127.0.0.1:1 ops"),
+    "key withdraw: missing argument; allowed: key withdraw <team> <key-id>",
+  );
+});
+
 // Guards against an apply that claims to be in effect where it is not.
 test("config apply reports which entries have confirmed the revision", async () => {
   const cli = fixture();
--- a/test/cli/status-commands.test.ts
+++ b/test/cli/status-commands.test.ts
@@ -1,20 +1,15 @@
 import { readFileSync } from "node:fs";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { addStatusCommands } from "../../src/cli/status-commands.ts";
 import { exampleInstances, serversByRack } from "../fakes/planned-fleet.ts";
 import { TestCli } from "../fakes/test-cli.ts";
 
-async function fixture(): Promise<{ cli: TestCli; run: (line: string) => Promise<void> }> {
+async function fixture(): Promise<TestCli> {
   const cli = new TestCli();
-  const run = (line: string): Promise<void> =>
-    cli.run(line, (program) => {
-      addStatusCommands(program, cli);
-    });
   cli.files.set("site.ini", readFileSync("examples/piedra-viva.ini", "utf8"));
-  await run("config apply site.ini");
+  await cli.run("config apply site.ini");
   cli.list.instances = exampleInstances();
-  return { cli, run };
+  return cli;
 }
 
 async function storeFleet(cli: TestCli): Promise<void> {
@@ -24,9 +19,9 @@
 
 // Guards against a dry run that changes the fleet, or that follows other rules than the planner.
 test("plan names rule and figures of each decision and writes nothing", async () => {
-  const { cli, run } = await fixture();
+  const cli = await fixture();
   const before = (await cli.store.list("")).unwrap();
-  await run("plan --instance-list http://127.0.0.1:9101");
+  await cli.run("plan --instance-list http://127.0.0.1:9101");
   assert.is(cli.code, 0);
   assert.equal(cli.out, [
     "andina: 1 decisions",
@@ -37,7 +32,7 @@
 
 // Guards against a shortage that status does not show.
 test("status shows a pool short of its budget and an uncovered failure domain", async () => {
-  const { cli, run } = await fixture();
+  const cli = await fixture();
   await storeFleet(cli);
   const session = { incarnation: "e1", zone: "andina-a", adminAddress: "e1:1" };
   const value = JSON.stringify(session);
@@ -47,13 +42,13 @@
     downServers: ["s00", "s01", "s02"],
     teams: [{ team: "suppliers", running: 3, budget: 5, queued: 2 }],
   });
-  await run("status");
+  await cli.run("status");
   const out = cli.out.join("\n");
   assert.match(out, "e1 in andina-a: revision 1, keyed work stopped");
   assert.match(out, "andina/enrolment: 5 of 8, at least 6; serving 8 SHORT OF BUDGET");
   assert.match(out, "NOT COVERED");
   assert.match(out, "suppliers: 3 of 48; budget 5, queued 2, share 10");
-  await run("status --json");
+  await cli.run("status --json");
   const json = JSON.parse(cli.out.join("")) as { readonly pools: readonly unknown[] };
   assert.is(json.pools.length, 5);
 });
--- a/test/fakes/test-cli.ts
+++ b/test/fakes/test-cli.ts
@@ -3,6 +3,7 @@
 import { CliContext } from "../../src/cli/context.ts";
 import { addConfigCommands } from "../../src/cli/config-commands.ts";
 import { addKeyCommands } from "../../src/cli/key-commands.ts";
+import { addStatusCommands } from "../../src/cli/status-commands.ts";
 import { EntryStatusReader } from "../../src/coordination/entry-directory.ts";
 import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
 import type { KeyValueService } from "../../src/platform/key-value-service.ts";
@@ -64,18 +65,22 @@
     this.code = code;
   }
 
+  program(): sade.Sade {
+    const program = sade("teaselspool");
+    addConfigCommands(program, this);
+    addKeyCommands(program, this);
+    addStatusCommands(program, this);
+    return program;
+  }
+
   /** Runs a command line, to which the key-value URL is added unless it starts with `config check`. */
-  async run(line: string, addCommands?: (program: sade.Sade) => void): Promise<void> {
+  async run(line: string): Promise<void> {
     this.out = [];
     this.errors = [];
     this.code = undefined;
-    const program = sade("teaselspool");
-    addConfigCommands(program, this);
-    addKeyCommands(program, this);
-    addCommands?.(program);
     const url = line.startsWith("config check") ? [] : ["--key-value", "http://127.0.0.1:9100"];
     const argv = ["node", "teaselspool", ...line.split(" "), ...url];
-    const lazy = program.parse(argv, { lazy: true });
+    const lazy = this.program().parse(argv, { lazy: true });
     await onClock(this.clock, Promise.resolve(Reflect.apply(lazy.handler, undefined, lazy.args)));
   }
 }
