fix(config): operators' commands outlast short outages

Cause: a trial with a stand-in that loses replies failed a command on its first read. Change: reads and writes of history entries are repeated up to 4 times within 1.2 s. Ruled out: repeating the edit after an uncertain write, which could undo a further change. Conclusion: only an outage longer than that fails a command before its write.

--- a/src/coordination/config-store.ts
+++ b/src/coordination/config-store.ts
@@ -1,12 +1,14 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvEntry } from "../platform/key-value-service.ts";
+import type { KeyValueService, KvEntry, KvError } from "../platform/key-value-service.ts";
 import { CONFIG_KEY, type ConfigDocument } from "../protocol/config-document.ts";
 import { parseConfigDocument } from "./config-follower.ts";
 
 const HISTORY_PREFIX = "config-history/";
 const HISTORY_KEPT = 50;
 const WRITE_ATTEMPTS = 5;
+/** Reads, and writes of history entries, change nothing when repeated. */
+const SAFE_ATTEMPTS = 4;
 const RETRY_DELAY_MS = 200;
 
 /** A configuration with its revision in the key-value service. */
@@ -43,7 +45,7 @@
 
   /** Undefined if no configuration was stored yet. */
   async read(): Promise<Result<StoredConfig | undefined, ConfigStoreError>> {
-    const read = await this.#keyValue.get(CONFIG_KEY);
+    const read = await this.#repeat(() => this.#keyValue.get(CONFIG_KEY));
     if (read.err) return Err({ kind: "unavailable", detail: describe(read.val) });
     if (read.val === undefined) return Ok(undefined);
     const document = parseConfigDocument(read.val.value);
@@ -53,7 +55,7 @@
 
   /** Superseded configurations, newest first. */
   async history(): Promise<Result<readonly ConfigDocument[], ConfigStoreError>> {
-    const listed = await this.#keyValue.list(HISTORY_PREFIX);
+    const listed = await this.#repeat(() => this.#keyValue.list(HISTORY_PREFIX));
     if (listed.err) return Err({ kind: "unavailable", detail: describe(listed.val) });
     const documents = listed.val.flatMap((entry) => {
       const parsed = parseConfigDocument(entry.value);
@@ -66,7 +68,7 @@
   async superseded(
     revision: number,
   ): Promise<Result<ConfigDocument | undefined, ConfigStoreError>> {
-    const read = await this.#keyValue.get(historyKey(revision));
+    const read = await this.#repeat(() => this.#keyValue.get(historyKey(revision)));
     if (read.err) return Err({ kind: "unavailable", detail: describe(read.val) });
     const parsed = read.val === undefined ? undefined : parseConfigDocument(read.val.value);
     return Ok(parsed?.ok === true ? parsed.val : undefined);
@@ -97,10 +99,19 @@
     }
   }
 
+  async #repeat<T>(call: () => Promise<Result<T, KvError>>): Promise<Result<T, KvError>> {
+    for (let attempt = 1; ; attempt++) {
+      const reply = await call();
+      if (reply.ok || reply.val.kind === "conflict" || attempt === SAFE_ATTEMPTS) return reply;
+      await this.#clock.sleep(RETRY_DELAY_MS * attempt);
+    }
+  }
+
   async #keep(document: ConfigDocument): Promise<Result<void, ConfigStoreError>> {
     const key = historyKey(document.revision);
     const value = JSON.stringify(document);
-    const kept = await this.#keyValue.put({ key, value, expectedRevision: 0 });
+    const put = { key, value, expectedRevision: 0 };
+    const kept = await this.#repeat(() => this.#keyValue.put(put));
     // A conflict means that the revision is kept already; its content never differs.
     if (kept.ok || kept.val.kind === "conflict") return Ok(undefined);
     return Err({ kind: "unavailable", detail: `history: ${describe(kept.val)}` });
--- a/test/coordination/operator-actions.test.ts
+++ b/test/coordination/operator-actions.test.ts
@@ -127,6 +127,16 @@
   assert.is(kept[0], 54);
 });
 
+// Guards against a command that gives up on the first lost reply of a read.
+test("an apply outlasts a short outage before its write", async () => {
+  const { clock, keyValue, operator } = fixture();
+  keyValue.mode = "down";
+  const applying = operator(1).apply(content());
+  await clock.advance(500);
+  keyValue.mode = "up";
+  assert.is((await onClock(clock, applying)).unwrap().revision, 1);
+});
+
 // Guards against a late write to an unreachable platform that is reported as certain.
 test("an apply that gets no reply at all is reported as unknown", async () => {
   const { clock, keyValue, operator } = fixture();
