--- a/src/coordination/fleet-overview.ts
+++ b/src/coordination/fleet-overview.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import type { KeyValueService } from "../platform/key-value-service.ts";
 import type { ConfigDocument } from "../protocol/config-document.ts";
-import type { Closeness, PlannerStatus } from "../protocol/entry-status.ts";
+import type { Closeness, EntryStatus, PlannerStatus } from "../protocol/entry-status.ts";
 import type { FleetDocument, ServerState } from "../protocol/fleet-document.ts";
 import { FleetHealth } from "../state/fleet-situation.ts";
 import type { ConfigStore } from "./config-store.ts";
@@ -70,8 +70,8 @@
       groups.map((group) => new KeyValueFleetStore({ keyValue, group }).read()),
     );
     const fleets = read.flatMap((fleet) => (fleet.ok && fleet.val ? [fleet.val] : []));
-    const health = new ReportedHealth(entries.val);
     const statuses = entries.val.flatMap(({ status }) => (status.ok ? [status.val] : []));
+    const health = new ReportedHealth(statuses);
     return Ok({
       ...{ config, entries: entries.val, fleets, health },
       pools: poolRows(config, fleets, health),
@@ -87,9 +87,8 @@
   readonly #down: ReadonlySet<string>;
   readonly #bad: ReadonlySet<string>;
 
-  constructor(entries: readonly KnownEntry[]) {
+  constructor(statuses: readonly EntryStatus[]) {
     super();
-    const statuses = entries.flatMap(({ status }) => (status.ok ? [status.val] : []));
     this.#down = new Set(statuses.flatMap((status) => status.downServers ?? []));
     this.#bad = new Set(statuses.flatMap((status) => status.badServers ?? []));
   }
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -1,4 +1,4 @@
-import type { Result } from "ts-results";
+import { Ok, type Result } from "ts-results";
 import type { Clock } from "../platform/clock.ts";
 import type { InstanceList, ListedInstance } from "../platform/instance-list.ts";
 import type { Log } from "../platform/log.ts";
@@ -16,7 +16,7 @@
 import { BufferMeter, RolloutMeter } from "../state/measures.ts";
 import { AbsenceTracker } from "./absence-tracker.ts";
 import type { FleetStore } from "./fleet-store.ts";
-import type { ConfigView, Counters } from "./ports.ts";
+import type { ConfigView, Counters, FleetView } from "./ports.ts";
 
 /** Decisions of one round, so that a burst leaves room for other writers of the document. */
 const DECISIONS_PER_ROUND = 20;
@@ -30,7 +30,10 @@
   abstract holdsDuty(): boolean;
   /** True if the availability zone belongs to the planner's pool group. */
   abstract inGroup(zone: string): boolean;
-  /** Has the lease holder reboot an empty server; resolves once the server is back. */
+  /**
+   * Has the lease holder reboot an empty server; resolves once the order was carried out. The
+   * server may still be down then: the planner waits until its health shows that it is back.
+   */
   abstract reboot(server: ServerRecord): Promise<Result<void, string>>;
   /**
    * Asks at the server's lease endpoint whether it is gone. Only a certain answer may be true,
@@ -47,6 +50,8 @@
   readonly counters: Counters;
   readonly group: string;
   readonly store: FleetStore;
+  /** Saves reading the whole document in every round; without it each round reads it. */
+  readonly fleet?: FleetView;
   readonly instanceList: InstanceList;
   readonly config: ConfigView;
   readonly health: FleetHealth;
@@ -57,16 +62,21 @@
 
 /** Plans moves and maintenance of one pool group while this entry holds the duty. */
 export class Planner {
-  readonly #options: Required<PlannerOptions>;
+  readonly #options: PlannerOptions & { readonly intervalMs: number };
   readonly #stop = new AbortController();
   readonly #buffer = new BufferMeter();
   readonly #rollout = new RolloutMeter();
   readonly #absence: AbsenceTracker;
   readonly #rebooting = new Set<string>();
-  readonly #rebooted = new Set<string>();
+  /** Monotonic time at which the server carried out the order. */
+  readonly #rebooted = new Map<string, number>();
   #decisions: readonly Explanation[] = [];
   #withheld: readonly Explanation[] = [];
   #moves = 0;
+  /** The document after this planner's last write or read, which the view may not show yet. */
+  #latest: FleetDocument | undefined;
+  /** The view's document was overtaken by another writer's. */
+  #readAnew = true;
   #started = false;
 
   constructor({ intervalMs = 1000, ...rest }: PlannerOptions) {
@@ -132,7 +142,7 @@
   /** Makes and writes one decision. True if there may be another one. */
   async #decide(listed: readonly ListedInstance[] | undefined): Promise<boolean> {
     const { store, support, counters, log } = this.#options;
-    const read = await store.read();
+    const read = await this.#read();
     if (read.err) {
       counters.event("planner_fleet_unreadable");
       return false;
@@ -148,8 +158,11 @@
     }
     if (!support.holdsDuty()) return false;
     const { explanation } = decision;
-    const written = await store.write(this.#next(fleet, decision.servers));
+    const next = this.#next(fleet, decision.servers);
+    const written = await store.write(next);
+    this.#latest = undefined;
     if (written.kind === "written") {
+      this.#latest = { ...next, revision: written.revision };
       counters.event("planner_decisions");
       log.info({ rule: explanation.rule, figures: explanation.figures }, explanation.text);
       this.#decisions = [...this.#decisions, explanation].slice(-DECISIONS_KEPT);
@@ -157,9 +170,26 @@
       return true;
     }
     counters.retry(written.kind === "raced" ? "kv_conflict" : "kv_unavailable");
+    this.#readAnew = true;
     return written.kind === "raced";
   }
 
+  /** The newest known document. A stale one does no harm, since its revision fails the write. */
+  async #read(): Promise<Result<FleetDocument | undefined, string>> {
+    const { fleet, store } = this.#options;
+    const seen = fleet?.current();
+    if (seen !== undefined && !this.#readAnew) {
+      const ours = this.#latest;
+      return Ok(ours !== undefined && ours.revision > seen.revision ? ours : seen);
+    }
+    const read = await store.read();
+    if (read.ok) {
+      this.#readAnew = false;
+      this.#latest = read.val;
+    }
+    return read;
+  }
+
   #next(fleet: FleetDocument | undefined, servers: readonly ServerRecord[]): FleetDocument {
     const { random, clock, group } = this.#options;
     const base = fleet ?? { revision: 0, group, retired: [] };
@@ -181,10 +211,17 @@
       config: current,
       wallTimeMs: clock.wallTime(),
       confirmedGone: this.#absence.gone,
-      rebooted: this.#rebooted,
+      rebooted: this.#settledReboots(),
     };
   }
 
+  /** Reboots that are long enough ago for the health to show a server that is still down. */
+  #settledReboots(): ReadonlySet<string> {
+    const { clock, health } = this.#options;
+    const before = clock.now() - health.lagMs;
+    return new Set([...this.#rebooted].flatMap(([id, at]) => (at <= before ? [id] : [])));
+  }
+
   /** Measures, and starts what takes longer than a round. */
   #observe(situation: FleetSituation, listed: readonly ListedInstance[] | undefined): void {
     const now = this.#options.clock.now();
@@ -193,7 +230,7 @@
     this.#rollout.record(now, { open: inWave + dueServers(situation).length, inWave });
     this.#absence.observe(situation.servers, listed);
     const rebooting = situation.servers.filter((server) => server.state === "rebooting");
-    for (const id of [...this.#rebooted]) {
+    for (const id of [...this.#rebooted.keys()]) {
       if (!rebooting.some((server) => rebootId(server) === id)) this.#rebooted.delete(id);
     }
     for (const server of rebooting) void this.#reboot(server);
@@ -207,7 +244,7 @@
     const done = await support.reboot(server);
     this.#rebooting.delete(id);
     if (done.ok) {
-      this.#rebooted.add(id);
+      this.#rebooted.set(id, this.#options.clock.now());
       return;
     }
     counters.event("planner_reboot_failed");
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { Ok, type Result } from "ts-results";
+import { FleetFollower } from "../../src/coordination/fleet-follower.ts";
 import { KeyValueFleetStore, type FleetWrite } from "../../src/coordination/fleet-store.ts";
 import { Planner, PlannerSupport } from "../../src/coordination/planner.ts";
 import { ConfigView } from "../../src/coordination/ports.ts";
@@ -50,6 +51,7 @@
 
 /** Health that tests set. */
 export class TestHealth extends FleetHealth {
+  override readonly lagMs = 0;
   readonly down = new Set<string>();
   readonly failing = new Set<string>();
 
@@ -104,8 +106,11 @@
 class FixedList extends InstanceList {
   instances = exampleInstances();
 
+  /** Servers that the list leaves out for now. */
+  readonly missing = new Set<string>();
+
   list(): Promise<Result<readonly ListedInstance[], never>> {
-    return Promise.resolve(Ok(this.instances));
+    return Promise.resolve(Ok(this.instances.filter(({ name }) => !this.missing.has(name))));
   }
 }
 
@@ -147,8 +152,11 @@
   }
 
   async reboot(server: ServerRecord): Promise<Result<void, string>> {
-    this.#fleet.rebootOrders.push(server);
-    await this.#fleet.clock.sleep(2000);
+    const { clock, health, rebootOrders, rebootDownMs } = this.#fleet;
+    rebootOrders.push(server);
+    await clock.sleep(2000);
+    health.down.add(server.name);
+    clock.schedule(rebootDownMs, () => health.down.delete(server.name));
     return Ok(undefined);
   }
 
@@ -168,15 +176,20 @@
   readonly rebootOrders: ServerRecord[] = [];
   /** Time that a server needs to finish its tasks. */
   drainMs = 3000;
+  /** Time for which a server is down after a reboot was ordered. */
+  rebootDownMs = 1000;
   readonly #store = new KeyValueFleetStore({ keyValue: this.kv, group: "andina" });
 
   /** Starts a planner that believes to hold the duty, as after a takeover from a paused one. */
   addPlanner(seed: number): { readonly planner: Planner; readonly store: PausableStore } {
     const store = new PausableStore({ keyValue: this.kv, group: "andina" });
+    const random = new SeededRandom(seed);
+    const common = { clock: this.clock, counters: this.counters, log: QUIET_LOG, random };
+    const fleet = new FleetFollower({ ...common, keyValue: this.kv, group: "andina" });
+    fleet.start();
     const planner = new Planner({
-      ...{ clock: this.clock, counters: this.counters, log: QUIET_LOG, store },
-      ...{ config: this.config, health: this.health, group: "andina" },
-      random: new SeededRandom(seed),
+      ...{ ...common, store, fleet, group: "andina" },
+      ...{ config: this.config, health: this.health },
       instanceList: this.list,
       support: new TestSupport(this),
     });
