feat(requests): records move with their home slots

Cause: a planned hand-over of home slots needs the records of the ids, and requests that are queued or running while their slot moves must keep exactly one home that dispatches them. Change: RequestRecords exports, imports and drops records. Export takes queued requests out of the queue and refuses while one is being started; each loop waits while its slot is frozen; imported requests start only once this entry is the home, and a copy left by a move that failed proves nothing after a later takeover. Callers that wait at the former home get the outcome from the next. Ruled out: refusing to move while any request is pending, since under load no slot would ever move.

--- a/src/coordination/attempt-tracker.ts
+++ b/src/coordination/attempt-tracker.ts
@@ -13,6 +13,8 @@
 /** Unanswered questions after which an idempotent request is tried elsewhere; its server's lease
  * has lapsed by then. */
 const UNANSWERED_LIMIT = 3;
+/** Times that an attempt may be stated as finished before its result counts as lost. */
+const FINISHED_LIMIT = 15;
 /** Peers remember offers for twice this time; afterwards their answer would not be certain. */
 const OFFER_QUESTION_MS = 60_000;
 
@@ -22,7 +24,9 @@
   /** Certain. */
   | { readonly kind: "never-started" }
   /** It ran at least in part, or nobody knows whether it did; no result will come. */
-  | { readonly kind: "lost" };
+  | { readonly kind: "lost" }
+  /** The request has another home by now, which takes the result. */
+  | { readonly kind: "moved" };
 
 /** Outcomes after which an attempt may be running. */
 export type PlacedOutcome = Extract<StartOutcome, { readonly kind: "started" | "ambiguous" }>;
@@ -61,6 +65,7 @@
     const { clock, settings } = this.#options;
     const place = this.#place(outcome);
     let unanswered = 0;
+    let finished = 0;
     for (;;) {
       const interval = place.server === undefined ? LOST_REPLY_INTERVAL_MS : STATUS_INTERVAL_MS;
       const end = await waitAtMost(clock, result, interval);
@@ -68,12 +73,20 @@
       const status = await this.#status(place);
       if (status === "never-started") return this.#endOfUnstarted(place);
       if (status === "lost") return { kind: "lost" };
+      finished = status === "finished" ? finished + 1 : 0;
+      if (finished >= FINISHED_LIMIT) return { kind: "lost" };
       unanswered = status === "not-holder" ? unanswered + 1 : 0;
       if (idempotent && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
       if (clock.now() - place.since > settings.idempotencyWindowMs) return { kind: "lost" };
     }
   }
 
+  /** Waits for the result of an attempt whose server is not known here. */
+  async await(result: Promise<AttemptEnd>, untilMs: number): Promise<AttemptEnd> {
+    const { clock } = this.#options;
+    return (await waitAtMost(clock, result, untilMs - clock.now())) ?? { kind: "lost" };
+  }
+
   /** Resolves an ambiguous start on a server held here; true if it certainly never started. */
   async neverStarted(outcome: PlacedOutcome): Promise<boolean> {
     const { clock, settings } = this.#options;
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -54,8 +54,11 @@
 export interface Ticket {
   /** Settles once: when the work has started, may have started, or certainly does not start. */
   readonly outcome: Promise<StartOutcome>;
-  /** Removes the work if it is still queued; otherwise it is withdrawn as soon as possible. */
-  readonly withdraw: (reason: WithdrawReason) => void;
+  /**
+   * Removes the work if it is still queued and returns true; otherwise it is withdrawn as soon as
+   * it is certain that it has not started.
+   */
+  readonly withdraw: (reason: WithdrawReason) => boolean;
 }
 
 /** Queues work per pool and starts it on held servers or at peers. */
@@ -131,9 +134,7 @@
         resolve(result);
       },
     };
-    const withdraw = (reason: WithdrawReason): void => {
-      this.#withdraw(item, reason);
-    };
+    const withdraw = (reason: WithdrawReason): boolean => this.#withdraw(item, reason);
     const { clock } = this.#options;
     const expiry = clock.schedule(work.expiresAt - clock.now(), () => {
       withdraw("deadline");
@@ -260,14 +261,16 @@
     else this.#enqueue(item, true);
   }
 
-  #withdraw(item: QueuedItem, reason: WithdrawReason): void {
-    if (item.stage === "settled") return;
-    if (item.stage === "queued" && this.#queues.get(item.pool)?.take(item) === true)
+  #withdraw(item: QueuedItem, reason: WithdrawReason): boolean {
+    if (item.stage === "queued" && this.#queues.get(item.pool)?.take(item) === true) {
       item.settle({ kind: "withdrawn", reason });
-    else item.withdrawn ??= reason;
+      return true;
+    }
+    item.withdrawn ??= reason;
     // At the deadline a started attempt goes on; only a cancelled one is stopped.
     if (reason === "cancelled" && item.offeredTo !== undefined)
       this.#offers.withdraw(item.offeredTo);
+    return false;
   }
 
   #offerQueued(pool: string, queue: PoolQueue): void {
--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -17,7 +17,8 @@
 import { REFUSAL_REASONS, type Refusal, type RefusalReason } from "../protocol/problem.ts";
 import { grantAccess } from "./access.ts";
 import type { HomeAnswer, HomeClient } from "./home-client.ts";
-import { homeMoving, lateState, refused, type HomeRequests } from "./home-requests.ts";
+import type { HomeRequests, IdOrigin } from "./home-requests.ts";
+import { homeMoving, lateState, refused } from "./refused-states.ts";
 import {
   RequestService,
   type CallerReply,
@@ -122,9 +123,10 @@
     const team = this.#teamOf(key);
     const deadline = clock.now() + waitMs;
     const record = home.find(requestId, team);
-    if (record !== undefined)
-      return this.#reply(requestId, await home.wait(record, waitMs), "async");
-    if (homes.lookup(requestId).kind === "self") return this.#unknownId(requestId);
+    if (record !== undefined) {
+      const state = await home.wait(record, waitMs);
+      if (!hasMoved(state)) return this.#reply(requestId, state, "async");
+    } else if (homes.lookup(requestId).kind === "self") return this.#unknownId(requestId);
     const answer = await homeClient.query(requestId, team, deadline);
     return this.#fromHome(requestId, team, answer, "async");
   }
@@ -164,7 +166,7 @@
 
   async #submitHere(
     spec: RequestSpec,
-    origin: "issued-now" | "caller",
+    origin: IdOrigin,
     deadline: number,
     mode: "sync" | "async",
   ): Promise<CallerReply> {
@@ -172,7 +174,10 @@
     const admitted = home.submit(spec, origin);
     if ("kind" in admitted) return this.#reply(spec.requestId, admitted, mode);
     const waitMs = mode === "async" ? 0 : deadline - clock.now() + DEADLINE_GRACE_MS;
-    return this.#reply(spec.requestId, await home.wait(admitted, waitMs), mode);
+    const state = await home.wait(admitted, waitMs);
+    // The id's slot was handed over while the caller waited, so the next home is asked.
+    if (hasMoved(state)) return this.#submitToHome(spec, deadline, mode);
+    return this.#reply(spec.requestId, state, mode);
   }
 
   async #submitToHome(
@@ -254,7 +259,7 @@
   /** False asks the sender to look for the home again. */
   #peerResult({ requestId, attempt, server, result }: ResultRequest): boolean {
     const { home, homes } = this.#options;
-    if (!home.knows(requestId) && homes.lookup(requestId).kind !== "self") return false;
+    if (homes.lookup(requestId).kind !== "self") return false;
     home.deliver({ requestId, attempt }, server, result);
     return true;
   }
@@ -286,6 +291,10 @@
   }
 }
 
+function hasMoved(state: RequestState): boolean {
+  return state.kind === "refused" && state.reason === "home_moving";
+}
+
 function stateReply(state: RequestState | undefined): StateReply {
   return { type: "state", state };
 }
--- a/src/coordination/home-client.ts
+++ b/src/coordination/home-client.ts
@@ -7,7 +7,7 @@
   RequestState,
   SubmitRequest,
 } from "../protocol/peer-messages.ts";
-import { homeMoving, refused } from "./home-requests.ts";
+import { homeMoving, refused } from "./refused-states.ts";
 import type { Homes, Peers } from "./ports.ts";
 
 /** Longest wait asked of a home in one call; the next call asks again. */
--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../platform/clock.ts";
 import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
 import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
-import type { RanState, RefusalReason } from "../protocol/problem.ts";
+import type { RanState } from "../protocol/problem.ts";
 import { idTime } from "../state/id-time.ts";
 import {
   mayRunAgain,
@@ -12,6 +12,7 @@
 import type { RequestTable } from "../state/request-table.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import type { Counters, FinishedTask, Homes } from "./ports.ts";
+import { homeMoving, lateState, refused } from "./refused-states.ts";
 import type { RequestDriver } from "./request-driver.ts";
 
 const RETRY_AFTER_MS = 1000;
@@ -50,7 +51,7 @@
     const { table } = this.#options;
     const known = table.find(spec.requestId);
     if (known !== undefined) {
-      const differs = known.digest !== undefined && known.digest !== payloadDigest(spec.payload);
+      const differs = known.digest !== "" && known.digest !== payloadDigest(spec.payload);
       if (differs || known.team !== spec.team || known.queue !== spec.queue)
         return refused("id_body_mismatch", "Another request was made under this id.", "no");
       if (!mayRunAgain(known)) return known;
@@ -101,7 +102,7 @@
       queue: task.queue,
       priority: task.priority,
       idempotent: task.idempotent,
-      digest: undefined,
+      digest: "",
       acceptedAt: clock.wallTime(),
       deadline: clock.now(),
       pinned: !task.idempotent,
@@ -111,6 +112,7 @@
       runs: 1,
       ran: "yes",
       cancelRequested: false,
+      imported: false,
       failures: [],
     };
     table.add(record);
@@ -134,7 +136,8 @@
     known: RequestRecord | undefined,
   ): RequestState | undefined {
     const ran: RanState = known?.ran ?? "no";
-    if (origin === "caller" && known === undefined) {
+    // A record from a former home does not show what that home did after a move that failed.
+    if (origin === "caller" && (known === undefined || known.imported)) {
       const refusal = this.#idRefusal(spec);
       if (refusal !== undefined) return refusal;
     }
@@ -174,30 +177,6 @@
   }
 }
 
-/** State of a request whose home slot is being moved. */
-export function homeMoving(): RequestState {
-  const detail = "The home of this id is being moved.";
-  return refused("home_moving", detail, "unknown", RETRY_AFTER_MS);
-}
-
-/** A refused state of a request. */
-export function refused(
-  reason: RefusalReason,
-  detail: string,
-  ran: RanState,
-  retryAfterMs?: number,
-): Extract<RequestState, { readonly kind: "refused" }> {
-  const state = { kind: "refused", reason, detail, ran } as const;
-  return retryAfterMs === undefined ? state : { ...state, retryAfterMs };
-}
-
 function isUnknown(state: RequestState): boolean {
   return state.kind === "refused" && state.reason === "outcome_unknown" && state.ran === "unknown";
 }
-
-/** State after a result that needs no further attempt. */
-export function lateState(result: TaskResult): RequestState {
-  if (result.kind === "answer") return { kind: "answered", payload: result.payload };
-  if (result.kind === "failure") return refused("task_failed", result.reason, "yes");
-  return refused("cancelled", "The task was stopped while it ran.", "yes");
-}
--- /dev/null
+++ b/src/coordination/refused-states.ts
@@ -0,0 +1,29 @@
+import type { TaskResult } from "../platform/backend-server.ts";
+import type { RequestState } from "../protocol/peer-messages.ts";
+import type { RanState, RefusalReason } from "../protocol/problem.ts";
+
+const RETRY_AFTER_MS = 1000;
+
+/** State of a request whose home slot is being moved. */
+export function homeMoving(): RequestState {
+  const detail = "The home of this id is being moved.";
+  return refused("home_moving", detail, "unknown", RETRY_AFTER_MS);
+}
+
+/** A refused state of a request. */
+export function refused(
+  reason: RefusalReason,
+  detail: string,
+  ran: RanState,
+  retryAfterMs?: number,
+): Extract<RequestState, { readonly kind: "refused" }> {
+  const state = { kind: "refused", reason, detail, ran } as const;
+  return retryAfterMs === undefined ? state : { ...state, retryAfterMs };
+}
+
+/** State after a result that needs no further attempt. */
+export function lateState(result: TaskResult): RequestState {
+  if (result.kind === "answer") return { kind: "answered", payload: result.payload };
+  if (result.kind === "failure") return refused("task_failed", result.reason, "yes");
+  return refused("cancelled", "The task was stopped while it ran.", "yes");
+}
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -10,13 +10,16 @@
 import type { RetryBudget } from "../state/retry-budget.ts";
 import type { AttemptEnd, AttemptTracker, PlacedOutcome } from "./attempt-tracker.ts";
 import type { Dispatcher, Ticket } from "./dispatcher.ts";
-import type { Budgets, Counters, HeldServers, Peers } from "./ports.ts";
-import { Deferred } from "./wait.ts";
+import { homeMoving, refused as refusedState } from "./refused-states.ts";
+import type { Budgets, Counters, HeldServers, Homes, Peers } from "./ports.ts";
+import { Deferred, waitAtMost } from "./wait.ts";
 import type { WithdrawReason } from "./work.ts";
 
 const RETRY_BASE_MS = 50;
 const RETRY_CAP_MS = 2000;
 const RETRY_AFTER_MS = 1000;
+/** How often a request looks whether its home slot has been moved. */
+const HOME_CHECK_MS = 100;
 const STOP_CALL_TIMEOUT_MS = 1000;
 
 /** Options of {@link RequestDriver}. */
@@ -29,6 +32,7 @@
   readonly tracker: AttemptTracker;
   readonly budgets: Budgets;
   readonly held: HeldServers;
+  readonly homes: Homes;
   readonly peers: Peers;
   readonly counters: Counters;
   readonly retryBudget: RetryBudget;
@@ -38,6 +42,8 @@
 interface Active {
   ref: TaskRef | undefined;
   result: Deferred<AttemptEnd>;
+  /** From the hand-over to the dispatcher until it is known whether the attempt started. */
+  dispatching: boolean;
   ticket: Ticket | undefined;
   place: PlacedOutcome | undefined;
 }
@@ -78,6 +84,27 @@
     if (active?.place !== undefined) void this.#stop(active.place);
   }
 
+  /** Takes over a pending request from its former home, once its id's home is here. */
+  adopt(record: RequestRecord): void {
+    void this.#run(record);
+  }
+
+  /**
+   * Takes a pending request out of the queue because it may move to another home. It goes on here
+   * if its id's home stays. Undefined if it is being started, so that it cannot move now.
+   */
+  suspend(record: RequestRecord): "started" | "queued" | undefined {
+    const active = this.#active.get(record.requestId);
+    if (active?.dispatching === true)
+      return active.ticket?.withdraw("moved") === true ? "queued" : undefined;
+    return active?.place === undefined ? "queued" : "started";
+  }
+
+  /** Ends the loop of a request that has another home by now. */
+  moved(record: RequestRecord): void {
+    this.#active.get(record.requestId)?.result.resolve({ kind: "moved" });
+  }
+
   /** Refuses every request that has not started. */
   withdrawQueued(reason: WithdrawReason): void {
     for (const active of this.#active.values()) active.ticket?.withdraw(reason);
@@ -87,25 +114,32 @@
     const active: Active = {
       ref: undefined,
       result: new Deferred(),
+      dispatching: false,
       ticket: undefined,
       place: undefined,
     };
     this.#active.set(record.requestId, active);
     let state: RequestState | undefined;
+    if (record.imported) state = await this.#resume(record, active);
     while (state === undefined) state = await this.#attempt(record, active);
-    this.#active.delete(record.requestId);
+    // A later import of the same id has an entry of its own.
+    if (this.#active.get(record.requestId) === active) this.#active.delete(record.requestId);
     this.#options.table.finish(record, state);
   }
 
   /** One stay in the queue and what followed; undefined if the request is to be tried again. */
   async #attempt(record: RequestRecord, active: Active): Promise<RequestState | undefined> {
+    if (!(await this.#isHome(record, active))) return homeMoving();
     if (isCancelled(record)) return this.#withdrawn(record, "cancelled");
+    active.dispatching = true;
     const ticket = this.#dispatch(record, active);
     active.ticket = ticket;
     const early = active.result.promise;
     const outcome = await Promise.race([ticket.outcome, early]);
     active.ticket = undefined;
-    if (outcome.kind === "withdrawn") return this.#withdrawn(record, outcome.reason);
+    active.dispatching = false;
+    if (outcome.kind === "withdrawn")
+      return outcome.reason === "moved" ? undefined : this.#withdrawn(record, outcome.reason);
     if (outcome.kind === "declined") return undefined;
     if (outcome.kind !== "started" && outcome.kind !== "ambiguous") {
       ticket.withdraw("cancelled");
@@ -120,6 +154,35 @@
     return this.#ended(record, active, end);
   }
 
+  /** Waits while the id's home slot is being moved; false if the home is elsewhere afterwards. */
+  async #isHome(record: RequestRecord, active: Active): Promise<boolean> {
+    const { homes, clock } = this.#options;
+    for (;;) {
+      const { kind } = homes.lookup(record.requestId);
+      if (kind === "self") return true;
+      if (kind !== "moving") return false;
+      const end = await waitAtMost(clock, active.result.promise, HOME_CHECK_MS);
+      if (end?.kind === "moved") return false;
+    }
+  }
+
+  /** Waits until an imported request's home is here, then for an attempt that already runs. */
+  async #resume(record: RequestRecord, active: Active): Promise<RequestState | undefined> {
+    const { homes, clock, table, tracker } = this.#options;
+    const started = record.state.kind === "pending" && record.state.started;
+    // The result may arrive as soon as the home is here.
+    if (started) active.ref = { requestId: record.requestId, attempt: record.attempt };
+    while (homes.lookup(record.requestId).kind !== "self") {
+      if (table.find(record.requestId) !== record) return homeMoving();
+      await clock.sleep(HOME_CHECK_MS);
+    }
+    // The move failed and the slot was taken over later: the former home may have gone on.
+    if (!record.idempotent && homes.classify(record.requestId) !== "fresh") return lostState();
+    if (!started) return undefined;
+    const end = await tracker.await(active.result.promise, record.deadline);
+    return this.#ended(record, active, end);
+  }
+
   #dispatch(record: RequestRecord, active: Active): Ticket {
     const { clock, dispatcher, peers } = this.#options;
     const { requestId, team, queue, priority, idempotent, payload } = record;
@@ -150,6 +213,7 @@
       this.#options.counters.retry("never_started");
       return record.cancelRequested ? this.#withdrawn(record, "cancelled") : undefined;
     }
+    if (end.kind === "moved") return homeMoving();
     active.result = new Deferred();
     active.ref = undefined;
     record.runs++;
@@ -246,15 +310,10 @@
   detail: string,
   retryAfterMs?: number,
 ): RequestState {
-  const state = { kind: "refused", reason, detail, ran: record.ran } as const;
-  return retryAfterMs === undefined ? state : { ...state, retryAfterMs };
+  return refusedState(reason, detail, record.ran, retryAfterMs);
 }
 
 function lostState(): RequestState {
-  return {
-    kind: "refused",
-    reason: "outcome_unknown",
-    detail: "The request may have run; its result was lost.",
-    ran: "unknown",
-  };
+  const detail = "The request may have run; its result was lost.";
+  return refusedState("outcome_unknown", detail, "unknown");
 }
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -23,6 +23,7 @@
   type Peers,
 } from "./ports.ts";
 import { RequestDriver } from "./request-driver.ts";
+import { RequestRecords } from "./request-records.ts";
 import { ResultDelivery } from "./result-delivery.ts";
 import { RunOffers } from "./run-offers.ts";
 
@@ -46,6 +47,8 @@
 export class RequestPath extends GossipSource {
   /** For the caller server and, with `handlePeer`, for peers. */
   readonly requests: EntryRequests;
+  /** For moves of home slots. */
+  readonly records: RequestRecords;
   readonly #options: RequestPathOptions;
   readonly #table: RequestTable;
   readonly #dispatcher: Dispatcher;
@@ -62,6 +65,7 @@
     const tracker = new AttemptTracker(options);
     const shared = { ...options, table, dispatcher, tracker, retryBudget, attribution };
     const driver = new RequestDriver(shared);
+    this.records = new RequestRecords({ ...shared, driver });
     const home = new HomeRequests({ ...shared, driver });
     const results = new ResultDelivery({ ...shared, home });
     const offers = new RunOffers(shared);
--- /dev/null
+++ b/src/coordination/request-records.ts
@@ -0,0 +1,62 @@
+import type { Clock } from "../platform/clock.ts";
+import type { SlotRecord } from "../protocol/peer-messages.ts";
+import { exportedRecord, importedRecord, type RequestRecord } from "../state/request-record.ts";
+import type { RequestTable } from "../state/request-table.ts";
+import { homeMoving } from "./refused-states.ts";
+import type { RequestDriver } from "./request-driver.ts";
+
+/** Options of {@link RequestRecords}. */
+export interface RequestRecordsOptions {
+  readonly clock: Clock;
+  readonly table: RequestTable;
+  readonly driver: RequestDriver;
+}
+
+/** Moves records between homes together with the slots of their ids. */
+export class RequestRecords {
+  readonly #options: RequestRecordsOptions;
+
+  constructor(options: RequestRecordsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Records of the ids that match, whose slots are frozen. Their queued requests leave the queue
+   * until it is certain where their home is. Undefined if one is being started at the moment.
+   */
+  export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined {
+    const { clock, driver } = this.#options;
+    const exported: SlotRecord[] = [];
+    for (const record of this.#matching(matches)) {
+      if (record.state.kind === "pending" && driver.suspend(record) === undefined) return undefined;
+      exported.push(exportedRecord(record, clock.now()));
+    }
+    return exported;
+  }
+
+  /** Adds records of slots whose home this entry is about to become. */
+  import(records: readonly SlotRecord[]): boolean {
+    const { clock, table, driver } = this.#options;
+    for (const moved of records) {
+      const record = importedRecord(moved, clock.now());
+      table.add(record);
+      if (record.state.kind === "pending") driver.adopt(record);
+      else table.finish(record, record.state);
+    }
+    return true;
+  }
+
+  /** Drops records whose home is elsewhere by now; those who wait for them ask there. */
+  drop(matches: (requestId: string) => boolean): void {
+    const { table, driver } = this.#options;
+    for (const record of this.#matching(matches)) {
+      driver.moved(record);
+      if (record.state.kind === "pending") table.finish(record, homeMoving());
+      table.remove(record.requestId);
+    }
+  }
+
+  #matching(matches: (requestId: string) => boolean): readonly RequestRecord[] {
+    return [...this.#options.table.records()].filter((record) => matches(record.requestId));
+  }
+}
--- a/src/coordination/work.ts
+++ b/src/coordination/work.ts
@@ -3,7 +3,7 @@
 import type { RetryReason } from "../protocol/problem.ts";
 
 /** Why work left the queue without a start. */
-export type WithdrawReason = "deadline" | "cancelled" | "stopping";
+export type WithdrawReason = "deadline" | "cancelled" | "stopping" | "moved";
 
 /** How a stay in the queue ended. */
 export type StartOutcome =
--- a/src/state/request-record.ts
+++ b/src/state/request-record.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { Payload, Priority } from "../platform/backend-server.ts";
-import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
+import type { RequestSpec, RequestState, SlotRecord } from "../protocol/peer-messages.ts";
 import type { RanState } from "../protocol/problem.ts";
 import type { JobFailure } from "./failure-attribution.ts";
 
@@ -11,8 +11,8 @@
   readonly queue: string;
   readonly priority: Priority;
   readonly idempotent: boolean;
-  /** Digest of the payload; undefined for an outcome found on a backend server. */
-  readonly digest: string | undefined;
+  /** Digest of the payload; empty for an outcome found on a backend server. */
+  readonly digest: string;
   /** Wall-clock time of acceptance, milliseconds since the Unix epoch. */
   readonly acceptedAt: number;
   /** Monotonic time in milliseconds until which the request may start. */
@@ -29,9 +29,48 @@
   /** What is known about the attempts so far. */
   ran: RanState;
   cancelRequested: boolean;
+  /** Came from a former home, which may have gone on with it if the slot was not moved after all. */
+  readonly imported: boolean;
   readonly failures: JobFailure[];
 }
 
+/** Builds the record of a request from its former home. */
+export function importedRecord(
+  { spec, digest, state, acceptedAt, attempt }: SlotRecord,
+  now: number,
+): RequestRecord {
+  const pending = state.kind === "pending";
+  const touched = attempt > 0 ? "unknown" : "no";
+  return {
+    requestId: spec.requestId,
+    team: spec.team,
+    queue: spec.queue,
+    priority: spec.priority,
+    idempotent: spec.idempotent,
+    digest,
+    acceptedAt,
+    deadline: now + spec.timeoutMs,
+    pinned: !spec.idempotent,
+    payload: pending ? spec.payload : undefined,
+    state,
+    attempt,
+    runs: attempt > 0 ? 1 : 0,
+    ran: state.kind === "refused" ? state.ran : pending ? touched : "yes",
+    cancelRequested: false,
+    imported: true,
+    failures: [],
+  };
+}
+
+/** Form in which a record moves to another home. */
+export function exportedRecord(record: RequestRecord, now: number): SlotRecord {
+  const { requestId, team, queue, priority, idempotent, digest, state, acceptedAt } = record;
+  const payload = record.payload ?? { contentType: "", body: new Uint8Array() };
+  const timeoutMs = Math.max(0, record.deadline - now);
+  const spec = { requestId, team, queue, priority, idempotent, timeoutMs, payload };
+  return { spec, digest, state, acceptedAt, attempt: record.attempt };
+}
+
 /** Builds a record of a request that was accepted now. */
 export function newRecord(
   spec: RequestSpec,
@@ -54,6 +93,7 @@
     runs: 0,
     ran: "no",
     cancelRequested: false,
+    imported: false,
     failures: [],
   };
 }
