perf(requests): fewer offers, fair to the fleet; tests of capacity

Cause: with a team submitting at one entry only, that team got half of its share, because offers compared a peer's wait of any team; with eight loaded entries nearly every request was offered. Change: a peer's wait is estimated per team from its queued work and the weights; an offer must save 30 % and 20 ms; queued work is considered for offers when queued and in the review only, not at each end of a task. Ruled out: offering only to free slots, which leaves slots idle until the next gossip.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -24,16 +24,11 @@
   Peers,
   Unsubscribe,
 } from "./ports.ts";
+import { QueueOffers } from "./queue-offers.ts";
 import { ServerPicker } from "./server-picker.ts";
 import { TaskStarter } from "./task-starter.ts";
 import type { StartOutcome, WithdrawReason, Work } from "./work.ts";
 
-/** Queued requests looked at for offers in one pass, which bounds the time a pass takes. */
-const MAX_OFFER_SCAN = 64;
-
-/** Work nearer to its deadline is not offered, since the reply might come too late. */
-const MIN_OFFER_TIME_MS = 100;
-
 /** Options of {@link Dispatcher}. */
 export interface DispatcherOptions {
   readonly clock: Clock;
@@ -71,6 +66,7 @@
   readonly #usage = new TeamUsage();
   readonly #loads: PeerLoads;
   readonly #offers: PeerOffers;
+  readonly #queueOffers: QueueOffers;
   readonly #starter: TaskStarter;
   readonly #demand = new Map<string, number>();
   readonly #subscriptions: readonly Unsubscribe[];
@@ -91,14 +87,25 @@
     };
     this.#waits = new PoolWaits({ ...options, ...shared });
     this.#loads = new PeerLoads(options);
-    this.#offers = new PeerOffers({ ...options, loads: this.#loads });
+    this.#offers = new PeerOffers({ ...options, loads: this.#loads, waits: this.#waits });
+    this.#queueOffers = new QueueOffers({
+      ...options,
+      ...shared,
+      waits: this.#waits,
+      loads: this.#loads,
+      offers: this.#offers,
+      stopping: () => this.#stopping,
+      onDeclined: (item) => {
+        this.#returnToQueue(item);
+      },
+    });
     this.#starter = new TaskStarter({ ...options, ...shared });
     // One end of a task causes several notices, so they are gathered.
     const pump = (): void => {
       if (this.#pumpDue) return;
       this.#pumpDue = true;
       queueMicrotask(() => {
-        this.pump();
+        this.#startQueued();
       });
     };
     this.#subscriptions = [options.held.onChange(pump), options.budgets.onChange(pump)];
@@ -110,7 +117,7 @@
       starter: this.#starter,
     });
     void review.run(this.#closed.signal, () => {
-      this.pump();
+      this.review();
     });
   }
 
@@ -192,11 +199,9 @@
   }
 
   /** Starts what can start here, then offers what a peer would start sooner. */
-  pump(): void {
-    this.#pumpDue = false;
-    for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
-    for (const [pool, queue] of this.#queues) this.#offerQueued(pool, queue);
-    this.#reportDemand();
+  review(): void {
+    this.#startQueued();
+    for (const [pool, queue] of this.#queues) this.#queueOffers.considerAll(pool, queue);
   }
 
   /** Declines what peers offered, and offers whatever is queued to peers. */
@@ -205,7 +210,7 @@
     for (const queue of this.#queues.values()) {
       for (const item of [...queue.items]) if (item.work.offered) this.#withdraw(item, "stopping");
     }
-    this.pump();
+    this.review();
   }
 
   /** Withdraws what is still queued and stops the review. */
@@ -217,6 +222,12 @@
     }
   }
 
+  #startQueued(): void {
+    this.#pumpDue = false;
+    for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
+    this.#reportDemand();
+  }
+
   #poolOf(queue: string): string {
     const { queues = [] } = this.#options.config.current() ?? {};
     return queues.find((each) => each.name === queue)?.pool ?? "";
@@ -225,7 +236,7 @@
   #enqueue(item: QueuedItem, returned: boolean): void {
     const queue = this.#queueOf(item.pool);
     queue.add(item, returned);
-    if (isQueued(item)) this.#offerQueued(item.pool, queue);
+    if (isQueued(item) && !item.work.offered) this.#queueOffers.consider(queue, item);
     this.#reportDemand();
   }
 
@@ -273,49 +284,6 @@
     return false;
   }
 
-  #offerQueued(pool: string, queue: PoolQueue): void {
-    const count = queue.ownLength;
-    if (count === 0 || this.#loads.takingWork().length === 0) return;
-    const { clock } = this.#options;
-    const waits = new Map<string, number>();
-    let position = 0;
-    for (const item of firstOf(queue.ownItems, MAX_OFFER_SCAN)) {
-      position++;
-      const { priority, queue: name } = item.work.spec;
-      if (item.work.expiresAt - clock.now() < MIN_OFFER_TIME_MS) continue;
-      const key = `${priority} ${item.team}`;
-      const wait = waits.get(key) ?? this.#ownWait(pool, item.team, priority);
-      waits.set(key, wait);
-      const peer = this.#offers.choose({
-        pools: this.#lending.poolsFor(pool),
-        team: item.team,
-        precedence: priority,
-        // An item near the head waits less than one that is queued now.
-        ownWaitMs: Number.isFinite(wait) ? (wait * position) / count : wait,
-        runMs: this.#waits.runMs(name, item.team),
-      });
-      if (peer !== undefined && queue.take(item)) void this.#offer(peer, item);
-    }
-  }
-
-  #ownWait(pool: string, team: string, precedence: Priority): number {
-    return this.#stopping ? Infinity : this.#waits.here({ pool, team, precedence });
-  }
-
-  async #offer(peer: string, item: QueuedItem): Promise<void> {
-    const ref = item.work.nextRef();
-    item.stage = "offered";
-    item.offeredTo = { peer, ref };
-    const outcome = await this.#offers.offer(peer, item.work, ref);
-    item.offeredTo = undefined;
-    if (outcome.kind === "declined") this.#returnToQueue(item);
-    else if (outcome.kind === "lost")
-      item.settle({ kind: "ambiguous", ref, server: undefined, holder: peer });
-    else if (outcome.kind === "uncertain")
-      item.settle({ kind: "ambiguous", ref, server: outcome.server, holder: peer });
-    else item.settle({ kind: "started", ref, server: outcome.server, holder: peer });
-  }
-
   /** Budgets are raised for queued work only, so each change of a team's queue is stated. */
   #reportDemand(): void {
     const queued = this.queuedByTeam();
@@ -333,12 +301,3 @@
 function isQueued(item: QueuedItem): boolean {
   return item.stage === "queued";
 }
-
-function firstOf<T>(items: Iterable<T>, limit: number): readonly T[] {
-  const first: T[] = [];
-  for (const item of items) {
-    if (first.length >= limit) break;
-    first.push(item);
-  }
-  return first;
-}
--- a/src/coordination/peer-offers.ts
+++ b/src/coordination/peer-offers.ts
@@ -4,14 +4,16 @@
 import type { PoolLoad, RunReply } from "../protocol/peer-messages.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { PeerLoads } from "./peer-loads.ts";
+import type { PoolWaits } from "./pool-waits.ts";
 import type { Counters, Peers, PeerState } from "./ports.ts";
 import { type Work } from "./work.ts";
 import type { TaskRef } from "../platform/backend-server.ts";
 
 /** A peer that declined is not offered work of that pool for this long. */
 const DECLINE_PAUSE_MS = 100;
-/** An offer to a peer with a queue must shorten the wait by at least this much. */
+/** A peer's wait must be shorter by this much; gossip is too old for closer comparisons. */
 const MIN_GAIN_MS = 20;
+const MIN_GAIN_PART = 0.3;
 const MAX_OFFER_MS = 2000;
 /** Time to raise a budget: about one gossip round and two writes. */
 const BUDGET_RAISE_MS = 500;
@@ -44,6 +46,7 @@
   readonly random: Random;
   readonly peers: Peers;
   readonly loads: PeerLoads;
+  readonly waits: PoolWaits;
   readonly counters: Counters;
 }
 
@@ -65,7 +68,7 @@
    */
   choose(need: OfferNeed): string | undefined {
     let best: string | undefined;
-    let bestWait = need.ownWaitMs - MIN_GAIN_MS;
+    let bestWait = need.ownWaitMs * (1 - MIN_GAIN_PART) - MIN_GAIN_MS;
     const free: { readonly incarnation: string; readonly slots: number }[] = [];
     for (const [incarnation, peer] of this.#options.loads.takingWork()) {
       if (this.#paused(incarnation, need)) continue;
@@ -124,12 +127,30 @@
     for (const pool of need.pools) {
       const load = this.#options.loads.pool(peer, pool);
       if (load === undefined) continue;
-      wait = Math.min(wait, waitAt(load, recent, need));
+      wait = Math.min(wait, this.#waitAt(peer, load, recent, need));
       slots += Math.max(0, load.freeSlots - recent);
     }
     return { wait: wait + this.#budgetWait(peer, need.team), slots };
   }
 
+  #waitAt(peer: PeerState, load: PoolLoad, recent: number, need: OfferNeed): number {
+    if (load.totalSlots === 0) return Infinity;
+    if (load.freeSlots > recent) return 0;
+    const slotMs = need.runMs / load.totalSlots;
+    const missing = recent - load.freeSlots + 1;
+    const anyTeam = load.waitMs + missing * slotMs;
+    return Math.min(anyTeam, (this.#queuedPerShare(peer, need.team) + missing) * slotMs);
+  }
+
+  /** Requests that start at the peer before one of this team, if the shares are kept there. */
+  #queuedPerShare(peer: PeerState, team: string): number {
+    const { waits, loads } = this.#options;
+    const waiting = peer.message.teams.filter((each) => each.queued > 0 || each.team === team);
+    const weights = waiting.reduce((sum, each) => sum + waits.weight(each.team), 0);
+    const share = weights === 0 ? 1 : waits.weight(team) / weights;
+    return (loads.team(peer, team)?.queued ?? 0) / share;
+  }
+
   /** A peer without budget must first raise it. */
   #budgetWait(peer: PeerState, team: string): number {
     if (team === OPEN_TEAM) return 0;
@@ -169,10 +190,3 @@
     this.#pausedUntil.set(incarnation, this.#options.clock.now() + DECLINE_PAUSE_MS);
   }
 }
-
-function waitAt(load: PoolLoad, recent: number, need: OfferNeed): number {
-  if (load.totalSlots === 0) return Infinity;
-  const free = load.freeSlots - recent;
-  if (free > 0) return 0;
-  return load.waitMs + ((1 - free) * need.runMs) / load.totalSlots;
-}
--- /dev/null
+++ b/src/coordination/queue-offers.ts
@@ -0,0 +1,97 @@
+import type { Clock } from "../platform/clock.ts";
+import type { PeerLoads } from "./peer-loads.ts";
+import type { PeerOffers } from "./peer-offers.ts";
+import type { PoolLending } from "./pool-lending.ts";
+import type { PoolQueue, QueuedItem } from "./pool-queue.ts";
+import type { PoolWaits } from "./pool-waits.ts";
+
+/** Queued requests looked at for offers in one pass, which bounds the time a pass takes. */
+const MAX_OFFER_SCAN = 256;
+/** Work nearer to its deadline is not offered, since the reply might come too late. */
+const MIN_OFFER_TIME_MS = 100;
+
+/** Options of {@link QueueOffers}. */
+export interface QueueOffersOptions {
+  readonly clock: Clock;
+  readonly lending: PoolLending;
+  readonly waits: PoolWaits;
+  readonly loads: PeerLoads;
+  readonly offers: PeerOffers;
+  /** True if nothing more is to be kept here. */
+  readonly stopping: () => boolean;
+  /** Takes an item back that certainly was not started. */
+  readonly onDeclined: (item: QueuedItem) => void;
+}
+
+/** Offers queued items to peers that would start them sooner. */
+export class QueueOffers {
+  readonly #options: QueueOffersOptions;
+
+  constructor(options: QueueOffersOptions) {
+    this.#options = options;
+  }
+
+  /** Considers an item that was queued now, behind all others. */
+  consider(queue: PoolQueue, item: QueuedItem): void {
+    this.#offerIfSooner(queue, item, this.#ownWait(item.pool, item));
+  }
+
+  /** Considers the items of a queue from its head. */
+  considerAll(pool: string, queue: PoolQueue): void {
+    const count = queue.ownLength;
+    if (count === 0 || this.#options.loads.takingWork().length === 0) return;
+    const waits = new Map<string, number>();
+    let position = 0;
+    for (const item of firstOf(queue.ownItems, MAX_OFFER_SCAN)) {
+      position++;
+      const key = `${item.work.spec.priority} ${item.team}`;
+      const wait = waits.get(key) ?? this.#ownWait(pool, item);
+      waits.set(key, wait);
+      // An item near the head waits less than one that is queued now.
+      this.#offerIfSooner(queue, item, Number.isFinite(wait) ? (wait * position) / count : wait);
+    }
+  }
+
+  #offerIfSooner(queue: PoolQueue, item: QueuedItem, ownWaitMs: number): void {
+    const { clock, lending, waits, offers } = this.#options;
+    const { spec, expiresAt } = item.work;
+    if (expiresAt - clock.now() < MIN_OFFER_TIME_MS) return;
+    const peer = offers.choose({
+      pools: lending.poolsFor(item.pool),
+      team: item.team,
+      precedence: spec.priority,
+      ownWaitMs,
+      runMs: waits.runMs(spec.queue, item.team),
+    });
+    if (peer !== undefined && queue.take(item)) void this.#offer(peer, item);
+  }
+
+  #ownWait(pool: string, item: QueuedItem): number {
+    const precedence = item.work.spec.priority;
+    if (this.#options.stopping()) return Infinity;
+    return this.#options.waits.here({ pool, team: item.team, precedence });
+  }
+
+  async #offer(peer: string, item: QueuedItem): Promise<void> {
+    const ref = item.work.nextRef();
+    item.stage = "offered";
+    item.offeredTo = { peer, ref };
+    const outcome = await this.#options.offers.offer(peer, item.work, ref);
+    item.offeredTo = undefined;
+    if (outcome.kind === "declined") this.#options.onDeclined(item);
+    else if (outcome.kind === "lost")
+      item.settle({ kind: "ambiguous", ref, server: undefined, holder: peer });
+    else if (outcome.kind === "uncertain")
+      item.settle({ kind: "ambiguous", ref, server: outcome.server, holder: peer });
+    else item.settle({ kind: "started", ref, server: outcome.server, holder: peer });
+  }
+}
+
+function firstOf<T>(items: Iterable<T>, limit: number): readonly T[] {
+  const first: T[] = [];
+  for (const item of items) {
+    if (first.length >= limit) break;
+    first.push(item);
+  }
+  return first;
+}
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -93,7 +93,7 @@
 
   /** Lets new capacity in gossip be used without waiting for the next review. */
   gossipReceived(): void {
-    this.#dispatcher.pump();
+    this.#dispatcher.review();
   }
 
   /**
--- /dev/null
+++ b/test/coordination/capacity.test.ts
@@ -0,0 +1,159 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { CallerRequest } from "../../src/coordination/ports.ts";
+import { fixtureConfig } from "../fakes/entry-fakes.ts";
+import {
+  connect,
+  entryFixture,
+  gossip,
+  onClock,
+  summary,
+  type EntryFixture,
+} from "../fakes/entry-fixture.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
+
+function runningOn(entry: EntryFixture, server: string): number {
+  return entry.held.running.filter((task) => task.server === server).length;
+}
+
+function submitMany(entry: EntryFixture, count: number, change: Partial<CallerRequest> = {}): void {
+  for (let i = 0; i < count; i++) void entry.submit({ timeoutMs: 60_000, ...change });
+}
+
+// Guards against a spare pool that stands idle while a pool is overloaded, or is never returned.
+test("a pool borrows spare slots within 2 s of a long wait and returns them within 10 s", async () => {
+  const entry = entryFixture();
+  const { clock, held } = entry;
+  held.add("s1", { slots: 1 });
+  held.add("x1", { slots: 2, pool: "spare" });
+  held.runMs = 400;
+  submitMany(entry, 20);
+  await clock.advance(400);
+  assert.is(runningOn(entry, "x1"), 0);
+  await clock.until(() => runningOn(entry, "x1") === 2, 2000);
+  await clock.until(() => held.started.length === 20 && held.running.length === 0);
+  await clock.advance(10_000);
+  submitMany(entry, 2);
+  await clock.advance(100);
+  assert.is(runningOn(entry, "x1"), 0);
+});
+
+// Guards against urgent work that waits because normal work holds every slot.
+test("slots of the urgent reserve stay free for urgent work", async () => {
+  const entry = entryFixture({ config: fixtureConfig({ urgentReserveSlots: 1 }) });
+  const { clock, held } = entry;
+  held.add("s1", { slots: 3 });
+  held.runMs = 5000;
+  submitMany(entry, 5);
+  await clock.advance(100);
+  assert.is(held.running.length, 2);
+  submitMany(entry, 1, { priority: "urgent", key: "key-blue" });
+  await clock.advance(10);
+  assert.is(held.running.length, 3);
+  assert.is(held.started.at(-1)!.spec.priority, "urgent");
+});
+
+// Guards against load that gathers on one server or one rack.
+test("work is spread over servers and racks", async () => {
+  const entry = entryFixture();
+  const { clock, held } = entry;
+  held.add("s1", { slots: 4, rack: "r1" });
+  held.add("s2", { slots: 4, rack: "r1" });
+  held.add("s3", { slots: 4, rack: "r2" });
+  held.runMs = 5000;
+  submitMany(entry, 4);
+  await clock.advance(10);
+  assert.equal(
+    ["s1", "s2", "s3"].map((server) => runningOn(entry, server)),
+    [1, 1, 2],
+  );
+});
+
+// Guards against a server that fails everything and, always having free slots, attracts all work.
+test("a server whose jobs succeed elsewhere gets one task at a time", async () => {
+  const entry = entryFixture();
+  const { clock, held, fleet } = entry;
+  const names = ["s1", "s2", "s3", "s4"];
+  fleet.document = fleetOf(names);
+  for (const name of names) held.add(name, { slots: 4 });
+  held.result = ({ server, spec }) =>
+    server === "s1"
+      ? { kind: "failure", reason: "disk" }
+      : { kind: "answer", payload: spec.payload };
+  for (let i = 0; i < 40; i++) {
+    submitMany(entry, 4, { queue: "repeat" });
+    await clock.advance(200);
+  }
+  held.runMs = 5000;
+  submitMany(entry, 16, { queue: "repeat" });
+  await clock.advance(10);
+  assert.is(runningOn(entry, "s1"), 1);
+  assert.is(runningOn(entry, "s2"), 4);
+});
+
+// Guards against shares that hold at each entry but not over the whole fleet.
+test("a team that submits at one entry only still gets its share of the fleet", async () => {
+  const clock = new VirtualClock();
+  const config = fixtureConfig({ shares: { red: 2, blue: 1 } });
+  const entries = ["e1", "e2", "e3"].map((name) => entryFixture({ name, clock, config }));
+  for (const [index, entry] of entries.entries()) {
+    entry.held.add(`s${index}`, { slots: 4 });
+    entry.held.runMs = 100;
+  }
+  connect(...entries);
+  let red = 0;
+  let all = 0;
+  const load = (): void => {
+    submitMany(entries[0]!, 8);
+    for (const entry of entries) submitMany(entry, 3, { key: "key-blue" });
+    for (const task of entries.flatMap((entry) => entry.held.running)) {
+      all++;
+      if (task.spec.team === "red") red++;
+    }
+    if (clock.now() % 500 === 0) gossip(...entries);
+    if (clock.now() < 8000) clock.schedule(100, load);
+  };
+  load();
+  await clock.advance(8000);
+  const part = red / all;
+  assert.ok(Math.abs(part - 2 / 3) < 0.06, `red had ${part.toFixed(3)} of the fleet`);
+});
+
+// Guards against budgets that are not raised for work which waits for them, and against overruns.
+test("a team without budget waits without blocking others, and states its demand", async () => {
+  const entry = entryFixture();
+  const { clock, held, budgets } = entry;
+  held.add("s1", { slots: 4 });
+  held.runMs = 1000;
+  budgets.setLimit("red", 1);
+  submitMany(entry, 3);
+  const blue = entry.submit({ key: "key-blue" });
+  await clock.advance(10);
+  assert.is(held.running.length, 2);
+  assert.is(budgets.demand.get("red"), 2);
+  budgets.setLimit("red", 3);
+  await clock.advance(10);
+  assert.is(held.running.length, 4);
+  assert.is(summary(await onClock(clock, blue)), "answer");
+});
+
+function fleetOf(names: readonly string[]) {
+  const servers = names.map((name) => ({
+    name,
+    address: "",
+    zone: "z1",
+    rack: "r1",
+    cores: 1,
+    memoryGb: 1,
+    accelerators: 0,
+    slots: 4,
+    pool: "jobs",
+    state: "serving" as const,
+    epoch: 1,
+    rebootedAt: 0,
+    since: 0,
+  }));
+  return { revision: 1, writeId: "w", group: "g", servers, retired: [] };
+}
+
+test.run();
