fix(requests): results without a home, offers to a stopping peer, shutdown in two parts

Cause: a stopping peer declined a question about an attempt it had started; a result for an id whose slot was taken over was dropped by the next home although a retry could use it; a shutdown without waiting callers refused queued work before a peer could take it; a question with an unknown key was answered as if the id were unknown. Change: earlier offers are answered while stopping; such results stay with the holder, which answers for them to the team they belong to; shutdown is split into drain and refuseQueued so that home slots can move in between; questions with an unknown key are refused as key_unknown; requests for queues open to all can be asked for by anyone with the id. Start waits are counted per priority at the home. Ruled out: storing such a result at the next home, because the message does not name the team.

--- a/src/coordination/access.ts
+++ b/src/coordination/access.ts
@@ -41,6 +41,18 @@
   return Ok({ team, queue });
 }
 
+/** Team that asks about a request; undefined without a key. Works on a stale configuration. */
+export function identify(
+  config: ConfigView,
+  key: string | undefined,
+): Result<string | undefined, AccessRefusal> {
+  if (key === undefined) return Ok(undefined);
+  if (config.current() === undefined)
+    return refuse("config_missing", "No configuration has been read yet.", RETRY_AFTER_MS);
+  const team = config.teamOfKey(key);
+  return team === undefined ? refuse("key_unknown", "The API key is not valid.") : Ok(team);
+}
+
 function mayUse(team: TeamConfig | undefined, queue: string): boolean {
   return team !== undefined && (team.queues.length === 0 || team.queues.includes(queue));
 }
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -146,7 +146,8 @@
     const expiry = clock.schedule(work.expiresAt - clock.now(), () => {
       withdraw("deadline");
     });
-    if (this.#stopping && work.offered) item.settle({ kind: "withdrawn", reason: "stopping" });
+    const refused = this.#closed.signal.aborted || (this.#stopping && work.offered);
+    if (refused) item.settle({ kind: "withdrawn", reason: "stopping" });
     else this.#enqueue(item, false);
     return { outcome, withdraw };
   }
--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -15,7 +15,7 @@
   SubmitRequest,
 } from "../protocol/peer-messages.ts";
 import { REFUSAL_REASONS, type Refusal, type RefusalReason } from "../protocol/problem.ts";
-import { grantAccess } from "./access.ts";
+import { grantAccess, identify } from "./access.ts";
 import type { HomeAnswer, HomeClient } from "./home-client.ts";
 import type { HomeRequests, IdOrigin } from "./home-requests.ts";
 import { homeMoving, lateState, refused } from "./refused-states.ts";
@@ -76,6 +76,7 @@
   stop(): void {
     this.#stopping = true;
     this.#options.home.stop();
+    this.#options.offers.stop();
   }
 
   /** Callers that wait here for an outcome, wherever its home is. */
@@ -119,29 +120,37 @@
   }
 
   async query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
-    const { clock, home, homes, homeClient } = this.#options;
-    const team = this.#teamOf(key);
+    const { clock, config, home, homes, homeClient } = this.#options;
+    const asker = identify(config, key);
+    if (asker.err) return this.#refuse({ ...asker.val, ran: "unknown", requestId });
+    const team = asker.val;
     const deadline = clock.now() + waitMs;
     const record = home.find(requestId, team);
     if (record !== undefined) {
       const state = await home.wait(record, waitMs);
       if (!hasMoved(state)) return this.#reply(requestId, state, "async");
-    } else if (homes.lookup(requestId).kind === "self") return this.#unknownId(requestId);
+    } else if (homes.lookup(requestId).kind === "self") {
+      const found = await this.#findHomeless(requestId, team);
+      return found === undefined
+        ? this.#unknownId(requestId)
+        : this.#reply(requestId, found, "async");
+    }
     const answer = await homeClient.query(requestId, team, deadline);
     return this.#fromHome(requestId, team, answer, "async");
   }
 
   async cancel(requestId: string, key: string | undefined): Promise<CallerReply> {
-    const { home, homes, homeClient } = this.#options;
-    const team = this.#teamOf(key);
-    const record = home.find(requestId, team);
+    const { config, home, homes, homeClient } = this.#options;
+    const asker = identify(config, key);
+    if (asker.err) return this.#refuse({ ...asker.val, ran: "unknown", requestId });
+    const record = home.find(requestId, asker.val);
     if (record !== undefined) {
       home.cancel(record);
       return this.#reply(requestId, await home.wait(record, CANCEL_WAIT_MS), "async");
     }
     if (homes.lookup(requestId).kind === "self") return this.#unknownId(requestId);
-    const answer = await homeClient.cancel(requestId, team);
-    return this.#fromHome(requestId, team, answer, "async");
+    const answer = await homeClient.cancel(requestId, asker.val);
+    return this.#fromHome(requestId, asker.val, answer, "async");
   }
 
   /** Answers a peer's message. */
@@ -154,7 +163,6 @@
       case "cancel":
         return this.#peerCancel(req);
       case "run":
-        if (this.#stopping) return { type: "run-reply", kind: "declined", reason: "stopping" };
         return this.#options.offers.run(from.incarnation, req);
       case "run-cancel":
         this.#options.offers.cancel(req);
@@ -172,7 +180,7 @@
   ): Promise<CallerReply> {
     const { home, clock } = this.#options;
     const admitted = home.submit(spec, origin);
-    if ("kind" in admitted) return this.#reply(spec.requestId, admitted, mode);
+    if ("kind" in admitted) return this.#notAdmitted(spec, admitted, mode);
     const waitMs = mode === "async" ? 0 : deadline - clock.now() + DEADLINE_GRACE_MS;
     const state = await home.wait(admitted, waitMs);
     // The id's slot was handed over while the caller waited, so the next home is asked.
@@ -180,6 +188,17 @@
     return this.#reply(spec.requestId, state, mode);
   }
 
+  /** An id from before a takeover may have a result that its former home did not store. */
+  async #notAdmitted(
+    { requestId, team }: RequestSpec,
+    state: RequestState,
+    mode: "sync" | "async",
+  ): Promise<CallerReply> {
+    const old = state.kind === "refused" && state.reason === "id_too_old";
+    const found = old ? await this.#findHomeless(requestId, team) : undefined;
+    return this.#reply(requestId, found ?? state, mode);
+  }
+
   async #submitToHome(
     spec: RequestSpec,
     deadline: number,
@@ -226,14 +245,19 @@
     const replies = await Promise.all(
       [...peers.gossip().keys()].map((peer) => peers.call(peer, req, HOMELESS_QUERY_TIMEOUT_MS)),
     );
-    return replies.map((reply) => (reply.ok ? reply.val.state : undefined)).find(Boolean);
+    const states = replies.map((reply) => (reply.ok ? reply.val.state : undefined));
+    return states.find((state) => state !== undefined && !hasMoved(state));
   }
 
   async #peerSubmit({ spec, waitMs }: SubmitRequest): Promise<StateReply> {
     const { home, homes } = this.#options;
     if (homes.lookup(spec.requestId).kind !== "self") return stateReply(homeMoving());
     const admitted = home.submit(spec, "caller");
-    if ("kind" in admitted) return stateReply(admitted);
+    if ("kind" in admitted) {
+      const old = admitted.kind === "refused" && admitted.reason === "id_too_old";
+      const found = old ? await this.#findHomeless(spec.requestId, spec.team) : undefined;
+      return stateReply(found ?? admitted);
+    }
     return stateReply(await home.wait(admitted, waitMs));
   }
 
@@ -260,14 +284,13 @@
   #peerResult({ requestId, attempt, server, result }: ResultRequest): boolean {
     const { home, homes } = this.#options;
     if (homes.lookup(requestId).kind !== "self") return false;
+    // Without a record the result belongs to a former home's request; it stays with its holder,
+    // which knows the team that may have it.
+    if (!home.knows(requestId) && homes.classify(requestId) !== "fresh") return false;
     home.deliver({ requestId, attempt }, server, result);
     return true;
   }
 
-  #teamOf(key: string | undefined): string | undefined {
-    return key === undefined ? undefined : this.#options.config.teamOfKey(key);
-  }
-
   #unknownId(requestId: string): CallerReply {
     const detail = "There is no record of this id.";
     return this.#refuse({ reason: "id_unknown", detail, ran: "unknown", requestId });
--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -60,10 +60,11 @@
     return refusal ?? this.#accept(spec, origin, known);
   }
 
-  /** Record of a request, if the team may see it. */
+  /** Record of a request, if the team may see it. Open work has no team and anyone may ask. */
   find(requestId: string, team: string | undefined): RequestRecord | undefined {
     const record = this.#options.table.find(requestId);
-    return record !== undefined && record.team === team ? record : undefined;
+    const visible = record?.team === undefined || record.team === team;
+    return visible ? record : undefined;
   }
 
   /** True if there is a record of the id, whatever its team. */
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -62,6 +62,11 @@
     return this.#active.size;
   }
 
+  /** Requests that have not started. */
+  get unplaced(): number {
+    return [...this.#active.values()].filter((active) => active.place === undefined).length;
+  }
+
   /** Starts the loop of a new record. */
   begin(record: RequestRecord): void {
     this.#options.retryBudget.recordRequest(this.#options.clock.now());
@@ -124,7 +129,9 @@
     while (state === undefined) state = await this.#attempt(record, active);
     // A later import of the same id has an entry of its own.
     if (this.#active.get(record.requestId) === active) this.#active.delete(record.requestId);
-    this.#options.table.finish(record, state);
+    const { table, counters, clock } = this.#options;
+    counters.duration("request", clock.wallTime() - record.acceptedAt);
+    table.finish(record, state);
   }
 
   /** One stay in the queue and what followed; undefined if the request is to be tried again. */
@@ -146,6 +153,8 @@
       return this.#ended(record, active, outcome);
     }
     active.place = outcome;
+    const { counters, clock } = this.#options;
+    counters.duration(`start_wait_${record.priority}`, clock.wallTime() - record.acceptedAt);
     record.state = { kind: "pending", started: true };
     if (isCancelled(record)) void this.#stop(outcome);
     const end = await this.#options.tracker.follow(outcome, early, record.idempotent);
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -97,18 +97,32 @@
   }
 
   /**
-   * Stops taking requests, hands queued work to peers, and waits up to `timeoutMs` milliseconds
-   * for requests that a caller waits for. What is still queued then is refused as not run.
+   * First part of a shutdown: stops taking requests, offers queued work to peers, and waits up to
+   * `timeoutMs` milliseconds until it is placed and no caller waits. Home slots can move afterwards.
    */
-  async shutdown(timeoutMs: number): Promise<void> {
-    const { clock } = this.#options;
+  async drain(timeoutMs: number): Promise<void> {
+    const { clock, peers } = this.#options;
     const end = clock.now() + timeoutMs;
     this.requests.stop();
     this.#dispatcher.beginStopping();
-    const waiting = (): number => this.requests.waiting + this.#table.waitedFor();
-    while (clock.now() < end && waiting() > 0) await clock.sleep(SHUTDOWN_POLL_MS);
+    const busy = (): boolean => {
+      const placeable = peers.gossip().size > 0 && this.#driver.unplaced > 0;
+      return placeable || this.requests.waiting + this.#table.waitedFor() > 0;
+    };
+    while (clock.now() < end && busy()) await clock.sleep(SHUTDOWN_POLL_MS);
+  }
+
+  /** Last part of a shutdown: refuses what is still queued as not run. */
+  async refuseQueued(): Promise<void> {
     this.#driver.withdrawQueued("stopping");
     this.#dispatcher.close();
-    await clock.sleep(SHUTDOWN_POLL_MS);
+    // Lets the callers' refusals be written before their connections are closed.
+    await this.#options.clock.sleep(SHUTDOWN_POLL_MS);
+  }
+
+  /** A whole shutdown. */
+  async shutdown(timeoutMs: number): Promise<void> {
+    await this.drain(timeoutMs);
+    await this.refuseQueued();
   }
 }
--- a/src/coordination/result-delivery.ts
+++ b/src/coordination/result-delivery.ts
@@ -26,7 +26,7 @@
 export class ResultDelivery {
   readonly #options: ResultDeliveryOptions;
   readonly #underway = new Set<string>();
-  /** Results whose home is gone; they stay on their server and are kept here to be asked for. */
+  /** Results that no home has taken; they stay on their server and can be asked for here. */
   readonly #homeless = new Map<string, FinishedTask>();
 
   constructor(options: ResultDeliveryOptions) {
@@ -39,12 +39,10 @@
 
   /** Result of a request whose home is gone, if one of the held servers has it. */
   homeless(requestId: string, team: string | undefined): TaskResult | undefined {
-    const task = this.#homeless.get(requestId);
-    if (task === undefined || task.record.team !== team) return undefined;
-    if (this.#options.held.status(task.server, task.record) !== "not-holder")
-      return task.record.result;
-    this.#homeless.delete(requestId);
-    return undefined;
+    this.#pruneHomeless();
+    const record = this.#homeless.get(requestId)?.record;
+    const visible = record?.team === undefined || record.team === team;
+    return visible ? record?.result : undefined;
   }
 
   async #deliver(task: FinishedTask): Promise<void> {
@@ -54,7 +52,10 @@
     this.#underway.add(key);
     for (let delay = RETRY_BASE_MS; ; delay = Math.min(RETRY_CAP_MS, delay * 2)) {
       const end = await this.#tryDeliver(task, task.record.result);
-      if (end === "stored") await held.acknowledge(task.server, task.record);
+      if (end === "stored") {
+        this.#homeless.delete(task.record.requestId);
+        await held.acknowledge(task.server, task.record);
+      }
       if (end !== "again") break;
       await clock.sleep(delay / 2 + (random.next() * delay) / 2);
       if (held.status(task.server, task.record) === "not-holder") break;
@@ -77,12 +78,26 @@
     }
     if (lookup.kind === "gone") {
       counters.event("result_homeless");
-      this.#homeless.set(requestId, { server, record });
+      this.#keep({ server, record });
       return "homeless";
     }
     if (lookup.kind === "moving") return "again";
     const req = { type: "result", requestId, attempt, server, result } as const;
     const reply = await peers.call(lookup.incarnation, req, CALL_TIMEOUT_MS);
-    return reply.ok && reply.val.accepted ? "stored" : "again";
+    if (reply.ok && reply.val.accepted) return "stored";
+    if (reply.ok) this.#keep({ server, record });
+    return "again";
+  }
+
+  #keep(task: FinishedTask): void {
+    this.#pruneHomeless();
+    this.#homeless.set(task.record.requestId, task);
+  }
+
+  #pruneHomeless(): void {
+    for (const [requestId, { server, record }] of this.#homeless) {
+      if (this.#options.held.status(server, record) === "not-holder")
+        this.#homeless.delete(requestId);
+    }
   }
 }
--- a/src/coordination/run-offers.ts
+++ b/src/coordination/run-offers.ts
@@ -32,16 +32,23 @@
 export class RunOffers {
   readonly #options: RunOffersOptions;
   readonly #offers = new Map<string, Offer>();
+  #stopping = false;
 
   constructor(options: RunOffersOptions) {
     this.#options = options;
   }
 
+  /** Declines new offers from now on; what became of earlier ones is still stated. */
+  stop(): void {
+    this.#stopping = true;
+  }
+
   /** Queues the attempt until the offer ends; the reply states what became of it. */
   run(from: string, req: RunRequest): Promise<RunReply> {
     const ref = { requestId: req.spec.requestId, attempt: req.attempt };
     const known = this.#offers.get(refKey(ref));
     if (known !== undefined) return known.reply;
+    if (this.#stopping) return this.#refuse(ref, "stopping");
     if (req.home !== from) return this.#refuse(ref, "not_home");
     if (this.#options.homes.retired(from)) return this.#refuse(ref, "home_retired");
     if (req.offerMs <= 0) return this.#refuse(ref, "offer_ended");
--- a/src/coordination/task-starter.ts
+++ b/src/coordination/task-starter.ts
@@ -105,10 +105,7 @@
     if (spec.team === undefined) this.#openRunning++;
     this.#options.usage.started(item.team, clock.now());
     const started = await held.start(server.name, taskSpec(item, ref, holder));
-    if (started.ok) {
-      counters.duration("start_wait", clock.now() - item.work.acceptedAt);
-      return { kind: "started", ref, server: server.name, holder };
-    }
+    if (started.ok) return { kind: "started", ref, server: server.name, holder };
     if (started.val.kind === "ambiguous") {
       return { kind: "ambiguous", ref, server: server.name, holder };
     }
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -105,6 +105,16 @@
   assert.is(second.held.started.length, 1);
 });
 
+// Guards against "not started" for an attempt that a stopping peer did start.
+test("a stopping entry declines new offers and states what became of earlier ones", async () => {
+  const { clock, second } = pair({ second: 2 });
+  const started = await onClock(clock, offer(second));
+  second.path.requests.stop();
+  assert.equal(await onClock(clock, offer(second, { offerMs: 0 })), started);
+  const reply = await onClock(clock, offer(second, { attempt: 2 }));
+  assert.is(reply.type === "run-reply" && reply.kind, "declined");
+});
+
 // Guards against work started for a home that others have replaced already.
 test("an offer of a retired home is declined", async () => {
   const { clock, second } = pair({ second: 2 });
@@ -164,9 +174,25 @@
   assert.is(summary(await onClock(clock, found)), "answer");
   const stranger = first.path.requests.query(spec.requestId, "key-blue", 0);
   assert.is(summary(await onClock(clock, stranger)), "home_unknown ran=unknown");
+  const nobody = first.path.requests.query(spec.requestId, "key-nobody", 0);
+  assert.is(summary(await onClock(clock, nobody)), "key_unknown ran=unknown");
   assert.is(second.held.acknowledged.length, 0);
 });
 
+// Guards against an answer that is dropped because its home has changed hands after a failure.
+test("a retry after a takeover gets the result that a server still has", async () => {
+  const { clock, first, second } = pair({ second: 2 });
+  const requestId = "red:jobs:order-1";
+  const spec = { ...fixtureSpec(), requestId, home: "e9", chargedTo: "e9", attempt: 1 };
+  first.homes.verdicts.set(requestId, "too-old");
+  second.held.report({ server: "s2", spec }, { kind: "answer", payload: spec.payload });
+  await clock.advance(100);
+  assert.is(summary(await onClock(clock, second.submit(KEYED))), "answer");
+  const stranger = await onClock(clock, first.path.requests.query(requestId, "key-blue", 0));
+  assert.is(summary(stranger), "id_unknown ran=unknown");
+  assert.is(first.held.started.length + second.held.started.length, 0);
+});
+
 // Guards against a shutdown that cuts requests or refuses them untruthfully.
 test("a shutdown hands queued work to peers and finishes running requests", async () => {
   const { clock, first, second } = pair({ first: 1, second: 1 });
@@ -201,10 +227,10 @@
   return { requestId, team: "red", queue: "jobs", priority, idempotent: false, payload };
 }
 
-function offer(to: EntryFixture, { offerMs = 1000 } = {}) {
+function offer(to: EntryFixture, { offerMs = 1000, attempt = 1 } = {}) {
   const spec = { ...fixtureSpec(), timeoutMs: 5000 };
   const hello = { ...to.peers.self, incarnation: "e1" };
-  const req = { type: "run", spec, attempt: 1, home: "e1", offerMs } as const;
+  const req = { type: "run", spec, attempt, home: "e1", offerMs } as const;
   return to.path.requests.handlePeer(hello, req);
 }
 
