--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -51,7 +51,7 @@
     const { table } = this.#options;
     const known = table.find(spec.requestId);
     if (known !== undefined) {
-      const differs = known.digest !== "" && known.digest !== payloadDigest(spec.payload);
+      const differs = known.digest !== undefined && known.digest !== payloadDigest(spec.payload);
       if (differs || known.team !== spec.team || known.queue !== spec.queue)
         return refused("id_body_mismatch", "Another request was made under this id.", "no");
       if (!mayRunAgain(known)) return known;
@@ -103,7 +103,7 @@
       queue: task.queue,
       priority: task.priority,
       idempotent: task.idempotent,
-      digest: "",
+      digest: undefined,
       acceptedAt: clock.wallTime(),
       deadline: clock.now(),
       pinned: !task.idempotent,
@@ -113,7 +113,6 @@
       runs: 1,
       ran: "yes",
       cancelRequested: false,
-      imported: false,
       failures: [],
     };
     table.add(record);
@@ -138,7 +137,7 @@
   ): RequestState | undefined {
     const ran: RanState = known?.ran ?? "no";
     // A record from a former home does not show what that home did after a move that failed.
-    if (origin === "caller" && (known === undefined || known.imported)) {
+    if (origin === "caller" && (known === undefined || known.imported === true)) {
       const refusal = this.#idRefusal(spec);
       if (refusal !== undefined) return refusal;
     }
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -125,7 +125,7 @@
     };
     this.#active.set(record.requestId, active);
     let state: RequestState | undefined;
-    if (record.imported) state = await this.#resume(record, active);
+    if (record.imported === true) state = await this.#resume(record, active);
     while (state === undefined) state = await this.#attempt(record, active);
     // A later import of the same id has an entry of its own.
     if (this.#active.get(record.requestId) === active) this.#active.delete(record.requestId);
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -50,6 +50,7 @@
   /** For moves of home slots. */
   readonly records: RequestRecords;
   readonly #options: RequestPathOptions;
+  readonly #attribution: FailureAttribution;
   readonly #table: RequestTable;
   readonly #dispatcher: Dispatcher;
   readonly #driver: RequestDriver;
@@ -71,6 +72,7 @@
     const offers = new RunOffers(shared);
     const homeClient = new HomeClient(options);
     this.requests = new EntryRequests({ ...options, home, homeClient, offers, results });
+    this.#attribution = attribution;
     this.#table = table;
     this.#dispatcher = dispatcher;
     this.#driver = driver;
@@ -91,6 +93,11 @@
     return { pools: this.#dispatcher.poolLoads(), teams: active };
   }
 
+  /** True if a held server is on probation and failed further jobs since. */
+  isBadServer(server: string): boolean {
+    return this.#attribution.quarantineCandidates().includes(server);
+  }
+
   /** Lets new capacity in gossip be used without waiting for the next review. */
   gossipReceived(): void {
     this.#dispatcher.review();
--- a/src/state/request-record.ts
+++ b/src/state/request-record.ts
@@ -11,8 +11,8 @@
   readonly queue: string;
   readonly priority: Priority;
   readonly idempotent: boolean;
-  /** Digest of the payload; empty for an outcome found on a backend server. */
-  readonly digest: string;
+  /** Digest of the payload; undefined for an outcome found on a backend server. */
+  readonly digest: string | undefined;
   /** Wall-clock time of acceptance, milliseconds since the Unix epoch. */
   readonly acceptedAt: number;
   /** Monotonic time in milliseconds until which the request may start. */
@@ -30,7 +30,7 @@
   ran: RanState;
   cancelRequested: boolean;
   /** Came from a former home, which may have gone on with it if the slot was not moved after all. */
-  readonly imported: boolean;
+  readonly imported?: boolean;
   readonly failures: JobFailure[];
 }
 
@@ -47,7 +47,7 @@
     queue: spec.queue,
     priority: spec.priority,
     idempotent: spec.idempotent,
-    digest,
+    digest: digest === "" ? undefined : digest,
     acceptedAt,
     deadline: now + spec.timeoutMs,
     pinned: !spec.idempotent,
@@ -68,7 +68,7 @@
   const payload = record.payload ?? { contentType: "", body: new Uint8Array() };
   const timeoutMs = Math.max(0, record.deadline - now);
   const spec = { requestId, team, queue, priority, idempotent, timeoutMs, payload };
-  return { spec, digest, state, acceptedAt, attempt: record.attempt };
+  return { spec, digest: digest ?? "", state, acceptedAt, attempt: record.attempt };
 }
 
 /** Builds a record of a request that was accepted now. */
@@ -93,7 +93,6 @@
     runs: 0,
     ran: "no",
     cancelRequested: false,
-    imported: false,
     failures: [],
   };
 }
