fix(requests): a gone home's request without result is outcome_unknown

Cause: a request accepted by an entry that was killed before the start stayed without an outcome: its id was answered with home_unknown, which speaks about the question and not about the request. Change: such ids are answered with outcome_unknown and ran "unknown"; a later question still finds the result if a task of it ends. Ruled out: "not run", because the entry that knew is gone.

--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -220,8 +220,9 @@
   ): Promise<CallerReply> {
     if (answer.kind === "gone") {
       const found = await this.#findHomeless(requestId, team);
-      const detail = "The request's home is gone and its result was not found.";
-      return this.#reply(requestId, found ?? refused("home_unknown", detail, "unknown"), mode);
+      const detail = "The request's home is gone and no result was found so far.";
+      const unknown = refused("outcome_unknown", detail, "unknown", RETRY_AFTER_MS);
+      return this.#reply(requestId, found ?? unknown, mode);
     }
     if (answer.kind === "self") {
       const record = this.#options.home.find(requestId, team);
