fix(requests): outcomes of lost attempts, demand for budget only where slots can use it

Cause: a non-idempotent request whose offer was lost with its peer stayed pending for an hour; and an entry whose slots were all held by a team's own tasks kept asking for budget for the queued rest, so that the last of the limit was never where the free slots were. Change: from the deadline on, an attempt that nobody can tell about is reported as unknown, and a later result still replaces that; demand is the number of queued tasks that could start in slots not held by the team's own tasks. The test of a cancelled request now has a server and no budget, because demand without slots is 0; a test of each fault is added. Ruled out: demand as the number of free slots, since a team without budget would never get the slots that others leave.

--- a/src/coordination/attempt-tracker.ts
+++ b/src/coordination/attempt-tracker.ts
@@ -10,8 +10,7 @@
 /** First question after the reply of a peer was lost. */
 const LOST_REPLY_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 1000;
-/** Unanswered questions after which an idempotent request is tried elsewhere; its server's lease
- * has lapsed by then. */
+/** Unanswered questions after which an attempt may count as lost; its lease has lapsed by then. */
 const UNANSWERED_LIMIT = 3;
 /** Times that an attempt may be stated as finished before its result counts as lost. */
 const FINISHED_LIMIT = 15;
@@ -34,7 +33,7 @@
 /** Options of {@link AttemptTracker}. */
 export interface AttemptTrackerOptions {
   readonly clock: Clock;
-  readonly settings: Pick<EntrySettings, "resultRetentionMs" | "idempotencyWindowMs">;
+  readonly settings: Pick<EntrySettings, "resultRetentionMs">;
   readonly held: HeldServers;
   readonly peers: Peers;
   readonly fleet: FleetView;
@@ -56,13 +55,16 @@
     this.#options = options;
   }
 
-  /** Waits for the result, and asks for the attempt's status meanwhile. */
+  /**
+   * Waits for the result, and asks for the attempt's status meanwhile. An attempt that nobody can
+   * tell about counts as lost, at once if it may be repeated, else from its request's deadline on.
+   */
   async follow(
     outcome: PlacedOutcome,
     result: Promise<AttemptEnd>,
-    idempotent: boolean,
+    { idempotent, deadline }: { readonly idempotent: boolean; readonly deadline: number },
   ): Promise<AttemptEnd> {
-    const { clock, settings } = this.#options;
+    const { clock } = this.#options;
     const place = this.#place(outcome);
     let unanswered = 0;
     let finished = 0;
@@ -76,8 +78,8 @@
       finished = status === "finished" ? finished + 1 : 0;
       if (finished >= FINISHED_LIMIT) return { kind: "lost" };
       unanswered = status === "not-holder" ? unanswered + 1 : 0;
-      if (idempotent && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
-      if (clock.now() - place.since > settings.idempotencyWindowMs) return { kind: "lost" };
+      const decided = idempotent || clock.now() >= deadline;
+      if (decided && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
     }
   }
 
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -285,17 +285,35 @@
     return false;
   }
 
-  /** Budgets are raised for queued work only, so each change of a team's queue is stated. */
+  /** States each change of the number of tasks that wait for budget. */
   #reportDemand(): void {
-    const queued = this.queuedByTeam();
-    for (const team of new Set([...this.#demand.keys(), ...queued.keys()])) {
-      const count = queued.get(team) ?? 0;
-      if (team === OPEN_TEAM || this.#demand.get(team) === count) continue;
+    const demand = this.#demandByTeam();
+    for (const team of new Set([...this.#demand.keys(), ...demand.keys()])) {
+      const count = demand.get(team) ?? 0;
+      if (team === OPEN_TEAM || (this.#demand.get(team) ?? 0) === count) continue;
       this.#options.budgets.setDemand(team, count);
       if (count > 0) this.#demand.set(team, count);
       else this.#demand.delete(team);
     }
   }
+
+  /**
+   * Queued tasks of each team that could start here with more budget. Where the team's own tasks
+   * hold the slots, the next needs none; budget asked for it would be missing where slots are free.
+   */
+  #demandByTeam(): ReadonlyMap<string, number> {
+    const demand = new Map<string, number>();
+    for (const [pool, queue] of this.#queues) {
+      const pools = this.#lending.poolsFor(pool);
+      const slots = pools.reduce((sum, each) => sum + this.#picker.totalSlots(each), 0);
+      for (const [team, queued] of queue.queuedByTeam()) {
+        const own = pools.reduce((sum, each) => sum + this.#starter.running(each, team), 0);
+        const usable = Math.min(queued, Math.max(0, slots - own));
+        demand.set(team, (demand.get(team) ?? 0) + usable);
+      }
+    }
+    return demand;
+  }
 }
 
 /** A function, because adding an item to its queue may start it at once. */
--- a/src/coordination/task-starter.ts
+++ b/src/coordination/task-starter.ts
@@ -1,8 +1,9 @@
 import type { Clock } from "../platform/clock.ts";
 import type { TaskRef, TaskSpec } from "../platform/backend-server.ts";
+import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
 import type { PoolLending } from "./pool-lending.ts";
-import type { QueuedItem } from "./pool-queue.ts";
+import { shareTeam, type QueuedItem } from "./pool-queue.ts";
 import type { Budgets, Counters, HeldServer, HeldServers, Homes, Peers } from "./ports.ts";
 import type { ServerPicker } from "./server-picker.ts";
 import { refKey, type StartOutcome } from "./work.ts";
@@ -26,6 +27,7 @@
 /** A task started here whose end is not known yet. */
 export interface StartedTask {
   readonly server: string;
+  readonly pool: string;
   readonly team: string | undefined;
   readonly queue: string;
   /** Monotonic time in milliseconds. */
@@ -37,7 +39,8 @@
   readonly #options: TaskStarterOptions;
   readonly #started = new Map<string, StartedTask>();
   readonly #pausedUntil = new Map<string, number>();
-  #openRunning = 0;
+  /** Running tasks by pool of the server and team. */
+  readonly #running = new Map<string, number>();
 
   constructor(options: TaskStarterOptions) {
     this.#options = options;
@@ -45,7 +48,14 @@
 
   /** Open tasks started here that still run; they are charged to no budget. */
   get openRunning(): number {
-    return this.#openRunning;
+    let sum = 0;
+    for (const [key, count] of this.#running) if (key.endsWith(`/${OPEN_TEAM}`)) sum += count;
+    return sum;
+  }
+
+  /** Tasks of a team that were started here on servers of a pool and still run. */
+  running(pool: string, team: string): number {
+    return this.#running.get(`${pool}/${team}`) ?? 0;
   }
 
   /** True while a team is passed over. */
@@ -74,7 +84,9 @@
   ended(ref: TaskRef): StartedTask | undefined {
     const key = refKey(ref);
     const task = this.#started.get(key);
-    if (this.#started.delete(key) && task?.team === undefined) this.#openRunning--;
+    if (task === undefined) return undefined;
+    this.#started.delete(key);
+    this.#count(task, -1);
     return task;
   }
 
@@ -84,26 +96,35 @@
     for (const [key, task] of this.#started) {
       if (held.has(task.server)) continue;
       this.#started.delete(key);
-      if (task.team === undefined) this.#openRunning--;
+      this.#count(task, -1);
     }
   }
 
+  #begin(server: HeldServer, item: QueuedItem, ref: TaskRef): void {
+    const { team, queue } = item.work.spec;
+    const startedAt = this.#options.clock.now();
+    const task = { server: server.name, pool: server.pool, team, queue, startedAt };
+    this.#started.set(refKey(ref), task);
+    this.#count(task, 1);
+    this.#options.usage.started(item.team, startedAt);
+  }
+
+  #count({ pool, team }: StartedTask, change: number): void {
+    const key = `${pool}/${shareTeam(team)}`;
+    const count = (this.#running.get(key) ?? 0) + change;
+    if (count === 0) this.#running.delete(key);
+    else this.#running.set(key, count);
+  }
+
   async #startOn(
     server: HeldServer,
     item: QueuedItem,
     ref: TaskRef,
   ): Promise<StartOutcome | undefined> {
-    const { clock, held, peers, picker, counters, budgets } = this.#options;
+    const { held, peers, picker, counters, budgets } = this.#options;
     const { spec } = item.work;
     const holder = peers.self.incarnation;
-    this.#started.set(refKey(ref), {
-      server: server.name,
-      team: spec.team,
-      queue: spec.queue,
-      startedAt: clock.now(),
-    });
-    if (spec.team === undefined) this.#openRunning++;
-    this.#options.usage.started(item.team, clock.now());
+    this.#begin(server, item, ref);
     const started = await held.start(server.name, taskSpec(item, ref, holder));
     if (started.ok) return { kind: "started", ref, server: server.name, holder };
     if (started.val.kind === "ambiguous") {
--- a/test/coordination/access-and-cancel.test.ts
+++ b/test/coordination/access-and-cancel.test.ts
@@ -48,6 +48,8 @@
 // Guards against cancelled work that still runs, and against a retry that revives it.
 test("a cancelled queued request never starts and its demand ends at once", async () => {
   const { clock, held, path, budgets, submit } = entryFixture();
+  held.add("s1");
+  budgets.setLimit("red", 0);
   const order = fixtureRequest({ idempotencyKey: "a" });
   const pending = await path.requests.submit(order, "async");
   assert.is(pending.kind, "pending");
@@ -57,7 +59,7 @@
   assert.is(summary(stranger), "id_unknown ran=unknown");
   const reply = await onClock(clock, path.requests.cancel(requestId, "key-red"));
   assert.is(summary(reply), "cancelled ran=no");
-  held.add("s1");
+  budgets.setLimit("red", 5);
   assert.is(summary(await onClock(clock, submit({ idempotencyKey: "a" }))), "cancelled ran=no");
   assert.is(held.started.length, 0);
   assert.is(budgets.demand.get("red"), 0);
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -137,6 +137,22 @@
   assert.is(summary(await onClock(clock, blue)), "answer");
 });
 
+// Guards against entries that keep each other from a team's limit: one holds the last of the budget
+// without a slot, the other has slots without budget.
+test("no budget is asked for where a team's own tasks hold every slot", async () => {
+  const entry = entryFixture();
+  const { clock, held, budgets } = entry;
+  held.add("s1", { slots: 3 });
+  held.runMs = undefined;
+  submitMany(entry, 5);
+  await clock.advance(100);
+  assert.is(held.running.length, 3);
+  assert.is(budgets.demand.get("red") ?? 0, 0);
+  submitMany(entry, 5, { key: "key-blue" });
+  await clock.advance(100);
+  assert.is(budgets.demand.get("blue"), 3);
+});
+
 function fleetOf(names: readonly string[]) {
   const servers = names.map((name) => ({
     name,
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -151,6 +151,27 @@
   }
 });
 
+// Guards against requests that never get an outcome because the peer that took them is gone.
+test("a request offered to a peer that is lost is unknown at its deadline, or repeated", async () => {
+  for (const [queue, expected] of [
+    ["jobs", "outcome_unknown ran=unknown"],
+    ["repeat", "answer"],
+  ] as const) {
+    const { clock, first, second } = pair({ second: 2 });
+    first.peers.rule = (_to, req) => (req.type === "run" ? "lose-call" : "not-sent");
+    const req = fixtureRequest({ queue, timeoutMs: 8000 });
+    const pending = await first.path.requests.submit(req, "async");
+    await clock.advance(3000);
+    first.peers.states.clear();
+    first.held.add("s1");
+    await clock.advance(12_000);
+    const { requestId } = pending as { readonly requestId: string };
+    const reply = first.path.requests.query(requestId, "key-red", 0);
+    assert.is(summary(await onClock(clock, reply)), expected);
+    assert.is(second.held.started.length, 0);
+  }
+});
+
 // Guards against results that are forgotten before their home has stored them.
 test("a result is sent until its home takes it and acknowledged only then", async () => {
   const { clock, first, second } = pair({ second: 2 });
