--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -22,6 +22,7 @@
   type Peers,
 } from "./ports.ts";
 import { RequestDriver } from "./request-driver.ts";
+import { RequestRecords } from "./request-records.ts";
 import { ResultDelivery } from "./result-delivery.ts";
 import { RunOffers } from "./run-offers.ts";
 
@@ -47,7 +48,10 @@
 export class RequestPath {
   /** For the caller server and, with `handlePeer`, for peers. */
   readonly requests: EntryRequests;
+  /** For moves of home slots. */
+  readonly records: RequestRecords;
   readonly #options: RequestPathOptions;
+  readonly #attribution: FailureAttribution;
   readonly #table: RequestTable;
   readonly #dispatcher: Dispatcher;
   readonly #driver: RequestDriver;
@@ -63,11 +67,13 @@
     const tracker = new AttemptTracker(options);
     const shared = { ...options, table, dispatcher, tracker, retryBudget, attribution };
     const driver = new RequestDriver(shared);
+    this.records = new RequestRecords({ ...shared, driver });
     const home = new HomeRequests({ ...shared, driver });
     const results = new ResultDelivery({ ...shared, home });
     const offers = new RunOffers(shared);
     const homeClient = new HomeClient(options);
     this.requests = new EntryRequests({ ...options, home, homeClient, offers, results });
+    this.#attribution = attribution;
     this.#table = table;
     this.#dispatcher = dispatcher;
     this.#driver = driver;
@@ -88,24 +94,43 @@
     return { pools: this.#dispatcher.poolLoads(), teams: active };
   }
 
+  /** True if a held server is on probation and failed further jobs since. */
+  isBadServer(server: string): boolean {
+    return this.#attribution.quarantineCandidates().includes(server);
+  }
+
   /** Lets new capacity in gossip be used without waiting for the next review. */
   gossipReceived(): void {
-    this.#dispatcher.pump();
+    this.#dispatcher.review();
   }
 
   /**
-   * Stops taking requests, hands queued work to peers, and waits up to `timeoutMs` milliseconds
-   * for requests that a caller waits for. What is still queued then is refused as not run.
+   * First part of a shutdown: stops taking requests, offers queued work to peers, and waits up to
+   * `timeoutMs` milliseconds until it is placed and no caller waits. Home slots can move afterwards.
    */
-  async shutdown(timeoutMs: number): Promise<void> {
-    const { clock } = this.#options;
+  async drain(timeoutMs: number): Promise<void> {
+    const { clock, peers } = this.#options;
     const end = clock.now() + timeoutMs;
     this.requests.stop();
     this.#dispatcher.beginStopping();
-    const waiting = (): number => this.requests.waiting + this.#table.waitedFor();
-    while (clock.now() < end && waiting() > 0) await clock.sleep(SHUTDOWN_POLL_MS);
+    const busy = (): boolean => {
+      const placeable = peers.gossip().size > 0 && this.#driver.unplaced > 0;
+      return placeable || this.requests.waiting + this.#table.waitedFor() > 0;
+    };
+    while (clock.now() < end && busy()) await clock.sleep(SHUTDOWN_POLL_MS);
+  }
+
+  /** Last part of a shutdown: refuses what is still queued as not run. */
+  async refuseQueued(): Promise<void> {
     this.#driver.withdrawQueued("stopping");
     this.#dispatcher.close();
-    await clock.sleep(SHUTDOWN_POLL_MS);
+    // Lets the callers' refusals be written before their connections are closed.
+    await this.#options.clock.sleep(SHUTDOWN_POLL_MS);
+  }
+
+  /** A whole shutdown. */
+  async shutdown(timeoutMs: number): Promise<void> {
+    await this.drain(timeoutMs);
+    await this.refuseQueued();
   }
 }
