--- /dev/null
+++ b/test/state/homes.test.ts
@@ -0,0 +1,72 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { parseRequestId, requestIdOfKey } from "../../src/protocol/request-id.ts";
+import {
+  EMPTY_HOMES,
+  excessSlots,
+  freshness,
+  join,
+  moveSlots,
+  retireMember,
+  slotsOf,
+  takeOver,
+} from "../../src/state/homes.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+
+const NOW = 1_700_000_000_000;
+const WINDOW_MS = 3_600_000;
+
+function member(incarnation: string) {
+  const place = { address: "10.0.0.1:1", zone: "a", group: "g" };
+  return { incarnation, ...place, state: "active" as const, since: NOW };
+}
+
+function idCreatedAt(at: number) {
+  const key = new SeededRandom(1).uuidV7(at);
+  return parseRequestId(requestIdOfKey("t", "q", key))!;
+}
+
+// Guards against one key of two teams or queues being taken for one request.
+test("ids are scoped by team and queue and keep the time of a UUIDv7", () => {
+  const key = new SeededRandom(1).uuidV7(NOW);
+  const ids = [
+    requestIdOfKey("t", "q", key),
+    requestIdOfKey("u", "q", key),
+    requestIdOfKey("t", "r", key),
+    requestIdOfKey(undefined, "q", key),
+  ];
+  assert.is(new Set(ids).size, 4);
+  assert.is(parseRequestId(ids[0]!)?.createdAt, NOW);
+  assert.is(requestIdOfKey("t", "q", `e1.${key}`), `e1.${key}`);
+});
+
+// Guards against a repeated run of an id that the former home may have run.
+test("after a takeover, ids from before it and keys without a time are too old", () => {
+  const verdict = (createdAt: number, takeoverAt: number) =>
+    freshness(idCreatedAt(createdAt), takeoverAt, NOW, WINDOW_MS);
+  assert.is(verdict(NOW - 1000, 0), "fresh");
+  assert.is(verdict(NOW - WINDOW_MS - 1, 0), "too-old");
+  assert.is(verdict(NOW + 31_000, 0), "from-future");
+  // The former home may have taken an id from 30 s ahead of a clock that is 5 s ahead.
+  assert.is(verdict(NOW + 24_999, NOW - 10_000), "too-old");
+  assert.is(verdict(NOW + 25_000, NOW - 10_000), "fresh");
+  const order = parseRequestId(requestIdOfKey("t", "q", "order-7"))!;
+  assert.is(freshness(order, NOW - 1000, NOW, WINDOW_MS), "too-old");
+  assert.is(freshness(order, NOW - WINDOW_MS, NOW, WINDOW_MS), "fresh");
+});
+
+// Guards against a slot with two homes, and against slots that stay with one member.
+test("slots go to joining members and to the others after a fencing", () => {
+  let doc = join(join(EMPTY_HOMES, member("e1"))!, member("e2"))!;
+  const move = excessSlots(doc, "e1", ["e2"])!;
+  assert.equal([move.to, move.slots.length], ["e2", 32]);
+  doc = moveSlots(doc, move.slots, "e1", "e2")!;
+  assert.is(moveSlots(doc, move.slots, "e1", "e2"), undefined);
+  assert.is(takeOver(doc, "e1", NOW), undefined);
+  const fenced = takeOver(retireMember(doc, "e1", NOW)!, "e1", NOW + 1)!;
+  assert.is(slotsOf(fenced, "e2").length, 64);
+  assert.is(fenced.slots.filter(({ takeoverAt }) => takeoverAt === NOW + 1).length, 32);
+  assert.is(join(fenced, member("e1")), undefined);
+});
+
+test.run();
