fix(limits): bound the budget asked for by the free slots

Cause: an entry with more queued tasks than slots kept budget that it could not use: a limit of 12 stayed at 11 with 9 of it at an entry with 8 slots. Change: demand counts only as far as dispatchable servers have free slots. Ruled out: a smaller reserve, which strands one task less but not none.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -10,7 +10,14 @@
 import { IdleWindow } from "./idle-window.ts";
 import type { LeaseCoverage } from "./lease-coverage.ts";
 import { LedgerShard } from "./ledger-shard.ts";
-import { Budgets, type ConfigView, type Counters, type Peers, type Unsubscribe } from "./ports.ts";
+import {
+  Budgets,
+  type ConfigView,
+  type Counters,
+  type HeldServers,
+  type Peers,
+  type Unsubscribe,
+} from "./ports.ts";
 
 /** Least time between two writes of one shard by one entry, which bounds the service's load. */
 const WRITE_INTERVAL_MS = 500;
@@ -21,6 +28,8 @@
 /** Age at which a shard in use is read again, so that caps and marks are seen. */
 const REFRESH_MS = 5000;
 const BUDGET_REQUEST_TIMEOUT_MS = 500;
+/** Age up to which a count of free slots is used again, as it is needed for every start. */
+const FREE_SLOTS_AGE_MS = 20;
 const MAX_ASKED_PEERS = 3;
 const MAX_RESERVE = 4;
 
@@ -36,6 +45,8 @@
   readonly counters: Counters;
   readonly ledgerShards: number;
   readonly budgetIdleMs: number;
+  /** Servers whose free slots bound the budget asked for. Without it, demand is not bounded. */
+  readonly held?: HeldServers;
   /** Called when a shard shows that this incarnation is retired. */
   readonly onRetired: () => void;
 }
@@ -50,6 +61,7 @@
   readonly #idle: IdleWindow;
   readonly #listeners = new Set<() => void>();
   readonly #stopped = new AbortController();
+  #free = { at: -Infinity, count: 0 };
   #tasks: Promise<unknown> = Promise.resolve();
 
   constructor(options: BudgetKeeperOptions) {
@@ -164,7 +176,7 @@
       team,
       running: this.running(team),
       budget: this.#shardOf(team).allowance(team),
-      queued: this.#demand.get(team) ?? 0,
+      queued: this.#needed(team),
     }));
   }
 
@@ -219,7 +231,7 @@
     if (allowance < budget) return Math.min(budget, Math.max(running, allowance));
     const returned = this.#returns.get(team) ?? 0;
     this.#returns.delete(team);
-    const demand = this.#demand.get(team) ?? 0;
+    const demand = this.#needed(team);
     const reserve = this.#reserve(team);
     if (this.#usable(shard) && running + demand > budget) return running + demand + reserve;
     const idle = Math.max(0, this.#idle.take(team, this.#spare(team)) - reserve);
@@ -230,12 +242,29 @@
   /** Budget of a team that neither running nor queued tasks need. */
   #spare(team: string): number {
     const shard = this.#shardOf(team);
-    const needed = this.#usable(shard) ? (this.#demand.get(team) ?? 0) : 0;
+    const needed = this.#usable(shard) ? this.#needed(team) : 0;
     return shard.budget(team) - this.running(team) - needed;
   }
 
+  /** Queued tasks that could start here if the budget allowed it. */
+  #needed(team: string): number {
+    const demand = this.#demand.get(team) ?? 0;
+    return demand === 0 ? 0 : Math.min(demand, this.#freeSlots());
+  }
+
+  #freeSlots(): number {
+    const { held, clock } = this.#options;
+    if (held === undefined) return Infinity;
+    if (clock.now() - this.#free.at >= FREE_SLOTS_AGE_MS) {
+      const usable = held.list().filter(({ dispatchable }) => dispatchable);
+      const count = usable.reduce((sum, { slots, running }) => sum + slots - running, 0);
+      this.#free = { at: clock.now(), count };
+    }
+    return this.#free.count;
+  }
+
   #shortfall(team: string): number {
-    return (this.#demand.get(team) ?? 0) - this.room(team);
+    return this.#needed(team) - this.room(team);
   }
 
   async #askPeers(team: string, wanted: number): Promise<void> {
--- /dev/null
+++ b/test/coordination/fencing.test.ts
@@ -0,0 +1,161 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { uuidV7Time } from "../../src/protocol/request-id.ts";
+import { Cluster, type ClusterOptions } from "../fakes/limits-cluster.ts";
+import type { Entry } from "../fakes/limits-entry.ts";
+import { TEAM } from "../fakes/limits-ports.ts";
+import { onClock } from "../fakes/virtual-clock.ts";
+
+interface Setup {
+  readonly cluster: Cluster;
+  readonly e1: Entry;
+  readonly e2: Entry;
+}
+
+/** Two entries that each hold servers and have joined the members. */
+async function twoEntries(options: ClusterOptions = {}): Promise<Setup> {
+  const cluster = new Cluster({ limit: 6, servers: 6, ...options });
+  const [e1, e2] = [cluster.add("e1"), cluster.add("e2")];
+  const dispatchable = (entry: Entry) => entry.leases.list().filter((one) => one.dispatchable);
+  await cluster.clock.until(() => [e1, e2].every((entry) => dispatchable(entry).length > 0));
+  return { cluster, e1, e2 };
+}
+
+/** Starts a number of tasks at an entry that last until the test ends. */
+async function runTasks(cluster: Cluster, entry: Entry, count: number): Promise<void> {
+  entry.budgets.setDemand(TEAM, count);
+  await cluster.clock.until(() => entry.budgets.room(TEAM) >= count);
+  for (let i = 0; i < count; i++)
+    assert.is(await onClock(cluster.clock, entry.runOne()), "started");
+  entry.budgets.setDemand(TEAM, 0);
+}
+
+async function budgetOf(cluster: Cluster, incarnation: string): Promise<number> {
+  const rows = (await cluster.ledger()).flatMap((team) => team.rows);
+  return rows.find((row) => row.incarnation === incarnation)?.budget ?? 0;
+}
+
+/** Slots held by an incarnation. */
+async function slotCount(cluster: Cluster, incarnation: string): Promise<number> {
+  const { slots } = await cluster.homes();
+  return slots.filter((slot) => slot.incarnation === incarnation).length;
+}
+
+// Guards against budget that stays with a lost entry, and against budget given away while the
+// lost entry's tasks still run on servers that others adopted.
+test("a lost entry's budget returns except for its running tasks", async () => {
+  const { cluster, e1, e2 } = await twoEntries({ runMs: () => 90_000 });
+  await runTasks(cluster, e1, 4);
+  e1.crash();
+  void e2.generateLoad(6);
+  await cluster.clock.advance(40_000);
+  assert.is(await budgetOf(cluster, "e1"), 4);
+  assert.is(cluster.running, 6);
+  await cluster.clock.advance(80_000);
+  assert.is(await budgetOf(cluster, "e1"), 0);
+  assert.is(e2.budgets.running(TEAM), 6);
+  assert.is(cluster.mostRunning, 6);
+});
+
+// Guards against a repeated run by the next home: it has no records of the former one.
+test("ids from before a takeover of home slots are too old", async () => {
+  const { cluster, e1, e2 } = await twoEntries();
+  await cluster.clock.advance(5000);
+  assert.is(await slotCount(cluster, "e2"), 32);
+  const key = cluster.random.uuidV7(cluster.clock.wallTime());
+  const lost = e1.hello.incarnation;
+  e1.crash();
+  await cluster.clock.advance(60_000);
+  assert.is(await slotCount(cluster, lost), 0);
+  const taken = (await cluster.homes()).slots.filter(({ takeoverAt }) => takeoverAt > 0);
+  assert.ok(taken.length > 0);
+  assert.ok(taken.every(({ takeoverAt }) => takeoverAt > uuidV7Time(key)!));
+  const verdicts = Array.from({ length: 200 }, (_, i) =>
+    e2.homes.classify(e2.homes.requestId(TEAM, `q${i}`, key)),
+  );
+  assert.equal([...new Set(verdicts)].sort(), ["fresh", "too-old"]);
+});
+
+// Guards against hole (c) of the design: an entry paused past its leases, fenced meanwhile, that
+// acquires a lease before it reads its mark.
+test("an entry that resumes after its fencing starts nothing", async () => {
+  const { cluster, e1, e2 } = await twoEntries({ runMs: () => 500 });
+  await runTasks(cluster, e1, 3);
+  e1.pause();
+  void e2.generateLoad(6);
+  await cluster.clock.until(() => e2.counters.events.get("incarnation_fenced") === 1, 90_000);
+  e1.kvLink.down = true;
+  e2.pause();
+  const startedBefore = cluster.started;
+  e1.resume();
+  await cluster.clock.until(() => e1.leases.contribute().held.length > 0, 30_000);
+  void e1.generateLoad(6);
+  await cluster.clock.advance(10_000);
+  assert.is(cluster.started, startedBefore);
+  assert.is(e1.budgets.room(TEAM), 0);
+  const lookups = Array.from({ length: 50 }, (_, i) =>
+    e1.homes.lookup(e1.homes.requestId(TEAM, "q", `order-${i}`)),
+  );
+  assert.not(lookups.some(({ kind }) => kind === "self"));
+  e1.kvLink.down = false;
+  await cluster.clock.until(() => e1.retiredSeen > 0);
+  assert.is(cluster.mostRunning, 6);
+});
+
+// Guards against a proof without evidence for each server at one instant: the lost entry may
+// hold the one that is not covered.
+test("a server that nobody else holds prevents the proof", async () => {
+  const { cluster, e1, e2 } = await twoEntries();
+  const held = e1.leases.contribute().held[0]!;
+  await runTasks(cluster, e1, 2);
+  // e1 keeps its servers but is cut off from everything else.
+  cluster.setCut(e1, e2, true);
+  e1.kvLink.down = true;
+  await cluster.clock.advance(60_000);
+  assert.ok(e1.leases.contribute().held.includes(held));
+  assert.ok((e2.counters.events.get("fencing_proof_refused") ?? 0) > 0);
+  assert.ok((await budgetOf(cluster, "e1")) > 0);
+  assert.ok((await slotCount(cluster, "e1")) > 0);
+  assert.is(e2.counters.events.get("incarnation_fenced"), undefined);
+});
+
+// Guards against evidence from a server that was rebooted: its former holder may believe in its
+// lease for one more time to live.
+test("a lease counts as evidence only after one and a half times its time to live", async () => {
+  const { cluster, e1, e2 } = await twoEntries();
+  await cluster.clock.advance(8000);
+  const name = e1.leases.contribute().held[0]!;
+  const evidence = (entry: Entry) => entry.leases.evidence().map(({ server }) => server);
+  assert.ok(evidence(e1).includes(name));
+  cluster.servers.get(name)!.restart();
+  e1.crash();
+  await cluster.clock.until(() => e2.leases.contribute().held.includes(name));
+  assert.not(evidence(e2).includes(name));
+  await cluster.clock.advance(6100);
+  assert.ok(evidence(e2).includes(name));
+});
+
+// Guards against records that are lost or slots that have two homes after a planned transfer.
+test("a joining entry receives slots together with their records", async () => {
+  const cluster = new Cluster({ servers: 2 });
+  const e1 = cluster.add("e1");
+  await cluster.clock.until(() => e1.homesFollower.current !== undefined);
+  for (let i = 0; i < 100; i++) {
+    const requestId = e1.homes.requestId(TEAM, "q", `order-${i}`);
+    const payload = { contentType: "text/plain", body: new Uint8Array(10) };
+    const rest = { team: TEAM, queue: "q", priority: "normal" as const, idempotent: false };
+    const spec = { requestId, ...rest, timeoutMs: 1, payload };
+    const state = { kind: "answered" as const, payload };
+    e1.records.byId.set(requestId, { spec, digest: "", state, acceptedAt: 0, attempt: 1 });
+  }
+  const e2 = cluster.add("e2");
+  await cluster.clock.until(() => e2.records.byId.size > 20, 30_000);
+  await cluster.clock.advance(3000);
+  assert.is(await slotCount(cluster, "e2"), 32);
+  assert.is(e1.records.byId.size + e2.records.byId.size, 100);
+  for (const entry of [e1, e2]) {
+    for (const id of entry.records.byId.keys()) assert.is(entry.homes.lookup(id).kind, "self");
+  }
+});
+
+test.run();
--- a/test/coordination/limits.test.ts
+++ b/test/coordination/limits.test.ts
@@ -15,4 +15,23 @@
   assert.ok(cluster.started > 300, `${cluster.started} tasks started`);
 });
 
+// Guards against starts above a limit that was lowered, and against caps that stay after it is
+// raised again.
+test("a lowered limit stops new starts and a raised one is reached", async () => {
+  const cluster = new Cluster({ limit: 12, servers: 4 });
+  const entries = ["e1", "e2", "e3"].map((name) => cluster.add(name));
+  await cluster.clock.until(() => entries.every((one) => one.leases.list().length > 0), 30_000);
+  for (const entry of entries) void entry.generateLoad(6);
+  for (const limit of [4, 9, 1, 0, 12, 5, 3, 12]) {
+    cluster.config.setLimit(limit);
+    await cluster.clock.advance(1000);
+    cluster.startedAbove = 0;
+    await cluster.clock.advance(6000);
+    cluster.mostRunning = cluster.running;
+    await cluster.clock.advance(6000);
+    assert.is(cluster.startedAbove, 0);
+    assert.is(cluster.mostRunning, limit);
+  }
+});
+
 test.run();
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -39,6 +39,8 @@
   running = 0;
   mostRunning = 0;
   started = 0;
+  /** Starts while more tasks ran than the upper limit allows. */
+  startedAbove = 0;
   /** Attempts that a server started although they had been started before. */
   doubled = 0;
   readonly #seen = new Set<string>();
@@ -139,6 +141,7 @@
     this.mostRunning = Math.max(this.mostRunning, this.running);
     if (event === "end") return;
     this.started++;
+    if (this.running > (this.config.current().teams[0]?.upperLimit ?? 0)) this.startedAbove++;
     const key = `${spec.requestId}#${spec.attempt}`;
     if (this.#seen.has(key)) this.doubled++;
     this.#seen.add(key);
