fix(fencing): report adopted tasks of held servers only

Cause: a lease report also counted tasks remembered of servers that the reporter had held earlier. Change: only servers under a valid lease count. Ruled out: forgetting a server's tasks with its lease; starts without a reply are resolved from them at the next acquisition.

--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -196,9 +196,14 @@
     );
   }
 
-  /** Running tasks on held servers that are charged to an incarnation. */
+  /**
+   * Running tasks on held servers that are charged to an incarnation. What is remembered of servers
+   * held earlier is left out: their tasks may have ended since, and their holders report them.
+   */
   chargedTo(incarnation: string): readonly TeamCharge[] {
-    return [...this.#drivers.values()].flatMap(({ lease }) => lease.tasks.chargedTo(incarnation));
+    return [...this.#drivers.values()].flatMap(({ lease }) =>
+      lease.leaseId === undefined ? [] : lease.tasks.chargedTo(incarnation),
+    );
   }
 
   /** Part of the gossip about servers. */
