feat(entry): move records with slots, measure closeness to share

Cause: the merged parts offer the transfer of queued and running requests, health of servers and a share monitor, which the wiring did not use. Change: the home keeper moves the request path's records; a shutdown drains, moves the home slots and only then refuses what is left; servers that fail their jobs reach the planner. Conclusion: every part is in use.

--- a/bench/transport.ts
+++ b/bench/transport.ts
@@ -38,6 +38,8 @@
     Array.from({ length }, (_, n) => item(n));
   return {
     type: "gossip",
+    sequence: 9,
+    baseline: 8,
     configRevision: 3600,
     configAgeMs: 812.25,
     platformReachable: true,
--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -1,10 +1,9 @@
 import { PEER_PROTOCOL_VERSION, type Hello } from "../protocol/peer-messages.ts";
-import type { PeerReply, PeerRequest } from "../protocol/peer-messages.ts";
+import type { PeerReply, PeerRequest, SlotRecord, TeamLoad } from "../protocol/peer-messages.ts";
 import type { HomesDocument } from "../protocol/homes-document.ts";
 import type { EntryStatus } from "../protocol/entry-status.ts";
 import { ChargeBook } from "../state/charge-book.ts";
 import { activeMembers } from "../state/homes.ts";
-import { RequestTable } from "../state/request-table.ts";
 import { BudgetKeeper } from "./budget-keeper.ts";
 import { ChargeResolver } from "./charge-resolver.ts";
 import { ConfigFollower, OutageView } from "./config-follower.ts";
@@ -30,7 +29,8 @@
 import { RequestPath } from "./request-path.ts";
 import type { RequestMessage } from "./entry-requests.ts";
 import { SessionKeeper } from "./session-keeper.ts";
-import { TableSlotRecords } from "./table-slot-records.ts";
+import { ShareMonitor } from "./share-monitor.ts";
+import { SlotRecords } from "./slot-transfer.ts";
 
 const DUTY_INTERVAL_MS = 1000;
 
@@ -59,6 +59,7 @@
   readonly #planner: Planner;
   readonly #plannerSupport: EntryPlannerSupport;
   readonly #duties: readonly Duty[];
+  readonly #shares: ShareMonitor;
   #retired = false;
 
   constructor(options: EntryIncarnationOptions) {
@@ -95,8 +96,7 @@
     const coverage = new LeaseCoverage({ clock });
     const charges = new ChargeBook();
     const membership = new MemberView({ homes, incarnation });
-    const table = new RequestTable(base);
-    const records = new TableSlotRecords({ table, clock });
+    const records = new PathRecords(() => this.path);
     const onRetired = (): void => {
       this.#onRetired();
     };
@@ -112,7 +112,6 @@
       held: leases,
       budgets,
       homes: homeKeeper,
-      table,
     });
     const session = new SessionKeeper({ ...base, self: this.hello });
     const fencing = new Fencing({ ...shared, proof });
@@ -136,11 +135,16 @@
       peers,
       fleet,
     });
-    const health = new HeldHealth({ ...shared, held: leases, isBad: () => false });
+    const health = new HeldHealth({
+      ...shared,
+      held: leases,
+      isBad: (server) => this.path.isBadServer(server),
+    });
     this.#planner = new Planner({
       ...base,
       instanceList: options.instanceList,
       config,
+      fleet,
       store: new KeyValueFleetStore({ keyValue, group }),
       health,
       support,
@@ -165,6 +169,7 @@
     this.#peers = peers;
     this.#plannerSupport = support;
     this.#duties = [plannerDuty, reclaimDuty];
+    this.#shares = new ShareMonitor({ clock, config, loads: () => this.#teamLoads() });
   }
 
   /** Starts listening for peers and every loop. The error names an address in use. */
@@ -185,10 +190,12 @@
     void this.#resolver.run();
     this.#planner.start();
     for (const duty of this.#duties) void duty.run();
+    this.#shares.start();
   }
 
   /** Ends every loop at once; running tasks stay on their servers. */
   async stop(): Promise<void> {
+    this.#shares.stop();
     this.#planner.stop();
     for (const duty of this.#duties) void duty.stop();
     this.#resolver.stop();
@@ -209,8 +216,9 @@
     this.#peers.announceStopping();
     this.#planner.stop();
     await Promise.all(this.#duties.map((duty) => duty.stop()));
-    await this.path.shutdown(this.#options.settings.shutdownTimeoutMs);
+    await this.path.drain(this.#options.settings.shutdownTimeoutMs);
     await this.#homes.leave();
+    await this.path.refuseQueued();
     await this.#leases.shutdown();
     await this.#budgets.retireSelf();
     await this.stop();
@@ -237,12 +245,18 @@
       keyedWorkAllowed: this.#config.keyedWorkAllowed(),
       teams: this.path.contribute().teams.map((load) => ({ ...load })),
       pools: this.path.contribute().pools,
+      closeness: [...this.#shares.summary()],
       held,
       peers: [...this.#peers.gossip().keys()],
       ...(this.#plannerSupport.holdsDuty() ? { planner: this.#planner.status() } : {}),
     };
   }
 
+  #teamLoads(): Iterable<TeamLoad> {
+    const peers = [...this.#peers.gossip().values()].flatMap(({ message }) => message.teams);
+    return [...this.path.contribute().teams, ...peers];
+  }
+
   #revisions(): { readonly fleetRevision: number; readonly homesRevision: number } {
     return {
       fleetRevision: this.#fleet.current()?.revision ?? 0,
@@ -290,3 +304,25 @@
     return this.#peers();
   }
 }
+
+/** The request path's records; the path itself is built on the home keeper that moves them. */
+class PathRecords extends SlotRecords {
+  readonly #path: () => RequestPath;
+
+  constructor(path: () => RequestPath) {
+    super();
+    this.#path = path;
+  }
+
+  export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined {
+    return this.#path().records.export(matches);
+  }
+
+  import(records: readonly SlotRecord[]): boolean {
+    return this.#path().records.import(records);
+  }
+
+  drop(matches: (requestId: string) => boolean): void {
+    this.#path().records.drop(matches);
+  }
+}
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -40,8 +40,6 @@
   readonly homes: Homes;
   readonly peers: Peers;
   readonly counters: Counters;
-  /** Passed in where other parts share it; built from the settings by default. */
-  readonly table?: RequestTable;
 }
 
 /** Builds the parts of the request path on the other parts of an entry instance. */
@@ -62,7 +60,7 @@
     const attribution = new FailureAttribution(options.settings);
     const retryBudget = new RetryBudget();
     const { clock, settings } = options;
-    const table = options.table ?? new RequestTable({ clock, ...settings });
+    const table = new RequestTable({ clock, ...settings });
     const dispatcher = new Dispatcher({ ...options, estimates, attribution });
     const tracker = new AttemptTracker(options);
     const shared = { ...options, table, dispatcher, tracker, retryBudget, attribution };
