fix(requests): find an open queue's request for callers who show a key

Cause: work of an open queue belongs to no team, but a query or cancellation that carried a key looked for a record of that key's team and answered id_unknown, so an accepted asynchronous request never had an outcome for its caller. Change: a record without a team is visible whatever key is shown. Records of a team stay visible to that team only. Ruled out: loss of the record at the home; the home held the answer.

--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -62,7 +62,7 @@
   /** Record of a request, if the team may see it. */
   find(requestId: string, team: string | undefined): RequestRecord | undefined {
     const record = this.#options.table.find(requestId);
-    return record !== undefined && record.team === team ? record : undefined;
+    return record !== undefined && maySee(record, team) ? record : undefined;
   }
 
   /** True if there is a record of the id, whatever its team. */
@@ -174,6 +174,11 @@
   }
 }
 
+/** Work of an open queue belongs to no team, so a key shown with a query hides nothing. */
+export function maySee(request: Pick<RequestSpec, "team">, team: string | undefined): boolean {
+  return request.team === undefined || request.team === team;
+}
+
 /** State of a request whose home slot is being moved. */
 export function homeMoving(): RequestState {
   const detail = "The home of this id is being moved.";
--- a/src/coordination/result-delivery.ts
+++ b/src/coordination/result-delivery.ts
@@ -2,7 +2,7 @@
 import type { Random } from "../platform/random.ts";
 import type { TaskResult } from "../platform/backend-server.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { HomeRequests } from "./home-requests.ts";
+import { maySee, type HomeRequests } from "./home-requests.ts";
 import type { Counters, FinishedTask, HeldServers, Homes, Peers } from "./ports.ts";
 import { refKey } from "./work.ts";
 
@@ -40,7 +40,7 @@
   /** Result of a request whose home is gone, if one of the held servers has it. */
   homeless(requestId: string, team: string | undefined): TaskResult | undefined {
     const task = this.#homeless.get(requestId);
-    if (task === undefined || task.record.team !== team) return undefined;
+    if (task === undefined || !maySee(task.record, team)) return undefined;
     if (this.#options.held.status(task.server, task.record) !== "not-holder")
       return task.record.result;
     this.#homeless.delete(requestId);
--- a/test/coordination/access-and-cancel.test.ts
+++ b/test/coordination/access-and-cancel.test.ts
@@ -63,6 +63,17 @@
   assert.is(budgets.demand.get("red"), 0);
 });
 
+// Guards against an open queue's request that is lost to a caller who shows a key when asking.
+test("an open queue's request can be asked for with any key", async () => {
+  const { clock, held, path, submit } = entryFixture();
+  held.add("s1");
+  const keys = ["key-red", "key-blue", undefined];
+  assert.is(summary(await onClock(clock, submit({ queue: "open" }))), "answer");
+  const { requestId } = held.started[0]!.spec;
+  const replies = await Promise.all(keys.map((key) => path.requests.query(requestId, key, 0)));
+  assert.equal(replies.map(summary), ["answer", "answer", "answer"]);
+});
+
 // Guards against a cancellation that leaves its task running or calls it not run.
 test("a running request is stopped when cancelled", async () => {
   const { clock, held, path, submit } = entryFixture();
