fix(requests): answer waiting callers before a shutdown ends

Cause: a graceful shutdown waits shutdownTimeoutMs (30 s) and then ends. A caller with the default timeout of 30 s whose task outlasts it would be told 150 ms after its deadline, which is later, so its connection closed without an answer. Change: after queued work was refused, callers that still wait are told that the outcome is unknown, with the id to ask for. Ruled out: a longer timeout alone, since callers may choose any deadline.

--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -29,6 +29,7 @@
 } from "./ports.ts";
 import type { ResultDelivery } from "./result-delivery.ts";
 import type { RunOffers } from "./run-offers.ts";
+import { Deferred } from "./wait.ts";
 
 /** A queued request is withdrawn at its deadline; its refusal is awaited this much longer. */
 const DEADLINE_GRACE_MS = 150;
@@ -63,8 +64,8 @@
 /** Answers callers and peers: finds each request's home and reports its outcome. */
 export class EntryRequests extends RequestService {
   readonly #options: EntryRequestsOptions;
+  readonly #waiting = new Set<Deferred<undefined>>();
   #stopping = false;
-  #waiting = 0;
 
   constructor(options: EntryRequestsOptions) {
     super();
@@ -77,9 +78,14 @@
     this.#options.home.stop();
   }
 
+  /** Answers whoever still waits with what is known, before the process ends. */
+  answerWaiting(): void {
+    for (const waiting of this.#waiting) waiting.resolve(undefined);
+  }
+
   /** Callers that wait here for an outcome, wherever its home is. */
   get waiting(): number {
-    return this.#waiting;
+    return this.#waiting.size;
   }
 
   issueId(): string {
@@ -108,13 +114,15 @@
       timeoutMs: req.timeoutMs,
       payload: req.payload,
     };
-    this.#waiting++;
     const reply =
       key === undefined
-        ? await this.#submitHere(spec, "issued-now", deadline, mode)
-        : await this.#submitToHome(spec, deadline, mode);
-    this.#waiting--;
-    return reply;
+        ? this.#submitHere(spec, "issued-now", deadline, mode)
+        : this.#submitToHome(spec, deadline, mode);
+    const cutOff = new Deferred<undefined>();
+    this.#waiting.add(cutOff);
+    const known = await Promise.race([reply, cutOff.promise]);
+    this.#waiting.delete(cutOff);
+    return known ?? this.#reply(spec.requestId, { kind: "pending", started: true }, "sync");
   }
 
   async query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -95,7 +95,8 @@
 
   /**
    * Stops taking requests, hands queued work to peers, and waits up to `timeoutMs` milliseconds
-   * for requests that a caller waits for. What is still queued then is refused as not run.
+   * for requests that a caller waits for. What is still queued then is refused as not run, and
+   * callers of what still runs are told that the outcome is unknown.
    */
   async shutdown(timeoutMs: number): Promise<void> {
     const { clock } = this.#options;
@@ -107,5 +108,7 @@
     this.#driver.withdrawQueued("stopping");
     this.#dispatcher.close();
     await clock.sleep(SHUTDOWN_POLL_MS);
+    this.requests.answerWaiting();
+    await clock.sleep(SHUTDOWN_POLL_MS);
   }
 }
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -195,6 +195,17 @@
   await onClock(clock, shutdown);
 });
 
+// Guards against a shutdown that ends before a caller of a longer task has any answer.
+test("a shutdown answers callers of tasks that outlast it", async () => {
+  const { clock, path, held, submit } = entryFixture();
+  held.add("s1");
+  held.runMs = 5000;
+  const running = submit();
+  await clock.until(() => held.started.length === 1);
+  await onClock(clock, path.shutdown(1000));
+  assert.is(summary(await running), "outcome_unknown ran=unknown");
+});
+
 function fixtureSpec() {
   const { payload, priority } = fixtureRequest();
   const requestId = "e1.9";
