test(fuzz): take a lost request's unknown outcome for an outcome

Cause: the recovery check went on asking after home_unknown with ran unknown. Change: home_unknown ends the wait only if a process was killed and no backend server keeps a task of the request, running or not yet acknowledged. If one does, its result must still be found in time.

--- a/src/stand-ins/simulated-backend-server.ts
+++ b/src/stand-ins/simulated-backend-server.ts
@@ -93,6 +93,11 @@
       .map((task) => task.spec);
   }
 
+  /** Whether a task of the request runs here, or ended and was not acknowledged. */
+  keeps(requestId: string): boolean {
+    return [...this.#tasks.values()].some((task) => task.spec.requestId === requestId);
+  }
+
   /** Announces that the server leaves and refuses new tasks. */
   leave(): void {
     this.#leaving = true;
