fix(dispatch): ask for budget only as far as the held slots can use it

Cause: an entry counted every queued item as demand, so it kept budget that its own servers had no slot for. Its queue kept filling with offers from peers, because it alone had budget, while peers with free slots could not raise theirs: a team with limit 4 ran 3 for 60 s after healing. Change: demand per pool is at most the free slots, or the slots not used by the team. The rest counts as idle and returns after budget_idle_ms. Ruled out: budget lost with a killed process; the ledger had one row with the whole limit, held by a live entry. The test of cancelled demand now queues for lack of budget instead of lack of servers, since without servers there is no demand any more; it checks the same.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -3,7 +3,6 @@
 import type { Priority, TaskRef } from "../platform/backend-server.ts";
 import type { PoolLoad } from "../protocol/peer-messages.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
-import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
 import { TeamUsage } from "../state/team-usage.ts";
@@ -26,6 +25,7 @@
 } from "./ports.ts";
 import { ServerPicker } from "./server-picker.ts";
 import { TaskStarter } from "./task-starter.ts";
+import { TeamDemand } from "./team-demand.ts";
 import type { StartOutcome, WithdrawReason, Work } from "./work.ts";
 
 /** Queued requests looked at for offers in one pass, which bounds the time a pass takes. */
@@ -69,7 +69,7 @@
   readonly #loads: PeerLoads;
   readonly #offers: PeerOffers;
   readonly #starter: TaskStarter;
-  readonly #demand = new Map<string, number>();
+  readonly #demand: TeamDemand;
   readonly #subscriptions: readonly Unsubscribe[];
   readonly #closed = new AbortController();
   #ids = 0;
@@ -86,6 +86,7 @@
       queues: this.#queues,
       usage: this.#usage,
     };
+    this.#demand = new TeamDemand({ ...options, ...shared });
     this.#waits = new PoolWaits({ ...options, ...shared });
     this.#loads = new PeerLoads(options);
     this.#offers = new PeerOffers({ ...options, loads: this.#loads });
@@ -195,7 +196,7 @@
     this.#pumpDue = false;
     for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
     for (const [pool, queue] of this.#queues) this.#offerQueued(pool, queue);
-    this.#reportDemand();
+    this.#demand.report();
   }
 
   /** Declines what peers offered, and offers whatever is queued to peers. */
@@ -225,7 +226,7 @@
     const queue = this.#queueOf(item.pool);
     queue.add(item, returned);
     if (isQueued(item)) this.#offerQueued(item.pool, queue);
-    this.#reportDemand();
+    this.#demand.report();
   }
 
   #queueOf(pool: string): PoolQueue {
@@ -312,18 +313,6 @@
       item.settle({ kind: "ambiguous", ref, server: outcome.server, holder: peer });
     else item.settle({ kind: "started", ref, server: outcome.server, holder: peer });
   }
-
-  /** Budgets are raised for queued work only, so each change of a team's queue is stated. */
-  #reportDemand(): void {
-    const queued = this.queuedByTeam();
-    for (const team of new Set([...this.#demand.keys(), ...queued.keys()])) {
-      const count = queued.get(team) ?? 0;
-      if (team === OPEN_TEAM || this.#demand.get(team) === count) continue;
-      this.#options.budgets.setDemand(team, count);
-      if (count > 0) this.#demand.set(team, count);
-      else this.#demand.delete(team);
-    }
-  }
 }
 
 /** A function, because adding an item to its queue may start it at once. */
--- a/test/coordination/access-and-cancel.test.ts
+++ b/test/coordination/access-and-cancel.test.ts
@@ -48,6 +48,8 @@
 // Guards against cancelled work that still runs, and against a retry that revives it.
 test("a cancelled queued request never starts and its demand ends at once", async () => {
   const { clock, held, path, budgets, submit } = entryFixture();
+  held.add("s1");
+  budgets.setLimit("red", 0);
   const order = fixtureRequest({ idempotencyKey: "a" });
   const pending = await path.requests.submit(order, "async");
   assert.is(pending.kind, "pending");
@@ -57,12 +59,25 @@
   assert.is(summary(stranger), "id_unknown ran=unknown");
   const reply = await onClock(clock, path.requests.cancel(requestId, "key-red"));
   assert.is(summary(reply), "cancelled ran=no");
-  held.add("s1");
+  budgets.setLimit("red", 1);
   assert.is(summary(await onClock(clock, submit({ idempotencyKey: "a" }))), "cancelled ran=no");
   assert.is(held.started.length, 0);
   assert.is(budgets.demand.get("red"), 0);
 });
 
+// Guards against budget that lies idle here while a peer with free slots lacks it.
+test("budget is asked for only as far as the held slots can use it", async () => {
+  const { clock, held, budgets, submit } = entryFixture();
+  held.runMs = undefined;
+  budgets.setLimit("red", 2);
+  for (let n = 0; n < 4; n++) void submit();
+  await clock.advance(10);
+  assert.is(budgets.demand.get("red") ?? 0, 0);
+  held.add("s1", { slots: 3 });
+  await clock.until(() => held.started.length === 2);
+  assert.is(budgets.demand.get("red"), 1);
+});
+
 // Guards against an open queue's request that is lost to a caller who shows a key when asking.
 test("an open queue's request can be asked for with any key", async () => {
   const { clock, held, path, submit } = entryFixture();
