fix(dispatch): pause offers of urgent work to peers that are not reached

Cause: a call to a peer without a connection fails at once. Urgent work ignored the pause after a failed offer, so it was returned to the queue and offered again in an endless chain of promises, and neither timers nor messages of the process ran any more. Change: a peer that was not reached is offered no work, urgent or not, for 100 ms. Urgent work still ignores the pause after a decline, which takes a round trip. Ruled out: the virtual clock and the harness; the debugger showed only Dispatcher.#offer, #returnToQueue and #enqueue in the loop.

--- a/src/coordination/peer-offers.ts
+++ b/src/coordination/peer-offers.ts
@@ -8,7 +8,7 @@
 import { type Work } from "./work.ts";
 import type { TaskRef } from "../platform/backend-server.ts";
 
-/** A peer that declined is not offered work of that pool for this long. */
+/** A peer that declined or was not reached is offered no work for this long. */
 const DECLINE_PAUSE_MS = 100;
 /** An offer to a peer with a queue must shorten the wait by at least this much. */
 const MIN_GAIN_MS = 20;
@@ -53,6 +53,11 @@
   /** Offers made since the peer's last gossip, which does not show them yet. */
   readonly #recent = new Map<string, { receivedAt: number; count: number }>();
   readonly #pausedUntil = new Map<string, number>();
+  /**
+   * Holds for urgent work too: a call without a connection fails at once, and offering again
+   * without a pause would never let anything else run.
+   */
+  readonly #unreachedUntil = new Map<string, number>();
 
   constructor(options: PeerOffersOptions) {
     this.#options = options;
@@ -96,13 +101,13 @@
     } as const;
     const reply = await peers.call(peer, req, offerMs + REPLY_MARGIN_MS);
     if (reply.err) {
-      this.#pause(peer);
+      this.#unreachedUntil.set(peer, clock.now() + DECLINE_PAUSE_MS);
       if (reply.val.kind === "ambiguous") return { kind: "lost" };
       counters.retry("peer_unreachable");
       return { kind: "declined" };
     }
     if (reply.val.kind !== "declined") return reply.val;
-    this.#pause(peer);
+    this.#pausedUntil.set(peer, clock.now() + DECLINE_PAUSE_MS);
     counters.retry("peer_declined");
     return { kind: "declined" };
   }
@@ -161,12 +166,9 @@
   }
 
   #paused(incarnation: string, need: OfferNeed): boolean {
-    const until = this.#pausedUntil.get(incarnation) ?? 0;
-    return need.precedence !== "urgent" && until > this.#options.clock.now();
-  }
-
-  #pause(incarnation: string): void {
-    this.#pausedUntil.set(incarnation, this.#options.clock.now() + DECLINE_PAUSE_MS);
+    const now = this.#options.clock.now();
+    if ((this.#unreachedUntil.get(incarnation) ?? 0) > now) return true;
+    return need.precedence !== "urgent" && (this.#pausedUntil.get(incarnation) ?? 0) > now;
   }
 }
 
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -167,6 +167,20 @@
   assert.is(second.held.acknowledged.length, 0);
 });
 
+// Guards against an endless loop of offers that starves everything else in the process.
+test("urgent work is not offered without pause to a peer that is not reached", async () => {
+  const { clock, first, second } = pair({ second: 2 });
+  gossip(first, second);
+  let calls = 0;
+  first.peers.rule = () => {
+    if (++calls > 1000) throw new Error("endless offers");
+    return "not-sent";
+  };
+  const reply = first.submit({ priority: "urgent", timeoutMs: 1000 });
+  assert.match(summary(await onClock(clock, reply)), "ran=no");
+  assert.ok(calls >= 2 && calls <= 20, `${calls} calls`);
+});
+
 // Guards against a shutdown that cuts requests or refuses them untruthfully.
 test("a shutdown hands queued work to peers and finishes running requests", async () => {
   const { clock, first, second } = pair({ first: 1, second: 1 });
