--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -63,8 +63,7 @@
   /** Record of a request, if the team may see it. Open work has no team and anyone may ask. */
   find(requestId: string, team: string | undefined): RequestRecord | undefined {
     const record = this.#options.table.find(requestId);
-    const visible = record?.team === undefined || record.team === team;
-    return visible ? record : undefined;
+    return record !== undefined && maySee(record, team) ? record : undefined;
   }
 
   /** True if there is a record of the id, whatever its team. */
@@ -177,6 +176,11 @@
   }
 }
 
+/** Work of an open queue belongs to no team, so a key shown with a query hides nothing. */
+export function maySee(request: Pick<RequestSpec, "team">, team: string | undefined): boolean {
+  return request.team === undefined || request.team === team;
+}
+
 function isUnknown(state: RequestState): boolean {
   return state.kind === "refused" && state.reason === "outcome_unknown" && state.ran === "unknown";
 }
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -124,6 +124,8 @@
     this.#dispatcher.close();
     // Lets the callers' refusals be written before their connections are closed.
     await this.#options.clock.sleep(SHUTDOWN_POLL_MS);
+    this.requests.answerWaiting();
+    await this.#options.clock.sleep(SHUTDOWN_POLL_MS);
   }
 
   /** A whole shutdown. */
--- a/src/coordination/result-delivery.ts
+++ b/src/coordination/result-delivery.ts
@@ -2,7 +2,7 @@
 import type { Random } from "../platform/random.ts";
 import type { TaskResult } from "../platform/backend-server.ts";
 import type { Dispatcher } from "./dispatcher.ts";
-import type { HomeRequests } from "./home-requests.ts";
+import { maySee, type HomeRequests } from "./home-requests.ts";
 import type { Counters, FinishedTask, HeldServers, Homes, Peers } from "./ports.ts";
 import { refKey } from "./work.ts";
 
@@ -41,8 +41,7 @@
   homeless(requestId: string, team: string | undefined): TaskResult | undefined {
     this.#pruneHomeless();
     const record = this.#homeless.get(requestId)?.record;
-    const visible = record?.team === undefined || record.team === team;
-    return visible ? record?.result : undefined;
+    return record !== undefined && maySee(record, team) ? record.result : undefined;
   }
 
   async #deliver(task: FinishedTask): Promise<void> {
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -214,6 +214,20 @@
   assert.is(first.held.started.length + second.held.started.length, 0);
 });
 
+// Guards against an endless loop of offers that starves everything else in the process.
+test("urgent work is not offered without pause to a peer that is not reached", async () => {
+  const { clock, first, second } = pair({ second: 2 });
+  gossip(first, second);
+  let calls = 0;
+  first.peers.rule = () => {
+    if (++calls > 1000) throw new Error("endless offers");
+    return "not-sent";
+  };
+  const reply = first.submit({ priority: "urgent", timeoutMs: 1000 });
+  assert.match(summary(await onClock(clock, reply)), "ran=no");
+  assert.ok(calls >= 2 && calls <= 20, `${calls} calls`);
+});
+
 // Guards against a shutdown that cuts requests or refuses them untruthfully.
 test("a shutdown hands queued work to peers and finishes running requests", async () => {
   const { clock, first, second } = pair({ first: 1, second: 1 });
@@ -242,6 +256,17 @@
   await onClock(clock, shutdown);
 });
 
+// Guards against a shutdown that ends before a caller of a longer task has any answer.
+test("a shutdown answers callers of tasks that outlast it", async () => {
+  const { clock, path, held, submit } = entryFixture();
+  held.add("s1");
+  held.runMs = 5000;
+  const running = submit();
+  await clock.until(() => held.started.length === 1);
+  await onClock(clock, path.shutdown(1000));
+  assert.is(summary(await running), "outcome_unknown ran=unknown");
+});
+
 function fixtureSpec() {
   const { payload, priority } = fixtureRequest();
   const requestId = "e1.9";
