fix(requests): run times of answered tasks only, one long task is no overload

Cause: quick failures lowered the estimated run time of a queue, so that expected waits were too short; one long task among short ones could lower a server's limit. Change: only answered tasks count for estimates and limits; a sample counts at most four times the estimate. Ruled out: a median, which needs a window per server and queue. Conclusion: limits still fall to a quarter of the slots on a server that is slow throughout.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../platform/clock.ts";
 import type { Random } from "../platform/random.ts";
-import type { Priority, TaskRef } from "../platform/backend-server.ts";
+import type { Priority } from "../platform/backend-server.ts";
 import type { PoolLoad } from "../protocol/peer-messages.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
@@ -18,6 +18,7 @@
   Budgets,
   ConfigView,
   Counters,
+  FinishedTask,
   FleetView,
   HeldServers,
   Homes,
@@ -189,10 +190,13 @@
     return sums;
   }
 
-  /** Takes the end of a task on a held server into account for estimates and limits. */
-  taskEnded(ref: TaskRef, server: string): void {
-    const run = this.#starter.ended(ref);
-    if (run === undefined) return;
+  /**
+   * Takes the end of a task on a held server into account for estimates and limits. Failed and
+   * stopped tasks tell nothing about run times.
+   */
+  taskEnded({ server, record }: FinishedTask): void {
+    const run = this.#starter.ended(record);
+    if (run === undefined || record.result?.kind !== "answer") return;
     const team = shareTeam(run.team);
     const runMs = this.#options.clock.now() - run.startedAt;
     this.#picker.observe(server, runMs, this.#waits.runMs(run.queue, team));
--- a/src/coordination/result-delivery.ts
+++ b/src/coordination/result-delivery.ts
@@ -32,7 +32,7 @@
   constructor(options: ResultDeliveryOptions) {
     this.#options = options;
     options.held.onFinished((task) => {
-      options.dispatcher.taskEnded(task.record, task.server);
+      options.dispatcher.taskEnded(task);
       void this.#deliver(task);
     });
   }
--- a/src/state/adaptive-limit.ts
+++ b/src/state/adaptive-limit.ts
@@ -1,6 +1,8 @@
 const SMOOTHING = 0.2;
 /** A server is overloaded when its run times exceed this multiple of the queue's estimate. */
 const OVERLOAD_RATIO = 2;
+/** A single long task must not look like an overloaded server; several in a row do. */
+const MAX_SAMPLE = 4;
 const DECREASE_FACTOR = 0.8;
 /** Lowest limit as a fraction of the slots; run times vary too much to trust them further. */
 const MIN_FRACTION = 0.25;
@@ -26,7 +28,7 @@
 
   /** Takes the run time of a finished task and what was expected for its queue and team. */
   observe(runMs: number, expectedMs: number): void {
-    const sample = Math.min(runMs / Math.max(1, expectedMs), 10);
+    const sample = Math.min(runMs / Math.max(1, expectedMs), MAX_SAMPLE);
     this.#ratio += SMOOTHING * (sample - this.#ratio);
     this.#sinceDecrease++;
     if (this.#ratio <= OVERLOAD_RATIO) {
--- a/src/state/failure-attribution.ts
+++ b/src/state/failure-attribution.ts
@@ -81,11 +81,6 @@
       .map(([server]) => server);
   }
 
-  /** Forgets a server that is gone. */
-  forget(server: string): void {
-    this.#servers.delete(server);
-  }
-
   #suspect(health: ServerHealth): boolean {
     return health.blamedBy.size >= SUSPECT_JOBS || health.streak.size >= SUSPECT_STREAK;
   }
