perf(requests): no error objects for ended waits, no timer per offer

Cause: each ended wait built an error with a stack trace through AbortController.abort(), and each offer from a peer left a timer of two minutes, which also keeps a process from ending. Change: aborts carry a reason; old offers are dropped when newer ones are remembered. Ruled out: a wait without AbortController, because Clock.sleep takes one. Conclusion: the share of the request path in the processor time needs a measurement with real peers.

--- a/src/coordination/pool-queue.ts
+++ b/src/coordination/pool-queue.ts
@@ -6,6 +6,7 @@
   type FairShareOptions,
   type SharePolicy,
 } from "../state/fair-share-queue.ts";
+import { WAIT_ENDED } from "./wait.ts";
 import type { StartOutcome, WithdrawReason, Work } from "./work.ts";
 
 /** Work in a pool's queue. */
@@ -101,7 +102,7 @@
   /** Takes an item out of the queue at constant cost. False if it is no longer queued. */
   take(item: QueuedItem): boolean {
     if (!this.#forget(item)) return false;
-    item.leave.abort();
+    item.leave.abort(WAIT_ENDED);
     return true;
   }
 
--- a/src/coordination/run-offers.ts
+++ b/src/coordination/run-offers.ts
@@ -26,6 +26,8 @@
   readonly ticket: Ticket | undefined;
   server: string | undefined;
   stopWanted: boolean;
+  /** Monotonic time in milliseconds; undefined while the attempt is queued. */
+  endedAt: number | undefined;
 }
 
 /** Attempts offered by peers. Each attempt is queued once, however often the offer arrives. */
@@ -80,13 +82,14 @@
       nextRef: () => ref,
     });
     const reply = ticket.outcome.then((outcome) => this.#ended(offer, outcome, req.spec.team));
-    const offer: Offer = { ref, reply, ticket, server: undefined, stopWanted: false };
+    const started = { server: undefined, stopWanted: false, endedAt: undefined };
+    const offer: Offer = { ref, reply, ticket, ...started };
     this.#remember(offer);
     return reply;
   }
 
   #ended(offer: Offer, outcome: StartOutcome, team: string | undefined): RunReply {
-    this.#options.clock.schedule(OFFER_MEMORY_MS, () => this.#offers.delete(refKey(offer.ref)));
+    offer.endedAt = this.#options.clock.now();
     if (outcome.kind === "withdrawn" || outcome.kind === "declined")
       return { type: "run-reply", kind: "declined", reason: outcome.reason };
     if (outcome.kind === "ambiguous" && outcome.server === undefined)
@@ -116,12 +119,24 @@
   /** Declines and remembers it, so that a delayed copy of the offer is declined as well. */
   #refuse(ref: TaskRef, reason: string): Promise<RunReply> {
     const reply = Promise.resolve({ type: "run-reply", kind: "declined", reason } as const);
-    this.#remember({ ref, reply, ticket: undefined, server: undefined, stopWanted: false });
-    this.#options.clock.schedule(OFFER_MEMORY_MS, () => this.#offers.delete(refKey(ref)));
+    const endedAt = this.#options.clock.now();
+    this.#remember({
+      ref,
+      reply,
+      ticket: undefined,
+      server: undefined,
+      stopWanted: false,
+      endedAt,
+    });
     return reply;
   }
 
   #remember(offer: Offer): void {
+    const now = this.#options.clock.now();
+    for (const [key, { endedAt }] of this.#offers) {
+      if (endedAt === undefined || endedAt + OFFER_MEMORY_MS > now) break;
+      this.#offers.delete(key);
+    }
     this.#offers.set(refKey(offer.ref), offer);
   }
 }
--- a/src/coordination/wait.ts
+++ b/src/coordination/wait.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "../platform/clock.ts";
 
+/** Given as reason, because an abort without one builds an error with a stack trace. */
+export const WAIT_ENDED = "wait ended";
+
 /** Waits for a promise at most the given time; undefined if it has not settled by then. */
 export async function waitAtMost<T>(
   clock: Clock,
@@ -9,7 +12,7 @@
   const abort = new AbortController();
   const timeout = clock.sleep(ms, abort.signal).then(() => undefined);
   const first = await Promise.race([promise, timeout]);
-  abort.abort();
+  abort.abort(WAIT_ENDED);
   return first;
 }
 
--- a/src/state/request-table.ts
+++ b/src/state/request-table.ts
@@ -100,7 +100,8 @@
     if (record.state.kind !== "pending" || waitMs <= 0) return record.state;
     const abort = new AbortController();
     const wake = (): void => {
-      abort.abort();
+      // Without a reason an error with a stack trace would be built.
+      abort.abort("finished");
     };
     const waiters = this.#waiters.get(record) ?? new Set();
     this.#waiters.set(record, waiters.add(wake));
--- a/src/transport/request-body.ts
+++ b/src/transport/request-body.ts
@@ -59,7 +59,7 @@
     const abort = new AbortController();
     const timeout = clock.sleep(timeoutMs, abort.signal).then(() => "slow_request" as const);
     const err = await Promise.race([whole, timeout]);
-    abort.abort();
+    abort.abort("body ended");
     if (err === undefined) return Ok(Buffer.concat(chunks, size));
     // The rest is discarded, because closing with unread data may drop the response on its way.
     req.removeAllListeners("data");
