--- a/src/cli/stand-in.ts
+++ b/src/cli/stand-in.ts
@@ -1,6 +1,7 @@
 import type { Sade } from "sade";
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
+import type { TaskSpec } from "../platform/backend-server.ts";
 import type { ListedInstance } from "../platform/instance-list.ts";
 import { SystemClock } from "../platform/system-clock.ts";
 import { SystemRandom } from "../platform/system-random.ts";
@@ -103,13 +104,19 @@
   return { server: serveInstanceList(new SystemClock(), new StaticInstanceList()) };
 }
 
+/** Lets a test see which tasks were started, whatever the entry instances say. */
+function printStart(event: "start" | "end", { requestId, attempt }: TaskSpec): void {
+  if (event === "start") process.stdout.write(`${JSON.stringify({ requestId, attempt })}\n`);
+}
+
 function backendServer(options: Options): Prepared {
   const clock = new SystemClock();
   const runner = new ConfigurableRunner({ runMs: options["run-ms"], fail: options.fail });
   // Boot and lease ids must differ between two processes of the same name, because the tasks of
   // the earlier one are gone.
   const name = `${options.name}-${new SystemRandom().hex(4)}`;
-  const backend = new SimulatedBackendServer({ clock, name, slots: options.slots, runner });
+  const { slots } = options;
+  const backend = new SimulatedBackendServer({ clock, name, slots, runner, observe: printStart });
   const server = serveBackendServer(clock, backend, runner);
   if (options.register === undefined) return { server };
   const registration = new Registration(clock, options.register, options);
--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -116,15 +116,18 @@
       timeoutMs: req.timeoutMs,
       payload: req.payload,
     };
-    const reply =
-      key === undefined
-        ? this.#submitHere(spec, "issued-now", deadline, mode)
-        : this.#submitToHome(spec, deadline, mode);
     const cutOff = new Deferred<undefined>();
     this.#waiting.add(cutOff);
-    const known = await Promise.race([reply, cutOff.promise]);
-    this.#waiting.delete(cutOff);
-    return known ?? this.#reply(spec.requestId, { kind: "pending", started: true }, "sync");
+    try {
+      const reply =
+        key === undefined
+          ? this.#submitHere(spec, "issued-now", deadline, mode)
+          : this.#submitToHome(spec, deadline, mode);
+      const known = await Promise.race([reply, cutOff.promise]);
+      return known ?? this.#reply(spec.requestId, { kind: "pending", started: true }, "sync");
+    } finally {
+      this.#waiting.delete(cutOff);
+    }
   }
 
   async query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
