--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -91,6 +91,11 @@
   await cluster.clock.until(() => e1.leases.contribute().held.length > 0, 30_000);
   void e1.generateLoad(6);
   await cluster.clock.advance(10_000);
+  // Work of an open queue has no budget that could hold it back.
+  for (const { name } of e1.leases.list()) {
+    const open = await onClock(cluster.clock, e1.leases.start(name, e1.nextTask(undefined)));
+    assert.is(open.ok, false);
+  }
   assert.is(cluster.started, startedBefore);
   assert.is(e1.budgets.room(TEAM), 0);
   const lookups = Array.from({ length: 50 }, (_, i) =>
--- /dev/null
+++ b/test/coordination/ledger-shard.test.ts
@@ -0,0 +1,79 @@
+import { Err, type Result } from "ts-results";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DocumentStore } from "../../src/coordination/document-store.ts";
+import { LedgerShard } from "../../src/coordination/ledger-shard.ts";
+import type { KvEntry, KvError, KvPut } from "../../src/platform/key-value-service.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { CountingCounters } from "../fakes/limits-ports.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
+
+/** Holds back writes without a reply, or the reply to a read. */
+class SlowStore extends KeyValueStore {
+  holdWrites = false;
+  readDelay: Promise<void> | undefined;
+  held: KvPut | undefined;
+
+  override put(put: KvPut): Promise<Result<number, KvError>> {
+    if (!this.holdWrites) return super.put(put);
+    this.held ??= put;
+    return Promise.resolve(Err({ kind: "ambiguous", detail: "held back" }));
+  }
+
+  override async get(key: string): Promise<Result<KvEntry | undefined, KvError>> {
+    const delay = this.readDelay;
+    const reply = await super.get(key);
+    await delay;
+    return reply;
+  }
+}
+
+function setUp() {
+  const clock = new VirtualClock();
+  const kv = new SlowStore({ clock });
+  const random = new SeededRandom(1);
+  const store = new DocumentStore({ kv, clock, random, counters: new CountingCounters() });
+  const limitOf = () => ({ limit: 10, configRevision: 1 });
+  const shardOf = (incarnation: string) =>
+    new LedgerShard({ shard: 0, incarnation, store, clock, limitOf });
+  const wish = (target: number) => [{ team: "t", target, limit: 10, configRevision: 1 }];
+  return { clock, kv, shard: shardOf("a"), other: shardOf("b"), wish };
+}
+
+// Guards against use of budget that a late write gives up: the reply to a lowering was lost, the
+// row still shows the former budget, and the write arrives afterwards.
+test("budget whose return is uncertain stays unused until the write can no longer arrive", async () => {
+  const { clock, kv, shard, other, wish } = setUp();
+  await onClock(clock, shard.adjust(wish(5)));
+  kv.holdWrites = true;
+  const result = await onClock(clock, shard.adjust(wish(2)));
+  assert.is(result.ok ? undefined : result.val.kind, "ambiguous");
+  kv.holdWrites = false;
+  await onClock(clock, shard.read());
+  assert.equal([shard.budget("t"), shard.allowance("t")], [5, 2]);
+  const overtaken = kv.held!;
+  await onClock(clock, other.adjust(wish(1)));
+  await onClock(clock, shard.read());
+  assert.is(shard.allowance("t"), 5);
+  assert.is((await kv.put(overtaken)).ok, false);
+});
+
+// Guards against a late reply that shows budget which was given up since it was sent.
+test("a reply that was overtaken is ignored", async () => {
+  const { clock, kv, shard, wish } = setUp();
+  await onClock(clock, shard.adjust(wish(5)));
+  let release = (): void => undefined;
+  kv.readDelay = new Promise((resolve) => {
+    release = resolve;
+  });
+  const late = shard.read();
+  await clock.advance(1);
+  kv.readDelay = undefined;
+  await onClock(clock, shard.adjust(wish(2)));
+  release();
+  await onClock(clock, late);
+  assert.is(shard.allowance("t"), 2);
+});
+
+test.run();
--- a/test/fakes/limits-entry.ts
+++ b/test/fakes/limits-entry.ts
@@ -178,20 +178,25 @@
     leases.onFinished(({ server, record }) => void leases.acknowledge(server, record));
   }
 
-  /** Runs one task of the team if budget and a slot allow it; resolves ambiguous starts. */
-  async runOne(): Promise<"started" | "declined" | "ambiguous"> {
+  /** A task of a team, or of an open queue. */
+  nextTask(team: string | undefined): TaskSpec {
     const { incarnation } = this.hello;
-    const spec: TaskSpec = {
+    return {
       requestId: `${incarnation}-${++this.#attempts}`,
       attempt: 1,
       home: incarnation,
       chargedTo: incarnation,
-      team: TEAM,
+      team,
       queue: "q",
       priority: "normal",
       idempotent: false,
       payload: { contentType: "text/plain", body: new Uint8Array() },
     };
+  }
+
+  /** Runs one task of the team if budget and a slot allow it; resolves ambiguous starts. */
+  async runOne(): Promise<"started" | "declined" | "ambiguous"> {
+    const spec = this.nextTask(TEAM);
     const target = this.leases.list().find((one) => one.dispatchable && one.running < one.slots);
     if (target === undefined || !this.budgets.tryCharge(TEAM, spec)) return "declined";
     const outcome = await this.leases.start(target.name, spec);
