fix(limits): move home slots one by one and in turn

Cause: a batch of slots stayed where it was if any of its requests was under way, which is nearly always so under load; and the end of a move thawed slots that a move during shutdown had frozen, so that a request taken in between had no record at the next home. Change: slots are exported singly, busy ones are thawed at once, and moves follow each other. The list of held servers computes the leaving servers and the dispatch gate once per call. A zone without servers needs no evidence. Ruled out: waiting for a batch to become idle. Conclusion: joining members receive slots under load.

--- a/src/coordination/fencing-proof.ts
+++ b/src/coordination/fencing-proof.ts
@@ -89,7 +89,7 @@
       ),
     );
     const servers = document.servers.filter(({ zone }) => zone === peers.self.zone);
-    if (servers.length === 0 || servers.some(({ name }) => !covered.has(name))) return undefined;
+    if (servers.some(({ name }) => !covered.has(name))) return undefined;
     return {
       running: seen.flatMap(({ adopted }) => adopted),
       seenByAll: reports.every(({ reply }) => reply?.seenMark === true),
--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -69,6 +69,10 @@
   readonly #finished = new Set<(task: FinishedTask) => void>();
   readonly #changed = new Set<() => void>();
   readonly #stopped = new AbortController();
+  #zone: { readonly revision: number; readonly records: readonly ServerRecord[] } = {
+    revision: -1,
+    records: [],
+  };
 
   constructor(options: LeaseKeeperOptions) {
     super();
@@ -109,20 +113,15 @@
   }
 
   list(): readonly HeldServer[] {
+    const mayDispatch = this.#mayDispatch();
+    const leaving = this.#leavingByPeers();
     return this.#records().flatMap((record) => {
       const lease = this.#drivers.get(record.name)?.lease;
       if (lease?.held !== true) return [];
-      return [
-        {
-          name: record.name,
-          zone: record.zone,
-          rack: record.rack,
-          pool: record.pool,
-          slots: record.slots,
-          running: lease.tasks.occupied,
-          dispatchable: this.#dispatchable(record, lease),
-        },
-      ];
+      const { name, zone, rack, pool, slots } = record;
+      const free = mayDispatch && !leaving.has(name);
+      const dispatchable = free && this.#dispatchable(record, lease);
+      return [{ name, zone, rack, pool, slots, running: lease.tasks.occupied, dispatchable }];
     });
   }
 
@@ -132,7 +131,8 @@
     if (record === undefined || lease === undefined) {
       return Err({ kind: "not-started", reason: "lease_lapsed" });
     }
-    if (!this.#dispatchable(record, lease)) {
+    const free = this.#mayDispatch() && !this.#leavingByPeers().has(server);
+    if (!free || !this.#dispatchable(record, lease)) {
       const reason = lease.leaving ? "server_leaving" : "lease_lapsed";
       return Err({ kind: "not-started", reason });
     }
@@ -221,26 +221,35 @@
 
   /** Servers of the own zone. */
   #records(): readonly ServerRecord[] {
-    const { zone } = this.#options.peers.self;
-    return (this.#options.fleet.current()?.servers ?? []).filter((one) => one.zone === zone);
+    const fleet = this.#options.fleet.current();
+    if (fleet === undefined) return [];
+    if (fleet.revision !== this.#zone.revision) {
+      const { zone } = this.#options.peers.self;
+      const records = fleet.servers.filter((one) => one.zone === zone);
+      this.#zone = { revision: fleet.revision, records };
+    }
+    return this.#zone.records;
   }
 
   #dispatchable(record: ServerRecord, lease: ServerLease): boolean {
     if (lease.leaseId === undefined || lease.releasing || lease.leaving) return false;
-    if (record.state !== "serving" || this.#stopped.signal.aborted) return false;
-    if (this.#drain.blocks(record.name, this.#options.fleet.current()?.revision ?? 0)) return false;
-    if (this.#leavingByPeers(record.name)) return false;
-    // A fenced entry that resumes with a new lease must not start even work without a budget.
+    return record.state === "serving" && !this.#drain.blocks(record.name, this.#zone.revision);
+  }
+
+  /** A fenced entry that resumes with a new lease must not start even work without a budget. */
+  #mayDispatch(): boolean {
+    if (this.#stopped.signal.aborted) return false;
     const since = this.#options.coverage.since();
     const activeAsOf = this.#options.membership.activeAsOf();
     return since !== undefined && activeAsOf !== undefined && activeAsOf >= since;
   }
 
-  #leavingByPeers(server: string): boolean {
+  #leavingByPeers(): ReadonlySet<string> {
+    const leaving = new Set<string>();
     for (const { message } of this.#options.peers.gossip().values()) {
-      if (message.leaving.includes(server)) return true;
+      for (const server of message.leaving) leaving.add(server);
     }
-    return false;
+    return leaving;
   }
 
   /** Starts and ends the tasks of servers that were added, removed or moved to another address. */
--- a/src/coordination/slot-transfer.ts
+++ b/src/coordination/slot-transfer.ts
@@ -43,6 +43,7 @@
 export class SlotTransfer {
   readonly #options: SlotTransferOptions;
   readonly #frozen = new Set<number>();
+  #last: Promise<unknown> = Promise.resolve();
 
   constructor(options: SlotTransferOptions) {
     this.#options = options;
@@ -52,23 +53,53 @@
     return this.#frozen.has(slot);
   }
 
-  /** Moves the slots; false if they stay here. */
-  async move(to: string, slots: readonly number[]): Promise<boolean> {
+  /**
+   * Moves those of the slots whose requests can be moved now; returns their number. Moves follow
+   * each other, as the end of one would thaw slots that another has frozen.
+   */
+  move(to: string, slots: readonly number[]): Promise<number> {
+    const moved = this.#last.then(() => this.#move(to, slots));
+    this.#last = moved;
+    return moved;
+  }
+
+  async #move(to: string, slots: readonly number[]): Promise<number> {
     const { records, counters } = this.#options;
     for (const slot of slots) this.#frozen.add(slot);
     try {
-      const matches = inSlots(slots);
-      const exported = records.export(matches);
-      if (exported === undefined || !(await this.#send(to, slots, exported))) return false;
-      if (!(await this.#reassign(to, slots))) return false;
-      records.drop(matches);
+      const { movable, exported } = this.#export(slots);
+      if (movable.length === 0 || !(await this.#send(to, movable, exported))) return 0;
+      if (!(await this.#reassign(to, movable))) return 0;
+      records.drop(inSlots(movable));
       counters.event("home_slots_moved");
-      return true;
+      return movable.length;
     } finally {
       for (const slot of slots) this.#frozen.delete(slot);
     }
   }
 
+  /**
+   * Exports slot by slot and thaws at once those that cannot be moved: under load some of many
+   * slots always have a request under way, which would keep all of them here.
+   */
+  #export(slots: readonly number[]): {
+    readonly movable: readonly number[];
+    readonly exported: readonly SlotRecord[];
+  } {
+    const movable: number[] = [];
+    const exported: SlotRecord[] = [];
+    for (const slot of slots) {
+      const records = this.#options.records.export(inSlots([slot]));
+      if (records === undefined) {
+        this.#frozen.delete(slot);
+        continue;
+      }
+      movable.push(slot);
+      exported.push(...records);
+    }
+    return { movable, exported };
+  }
+
   async #send(
     to: string,
     slots: readonly number[],
--- a/test/fakes/limits-ports.ts
+++ b/test/fakes/limits-ports.ts
@@ -82,7 +82,10 @@
 /** Keeps transferred records by id. */
 export class MapRecords extends SlotRecords {
   readonly byId = new Map<string, SlotRecord>();
-  export(matches: (requestId: string) => boolean): readonly SlotRecord[] {
+  /** Id of a request that is under way. */
+  busy: string | undefined;
+  export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined {
+    if (this.busy !== undefined && matches(this.busy)) return undefined;
     return [...this.byId.values()].filter(({ spec }) => matches(spec.requestId));
   }
   import(records: readonly SlotRecord[]): boolean {
