test(process): the whole path in separate processes under kills, pauses and an outage

Cause: nothing ran the real sockets, processes and signals together. Change: 2 zones with 2 entry instances and 3 backend servers each, a key-value stand-in and an instance list as processes; what ran is taken from the backend servers' own output. Forwarding, repeats through another entry, a platform outage of 8 s, SIGSTOP for 7 s, SIGTERM under load and SIGKILL under load. Ruled out: counting starts from the entries' metrics, since the check must not trust them.

--- /dev/null
+++ b/test/process/cluster.ts
@@ -0,0 +1,242 @@
+/** Entry instances, stand-ins and backend servers as separate processes on loopback. */
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer, type AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+
+const START_TIMEOUT_MS = 30_000;
+const POLL_MS = 100;
+
+/** A started program. Lines of standard output are JSON. */
+export interface Program {
+  readonly child: ChildProcess;
+  readonly lines: Record<string, unknown>[];
+  readonly errors: string[];
+}
+
+export interface EntryProcessHandle extends Program {
+  readonly zone: string;
+  readonly callers: string;
+  readonly admin: string;
+}
+
+export interface ClusterOptions {
+  readonly zones: readonly string[];
+  readonly entriesPerZone: number;
+  readonly serversPerZone: number;
+  readonly slots: number;
+  /** Template in force. */
+  readonly template: string;
+  /** Command that runs the product; the sources by default. */
+  readonly command?: readonly string[];
+}
+
+const FROM_SOURCE = [process.execPath, "--import", "tsx", "src/cli/main.ts"];
+
+export class ProcessCluster {
+  readonly entries: EntryProcessHandle[] = [];
+  readonly servers: Program[] = [];
+  readonly folder = mkdtempSync(join(tmpdir(), "teaselspool-"));
+  keyValueUrl = "";
+  readonly #programs: Program[] = [];
+  readonly #options: ClusterOptions;
+  #listUrl = "";
+
+  constructor(options: ClusterOptions) {
+    this.#options = options;
+  }
+
+  /** Starts every process and waits until each entry instance can dispatch. */
+  async start(): Promise<void> {
+    const { zones, entriesPerZone, serversPerZone, template } = this.#options;
+    const [keyValue, list] = await Promise.all([
+      this.#standIn("key-value"),
+      this.#standIn("instance-list"),
+    ]);
+    this.keyValueUrl = addressOf(keyValue);
+    this.#listUrl = addressOf(list);
+    await this.applyTemplate(template);
+    const servers = zones.flatMap((zone) =>
+      Array.from({ length: serversPerZone }, (_, n) => this.#startServer(zone, n + 1)),
+    );
+    this.servers.push(...(await Promise.all(servers)));
+    const entries = zones.flatMap((zone) =>
+      Array.from({ length: entriesPerZone }, () => this.startEntry(zone)),
+    );
+    await Promise.all(entries);
+    await waitFor("every server dispatchable", () => this.#allDispatchable());
+  }
+
+  async applyTemplate(template: string): Promise<void> {
+    const file = this.#file("template.ini", template);
+    await this.run(["config", "apply", file, "--key-value", this.keyValueUrl, "--wait", "0"]);
+  }
+
+  /** Issues a key for a team. */
+  async giveKey(team: string): Promise<string> {
+    const args = ["key", "give", team, "--key-value", this.keyValueUrl, "--json"];
+    const output = await this.run(args);
+    return (JSON.parse(output) as { readonly key: string }).key;
+  }
+
+  async startEntry(zone: string): Promise<EntryProcessHandle> {
+    const [callers, admin, peers] = await Promise.all([freePort(), freePort(), freePort()]);
+    const settings = [
+      "[entry]",
+      `zone = ${zone}`,
+      "group = g",
+      `caller_address = 127.0.0.1:${callers}`,
+      `admin_address = 127.0.0.1:${admin}`,
+      `peer_address = 127.0.0.1:${peers}`,
+      `key_value_url = ${this.keyValueUrl}`,
+      `instance_list_url = ${this.#listUrl}`,
+    ].join("\n");
+    const file = this.#file(`entry-${callers}.ini`, settings);
+    const program = this.#spawn(["entry", "--config", file, "--log-level", "warn"]);
+    const entry: EntryProcessHandle = {
+      ...program,
+      zone,
+      callers: `http://127.0.0.1:${callers}`,
+      admin: `http://127.0.0.1:${admin}`,
+    };
+    this.entries.push(entry);
+    await waitFor("entry ready", async () => (await get(`${entry.admin}/readyz`))?.status === 200);
+    return entry;
+  }
+
+  /** Switches faults of the key-value service. */
+  async keyValueFaults(faults: Readonly<Record<string, unknown>>): Promise<void> {
+    await fetch(`${this.keyValueUrl}/faults`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(faults),
+    });
+  }
+
+  /** Attempts that the backend servers started, `id#attempt`. */
+  started(): readonly string[] {
+    return this.servers.flatMap(({ lines }) =>
+      lines.flatMap((line) =>
+        typeof line.requestId === "string" ? [`${line.requestId}#${String(line.attempt)}`] : [],
+      ),
+    );
+  }
+
+  /** Runs a command to its end and returns its output. */
+  async run(args: readonly string[]): Promise<string> {
+    const program = this.#spawn(args);
+    await once(program.child, "close");
+    if (program.child.exitCode !== 0) {
+      throw new Error(`${args.join(" ")}: ${program.errors.join("\n")}`);
+    }
+    return program.lines
+      .map((line) => (typeof line.raw === "string" ? line.raw : JSON.stringify(line)))
+      .join("\n");
+  }
+
+  /** Ends every process that this cluster started. */
+  async stop(): Promise<void> {
+    const running = this.#programs.filter(
+      ({ child }) => child.exitCode === null && child.signalCode === null,
+    );
+    await Promise.all(
+      running.map(async ({ child }) => {
+        const closed = once(child, "close");
+        child.kill("SIGKILL");
+        await closed;
+      }),
+    );
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  async #allDispatchable(): Promise<boolean> {
+    const { zones, serversPerZone } = this.#options;
+    let count = 0;
+    for (const entry of this.entries) {
+      const status = (await (await get(`${entry.admin}/status`))?.json()) as
+        { readonly held?: readonly { readonly dispatchable: boolean }[] } | undefined;
+      count += status?.held?.filter((server) => server.dispatchable).length ?? 0;
+    }
+    return count >= zones.length * serversPerZone;
+  }
+
+  async #startServer(zone: string, number: number): Promise<Program> {
+    const { slots } = this.#options;
+    const name = ["--name", `${zone}-${number}`, "--zone", zone, "--rack", `${zone}-rack`];
+    const rest = ["--slots", String(slots), "--register", this.#listUrl];
+    return this.#standIn("backend-server", [...name, ...rest]);
+  }
+
+  async #standIn(kind: string, args: readonly string[] = []): Promise<Program> {
+    const program = this.#spawn(["stand-in", kind, "--listen", "127.0.0.1:0", ...args]);
+    await waitFor(`${kind} ready`, () => program.lines.some((line) => line.ready === true));
+    return program;
+  }
+
+  #spawn(args: readonly string[]): Program {
+    const [command = "", ...first] = this.#options.command ?? FROM_SOURCE;
+    const child = spawn(command, [...first, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    const program: Program = { child, lines: [], errors: [] };
+    createInterface({ input: child.stdout }).on("line", (line) => {
+      program.lines.push(parseLine(line));
+    });
+    createInterface({ input: child.stderr }).on("line", (line) => {
+      program.errors.push(line);
+    });
+    this.#programs.push(program);
+    return program;
+  }
+
+  #file(name: string, text: string): string {
+    const path = join(this.folder, name);
+    writeFileSync(path, text);
+    return path;
+  }
+}
+
+/** Waits until a condition holds; throws after 30 seconds. */
+export async function waitFor(
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const end = Date.now() + START_TIMEOUT_MS;
+  while (!(await condition())) {
+    if (Date.now() > end) throw new Error(`not within ${START_TIMEOUT_MS} ms: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+async function get(url: string): Promise<Response | undefined> {
+  try {
+    return await fetch(url, { signal: AbortSignal.timeout(2000) });
+  } catch {
+    return undefined;
+  }
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+function parseLine(line: string): Record<string, unknown> {
+  try {
+    return JSON.parse(line) as Record<string, unknown>;
+  } catch {
+    return { raw: line };
+  }
+}
+
+function addressOf(program: Program): string {
+  const line = program.lines.find((each) => typeof each.address === "string");
+  const address = String(line?.address);
+  return address.startsWith("http") ? address : `http://${address}`;
+}
--- /dev/null
+++ b/test/process/path.test.ts
@@ -0,0 +1,185 @@
+/** The whole path in separate processes: 2 zones, 2 entry instances and 3 servers in each. */
+import { once } from "node:events";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { ProcessCluster, waitFor, type EntryProcessHandle } from "./cluster.ts";
+
+const TEMPLATE = `
+[pool.work]
+group = g
+target_size = 6
+min_available = 2
+[queue.orders]
+pool = work
+[team.crew]
+share = 1
+upper_limit = 12
+[queue.open]
+pool = work
+open = yes
+idempotent = yes
+`;
+
+interface Reply {
+  readonly sent: string;
+  /** Undefined if the connection broke. */
+  readonly status: number | undefined;
+  readonly body: string;
+}
+
+const path = suite("whole path");
+const cluster = new ProcessCluster({
+  zones: ["z1", "z2"],
+  entriesPerZone: 2,
+  serversPerZone: 3,
+  slots: 2,
+  template: TEMPLATE,
+});
+let key = "";
+
+async function order(entry: EntryProcessHandle, body: object, id?: string): Promise<Reply> {
+  const sent = JSON.stringify(body);
+  const headers = { authorization: `Bearer ${key}`, "request-timeout-ms": "15000" };
+  try {
+    const res = await fetch(`${entry.callers}/v1/queues/orders/requests`, {
+      method: "POST",
+      headers: { ...headers, ...(id === undefined ? {} : { "idempotency-key": id }) },
+      body: sent,
+    });
+    return { sent, status: res.status, body: await res.text() };
+  } catch {
+    return { sent, status: undefined, body: "" };
+  }
+}
+
+function entryAt(index: number): EntryProcessHandle {
+  const entry = cluster.entries[index];
+  if (entry === undefined) throw new Error("no such entry instance");
+  return entry;
+}
+
+/** Sends requests through the given entries one after the other until stopped. */
+function load(entries: readonly EntryProcessHandle[]): () => Promise<readonly Reply[]> {
+  const replies: Reply[] = [];
+  let on = true;
+  const loops = entries.map(async (entry, lane) => {
+    for (let n = 0; on; n++) {
+      replies.push(await order(entry, { lane, n, runMs: 30 }));
+      if (replies.at(-1)?.status === undefined) await new Promise((done) => setTimeout(done, 50));
+    }
+  });
+  return async () => {
+    on = false;
+    await Promise.all(loops);
+    return replies;
+  };
+}
+
+/** No wrong or crossed answer, no attempt started twice, and no refusal that says "no" in error. */
+function assertTruthful(replies: readonly Reply[]): void {
+  const started = cluster.started().map((attempt) => attempt.split("#")[0]);
+  assert.is(new Set(started).size, started.length, "a request was started twice");
+  for (const reply of replies) {
+    if (reply.status === 200) assert.is(reply.body, reply.sent);
+    else if (reply.status !== undefined) {
+      const problem = JSON.parse(reply.body) as {
+        readonly ran: string;
+        readonly request_id: string;
+      };
+      if (problem.ran === "no") assert.not.ok(started.includes(problem.request_id));
+    }
+  }
+}
+
+function answered(replies: readonly Reply[]): number {
+  return replies.filter((reply) => reply.status === 200).length;
+}
+
+path.before(async () => {
+  await cluster.start();
+  key = await cluster.giveKey("crew");
+  await waitFor("key in force", async () => {
+    const replies = await Promise.all(cluster.entries.map((entry) => order(entry, { runMs: 1 })));
+    return answered(replies) === replies.length;
+  });
+});
+
+path.after(async () => {
+  await cluster.stop();
+});
+
+// Guards against entries that only serve what their own servers can take.
+path("more work than one entry's slots is answered through that entry", async () => {
+  const work = Array.from({ length: 12 }, (_, n) => order(entryAt(0), { n, runMs: 800 }));
+  const replies = await Promise.all(work);
+  assert.is(answered(replies), 12);
+  assertTruthful(replies);
+});
+
+// Guards against a second run when a caller repeats its request elsewhere.
+path("a repeated id gets the stored answer through any entry", async () => {
+  const first = await order(entryAt(0), { runMs: 5 }, "order-7");
+  const again = await order(entryAt(3), { runMs: 5 }, "order-7");
+  assert.is(first.status, 200);
+  assert.is(again.body, first.body);
+  assertTruthful([first, again]);
+});
+
+// Guards against keyed work that stops for the whole length of a platform outage.
+path("work goes on while the platform is down for everybody", async () => {
+  await cluster.keyValueFaults({ unavailable: true });
+  const stop = load(cluster.entries);
+  await new Promise((done) => setTimeout(done, 8000));
+  const replies = await stop();
+  await cluster.keyValueFaults({ unavailable: false });
+  assertTruthful(replies);
+  assert.ok(answered(replies) > replies.length * 0.9, `${answered(replies)} of ${replies.length}`);
+});
+
+// Guards against starts by an entry that was paused longer than its leases.
+path("an entry paused past its leases starts nothing twice", async () => {
+  const stop = load(cluster.entries.slice(1));
+  const paused = entryAt(0);
+  paused.child.kill("SIGSTOP");
+  await new Promise((done) => setTimeout(done, 7000));
+  paused.child.kill("SIGCONT");
+  await new Promise((done) => setTimeout(done, 2000));
+  const replies = await stop();
+  assertTruthful(replies);
+  assert.ok(answered(replies) > 0);
+});
+
+// Guards against requests cut by a planned stop.
+path("an entry that is asked to stop answers what it accepted", async () => {
+  const entry = await cluster.startEntry("z1");
+  await waitFor("new entry serves", async () => (await order(entry, { runMs: 1 })).status === 200);
+  const work = Array.from({ length: 6 }, (_, n) => order(entry, { n, runMs: 700 }));
+  await new Promise((done) => setTimeout(done, 300));
+  const exit = once(entry.child, "exit");
+  entry.child.kill("SIGTERM");
+  const replies = await Promise.all(work);
+  const [code] = (await exit) as [number];
+  assert.is(code, 0);
+  assert.is(answered(replies), 6, JSON.stringify(replies));
+  cluster.entries.pop();
+});
+
+// Guards against lost, crossed or doubled answers when an entry dies.
+path(
+  "an entry killed under load leaves no wrong answer and its servers are taken over",
+  async () => {
+    const stop = load(cluster.entries);
+    await new Promise((done) => setTimeout(done, 1000));
+    const killed = cluster.entries.pop();
+    killed?.child.kill("SIGKILL");
+    await new Promise((done) => setTimeout(done, 9000));
+    const replies = await stop();
+    assertTruthful(replies);
+    const work = Array.from({ length: 12 }, (_, n) => order(entryAt(0), { n, runMs: 500 }));
+    const after = await Promise.all(work);
+    assert.is(answered(after), 12);
+    assertTruthful(after);
+  },
+);
+
+path.run();
