feat(bench): cost of control by servers, teams, entries and load

Change: entry instances as built binaries on loopback, a farm of simulated backend servers in one process, and the kernel's counters of processor time, memory and bytes.

--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,167 @@
+/**
+ * Measures how the cost of control grows: entry instances as processes of the built binary on
+ * loopback, idle or under load, at four sizes of each dimension. Prints one JSON line a point.
+ */
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { SystemClock } from "../src/platform/system-clock.ts";
+import { ProcessCluster, waitFor } from "../test/process/cluster.ts";
+import { runLoad } from "./load-generator.ts";
+import { usageOf } from "./process-usage.ts";
+
+const WARM_UP_MS = 12_000;
+const MEASURE_MS = 10_000;
+const BINARY = "dist/teaselspool";
+
+interface Point {
+  readonly series: string;
+  readonly zones: number;
+  readonly entries: number;
+  readonly servers: number;
+  readonly teams: number;
+  readonly requestsPerSecond: number;
+}
+
+const BASE: Omit<Point, "series"> = {
+  zones: 1,
+  entries: 1,
+  servers: 4,
+  teams: 6,
+  requestsPerSecond: 0,
+};
+const POINTS: readonly Point[] = [
+  ...[4, 16, 32, 64].map((servers) => ({ ...BASE, series: "servers", servers })),
+  ...[6, 50, 100, 150].map((teams) => ({ ...BASE, series: "teams", entries: 2, teams })),
+  ...[2, 4, 8, 16].map((entries) => ({ ...BASE, series: "entries", zones: 2, entries })),
+  ...[10, 40, 80, 160].map((requestsPerSecond) => ({
+    ...BASE,
+    series: "load",
+    servers: 16,
+    requestsPerSecond,
+  })),
+];
+
+function template({ teams }: Point): string {
+  const sections = Array.from(
+    { length: teams },
+    (_, n) => `[team.team-${n}]\nshare = 1\nupper_limit = 20\n`,
+  );
+  const pool = "[pool.work]\ngroup = g\ntarget_size = 64\nmin_available = 0\n";
+  const queue = "[queue.open]\npool = work\nopen = yes\nidempotent = yes\n";
+  return [pool, queue, ...sections].join("");
+}
+
+async function startFarm(
+  cluster: ProcessCluster,
+  zone: string,
+  servers: number,
+): Promise<ChildProcess> {
+  const args = [
+    "--zone",
+    zone,
+    "--servers",
+    String(servers),
+    "--register",
+    cluster.instanceListUrl,
+  ];
+  const child = spawn(process.execPath, ["--import", "tsx", "bench/farm.ts", ...args], {
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  await once(child.stdout, "data");
+  return child;
+}
+
+async function heldServers(cluster: ProcessCluster): Promise<number> {
+  const counts = cluster.entries.map(async ({ admin }) => {
+    const res = await fetch(`${admin}/status`);
+    const status = (await res.json()) as {
+      readonly held?: readonly { readonly dispatchable: boolean }[];
+    };
+    return status.held?.filter((server) => server.dispatchable).length ?? 0;
+  });
+  return (await Promise.all(counts)).reduce((sum, count) => sum + count, 0);
+}
+
+async function keyValueCalls(cluster: ProcessCluster): Promise<number> {
+  const res = await fetch(`${cluster.keyValueUrl}/stats`);
+  const text = JSON.stringify(await res.json());
+  return [...text.matchAll(/:(\d+)/g)].reduce((sum, [, count]) => sum + Number(count), 0);
+}
+
+async function measure(point: Point): Promise<void> {
+  const zones = Array.from({ length: point.zones }, (_, n) => `z${n + 1}`);
+  const cluster = new ProcessCluster({
+    zones,
+    entriesPerZone: 0,
+    serversPerZone: 0,
+    slots: 8,
+    template: template(point),
+    command: [BINARY],
+  });
+  const farms: ChildProcess[] = [];
+  try {
+    await cluster.start();
+    for (const zone of zones)
+      farms.push(await startFarm(cluster, zone, point.servers / point.zones));
+    for (let n = 0; n < point.entries; n++)
+      await cluster.startEntry(zones[n % zones.length] ?? "z1");
+    await waitFor("servers held", async () => (await heldServers(cluster)) >= point.servers);
+    await new Promise((done) => setTimeout(done, WARM_UP_MS));
+    console.log(JSON.stringify({ ...point, ...(await sample(cluster, point)) }));
+  } finally {
+    for (const farm of farms) farm.kill("SIGKILL");
+    await cluster.stop();
+  }
+}
+
+async function sample(cluster: ProcessCluster, point: Point): Promise<Record<string, unknown>> {
+  const pids = cluster.entries.map(({ child }) => child.pid ?? 0);
+  const before = pids.map(usageOf);
+  const calls = await keyValueCalls(cluster);
+  const seconds = MEASURE_MS / 1000;
+  const report = await pause(cluster, point, seconds);
+  const after = pids.map(usageOf);
+  const perEntry = (pick: (index: number) => number): number =>
+    pids.reduce((sum, _, index) => sum + pick(index), 0) / pids.length;
+  const cpu = perEntry((n) => (after[n]!.cpuSeconds - before[n]!.cpuSeconds) / seconds);
+  const bytes = perEntry((n) => (after[n]!.bytes - before[n]!.bytes) / seconds);
+  return {
+    cpuPercent: round(cpu * 100),
+    residentMib: round(perEntry((n) => after[n]!.residentMib)),
+    bytesPerSecond: Math.round(bytes),
+    keyValueCallsPerSecond: round(((await keyValueCalls(cluster)) - calls) / seconds / pids.length),
+    ...report,
+  };
+}
+
+async function pause(
+  cluster: ProcessCluster,
+  { requestsPerSecond }: Point,
+  seconds: number,
+): Promise<Record<string, unknown>> {
+  if (requestsPerSecond === 0) {
+    await new Promise((done) => setTimeout(done, seconds * 1000));
+    return {};
+  }
+  const load = await runLoad({
+    clock: new SystemClock(),
+    callers: cluster.entries.map(({ callers }) => callers),
+    queue: "open",
+    key: undefined,
+    requestsPerSecond,
+    seconds,
+    headers: {},
+    body: (n) => JSON.stringify({ n, runMs: 20 }),
+    timeoutMs: 10_000,
+  });
+  return { load };
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+const wanted = process.argv.slice(2);
+for (const point of POINTS) {
+  if (wanted.length === 0 || wanted.includes(point.series)) await measure(point);
+}
--- /dev/null
+++ b/bench/process-usage.ts
@@ -0,0 +1,27 @@
+/** Processor time, memory and bytes read and written by a process, from the kernel's counters. */
+import { readFileSync } from "node:fs";
+
+/** Kernel clock ticks a second on every supported platform. */
+const TICKS_PER_SECOND = 100;
+const BYTES_PER_MIB = 1024 * 1024;
+
+export interface Usage {
+  readonly cpuSeconds: number;
+  readonly residentMib: number;
+  /** Bytes of every read and write call, which for an entry instance are sockets and the log. */
+  readonly bytes: number;
+}
+
+export function usageOf(pid: number): Usage {
+  const fields = readFileSync(`/proc/${pid}/stat`, "utf8").split(") ")[1]?.split(" ") ?? [];
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const residentKib = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]);
+  const io = readFileSync(`/proc/${pid}/io`, "utf8");
+  const bytes = Number(/rchar: (\d+)/.exec(io)?.[1]) + Number(/wchar: (\d+)/.exec(io)?.[1]);
+  return {
+    bytes,
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentMib: (residentKib * 1024) / BYTES_PER_MIB,
+  };
+}
--- a/test/process/cluster.ts
+++ b/test/process/cluster.ts
@@ -43,7 +43,7 @@
   keyValueUrl = "";
   readonly #programs: Program[] = [];
   readonly #options: ClusterOptions;
-  #listUrl = "";
+  instanceListUrl = "";
 
   constructor(options: ClusterOptions) {
     this.#options = options;
@@ -57,7 +57,7 @@
       this.#standIn("instance-list"),
     ]);
     this.keyValueUrl = addressOf(keyValue);
-    this.#listUrl = addressOf(list);
+    this.instanceListUrl = addressOf(list);
     await this.applyTemplate(template);
     const servers = zones.flatMap((zone) =>
       Array.from({ length: serversPerZone }, (_, n) => this.#startServer(zone, n + 1)),
@@ -92,7 +92,7 @@
       `admin_address = 127.0.0.1:${admin}`,
       `peer_address = 127.0.0.1:${peers}`,
       `key_value_url = ${this.keyValueUrl}`,
-      `instance_list_url = ${this.#listUrl}`,
+      `instance_list_url = ${this.instanceListUrl}`,
     ].join("\n");
     const file = this.#file(`entry-${callers}.ini`, settings);
     const program = this.#spawn(["entry", "--config", file, "--log-level", "warn"]);
@@ -166,7 +166,7 @@
   async #startServer(zone: string, number: number): Promise<Program> {
     const { slots } = this.#options;
     const name = ["--name", `${zone}-${number}`, "--zone", zone, "--rack", `${zone}-rack`];
-    const rest = ["--slots", String(slots), "--register", this.#listUrl];
+    const rest = ["--slots", String(slots), "--register", this.instanceListUrl];
     return this.#standIn("backend-server", [...name, ...rest]);
   }
 
