--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -111,12 +111,12 @@
       payload: req.payload,
     };
     this.#waiting++;
-    try {
-      if (key === undefined) return await this.#submitHere(spec, "issued-now", deadline, mode);
-      return await this.#submitToHome(spec, deadline, mode);
-    } finally {
-      this.#waiting--;
-    }
+    const reply =
+      key === undefined
+        ? await this.#submitHere(spec, "issued-now", deadline, mode)
+        : await this.#submitToHome(spec, deadline, mode);
+    this.#waiting--;
+    return reply;
   }
 
   async query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
