test(limits): callers submit each key to several entries under faults

Cause: the faults test started only work of a team, so a key run twice by two homes would have gone unseen. Ruled out: the request path itself, which another part tests.

--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -154,11 +154,12 @@
     e1.records.byId.set(requestId, { spec, digest: "", state, acceptedAt: 0, attempt: 1 });
   }
   // A request under way keeps its own slot here, not the others.
-  e1.records.busy = [...e1.records.byId.keys()].sort()[0]!;
+  const busy = [...e1.records.byId.keys()].sort()[0]!;
+  e1.records.pending.add(busy);
   const e2 = cluster.add("e2");
   await cluster.clock.until(() => e2.records.byId.size > 20, 30_000);
-  assert.is(e1.homes.lookup(e1.records.busy).kind, "self");
-  e1.records.busy = undefined;
+  assert.is(e1.homes.lookup(busy).kind, "self");
+  e1.records.pending.clear();
   await cluster.clock.advance(3000);
   assert.is(await slotCount(cluster, "e2"), 32);
   assert.is(e1.records.byId.size + e2.records.byId.size, 100);
--- a/test/coordination/limits-faults.test.ts
+++ b/test/coordination/limits-faults.test.ts
@@ -1,5 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { submitKeys } from "../fakes/keyed-load.ts";
 import { Cluster } from "../fakes/limits-cluster.ts";
 import type { Entry } from "../fakes/limits-entry.ts";
 import { newLink, type Link } from "../fakes/limits-network.ts";
@@ -118,7 +119,7 @@
 
 for (const seed of SEEDS) {
   // Guards against any order of pauses, crashes, cuts, reboots and lost or delayed messages that
-  // lets the team pass its limit, runs an attempt twice or strands budget after the faults.
+  // lets the team pass its limit, runs a key twice or strands budget after the faults.
   test(`the limit holds under faults and is reached again afterwards (seed ${seed})`, async () => {
     const cluster: Cluster = new Cluster({
       seed,
@@ -129,6 +130,7 @@
     const names = { next: 1 };
     for (let i = 0; i < 3; i++) addLoaded(cluster, names);
     await cluster.clock.advance(10_000);
+    void submitKeys(cluster);
     for (let ms = 0; ms < FAULT_MS; ms += FAULT_INTERVAL_MS) {
       injectFault(cluster, names);
       await cluster.clock.advance(FAULT_INTERVAL_MS);
@@ -143,6 +145,7 @@
     await cluster.clock.advance(5000);
     assert.is(cluster.mostRunning, LIMIT);
     assert.is(cluster.doubled, 0);
+    assert.ok(cluster.keysStarted > 500, `${cluster.keysStarted} keys ran`);
   });
 }
 
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -39,6 +39,8 @@
   running = 0;
   mostRunning = 0;
   started = 0;
+  /** Starts of tasks without a team. */
+  keysStarted = 0;
   /** Starts while more tasks ran than the upper limit allows. */
   startedAbove = 0;
   /** Attempts that a server started although they had been started before. */
@@ -137,14 +139,16 @@
   }
 
   #observe(event: "start" | "end", spec: TaskSpec): void {
-    this.running += event === "start" ? 1 : -1;
+    if (spec.team !== undefined) this.running += event === "start" ? 1 : -1;
     this.mostRunning = Math.max(this.mostRunning, this.running);
     if (event === "end") return;
     this.started++;
-    if (this.running > (this.config.current().teams[0]?.upperLimit ?? 0)) this.startedAbove++;
+    if (spec.team !== undefined && this.running > (this.config.current().teams[0]?.upperLimit ?? 0))
+      this.startedAbove++;
     const key = `${spec.requestId}#${spec.attempt}`;
     if (this.#seen.has(key)) this.doubled++;
     this.#seen.add(key);
+    if (spec.team === undefined) this.keysStarted++;
   }
 
   async #gossip(): Promise<void> {
--- a/test/fakes/limits-ports.ts
+++ b/test/fakes/limits-ports.ts
@@ -82,10 +82,10 @@
 /** Keeps transferred records by id. */
 export class MapRecords extends SlotRecords {
   readonly byId = new Map<string, SlotRecord>();
-  /** Id of a request that is under way. */
-  busy: string | undefined;
+  /** Ids of requests under way. */
+  readonly pending = new Set<string>();
   export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined {
-    if (this.busy !== undefined && matches(this.busy)) return undefined;
+    if ([...this.pending].some(matches)) return undefined;
     return [...this.byId.values()].filter(({ spec }) => matches(spec.requestId));
   }
   import(records: readonly SlotRecord[]): boolean {
