fix(fencing): take slots over only when retired members are proved too

Cause: a takeover asked the active members whether they had seen the mark. A retired member of another zone that was cut off from the platform did not know its own mark, was not asked, held leases and could run work for the lost home, while the next home ran the same key. Change: the proof is recorded in the fleet document as soon as it succeeds, and a takeover requires that record for every other retired member. Ruled out: asking retired members too; two dead ones would wait for each other for ever. Conclusion: the hole is closed at the cost of later takeovers while a retired member of another zone still holds servers.

--- a/src/coordination/fencing.ts
+++ b/src/coordination/fencing.ts
@@ -53,6 +53,8 @@
   readonly #watchedSince = new Map<string, number>();
   readonly #lastGossip = new Map<string, number>();
   readonly #retiring = new Map<string, Retiring>();
+  /** Incarnations whose proof is recorded in the fleet document. */
+  readonly #proved = new Set<string>();
 
   constructor(options: FencingOptions) {
     this.#options = options;
@@ -118,6 +120,9 @@
       this.#options.counters.event("fencing_proof_refused");
       return;
     }
+    if (!this.#proved.has(incarnation) && (await this.#noteFenced(incarnation))) {
+      this.#proved.add(incarnation);
+    }
     await this.#reclaimBudgets(incarnation, retiring, proof);
     if (state === "retired") await this.#takeOverSlots(incarnation, retiring, proof);
   }
@@ -169,6 +174,7 @@
   async #takeOverSlots(incarnation: string, retiring: Retiring, proof: Proof): Promise<void> {
     const { store, homes, clock, counters } = this.#options;
     if (!proof.seenByAll || clock.now() - retiring.markedAt < TAKEOVER_DELAY_MS) return;
+    if (!(await this.#othersCannotStart(incarnation))) return;
     const at = clock.wallTime();
     const result = await store.update(HOMES_KIND, (doc, writeId) => {
       const next = doc && takeOver(doc, incarnation, at);
@@ -176,14 +182,35 @@
     });
     if (!result.ok || result.val.current === undefined) return;
     homes.adopt(result.val.current);
-    if (memberOf(result.val.current.value, incarnation)?.state !== "fenced") return;
-    counters.event("incarnation_fenced");
-    await this.#noteFenced(incarnation);
+    if (memberOf(result.val.current.value, incarnation)?.state === "fenced") {
+      counters.event("incarnation_fenced");
+    }
+  }
+
+  /**
+   * True if every other retired member is proved to hold no lease. It is not asked whether it has
+   * seen the mark, so it may not know even its own, and could still run work for the lost home.
+   */
+  async #othersCannotStart(incarnation: string): Promise<boolean> {
+    const { homes, store } = this.#options;
+    const others = (homes.current?.value.members ?? []).filter(
+      (member) => member.state === "retired" && member.incarnation !== incarnation,
+    );
+    for (const group of new Set(others.map((member) => member.group))) {
+      const fleet = await store.read(fleetKind(group));
+      if (!fleet.ok) return false;
+      const marks = fleet.val?.value.retired.filter(({ fenced }) => fenced) ?? [];
+      const proved = new Set(marks.map((mark) => mark.incarnation));
+      const unproved = others.filter((member) => !proved.has(member.incarnation));
+      if (unproved.some((member) => member.group === group)) return false;
+    }
+    return true;
   }
 
-  async #noteFenced(incarnation: string): Promise<void> {
+  /** Records a successful proof, on which takeovers in every zone rely. */
+  async #noteFenced(incarnation: string): Promise<boolean> {
     const { store, peers } = this.#options;
-    await store.update(fleetKind(peers.self.group), (doc, writeId) => {
+    const result = await store.update(fleetKind(peers.self.group), (doc, writeId) => {
       if (doc?.retired.some((old) => old.incarnation === incarnation && !old.fenced) !== true) {
         return undefined;
       }
@@ -192,5 +219,6 @@
       );
       return { ...doc, writeId, retired };
     });
+    return result.ok;
   }
 }
--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -124,6 +124,31 @@
   assert.is(e2.counters.events.get("incarnation_fenced"), undefined);
 });
 
+// Guards against a key that runs twice: a member of another zone that does not know of its own mark
+// is not asked whether it has seen that of a lost home, and could still run work for that home.
+test("home slots wait until every retired member is proved to hold no lease", async () => {
+  const cluster = new Cluster({ zones: ["a", "b"], servers: 6 });
+  const [e1, e2] = [cluster.add("e1"), cluster.add("e2")];
+  const [e3, e4] = [cluster.add("e3", "b"), cluster.add("e4", "b")];
+  const all = [e1, e2, e3, e4];
+  await cluster.clock.until(() => all.every((entry) => entry.leases.list().length > 0));
+  await cluster.clock.advance(8000);
+  for (const other of [e1, e2, e4]) cluster.setCut(e3, other, true);
+  e3.kvLink.down = true;
+  await cluster.clock.advance(20_000);
+  const stateOf = async (incarnation: string) =>
+    (await cluster.homes()).members.find((member) => member.incarnation === incarnation)?.state;
+  assert.is(await stateOf("e3"), "retired");
+  e1.crash();
+  await cluster.clock.advance(40_000);
+  assert.is(await stateOf("e1"), "retired");
+  assert.ok((await slotCount(cluster, "e1")) > 0);
+  e3.crash();
+  await cluster.clock.advance(40_000);
+  assert.equal([await stateOf("e1"), await stateOf("e3")], ["fenced", "fenced"]);
+  assert.is((await slotCount(cluster, "e1")) + (await slotCount(cluster, "e3")), 0);
+});
+
 // Guards against evidence from a server that was rebooted: its former holder may believe in its
 // lease for one more time to live.
 test("a lease counts as evidence only after one and a half times its time to live", async () => {
