fix(planner): forget a confirmed absence once the server is listed again

Cause: a random run with racing planners ended in 20 writes a second: a server whose absence had been confirmed and that was then listed again was removed and added in turn for ever, because the confirmation was only cleared in rounds without a decision. Change: the list is taken into account before each decision, and a rule removes no server that the list shows; only available servers are put into quarantine. Ruled out: a limit on decisions per round, which bounds the writes but not the loop.

--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -150,10 +150,13 @@
     const fleet = read.val;
     const situation = this.#situation(fleet, listed);
     if (situation === undefined) return false;
+    // Before each decision, so that a server that was removed and is listed again is not removed
+    // by what was confirmed of its former record.
+    this.#absence.observe(situation.servers, listed);
     const { decision, withheld } = planNext(situation);
     this.#withheld = withheld;
     if (decision === undefined) {
-      this.#observe(situation, listed);
+      this.#observe(situation);
       return false;
     }
     if (!support.holdsDuty()) return false;
@@ -223,12 +226,11 @@
   }
 
   /** Measures, and starts what takes longer than a round. */
-  #observe(situation: FleetSituation, listed: readonly ListedInstance[] | undefined): void {
+  #observe(situation: FleetSituation): void {
     const now = this.#options.clock.now();
     const inWave = serversInWave(situation).length;
     this.#buffer.record(now, bufferServers(situation));
     this.#rollout.record(now, { open: inWave + dueServers(situation).length, inWave });
-    this.#absence.observe(situation.servers, listed);
     const rebooting = situation.servers.filter((server) => server.state === "rebooting");
     for (const id of [...this.#rebooted.keys()]) {
       if (!rebooting.some((server) => rebootId(server) === id)) this.#rebooted.delete(id);
--- a/src/state/health-rules.ts
+++ b/src/state/health-rules.ts
@@ -4,6 +4,7 @@
   available,
   checkBudget,
   explain,
+  isAvailable,
   NOTHING_TO_DO,
   poolOf,
   poolsOf,
@@ -57,7 +58,8 @@
   const withheld = [];
   for (const server of situation.servers) {
     // A draining server takes no new work, and one that is repaired must not start over.
-    if (server.state !== "serving" || !situation.health.bad(server.name)) continue;
+    // One that is down does no harm, and would be missing from the budget when it comes back.
+    if (!isAvailable(situation, server) || !situation.health.bad(server.name)) continue;
     const { allowed, figures } = checkBudget(situation, server);
     if (allowed) {
       const text = `${server.name} of ${server.pool} fails tasks that succeed elsewhere`;
--- a/src/state/listing-rules.ts
+++ b/src/state/listing-rules.ts
@@ -115,6 +115,11 @@
     .tally;
 }
 
+/** A server is gone if its absence was confirmed and the list does not show it again. */
+function isGone({ listed, confirmedGone }: FleetSituation, { name }: ServerRecord): boolean {
+  return confirmedGone.has(name) && listed?.some((instance) => instance.name === name) === false;
+}
+
 /** Marks servers as leaving that the list shows as leaving, or whose absence was confirmed. */
 export function markLeaving(situation: FleetSituation): RuleOutcome {
   const leaving = new Set(
@@ -135,8 +140,8 @@
 
 /** Removes leaving servers whose absence was confirmed, and takes back those listed again. */
 export function removeOrReturn(situation: FleetSituation): RuleOutcome {
-  const { listed, confirmedGone, servers, wallTimeMs, health } = situation;
-  const gone = servers.find((s) => s.state === "leaving" && confirmedGone.has(s.name));
+  const { listed, servers, wallTimeMs, health } = situation;
+  const gone = servers.find((s) => s.state === "leaving" && isGone(situation, s));
   if (gone !== undefined) {
     const text = `${gone.name} of ${gone.pool} is gone`;
     return {
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -169,6 +169,25 @@
   assert.is((await fleet.servers()).length, 34);
 });
 
+// Guards against a server that is added and removed again in every round, which a fuzz run found:
+// what was confirmed of its absence outlived its return to the list.
+test("a server that is listed again right after its absence was confirmed stays", async () => {
+  const fleet = new PlannedFleet();
+  fleet.addPlanner(1);
+  await fleet.clock.advance(2000);
+  fleet.list.instances = exampleInstances().slice(1);
+  await fleet.clock.advance(60_000);
+  const writes = fleet.kv.fleets.length;
+  fleet.health.down.add("s00");
+  // One round, which asks the server and learns that it is gone.
+  await fleet.clock.advance(1000);
+  fleet.list.instances = exampleInstances();
+  fleet.health.down.clear();
+  await fleet.clock.advance(10_000);
+  assert.is((await fleet.servers()).length, 35);
+  assert.ok(fleet.kv.fleets.length - writes <= 5, `${fleet.kv.fleets.length - writes} writes`);
+});
+
 // Guards against an instance that is removed although the list was merely unreadable or late.
 test("a server listed as leaving takes no work and returns when it is listed as live", async () => {
   const fleet = new PlannedFleet();
