fix(requests): report an attempt that cannot be resolved by its deadline as unknown

Cause: an offer whose reply was lost and whose peer was killed kept a non-idempotent request pending for the whole idempotency window (1 h), because only that peer could say what became of it. Ruled out: a lost record; the home answered pending for 90 s after healing.

--- a/src/coordination/attempt-tracker.ts
+++ b/src/coordination/attempt-tracker.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../platform/clock.ts";
 import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
+import type { RequestRecord } from "../state/request-record.ts";
 import type { FleetView, HeldServers, Peers, TaskStatus } from "./ports.ts";
 import { waitAtMost } from "./wait.ts";
 import type { StartOutcome } from "./work.ts";
@@ -10,8 +11,10 @@
 /** First question after the reply of a peer was lost. */
 const LOST_REPLY_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 1000;
-/** Unanswered questions after which an idempotent request is tried elsewhere; its server's lease
- * has lapsed by then. */
+/**
+ * Unanswered questions after which an attempt is given up: at once if the request is idempotent,
+ * which is tried elsewhere when its server's lease has lapsed, otherwise once its deadline passed.
+ */
 const UNANSWERED_LIMIT = 3;
 /** Peers remember offers for twice this time; afterwards their answer would not be certain. */
 const OFFER_QUESTION_MS = 60_000;
@@ -56,7 +59,7 @@
   async follow(
     outcome: PlacedOutcome,
     result: Promise<AttemptEnd>,
-    idempotent: boolean,
+    { idempotent, deadline }: Pick<RequestRecord, "idempotent" | "deadline">,
   ): Promise<AttemptEnd> {
     const { clock, settings } = this.#options;
     const place = this.#place(outcome);
@@ -69,7 +72,8 @@
       if (status === "never-started") return this.#endOfUnstarted(place);
       if (status === "lost") return { kind: "lost" };
       unanswered = status === "not-holder" ? unanswered + 1 : 0;
-      if (idempotent && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
+      const mayGiveUp = idempotent || clock.now() >= deadline;
+      if (mayGiveUp && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
       if (clock.now() - place.since > settings.idempotencyWindowMs) return { kind: "lost" };
     }
   }
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -114,7 +114,7 @@
     active.place = outcome;
     record.state = { kind: "pending", started: true };
     if (isCancelled(record)) void this.#stop(outcome);
-    const end = await this.#options.tracker.follow(outcome, early, record.idempotent);
+    const end = await this.#options.tracker.follow(outcome, early, record);
     active.place = undefined;
     if (end.kind === "never-started") this.#releaseOwn(record, outcome);
     return this.#ended(record, active, end);
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -181,6 +181,22 @@
   assert.ok(calls >= 2 && calls <= 20, `${calls} calls`);
 });
 
+// Guards against a request without an outcome because the peer that may have run it is gone.
+test("an offer without a reply becomes unknown after the deadline, until a result arrives", async () => {
+  const { clock, first, second } = pair({ second: 2 });
+  second.held.runMs = 10_000;
+  gossip(first, second);
+  first.peers.rule = () => (second.held.started.length === 0 ? "lose-reply" : "not-sent");
+  const order = fixtureRequest({ timeoutMs: 2000 });
+  const pending = await first.path.requests.submit(order, "async");
+  const { requestId } = pending as { readonly requestId: string };
+  await clock.advance(7000);
+  const ask = () => onClock(clock, first.path.requests.query(requestId, "key-red", 0));
+  assert.is(summary(await ask()), "outcome_unknown ran=unknown");
+  await clock.advance(5000);
+  assert.is(summary(await ask()), "answer");
+});
+
 // Guards against a shutdown that cuts requests or refuses them untruthfully.
 test("a shutdown hands queued work to peers and finishes running requests", async () => {
   const { clock, first, second } = pair({ first: 1, second: 1 });
