test(fuzz): reach maintenance waves, duties and isolated zones

Change: instances were rebooted an hour ago; the duties' real names; new commands startTightWave, isolateZone and withdrawDuringIsolation.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -1,8 +1,11 @@
 import fc from "fast-check";
+import type { Order } from "../callers.ts";
+import { GROUP, TEAMS } from "../fleet-plan.ts";
 import type { World } from "../world.ts";
 import { command, type FuzzCommand } from "./command.ts";
 
 const index = fc.nat({ max: 11 });
+const DUTIES = [`planner-${GROUP}`, `planner-${GROUP}`, "reclaim-a", "reclaim-b"] as const;
 
 /** Ends a process and starts another one with empty memory in its place after the delay. */
 function replaceLater(world: World, entry: number, afterMs: number): void {
@@ -34,6 +37,36 @@
   });
 }
 
+/** Cuts a zone from the platform and from every other zone. */
+function isolateZone(world: World, index: number, ms: number, held: boolean): void {
+  const zone = world.zone(index);
+  cutFor(world, `zone:${zone}`, "platform", ms, held);
+  for (const other of world.zones) {
+    if (other !== zone) cutFor(world, `zone:${zone}`, `zone:${other}`, ms, held);
+  }
+}
+
+/** Withdraws a key that an isolated zone cannot hear of, and then uses it everywhere. */
+async function withdrawDuringIsolation(world: World, index: number, team: string): Promise<void> {
+  isolateZone(world, index, 15_000, false);
+  const key = world.operators.validKey(team);
+  world.background(world.operators.withdrawKey(team));
+  await world.advance(8000);
+  for (const slot of world.slots) {
+    const order: Order = {
+      queue: "plans",
+      team,
+      key,
+      idempotencyKey: undefined,
+      priority: "normal",
+      neverTwice: false,
+      timeoutMs: 2000,
+      job: world.callers.newJob(),
+    };
+    world.callers.submit(order, slot, "sync");
+  }
+}
+
 const durationMs = fc.constantFrom(200, 1000, 5000, 12_000, 30_000);
 const pauseMs = fc.constantFrom(500, 3000, 6000, 20_000);
 const late = fc.boolean();
@@ -76,7 +109,7 @@
     }),
   ),
   fc.tuple(index, pauseMs).map(command("pause", pause)),
-  fc.tuple(fc.constantFrom("planner"), pauseMs).map(command("pauseHolder", pauseHolder)),
+  fc.tuple(fc.constantFrom(...DUTIES), pauseMs).map(command("pauseHolder", pauseHolder)),
 ];
 
 const linkFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
@@ -91,6 +124,10 @@
       cutFor(world, `zone:${world.zone(zone)}`, "platform", ms, held);
     }),
   ),
+  fc.tuple(index, durationMs, late).map(command("isolateZone", isolateZone)),
+  fc
+    .tuple(index, fc.constantFrom(...TEAMS))
+    .map(command("withdrawDuringIsolation", withdrawDuringIsolation)),
   fc.tuple(index, index, durationMs, late).map(
     command("cutEntries", (world: World, a: number, b: number, ms: number, held: boolean) => {
       if (world.slot(a) !== world.slot(b)) {
--- a/test/fuzz/commands/operators.ts
+++ b/test/fuzz/commands/operators.ts
@@ -33,11 +33,29 @@
 
 /** Makes maintenance due for every instance now, or turns it off. */
 function setMaintenance(world: World, on: boolean): void {
-  const edit: Edit = (doc) => ({
+  world.background(world.operators.apply(maintenanceEdit(on)));
+}
+
+function maintenanceEdit(on: boolean): Edit {
+  return (doc) => ({
     ...doc,
     maintenance: { ...doc.maintenance, everyDays: on ? 0.0002 : 0, maxParallel: 2 },
   });
+}
+
+/** Starts a maintenance wave under an availability budget that nearly or wholly forbids it. */
+async function startTightWave(world: World, spared: number): Promise<void> {
+  const edit: Edit = (doc) => {
+    const due = maintenanceEdit(true)(doc);
+    const pools = due.pools.map((pool) =>
+      pool.name === "main"
+        ? { ...pool, minAvailable: Math.max(0, world.zones.length * 2 - spared) }
+        : pool,
+    );
+    return { ...due, pools };
+  };
   world.background(world.operators.apply(edit));
+  await world.advance(8000);
 }
 
 /** Commands of operators. */
@@ -61,4 +79,6 @@
   fc.tuple(fc.boolean()).map(command("resize", resize)),
   fc.tuple(fc.constantFrom(1, 2, 3, 4)).map(command("setMinAvailable", setMinAvailable)),
   fc.tuple(fc.constantFrom(true, true, false)).map(command("setMaintenance", setMaintenance)),
+  fc.tuple(fc.constantFrom(0, 1, 2)).map(command("startTightWave", startTightWave)),
+  fc.tuple(fc.constantFrom(0, 1, 2)).map(command("startTightWave", startTightWave)),
 ];
--- a/test/fuzz/fleet-plan.ts
+++ b/test/fuzz/fleet-plan.ts
@@ -66,8 +66,9 @@
     pool: poolOf(instance as ListedInstance, zones),
     state: "serving",
     epoch: 1,
-    rebootedAt: wallTime,
-    since: wallTime,
+    // Long ago, because the failure of a freshly rebooted instance pauses a maintenance wave.
+    rebootedAt: wallTime - 3_600_000,
+    since: wallTime - 3_600_000,
   }));
 }
 
--- a/test/fuzz/operator-desk.ts
+++ b/test/fuzz/operator-desk.ts
@@ -66,6 +66,12 @@
     return clear;
   }
 
+  /** The key that {@link withdrawKey} would withdraw, in the clear. */
+  validKey(team: string): string | undefined {
+    const at = (this.#keyIds.get(team) ?? []).findIndex((one) => !this.#withdrawn.has(one));
+    return this.keys.get(team)?.[at];
+  }
+
   /** Withdraws the team's oldest key that is still valid. */
   async withdrawKey(team: string): Promise<void> {
     const id = (this.#keyIds.get(team) ?? []).find((one) => !this.#withdrawn.has(one));
