test(fuzz): delay a planner's write past its successor's decisions

Change: the new command delayPlannerWrite cuts the duty holder off from a slow platform and delivers its write after its successor has decided.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -3,6 +3,7 @@
 import { GROUP, TEAMS } from "../fleet-plan.ts";
 import type { World } from "../world.ts";
 import { command, type FuzzCommand } from "./command.ts";
+import { resize } from "./operators.ts";
 
 const index = fc.nat({ max: 11 });
 const DUTIES = [`planner-${GROUP}`, `planner-${GROUP}`, "reclaim-a", "reclaim-b"] as const;
@@ -99,6 +100,23 @@
   if (holder !== undefined) pause(world, holder.index - 1, ms);
 }
 
+/**
+ * Holds a write of the planner back while its successor decides, and delivers it afterwards. The
+ * platform is slow first, so that a write is likely to be on its way when the link is cut.
+ */
+async function delayPlannerWrite(world: World, fromMain: boolean): Promise<void> {
+  resize(world, fromMain);
+  world.links.slow("platform", 800);
+  world.disturb(20_000);
+  await world.advance(1500);
+  const holder = await world.dutyHolder(`planner-${GROUP}`);
+  if (holder !== undefined) cutFor(world, holder.tag, "platform", 14_000, true);
+  world.links.slow("platform", 0);
+  await world.advance(8000);
+  resize(world, !fromMain);
+  await world.advance(8000);
+}
+
 const processFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
   fc
     .tuple(index, fc.constantFrom(100, 3000, 10_000, 120_000))
@@ -109,6 +127,7 @@
     }),
   ),
   fc.tuple(index, pauseMs).map(command("pause", pause)),
+  fc.tuple(fc.boolean()).map(command("delayPlannerWrite", delayPlannerWrite)),
   fc.tuple(fc.constantFrom(...DUTIES), pauseMs).map(command("pauseHolder", pauseHolder)),
 ];
 
--- a/test/fuzz/commands/operators.ts
+++ b/test/fuzz/commands/operators.ts
@@ -11,7 +11,7 @@
 }
 
 /** Moves one instance's worth of target between the two working pools. */
-function resize(world: World, fromMain: boolean): void {
+export function resize(world: World, fromMain: boolean): void {
   const edit: Edit = (doc) => ({
     ...doc,
     pools: doc.pools.map((pool) => {
