test(fuzz): lose start replies under short deadlines, late fleet writes

Change: the new command loseStartReplies; in the mutant fleet-without-cas writes of fleet documents also come up to 6 s late, which only the compare-and-swap withstands.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -53,18 +53,26 @@
   const key = world.operators.validKey(team);
   world.background(world.operators.withdrawKey(team));
   await world.advance(8000);
+  submitEverywhere(world, { queue: "plans", team, key, timeoutMs: 2000 });
+}
+
+/** Loses the servers' replies while requests with short deadlines are started. */
+function loseStartReplies(world: World, team: string, queue: string, timeoutMs: number): void {
+  world.links.loseReplies("server", 1);
+  world.disturb(3000);
+  world.clock.schedule(3000, () => {
+    world.links.loseReplies("server", 0);
+  });
+  submitEverywhere(world, { queue, team, key: world.operators.validKey(team), timeoutMs });
+}
+
+function submitEverywhere(
+  world: World,
+  order: Pick<Order, "queue" | "team" | "key" | "timeoutMs">,
+): void {
+  const rest = { idempotencyKey: undefined, priority: "normal", neverTwice: false } as const;
   for (const slot of world.slots) {
-    const order: Order = {
-      queue: "plans",
-      team,
-      key,
-      idempotencyKey: undefined,
-      priority: "normal",
-      neverTwice: false,
-      timeoutMs: 2000,
-      job: world.callers.newJob(),
-    };
-    world.callers.submit(order, slot, "sync");
+    world.callers.submit({ ...order, ...rest, job: world.callers.newJob() }, slot, "sync");
   }
 }
 
@@ -107,14 +115,14 @@
 async function delayPlannerWrite(world: World, fromMain: boolean): Promise<void> {
   resize(world, fromMain);
   world.links.slow("platform", 800);
-  world.disturb(20_000);
+  world.disturb(32_000);
   await world.advance(1500);
   const holder = await world.dutyHolder(`planner-${GROUP}`);
-  if (holder !== undefined) cutFor(world, holder.tag, "platform", 14_000, true);
+  if (holder !== undefined) cutFor(world, holder.tag, "platform", 26_000, true);
   world.links.slow("platform", 0);
-  await world.advance(8000);
+  await world.advance(14_000);
   resize(world, !fromMain);
-  await world.advance(8000);
+  await world.advance(14_000);
 }
 
 const processFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
@@ -147,6 +155,13 @@
   fc
     .tuple(index, fc.constantFrom(...TEAMS))
     .map(command("withdrawDuringIsolation", withdrawDuringIsolation)),
+  fc
+    .tuple(
+      fc.constantFrom(...TEAMS),
+      fc.constantFrom("plans", "orders"),
+      fc.constantFrom(300, 1100, 2000),
+    )
+    .map(command("loseStartReplies", loseStartReplies)),
   fc.tuple(index, index, durationMs, late).map(
     command("cutEntries", (world: World, a: number, b: number, ms: number, held: boolean) => {
       if (world.slot(a) !== world.slot(b)) {
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -37,6 +37,22 @@
   }
 }
 
+/** Holds writes of fleet documents back, which a compare-and-swap withstands. */
+class LateFleetWrites extends ForwardingKeyValue {
+  readonly #parts: EntryParts;
+
+  constructor(parts: EntryParts) {
+    super({ inner: parts.keyValue });
+    this.#parts = parts;
+  }
+
+  override async put(put: KvPut): Promise<Result<number, KvError>> {
+    const { clock, random } = this.#parts;
+    if (put.key.startsWith("fleet/")) await clock.sleep(random.next() * 6000);
+    return this.inner.put(put);
+  }
+}
+
 /** Shows one entry instance another configuration than the stored one. */
 class OtherConfig extends ForwardingKeyValue {
   readonly #change: (doc: ConfigDocument) => ConfigDocument;
@@ -177,8 +193,9 @@
   {
     name: "fleet-without-cas",
     property: "one-pool",
-    detail: "writes of fleet documents ignore the expected revision",
+    detail: "writes of fleet documents come late and ignore the expected revision",
     store: (store) => new LastWriterWins(store, "fleet/"),
+    parts: (parts) => ({ ...parts, keyValue: new LateFleetWrites(parts) }),
   },
   {
     name: "freshness-off",
