--- a/src/coordination/attempt-tracker.ts
+++ b/src/coordination/attempt-tracker.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../platform/clock.ts";
 import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
+import type { RequestRecord } from "../state/request-record.ts";
 import type { FleetView, HeldServers, Peers, TaskStatus } from "./ports.ts";
 import { waitAtMost } from "./wait.ts";
 import type { StartOutcome } from "./work.ts";
@@ -10,7 +11,10 @@
 /** First question after the reply of a peer was lost. */
 const LOST_REPLY_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 1000;
-/** Unanswered questions after which an attempt may count as lost; its lease has lapsed by then. */
+/**
+ * Unanswered questions after which an attempt is given up: at once if the request is idempotent,
+ * which is tried elsewhere when its server's lease has lapsed, otherwise once its deadline passed.
+ */
 const UNANSWERED_LIMIT = 3;
 /** Times that an attempt may be stated as finished before its result counts as lost. */
 const FINISHED_LIMIT = 15;
@@ -62,7 +66,7 @@
   async follow(
     outcome: PlacedOutcome,
     result: Promise<AttemptEnd>,
-    { idempotent, deadline }: { readonly idempotent: boolean; readonly deadline: number },
+    { idempotent, deadline }: Pick<RequestRecord, "idempotent" | "deadline">,
   ): Promise<AttemptEnd> {
     const { clock } = this.#options;
     const place = this.#place(outcome);
--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -1,8 +1,12 @@
 import fc from "fast-check";
+import type { Order } from "../callers.ts";
+import { GROUP, TEAMS } from "../fleet-plan.ts";
 import type { World } from "../world.ts";
 import { command, type FuzzCommand } from "./command.ts";
+import { resize } from "./operators.ts";
 
 const index = fc.nat({ max: 11 });
+const DUTIES = [`planner-${GROUP}`, `planner-${GROUP}`, "reclaim-a", "reclaim-b"] as const;
 
 /** Ends a process and starts another one with empty memory in its place after the delay. */
 function replaceLater(world: World, entry: number, afterMs: number): void {
@@ -34,6 +38,44 @@
   });
 }
 
+/** Cuts a zone from the platform and from every other zone. */
+function isolateZone(world: World, index: number, ms: number, held: boolean): void {
+  const zone = world.zone(index);
+  cutFor(world, `zone:${zone}`, "platform", ms, held);
+  for (const other of world.zones) {
+    if (other !== zone) cutFor(world, `zone:${zone}`, `zone:${other}`, ms, held);
+  }
+}
+
+/** Withdraws a key that an isolated zone cannot hear of, and then uses it everywhere. */
+async function withdrawDuringIsolation(world: World, index: number, team: string): Promise<void> {
+  isolateZone(world, index, 15_000, false);
+  const key = world.operators.validKey(team);
+  world.background(world.operators.withdrawKey(team));
+  await world.advance(8000);
+  submitEverywhere(world, { queue: "plans", team, key, timeoutMs: 2000 });
+}
+
+/** Loses the servers' replies while requests with short deadlines are started. */
+function loseStartReplies(world: World, team: string, queue: string, timeoutMs: number): void {
+  world.links.loseReplies("server", 1);
+  world.disturb(3000);
+  world.clock.schedule(3000, () => {
+    world.links.loseReplies("server", 0);
+  });
+  submitEverywhere(world, { queue, team, key: world.operators.validKey(team), timeoutMs });
+}
+
+function submitEverywhere(
+  world: World,
+  order: Pick<Order, "queue" | "team" | "key" | "timeoutMs">,
+): void {
+  const rest = { idempotencyKey: undefined, priority: "normal", neverTwice: false } as const;
+  for (const slot of world.slots) {
+    world.callers.submit({ ...order, ...rest, job: world.callers.newJob() }, slot, "sync");
+  }
+}
+
 const durationMs = fc.constantFrom(200, 1000, 5000, 12_000, 30_000);
 const pauseMs = fc.constantFrom(500, 3000, 6000, 20_000);
 const late = fc.boolean();
@@ -66,6 +108,23 @@
   if (holder !== undefined) pause(world, holder.index - 1, ms);
 }
 
+/**
+ * Holds a write of the planner back while its successor decides, and delivers it afterwards. The
+ * platform is slow first, so that a write is likely to be on its way when the link is cut.
+ */
+async function delayPlannerWrite(world: World, fromMain: boolean): Promise<void> {
+  resize(world, fromMain);
+  world.links.slow("platform", 800);
+  world.disturb(32_000);
+  await world.advance(1500);
+  const holder = await world.dutyHolder(`planner-${GROUP}`);
+  if (holder !== undefined) cutFor(world, holder.tag, "platform", 26_000, true);
+  world.links.slow("platform", 0);
+  await world.advance(14_000);
+  resize(world, !fromMain);
+  await world.advance(14_000);
+}
+
 const processFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
   fc
     .tuple(index, fc.constantFrom(100, 3000, 10_000, 120_000))
@@ -76,7 +135,8 @@
     }),
   ),
   fc.tuple(index, pauseMs).map(command("pause", pause)),
-  fc.tuple(fc.constantFrom("planner"), pauseMs).map(command("pauseHolder", pauseHolder)),
+  fc.tuple(fc.boolean()).map(command("delayPlannerWrite", delayPlannerWrite)),
+  fc.tuple(fc.constantFrom(...DUTIES), pauseMs).map(command("pauseHolder", pauseHolder)),
 ];
 
 const linkFaults: readonly fc.Arbitrary<FuzzCommand>[] = [
@@ -91,6 +151,17 @@
       cutFor(world, `zone:${world.zone(zone)}`, "platform", ms, held);
     }),
   ),
+  fc.tuple(index, durationMs, late).map(command("isolateZone", isolateZone)),
+  fc
+    .tuple(index, fc.constantFrom(...TEAMS))
+    .map(command("withdrawDuringIsolation", withdrawDuringIsolation)),
+  fc
+    .tuple(
+      fc.constantFrom(...TEAMS),
+      fc.constantFrom("plans", "orders"),
+      fc.constantFrom(300, 1100, 2000),
+    )
+    .map(command("loseStartReplies", loseStartReplies)),
   fc.tuple(index, index, durationMs, late).map(
     command("cutEntries", (world: World, a: number, b: number, ms: number, held: boolean) => {
       if (world.slot(a) !== world.slot(b)) {
