test(transport): watch a key that contains a slash

Cause: removing the encoding of the key in the watch path was not noticed by any test. Change: the watch test uses the key with special characters. Ruled out: a separate test, because the behaviour is the same.

--- a/test/transport/http-key-value.test.ts
+++ b/test/transport/http-key-value.test.ts
@@ -87,12 +87,12 @@
 
 // Guards against a follower that misses a change, or takes a lapsed wait for a change.
 test("a watch wakes on a change and confirms an unchanged revision", async () => {
-  const revision = (await kv.put({ key: "k", value: "a", expectedRevision: 0 })).unwrap();
-  const unchanged = await kv.watch({ key: "k", afterRevision: revision, waitMs: 20 });
+  const revision = (await kv.put({ key: KEY, value: "a", expectedRevision: 0 })).unwrap();
+  const unchanged = await kv.watch({ key: KEY, afterRevision: revision, waitMs: 20 });
   assert.equal(unchanged.unwrap(), { changed: false });
-  const waiting = kv.watch({ key: "k", afterRevision: revision, waitMs: 10_000 });
-  const next = (await kv.put({ key: "k", value: "b", expectedRevision: revision })).unwrap();
-  const entry = { key: "k", value: "b", revision: next };
+  const waiting = kv.watch({ key: KEY, afterRevision: revision, waitMs: 10_000 });
+  const next = (await kv.put({ key: KEY, value: "b", expectedRevision: revision })).unwrap();
+  const entry = { key: KEY, value: "b", revision: next };
   assert.equal((await waiting).unwrap(), { changed: true, entry });
   assert.is(events.of("kv_call_watch"), 2);
 });
