test(transport): calls over connections that are cut at random bytes

Cause: whether a failed call was sent decides whether a request may be repeated, and single cases don't cover a cut at any point of a frame or of an HTTP message. Change: a proxy on loopback cuts connections at random in both directions; no call reported as not sent may have been processed, and none twice. Ruled out: an in-memory network for this, because the statement depends on the socket's own behaviour.

--- /dev/null
+++ b/test/transport/cut-connections.test.ts
@@ -0,0 +1,124 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import type { PeerConnection } from "../../src/platform/peer-transport.ts";
+import { SystemClock } from "../../src/platform/system-clock.ts";
+import type { Hello } from "../../src/protocol/peer-messages.ts";
+import { ConfigurableRunner } from "../../src/stand-ins/configurable-runner.ts";
+import { serveBackendServer } from "../../src/stand-ins/http-backend-server.ts";
+import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
+import { HttpBackendConnector } from "../../src/transport/http-backend-server.ts";
+import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
+import { taskSpec } from "../fakes/backend-fixtures.ts";
+import { CuttingProxy } from "../fakes/cutting-proxy.ts";
+import { EventLog } from "../fakes/event-log.ts";
+
+const test = suite("cut connections");
+const clock = new SystemClock();
+const SEEDS = [1, 2, 3, 4];
+const CALLS = 400;
+const CONCURRENT_CALLS = 8;
+const CUT_CHANCE = 0.05;
+
+/** Makes numbered calls, several at a time, and returns the outcome of each. */
+async function callAll(call: (n: number) => Promise<string>): Promise<readonly string[]> {
+  const outcomes: string[] = [];
+  let next = 0;
+  const worker = async (): Promise<void> => {
+    while (next < CALLS) {
+      const n = next++;
+      outcomes[n] = await call(n);
+    }
+  };
+  await Promise.all(Array.from({ length: CONCURRENT_CALLS }, worker));
+  return outcomes;
+}
+
+function portOf(address: string): number {
+  return Number(address.split(":").at(-1));
+}
+
+function hello(incarnation: string): Hello {
+  return { version: 1, incarnation, address: "127.0.0.1:0", zone: "z1", group: "g1" };
+}
+
+// Guards against a false statement that a call never reached the peer, and against a call that
+// is processed twice.
+test("a peer never processed a call that is reported as not sent", async () => {
+  for (const seed of SEEDS) {
+    const seen = new Map<string, number>();
+    const log = { error: (): void => undefined };
+    const transport = new TcpPeerTransport({ clock, counter: new EventLog(), log });
+    const listened = await transport.listen(hello("server"), (_from, req) => {
+      const id = req.type === "cancel" ? req.requestId : "";
+      seen.set(id, (seen.get(id) ?? 0) + 1);
+      return Promise.resolve({ type: "state", state: undefined });
+    });
+    listened.unwrap();
+    const proxy = new CuttingProxy(portOf(transport.address!), seed, CUT_CHANCE);
+    const address = await proxy.listen();
+    let peer: PeerConnection | undefined;
+    const outcomes = await callAll(async (n) => {
+      if (peer?.open !== true) {
+        const connected = await transport.connect(address, hello("client"));
+        if (connected.err) return connected.val.kind;
+        peer = connected.val;
+      }
+      const req = { type: "cancel", requestId: `r${n}`, team: undefined } as const;
+      const reply = await peer.call(req, 1000);
+      return reply.err ? reply.val.kind : "ok";
+    });
+    proxy.close();
+    await transport.close();
+    check(seed, outcomes, seen, "not-sent");
+    assert.ok(proxy.cuts > 0);
+  }
+});
+
+// Guards against the same towards a backend server, where it would run a job twice.
+test("a backend server never started a task whose start is reported as unreachable", async () => {
+  for (const seed of SEEDS) {
+    const seen = new Map<string, number>();
+    const runner = new ConfigurableRunner({ runMs: 0 });
+    const backend = new SimulatedBackendServer({
+      clock,
+      name: "s1",
+      slots: CALLS,
+      runner,
+      observe: (event, { requestId }) => {
+        if (event === "start") seen.set(requestId, (seen.get(requestId) ?? 0) + 1);
+      },
+    });
+    const { leaseId } = (await backend.acquireLease("e1", 60_000)).unwrap();
+    const server = serveBackendServer(clock, backend, runner);
+    const url = (await server.listen("127.0.0.1", 0)).unwrap();
+    const proxy = new CuttingProxy(portOf(url), seed, CUT_CHANCE);
+    const connector = new HttpBackendConnector({ clock });
+    const client = connector.connect(`http://${await proxy.listen()}`);
+    const outcomes = await callAll(async (n) => {
+      const started = await client.startTask(leaseId, taskSpec({ requestId: `r${n}` }));
+      return started.err ? started.val.kind : "ok";
+    });
+    await connector.close();
+    proxy.close();
+    await server.close();
+    backend.restart();
+    check(seed, outcomes, seen, "unreachable");
+    assert.ok(proxy.cuts > 0);
+  }
+});
+
+function check(
+  seed: number,
+  outcomes: readonly string[],
+  seen: ReadonlyMap<string, number>,
+  never: string,
+): void {
+  outcomes.forEach((outcome, n) => {
+    const times = seen.get(`r${n}`) ?? 0;
+    const allowed = outcome === "ok" ? [1] : outcome === never ? [0] : [0, 1];
+    assert.ok(allowed.includes(times), `seed ${seed}, call ${n}: ${outcome}, processed ${times}`);
+  });
+  assert.ok(outcomes.includes("ambiguous"), `seed ${seed}: no call was cut off`);
+}
+
+test.run();
