test(planner): random faults with three racing planners

Cause: two faults of the planner showed only under several faults at once. Change: servers and racks fail, servers fail tasks, the list lags, targets and windows change and planners pause; every write is checked, and after the faults every plan must end.

--- /dev/null
+++ b/test/coordination/planner-faults.test.ts
@@ -0,0 +1,101 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
+import { mayGo } from "../../src/state/fleet-transitions.ts";
+import { exampleConfig, exampleInstances, PlannedFleet } from "../fakes/planned-fleet.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+
+const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
+const ALL = exampleInstances();
+/** A few seeds; one takes 1.4 s. */
+const SEEDS = [1, 5, 17, 51];
+
+/** Brings one fault about, drawn by the seed; each ends by itself. */
+function disturb(fleet: PlannedFleet, draw: (count: number) => number): void {
+  const { name, rack } = ALL[draw(ALL.length)]!;
+  const add = (set: Set<string>, server: string, ms: number): void => {
+    set.add(server);
+    fleet.clock.schedule(ms, () => set.delete(server));
+  };
+  const pools = exampleConfig().pools.map((pool) => ({
+    ...pool,
+    targetSize: pool.minAvailable + draw(5),
+  }));
+  const faults: readonly (() => void)[] = [
+    () => {
+      add(fleet.health.down, name, draw(30_000));
+    },
+    () => {
+      add(fleet.health.failing, name, draw(30_000));
+    },
+    () => {
+      ALL.filter((i) => i.rack === rack).forEach((i) => {
+        add(fleet.health.down, i.name, 20_000);
+      });
+    },
+    () => {
+      add(fleet.list.missing, name, draw(60_000));
+    },
+    () => (fleet.config.document = exampleConfig({ pools })),
+    () => (fleet.config.document = exampleConfig({ maintenance: MAINTENANCE })),
+    () => (fleet.list.instances = ALL),
+    () =>
+      (fleet.list.instances = ALL.map((instance) =>
+        instance.name === name ? { ...instance, state: "leaving" } : instance,
+      )),
+  ];
+  faults[draw(faults.length)]!();
+}
+
+/** Checks each write against the one before it. */
+function checkWrites(writes: readonly FleetDocument[]): void {
+  for (const [index, { servers }] of writes.entries()) {
+    const former = writes[index - 1]?.servers ?? [];
+    assert.is(new Set(servers.map((server) => server.name)).size, servers.length);
+    for (const server of servers) {
+      const old = former.find((candidate) => candidate.name === server.name);
+      if (old === undefined || old.state === server.state) continue;
+      assert.ok(mayGo(old.state, server.state), `${old.state} to ${server.state}`);
+      if (server.state !== "draining" && server.state !== "quarantined") continue;
+      if (old.state !== "serving") continue;
+      const up = former.filter((s) => s.pool === old.pool && s.state === "serving").length;
+      const pool = exampleConfig().pools.find(({ name }) => name === old.pool)!;
+      assert.ok(up - 1 >= pool.minAvailable, `budget of ${old.pool}`);
+    }
+  }
+}
+
+// Guards against budgets broken by, and plans stuck after, faults that come together.
+for (const seed of SEEDS) {
+  test(`budgets hold under random faults and every plan ends after them, seed ${seed}`, async () => {
+    const random = new SeededRandom(seed);
+    const draw = (count: number): number => Math.floor(random.next() * count);
+    const fleet = new PlannedFleet();
+    if (draw(2) === 0) await fleet.seed();
+    fleet.drainMs = 500 + draw(8000);
+    fleet.rebootDownMs = draw(20_000);
+    fleet.startHolders();
+    const planners = [0, 1000, 2000].map((offset) => fleet.addPlanner(seed + offset));
+    for (let step = 0; step < 60; step++) {
+      if (draw(8) === 0) planners[draw(3)]!.store.paused = fleet.clock.sleep(draw(15_000));
+      else disturb(fleet, draw);
+      await fleet.clock.advance(2000);
+    }
+    fleet.list.instances = ALL;
+    fleet.config.document = exampleConfig({ maintenance: MAINTENANCE });
+    await fleet.clock.advance(60_000);
+    const { pools } = fleet.config.document;
+    const settled = (): boolean => {
+      const servers = fleet.kv.fleets.at(-1)?.servers ?? [];
+      return (
+        servers.length === ALL.length &&
+        servers.every((server) => server.state === "serving" && server.rebootedAt > 0) &&
+        pools.every((p) => servers.filter((s) => s.pool === p.name).length === p.targetSize)
+      );
+    };
+    await fleet.clock.until(settled, 1_800_000, 2000);
+    checkWrites(fleet.kv.fleets);
+  });
+}
+
+test.run();
