--- a/src/cli/dev-command.ts
+++ b/src/cli/dev-command.ts
@@ -3,7 +3,7 @@
 import { ENTRY_DEFAULTS, type EntrySettings } from "../settings/entry-settings.ts";
 import { formatProblem } from "../settings/problem.ts";
 import { readTemplate, type TemplateContent } from "../settings/template-file.ts";
-import { storedKey } from "../state/keys.ts";
+import { hashKey } from "../state/keys.ts";
 import type { CliContext, CliOptions, ExitCode } from "./context.ts";
 import { runCommand, textOption, UsageError } from "./context.ts";
 import { DevPlatform } from "./dev-platform.ts";
@@ -65,7 +65,7 @@
   { keyValue }: DevPlatform,
   content: TemplateContent,
 ): Promise<void> {
-  const key = storedKey(DEV_KEY, random.hex(16));
+  const key = hashKey(DEV_KEY, random.hex(16));
   const [first, ...others] = content.teams;
   const teams = first === undefined ? [] : [{ ...first, keys: [key] }, ...others];
   const document: ConfigDocument = {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { HttpEntryStatusReader } from "../transport/admin-client.ts";
 import { HttpInstanceList } from "../transport/http-instance-list.ts";
 import { HttpKeyValueService } from "../transport/http-key-value.ts";
+import { findUsageFault } from "./command-line.ts";
 import { addConfigCommands } from "./config-commands.ts";
 import { addDevCommand } from "./dev-command.ts";
 import { addEntryCommand } from "./entry-command.ts";
@@ -31,4 +32,9 @@
 addStatusCommands(program, ctx);
 addDevCommand(program, ctx);
 addStandInCommands(program);
-program.parse(process.argv);
+const fault = findUsageFault(program, process.argv.slice(2));
+if (fault === undefined) program.parse(process.argv);
+else {
+  ctx.printError(fault);
+  ctx.exit(2);
+}
--- a/src/coordination/entry-planner-support.ts
+++ b/src/coordination/entry-planner-support.ts
@@ -42,7 +42,7 @@
 
   async reboot(server: ServerRecord): Promise<Result<void, string>> {
     const { peers, held } = this.#options;
-    if (held.client(server.name) !== undefined) return this.#rebootHeld(server.name);
+    if (held.client(server.name) !== undefined) return this.#rebootOrdered(server.name);
     const holder = [...peers.gossip().values()].find(({ message }) =>
       message.held.includes(server.name),
     );
@@ -55,9 +55,7 @@
 
   /** Answers a planner that runs at another entry. */
   async handleReboot(server: string): Promise<AckReply> {
-    const state = this.#options.fleet.current()?.servers.find((one) => one.name === server)?.state;
-    if (state !== "rebooting") return { type: "ack", accepted: false };
-    const done = await this.#rebootHeld(server);
+    const done = await this.#rebootOrdered(server);
     return { type: "ack", accepted: done.ok };
   }
 
@@ -70,7 +68,10 @@
     return probe.err && probe.val.kind === "unreachable" && probe.val.detail.includes("REFUSED");
   }
 
-  async #rebootHeld(server: string): Promise<Result<void, string>> {
+  /** A planner that was paused may ask for a reboot that another has taken back since. */
+  async #rebootOrdered(server: string): Promise<Result<void, string>> {
+    const record = this.#options.fleet.current()?.servers.find((one) => one.name === server);
+    if (record?.state !== "rebooting") return Err("its record does not say rebooting");
     const client = this.#options.held.client(server);
     if (client === undefined) return Err("its lease is not held here");
     const done = await client.backend.reboot(client.leaseId);
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -22,13 +22,6 @@
 
 /** What is stored of a key, also of one that was chosen for a demonstration. */
 export function hashKey(clear: string, salt: string): KeyConfig {
-  const id = KEY_FORM.exec(clear)?.[1];
-  if (id === undefined) throw new Error("a key is an id, a dot and at least 8 characters");
-  return { id, salt, hash: digest(salt, clear).toString("hex") };
-}
-
-/** Stored form of a key that was not issued by {@link issueKey}, for development. */
-export function storedKey(clear: string, salt: string): KeyConfig {
   return { id: keyIdOf(clear), salt, hash: digest(salt, clear).toString("hex") };
 }
 
