fix(limits): give up a lease that is granted during a shutdown

Cause: a server whose lease was being acquired when the keeper stopped was held and renewed for ever by the stopped keeper. An incarnation that is replaced within its process left such a server without a usable holder. Change: a closed lease gives a late grant back. The state of a tenure is a module of its own. Ruled out: waiting for acquisitions at shutdown, which may take a timeout.

--- a/src/coordination/server-driver.ts
+++ b/src/coordination/server-driver.ts
@@ -61,7 +61,7 @@
   /** Ends the attempts and gives the lease up in favour of a successor. */
   async stop(successor: string | undefined): Promise<void> {
     this.#stopped.abort();
-    await this.lease.release(successor);
+    await this.lease.close(successor);
   }
 
   /** Hands the server over if another entry has been preferred for a while. */
--- a/src/coordination/server-lease.ts
+++ b/src/coordination/server-lease.ts
@@ -15,6 +15,7 @@
 import { isValid, type LeaseCoverage, type Validity } from "./lease-coverage.ts";
 import type { Counters, StartError, TaskStatus } from "./ports.ts";
 import { notStartedReason, outcomeOf } from "./start-outcome.ts";
+import { isLost, newTenure, type Tenure } from "./tenure.ts";
 
 /** Part of the time to live that a holder relies on; the rest allows for clock drift. */
 const VALID_PART = 0.9;
@@ -44,21 +45,12 @@
   readonly onChange: () => void;
 }
 
-interface Tenure {
-  readonly lost: AbortController;
-  /** Aborted to end the present pause between renewals. */
-  hurry: AbortController;
-  readonly startedAt: number;
-  leaseId: string;
-  validity: Validity;
-  adopted: boolean;
-}
-
 /** Holds the lease of one server while asked to. */
 export class ServerLease {
   readonly tasks: ServerTasks;
   readonly #options: ServerLeaseOptions;
   #tenure: Tenure | undefined;
+  #closed = false;
   #releasing = false;
   #release: Promise<void> | undefined;
   #leaving = false;
@@ -112,15 +104,12 @@
     const grant = await this.#acquire();
     if (!grant.ok) return grant.val;
     const { validity, leaseId, bootId } = grant.val;
-    const { clock, coverage, name } = this.#options;
-    const tenure: Tenure = {
-      lost: new AbortController(),
-      hurry: new AbortController(),
-      startedAt: clock.now(),
-      leaseId,
-      validity,
-      adopted: false,
-    };
+    const { clock, coverage, name, backend } = this.#options;
+    if (this.#closed) {
+      await backend.releaseLease(leaseId);
+      return undefined;
+    }
+    const tenure = newTenure(clock.now(), leaseId, validity);
     this.#tenure = tenure;
     this.#releasing = false;
     this.#leaving = false;
@@ -136,6 +125,12 @@
     return undefined;
   }
 
+  /** Releases the lease for good; one that is being acquired meanwhile is given up at once. */
+  close(successor: string | undefined): Promise<void> {
+    this.#closed = true;
+    return this.release(successor);
+  }
+
   /** Stops dispatch, waits for starts on their way and gives the lease up. */
   async release(successor: string | undefined): Promise<void> {
     const tenure = this.#tenure;
@@ -360,7 +355,3 @@
     return { until: clock.now() + validMs, wallUntil: clock.wallTime() + validMs };
   }
 }
-
-function isLost(tenure: Tenure): boolean {
-  return tenure.lost.signal.aborted;
-}
--- /dev/null
+++ b/src/coordination/tenure.ts
@@ -0,0 +1,24 @@
+import type { Validity } from "./lease-coverage.ts";
+
+/** Time during which a server is held without a break. */
+export interface Tenure {
+  /** Aborted when the lease is lost or released. */
+  readonly lost: AbortController;
+  /** Aborted to end the present pause between renewals. */
+  hurry: AbortController;
+  /** Monotonic time of the first grant's receipt in milliseconds. */
+  readonly startedAt: number;
+  leaseId: string;
+  validity: Validity;
+  /** True once the server's tasks were read under the present lease. */
+  adopted: boolean;
+}
+
+export function newTenure(startedAt: number, leaseId: string, validity: Validity): Tenure {
+  const [lost, hurry] = [new AbortController(), new AbortController()];
+  return { lost, hurry, startedAt, leaseId, validity, adopted: false };
+}
+
+export function isLost(tenure: Tenure): boolean {
+  return tenure.lost.signal.aborted;
+}
--- a/test/coordination/leases.test.ts
+++ b/test/coordination/leases.test.ts
@@ -85,4 +85,22 @@
   );
 });
 
+// Guards against a lease that a stopped incarnation, still part of the process, renews for ever
+// because its grant was on the way when it stopped.
+test("a lease granted during a shutdown is not kept", async () => {
+  const cluster = new Cluster({ servers: 1 });
+  const server = cluster.servers.get("a0")!;
+  const e1 = cluster.add("e1");
+  let granted = 0;
+  const acquire = server.acquireLease.bind(server);
+  server.acquireLease = (holder, ttlMs) => {
+    granted++;
+    if (holder === "e1") void e1.leases.shutdown();
+    return acquire(holder, ttlMs);
+  };
+  await cluster.clock.until(() => granted > 0);
+  await cluster.clock.advance(500);
+  assert.ok((await server.acquireLease("other", 1000)).ok);
+});
+
 test.run();
