--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -103,7 +103,7 @@
     const shared = { ...base, store, peers, fleet, homes, config, coverage, charges, membership };
     const keeperOptions = { ...shared, connector: backends, records, onRetired };
     const leases = new LeaseKeeper(keeperOptions);
-    const budgets = new BudgetKeeper(keeperOptions);
+    const budgets = new BudgetKeeper({ ...keeperOptions, held: leases });
     const homeKeeper = new HomeKeeper(keeperOptions);
     const proof = new FencingProof({ ...shared, leases });
     this.path = new RequestPath({
@@ -195,6 +195,7 @@
 
   /** Ends every loop at once; running tasks stay on their servers. */
   async stop(): Promise<void> {
+    this.path.abandon();
     this.#shares.stop();
     this.#planner.stop();
     for (const duty of this.#duties) void duty.stop();
--- a/src/coordination/entry-instance.ts
+++ b/src/coordination/entry-instance.ts
@@ -59,10 +59,7 @@
     });
   }
 
-  /**
-   * The former incarnation's request path is left to answer its callers: without leases it starts
-   * nothing, and each caller learns by its deadline what is known.
-   */
+  /** The former incarnation tells its callers that the outcome is unknown. */
   async #restart(): Promise<void> {
     if (this.#stopped) return;
     const { clock, log, counters } = this.#parts;
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -128,6 +128,16 @@
     await this.#options.clock.sleep(SHUTDOWN_POLL_MS);
   }
 
+  /**
+   * Ends at once. Callers are told that the outcome is unknown, also of queued requests: the next
+   * home of a retired incarnation may run a repetition of them.
+   */
+  abandon(): void {
+    this.requests.stop();
+    this.requests.answerWaiting();
+    this.#dispatcher.close();
+  }
+
   /** A whole shutdown. */
   async shutdown(timeoutMs: number): Promise<void> {
     await this.drain(timeoutMs);
