--- a/src/coordination/attempt-tracker.ts
+++ b/src/coordination/attempt-tracker.ts
@@ -1,7 +1,6 @@
 import type { Clock } from "../platform/clock.ts";
 import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
-import type { RequestRecord } from "../state/request-record.ts";
 import type { FleetView, HeldServers, Peers, TaskStatus } from "./ports.ts";
 import { waitAtMost } from "./wait.ts";
 import type { StartOutcome } from "./work.ts";
@@ -11,11 +10,10 @@
 /** First question after the reply of a peer was lost. */
 const LOST_REPLY_INTERVAL_MS = 500;
 const CALL_TIMEOUT_MS = 1000;
-/**
- * Unanswered questions after which an attempt is given up: at once if the request is idempotent,
- * which is tried elsewhere when its server's lease has lapsed, otherwise once its deadline passed.
- */
+/** Unanswered questions after which an attempt may count as lost; its lease has lapsed by then. */
 const UNANSWERED_LIMIT = 3;
+/** Times that an attempt may be stated as finished before its result counts as lost. */
+const FINISHED_LIMIT = 15;
 /** Peers remember offers for twice this time; afterwards their answer would not be certain. */
 const OFFER_QUESTION_MS = 60_000;
 
@@ -25,7 +23,9 @@
   /** Certain. */
   | { readonly kind: "never-started" }
   /** It ran at least in part, or nobody knows whether it did; no result will come. */
-  | { readonly kind: "lost" };
+  | { readonly kind: "lost" }
+  /** The request has another home by now, which takes the result. */
+  | { readonly kind: "moved" };
 
 /** Outcomes after which an attempt may be running. */
 export type PlacedOutcome = Extract<StartOutcome, { readonly kind: "started" | "ambiguous" }>;
@@ -33,7 +33,7 @@
 /** Options of {@link AttemptTracker}. */
 export interface AttemptTrackerOptions {
   readonly clock: Clock;
-  readonly settings: Pick<EntrySettings, "resultRetentionMs" | "idempotencyWindowMs">;
+  readonly settings: Pick<EntrySettings, "resultRetentionMs">;
   readonly held: HeldServers;
   readonly peers: Peers;
   readonly fleet: FleetView;
@@ -55,15 +55,19 @@
     this.#options = options;
   }
 
-  /** Waits for the result, and asks for the attempt's status meanwhile. */
+  /**
+   * Waits for the result, and asks for the attempt's status meanwhile. An attempt that nobody can
+   * tell about counts as lost, at once if it may be repeated, else from its request's deadline on.
+   */
   async follow(
     outcome: PlacedOutcome,
     result: Promise<AttemptEnd>,
-    { idempotent, deadline }: Pick<RequestRecord, "idempotent" | "deadline">,
+    { idempotent, deadline }: { readonly idempotent: boolean; readonly deadline: number },
   ): Promise<AttemptEnd> {
-    const { clock, settings } = this.#options;
+    const { clock } = this.#options;
     const place = this.#place(outcome);
     let unanswered = 0;
+    let finished = 0;
     for (;;) {
       const interval = place.server === undefined ? LOST_REPLY_INTERVAL_MS : STATUS_INTERVAL_MS;
       const end = await waitAtMost(clock, result, interval);
@@ -71,13 +75,20 @@
       const status = await this.#status(place);
       if (status === "never-started") return this.#endOfUnstarted(place);
       if (status === "lost") return { kind: "lost" };
+      finished = status === "finished" ? finished + 1 : 0;
+      if (finished >= FINISHED_LIMIT) return { kind: "lost" };
       unanswered = status === "not-holder" ? unanswered + 1 : 0;
-      const mayGiveUp = idempotent || clock.now() >= deadline;
-      if (mayGiveUp && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
-      if (clock.now() - place.since > settings.idempotencyWindowMs) return { kind: "lost" };
+      const decided = idempotent || clock.now() >= deadline;
+      if (decided && unanswered >= UNANSWERED_LIMIT) return { kind: "lost" };
     }
   }
 
+  /** Waits for the result of an attempt whose server is not known here. */
+  async await(result: Promise<AttemptEnd>, untilMs: number): Promise<AttemptEnd> {
+    const { clock } = this.#options;
+    return (await waitAtMost(clock, result, untilMs - clock.now())) ?? { kind: "lost" };
+  }
+
   /** Resolves an ambiguous start on a server held here; true if it certainly never started. */
   async neverStarted(outcome: PlacedOutcome): Promise<boolean> {
     const { clock, settings } = this.#options;
