fix(planner): drain only while enough servers are confirmed to be up

Cause: a server of a zone without contact counted as available, so the planner of one zone drained servers although a lost rack or isolated zone had already taken more than the availability budget allows. Servers without news still count as live elsewhere, so that a partition does not set off moves. Ruled out: a stale planner; the trace shows one holder and fresh writes.

--- a/src/coordination/held-health.ts
+++ b/src/coordination/held-health.ts
@@ -19,6 +19,8 @@
 export class HeldHealth extends FleetHealth {
   readonly #options: HeldHealthOptions;
   readonly #lastHeld = new Map<string, number>();
+  /** Like `#lastHeld`, but only from what entries stated. */
+  readonly #stated = new Map<string, number>();
 
   constructor(options: HeldHealthOptions) {
     super();
@@ -43,15 +45,22 @@
     return zone === undefined || !this.#zonesInContact().has(zone);
   }
 
+  override confirmed(server: string): boolean {
+    const now = this.#options.clock.now();
+    this.#observe(now);
+    return now - (this.#stated.get(server) ?? -Infinity) <= DOWN_AFTER_MS;
+  }
+
   bad(server: string): boolean {
     return this.#options.isBad(server);
   }
 
   #observe(now: number): void {
     const { held, peers } = this.#options;
-    for (const { name } of held.list()) this.#lastHeld.set(name, now);
-    for (const { message } of peers.gossip().values()) {
-      for (const name of message.held) this.#lastHeld.set(name, now);
+    const stated = [...peers.gossip().values()].flatMap(({ message }) => message.held);
+    for (const name of [...held.list().map((server) => server.name), ...stated]) {
+      this.#lastHeld.set(name, now);
+      this.#stated.set(name, now);
     }
   }
 
--- a/src/state/fleet-situation.ts
+++ b/src/state/fleet-situation.ts
@@ -10,6 +10,10 @@
 
   /** False if the server is known to be down; a server of which nothing is known is live. */
   abstract live(server: string): boolean;
+  /** True only if somebody stated lately that the server is up; needed before a planned drain. */
+  confirmed(server: string): boolean {
+    return this.live(server);
+  }
   /** True if tasks fail on the server that succeed elsewhere. */
   abstract bad(server: string): boolean;
 }
@@ -133,11 +137,17 @@
  * A server that is not available costs nothing.
  */
 export function checkBudget(situation: FleetSituation, server: ServerRecord): BudgetCheck {
-  const now = available(situation, server.pool);
+  const { health, servers } = situation;
   const minAvailable = poolOf(situation, server.pool)?.minAvailable ?? 0;
-  const figures = { available: now, minAvailable };
+  // Servers of a zone without contact may be down, so they do not allow another drain.
+  const confirmed = servers.filter(
+    (each) =>
+      each.pool === server.pool && isAvailable(situation, each) && health.confirmed(each.name),
+  );
+  const figures = { available: confirmed.length, minAvailable };
   if (!isAvailable(situation, server)) return { allowed: true, figures };
-  return { allowed: now - 1 >= minAvailable, figures };
+  const left = confirmed.filter((each) => each.name !== server.name).length;
+  return { allowed: left >= minAvailable, figures };
 }
 
 /** Servers that are or will be in the pool and can be counted on. */
