--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -66,6 +66,14 @@
   submitEverywhere(world, { queue, team, key: world.operators.validKey(team), timeoutMs });
 }
 
+/** Holds starts of an entry instance back until another one may have taken its servers. */
+async function delayStarts(world: World, entry: number, team: string, ms: number): Promise<void> {
+  const key = world.operators.validKey(team);
+  submitEverywhere(world, { queue: "orders", team, key, timeoutMs: 30_000 });
+  await world.advance(0);
+  cutFor(world, world.slot(entry).tag, "server", ms, true);
+}
+
 function submitEverywhere(
   world: World,
   order: Pick<Order, "queue" | "team" | "key" | "timeoutMs">,
@@ -155,6 +163,9 @@
   fc
     .tuple(index, fc.constantFrom(...TEAMS))
     .map(command("withdrawDuringIsolation", withdrawDuringIsolation)),
+  fc
+    .tuple(index, fc.constantFrom(...TEAMS), fc.constantFrom(8000, 15_000))
+    .map(command("delayStarts", delayStarts)),
   fc
     .tuple(
       fc.constantFrom(...TEAMS),
--- a/test/fuzz/commands/requests.ts
+++ b/test/fuzz/commands/requests.ts
@@ -100,6 +100,23 @@
   if (order !== undefined) world.callers.submit(order, world.slot(entry), mode);
 }
 
+/** Sends a booking under an order number, and the same again after it has ended. */
+async function repeatOrder(world: World, entry: number, team: string): Promise<void> {
+  const order: Order = {
+    queue: "orders",
+    team,
+    key: world.operators.validKey(team),
+    idempotencyKey: `order-${Math.floor(world.random.next() * 1e9)}`,
+    priority: "normal",
+    neverTwice: false,
+    timeoutMs: 2000,
+    job: world.callers.newJob(20),
+  };
+  world.callers.submit(order, world.slot(entry), "sync");
+  await world.advance(2500);
+  world.callers.submit(order, world.slot(entry + 1), "sync");
+}
+
 const mode = fc.constantFrom<"sync" | "async">("sync", "async");
 
 /** Commands of callers. */
@@ -107,6 +124,7 @@
   fc.tuple(draft).map(command("submit", send)),
   fc.tuple(draft).map(command("submit", send)),
   fc.tuple(fc.nat({ max: 5 }), index, mode).map(command("retry", retry)),
+  fc.tuple(index, fc.constantFrom(...TEAMS)).map(command("repeatOrder", repeatOrder)),
   fc.tuple(index, fc.constantFrom(1, 20)).map(
     command("cancel", (world: World, entry: number, count: number) => {
       world.callers.cancel(world.slot(entry), count);
--- /dev/null
+++ b/test/fuzz/fuzz.test.ts
@@ -0,0 +1,18 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { QUIET_LOG } from "../fakes/quiet.ts";
+import { fuzz } from "./campaign.ts";
+import { entryFactory } from "./product.ts";
+
+// A short campaign for every change; longer ones run with `npm run fuzz`.
+const SEEDS = [1, 2];
+const RUNS = 4;
+
+for (const seed of SEEDS) {
+  test(`no guarantee is violated in ${RUNS} runs of seed ${seed}`, async () => {
+    const { failure } = await fuzz({ seed, runs: RUNS, factory: entryFactory, log: QUIET_LOG });
+    assert.is(failure, undefined, JSON.stringify(failure, undefined, 2));
+  });
+}
+
+test.run();
