--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -23,12 +23,12 @@
 ] as const;
 
 export const TEAMS = [
-  { name: "head-office", share: 30, upperLimit: 280 },
-  { name: "north-schools", share: 25, upperLimit: 280 },
-  { name: "coast-schools", share: 20, upperLimit: 280 },
-  { name: "suppliers", share: 10, upperLimit: 280 },
-  { name: "certifiers", share: 10, upperLimit: 280 },
-  { name: "field-guides", share: 5, upperLimit: 280 },
+  { name: "head-office", share: 30, upperLimit: 120 },
+  { name: "north-schools", share: 25, upperLimit: 120 },
+  { name: "coast-schools", share: 20, upperLimit: 120 },
+  { name: "suppliers", share: 10, upperLimit: 48 },
+  { name: "certifiers", share: 10, upperLimit: 48 },
+  { name: "field-guides", share: 5, upperLimit: 48 },
 ] as const;
 
 /** API key of a team in the clear. */
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -55,7 +55,7 @@
   },
   full: {
     describe: "each of 6 teams asks for 36% of the fleet for 30 s, whatever its share",
-    loadMs: 14_000,
+    loadMs: 30_000,
     runMs: 1000,
     timeoutMs: 5000,
     rate: (_queue, _atMs, capacity) => 2.16 * capacity,
