fix(dispatch): urgent work of a borrowing pool goes before the spare pool's other work

Ruled out: serving the spare pool last, which lets borrowers' normal work starve its own. Conclusion: urgent precedence now holds across pools that share slots.

--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,5 +1,5 @@
 /** The fleet of the measurements: the size of Piedra Viva in section 1.2 of the design. */
-import { storedKey } from "../src/state/keys.ts";
+import { hashKey } from "../src/state/keys.ts";
 import type { ListedInstance } from "../src/platform/instance-list.ts";
 import type { ConfigDocument } from "../src/protocol/config-document.ts";
 import type { FleetDocument, ServerRecord } from "../src/protocol/fleet-document.ts";
@@ -89,7 +89,7 @@
     teams: TEAMS.map((team) => ({
       ...team,
       queues: [],
-      keys: [storedKey(keyOf(team.name), `salt-${team.name}`)],
+      keys: [hashKey(keyOf(team.name), `salt-${team.name}`)],
     })),
     maintenance: { startMinute: 0, endMinute: 1440, everyDays: 0, maxParallel: 2 },
     weights: { bufferCost: 3, rolloutTime: 1, moves: 1, closenessToShare: 3 },
--- a/src/cli/dev-command.ts
+++ b/src/cli/dev-command.ts
@@ -9,6 +9,7 @@
 import { DevPlatform } from "./dev-platform.ts";
 import { EntryProcess, openLog, stopOnSignal } from "./entry-process.ts";
 
+const EXIT_INVALID_INPUT = 2;
 const DEFAULT_TEMPLATE = "examples/piedra-viva.ini";
 /** Example key, known to everybody; only ever stored in this process's memory. */
 const DEV_KEY = "dev-key-piedra";
@@ -41,7 +42,9 @@
   try {
     for (const entry of entries) await entry.start();
   } catch (err) {
-    throw new UsageError(err instanceof Error ? err.message : String(err));
+    // What was started before the failure would keep the process alive.
+    ctx.printError(err instanceof Error ? err.message : String(err));
+    process.exit(EXIT_INVALID_INPUT);
   }
   stopOnSignal(async () => {
     await Promise.all(entries.map((entry) => entry.stop()));
--- a/src/cli/entry-command.ts
+++ b/src/cli/entry-command.ts
@@ -10,6 +10,7 @@
 import { runCommand, textOption, UsageError } from "./context.ts";
 import { EntryProcess, openLog, stopOnSignal, type PlatformClients } from "./entry-process.ts";
 
+const EXIT_INVALID_INPUT = 2;
 const LOG_LEVELS = ["debug", "info", "warn", "error", "silent"];
 
 /** Adds `entry`. */
@@ -41,7 +42,9 @@
   try {
     await entry.start();
   } catch (err) {
-    throw new UsageError(err instanceof Error ? err.message : String(err));
+    // What was started before the failure would keep the process alive.
+    ctx.printError(err instanceof Error ? err.message : String(err));
+    process.exit(EXIT_INVALID_INPUT);
   }
   stopOnSignal(() => entry.stop());
   log.info({ zone: settings.zone, callers: settings.callerAddress }, "entry instance started");
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -229,7 +229,10 @@
 
   #startQueued(): void {
     this.#pumpDue = false;
-    for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
+    // The second pass starts what waited for urgent work of other pools.
+    for (let pass = 0; pass < 2; pass++) {
+      for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
+    }
     this.#reportDemand();
   }
 
@@ -258,12 +261,21 @@
       usage: this.#usage,
       openRunning: () => this.#starter.openRunning,
       paused: (team) => this.#starter.paused(team),
+      urgentBorrowers: () => this.#urgentBorrowersOf(pool),
     });
     queue = new PoolQueue({ policy, launch: (item) => this.#launch(item) });
     this.#queues.set(pool, queue);
     return queue;
   }
 
+  #urgentBorrowersOf(pool: string): boolean {
+    for (const [other, queue] of this.#queues) {
+      if (other === pool || !this.#lending.poolsFor(other).includes(pool)) continue;
+      if (queue.urgentReady) return true;
+    }
+    return false;
+  }
+
   async #launch(item: QueuedItem): Promise<void> {
     item.stage = "starting";
     const outcome = await this.#starter.start(item);
--- a/src/coordination/local-policy.ts
+++ b/src/coordination/local-policy.ts
@@ -18,6 +18,8 @@
   readonly usage: TeamUsage;
   /** Number of open tasks started here that still run. */
   readonly openRunning: () => number;
+  /** True while urgent work of another pool could start in this pool's slots. */
+  readonly urgentBorrowers: () => boolean;
   /** True while a team is passed over because a charge was refused. */
   readonly paused: (team: string) => boolean;
 }
@@ -32,7 +34,9 @@
   }
 
   slotFree(precedence: Priority): boolean {
-    const { picker, lending, pool } = this.#options;
+    const { picker, lending, pool, urgentBorrowers } = this.#options;
+    // The spare pool's own queue goes first, so its other work would starve borrowers' urgent work.
+    if (precedence !== "urgent" && urgentBorrowers()) return false;
     return lending.poolsFor(pool).some((each) => picker.freeSlots(each, precedence) > 0);
   }
 
--- a/src/coordination/pool-queue.ts
+++ b/src/coordination/pool-queue.ts
@@ -52,6 +52,11 @@
     return this.#order.length;
   }
 
+  /** True if an urgent item may start now. */
+  get urgentReady(): boolean {
+    return this.#order.urgentReady;
+  }
+
   get items(): Iterable<QueuedItem> {
     return this.#items.values();
   }
--- a/src/state/fair-share-queue.ts
+++ b/src/state/fair-share-queue.ts
@@ -101,6 +101,11 @@
     return this.#next() === undefined ? 0 : this.#items.size;
   }
 
+  /** True if an urgent item may leave now. */
+  get urgentReady(): boolean {
+    return this.#nextOf(["urgent"]) !== undefined;
+  }
+
   enqueue(run: RunFunction, options: Partial<FairShareOptions> = {}): void {
     const { id = "", team = OPEN_TEAM, precedence = "normal", acceptedAt = 0 } = options;
     let lanes = this.#teams.get(team);
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -38,6 +38,24 @@
   assert.is(runningOn(entry, "x1"), 0);
 });
 
+// Guards against urgent work that starves while the spare pool's own work takes every slot lent.
+test("urgent work of a borrowing pool goes before the spare pool's normal work", async () => {
+  const queue = { open: false, idempotent: false, declaredRunMs: 100 };
+  const queues = [
+    { ...queue, name: "jobs", pool: "jobs" },
+    { ...queue, name: "surveys", pool: "spare" },
+  ];
+  const entry = entryFixture({ config: fixtureConfig({ queues }) });
+  const { clock, held } = entry;
+  held.add("x1", { slots: 2, pool: "spare" });
+  held.runMs = 400;
+  submitMany(entry, 60, { queue: "surveys" });
+  submitMany(entry, 4, { priority: "urgent", key: "key-blue" });
+  const urgent = (): number => held.started.filter(({ spec }) => spec.priority === "urgent").length;
+  await clock.until(() => urgent() === 4, 3700);
+  await clock.until(() => held.started.length === 64, 30_000);
+});
+
 // Guards against urgent work that waits because normal work holds every slot.
 test("slots of the urgent reserve stay free for urgent work", async () => {
   const entry = entryFixture({ config: fixtureConfig({ urgentReserveSlots: 1 }) });
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -149,6 +149,14 @@
   assert.ok(answered(replies) > 0);
 });
 
+// Guards against a process that stays although it cannot serve.
+path("an address in use ends the process with a message that names it", async () => {
+  const { port } = new URL(entryAt(0).admin);
+  const file = `${cluster.folder}/entry-${new URL(entryAt(0).callers).port}.ini`;
+  const ended = await cluster.run(["entry", "--config", file]).catch(String);
+  assert.match(ended, `admin_address = 127.0.0.1:${port}: cannot listen`);
+});
+
 // Guards against requests cut by a planned stop.
 path("an entry that is asked to stop answers what it accepted", async () => {
   const entry = await cluster.startEntry("z1");
