fix(leaving): one more entry of each zone reads the instance list

Change: the holder of the zone's reclaim duty reads the list every second and announces leaving servers of its zone; an entry also heeds its own announcements. Ruled out: every entry reading the list, because a list of 35 servers a second is 5 KB.

--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -19,6 +19,7 @@
 import { KeyValueFleetStore } from "./fleet-store.ts";
 import { HeldHealth } from "./held-health.ts";
 import { HomeKeeper } from "./home-keeper.ts";
+import { LeavingWatch } from "./leaving-watch.ts";
 import { LeaseCoverage } from "./lease-coverage.ts";
 import { LeaseKeeper } from "./lease-keeper.ts";
 import { LimitsPeerHandler } from "./limits-peer-handler.ts";
@@ -115,6 +116,7 @@
     });
     const session = new SessionKeeper({ ...base, self: this.hello });
     const fencing = new Fencing({ ...shared, proof });
+    const leavingWatch = new LeavingWatch({ ...shared, instanceList: options.instanceList });
     const dutyOptions = { ...base, session, incarnation };
     const plannerDuty = new Duty({
       ...dutyOptions,
@@ -126,7 +128,9 @@
       ...dutyOptions,
       name: `reclaim-${zone}`,
       intervalMs: RECLAIM_INTERVAL_MS,
-      step: () => fencing.step(),
+      step: async () => {
+        await Promise.all([fencing.step(), leavingWatch.step()]);
+      },
     });
     const support = new EntryPlannerSupport({
       holdsDuty: () => plannerDuty.held,
--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -114,7 +114,7 @@
 
   list(): readonly HeldServer[] {
     const mayDispatch = this.#mayDispatch();
-    const leaving = this.#leavingByPeers();
+    const leaving = this.#options.peers.leavingServers();
     return this.#records().flatMap((record) => {
       const lease = this.#drivers.get(record.name)?.lease;
       if (lease?.held !== true) return [];
@@ -131,7 +131,7 @@
     if (record === undefined || lease === undefined) {
       return Err({ kind: "not-started", reason: "lease_lapsed" });
     }
-    const free = this.#mayDispatch() && !this.#leavingByPeers().has(server);
+    const free = this.#mayDispatch() && !this.#options.peers.leavingServers().has(server);
     if (!free || !this.#dispatchable(record, lease)) {
       const reason = lease.leaving ? "server_leaving" : "lease_lapsed";
       return Err({ kind: "not-started", reason });
@@ -244,14 +244,6 @@
     return since !== undefined && activeAsOf !== undefined && activeAsOf >= since;
   }
 
-  #leavingByPeers(): ReadonlySet<string> {
-    const leaving = new Set<string>();
-    for (const { message } of this.#options.peers.gossip().values()) {
-      for (const server of message.leaving) leaving.add(server);
-    }
-    return leaving;
-  }
-
   /** Starts and ends the tasks of servers that were added, removed or moved to another address. */
   #follow(document: FleetDocument): void {
     if (this.#stopped.signal.aborted) return;
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -86,6 +86,11 @@
     if (!known) this.#exchangeNow();
   }
 
+  /** Those that peers state to be leaving and those that this entry announces. */
+  override leavingServers(): ReadonlySet<string> {
+    return new Set([...super.leavingServers(), ...this.#announcedLeaving()]);
+  }
+
   gossip(): ReadonlyMap<string, PeerState> {
     const oldest = this.#options.clock.now() - CONTACT_MS;
     const states = [...this.#tasks.values()].flatMap(({ state }) =>
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -151,6 +151,15 @@
   abstract gossip(): ReadonlyMap<string, PeerState>;
   /** Announces a leaving backend server. */
   abstract announceLeaving(server: string): void;
+
+  /** Backend servers that peers in contact state to be leaving. */
+  leavingServers(): ReadonlySet<string> {
+    const leaving = new Set<string>();
+    for (const { message } of this.gossip().values()) {
+      for (const server of message.leaving) leaving.add(server);
+    }
+    return leaving;
+  }
 }
 
 /** A peer in contact. */
--- /dev/null
+++ b/test/coordination/leaving-watch.test.ts
@@ -0,0 +1,32 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LeavingWatch } from "../../src/coordination/leaving-watch.ts";
+import type { ListedInstance } from "../../src/platform/instance-list.ts";
+import { FakeCounters } from "../fakes/peer-fakes.ts";
+import { StaticInstanceList } from "../../src/stand-ins/static-instance-list.ts";
+
+function listed(name: string, zone: string, state: ListedInstance["state"]): ListedInstance {
+  const size = { cores: 1, memoryGb: 1, accelerators: 0, slots: 1 };
+  return { name, zone, state, address: "http://127.0.0.1:1", rack: "r", ...size };
+}
+
+// Guards against new work on a server that only the instance list shows as leaving, while the
+// planner is paused.
+test("servers of the own zone that the list shows as leaving are announced", async () => {
+  const instanceList = new StaticInstanceList([
+    listed("a", "z1", "leaving"),
+    listed("b", "z1", "live"),
+    listed("c", "z2", "leaving"),
+  ]);
+  const announced: string[] = [];
+  const peers = {
+    self: { zone: "z1" },
+    announceLeaving: (server: string) => announced.push(server),
+  };
+  const counters = new FakeCounters();
+  const watch = new LeavingWatch({ instanceList, counters, peers: peers as never });
+  await watch.step();
+  assert.equal(announced, ["a"]);
+});
+
+test.run();
