refactor(entry): duties and views out of the wiring

Ruled out: a container for dependencies, which hides who uses what. Conclusion: reads top-down again.

--- /dev/null
+++ b/src/coordination/entry-duties.ts
@@ -0,0 +1,71 @@
+import type { BackendConnector } from "../platform/backend-server.ts";
+import type { InstanceList } from "../platform/instance-list.ts";
+import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { EntrySettings } from "../settings/entry-settings.ts";
+import { Duty } from "./duty.ts";
+import type { EntryParts } from "./entry-parts.ts";
+import { EntryPlannerSupport } from "./entry-planner-support.ts";
+import { Fencing, RECLAIM_INTERVAL_MS, type FencingOptions } from "./fencing.ts";
+import { KeyValueFleetStore } from "./fleet-store.ts";
+import { HeldHealth } from "./held-health.ts";
+import { LeavingWatch } from "./leaving-watch.ts";
+import { Planner } from "./planner.ts";
+import type { ConfigView, FleetView, HeldServers } from "./ports.ts";
+import type { SessionKeeper } from "./session-keeper.ts";
+
+const DUTY_INTERVAL_MS = 1000;
+
+/** Options of {@link openDuties}. */
+export interface DutiesOptions extends FencingOptions, Pick<EntryParts, "random" | "log"> {
+  readonly settings: EntrySettings;
+  readonly keyValue: KeyValueService;
+  readonly config: ConfigView;
+  readonly fleet: FleetView;
+  readonly held: HeldServers;
+  readonly backends: BackendConnector;
+  readonly instanceList: InstanceList;
+  readonly session: SessionKeeper;
+  /** True if tasks fail on the server that succeed elsewhere. */
+  readonly isBadServer: (server: string) => boolean;
+}
+
+/** The periodic duties of an entry instance; each runs at one entry at a time. */
+export interface Duties {
+  readonly planner: Planner;
+  readonly support: EntryPlannerSupport;
+  readonly all: readonly Duty[];
+}
+
+/** Builds the planner's duty for the pool group and the reclaim duty for the zone. */
+export function openDuties(options: DutiesOptions): Duties {
+  const { settings, keyValue, peers, isBadServer } = options;
+  const { incarnation, zone, group } = peers.self;
+  const dutyOptions = { ...options, incarnation };
+  // The planner runs its own rounds and asks whether the duty is held.
+  const plannerDuty = new Duty({
+    ...dutyOptions,
+    name: `planner-${group}`,
+    intervalMs: DUTY_INTERVAL_MS,
+    step: () => Promise.resolve(),
+  });
+  const fencing = new Fencing(options);
+  const leavingWatch = new LeavingWatch(options);
+  const reclaimDuty = new Duty({
+    ...dutyOptions,
+    name: `reclaim-${zone}`,
+    intervalMs: RECLAIM_INTERVAL_MS,
+    step: async () => {
+      await Promise.all([fencing.step(), leavingWatch.step()]);
+    },
+  });
+  const support = new EntryPlannerSupport({ ...options, holdsDuty: () => plannerDuty.held });
+  const planner = new Planner({
+    ...options,
+    group,
+    support,
+    store: new KeyValueFleetStore({ keyValue, group }),
+    health: new HeldHealth({ ...options, isBad: isBadServer }),
+    intervalMs: settings.plannerIntervalMs,
+  });
+  return { planner, support, all: [plannerDuty, reclaimDuty] };
+}
--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -1,39 +1,34 @@
 import { PEER_PROTOCOL_VERSION, type Hello } from "../protocol/peer-messages.ts";
-import type { PeerReply, PeerRequest, SlotRecord, TeamLoad } from "../protocol/peer-messages.ts";
+import type { PeerReply, PeerRequest, TeamLoad } from "../protocol/peer-messages.ts";
 import type { HomesDocument } from "../protocol/homes-document.ts";
 import type { EntryStatus } from "../protocol/entry-status.ts";
 import { ChargeBook } from "../state/charge-book.ts";
 import { activeMembers } from "../state/homes.ts";
 import { BudgetKeeper } from "./budget-keeper.ts";
 import { ChargeResolver } from "./charge-resolver.ts";
-import { ConfigFollower, OutageView } from "./config-follower.ts";
+import { ConfigFollower } from "./config-follower.ts";
 import { ConfigGossip } from "./config-gossip.ts";
 import { DocumentFollower } from "./document-follower.ts";
 import { DocumentStore } from "./document-store.ts";
-import { Duty } from "./duty.ts";
+import type { Duty } from "./duty.ts";
+import { openDuties } from "./entry-duties.ts";
 import type { EntryParts } from "./entry-parts.ts";
-import { EntryPlannerSupport } from "./entry-planner-support.ts";
-import { Fencing, RECLAIM_INTERVAL_MS } from "./fencing.ts";
+import type { EntryPlannerSupport } from "./entry-planner-support.ts";
+import { MembersOutageView, PathRecords } from "./entry-views.ts";
 import { FencingProof } from "./fencing-proof.ts";
 import { FleetFollower } from "./fleet-follower.ts";
-import { KeyValueFleetStore } from "./fleet-store.ts";
-import { HeldHealth } from "./held-health.ts";
 import { HomeKeeper } from "./home-keeper.ts";
-import { LeavingWatch } from "./leaving-watch.ts";
 import { LeaseCoverage } from "./lease-coverage.ts";
 import { LeaseKeeper } from "./lease-keeper.ts";
 import { LimitsPeerHandler } from "./limits-peer-handler.ts";
 import { HOMES_KIND, HOMES_WATCH_MS, MemberView } from "./member-view.ts";
 import { PeerDirectory } from "./peer-directory.ts";
-import { Planner } from "./planner.ts";
+import type { Planner } from "./planner.ts";
 import type { PeerState } from "./ports.ts";
 import { RequestPath } from "./request-path.ts";
 import type { RequestMessage } from "./entry-requests.ts";
 import { SessionKeeper } from "./session-keeper.ts";
 import { ShareMonitor } from "./share-monitor.ts";
-import { SlotRecords } from "./slot-transfer.ts";
-
-const DUTY_INTERVAL_MS = 1000;
 
 /** Options of {@link EntryIncarnation}. */
 export interface EntryIncarnationOptions extends EntryParts {
@@ -115,44 +110,15 @@
       homes: homeKeeper,
     });
     const session = new SessionKeeper({ ...base, self: this.hello });
-    const fencing = new Fencing({ ...shared, proof });
-    const leavingWatch = new LeavingWatch({ ...shared, instanceList: options.instanceList });
-    const dutyOptions = { ...base, session, incarnation };
-    const plannerDuty = new Duty({
-      ...dutyOptions,
-      name: `planner-${group}`,
-      intervalMs: DUTY_INTERVAL_MS,
-      step: () => Promise.resolve(),
-    });
-    const reclaimDuty = new Duty({
-      ...dutyOptions,
-      name: `reclaim-${zone}`,
-      intervalMs: RECLAIM_INTERVAL_MS,
-      step: async () => {
-        await Promise.all([fencing.step(), leavingWatch.step()]);
-      },
-    });
-    const support = new EntryPlannerSupport({
-      holdsDuty: () => plannerDuty.held,
-      backends,
-      held: leases,
-      peers,
-      fleet,
-    });
-    const health = new HeldHealth({
+    const duties = openDuties({
       ...shared,
+      session,
+      proof,
+      settings,
       held: leases,
-      isBad: (server) => this.path.isBadServer(server),
-    });
-    this.#planner = new Planner({
-      ...base,
+      backends,
       instanceList: options.instanceList,
-      config,
-      fleet,
-      store: new KeyValueFleetStore({ keyValue, group }),
-      health,
-      support,
-      intervalMs: settings.plannerIntervalMs,
+      isBadServer: (server) => this.path.isBadServer(server),
     });
     this.#limitsHandler = new LimitsPeerHandler({
       leases,
@@ -171,8 +137,9 @@
     this.#budgets = budgets;
     this.#homes = homeKeeper;
     this.#peers = peers;
-    this.#plannerSupport = support;
-    this.#duties = [plannerDuty, reclaimDuty];
+    this.#planner = duties.planner;
+    this.#plannerSupport = duties.support;
+    this.#duties = duties.all;
     this.#shares = new ShareMonitor({ clock, config, loads: () => this.#teamLoads() });
   }
 
@@ -288,46 +255,3 @@
     return reply ?? this.path.requests.handlePeer(from, req as RequestMessage);
   }
 }
-
-/** Zones and contacts by which a platform-wide outage is recognised. */
-class MembersOutageView extends OutageView {
-  readonly #homes: DocumentFollower<HomesDocument>;
-  readonly #peers: () => Iterable<PeerState>;
-
-  constructor(homes: DocumentFollower<HomesDocument>, peers: () => Iterable<PeerState>) {
-    super();
-    this.#homes = homes;
-    this.#peers = peers;
-  }
-
-  zones(): ReadonlySet<string> | undefined {
-    const homes = this.#homes.current?.value;
-    return homes && new Set(activeMembers(homes).map((member) => member.zone));
-  }
-
-  peers(): Iterable<PeerState> {
-    return this.#peers();
-  }
-}
-
-/** The request path's records; the path itself is built on the home keeper that moves them. */
-class PathRecords extends SlotRecords {
-  readonly #path: () => RequestPath;
-
-  constructor(path: () => RequestPath) {
-    super();
-    this.#path = path;
-  }
-
-  export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined {
-    return this.#path().records.export(matches);
-  }
-
-  import(records: readonly SlotRecord[]): boolean {
-    return this.#path().records.import(records);
-  }
-
-  drop(matches: (requestId: string) => boolean): void {
-    this.#path().records.drop(matches);
-  }
-}
--- /dev/null
+++ b/src/coordination/entry-views.ts
@@ -0,0 +1,51 @@
+import type { HomesDocument } from "../protocol/homes-document.ts";
+import type { SlotRecord } from "../protocol/peer-messages.ts";
+import { activeMembers } from "../state/homes.ts";
+import { OutageView } from "./config-follower.ts";
+import type { DocumentFollower } from "./document-follower.ts";
+import type { PeerState } from "./ports.ts";
+import type { RequestPath } from "./request-path.ts";
+import { SlotRecords } from "./slot-transfer.ts";
+
+/** Zones and contacts by which a platform-wide outage is recognised. */
+export class MembersOutageView extends OutageView {
+  readonly #homes: DocumentFollower<HomesDocument>;
+  readonly #peers: () => Iterable<PeerState>;
+
+  constructor(homes: DocumentFollower<HomesDocument>, peers: () => Iterable<PeerState>) {
+    super();
+    this.#homes = homes;
+    this.#peers = peers;
+  }
+
+  zones(): ReadonlySet<string> | undefined {
+    const homes = this.#homes.current?.value;
+    return homes && new Set(activeMembers(homes).map((member) => member.zone));
+  }
+
+  peers(): Iterable<PeerState> {
+    return this.#peers();
+  }
+}
+
+/** The request path's records; the path itself is built on the home keeper that moves them. */
+export class PathRecords extends SlotRecords {
+  readonly #path: () => RequestPath;
+
+  constructor(path: () => RequestPath) {
+    super();
+    this.#path = path;
+  }
+
+  export(matches: (requestId: string) => boolean): readonly SlotRecord[] | undefined {
+    return this.#path().records.export(matches);
+  }
+
+  import(records: readonly SlotRecord[]): boolean {
+    return this.#path().records.import(records);
+  }
+
+  drop(matches: (requestId: string) => boolean): void {
+    this.#path().records.drop(matches);
+  }
+}
