--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -201,7 +201,7 @@
     const age = clock.now() - (shard.confirmedAt ?? -Infinity);
     const unread = coverage.since() !== undefined && !this.#usable(shard);
     const teams = this.#teamsOf(shard, index);
-    if (unread || (age > REFRESH_MS && teams.length > 0)) await shard.read();
+    if (unread || (age > REFRESH_MS && (teams.length > 0 || shard.uncertain))) await shard.read();
     if (shard.retired) this.#options.onRetired();
     const wishes = this.#wishes(shard, teams);
     if (wishes.length > 0) {
--- a/src/coordination/ledger-shard.ts
+++ b/src/coordination/ledger-shard.ts
@@ -54,6 +54,8 @@
   readonly #ceilings = new Map<string, Ceiling>();
   #known: Versioned<LedgerDocument> | undefined;
   #confirmedAt: number | undefined;
+  /** Revision up to which a write without a reply may still take effect. */
+  #uncertainThrough: number | undefined;
 
   constructor(options: LedgerShardOptions) {
     this.#options = options;
@@ -74,6 +76,14 @@
     return isRetired(this.document, this.#options.incarnation);
   }
 
+  /**
+   * True while a write without a reply may still take effect. A raise that arrives late would
+   * otherwise stay unseen, and with it its budget unused, since a shard without own rows is not read.
+   */
+  get uncertain(): boolean {
+    return this.#uncertainThrough !== undefined;
+  }
+
   /** Budget in the own row, whether usable or not. */
   budget(team: string): number {
     return rowOf(this.document, team, this.#options.incarnation)?.budget ?? 0;
@@ -130,7 +140,10 @@
     const sentAt = this.#options.clock.now();
     const from = this.#known;
     const result = await this.#options.store.update(this.#kind, change, { from });
-    if (!result.ok) return result;
+    if (!result.ok) {
+      if (result.val.kind === "ambiguous") this.#noteUncertain(result.val.expectedRevision);
+      return result;
+    }
     const { written, current } = result.val;
     const contacted = written || from === undefined || current?.revision !== from.revision;
     if (contacted) this.#take(current, sentAt);
@@ -142,12 +155,17 @@
     // A reply that was overtaken by a later one would show budget that was given up since.
     if (revision < (this.#known?.revision ?? 0)) return;
     this.#known = next;
+    if (revision > (this.#uncertainThrough ?? Infinity)) this.#uncertainThrough = undefined;
     this.#confirmedAt = Math.max(this.#confirmedAt ?? sentAt, sentAt);
     for (const [team, { pendingAt }] of this.#ceilings) {
       if (pendingAt !== undefined && revision > pendingAt) this.#ceilings.delete(team);
     }
   }
 
+  #noteUncertain(revision: number): void {
+    this.#uncertainThrough = Math.max(this.#uncertainThrough ?? 0, revision);
+  }
+
   #lowerCeiling(team: string, budget: number): void {
     const before = this.#ceilings.get(team);
     this.#ceilings.set(team, {
--- a/test/coordination/ledger-shard.test.ts
+++ b/test/coordination/ledger-shard.test.ts
@@ -59,6 +59,21 @@
   assert.is((await kv.put(overtaken)).ok, false);
 });
 
+// Guards against budget that nobody uses: the raise arrives after its writer was told nothing, and a
+// shard without own rows is not read again.
+test("a shard stays uncertain until a raise without a reply has arrived or can no longer", async () => {
+  const { clock, kv, shard, other, wish } = setUp();
+  await onClock(clock, other.adjust(wish(1)));
+  kv.holdWrites = true;
+  await onClock(clock, shard.adjust(wish(5)));
+  kv.holdWrites = false;
+  await onClock(clock, shard.read());
+  assert.equal([shard.uncertain, shard.budget("t")], [true, 0]);
+  assert.is((await kv.put(kv.held!)).ok, true);
+  await onClock(clock, shard.read());
+  assert.equal([shard.uncertain, shard.budget("t")], [false, 5]);
+});
+
 // Guards against a late reply that shows budget which was given up since it was sent.
 test("a reply that was overtaken is ignored", async () => {
   const { clock, kv, shard, wish } = setUp();
