--- a/test/fuzz/fuzz.test.ts
+++ b/test/fuzz/fuzz.test.ts
@@ -5,8 +5,8 @@
 import { entryFactory } from "./product.ts";
 
 // A short campaign for every change; longer ones run with `npm run fuzz`.
-const SEEDS = [1, 2];
-const RUNS = 4;
+const SEEDS = [1, 2, 3];
+const RUNS = 8;
 
 for (const seed of SEEDS) {
   test(`no guarantee is violated in ${RUNS} runs of seed ${seed}`, async () => {
