refactor(dispatch): the demand for budget in a module of its own

Change: TeamDemand counts and reports what waits for budget; the fuzzing derives its options' type. Conclusion: no change of behaviour.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -5,7 +5,6 @@
 import type { EntrySettings } from "../settings/entry-settings.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
-import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import { TeamUsage } from "../state/team-usage.ts";
 import { CapacityReview } from "./capacity-review.ts";
 import { LocalPolicy } from "./local-policy.ts";
@@ -28,6 +27,7 @@
 import { QueueOffers } from "./queue-offers.ts";
 import { ServerPicker } from "./server-picker.ts";
 import { TaskStarter } from "./task-starter.ts";
+import { TeamDemand } from "./team-demand.ts";
 import type { StartOutcome, WithdrawReason, Work } from "./work.ts";
 
 /** Options of {@link Dispatcher}. */
@@ -69,7 +69,7 @@
   readonly #offers: PeerOffers;
   readonly #queueOffers: QueueOffers;
   readonly #starter: TaskStarter;
-  readonly #demand = new Map<string, number>();
+  readonly #demand: TeamDemand;
   readonly #subscriptions: readonly Unsubscribe[];
   readonly #closed = new AbortController();
   #ids = 0;
@@ -101,6 +101,7 @@
       },
     });
     this.#starter = new TaskStarter({ ...options, ...shared });
+    this.#demand = new TeamDemand({ ...options, ...shared, starter: this.#starter });
     // One end of a task causes several notices, so they are gathered.
     const pump = (): void => {
       if (this.#pumpDue) return;
@@ -233,7 +234,7 @@
     for (let pass = 0; pass < 2; pass++) {
       for (const pool of this.#lending.poolsInOrder()) this.#queues.get(pool)?.pump();
     }
-    this.#reportDemand();
+    this.#demand.report();
   }
 
   #poolOf(queue: string): string {
@@ -245,7 +246,7 @@
     const queue = this.#queueOf(item.pool);
     queue.add(item, returned);
     if (isQueued(item) && !item.work.offered) this.#queueOffers.consider(queue, item);
-    this.#reportDemand();
+    this.#demand.report();
   }
 
   #queueOf(pool: string): PoolQueue {
@@ -300,36 +301,6 @@
       this.#offers.withdraw(item.offeredTo);
     return false;
   }
-
-  /** States each change of the number of tasks that wait for budget. */
-  #reportDemand(): void {
-    const demand = this.#demandByTeam();
-    for (const team of new Set([...this.#demand.keys(), ...demand.keys()])) {
-      const count = demand.get(team) ?? 0;
-      if (team === OPEN_TEAM || (this.#demand.get(team) ?? 0) === count) continue;
-      this.#options.budgets.setDemand(team, count);
-      if (count > 0) this.#demand.set(team, count);
-      else this.#demand.delete(team);
-    }
-  }
-
-  /**
-   * Queued tasks of each team that could start here with more budget. Where the team's own tasks
-   * hold the slots, the next needs none; budget asked for it would be missing where slots are free.
-   */
-  #demandByTeam(): ReadonlyMap<string, number> {
-    const demand = new Map<string, number>();
-    for (const [pool, queue] of this.#queues) {
-      const pools = this.#lending.poolsFor(pool);
-      const slots = pools.reduce((sum, each) => sum + this.#picker.totalSlots(each), 0);
-      for (const [team, queued] of queue.queuedByTeam()) {
-        const own = pools.reduce((sum, each) => sum + this.#starter.running(each, team), 0);
-        const usable = Math.min(queued, Math.max(0, slots - own));
-        demand.set(team, (demand.get(team) ?? 0) + usable);
-      }
-    }
-    return demand;
-  }
 }
 
 /** A function, because adding an item to its queue may start it at once. */
--- a/test/fuzz/entry-under-test.ts
+++ b/test/fuzz/entry-under-test.ts
@@ -1,25 +1,10 @@
-import type { BackendConnector } from "../../src/platform/backend-server.ts";
-import type { Clock } from "../../src/platform/clock.ts";
-import type { InstanceList } from "../../src/platform/instance-list.ts";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
-import type { Log } from "../../src/platform/log.ts";
-import type { PeerTransport } from "../../src/platform/peer-transport.ts";
-import type { Random } from "../../src/platform/random.ts";
+import type { EntryInstanceOptions } from "../../src/coordination/entry-instance.ts";
 import type { RequestService } from "../../src/coordination/ports.ts";
-import type { EntrySettings } from "../../src/settings/entry-settings.ts";
+import type { KeyValueService } from "../../src/platform/key-value-service.ts";
 import type { Property } from "./violations.ts";
 
-/** What an entry instance is built from. */
-export interface EntryParts {
-  readonly settings: EntrySettings;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly keyValue: KeyValueService;
-  readonly instanceList: InstanceList;
-  readonly backends: BackendConnector;
-  readonly peerTransport: PeerTransport;
-  readonly log: Log;
-}
+/** What an entry instance is built from; the oracle reads none of the product's counters. */
+export type EntryParts = Omit<EntryInstanceOptions, "counters">;
 
 /** The part of an entry instance that the fuzzing uses. */
 export interface EntryUnderTest {
