fix(peers): answer only as the present incarnation after a restart within the process

Cause: `TcpPeerTransport.listen` added a second connection listener when a retired incarnation started anew, so each connection got the former incarnation's hello first. Peers expect the new incarnation and closed the connection: nobody contacted it, it got no results, and each request through it ended as outcome unknown. Change: the former listener is removed; a transport test, and a process test that pauses an entry until it is retired and then expects 12 answers through it. Ruled out: the pause alone (7 s and 12 s without retirement answer 12 of 12); budget or home slots (the request was started and finished, its result had no connection to its home). Conclusion: fixed; the virtual-time fuzzing could not see it, because its network is a fake.

--- a/src/transport/peer-tcp.ts
+++ b/src/transport/peer-tcp.ts
@@ -46,6 +46,8 @@
   async listen(self: Hello, handler: PeerHandler): Promise<Result<void, string>> {
     const address = parseIpAddress(self.address);
     if (address.err) return address;
+    // An incarnation that starts anew listens again, and must not answer as its predecessor too.
+    this.#server.removeAllListeners("connection");
     this.#server.on("connection", (socket) => {
       void this.#serve(socket, self, handler);
     });
--- a/test/process/cluster.ts
+++ b/test/process/cluster.ts
@@ -23,6 +23,16 @@
   readonly admin: string;
 }
 
+interface StatusReply {
+  readonly incarnation?: string;
+  readonly peers?: readonly string[];
+  readonly held?: readonly { readonly dispatchable: boolean }[];
+}
+
+interface HomesMembers {
+  readonly members: readonly { readonly incarnation: string; readonly state: string }[];
+}
+
 export interface ClusterOptions {
   readonly zones: readonly string[];
   readonly entriesPerZone: number;
@@ -152,12 +162,33 @@
     rmSync(this.folder, { recursive: true, force: true });
   }
 
+  /** Incarnation that an entry instance runs as now. */
+  async incarnationOf(entry: EntryProcessHandle): Promise<string> {
+    return (await this.#status(entry))?.incarnation ?? "";
+  }
+
+  /** Incarnations that an entry instance is in contact with. */
+  async peersOf(entry: EntryProcessHandle): Promise<readonly string[]> {
+    return (await this.#status(entry))?.peers ?? [];
+  }
+
+  /** State of an incarnation in the stored homes document; undefined if it is not a member. */
+  async homesState(incarnation: string): Promise<string | undefined> {
+    const res = await get(`${this.keyValueUrl}/v1/keys/homes`);
+    const { value } = (await res?.json()) as { readonly value: string };
+    const { members } = JSON.parse(value) as HomesMembers;
+    return members.find((member) => member.incarnation === incarnation)?.state;
+  }
+
+  async #status(entry: EntryProcessHandle): Promise<StatusReply | undefined> {
+    return (await (await get(`${entry.admin}/status`))?.json()) as StatusReply | undefined;
+  }
+
   async #allDispatchable(): Promise<boolean> {
     const { zones, serversPerZone } = this.#options;
     let count = 0;
     for (const entry of this.entries) {
-      const status = (await (await get(`${entry.admin}/status`))?.json()) as
-        { readonly held?: readonly { readonly dispatchable: boolean }[] } | undefined;
+      const status = await this.#status(entry);
       count += status?.held?.filter((server) => server.dispatchable).length ?? 0;
     }
     return count >= zones.length * serversPerZone;
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -149,6 +149,25 @@
   assert.ok(answered(replies) > 0);
 });
 
+// Guards against an incarnation that starts anew after its retirement and that no peer contacts.
+path("an entry paused until it was retired serves as a new incarnation", async () => {
+  const paused = entryAt(0);
+  const retired = await cluster.incarnationOf(paused);
+  paused.child.kill("SIGSTOP");
+  await waitFor("retired", async () => (await cluster.homesState(retired)) !== "active");
+  paused.child.kill("SIGCONT");
+  await waitFor("in contact again", async () => {
+    const incarnation = await cluster.incarnationOf(paused);
+    if (incarnation === retired) return false;
+    const peers = await Promise.all(cluster.entries.slice(1).map((one) => cluster.peersOf(one)));
+    return peers.every((each) => each.includes(incarnation));
+  });
+  const work = Array.from({ length: 12 }, (_, n) => order(paused, { n, runMs: 100 }));
+  const replies = await Promise.all(work);
+  assert.is(answered(replies), 12, JSON.stringify(replies));
+  assertTruthful(replies);
+});
+
 // Guards against a process that stays although it cannot serve.
 path("an address in use ends the process with a message that names it", async () => {
   const { port } = new URL(entryAt(0).admin);
@@ -185,7 +204,7 @@
     assertTruthful(replies);
     const work = Array.from({ length: 12 }, (_, n) => order(entryAt(0), { n, runMs: 500 }));
     const after = await Promise.all(work);
-    assert.is(answered(after), 12);
+    assert.is(answered(after), 12, JSON.stringify(after));
     assertTruthful(after);
   },
 );
--- a/test/transport/peer-tcp.test.ts
+++ b/test/transport/peer-tcp.test.ts
@@ -77,6 +77,21 @@
   });
 });
 
+// Guards against an incarnation that starts anew within its process and answers as its predecessor,
+// whom its peers refuse.
+test("a transport that listens again answers as its new incarnation only", async () => {
+  const server = transport();
+  const handler: PeerHandler = () => Promise.resolve(REPLY);
+  (await server.listen(hello("first"), handler)).unwrap();
+  const { address } = server;
+  await server.close();
+  (await server.listen(hello("second", address), handler)).unwrap();
+  const peer = (await transport().connect(address!, hello("client"))).unwrap();
+  assert.is(peer.remote.incarnation, "second");
+  assert.equal((await peer.call(CONFIG, 1000)).unwrap(), REPLY);
+  assert.is(events.of("peer_reply_unmatched"), 0);
+});
+
 // Guards against a late reply being taken for the reply to another call.
 test("a reply after the time-out is dropped and counted", async () => {
   let release = (): void => undefined;
