fix(dev): run the example from any folder

Cause: the built executable looked for examples/piedra-viva.ini in the current folder, so `teaselspool dev` ended with "the file cannot be read" wherever the repository is not. Change: the build puts the text of the example into the executable. Ruled out: importing the file as a module, which the sources as run by tsx do not support. Conclusion: a first try needs only the binary.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -12,6 +12,7 @@
 const SEA_CONFIG = `${BUILD_DIR}/sea-config.json`;
 const SEA_BLOB = `${BUILD_DIR}/teaselspool.blob`;
 const BINARY = "dist/teaselspool";
+const DEV_TEMPLATE = "examples/piedra-viva.ini";
 const SENTINEL_FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
 async function bundle(): Promise<void> {
@@ -24,6 +25,7 @@
     format: "cjs",
     // Without this order the bundled ts-results fails at run time, because it requires tslib.
     mainFields: ["module", "main"],
+    define: { BUNDLED_TEMPLATE: JSON.stringify(readFileSync(DEV_TEMPLATE, "utf8")) },
     // A require of a package that is not bundled would print a warning at every start.
     alias: { "cbor-extract": "./scripts/no-native-part.ts" },
     logLevel: "warning",
--- a/src/ambient.d.ts
+++ b/src/ambient.d.ts
@@ -14,3 +14,6 @@
   export * from "ts-results/result";
   export * from "ts-results/option";
 }
+
+/** Text of `examples/piedra-viva.ini`; only defined in the built executable. */
+declare const BUNDLED_TEMPLATE: string | undefined;
--- a/src/cli/dev-command.ts
+++ b/src/cli/dev-command.ts
@@ -30,7 +30,7 @@
 }
 
 async function run(ctx: CliContext, options: CliOptions): Promise<ExitCode> {
-  const content = loadTemplate(ctx, textOption(options, "template") ?? DEFAULT_TEMPLATE);
+  const content = loadTemplate(ctx, textOption(options, "template"));
   const group = content.pools[0]?.group ?? "group";
   const zones = Array.from({ length: ZONE_COUNT }, (_, index) => `${group}-${index + 1}`);
   const servers = content.pools.reduce((sum, pool) => sum + pool.targetSize, 0);
@@ -54,14 +54,20 @@
   return 0;
 }
 
-function loadTemplate(ctx: CliContext, file: string): TemplateContent {
-  const text = ctx.readFile(file);
+function loadTemplate(ctx: CliContext, named: string | undefined): TemplateContent {
+  const file = named ?? DEFAULT_TEMPLATE;
+  const text = named === undefined ? defaultTemplate(ctx) : ctx.readFile(named);
   if (text === undefined) throw new UsageError(`${file}: the file cannot be read`);
   const read = readTemplate(file, text, new Map());
   if (read.err) throw new UsageError(read.val.map(formatProblem).join("\n"));
   return read.val;
 }
 
+/** The built executable carries the example, so that it runs in any folder. */
+function defaultTemplate(ctx: CliContext): string | undefined {
+  return typeof BUNDLED_TEMPLATE === "string" ? BUNDLED_TEMPLATE : ctx.readFile(DEFAULT_TEMPLATE);
+}
+
 /** Stores the template with the example key for its first team. */
 async function storeConfig(
   { clock, random }: CliContext,
