test(process): random faults on separate processes under load

Cause: the fuzzing on virtual time replaces sockets and processes by fakes; the connection listener that outlived its incarnation could not be found by it. The stand-in of a backend server prints starts and ends with their times. Callers and checks are shared with the process tests. Conclusion: a second kind of proof for the guarantees about requests and limits.

--- a/src/cli/stand-in.ts
+++ b/src/cli/stand-in.ts
@@ -104,9 +104,10 @@
   return { server: serveInstanceList(new SystemClock(), new StaticInstanceList()) };
 }
 
-/** Lets a test see which tasks were started, whatever the entry instances say. */
-function printStart(event: "start" | "end", { requestId, attempt }: TaskSpec): void {
-  if (event === "start") process.stdout.write(`${JSON.stringify({ requestId, attempt })}\n`);
+/** Lets a test see which tasks run when, whatever the entry instances say. */
+function printTask(event: "start" | "end", { requestId, attempt, team }: TaskSpec): void {
+  const at = performance.timeOrigin + performance.now();
+  process.stdout.write(`${JSON.stringify({ event, at, requestId, attempt, team })}\n`);
 }
 
 function backendServer(options: Options): Prepared {
@@ -116,7 +117,7 @@
   // the earlier one are gone.
   const name = `${options.name}-${new SystemRandom().hex(4)}`;
   const { slots } = options;
-  const backend = new SimulatedBackendServer({ clock, name, slots, runner, observe: printStart });
+  const backend = new SimulatedBackendServer({ clock, name, slots, runner, observe: printTask });
   const server = serveBackendServer(clock, backend, runner);
   if (options.register === undefined) return { server };
   const registration = new Registration(clock, options.register, options);
--- a/test/process/cluster.ts
+++ b/test/process/cluster.ts
@@ -17,6 +17,22 @@
   readonly errors: string[];
 }
 
+/** Process of a backend server. */
+export interface ServerProgram extends Program {
+  readonly name: string;
+  readonly zone: string;
+}
+
+/** Start or end of a task as its backend server printed it. */
+export interface TaskEvent {
+  readonly event: "start" | "end";
+  /** Milliseconds since the Unix epoch, by the machine's clock. */
+  readonly at: number;
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly team?: string;
+}
+
 export interface EntryProcessHandle extends Program {
   readonly zone: string;
   readonly callers: string;
@@ -48,7 +64,8 @@
 
 export class ProcessCluster {
   readonly entries: EntryProcessHandle[] = [];
-  readonly servers: Program[] = [];
+  readonly servers: ServerProgram[] = [];
+  readonly #replaced = new Set<ServerProgram>();
   readonly folder = mkdtempSync(join(tmpdir(), "teaselspool-"));
   keyValueUrl = "";
   readonly #programs: Program[] = [];
@@ -70,7 +87,7 @@
     this.instanceListUrl = addressOf(list);
     await this.applyTemplate(template);
     const servers = zones.flatMap((zone) =>
-      Array.from({ length: serversPerZone }, (_, n) => this.#startServer(zone, n + 1)),
+      Array.from({ length: serversPerZone }, (_, n) => this.#startServer(zone, `${zone}-${n + 1}`)),
     );
     this.servers.push(...(await Promise.all(servers)));
     const entries = zones.flatMap((zone) =>
@@ -128,13 +145,35 @@
 
   /** Attempts that the backend servers started, `id#attempt`. */
   started(): readonly string[] {
+    return this.taskEvents().flatMap(({ event, requestId, attempt }) =>
+      event === "start" ? [`${requestId}#${attempt}`] : [],
+    );
+  }
+
+  /** What every backend server, also a replaced one, printed about its tasks. */
+  taskEvents(): readonly TaskEvent[] {
     return this.servers.flatMap(({ lines }) =>
-      lines.flatMap((line) =>
-        typeof line.requestId === "string" ? [`${line.requestId}#${String(line.attempt)}`] : [],
-      ),
+      lines.flatMap((line) => (line.event === undefined ? [] : [line as unknown as TaskEvent])),
     );
   }
 
+  /** Kills a backend server's process and starts another one of the same name. */
+  async replaceServer(server: ServerProgram): Promise<void> {
+    const { name, zone } = server;
+    const closed = once(server.child, "close");
+    server.child.kill("SIGKILL");
+    await closed;
+    server.lines.push(...endedByKill(server.lines));
+    // Events of the former process stay in its place, so the new one goes to the end.
+    this.servers.push(await this.#startServer(zone, name));
+    this.#replaced.add(server);
+  }
+
+  /** Backend servers whose process was not replaced. */
+  get liveServers(): readonly ServerProgram[] {
+    return this.servers.filter((server) => !this.#replaced.has(server));
+  }
+
   /** Runs a command to its end and returns its output. */
   async run(args: readonly string[]): Promise<string> {
     const program = this.#spawn(args);
@@ -194,11 +233,11 @@
     return count >= zones.length * serversPerZone;
   }
 
-  async #startServer(zone: string, number: number): Promise<Program> {
+  async #startServer(zone: string, name: string): Promise<ServerProgram> {
     const { slots } = this.#options;
-    const name = ["--name", `${zone}-${number}`, "--zone", zone, "--rack", `${zone}-rack`];
+    const place = ["--name", name, "--zone", zone, "--rack", `${zone}-rack`];
     const rest = ["--slots", String(slots), "--register", this.instanceListUrl];
-    return this.#standIn("backend-server", [...name, ...rest]);
+    return { ...(await this.#standIn("backend-server", [...place, ...rest])), name, zone };
   }
 
   async #standIn(kind: string, args: readonly string[] = []): Promise<Program> {
@@ -258,6 +297,20 @@
   return port;
 }
 
+/** Ends of the tasks that ran when their server was killed. */
+function endedByKill(
+  lines: readonly Record<string, unknown>[],
+): readonly Record<string, unknown>[] {
+  const running = new Map<string, Record<string, unknown>>();
+  for (const line of lines) {
+    const key = `${String(line.requestId)}#${String(line.attempt)}`;
+    if (line.event === "start") running.set(key, line);
+    else running.delete(key);
+  }
+  const at = performance.timeOrigin + performance.now();
+  return [...running.values()].map((line) => ({ ...line, event: "end", at }));
+}
+
 function parseLine(line: string): Record<string, unknown> {
   try {
     return JSON.parse(line) as Record<string, unknown>;
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -2,6 +2,12 @@
 import { once } from "node:events";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import {
+  answered,
+  assertTruthful as assertTruthfulOf,
+  order as sendOrder,
+  type Reply,
+} from "./callers.ts";
 import { ProcessCluster, waitFor, type EntryProcessHandle } from "./cluster.ts";
 
 const TEMPLATE = `
@@ -20,13 +26,6 @@
 idempotent = yes
 `;
 
-interface Reply {
-  readonly sent: string;
-  /** Undefined if the connection broke. */
-  readonly status: number | undefined;
-  readonly body: string;
-}
-
 const path = suite("whole path");
 const cluster = new ProcessCluster({
   zones: ["z1", "z2"],
@@ -37,19 +36,8 @@
 });
 let key = "";
 
-async function order(entry: EntryProcessHandle, body: object, id?: string): Promise<Reply> {
-  const sent = JSON.stringify(body);
-  const headers = { authorization: `Bearer ${key}`, "request-timeout-ms": "15000" };
-  try {
-    const res = await fetch(`${entry.callers}/v1/queues/orders/requests`, {
-      method: "POST",
-      headers: { ...headers, ...(id === undefined ? {} : { "idempotency-key": id }) },
-      body: sent,
-    });
-    return { sent, status: res.status, body: await res.text() };
-  } catch {
-    return { sent, status: undefined, body: "" };
-  }
+function order(entry: EntryProcessHandle, body: object, id?: string): Promise<Reply> {
+  return sendOrder({ entry, key, body, id });
 }
 
 function entryAt(index: number): EntryProcessHandle {
@@ -75,24 +63,8 @@
   };
 }
 
-/** No wrong or crossed answer, no attempt started twice, and no refusal that says "no" in error. */
 function assertTruthful(replies: readonly Reply[]): void {
-  const started = cluster.started().map((attempt) => attempt.split("#")[0]);
-  assert.is(new Set(started).size, started.length, "a request was started twice");
-  for (const reply of replies) {
-    if (reply.status === 200) assert.is(reply.body, reply.sent);
-    else if (reply.status !== undefined) {
-      const problem = JSON.parse(reply.body) as {
-        readonly ran: string;
-        readonly request_id: string;
-      };
-      if (problem.ran === "no") assert.not.ok(started.includes(problem.request_id));
-    }
-  }
-}
-
-function answered(replies: readonly Reply[]): number {
-  return replies.filter((reply) => reply.status === 200).length;
+  assertTruthfulOf(cluster, replies);
 }
 
 path.before(async () => {
--- /dev/null
+++ b/test/process/soak.ts
@@ -0,0 +1,211 @@
+/**
+ * `npm run soak -- --seed N --commands N`: random faults on separate processes under load.
+ *
+ * Complements the fuzzing on virtual time, which has no sockets and no process ends. Callers send
+ * requests that must not run twice; what they were told is checked against the tasks that the
+ * backend servers printed. Afterwards every fault heals, and each entry must answer again.
+ */
+import { once } from "node:events";
+import fc, { type AsyncCommand } from "fast-check";
+import sade from "sade";
+import * as assert from "uvu/assert";
+import { answered, assertTruthful, mostAtOnce, order, type Reply } from "./callers.ts";
+import { ProcessCluster, waitFor, type EntryProcessHandle } from "./cluster.ts";
+
+const UPPER_LIMIT = 7;
+const TEMPLATE = `
+[pool.work]
+group = g
+target_size = 6
+min_available = 2
+[queue.orders]
+pool = work
+[team.crew]
+share = 1
+upper_limit = ${UPPER_LIMIT}
+`;
+const LANES = 6;
+/** Part of the requests that are sent a second time through another entry instance. */
+const REPEATS = 5;
+
+class Site {
+  readonly cluster = new ProcessCluster({
+    zones: ["z1", "z2"],
+    entriesPerZone: 2,
+    serversPerZone: 3,
+    slots: 2,
+    template: TEMPLATE,
+  });
+  readonly replies: Reply[] = [];
+  readonly #lanes: Promise<void>[] = [];
+  /** Entry instances that take callers, as behind a load balancer. */
+  readonly #ready: EntryProcessHandle[] = [];
+  #key = "";
+  #on = true;
+
+  async start(): Promise<void> {
+    await this.cluster.start();
+    this.#key = await this.cluster.giveKey("crew");
+    this.#ready.push(...this.cluster.entries);
+    await this.serving();
+    for (let lane = 0; lane < LANES; lane++) this.#lanes.push(this.#lane(lane));
+  }
+
+  entry(index: number): EntryProcessHandle {
+    return this.#ready[index % this.#ready.length]!;
+  }
+
+  /** Ends an entry instance's process and starts another one in its zone. */
+  async replace(index: number, signal: "SIGKILL" | "SIGTERM"): Promise<void> {
+    const entry = this.entry(index);
+    this.#ready.splice(this.#ready.indexOf(entry), 1);
+    const exit = once(entry.child, "exit");
+    entry.child.kill(signal);
+    if (signal === "SIGTERM") {
+      await exit;
+      assert.is(entry.child.exitCode, 0, "a graceful shutdown failed");
+    }
+    this.#ready.push(await this.cluster.startEntry(entry.zone));
+  }
+
+  /** Stops the load and returns when every caller has its reply. */
+  async stopLoad(): Promise<void> {
+    this.#on = false;
+    await Promise.all(this.#lanes);
+  }
+
+  /** Waits until a request through each entry instance is answered. */
+  async serving(): Promise<void> {
+    for (const entry of this.#ready) {
+      await waitFor(`answers through ${entry.callers}`, async () => {
+        const work = Array.from({ length: UPPER_LIMIT }, (_, n) => this.#send(entry, { n }));
+        return answered(await Promise.all(work)) === UPPER_LIMIT;
+      });
+    }
+  }
+
+  async #lane(lane: number): Promise<void> {
+    for (let n = 0; this.#on; n++) {
+      const body = { lane, n, runMs: 20 + ((n * 37) % 400) };
+      const id = n % REPEATS === 0 ? `lane-${lane}-${n}` : undefined;
+      const reply = await this.#send(this.entry(lane + n), body, id);
+      if (id !== undefined) await this.#send(this.entry(lane + n + 1), body, id);
+      if (reply.status === undefined) await delay(50);
+    }
+  }
+
+  async #send(entry: EntryProcessHandle, body: object, id?: string): Promise<Reply> {
+    const reply = await order({ entry, key: this.#key, body, id, timeoutMs: "4000" });
+    this.replies.push(reply);
+    return reply;
+  }
+}
+
+class ProcessCommand implements AsyncCommand<object, Site> {
+  constructor(
+    readonly name: string,
+    readonly act: (site: Site) => Promise<void>,
+  ) {}
+
+  check(): boolean {
+    return true;
+  }
+
+  async run(_model: object, site: Site): Promise<void> {
+    await this.act(site);
+    await delay(500);
+    assertTruthful(site.cluster, site.replies);
+  }
+
+  toString(): string {
+    return this.name;
+  }
+}
+
+const index = fc.nat({ max: 11 });
+const pauseMs = fc.constantFrom(300, 2000, 6000, 25_000);
+const faultMs = fc.constantFrom(1000, 5000, 10_000);
+const faults = fc.constantFrom<Readonly<Record<string, unknown>>>(
+  { unavailable: true },
+  { delayMs: 700 },
+  { loseReplies: true },
+  { truncateReplies: true },
+);
+
+const COMMANDS = [
+  fc.constant(new ProcessCommand("wait", () => delay(1000))),
+  index.map((n) => new ProcessCommand(`kill(${n})`, (site) => site.replace(n, "SIGKILL"))),
+  index.map((n) => new ProcessCommand(`stop(${n})`, (site) => site.replace(n, "SIGTERM"))),
+  fc.tuple(index, pauseMs).map(([n, ms]) => {
+    return new ProcessCommand(`pause(${n}, ${ms})`, async (site) => {
+      const { child } = site.entry(n);
+      child.kill("SIGSTOP");
+      await delay(ms);
+      child.kill("SIGCONT");
+    });
+  }),
+  fc.tuple(faults, faultMs).map(([fault, ms]) => {
+    return new ProcessCommand(`platform(${JSON.stringify(fault)}, ${ms})`, async (site) => {
+      await site.cluster.keyValueFaults(fault);
+      await delay(ms);
+      await site.cluster.keyValueFaults(HEALED);
+    });
+  }),
+  index.map((n) => {
+    return new ProcessCommand(`replaceServer(${n})`, async ({ cluster }) => {
+      const live = cluster.liveServers;
+      await cluster.replaceServer(live[n % live.length]!);
+    });
+  }),
+];
+const HEALED = { unavailable: false, delayMs: 0, loseReplies: false, truncateReplies: false };
+
+async function soak(seed: number, maxCommands: number): Promise<boolean> {
+  const arbitrary = fc.commands<object, Site, false>(COMMANDS, { maxCommands, size: "max" });
+  const [commands] = fc.sample(arbitrary, { seed, numRuns: 1 });
+  const site = new Site();
+  try {
+    await site.start();
+    await fc.asyncModelRun(() => ({ model: {}, real: site }), commands!);
+    await site.stopLoad();
+    await site.serving();
+    assertTruthful(site.cluster, site.replies);
+    assert.ok(mostAtOnce(site.cluster) <= UPPER_LIMIT, `${mostAtOnce(site.cluster)} tasks at once`);
+    console.log(`seed ${seed}: passed`, tally(site.replies));
+    return true;
+  } catch (err) {
+    console.log(`seed ${seed}: FAILED`, err);
+    return false;
+  } finally {
+    console.log(`commands: ${fc.stringify(commands)}`);
+    await site.cluster.stop();
+  }
+}
+
+/** Number of replies by outcome. */
+function tally(replies: readonly Reply[]): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const { status, body } of replies) {
+    const outcome =
+      status === undefined
+        ? "broken"
+        : status === 200
+          ? "answered"
+          : /problem:(\w+)/.exec(body)?.[1];
+    counts[outcome ?? "other"] = (counts[outcome ?? "other"] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((done) => setTimeout(done, ms));
+}
+
+sade("soak", true)
+  .describe("Faults on separate processes under load, checked by what callers and servers saw.")
+  .option("--seed", "Seed of the commands", 1)
+  .option("--commands", "Most commands of a run", 12)
+  .action(async (options: { readonly seed: number; readonly commands: number }) => {
+    process.exitCode = (await soak(options.seed, options.commands)) ? 0 : 1;
+  })
+  .parse(process.argv);
