fix(config): keep keyed work going while the platform answers slowly

Change: the watch waits only as long as its reply still arrives within the freshness bound, given the latency of the call before. Ruled out: a longer bound, which would let a withdrawn key work longer; two watches at a time, which double the calls also while the platform is fast. Conclusion: a platform slower than the 1 s time-out counts as unreachable, as before.

--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -62,6 +62,7 @@
       random,
       keyValue,
       watchMs,
+      maxAgeMs: keyFreshnessMs,
       key: CONFIG_KEY,
       listener: {
         read: (entry, sentAt) => {
--- a/src/coordination/key-watcher.ts
+++ b/src/coordination/key-watcher.ts
@@ -15,6 +15,11 @@
 /** A watch this long overdue counts as an unreachable platform before it is given up. */
 const OVERDUE_MS = 500;
 
+/** Shortest wait of one watch, however slowly the service answers. */
+const MIN_WATCH_MS = 50;
+/** Kept free of the age bound for calls that take longer than the one before. */
+const AGE_MARGIN_MS = 200;
+
 /** Receives what a {@link KeyWatcher} reads. `sentAt` is the monotonic time of the call. */
 export interface KeyListener {
   /** The key was read; undefined means that it is absent. */
@@ -32,6 +37,11 @@
   readonly key: string;
   /** Longest wait of one watch in milliseconds. */
   readonly watchMs: number;
+  /**
+   * Age in milliseconds that a confirmation should not reach before the next one: waits get shorter
+   * when the service answers slowly. Unbounded by default.
+   */
+  readonly maxAgeMs?: number;
   readonly listener: KeyListener;
 }
 
@@ -42,6 +52,11 @@
   #revision: number | undefined;
   #failures = 0;
   #sentAt = 0;
+  /** Wait asked for by the present watch. */
+  #waitMs = 0;
+  #confirmedAt = -Infinity;
+  /** Time that the last answered call took beyond its wait. */
+  #latencyMs = 0;
   #waiting = false;
   #started = false;
 
@@ -75,6 +90,7 @@
     const { clock, listener, random } = this.#options;
     while (!this.#stopped()) {
       this.#sentAt = clock.now();
+      this.#waitMs = this.#nextWaitMs();
       this.#waiting = true;
       const reply = await this.#ask();
       this.#waiting = false;
@@ -92,23 +108,37 @@
 
   /** Reads at once at the start, and waits for a change from then on. */
   async #ask(): Promise<Result<KvWatchReply, KvError>> {
-    const { clock, keyValue, key, watchMs } = this.#options;
+    const { clock, keyValue, key } = this.#options;
+    const waitMs = this.#waitMs;
     const timer = new AbortController();
     const timeout = clock
-      .sleep(watchMs + REPLY_MARGIN_MS, timer.signal)
+      .sleep(waitMs + REPLY_MARGIN_MS, timer.signal)
       .then((): Result<KvWatchReply, KvError> => Err({ kind: "ambiguous", detail: "no reply" }));
     const call =
       this.#revision === undefined
         ? keyValue.get(key).then((read) => read.map((entry) => ({ changed: true as const, entry })))
-        : keyValue.watch({ key, afterRevision: this.#revision, waitMs: watchMs });
+        : keyValue.watch({ key, afterRevision: this.#revision, waitMs });
     const reply = await Promise.race([call, timeout]);
     timer.abort();
     return reply;
   }
 
+  /** The wait after which the reply still arrives within the age bound at the latency seen last. */
+  #nextWaitMs(): number {
+    const { clock, watchMs, maxAgeMs } = this.#options;
+    if (maxAgeMs === undefined) return watchMs;
+    const boundMs = maxAgeMs - AGE_MARGIN_MS;
+    // In a steady state the confirmation before is as old as one call takes.
+    const ageMs = Math.max(boundMs / 2, clock.now() - this.#confirmedAt);
+    const waitMs = Math.round(boundMs - ageMs - this.#latencyMs);
+    return Math.min(watchMs, Math.max(MIN_WATCH_MS, waitMs));
+  }
+
   #take(reply: KvWatchReply): void {
-    const { listener } = this.#options;
+    const { clock, listener } = this.#options;
+    this.#confirmedAt = this.#sentAt;
     if (!reply.changed) {
+      this.#latencyMs = Math.max(0, clock.now() - this.#sentAt - this.#waitMs);
       listener.confirmed(this.#sentAt);
       return;
     }
--- a/test/coordination/config-follower.test.ts
+++ b/test/coordination/config-follower.test.ts
@@ -106,6 +106,25 @@
   assert.not(follower.keyedWorkAllowed());
 });
 
+// Guards against a slow platform that stops keyed work between two confirmations.
+test("keyed work goes on while the platform answers slowly", async () => {
+  for (const latencyMs of [400, 700, 950]) {
+    const { clock, keyValue, follower, write } = fixture();
+    await write(config(1));
+    follower.start();
+    await clock.advance(10_000);
+    const watch = keyValue.watch.bind(keyValue);
+    keyValue.watch = async (call) => {
+      await clock.sleep(latencyMs);
+      return watch(call);
+    };
+    for (let at = 0; at < 30_000; at += 50) {
+      await clock.advance(50);
+      assert.ok(follower.keyedWorkAllowed(), `${latencyMs} ms: age ${follower.ageMs()} ms`);
+    }
+  }
+});
+
 // Guards against a confirmation that counts from its arrival instead of from its request.
 test("the age of a confirmation counts from the send time", async () => {
   const { clock, follower, write } = fixture();
