test(fuzz): catch the two surviving mutants of at most once

Cause: lapsed-lease-accepted replaced the lease id when a start was sent. A start that arrived late carried the same old lease, so backend servers still refused it. ids-forgotten did run requests twice at their homes, but an idle entry starts the repeated request on the same server under the same attempt number, which refuses the duplicate. Change: the first mutant works at the backend server, on arrival. `stallStarts` delays starts that are on their way while later messages pass, so that the holder takes a new lease, finds nothing started and starts the request again. `repeatOrders` repeats three bookings in reverse order, so that they meet other servers. The oracle is unchanged. Ruled out: a start that arrives after another entry has taken the server over. That holder states the task as lost, and a non-idempotent request then ends as unknown without another start.

--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -31,6 +31,13 @@
   readonly arrive: () => void;
 }
 
+/** Delays messages sent before a moment; later ones overtake them. */
+interface Stall {
+  readonly pair: readonly [string, string];
+  readonly sentUntil: number;
+  readonly ms: number;
+}
+
 interface Call {
   readonly from: Party;
   readonly to: Party;
@@ -49,6 +56,7 @@
   readonly #slowMs = new Map<string, number>();
   readonly #replyLoss = new Map<string, number>();
   readonly #calls = new Set<Call>();
+  #stalls: readonly Stall[] = [];
   #held: Message[] = [];
   #lateDelivery = false;
 
@@ -74,6 +82,7 @@
     this.#cuts.clear();
     this.#slowMs.clear();
     this.#replyLoss.clear();
+    this.#stalls = [];
     this.#releaseHeld();
     this.#lateDelivery = false;
   }
@@ -98,6 +107,20 @@
     for (const call of [...this.#calls]) if (matches([a, b], call.from, call.to)) call.fail();
   }
 
+  /**
+   * Delays by `ms` what is on its way between parties with these tags, and what they send within
+   * `forMs`. Messages sent afterwards overtake it, as over a new connection.
+   */
+  stall(
+    a: string,
+    b: string,
+    { ms, forMs }: { readonly ms: number; readonly forMs: number },
+  ): void {
+    const now = this.#options.clock.now();
+    const current = this.#stalls.filter((stall) => stall.sentUntil > now);
+    this.#stalls = [...current, { pair: [a, b], sentUntil: now + forMs, ms }];
+  }
+
   isCut(a: Party, b: Party): boolean {
     for (const pair of this.#cuts.values()) if (matches(pair, a, b)) return true;
     return false;
@@ -172,9 +195,18 @@
   }
 
   #transmit(from: Party, to: Party, arrive: () => void): void {
-    this.#options.clock.schedule(this.#delay(from, to), () => {
+    const { clock } = this.#options;
+    const sentAt = clock.now();
+    const deliver = (): void => {
       if (!this.isCut(from, to)) arrive();
       else if (this.#lateDelivery) this.#held.push({ from, to, arrive });
+    };
+    clock.schedule(this.#delay(from, to), () => {
+      const stall = this.#stalls.find((each) => {
+        return sentAt <= each.sentUntil && matches(each.pair, from, to);
+      });
+      if (stall === undefined) deliver();
+      else clock.schedule(stall.ms, deliver);
     });
   }
 
--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -74,6 +74,18 @@
   cutFor(world, world.slot(entry).tag, "server", ms, true);
 }
 
+/**
+ * Delays starts that are on their way, while the entry instances reach their servers over new
+ * connections, take new leases, see that nothing was started and start the requests again.
+ */
+async function stallStarts(world: World, team: string, ms: number): Promise<void> {
+  const key = world.operators.validKey(team);
+  submitEverywhere(world, { queue: "orders", team, key, timeoutMs: 30_000 });
+  world.links.stall("entry", "server", { ms, forMs: 5 });
+  world.disturb(ms);
+  await world.advance(ms + 500);
+}
+
 function submitEverywhere(
   world: World,
   order: Pick<Order, "queue" | "team" | "key" | "timeoutMs">,
@@ -166,6 +178,9 @@
   fc
     .tuple(index, fc.constantFrom(...TEAMS), fc.constantFrom(8000, 15_000))
     .map(command("delayStarts", delayStarts)),
+  fc
+    .tuple(fc.constantFrom(...TEAMS), fc.constantFrom(3000, 6000))
+    .map(command("stallStarts", stallStarts)),
   fc
     .tuple(
       fc.constantFrom(...TEAMS),
--- a/test/fuzz/commands/requests.ts
+++ b/test/fuzz/commands/requests.ts
@@ -100,9 +100,20 @@
   if (order !== undefined) world.callers.submit(order, world.slot(entry), mode);
 }
 
-/** Sends a booking under an order number, and the same again after it has ended. */
-async function repeatOrder(world: World, entry: number, team: string): Promise<void> {
-  const order: Order = {
+/**
+ * Sends bookings under order numbers, and the same again through another entry after they have
+ * ended, the last first. Backend servers refuse a start that they have seen before, and an idle
+ * entry starts on the same server again; several bookings in another order meet other servers.
+ */
+async function repeatOrders(world: World, entry: number, team: string): Promise<void> {
+  const orders = [1, 2, 3].map(() => booking(world, team));
+  for (const order of orders) world.callers.submit(order, world.slot(entry), "sync");
+  await world.advance(2500);
+  for (const order of orders.reverse()) world.callers.submit(order, world.slot(entry + 1), "sync");
+}
+
+function booking(world: World, team: string): Order {
+  return {
     queue: "orders",
     team,
     key: world.operators.validKey(team),
@@ -110,11 +121,8 @@
     priority: "normal",
     neverTwice: false,
     timeoutMs: 2000,
-    job: world.callers.newJob(20),
+    job: world.callers.newJob(50),
   };
-  world.callers.submit(order, world.slot(entry), "sync");
-  await world.advance(2500);
-  world.callers.submit(order, world.slot(entry + 1), "sync");
 }
 
 const mode = fc.constantFrom<"sync" | "async">("sync", "async");
@@ -124,7 +132,7 @@
   fc.tuple(draft).map(command("submit", send)),
   fc.tuple(draft).map(command("submit", send)),
   fc.tuple(fc.nat({ max: 5 }), index, mode).map(command("retry", retry)),
-  fc.tuple(index, fc.constantFrom(...TEAMS)).map(command("repeatOrder", repeatOrder)),
+  fc.tuple(index, fc.constantFrom(...TEAMS)).map(command("repeatOrders", repeatOrders)),
   fc.tuple(index, fc.constantFrom(1, 20)).map(
     command("cancel", (world: World, entry: number, count: number) => {
       world.callers.cancel(world.slot(entry), count);
--- a/test/fuzz/entry-slot.ts
+++ b/test/fuzz/entry-slot.ts
@@ -126,7 +126,7 @@
       random,
       keyValue: new FaultyKeyValue({ links, party, platform, store }),
       instanceList: new StaleInstanceList({ links, party, platform, instances: farm.instances }),
-      backends: new FaultyBackendConnector({ links, party, servers: farm.machines }),
+      backends: new FaultyBackendConnector({ links, party, servers: farm.reached }),
       peerTransport: network.transport(party),
       log,
     };
--- a/test/fuzz/entry-under-test.ts
+++ b/test/fuzz/entry-under-test.ts
@@ -1,5 +1,6 @@
 import type { EntryInstanceOptions } from "../../src/coordination/entry-instance.ts";
 import type { RequestService } from "../../src/coordination/ports.ts";
+import type { BackendServer } from "../../src/platform/backend-server.ts";
 import type { KeyValueService } from "../../src/platform/key-value-service.ts";
 import type { Property } from "./violations.ts";
 
@@ -28,6 +29,8 @@
   readonly parts?: (parts: EntryParts, entry: number) => EntryParts;
   /** Changes the key-value service that all entry instances share. */
   readonly store?: (store: KeyValueService) => KeyValueService;
+  /** Changes what a backend server does with the calls that reach it. */
+  readonly server?: (server: BackendServer) => BackendServer;
   /** Ends the process as soon as a graceful shutdown begins. */
   readonly cutShutdown?: boolean;
 }
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -79,28 +79,18 @@
   }
 }
 
-/** Newest lease granted by each backend server, whoever got it. */
-type NewestLeases = Map<string, string>;
-
 /** A backend server that takes a start under any lease, lapsed or not. */
 class LeaseIgnored extends ForwardingBackend {
-  readonly #newest: NewestLeases;
-  readonly #address: string;
-
-  constructor(inner: ForwardingBackend["inner"], newest: NewestLeases, address: string) {
-    super({ inner });
-    this.#newest = newest;
-    this.#address = address;
-  }
+  #newest: string | undefined;
 
   override async acquireLease(holder: string, ttlMs: number): BackendResult<LeaseGrant> {
     const granted = await this.inner.acquireLease(holder, ttlMs);
-    if (granted.ok) this.#newest.set(this.#address, granted.val.leaseId);
+    if (granted.ok) this.#newest = granted.val.leaseId;
     return granted;
   }
 
   override startTask(leaseId: string, spec: TaskSpec): BackendResult<void> {
-    return this.inner.startTask(this.#newest.get(this.#address) ?? leaseId, spec);
+    return this.inner.startTask(this.#newest ?? leaseId, spec);
   }
 }
 
@@ -147,7 +137,7 @@
 }
 
 function withBackends(
-  wrap: (server: ForwardingBackend["inner"], address: string) => ForwardingBackend,
+  wrap: (server: ForwardingBackend["inner"]) => ForwardingBackend,
 ): NonNullable<Mutant["parts"]> {
   return (parts) => ({ ...parts, backends: new WrappingConnector(parts.backends, wrap) });
 }
@@ -176,8 +166,6 @@
   });
 }
 
-const newestLeases: NewestLeases = new Map();
-
 /** Every mutant. Each property has at least one that it must catch. */
 export const MUTANTS: readonly Mutant[] = [
   {
@@ -242,8 +230,8 @@
   {
     name: "lapsed-lease-accepted",
     property: "at-most-once",
-    detail: "backend servers take starts under lapsed leases",
-    parts: withBackends((inner, address) => new LeaseIgnored(inner, newestLeases, address)),
+    detail: "backend servers take starts that arrive under lapsed leases",
+    server: (inner) => new LeaseIgnored({ inner }),
   },
   {
     name: "ids-forgotten",
--- a/test/fuzz/server-farm.ts
+++ b/test/fuzz/server-farm.ts
@@ -1,4 +1,4 @@
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { BackendServer, TaskSpec } from "../../src/platform/backend-server.ts";
 import type { ListedInstance } from "../../src/platform/instance-list.ts";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
 import type { BackendParty } from "../fakes/faulty-backend.ts";
@@ -23,12 +23,16 @@
   readonly links: Links;
   readonly oracle: Oracle;
   readonly zones: readonly string[];
+  /** Changes what a server does with the calls of entry instances. */
+  readonly wrap?: ((server: BackendServer) => BackendServer) | undefined;
 }
 
 /** Every simulated backend server and the instance list that names them. */
 export class ServerFarm {
   readonly instances: LaggingInstances;
   readonly machines: readonly Machine[];
+  /** The servers as entry instances reach them. */
+  readonly reached: readonly BackendParty[];
   readonly #options: ServerFarmOptions;
   readonly #failing = new Set<string>();
 
@@ -37,6 +41,9 @@
     const planned = plannedInstances(options.zones);
     this.instances = new LaggingInstances({ clock: options.clock, instances: planned });
     this.machines = planned.map((instance) => this.#machine(instance));
+    this.reached = this.machines.map(({ address, party, server }) => {
+      return { address, party, server: options.wrap?.(server) ?? server };
+    });
   }
 
   machine(index: number): Machine {
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -70,7 +70,7 @@
     this.links = new Links({ clock, random: this.random });
     this.oracle = new Oracle({ now: () => clock.now(), expectedAnswer });
     const { links, oracle, random } = this;
-    this.farm = new ServerFarm({ clock, links, oracle, zones });
+    this.farm = new ServerFarm({ clock, links, oracle, zones, wrap: mutant?.server });
     this.#platform = { tags: ["platform"], gate: new ProcessGate({ clock }) };
     const inner = new KeyValueStore({ clock });
     this.#store = new ObservedStore({
