test(fuzz): a platform-wide outage while all zones are in contact

Cause: section 7 of the design lets keyed work go on in such an outage, and no run showed it. Change: the command `outage` cuts every entry from the platform for 16 s while callers go on with an old and a new key. An operator may withdraw the old one before (also when one entry is the last that reads the platform) or during it. The oracle is stricter in two ways. A revision that one live entry has read counts as visible while all entries are in contact, so its withdrawn keys must stop working in 6 s. A refusal as stale is a violation of `keys` from 6 s after the outage began, if all entries were in contact since 6 s before it. Two mutants, outage-unrecognised and config-not-passed-on. Ruled out: a withdrawal some milliseconds before the cut. Every entry's watch returns within two milliseconds of each other, so all had read it; config-not-passed-on then survived 40 runs. It also survived while the team was idle: an entry keeps a reserve of floor(limit / (4 * entries)), which is 0 at a limit of 4, so no budget was left for the outage and nothing started. Conclusion: keyed work goes on and withdrawn keys stop in the outages that were generated.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -1,9 +1,10 @@
 import fc from "fast-check";
-import type { Order } from "../callers.ts";
 import { GROUP, TEAMS } from "../fleet-plan.ts";
 import type { World } from "../world.ts";
 import { command, type FuzzCommand } from "./command.ts";
+import { cutFor, submitEverywhere } from "./effects.ts";
 import { resize } from "./operators.ts";
+import { outageCommands } from "./outages.ts";
 
 const index = fc.nat({ max: 11 });
 const DUTIES = [`planner-${GROUP}`, `planner-${GROUP}`, "reclaim-a", "reclaim-b"] as const;
@@ -28,16 +29,6 @@
   });
 }
 
-function cutFor(world: World, a: string, b: string, ms: number, late: boolean): void {
-  world.links.setLateDelivery(late);
-  world.links.cut(a, b);
-  world.disturb(ms);
-  world.clock.schedule(ms, () => {
-    world.links.heal(a, b);
-    world.observe();
-  });
-}
-
 /** Cuts a zone from the platform and from every other zone. */
 function isolateZone(world: World, index: number, ms: number, held: boolean): void {
   const zone = world.zone(index);
@@ -86,16 +77,6 @@
   await world.advance(ms + 500);
 }
 
-function submitEverywhere(
-  world: World,
-  order: Pick<Order, "queue" | "team" | "key" | "timeoutMs">,
-): void {
-  const rest = { idempotencyKey: undefined, priority: "normal", neverTwice: false } as const;
-  for (const slot of world.slots) {
-    world.callers.submit({ ...order, ...rest, job: world.callers.newJob() }, slot, "sync");
-  }
-}
-
 const durationMs = fc.constantFrom(200, 1000, 5000, 12_000, 30_000);
 const pauseMs = fc.constantFrom(500, 3000, 6000, 20_000);
 const late = fc.boolean();
@@ -274,5 +255,6 @@
 export const faultCommands: readonly fc.Arbitrary<FuzzCommand>[] = [
   ...processFaults,
   ...linkFaults,
+  ...outageCommands,
   ...serverFaults,
 ];
--- a/test/fuzz/history-builders.ts
+++ b/test/fuzz/history-builders.ts
@@ -2,7 +2,7 @@
 import type { TaskSpec } from "../../src/platform/backend-server.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { ServerRecord, ServerState } from "../../src/protocol/fleet-document.ts";
-import type { RanState } from "../../src/protocol/problem.ts";
+import type { RanState, RefusalReason } from "../../src/protocol/problem.ts";
 import type { CallerReply } from "../../src/coordination/ports.ts";
 import type { Submission } from "./request-history.ts";
 
@@ -97,8 +97,8 @@
   };
 }
 
-export function refusal(ran: RanState): CallerReply {
-  return { kind: "refusal", refusal: { reason: "overload", detail: "", ran } };
+export function refusal(ran: RanState, reason: RefusalReason = "overload"): CallerReply {
+  return { kind: "refusal", refusal: { reason, detail: "", ran } };
 }
 
 export function answer(text: string, requestId: string): CallerReply {
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -166,6 +166,19 @@
   });
 }
 
+/** Answers gossip as if the platform were reachable, so that no outage is recognised. */
+function claimingPlatform(): NonNullable<Mutant["parts"]> {
+  return (parts) => ({
+    ...parts,
+    peerTransport: new ChangingTransport(parts.peerTransport, async (req, next) => {
+      const reply = await next(req);
+      return reply.map((val) =>
+        req.type === "gossip" ? { ...val, platformReachable: true } : val,
+      );
+    }),
+  });
+}
+
 /** Every mutant. Each property has at least one that it must catch. */
 export const MUTANTS: readonly Mutant[] = [
   {
@@ -191,6 +204,18 @@
     detail: "an entry trusts its configuration without limit of age",
     parts: withSettings({ keyFreshnessMs: 1e9 }),
   },
+  {
+    name: "outage-unrecognised",
+    property: "keys",
+    detail: "entries state the platform as reachable to each other",
+    parts: claimingPlatform(),
+  },
+  {
+    name: "config-not-passed-on",
+    property: "keys",
+    detail: "entries do not ask each other for newer configurations",
+    parts: withoutCalls("config"),
+  },
   {
     name: "limit-ignored",
     property: "upper-limit",
--- a/test/fuzz/operator-history.ts
+++ b/test/fuzz/operator-history.ts
@@ -15,6 +15,16 @@
   allSeenAt: number | undefined;
 }
 
+/** Who can learn of an accepted configuration at one moment. */
+export interface Reach {
+  /** Some live entry can read the platform. */
+  readonly some: boolean;
+  /** Every live entry can. */
+  readonly all: boolean;
+  /** Live incarnations, if every two of them reach each other. @default [] */
+  readonly inContact?: readonly string[];
+}
+
 /** Options of {@link OperatorHistory}. */
 export interface OperatorHistoryOptions {
   readonly now: () => number;
@@ -58,15 +68,18 @@
     this.#keyIds.set(key, keyId);
   }
 
-  /** States whether some and whether all live entries can read the platform at this moment. */
-  reachable({ some, all }: { readonly some: boolean; readonly all: boolean }): void {
+  /** States who can learn of configurations at this moment. */
+  reachable({ some, all, inContact = [] }: Reach): void {
     const now = this.#options.now();
+    // One entry that has read a revision passes it on to all that it reaches.
+    const known = Math.max(0, ...inContact.map((name) => this.#reported.get(name) ?? 0));
     const within = (seenAt: number | undefined): boolean =>
       seenAt !== undefined && now - seenAt >= IN_FORCE_MS;
     for (const accepted of this.#accepted) {
       // Once a revision had the time to arrive it stays in force, whatever fails later.
       if (!within(accepted.firstSeenAt))
-        accepted.firstSeenAt = some ? (accepted.firstSeenAt ?? now) : undefined;
+        accepted.firstSeenAt =
+          some || accepted.doc.revision <= known ? (accepted.firstSeenAt ?? now) : undefined;
       if (!within(accepted.allSeenAt))
         accepted.allSeenAt = all ? (accepted.allSeenAt ?? now) : undefined;
     }
--- a/test/fuzz/oracle.test.ts
+++ b/test/fuzz/oracle.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { ServerRecord, ServerState } from "../../src/protocol/fleet-document.ts";
-import { IN_FORCE_MS } from "./operator-history.ts";
+import { IN_FORCE_MS, type Reach } from "./operator-history.ts";
 import { LEAVING_LIMIT_MS, LOSS_KNOWN_MS } from "./fleet-history.ts";
 import { answer, call, config, refusal, server, task } from "./history-builders.ts";
 import { Oracle } from "./oracle.ts";
@@ -11,7 +11,7 @@
 
 interface Fixture {
   readonly oracle: Oracle;
-  readonly pass: (ms: number) => void;
+  readonly pass: (ms: number, reach?: Reach) => void;
   readonly found: () => string[];
 }
 
@@ -20,9 +20,9 @@
   const oracle = new Oracle({ now: () => now, expectedAnswer: (nonce, id) => `${nonce}/${id}` });
   oracle.operators.accepted(config(1, { limit: 2, minAvailable: 1 }));
   oracle.operators.issuedKey("secret", "key-1", "red");
-  const pass = (ms: number): void => {
+  const pass = (ms: number, reach: Reach = { some: true, all: true }): void => {
     now += ms;
-    oracle.operators.reachable({ some: true, all: true });
+    oracle.operators.reachable(reach);
   };
   pass(0);
   return { oracle, pass, found: () => oracle.violations.map((v) => v.property) };
@@ -123,6 +123,50 @@
   assert.is(oracle.operators.keyMayBeValid("secret"), false);
 });
 
+test("a withdrawn key stops working once an entry in contact has read the revision", () => {
+  for (const [inContact, expected] of [
+    [["e1", "e2"], false],
+    [["e2"], true],
+    [[], true],
+  ] as const) {
+    const { oracle, pass } = fixture();
+    oracle.operators.accepted(config(2, { limit: 9, minAvailable: 1, keys: [] }));
+    oracle.operators.reportedRevision("e1", 2);
+    const blind = { some: false, all: false, inContact };
+    pass(0, blind);
+    pass(IN_FORCE_MS - 1, blind);
+    assert.is(oracle.operators.keyMayBeValid("secret"), true);
+    pass(1, blind);
+    assert.is(oracle.operators.keyMayBeValid("secret"), expected);
+  }
+});
+
+test("a refusal as stale is reported in a platform-wide outage that entries in contact noticed", () => {
+  const outage = { processes: "e1 e2", whole: true, platformCut: true };
+  for (const [before, during, expected] of [
+    [{}, {}, ["keys"]],
+    [{ whole: false }, {}, []],
+    [{ processes: "e1" }, {}, []],
+    [{}, { whole: false }, []],
+    [{}, { platformCut: false }, []],
+  ] as const) {
+    const { oracle, pass, found } = fixture();
+    oracle.outages.observed({ ...outage, platformCut: false, ...before });
+    pass(IN_FORCE_MS);
+    oracle.outages.observed(outage);
+    const stale = (): void => {
+      oracle.requests.replied(oracle.requests.sent(call("a")), refusal("no", "config_stale"));
+    };
+    pass(IN_FORCE_MS - 1);
+    stale();
+    assert.equal(found(), []);
+    pass(1);
+    oracle.outages.observed({ ...outage, ...during });
+    stale();
+    assert.equal(found(), expected);
+  }
+});
+
 test("a start on a leaving server is reported after the stated time", () => {
   const { oracle, pass, found } = fixture();
   oracle.requests.sent(call("a"));
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -1,6 +1,7 @@
 import type { TaskSpec } from "../../src/platform/backend-server.ts";
 import { FleetHistory } from "./fleet-history.ts";
 import { OperatorHistory } from "./operator-history.ts";
+import { OutageHistory } from "./outage-history.ts";
 import { RequestHistory } from "./request-history.ts";
 import { Violations, type Violation } from "./violations.ts";
 
@@ -19,12 +20,16 @@
   readonly requests: RequestHistory;
   readonly operators: OperatorHistory;
   readonly fleet: FleetHistory;
+  readonly outages: OutageHistory;
   readonly #violations: Violations;
 
   constructor({ now, expectedAnswer }: OracleOptions) {
     this.#violations = new Violations({ now });
     const violations = this.#violations;
-    this.requests = new RequestHistory({ now, violations, expectedAnswer });
+    const outages = new OutageHistory({ now });
+    this.outages = outages;
+    const goesOnFrom = (): number | undefined => outages.goesOnFrom;
+    this.requests = new RequestHistory({ now, violations, expectedAnswer, goesOnFrom });
     this.operators = new OperatorHistory({ now, violations });
     this.fleet = new FleetHistory({ now, violations, operators: this.operators });
   }
--- a/test/fuzz/request-history.ts
+++ b/test/fuzz/request-history.ts
@@ -40,6 +40,8 @@
   readonly violations: Violations;
   /** The whole answer to a nonce under a request id. */
   readonly expectedAnswer: (nonce: string, requestId: string) => string;
+  /** Time from which keyed work must not be refused as stale, undefined if it may be. */
+  readonly goesOnFrom: () => number | undefined;
 }
 
 /** What callers sent and were told, and what backend servers started. */
@@ -76,6 +78,7 @@
     }
     const text = reply.kind === "answer" ? "answer" : reply.refusal.reason;
     tracked.outcome = { text, at: this.#options.now() };
+    if (text === "config_stale") this.#checkStale(tracked);
     const certainlyNotRun = this.#judge(tracked.submission.nonce, reply);
     tracked.state = certainlyNotRun ? "closed" : "done";
   }
@@ -143,6 +146,13 @@
     return `${submission.nonce}: ${outcome?.text ?? "no reply"}`;
   }
 
+  /** Keyed work goes on in a platform-wide outage while all zones are in contact. */
+  #checkStale({ submission, sentAt }: Tracked): void {
+    const { violations, goesOnFrom } = this.#options;
+    if (sentAt < (goesOnFrom() ?? Infinity)) return;
+    violations.add("keys", `${submission.nonce} was refused as stale in a platform-wide outage`);
+  }
+
   /** Checks a final reply; true if it states that the request never ran. */
   #judge(nonce: string, reply: Exclude<CallerReply, { kind: "pending" }>): boolean {
     const { violations, expectedAnswer } = this.#options;
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -223,15 +223,40 @@
   observe(): void {
     const processes = this.slots.filter((slot) => slot.process !== undefined);
     const seeing = processes.filter((slot) => this.#seesPlatform(slot));
+    const whole = this.#inContact(processes);
+    this.oracle.outages.observed({
+      processes: this.incarnations().join(" "),
+      whole,
+      platformCut: processes.every(({ process }) =>
+        this.links.isCut(process!.party, this.#platform),
+      ),
+    });
     this.oracle.operators.reachable({
       some: seeing.length > 0,
       all: seeing.length === processes.length,
+      inContact: whole ? this.incarnations() : [],
     });
     const blind = new Set(processes.filter((s) => !seeing.includes(s)).map((s) => s.zone));
     const zones = this.farm.instances.frozen ? [] : this.zones;
     this.farm.reportLeaving(new Set(zones.filter((zone) => !blind.has(zone))));
   }
 
+  /** Whether every two processes reach each other and each zone has one. */
+  #inContact(processes: readonly EntrySlot[]): boolean {
+    const zones = new Set(processes.map((slot) => slot.zone));
+    const working = processes.every(({ process }) => {
+      return !process!.stopping && !process!.party.gate.paused;
+    });
+    const parties = processes.map((slot) => slot.process!.party);
+    return (
+      working &&
+      zones.size === this.zones.length &&
+      parties.every((a) =>
+        parties.every((b) => !this.links.isCut(a, b) && !this.links.impaired(a, b)),
+      )
+    );
+  }
+
   #seesPlatform(slot: EntrySlot): boolean {
     const party = slot.process!.party;
     if (party.gate.paused || slot.process!.stopping) return false;
