test(fuzz): `--served` counts served requests per fault beside a cautious baseline

Cause: refusing every request satisfies every guarantee about requests, and nothing measured it. The baseline is the product behind a rule: keyed work only while the platform answers, nothing in a zone that lost a member until that member is fenced. Ruled out: reading the product's counters; answers are counted where callers get them.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -10,7 +10,7 @@
 const DUTIES = [`planner-${GROUP}`, `planner-${GROUP}`, "reclaim-a", "reclaim-b"] as const;
 
 /** Ends a process and starts another one with empty memory in its place after the delay. */
-function replaceLater(world: World, entry: number, afterMs: number): void {
+export function replaceLater(world: World, entry: number, afterMs: number): void {
   const slot = world.slot(entry);
   slot.kill();
   world.memoryLost = true;
@@ -30,7 +30,7 @@
 }
 
 /** Cuts a zone from the platform and from every other zone. */
-function isolateZone(world: World, index: number, ms: number, held: boolean): void {
+export function isolateZone(world: World, index: number, ms: number, held: boolean): void {
   const zone = world.zone(index);
   cutFor(world, `zone:${zone}`, "platform", ms, held);
   for (const other of world.zones) {
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -1,9 +1,10 @@
-/** `npm run fuzz -- --seed N --runs N [--property NAME] [--mutants]` */
+/** `npm run fuzz -- --seed N --runs N [--property NAME] [--mutants] [--served]` */
 import sade from "sade";
 import { QUIET_LOG } from "../fakes/quiet.ts";
 import { fuzz, type CampaignFailure } from "./campaign.ts";
 import { MUTANTS } from "./mutants.ts";
 import { entryFactory } from "./product.ts";
+import { printServed } from "./served.ts";
 import { PROPERTIES, type Property } from "./violations.ts";
 
 interface Options {
@@ -11,6 +12,7 @@
   readonly runs: number;
   readonly property?: Property;
   readonly mutants?: boolean;
+  readonly served?: boolean;
   readonly shrink: number;
 }
 
@@ -50,6 +52,11 @@
   return survivors === 0;
 }
 
+function run(options: Options): Promise<boolean> {
+  if (options.served === true) return printServed(options);
+  return options.mutants === true ? runMutants(options) : runProduct(options);
+}
+
 async function main(options: Options): Promise<void> {
   const { property } = options;
   if (property !== undefined && !PROPERTIES.includes(property)) {
@@ -57,8 +64,7 @@
     process.exitCode = 2;
     return;
   }
-  const passed = options.mutants === true ? await runMutants(options) : await runProduct(options);
-  process.exitCode = passed ? 0 : 1;
+  process.exitCode = (await run(options)) ? 0 : 1;
 }
 
 sade("fuzz", true)
@@ -67,6 +73,7 @@
   .option("--runs", "Number of command sequences", 20)
   .option("--property", `One of ${PROPERTIES.join(", ")}`)
   .option("--mutants", "Checks that each mutant is caught")
+  .option("--served", "Prints the part of the requests served during each fault")
   .option("--shrink", "Seconds spent on shortening a failing sequence", 60)
   .action((options: Options) => main(options))
   .parse(process.argv);
--- a/test/fuzz/request-history.ts
+++ b/test/fuzz/request-history.ts
@@ -123,6 +123,17 @@
     if (record !== undefined) record.ends++;
   }
 
+  /** Calls made so far. */
+  get count(): number {
+    return this.#calls.length;
+  }
+
+  /** How many of the calls from `first` on, `count` in number, got an answer. */
+  answered(first: number, count: number): number {
+    const calls = this.#calls.slice(first, first + count);
+    return calls.filter((call) => call.outcome?.text === "answer").length;
+  }
+
   /** Calls whose caller still waits or that were accepted without an outcome so far. */
   unresolved(): readonly { readonly call: number; readonly requestId: string | undefined }[] {
     return this.#calls.flatMap((tracked, call) =>
--- /dev/null
+++ b/test/fuzz/served.ts
@@ -0,0 +1,146 @@
+import { QUIET_LOG } from "../fakes/quiet.ts";
+import { cautious } from "./cautious-entry.ts";
+import { cutFor } from "./commands/effects.ts";
+import { isolateZone, replaceLater } from "./commands/faults.ts";
+import type { EntryFactory } from "./entry-under-test.ts";
+import { TEAMS } from "./fleet-plan.ts";
+import { entryFactory } from "./product.ts";
+import { World } from "./world.ts";
+
+/** Length of each fault and of the load before it, in milliseconds. */
+const FAULT_MS = 30_000;
+const BEFORE_MS = 6000;
+/** Each entry gets one request of each kind in this time, in milliseconds. */
+const ROUND_MS = 1000;
+const RUN_MS = 100;
+const TIMEOUT_MS = 2000;
+/** Queues of the load; those that are not open take each team in turn. */
+const LOAD = ["plans", "orders", "notices"] as const;
+
+/** A fault during which requests are counted. */
+interface ServedFault {
+  readonly name: string;
+  /** Whether callers send requests before the fault, so that budgets are in use. */
+  readonly loaded: boolean;
+  readonly begin: (world: World) => void;
+}
+
+const FAULTS: readonly ServedFault[] = [
+  { name: "none", loaded: true, begin: () => undefined },
+  {
+    name: "one zone partitioned",
+    loaded: true,
+    begin: (world) => {
+      isolateZone(world, 0, FAULT_MS, false);
+    },
+  },
+  { name: "platform down", loaded: true, begin: platformDown },
+  { name: "platform down, teams idle before", loaded: false, begin: platformDown },
+  {
+    name: "one entry dead",
+    loaded: true,
+    begin: (world) => {
+      replaceLater(world, 0, FAULT_MS);
+    },
+  },
+];
+
+function platformDown(world: World): void {
+  cutFor(world, "entry", "platform", FAULT_MS, false);
+}
+
+/** Requests during a fault, and what became of them. */
+export interface ServedCount {
+  readonly sent: number;
+  readonly answered: number;
+  readonly violations: number;
+}
+
+/** Load and fault of one world. */
+export interface ServedOptions {
+  readonly factory: EntryFactory;
+  readonly seed: number;
+  readonly fault: ServedFault;
+}
+
+/** Runs one world through a fault under constant load and counts the answers. */
+export async function served({ factory, seed, fault }: ServedOptions): Promise<ServedCount> {
+  const zones = seed % 2 === 0 ? ["a", "b"] : ["a", "b", "c"];
+  const world = new World({ seed, zones, entriesPerZone: 2, factory, log: QUIET_LOG });
+  await world.start();
+  await load(world, BEFORE_MS, fault.loaded);
+  const { requests } = world.oracle;
+  const first = requests.count;
+  fault.begin(world);
+  world.observe();
+  await load(world, FAULT_MS, true);
+  const sent = requests.count - first;
+  await world.advance(TIMEOUT_MS);
+  const answered = requests.answered(first, sent);
+  world.dispose();
+  return { sent, answered, violations: world.violations.length };
+}
+
+/** Callers reach live entries only, as behind the platform's load balancer. */
+async function load(world: World, forMs: number, on: boolean): Promise<void> {
+  for (let passed = 0; passed < forMs; passed += ROUND_MS) {
+    const live = world.slots.filter((slot) => slot.process !== undefined);
+    for (const [n, slot] of live.entries()) {
+      const team = TEAMS[(n + passed / ROUND_MS) % TEAMS.length]!;
+      if (on) for (const queue of LOAD) submit(world, slot, queue, team);
+      await world.advance(ROUND_MS / live.length);
+    }
+  }
+}
+
+function submit(world: World, slot: World["slots"][number], queue: string, team: string): void {
+  const order = {
+    queue,
+    team,
+    key: queue === "notices" ? undefined : world.operators.validKey(team),
+    idempotencyKey: undefined,
+    priority: "normal",
+    neverTwice: false,
+    timeoutMs: TIMEOUT_MS,
+    job: world.callers.newJob(RUN_MS),
+  } as const;
+  world.callers.submit(order, slot, "sync");
+}
+
+/** Prints the served part of the requests of each fault, for the product and the baseline. */
+export async function printServed(options: {
+  readonly seed: number;
+  readonly runs: number;
+}): Promise<boolean> {
+  console.log("fault | requests | product | baseline | violations of the product");
+  let violations = 0;
+  for (const fault of FAULTS) {
+    const product = await total({ ...options, factory: entryFactory, fault });
+    const baseline = await total({ ...options, factory: cautious(entryFactory), fault });
+    violations += product.violations;
+    const columns = [fault.name, product.sent, share(product), share(baseline), product.violations];
+    console.log(columns.join(" | "));
+  }
+  return violations === 0;
+}
+
+async function total({
+  seed,
+  runs,
+  ...rest
+}: ServedOptions & { readonly runs: number }): Promise<ServedCount> {
+  let sum: ServedCount = { sent: 0, answered: 0, violations: 0 };
+  for (let run = 0; run < runs; run++) {
+    const one = await served({ ...rest, seed: seed * 1000 + run });
+    sum = {
+      sent: sum.sent + one.sent,
+      answered: sum.answered + one.answered,
+      violations: sum.violations + one.violations,
+    };
+  }
+  return sum;
+}
+
+function share({ sent, answered }: ServedCount): string {
+  return `${((100 * answered) / sent).toFixed(1)}%`;
+}
