test(fuzz): starts on a server listed as leaving; served counts in every change

Change: `leaveUnderLoad` keeps requests for every server going after one is listed as leaving, and `repeatOrders` is listed twice. The oracle is unchanged.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -103,6 +103,19 @@
   });
 }
 
+/** An instance is listed as leaving while requests for every server go on. */
+async function leaveUnderLoad(world: World, server: number, listOnly: boolean): Promise<void> {
+  leave(world, server, listOnly);
+  for (let round = 0; round < 5; round++) {
+    for (const team of TEAMS) {
+      const key = world.operators.validKey(team);
+      for (const queue of ["plans", "surveys"])
+        submitEverywhere(world, { queue, team, key, timeoutMs: 2000 });
+    }
+    await world.advance(1200);
+  }
+}
+
 /** Pauses the entry instance that holds a duty past its lease, and resumes it later. */
 async function pauseHolder(world: World, duty: string, ms: number): Promise<void> {
   const holder = await world.dutyHolder(duty);
@@ -235,6 +248,9 @@
     }),
   ),
   fc.tuple(index, fc.boolean()).map(command("leave", leave)),
+  fc
+    .tuple(index, fc.constantFrom(true, true, false))
+    .map(command("leaveUnderLoad", leaveUnderLoad)),
   fc.tuple(index, fc.boolean()).map(
     command("failEverything", (world: World, server: number, on: boolean) => {
       if (on) world.disturb(Infinity);
--- a/test/fuzz/commands/requests.ts
+++ b/test/fuzz/commands/requests.ts
@@ -133,6 +133,7 @@
   fc.tuple(draft).map(command("submit", send)),
   fc.tuple(fc.nat({ max: 5 }), index, mode).map(command("retry", retry)),
   fc.tuple(index, fc.constantFrom(...TEAMS)).map(command("repeatOrders", repeatOrders)),
+  fc.tuple(index, fc.constantFrom(...TEAMS)).map(command("repeatOrders", repeatOrders)),
   fc.tuple(index, fc.constantFrom(1, 20)).map(
     command("cancel", (world: World, entry: number, count: number) => {
       world.callers.cancel(world.slot(entry), count);
--- a/test/fuzz/served.ts
+++ b/test/fuzz/served.ts
@@ -18,14 +18,15 @@
 const LOAD = ["plans", "orders", "notices"] as const;
 
 /** A fault during which requests are counted. */
-interface ServedFault {
+export interface ServedFault {
   readonly name: string;
   /** Whether callers send requests before the fault, so that budgets are in use. */
   readonly loaded: boolean;
   readonly begin: (world: World) => void;
 }
 
-const FAULTS: readonly ServedFault[] = [
+/** Every fault during which requests are counted. */
+export const SERVED_FAULTS: readonly ServedFault[] = [
   { name: "none", loaded: true, begin: () => undefined },
   {
     name: "one zone partitioned",
@@ -114,7 +115,7 @@
 }): Promise<boolean> {
   console.log("fault | requests | product | baseline | violations of the product");
   let violations = 0;
-  for (const fault of FAULTS) {
+  for (const fault of SERVED_FAULTS) {
     const product = await total({ ...options, factory: entryFactory, fault });
     const baseline = await total({ ...options, factory: cautious(entryFactory), fault });
     violations += product.violations;
