--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -1,15 +1,16 @@
 import fc from "fast-check";
-import type { Order } from "../callers.ts";
 import { GROUP, TEAMS } from "../fleet-plan.ts";
 import type { World } from "../world.ts";
 import { command, type FuzzCommand } from "./command.ts";
+import { cutFor, submitEverywhere } from "./effects.ts";
 import { resize } from "./operators.ts";
+import { outageCommands } from "./outages.ts";
 
 const index = fc.nat({ max: 11 });
 const DUTIES = [`planner-${GROUP}`, `planner-${GROUP}`, "reclaim-a", "reclaim-b"] as const;
 
 /** Ends a process and starts another one with empty memory in its place after the delay. */
-function replaceLater(world: World, entry: number, afterMs: number): void {
+export function replaceLater(world: World, entry: number, afterMs: number): void {
   const slot = world.slot(entry);
   slot.kill();
   world.memoryLost = true;
@@ -28,18 +29,8 @@
   });
 }
 
-function cutFor(world: World, a: string, b: string, ms: number, late: boolean): void {
-  world.links.setLateDelivery(late);
-  world.links.cut(a, b);
-  world.disturb(ms);
-  world.clock.schedule(ms, () => {
-    world.links.heal(a, b);
-    world.observe();
-  });
-}
-
 /** Cuts a zone from the platform and from every other zone. */
-function isolateZone(world: World, index: number, ms: number, held: boolean): void {
+export function isolateZone(world: World, index: number, ms: number, held: boolean): void {
   const zone = world.zone(index);
   cutFor(world, `zone:${zone}`, "platform", ms, held);
   for (const other of world.zones) {
@@ -74,14 +65,16 @@
   cutFor(world, world.slot(entry).tag, "server", ms, true);
 }
 
-function submitEverywhere(
-  world: World,
-  order: Pick<Order, "queue" | "team" | "key" | "timeoutMs">,
-): void {
-  const rest = { idempotencyKey: undefined, priority: "normal", neverTwice: false } as const;
-  for (const slot of world.slots) {
-    world.callers.submit({ ...order, ...rest, job: world.callers.newJob() }, slot, "sync");
-  }
+/**
+ * Delays starts that are on their way, while the entry instances reach their servers over new
+ * connections, take new leases, see that nothing was started and start the requests again.
+ */
+async function stallStarts(world: World, team: string, ms: number): Promise<void> {
+  const key = world.operators.validKey(team);
+  submitEverywhere(world, { queue: "orders", team, key, timeoutMs: 30_000 });
+  world.links.stall("entry", "server", { ms, forMs: 5 });
+  world.disturb(ms);
+  await world.advance(ms + 500);
 }
 
 const durationMs = fc.constantFrom(200, 1000, 5000, 12_000, 30_000);
@@ -110,6 +103,19 @@
   });
 }
 
+/** An instance is listed as leaving while requests for every server go on. */
+async function leaveUnderLoad(world: World, server: number, listOnly: boolean): Promise<void> {
+  leave(world, server, listOnly);
+  for (let round = 0; round < 5; round++) {
+    for (const team of TEAMS) {
+      const key = world.operators.validKey(team);
+      for (const queue of ["plans", "surveys"])
+        submitEverywhere(world, { queue, team, key, timeoutMs: 2000 });
+    }
+    await world.advance(1200);
+  }
+}
+
 /** Pauses the entry instance that holds a duty past its lease, and resumes it later. */
 async function pauseHolder(world: World, duty: string, ms: number): Promise<void> {
   const holder = await world.dutyHolder(duty);
@@ -166,6 +172,9 @@
   fc
     .tuple(index, fc.constantFrom(...TEAMS), fc.constantFrom(8000, 15_000))
     .map(command("delayStarts", delayStarts)),
+  fc
+    .tuple(fc.constantFrom(...TEAMS), fc.constantFrom(3000, 6000))
+    .map(command("stallStarts", stallStarts)),
   fc
     .tuple(
       fc.constantFrom(...TEAMS),
@@ -239,6 +248,9 @@
     }),
   ),
   fc.tuple(index, fc.boolean()).map(command("leave", leave)),
+  fc
+    .tuple(index, fc.constantFrom(true, true, false))
+    .map(command("leaveUnderLoad", leaveUnderLoad)),
   fc.tuple(index, fc.boolean()).map(
     command("failEverything", (world: World, server: number, on: boolean) => {
       if (on) world.disturb(Infinity);
@@ -259,5 +271,6 @@
 export const faultCommands: readonly fc.Arbitrary<FuzzCommand>[] = [
   ...processFaults,
   ...linkFaults,
+  ...outageCommands,
   ...serverFaults,
 ];
