feat(maintenance): windows of teams narrow the fleet's window

Cause: only the fleet had a maintenance window; a team could not keep drains out of its busy hours. Change: `maintenance_start` and `maintenance_end` in `[team.NAME]`, stored as optional fields of the team, so older documents stay valid. `config check` and `config apply` refuse one without the other, an empty window (also 24:00 to 00:00 for the fleet, which never opened) and a pool whose windows have no minute in common. The maintenance rule and the extra server of a pool without surplus follow all windows of the pool; `plan` and `status` name the windows that reboots wait for. `config show` and the diff of `config apply` write sections from one function, so the diff now shows template keys (start_time 03:00 instead of start_minute 180). The template reader is split into schemas, substitution of parameters, stored content and window checks. Ruled out: one explanation per waiting server; at the planned size that is a line for every server, so pools that wait for the same windows share one line.

--- a/src/protocol/config-document.ts
+++ b/src/protocol/config-document.ts
@@ -5,6 +5,8 @@
   v.regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "lower-case letters, digits and dashes"),
 );
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+/** Time of day in minutes after midnight UTC. */
+const minuteOfDay = v.pipe(count, v.maxValue(1440));
 const milliseconds = v.pipe(v.number(), v.integer(), v.minValue(0));
 
 /** A pool of backend servers. */
@@ -51,6 +53,9 @@
   /** Queues the team may use; empty means all. */
   queues: v.optional(v.array(name), []),
   keys: v.optional(v.array(KeyConfigSchema), []),
+  /** Window that narrows the fleet's for pools whose queues the team may use; both or neither. */
+  maintenanceStart: v.exactOptional(minuteOfDay),
+  maintenanceEnd: v.exactOptional(minuteOfDay),
 });
 
 /** Window in which maintenance may start drains, in minutes after midnight UTC. */
--- a/src/settings/template-checks.ts
+++ b/src/settings/template-checks.ts
@@ -9,6 +9,7 @@
   TeamSectionSchema,
   WeightsSectionSchema,
 } from "./template-file.ts";
+import { checkMaintenanceWindows } from "./window-checks.ts";
 
 /** A named section with its values; undefined values have faults that were reported. */
 export interface NamedSection<T> {
@@ -35,16 +36,7 @@
   checkPools(reader, sections);
   checkReferences(reader, sections);
   checkShares(reader, sections);
-  const { maintenance, maintenanceSection } = sections;
-  if (maintenance !== undefined && maintenanceSection !== undefined) {
-    if (maintenance.start_time === maintenance.end_time) {
-      reader.report(
-        maintenanceSection,
-        "end_time",
-        "the window is empty; allowed: a time other than start_time",
-      );
-    }
-  }
+  checkMaintenanceWindows(reader, sections);
 }
 
 function checkPools(reader: SettingsReader, { pools }: TemplateSections): void {
--- a/src/settings/template-file.ts
+++ b/src/settings/template-file.ts
@@ -1,18 +1,13 @@
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { ConfigDocument } from "../protocol/config-document.ts";
-import { parseIni, type IniEntry, type IniSection, type IniText } from "./ini-text.ts";
+import { parseIni, type IniSection, type IniText } from "./ini-text.ts";
 import { suggestion, type SettingsProblem } from "./problem.ts";
 import { SettingsReader, type SectionSchema } from "./section-reader.ts";
+import { Substitution, type Parameters } from "./substitution.ts";
 import { checkTemplate, type TemplateSections } from "./template-checks.ts";
+import { toContent, type TemplateContent } from "./template-content.ts";
 import { decimalNumber, nameList, nameValue, timeOfDay, wholeNumber, yesOrNo } from "./values.ts";
 
-/** What a template states: the stored configuration without revision and keys. */
-export type TemplateContent = Omit<ConfigDocument, "revision" | "writeId" | "acceptedAt">;
-
-/** Values for `${name}`, which take precedence over the template's own `[parameters]`. */
-export type Parameters = ReadonlyMap<string, string>;
-
 /** Section `[pool.NAME]`. */
 export const PoolSectionSchema = v.object({
   group: nameValue(),
@@ -35,6 +30,8 @@
   share: decimalNumber(0, 1_000_000, "weight among teams"),
   upper_limit: wholeNumber(0, 1_000_000, "running tasks"),
   queues: v.optional(nameList(), ""),
+  maintenance_start: v.exactOptional(timeOfDay()),
+  maintenance_end: v.exactOptional(timeOfDay()),
 });
 
 /** Section `[maintenance]`. */
@@ -130,110 +127,3 @@
     weights: plain("weights", WeightsSectionSchema),
   };
 }
-
-function toContent({
-  pools,
-  queues,
-  teams,
-  maintenance,
-  weights,
-}: TemplateSections): TemplateContent {
-  return {
-    pools: pools.flatMap(({ name, value }) =>
-      value === undefined
-        ? []
-        : {
-            name,
-            group: value.group,
-            minAvailable: value.min_available,
-            targetSize: value.target_size,
-            urgentReserveSlots: value.urgent_reserve_slots,
-            spare: value.spare,
-          },
-    ),
-    queues: queues.flatMap(({ name, value }) =>
-      value === undefined
-        ? []
-        : {
-            name,
-            pool: value.pool,
-            open: value.open,
-            idempotent: value.idempotent,
-            declaredRunMs: value.declared_run_ms,
-          },
-    ),
-    teams: teams.flatMap(({ name, value }) =>
-      value === undefined
-        ? []
-        : {
-            name,
-            share: value.share,
-            upperLimit: value.upper_limit,
-            queues: value.queues,
-            keys: [],
-          },
-    ),
-    maintenance: {
-      startMinute: maintenance?.start_time ?? 0,
-      endMinute: maintenance?.end_time ?? 1440,
-      everyDays: maintenance?.every_days ?? 0,
-      maxParallel: maintenance?.max_parallel ?? 2,
-    },
-    weights: {
-      bufferCost: weights?.buffer_cost ?? 1,
-      rolloutTime: weights?.rollout_time ?? 1,
-      moves: weights?.moves ?? 1,
-      closenessToShare: weights?.closeness_to_share ?? 1,
-    },
-  };
-}
-
-const REFERENCE = /\$\{([^}]*)\}/g;
-
-/** Replaces `${name}` in values by parameters. */
-class Substitution {
-  readonly #section: IniSection | undefined;
-  readonly #parameters: Map<string, string>;
-  readonly #overrides: Parameters;
-  readonly #used = new Set<string>();
-
-  constructor(ini: IniText, overrides: Parameters) {
-    this.#section = ini.sections.find((section) => section.title === "parameters");
-    this.#overrides = overrides;
-    this.#parameters = new Map(this.#section?.entries.map((entry) => [entry.key, entry.value]));
-    for (const [key, value] of overrides) this.#parameters.set(key, value);
-  }
-
-  apply(entry: IniEntry): string {
-    return entry.value.replace(
-      REFERENCE,
-      (reference, key: string) => this.#parameters.get(key) ?? reference,
-    );
-  }
-
-  /** Reports references to parameters that have no value. */
-  check(reader: SettingsReader, section: IniSection): void {
-    for (const entry of section.entries) {
-      for (const [, key = ""] of entry.value.matchAll(REFERENCE)) {
-        this.#used.add(key);
-        if (section.title === "parameters") {
-          reader.report(section, entry.key, "allowed: a value without ${...}");
-        } else if (!this.#parameters.has(key)) {
-          const hint = suggestion(key, [...this.#parameters.keys()]);
-          reader.report(section, entry.key, `parameter "${key}" has no value; ${hint}`);
-        }
-      }
-    }
-  }
-
-  /** Reports parameters that no value refers to, which are mostly misspelt. */
-  checkUse(reader: SettingsReader): void {
-    const unused = [...this.#parameters.keys()].filter((key) => !this.#used.has(key));
-    for (const key of unused) {
-      const detail = `no value refers to this parameter; ${suggestion(key, [...this.#used])}`;
-      if (this.#section !== undefined && !this.#overrides.has(key))
-        reader.report(this.#section, key, detail);
-      else reader.reportFile(`parameter "${key}": ${detail}`);
-    }
-  }
-}
--- /dev/null
+++ b/src/settings/window-checks.ts
@@ -0,0 +1,68 @@
+import {
+  commonRanges,
+  rangeText,
+  windowsOf,
+  windowText,
+  type MaintenanceWindow,
+} from "../state/maintenance-windows.ts";
+import type { SettingsReader } from "./section-reader.ts";
+import type { TemplateSections } from "./template-checks.ts";
+import { toContent } from "./template-content.ts";
+
+/** Checks the fleet's maintenance window, those of teams, and what they leave to each pool. */
+export function checkMaintenanceWindows(reader: SettingsReader, sections: TemplateSections): void {
+  const { maintenance, maintenanceSection } = sections;
+  // A window with faults says nothing of the time that it leaves to pools.
+  if (maintenance === undefined) return;
+  const { start_time: startMinute, end_time: endMinute } = maintenance;
+  const fleetOpen = commonRanges([{ startMinute, endMinute }]).length > 0;
+  if (!fleetOpen && maintenanceSection !== undefined) {
+    const detail = "the window is empty; allowed: a time other than start_time";
+    reader.report(maintenanceSection, "end_time", detail);
+  }
+  const teamsSound = sections.teams.map((team) => checkTeamWindow(reader, team)).every(Boolean);
+  if (fleetOpen && teamsSound) checkCommonMinutes(reader, sections);
+}
+
+/** Both times or neither, and not an empty window. True if the window is sound. */
+function checkTeamWindow(
+  reader: SettingsReader,
+  { section, value }: TemplateSections["teams"][number],
+): boolean {
+  const { maintenance_start: startMinute, maintenance_end: endMinute } = value ?? {};
+  if (startMinute === undefined && endMinute === undefined) return true;
+  if (startMinute === undefined || endMinute === undefined) {
+    const [given, missing] =
+      startMinute === undefined
+        ? ["maintenance_end", "maintenance_start"]
+        : ["maintenance_start", "maintenance_end"];
+    const allowed = "allowed: both maintenance_start and maintenance_end, or neither";
+    reader.report(section, given, `${missing} is missing; ${allowed}`);
+    return false;
+  }
+  if (commonRanges([{ startMinute, endMinute }]).length > 0) return true;
+  const detail = "the window is empty; allowed: a time other than maintenance_start";
+  reader.report(section, "maintenance_end", detail);
+  return false;
+}
+
+/** Reports the team whose window leaves a pool no minute in which its servers may be drained. */
+function checkCommonMinutes(reader: SettingsReader, sections: TemplateSections): void {
+  const content = toContent(sections);
+  for (const { name } of content.pools) {
+    const applied: MaintenanceWindow[] = [];
+    for (const window of windowsOf(content, name)) {
+      const left = commonRanges(applied);
+      applied.push(window);
+      if (commonRanges(applied).length > 0) continue;
+      const section = sections.teams.find((team) => team.name === window.team)?.section;
+      if (section === undefined) break;
+      const windows = applied.map(windowText).join(", ");
+      const detail =
+        `no minute in common for maintenance of pool "${name}" in the windows of ${windows}; ` +
+        `allowed: a window that overlaps ${left.map(rangeText).join(" or ")}`;
+      reader.report(section, "maintenance_start", detail);
+      break;
+    }
+  }
+}
--- a/src/state/config-diff.ts
+++ b/src/state/config-diff.ts
@@ -1,7 +1,6 @@
-import type { ConfigDocument, TeamConfig } from "../protocol/config-document.ts";
+import { configSections, type ConfigContent, type ConfigSection } from "./config-sections.ts";
 
-/** The parts of a configuration that operators edit, with or without revision. */
-export type ConfigContent = Omit<ConfigDocument, "revision" | "writeId" | "acceptedAt">;
+export type { ConfigContent } from "./config-sections.ts";
 
 /** One difference between two configurations. */
 export interface ConfigChange {
@@ -13,8 +12,6 @@
   readonly after: string | undefined;
 }
 
-type Section = Readonly<Record<string, string>>;
-
 /** Lists the differences in the order of a template's sections. */
 export function diffConfig(before: ConfigContent, after: ConfigContent): readonly ConfigChange[] {
   const old = toSections(before);
@@ -26,8 +23,8 @@
 
 function diffSection(
   section: string,
-  before: Section | undefined,
-  after: Section | undefined,
+  before: ConfigSection | undefined,
+  after: ConfigSection | undefined,
 ): readonly ConfigChange[] {
   if (before === undefined) return [{ section, key: undefined, before: undefined, after: "added" }];
   if (after === undefined)
@@ -48,35 +45,13 @@
   return `[${section}] ${key}: ${before ?? "(none)"} -> ${after ?? "(none)"}`;
 }
 
-function toSections(config: ConfigContent): ReadonlyMap<string, Section> {
-  const sections = new Map<string, Section>();
-  for (const pool of config.pools) sections.set(`pool.${pool.name}`, toSection(pool));
-  for (const queue of config.queues) sections.set(`queue.${queue.name}`, toSection(queue));
-  for (const team of config.teams) sections.set(`team.${team.name}`, toTeamSection(team));
-  sections.set("maintenance", toSection(config.maintenance));
-  sections.set("weights", toSection(config.weights));
+/** Sections of a template, with the ids of the API keys that templates leave out. */
+function toSections(config: ConfigContent): ReadonlyMap<string, ConfigSection> {
+  const sections = new Map(configSections(config));
+  for (const { name, keys } of config.teams) {
+    const ids = keys.map((key) => key.id).sort();
+    const title = `team.${name}`;
+    sections.set(title, { ...sections.get(title), keys: ids.join(", ") });
+  }
   return sections;
 }
-
-function toTeamSection({ keys, ...team }: TeamConfig): Section {
-  const ids = keys.map((key) => key.id).sort();
-  return { ...toSection(team), keys: ids.join(", ") };
-}
-
-function toSection(values: object): Section {
-  return Object.fromEntries(
-    Object.entries(values)
-      .filter(([key]) => key !== "name")
-      .map(([key, value]: [string, unknown]) => [toSnakeCase(key), toText(value)]),
-  );
-}
-
-function toText(value: unknown): string {
-  if (Array.isArray(value)) return value.join(", ");
-  if (typeof value === "boolean") return value ? "yes" : "no";
-  return String(value);
-}
-
-function toSnakeCase(field: string): string {
-  return field.replace(/[A-Z]/g, (letter) => `_${letter.toLowerCase()}`);
-}
--- a/src/state/maintenance-rules.ts
+++ b/src/state/maintenance-rules.ts
@@ -1,14 +1,15 @@
 /** Maintenance waves: rack by rack, zone by zone. */
+import type { Explanation } from "../protocol/entry-status.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
 import {
   checkBudget,
   explain,
-  NOTHING_TO_DO,
   type Figures,
   type FleetSituation,
   type RuleOutcome,
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
+import { inRange, minutesUntilOpen, windowsOf, windowText } from "./maintenance-windows.ts";
 
 const DAY_MS = 86_400_000;
 /** A rebooted server that fails within this time counts as a failure of the wave. */
@@ -18,11 +19,9 @@
 /** One server down is an ordinary day's failure; two in the wave's zone may have one cause. */
 const DOWN_IN_ZONE_LIMIT = 2;
 
-/** True if drains for maintenance may start at this time of day (UTC). */
-export function inWindow(startMinute: number, endMinute: number, wallTimeMs: number): boolean {
-  const minute = Math.floor((wallTimeMs % DAY_MS) / 60_000);
-  if (startMinute <= endMinute) return minute >= startMinute && minute < endMinute;
-  return minute >= startMinute || minute < endMinute;
+/** True if drains for maintenance of the pool's servers may start now. */
+export function mayDrain({ config, wallTimeMs }: FleetSituation, pool: string): boolean {
+  return windowsOf(config, pool).every((window) => inRange(window, wallTimeMs));
 }
 
 /** Servers whose reboot is due, in the order of the wave. */
@@ -57,20 +56,69 @@
 
 /** Starts the drain of the next server of the wave. */
 export function continueWave(situation: FleetSituation): RuleOutcome {
-  const due = dueServers(situation);
+  const { due, withheld } = byWindow(situation);
   const first = due[0];
-  if (first === undefined) return NOTHING_TO_DO;
-  const { startMinute, endMinute, maxParallel } = situation.config.maintenance;
-  if (!inWindow(startMinute, endMinute, situation.wallTimeMs)) return NOTHING_TO_DO;
+  if (first === undefined) return { withheld };
+  const { maxParallel } = situation.config.maintenance;
   const active = serversInWave(situation);
   const figures: Figures = { due: due.length, inWave: active.length, maxParallel };
   const wait = (text: string, more: Figures = {}): RuleOutcome => ({
-    withheld: [explain(situation, "maintenance", text, { ...figures, ...more })],
+    withheld: [...withheld, explain(situation, "maintenance", text, { ...figures, ...more })],
   });
   const failures = waveFailures(situation, active[0] ?? first);
   if (failures !== undefined) return wait(failures.text, failures.figures);
   if (active.length >= maxParallel) return wait("the wave has as many servers as allowed at once");
-  return startNext(situation, { due, active, figures });
+  const started = startNext(situation, { due, active, figures });
+  return { ...started, withheld: [...withheld, ...started.withheld] };
+}
+
+/** Due servers of pools whose windows are open, and what keeps the others. */
+function byWindow(situation: FleetSituation): {
+  readonly due: readonly ServerRecord[];
+  readonly withheld: readonly Explanation[];
+} {
+  const due = dueServers(situation);
+  const closed = [...new Set(due.map((server) => server.pool))].filter(
+    (pool) => !mayDrain(situation, pool),
+  );
+  const waiting = due.filter((server) => closed.includes(server.pool));
+  return {
+    due: due.filter((server) => !closed.includes(server.pool)),
+    withheld: waitForWindows(situation, closed, waiting),
+  };
+}
+
+/** Explains which windows keep due servers; pools that wait for the same windows go together. */
+function waitForWindows(
+  situation: FleetSituation,
+  pools: readonly string[],
+  waiting: readonly ServerRecord[],
+): readonly Explanation[] {
+  const { config, wallTimeMs } = situation;
+  const groups = new Map<string, WindowWait>();
+  for (const pool of pools) {
+    const windows = windowsOf(config, pool);
+    const closed = windows.filter((window) => !inRange(window, wallTimeMs)).map(windowText);
+    const opensInMinutes = minutesUntilOpen(windows, wallTimeMs);
+    const wait = { closed: closed.join(" and "), opensInMinutes };
+    const key = JSON.stringify(wait);
+    groups.set(key, { ...wait, pools: [...(groups.get(key)?.pools ?? []), pool] });
+  }
+  return [...groups.values()].map((group) => {
+    const due = waiting.filter((server) => group.pools.includes(server.pool)).length;
+    const text = `reboots in ${group.pools.join(", ")} wait for the window of ${group.closed}`;
+    const { opensInMinutes } = group;
+    const opens = opensInMinutes === undefined ? {} : { opensInMinutes };
+    return explain(situation, "maintenance", text, { due, ...opens });
+  });
+}
+
+interface WindowWait {
+  readonly pools: readonly string[];
+  /** The windows that are closed now, as text. */
+  readonly closed: string;
+  /** Undefined if the windows have no minute in common. */
+  readonly opensInMinutes: number | undefined;
 }
 
 interface Wave {
--- /dev/null
+++ b/src/state/maintenance-windows.ts
@@ -0,0 +1,95 @@
+/** Windows in which drains for maintenance may start: the fleet's, and those of teams. */
+import type { ConfigDocument, TeamConfig } from "../protocol/config-document.ts";
+
+const DAY_MINUTES = 1440;
+const MINUTE_MS = 60_000;
+
+/** Times of day in minutes after midnight UTC; the end is excluded and may precede the start. */
+export interface TimeRange {
+  readonly startMinute: number;
+  readonly endMinute: number;
+}
+
+/** A window that applies to a pool. */
+export interface MaintenanceWindow extends TimeRange {
+  /** Undefined for the window of the whole fleet. */
+  readonly team: string | undefined;
+}
+
+/** The parts of a configuration that state windows. */
+export type WindowSettings = Pick<ConfigDocument, "maintenance" | "queues" | "teams">;
+
+/** The fleet's window and those of all teams that may use a queue of the pool. */
+export function windowsOf(
+  { maintenance, queues, teams }: WindowSettings,
+  pool: string,
+): readonly MaintenanceWindow[] {
+  const { startMinute, endMinute } = maintenance;
+  // Queues open to all belong to no team, so they narrow nothing.
+  const keyed = queues.filter((queue) => queue.pool === pool && !queue.open);
+  const users = teams.filter((team) => keyed.some(({ name }) => mayUse(team, name)));
+  return [{ team: undefined, startMinute, endMinute }, ...users.flatMap(windowOfTeam)];
+}
+
+function mayUse({ queues }: TeamConfig, queue: string): boolean {
+  return queues.length === 0 || queues.includes(queue);
+}
+
+function windowOfTeam({ name, maintenanceStart, maintenanceEnd }: TeamConfig): MaintenanceWindow[] {
+  if (maintenanceStart === undefined || maintenanceEnd === undefined) return [];
+  return [{ team: name, startMinute: maintenanceStart, endMinute: maintenanceEnd }];
+}
+
+/** Times of day that lie in every range; empty if there is no common minute. */
+export function commonRanges(ranges: readonly TimeRange[]): readonly TimeRange[] {
+  const common: TimeRange[] = [];
+  for (let minute = 0; minute < DAY_MINUTES; minute++) {
+    if (!ranges.every((range) => covers(range, minute))) continue;
+    const last = common.at(-1);
+    if (last?.endMinute === minute) common[common.length - 1] = { ...last, endMinute: minute + 1 };
+    else common.push({ startMinute: minute, endMinute: minute + 1 });
+  }
+  const [first, last] = [common[0], common.at(-1)];
+  if (common.length < 2 || first?.startMinute !== 0 || last?.endMinute !== DAY_MINUTES)
+    return common;
+  // The last range goes on after midnight.
+  return [...common.slice(1, -1), { ...last, endMinute: first.endMinute }];
+}
+
+/** Minutes until all windows are open; 0 if they are, undefined if they never are. */
+export function minutesUntilOpen(
+  windows: readonly TimeRange[],
+  wallTimeMs: number,
+): number | undefined {
+  const now = Math.floor(wallTimeMs / MINUTE_MS);
+  for (let wait = 0; wait < DAY_MINUTES; wait++) {
+    if (windows.every((window) => covers(window, (now + wait) % DAY_MINUTES))) return wait;
+  }
+  return undefined;
+}
+
+/** True if the wall-clock time lies in the range. */
+export function inRange(range: TimeRange, wallTimeMs: number): boolean {
+  return covers(range, Math.floor(wallTimeMs / MINUTE_MS) % DAY_MINUTES);
+}
+
+function covers({ startMinute, endMinute }: TimeRange, minute: number): boolean {
+  if (startMinute <= endMinute) return minute >= startMinute && minute < endMinute;
+  return minute >= startMinute || minute < endMinute;
+}
+
+/** Writes a time of day as `HH:MM`. */
+export function timeText(minute: number): string {
+  const hours = String(Math.floor(minute / 60)).padStart(2, "0");
+  return `${hours}:${String(minute % 60).padStart(2, "0")}`;
+}
+
+/** Writes a range as `HH:MM to HH:MM`. */
+export function rangeText({ startMinute, endMinute }: TimeRange): string {
+  return `${timeText(startMinute)} to ${timeText(endMinute)}`;
+}
+
+/** Writes a window with whom it belongs to. */
+export function windowText({ team, ...range }: MaintenanceWindow): string {
+  return `${team === undefined ? "the fleet" : `team ${team}`} (${rangeText(range)} UTC)`;
+}
--- a/src/state/move-rules.ts
+++ b/src/state/move-rules.ts
@@ -14,7 +14,7 @@
   type RuleOutcome,
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
-import { dueServers, inWindow, serversInWave } from "./maintenance-rules.ts";
+import { dueServers, mayDrain, serversInWave } from "./maintenance-rules.ts";
 import { replaceServer } from "./fleet-transitions.ts";
 
 /**
@@ -71,9 +71,8 @@
  * server, so it gets one more for as long as reboots of its servers are due.
  */
 function wantedSize(situation: FleetSituation, pool: PoolConfig): number {
-  const { startMinute, endMinute } = situation.config.maintenance;
   if (pool.spare || pool.minAvailable < pool.targetSize) return pool.targetSize;
-  if (!inWindow(startMinute, endMinute, situation.wallTimeMs)) return pool.targetSize;
+  if (!mayDrain(situation, pool.name)) return pool.targetSize;
   const open = [...dueServers(situation), ...serversInWave(situation)];
   return pool.targetSize + (open.some((server) => server.pool === pool.name) ? 1 : 0);
 }
--- a/test/cli/config-commands.test.ts
+++ b/test/cli/config-commands.test.ts
@@ -82,6 +82,39 @@
   assert.equal(cli.out, ["accepted at revision 2", "in effect on 0 of 0 entries"]);
 });
 
+// Guards against windows of teams that are lost between template, document, diff and output.
+test("a team's window is shown by apply, show and a template of it, and refused if unusable", async () => {
+  const cli = fixture();
+  await cli.run("config apply site.ini");
+  assert.not(JSON.stringify((await cli.store.get("config")).unwrap()).includes("maintenanceStart"));
+  const edit = (start: string): string =>
+    TEMPLATE.replace(
+      "share = 30",
+      `share = 30\nmaintenance_start = ${start}\nmaintenance_end = 05:30`,
+    );
+  cli.files.set("window.ini", edit("22:00"));
+  await cli.run("config apply window.ini --base 1");
+  assert.equal(cli.out.slice(0, 3), [
+    "accepted at revision 2",
+    "  [team.head-office] maintenance_start: (none) -> 22:00",
+    "  [team.head-office] maintenance_end: (none) -> 05:30",
+  ]);
+  await cli.run("config show");
+  assert.match(cli.out.join("\n"), "maintenance_start = 22:00\nmaintenance_end = 05:30");
+  cli.files.set("shown.ini", cli.out.join("\n"));
+  await cli.run("config apply shown.ini --base 2");
+  assert.equal(cli.out, ["accepted at revision 3", "in effect on 0 of 0 entries"]);
+  cli.files.set("window.ini", edit("09:00").replace("05:30", "22:00"));
+  for (const command of ["check window.ini", "apply window.ini --base 3"]) {
+    await cli.run(`config ${command}`);
+    assert.is(cli.code, 2);
+    assert.match(
+      cli.errors.join("\n"),
+      /\[team\.head-office\] maintenance_start = "09:00": no minute/,
+    );
+  }
+});
+
 // Guards against a conflict that does not tell the operator what to do.
 test("a conflicting apply exits with 1 and names the other change", async () => {
   const cli = fixture();
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -76,6 +76,31 @@
   }
 });
 
+// Guards against a wave that drains outside a team's window, or that never comes back to its pools.
+test("drains start within the team's window alone, and the wave finishes once it opens", async () => {
+  const fleet = new PlannedFleet();
+  const openFrom = 10 + Math.floor(fleet.clock.wallTime() / 60_000);
+  const teams = exampleConfig().teams.map((team) => {
+    const window = { maintenanceStart: openFrom % 1440, maintenanceEnd: (openFrom + 60) % 1440 };
+    return team.name === "certifiers" ? { ...team, ...window } : team;
+  });
+  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE, teams });
+  fleet.startHolders();
+  const { planner } = fleet.addPlanner(1);
+  await fleet.clock.advance(500_000);
+  const early = new Set(fleet.rebootOrders.map((server) => server.pool));
+  assert.equal([...early].sort(), ["allotments", "enrolment", "ledgers", "shared"]);
+  assert.match(
+    planner.status().withheld[0]?.text ?? "",
+    "certification wait for the window of team",
+  );
+  await fleet.clock.until(() => planner.status().rolloutMs !== undefined, 400_000, 500);
+  const late = fleet.rebootOrders.filter((server) => server.pool === "certification");
+  assert.is(fleet.rebootOrders.length, 35);
+  assert.ok(late.every((server) => server.since >= openFrom * 60_000));
+  checkWrites(fleet.kv.fleets);
+});
+
 // Guards against a server that counts as available, or as gone, while it is being rebooted.
 test("a server that takes long to reboot neither serves nor is removed meanwhile", async () => {
   const fleet = new PlannedFleet();
--- a/test/settings/template-file.test.ts
+++ b/test/settings/template-file.test.ts
@@ -1,7 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { formatProblem } from "../../src/settings/problem.ts";
-import { readTemplate, type Parameters } from "../../src/settings/template-file.ts";
+import type { Parameters } from "../../src/settings/substitution.ts";
+import { readTemplate } from "../../src/settings/template-file.ts";
 
 const SMALL = `
 [parameters]
@@ -132,6 +133,48 @@
     "[queue.jobs] ; all jobs",
     `t.ini:16: [pool.spare]: "[queue.jobs] ; all jobs" is no section header; allowed: [NAME] alone on its line`,
   ],
+  [
+    "a team's window with one end",
+    "share = 1",
+    "share = 1\nmaintenance_start = 01:00",
+    `t.ini:21: [team.ops] maintenance_start = "01:00": maintenance_end is missing; allowed: both maintenance_start and maintenance_end, or neither`,
+  ],
+  [
+    "a team's window without a start",
+    "share = 1",
+    "share = 1\nmaintenance_end = 01:00",
+    `t.ini:21: [team.ops] maintenance_end = "01:00": maintenance_start is missing; allowed: both maintenance_start and maintenance_end, or neither`,
+  ],
+  [
+    "a team's window that is empty",
+    "share = 1",
+    "share = 1\nmaintenance_start = 01:00\nmaintenance_end = 01:00",
+    `t.ini:22: [team.ops] maintenance_end = "01:00": the window is empty; allowed: a time other than maintenance_start`,
+  ],
+  [
+    "a fleet's window from the end of a day to its start",
+    "[team.ops]",
+    "[maintenance]\nstart_time = 24:00\nend_time = 00:00\n[team.ops]",
+    `t.ini:21: [maintenance] end_time = "00:00": the window is empty; allowed: a time other than start_time`,
+  ],
+  [
+    "a team's window that is no time",
+    "share = 1",
+    "share = 1\nmaintenance_start = 25:00\nmaintenance_end = 01:00",
+    `t.ini:21: [team.ops] maintenance_start = "25:00": allowed: HH:MM from 00:00 to 24:00 (UTC)`,
+  ],
+  [
+    "a team's window outside the fleet's",
+    "[team.ops]",
+    "[maintenance]\nstart_time = 22:00\nend_time = 02:00\n[team.ops]\nmaintenance_start = 02:00\nmaintenance_end = 22:00",
+    `t.ini:23: [team.ops] maintenance_start = "02:00": no minute in common for maintenance of pool "main" in the windows of the fleet (22:00 to 02:00 UTC), team ops (02:00 to 22:00 UTC); allowed: a window that overlaps 22:00 to 02:00`,
+  ],
+  [
+    "windows of two teams of one pool that do not meet",
+    "[team.ops]",
+    "[team.first]\nshare = 1\nupper_limit = 1\nmaintenance_start = 23:00\nmaintenance_end = 03:00\n[team.ops]\nmaintenance_start = 03:00\nmaintenance_end = 04:00",
+    `t.ini:25: [team.ops] maintenance_start = "03:00": no minute in common for maintenance of pool "main" in the windows of the fleet (00:00 to 24:00 UTC), team first (23:00 to 03:00 UTC), team ops (03:00 to 04:00 UTC); allowed: a window that overlaps 23:00 to 03:00`,
+  ],
 ];
 for (const [name, from, to, fault] of CASES) {
   test(`${name} is named with its place and what is allowed`, () => {
@@ -140,6 +183,18 @@
   });
 }
 
+// Guards against templates refused for windows that do not apply to the same pool.
+test("windows of teams without a pool in common need no minute in common", () => {
+  const second = "[queue.other]\npool = spare\n[queue.free]\npool = main\nopen = yes\n";
+  const teams = "[team.b]\nshare = 1\nupper_limit = 1\nqueues = other, free\n";
+  const b = `${second}${teams}maintenance_start = 05:00\nmaintenance_end = 06:00\n`;
+  const ops = `${b}[team.ops]\nmaintenance_start = 22:00\nmaintenance_end = 03:00`;
+  assert.equal(faults("[team.ops]", ops), []);
+  const read = readTemplate("t.ini", SMALL.replace("[team.ops]", ops)).unwrap();
+  const { maintenanceStart, maintenanceEnd } = read.teams[1]!;
+  assert.equal([maintenanceStart, maintenanceEnd], [1320, 180]);
+});
+
 // Guards against a user who repairs one fault at a time.
 test("all faults of a file are reported at once", () => {
   const found = faults("[pool.main]", "[pool.main]\nsize = 2\nspare = 1");
--- a/test/state/fleet-rules.test.ts
+++ b/test/state/fleet-rules.test.ts
@@ -5,7 +5,7 @@
 import { bufferCoverage, checkBudget } from "../../src/state/fleet-situation.ts";
 import { goTo, markEmpty } from "../../src/state/fleet-transitions.ts";
 import { QUARANTINE_MS } from "../../src/state/health-rules.ts";
-import { inWindow } from "../../src/state/maintenance-rules.ts";
+import { inRange } from "../../src/state/maintenance-windows.ts";
 import {
   exampleConfig,
   exampleInstances,
@@ -137,10 +137,52 @@
 // Guards against maintenance by day because a window crosses midnight.
 test("a maintenance window may cross midnight", () => {
   const at = (hour: number): number => hour * 3_600_000;
-  assert.ok(inWindow(22 * 60, 4 * 60, at(23)));
-  assert.ok(inWindow(22 * 60, 4 * 60, at(3)));
-  assert.not(inWindow(22 * 60, 4 * 60, at(4)));
-  assert.not(inWindow(3 * 60, 9 * 60, at(2)));
+  const night = { startMinute: 22 * 60, endMinute: 4 * 60 };
+  assert.ok(inRange(night, at(23)));
+  assert.ok(inRange(night, at(3)));
+  assert.not(inRange(night, at(4)));
+  assert.not(inRange({ startMinute: 3 * 60, endMinute: 9 * 60 }, at(2)));
+});
+
+/** The example with a window for one team that uses pool certification alone. */
+function certifiersWindow(maintenanceStart: number, maintenanceEnd: number) {
+  const teams = exampleConfig().teams.map((team) =>
+    team.name === "certifiers" ? { ...team, maintenanceStart, maintenanceEnd } : team,
+  );
+  return exampleConfig({ maintenance: EVERY_DAY, teams });
+}
+
+// Guards against a drain of a pool's server outside the window of a team that uses the pool.
+test("a team's window holds back the pools of its queues alone, and plan says so", () => {
+  const config = certifiersWindow(23 * 60, 60);
+  const day = Date.UTC(2026, 0, 5);
+  const planAt = (hour: number) =>
+    dryRun(situationOf(serversByRack(), { config, wallTimeMs: day + hour * 3_600_000 }), 40);
+  const drained = (hour: number): readonly string[] =>
+    planAt(hour).decisions.flatMap(({ text }) => /^\S+ of (\S+) in rack/.exec(text)?.[1] ?? []);
+  const held = planAt(22).withheld.filter(({ text }) => text.includes("wait for the window"));
+  assert.equal(
+    held.map(({ text, figures }) => ({ text, figures })),
+    [
+      {
+        text: "reboots in certification wait for the window of team certifiers (23:00 to 01:00 UTC)",
+        figures: { due: 6, opensInMinutes: 60 },
+      },
+    ],
+  );
+  assert.ok(drained(22).length > 0 && !drained(22).includes("certification"));
+  for (const hour of [23, 0]) {
+    assert.not(planAt(hour).withheld.some(({ text }) => text.includes("wait for the window")));
+  }
+  const alone = serversByRack().filter((server) => server.pool === "certification");
+  const count = (hour: number): number => {
+    const situation = situationOf(alone, { config, wallTimeMs: day + hour * 3_600_000 });
+    return dryRun(situation, 40).decisions.filter(({ rule }) => rule === "maintenance").length;
+  };
+  assert.equal(
+    [count(22), count(23), count(0), count(1)].map((n) => n > 0),
+    [false, true, true, false],
+  );
 });
 
 test.run();
