feat(planner): weights set the size of a wave and how early pools borrow

Cause: `buffer_cost` and `closeness_to_share` were stored and no rule read them. Change: src/state/planner-weights.ts has one function per rule: moves at once, servers in a wave at once (rollout_time to buffer_cost, 1 to max_parallel), and the wait at which a pool borrows (closeness_to_share to buffer_cost, factor at most 2, never past 2 s). Decisions and withheld decisions carry the weights as `weight_NAME`; `plan` lists what unequal weights change. Both moves weights at 0 count as equal now, where they meant four times the moves before. The planner's tests use equal weights, so that their waves are as large as before. The examples' weights stay: they already name the measures of their users, and now a test says so. Ruled out: weighting when borrowing ends; a wait just below half of lend_wait_ms would then keep spare slots beyond 10 s. A factor above 2: an earlier start would be below the wait of the return.

--- a/src/cli/status-commands.ts
+++ b/src/cli/status-commands.ts
@@ -4,9 +4,11 @@
 import { FleetOverview, type Overview } from "../coordination/fleet-overview.ts";
 import type { Explanation } from "../protocol/entry-status.ts";
 import type { FleetDocument } from "../protocol/fleet-document.ts";
+import { ENTRY_DEFAULTS } from "../settings/entry-settings.ts";
 import type { ListedInstance } from "../platform/instance-list.ts";
 import { dryRun, type DryRun } from "../state/fleet-rules.ts";
 import { bufferCoverage, type FleetSituation } from "../state/fleet-situation.ts";
+import { explainWeights } from "../state/planner-weights.ts";
 import {
   numberOption,
   runCommand,
@@ -135,15 +137,20 @@
   if (overview === undefined) return 1;
   const listed = await list.list();
   if (listed.err) ctx.printError(`instance list not read: ${listed.val.detail}`);
-  const groups = [...new Set(overview.config.pools.map((pool) => pool.group))];
+  const { config } = overview;
+  const groups = [...new Set(config.pools.map((pool) => pool.group))];
+  const weights = explainWeights(config, ENTRY_DEFAULTS, ctx.clock.wallTime());
   const runs = groups.map((group) => {
     const fleet = overview.fleets.find((candidate) => candidate.group === group);
     const base = fleet ?? { revision: 0, writeId: "", group, servers: [], retired: [] };
     const ours = listed.ok ? inGroup(overview, base, listed.val) : undefined;
-    return { group, ...dryRun(situationOf(ctx, overview, base, ours), limit) };
+    return { group, ...dryRun(situationOf(ctx, overview, base, ours), limit), weights };
   });
   if (options.json === true) ctx.print(JSON.stringify(runs));
-  else for (const run of runs) for (const text of planLines(run)) ctx.print(text);
+  else {
+    for (const run of runs) for (const text of planLines(run)) ctx.print(text);
+    for (const weight of weights) ctx.print(line(weight));
+  }
   return 0;
 }
 
--- a/src/coordination/pool-lending.ts
+++ b/src/coordination/pool-lending.ts
@@ -1,5 +1,6 @@
 import type { PoolConfig } from "../protocol/config-document.ts";
 import { Lending, type LendingOptions } from "../state/lending.ts";
+import { borrowWait } from "../state/planner-weights.ts";
 import type { ConfigView } from "./ports.ts";
 
 /** Options of {@link PoolLending}. */
@@ -12,13 +13,19 @@
   readonly #config: ConfigView;
   readonly #lending: Lending;
 
+  readonly #options: LendingOptions;
+
   constructor({ config, ...lending }: PoolLendingOptions) {
     this.#config = config;
+    this.#options = lending;
     this.#lending = new Lending(lending);
   }
 
   update(pool: string, waitMs: number, now: number): void {
-    this.#lending.update(pool, waitMs, now);
+    const weights = this.#config.current()?.weights;
+    const { lendWaitMs } = this.#options;
+    const borrowWaitMs = weights ? borrowWait(this.#options, weights).limit : lendWaitMs;
+    this.#lending.update(pool, { waitMs, borrowWaitMs, now });
   }
 
   /** The pool itself first, then the spare pool if the pool borrows from it. */
--- a/src/state/lending.ts
+++ b/src/state/lending.ts
@@ -7,6 +7,14 @@
   readonly lendAfterMs: number;
 }
 
+/** A pool's expected wait at a time; all in milliseconds. */
+export interface ExpectedWait {
+  readonly waitMs: number;
+  /** `lendWaitMs` with the weights applied. */
+  readonly borrowWaitMs: number;
+  readonly now: number;
+}
+
 interface PoolState {
   overSince: number | undefined;
   belowSince: number | undefined;
@@ -22,11 +30,11 @@
     this.#options = options;
   }
 
-  /** Takes a pool's expected wait. */
-  update(pool: string, waitMs: number, now: number): void {
+  /** Takes a pool's expected wait and the wait beyond which it borrows. */
+  update(pool: string, { waitMs, borrowWaitMs, now }: ExpectedWait): void {
     const { lendWaitMs, lendAfterMs } = this.#options;
     const state = this.#state(pool);
-    state.overSince = waitMs > lendWaitMs ? (state.overSince ?? now) : undefined;
+    state.overSince = waitMs > borrowWaitMs ? (state.overSince ?? now) : undefined;
     state.belowSince = waitMs < lendWaitMs / 2 ? (state.belowSince ?? now) : undefined;
     if (state.overSince !== undefined && now - state.overSince >= lendAfterMs)
       state.borrowing = true;
--- a/src/state/maintenance-rules.ts
+++ b/src/state/maintenance-rules.ts
@@ -10,6 +10,7 @@
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
 import { inRange, minutesUntilOpen, windowsOf, windowText } from "./maintenance-windows.ts";
+import { waveLimit } from "./planner-weights.ts";
 
 const DAY_MS = 86_400_000;
 /** A rebooted server that fails within this time counts as a failure of the wave. */
@@ -59,15 +60,15 @@
   const { due, withheld } = byWindow(situation);
   const first = due[0];
   if (first === undefined) return { withheld };
-  const { maxParallel } = situation.config.maintenance;
+  const { limit, figures: weights } = waveLimit(situation.config);
   const active = serversInWave(situation);
-  const figures: Figures = { due: due.length, inWave: active.length, maxParallel };
+  const figures: Figures = { due: due.length, inWave: active.length, limit, ...weights };
   const wait = (text: string, more: Figures = {}): RuleOutcome => ({
     withheld: [...withheld, explain(situation, "maintenance", text, { ...figures, ...more })],
   });
   const failures = waveFailures(situation, active[0] ?? first);
   if (failures !== undefined) return wait(failures.text, failures.figures);
-  if (active.length >= maxParallel) return wait("the wave has as many servers as allowed at once");
+  if (active.length >= limit) return wait("the wave has as many servers as allowed at once");
   const started = startNext(situation, { due, active, figures });
   return { ...started, withheld: [...withheld, ...started.withheld] };
 }
--- a/src/state/move-rules.ts
+++ b/src/state/move-rules.ts
@@ -10,20 +10,14 @@
   explain,
   poolOf,
   poolsOf,
+  type Figures,
   type FleetSituation,
   type RuleOutcome,
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
 import { dueServers, mayDrain, serversInWave } from "./maintenance-rules.ts";
 import { replaceServer } from "./fleet-transitions.ts";
-
-/**
- * Share of the fleet that may be on its way between pools at once, at equal weights of roll-out
- * time and moves; at least two servers.
- */
-const MOVING_SHARE = 0.05;
-/** Weights change the share at most by this factor. */
-const WEIGHT_FACTOR_LIMIT = 4;
+import { movingLimit } from "./planner-weights.ts";
 
 /** A pool with what it lacks. */
 interface Shortage {
@@ -38,34 +32,30 @@
 export function moveTowardsTargets(situation: FleetSituation): RuleOutcome {
   const withheld = [];
   const onTheWay = situation.servers.filter((s) => s.moveTo !== undefined || s.state === "moving");
-  const limit = movingLimit(situation);
+  const { limit, figures: weights } = movingLimit(
+    situation.servers.length,
+    situation.config.weights,
+  );
   for (const shortage of shortages(situation)) {
     const { pool, size, urgent } = shortage;
-    const figures = { size, targetSize: pool.targetSize, moving: onTheWay.length, limit };
+    const figures = { size, targetSize: pool.targetSize, moving: onTheWay.length };
     const candidates = sources(situation, shortage);
     const allowed = candidates.find((server) => mayLeave(situation, server, shortage));
     if (allowed === undefined) {
       const blocked = candidates.length === 0 ? "no other pool has a surplus" : "budgets hold them";
       const text = `${pool.name} lacks ${shortage.lacks} servers, but ${blocked}`;
-      withheld.push(explain(situation, "move", text, figures));
+      withheld.push(explain(situation, "move", text, { ...figures, limit }));
     } else if (onTheWay.length >= limit && !urgent) {
       const text = `${pool.name} waits for other moves to finish`;
-      withheld.push(explain(situation, "move", text, figures));
+      withheld.push(explain(situation, "move", text, { ...figures, limit, ...weights }));
     } else {
-      return { ...startMove(situation, allowed, shortage), withheld };
+      const why = urgent ? figures : { ...figures, limit, ...weights };
+      return { ...startMove(situation, allowed, shortage, why), withheld };
     }
   }
   return { withheld };
 }
 
-/** More moves at once shorten a roll-out, and more of them turn out to be needless. */
-function movingLimit({ servers, config }: FleetSituation): number {
-  const { rolloutTime, moves } = config.weights;
-  const ratio = moves === 0 ? WEIGHT_FACTOR_LIMIT : rolloutTime / moves;
-  const factor = Math.min(WEIGHT_FACTOR_LIMIT, Math.max(1 / WEIGHT_FACTOR_LIMIT, ratio));
-  return Math.max(2, Math.floor(servers.length * MOVING_SHARE * factor));
-}
-
 /**
  * Size that a pool should have now. A pool whose budget equals its target size could never drain a
  * server, so it gets one more for as long as reboots of its servers are due.
@@ -154,14 +144,10 @@
 function startMove(
   situation: FleetSituation,
   server: ServerRecord,
-  { pool, size, urgent }: Shortage,
+  { pool, urgent }: Shortage,
+  why: Figures,
 ): RuleOutcome {
-  const figures = {
-    ...checkBudget(situation, server).figures,
-    size,
-    targetSize: pool.targetSize,
-    urgent: Number(urgent),
-  };
+  const figures = { ...checkBudget(situation, server).figures, ...why, urgent: Number(urgent) };
   if (server.state === "empty") {
     const text = `empty ${server.name} goes to ${pool.name}`;
     const servers = replaceServer(situation.servers, { ...server, moveTo: pool.name });
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -21,22 +21,30 @@
 }
 
 // Guards against a spare pool that stands idle while a pool is overloaded, or is never returned.
-test("a pool borrows spare slots within 2 s of a long wait and returns them within 10 s", async () => {
-  const entry = entryFixture();
-  const { clock, held } = entry;
-  held.add("s1", { slots: 1 });
-  held.add("x1", { slots: 2, pool: "spare" });
-  held.runMs = 400;
-  submitMany(entry, 20);
-  await clock.advance(400);
-  assert.is(runningOn(entry, "x1"), 0);
-  await clock.until(() => runningOn(entry, "x1") === 2, 2000);
-  await clock.until(() => held.started.length === 20 && held.running.length === 0);
-  await clock.advance(10_000);
-  submitMany(entry, 2);
-  await clock.advance(100);
-  assert.is(runningOn(entry, "x1"), 0);
-});
+for (const [closenessToShare, bufferCost] of [
+  [1, 1],
+  [1000, 0],
+  [0, 1000],
+] as const) {
+  test(`spare slots are lent within 2 s and back within 10 s at weights ${closenessToShare} to ${bufferCost}`, async () => {
+    const document = fixtureConfig();
+    const weights = { ...document.weights, closenessToShare, bufferCost };
+    const entry = entryFixture({ config: { ...document, weights } });
+    const { clock, held } = entry;
+    held.add("s1", { slots: 1 });
+    held.add("x1", { slots: 2, pool: "spare" });
+    held.runMs = 400;
+    submitMany(entry, 20);
+    await clock.advance(400);
+    assert.is(runningOn(entry, "x1"), 0);
+    await clock.until(() => runningOn(entry, "x1") === 2, 1600);
+    await clock.until(() => held.started.length === 20 && held.running.length === 0);
+    await clock.advance(10_000);
+    submitMany(entry, 2);
+    await clock.advance(100);
+    assert.is(runningOn(entry, "x1"), 0);
+  });
+}
 
 // Guards against urgent work that starves while the spare pool's own work takes every slot lent.
 test("urgent work of a borrowing pool goes before the spare pool's normal work", async () => {
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -16,11 +16,21 @@
 import { SeededRandom } from "./seeded-random.ts";
 import { VirtualClock } from "./virtual-clock.ts";
 
-/** The example deployment Piedra Viva at revision 1, with other settings where given. */
+/** Weights at which every limit is as configured. */
+export const EQUAL_WEIGHTS = { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 };
+
+/** Piedra Viva at revision 1 with equal weights, and with other settings where given. */
 export function exampleConfig(change: Partial<ConfigDocument> = {}): ConfigDocument {
   const file = "examples/piedra-viva.ini";
   const content = readTemplate(file, readFileSync(file, "utf8")).unwrap();
-  return { ...content, revision: 1, writeId: "w", acceptedAt: 0, ...change };
+  return {
+    ...content,
+    revision: 1,
+    weights: EQUAL_WEIGHTS,
+    writeId: "w",
+    acceptedAt: 0,
+    ...change,
+  };
 }
 
 /** 35 instances of the example, four to a rack, spread over three zones. */
--- a/test/settings/examples.test.ts
+++ b/test/settings/examples.test.ts
@@ -6,10 +6,11 @@
 import { formatProblem } from "../../src/settings/problem.ts";
 import { readTemplate } from "../../src/settings/template-file.ts";
 
-// Guards against examples that a new user copies and that are refused.
-for (const [file, servers] of [
-  ["examples/piedra-viva.ini", 35],
-  ["examples/waitaha.ini", 40],
+// Guards against examples that a new user copies and that are refused, or weigh what their users
+// do not: head office pays for the buffer, crews wait for a roll-out.
+for (const [file, servers, heaviest] of [
+  ["examples/piedra-viva.ini", 35, ["bufferCost", "closenessToShare"]],
+  ["examples/waitaha.ini", 40, ["closenessToShare", "rolloutTime"]],
 ] as const) {
   test(`${file} is accepted and has ${servers} servers in 5 pools for 6 teams`, () => {
     const read = readTemplate(file, readFileSync(file, "utf8"));
@@ -21,6 +22,10 @@
       servers,
     );
     assert.is(read.val.teams.length, 6);
+    const weights = Object.entries(read.val.weights);
+    const most = Math.max(...weights.map(([, weight]) => weight));
+    const heavy = weights.filter(([, weight]) => weight === most).map(([name]) => name);
+    assert.equal(heavy.sort(), heaviest);
   });
 }
 
--- a/test/state/fleet-rules.test.ts
+++ b/test/state/fleet-rules.test.ts
@@ -7,6 +7,7 @@
 import { QUARANTINE_MS } from "../../src/state/health-rules.ts";
 import { inRange } from "../../src/state/maintenance-windows.ts";
 import {
+  EQUAL_WEIGHTS,
   exampleConfig,
   exampleInstances,
   serversByRack,
@@ -185,4 +186,32 @@
   );
 });
 
+// Guards against weights that no rule reads, or that a plan does not name.
+test("the wave and the moves follow their weights, and plan names them", () => {
+  const planAt = (weights: Partial<typeof EQUAL_WEIGHTS>, targetSize = 6) => {
+    const pools = exampleConfig().pools.map((pool) =>
+      pool.name === "ledgers" ? { ...pool, targetSize } : pool,
+    );
+    const maintenance = { ...EVERY_DAY, maxParallel: 3, everyDays: targetSize > 6 ? 0 : 1 };
+    const config = exampleConfig({ pools, maintenance, weights: { ...EQUAL_WEIGHTS, ...weights } });
+    return dryRun(situationOf(serversByRack(), { config }), 20);
+  };
+  for (const [weights, drains] of [
+    [{}, 2],
+    [{ bufferCost: 3 }, 1],
+    [{ rolloutTime: 3 }, 2],
+  ] as const) {
+    const { decisions } = planAt(weights);
+    const wave = decisions.filter((decision) => decision.rule === "maintenance");
+    assert.is(wave.length, drains, JSON.stringify(weights));
+    const { figures } = wave.at(-1)!;
+    assert.is(figures.weight_buffer_cost, { ...EQUAL_WEIGHTS, ...weights }.bufferCost);
+    assert.is(figures.weight_rollout_time, { ...EQUAL_WEIGHTS, ...weights }.rolloutTime);
+  }
+  const started = (weights: Partial<typeof EQUAL_WEIGHTS>) =>
+    planAt(weights, 12).decisions.filter((decision) => decision.rule === "move");
+  assert.ok(started({ rolloutTime: 4 }).length > started({}).length);
+  assert.is(started({ rolloutTime: 4 })[0]?.figures.weight_rollout_time, 4);
+});
+
 test.run();
