fix(maintenance): a rack lost anywhere in the group pauses the wave

Cause: only failures in the zone of one server paused the wave. With a rack of another zone lost the drains of the short pool returned, but the wave went on at once in the next rack. Between two racks the zone was that of the next due server, also if that one was down and another zone came next. Change: two servers down in one rack of the group pause the wave, and the reason names the rack; between two racks the zones of the next due and of the next live server count. Conclusion: fixed; the wave waits until the rack is repaired or taken out of the instance list.

--- a/src/state/maintenance-rules.ts
+++ b/src/state/maintenance-rules.ts
@@ -19,6 +19,8 @@
 export const REBOOT_LIMIT_MS = 900_000;
 /** One server down is an ordinary day's failure; two in the wave's zone may have one cause. */
 const DOWN_IN_ZONE_LIMIT = 2;
+/** Two servers down in a rack anywhere in the group: it may be lost, and the spare stands in. */
+const DOWN_IN_RACK_LIMIT = 2;
 
 /** True if drains for maintenance of the pool's servers may start now. */
 export function mayDrain({ config, wallTimeMs }: FleetSituation, pool: string): boolean {
@@ -58,15 +60,14 @@
 /** Starts the drain of the next server of the wave. */
 export function continueWave(situation: FleetSituation): RuleOutcome {
   const { due, withheld } = byWindow(situation);
-  const first = due[0];
-  if (first === undefined) return { withheld };
+  if (due.length === 0) return { withheld };
   const { limit, figures: weights } = waveLimit(situation.config);
   const active = serversInWave(situation);
   const figures: Figures = { due: due.length, inWave: active.length, limit, ...weights };
   const wait = (text: string, more: Figures = {}): RuleOutcome => ({
     withheld: [...withheld, explain(situation, "maintenance", text, { ...figures, ...more })],
   });
-  const failures = waveFailures(situation, active[0] ?? first);
+  const failures = waveFailures(situation, zonesOfWave(situation, active, due));
   if (failures !== undefined) return wait(failures.text, failures.figures);
   if (active.length >= limit) return wait("the wave has as many servers as allowed at once");
   const started = startNext(situation, { due, active, figures });
@@ -148,10 +149,21 @@
   return { withheld };
 }
 
+/** Zones under way; between two racks, those of the next due server and of the next live one. */
+function zonesOfWave(
+  { health }: FleetSituation,
+  active: readonly ServerRecord[],
+  due: readonly ServerRecord[],
+): ReadonlySet<string> {
+  const next = [due[0], due.find((server) => health.live(server.name))];
+  const servers = active.length > 0 ? active : next.filter((server) => server !== undefined);
+  return new Set(servers.map((server) => server.zone));
+}
+
 /** Unplanned failures that pause the wave; undefined if there are none. */
 function waveFailures(
   { servers, health, wallTimeMs }: FleetSituation,
-  current: ServerRecord,
+  zones: ReadonlySet<string>,
 ): { readonly text: string; readonly figures: Figures } | undefined {
   const failing = servers.filter(
     (s) =>
@@ -163,14 +175,25 @@
     (s) => s.state === "rebooting" && wallTimeMs - s.since > REBOOT_LIMIT_MS,
   ).length;
   const down = servers.filter(
-    (s) =>
-      s.zone === current.zone &&
-      (s.state === "serving" || s.state === "draining") &&
-      !health.live(s.name),
-  ).length;
-  if (failing === 0 && stuck === 0 && down < DOWN_IN_ZONE_LIMIT) return undefined;
+    (s) => (s.state === "serving" || s.state === "draining") && !health.live(s.name),
+  );
+  const inZone = highestCount(down.map((s) => s.zone).filter((zone) => zones.has(zone)));
+  const inRack = highestCount(down.map(rackOf));
+  const lost = inRack.count >= DOWN_IN_RACK_LIMIT;
+  if (failing === 0 && stuck === 0 && inZone.count < DOWN_IN_ZONE_LIMIT && !lost) return undefined;
   return {
-    text: `the wave is paused because of failures in ${current.zone}`,
-    figures: { failedAfterReboot: failing, stuckRebooting: stuck, downInZone: down },
+    text: `the wave is paused because of failures in ${lost ? `rack ${inRack.name}` : [...zones].join(", ")}`,
+    figures: {
+      ...{ failedAfterReboot: failing, stuckRebooting: stuck },
+      ...{ downInZone: inZone.count, downInRack: inRack.count },
+    },
   };
 }
+
+/** The most frequent name and how often it occurs. */
+function highestCount(names: readonly string[]): { readonly name: string; readonly count: number } {
+  const counts = new Map<string, number>();
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1);
+  const [highest] = [...counts].sort(([, a], [, b]) => b - a);
+  return { name: highest?.[0] ?? "", count: highest?.[1] ?? 0 };
+}
--- a/test/coordination/planner-faults.test.ts
+++ b/test/coordination/planner-faults.test.ts
@@ -1,7 +1,5 @@
 import { test } from "uvu";
-import * as assert from "uvu/assert";
-import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
-import { mayGo } from "../../src/state/fleet-transitions.ts";
+import { checkWrites } from "../fakes/fleet-checks.ts";
 import { exampleConfig, exampleInstances, PlannedFleet } from "../fakes/planned-fleet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 
@@ -47,24 +45,6 @@
   faults[draw(faults.length)]!();
 }
 
-/** Checks each write against the one before it. */
-function checkWrites(writes: readonly FleetDocument[]): void {
-  for (const [index, { servers }] of writes.entries()) {
-    const former = writes[index - 1]?.servers ?? [];
-    assert.is(new Set(servers.map((server) => server.name)).size, servers.length);
-    for (const server of servers) {
-      const old = former.find((candidate) => candidate.name === server.name);
-      if (old === undefined || old.state === server.state) continue;
-      assert.ok(mayGo(old.state, server.state), `${old.state} to ${server.state}`);
-      if (server.state !== "draining" && server.state !== "quarantined") continue;
-      if (old.state !== "serving") continue;
-      const up = former.filter((s) => s.pool === old.pool && s.state === "serving").length;
-      const pool = exampleConfig().pools.find(({ name }) => name === old.pool)!;
-      assert.ok(up - 1 >= pool.minAvailable, `budget of ${old.pool}`);
-    }
-  }
-}
-
 // Guards against budgets broken by, and plans stuck after, faults that come together.
 for (const seed of SEEDS) {
   test(`budgets hold under random faults and every plan ends after them, seed ${seed}`, async () => {
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -1,8 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { FleetDocument, ServerRecord } from "../../src/protocol/fleet-document.ts";
+import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
 import { bufferCoverage } from "../../src/state/fleet-situation.ts";
-import { mayGo } from "../../src/state/fleet-transitions.ts";
+import { checkWrites, serving } from "../fakes/fleet-checks.ts";
 import {
   exampleConfig,
   exampleInstances,
@@ -12,31 +12,6 @@
 
 const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
 
-/** Counts servers in service by state alone, so that planned work is judged without failures. */
-function serving(servers: readonly ServerRecord[], pool: string): number {
-  return servers.filter((server) => server.pool === pool && server.state === "serving").length;
-}
-
-/** Checks every write: one record per server, allowed transitions, and budgets of planned work. */
-function checkWrites(writes: readonly FleetDocument[], pools = exampleConfig().pools): void {
-  const before = new Map<string, ServerRecord>();
-  for (const [index, fleet] of writes.entries()) {
-    assert.is(new Set(fleet.servers.map((s) => s.name)).size, fleet.servers.length);
-    const former = writes[index - 1]?.servers ?? [];
-    for (const server of fleet.servers) {
-      const old = before.get(server.name);
-      before.set(server.name, server);
-      if (old === undefined) continue;
-      assert.ok(old.state === server.state || mayGo(old.state, server.state));
-      assert.is(server.epoch, old.epoch + (server.pool === old.pool ? 0 : 1));
-      if (server.pool !== old.pool) assert.is(old.state, "empty");
-      if (server.state !== "draining" || old.state !== "serving") continue;
-      const { minAvailable } = pools.find((pool) => pool.name === old.pool)!;
-      assert.ok(serving(former, old.pool) - 1 >= minAvailable, `budget of ${old.pool}`);
-    }
-  }
-}
-
 // Guards against pools that are filled from one rack, so that its loss empties them.
 test("new servers fill all pools to their targets and are spread over zones", async () => {
   const fleet = new PlannedFleet();
--- a/test/state/fleet-rules.test.ts
+++ b/test/state/fleet-rules.test.ts
@@ -186,6 +186,23 @@
   );
 });
 
+// Guards against a wave that goes on in a zone with failures, because a server that is down in
+// another zone is the next one due.
+test("a wave between two racks pauses for failures in the zone it would go on in", () => {
+  const now = 1_700_000_000_000;
+  const health = new TestHealth();
+  // s00 is in zone a, s04 and s16 are in racks r1 and r4 of zone b.
+  for (const name of ["s00", "s04", "s16"]) health.down.add(name);
+  const servers = serversByRack().map((server) => ({
+    ...server,
+    rebootedAt: server.zone === "andina-a" && server.name !== "s00" ? now - 3_600_000 : 0,
+  }));
+  const config = exampleConfig({ maintenance: EVERY_DAY });
+  const { decisions, withheld } = dryRun(situationOf(servers, { health, config }), 20);
+  assert.not(decisions.some(({ rule }) => rule === "maintenance"));
+  assert.match(withheld.map((e) => e.text).join(), "failures in andina-a, andina-b");
+});
+
 // Guards against weights that no rule reads, or that a plan does not name.
 test("the wave and the moves follow their weights, and plan names them", () => {
   const planAt = (weights: Partial<typeof EQUAL_WEIGHTS>, targetSize = 6) => {
