refactor(follow): one set-up of key watchers, and one base for faulty clients of tests

Cause: the followers of configuration and fleet repeated the options and the counting of failed calls of their watcher; four fakes of clients repeated every call of the key-value service or of a backend server, and three classes recorded counters for tests. Change: KeyWatcher counts failures itself and has the default of `watchMs`; the followers extend its options. test/fakes/intercepted.ts has one base per interface whose calls go through one function. RecordedCounters serves all tests; a retry counts as `retry_NAME` there. Ruled out: one class for the switched and the faulty key-value client; their faults differ (one client cut off, against links between parties), only the forwarding of calls was the same. Conclusion: no change of behaviour.

--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -1,17 +1,14 @@
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
 import type { Log } from "../platform/log.ts";
-import type { Random } from "../platform/random.ts";
 import {
   CONFIG_KEY,
   ConfigDocumentSchema,
   type ConfigDocument,
 } from "../protocol/config-document.ts";
 import { KeyIndex } from "../state/keys.ts";
-import { KeyWatcher } from "./key-watcher.ts";
-import { ConfigView, type Counters, type PeerState, type Unsubscribe } from "./ports.ts";
+import { KeyWatcher, type KeyWatcherOptions } from "./key-watcher.ts";
+import { ConfigView, type PeerState, type Unsubscribe } from "./ports.ts";
 
 /** What the rule for a platform-wide outage needs to know about the other entries. */
 export abstract class OutageView {
@@ -25,24 +22,18 @@
 }
 
 /** Options of {@link ConfigFollower}. */
-export interface ConfigFollowerOptions {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly keyValue: KeyValueService;
-  readonly counters: Counters;
+export interface ConfigFollowerOptions extends Omit<KeyWatcherOptions, "key" | "listener"> {
   readonly log: Log;
   /** Availability zone of this entry. */
   readonly zone: string;
   readonly outage: OutageView;
-  /** Longest wait of one watch in milliseconds. @default 1500 */
-  readonly watchMs?: number;
   /** Age in milliseconds of a confirmation beyond which keyed work stops. @default 4000 */
   readonly keyFreshnessMs?: number;
 }
 
 /** Follows the configuration from the platform and from peers; adopts higher revisions only. */
 export class ConfigFollower extends ConfigView {
-  readonly #options: Required<ConfigFollowerOptions>;
+  readonly #options: ConfigFollowerOptions & { readonly keyFreshnessMs: number };
   readonly #watcher: KeyWatcher;
   readonly #listeners = new Set<(config: ConfigDocument) => void>();
   #current: ConfigDocument | undefined;
@@ -53,15 +44,11 @@
   /** Configuration revision that the platform showed last; 0 if it showed none that is usable. */
   #platformRevision = 0;
 
-  constructor({ watchMs = 1500, keyFreshnessMs = 4000, ...rest }: ConfigFollowerOptions) {
+  constructor({ keyFreshnessMs = 4000, ...rest }: ConfigFollowerOptions) {
     super();
-    this.#options = { watchMs, keyFreshnessMs, ...rest };
-    const { clock, random, keyValue, counters } = rest;
+    this.#options = { keyFreshnessMs, ...rest };
     this.#watcher = new KeyWatcher({
-      clock,
-      random,
-      keyValue,
-      watchMs,
+      ...this.#options,
       key: CONFIG_KEY,
       listener: {
         read: (entry, sentAt) => {
@@ -72,9 +59,6 @@
           // A peer may have brought a higher revision, which this reply says nothing about.
           if (this.#platformRevision === this.#current?.revision) this.#confirm(sentAt);
         },
-        failed: (err) => {
-          counters.retry(err.kind === "ambiguous" ? "kv_ambiguous" : "kv_unavailable");
-        },
       },
     });
   }
--- a/src/coordination/fleet-follower.ts
+++ b/src/coordination/fleet-follower.ts
@@ -1,23 +1,15 @@
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvEntry } from "../platform/key-value-service.ts";
+import type { KvEntry } from "../platform/key-value-service.ts";
 import type { Log } from "../platform/log.ts";
-import type { Random } from "../platform/random.ts";
 import { FleetDocumentSchema, fleetKey, type FleetDocument } from "../protocol/fleet-document.ts";
-import { KeyWatcher } from "./key-watcher.ts";
-import { FleetView, type Counters, type Unsubscribe } from "./ports.ts";
+import { KeyWatcher, type KeyWatcherOptions } from "./key-watcher.ts";
+import { FleetView, type Unsubscribe } from "./ports.ts";
 
 /** Options of {@link FleetFollower}. */
-export interface FleetFollowerOptions {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly keyValue: KeyValueService;
-  readonly counters: Counters;
+export interface FleetFollowerOptions extends Omit<KeyWatcherOptions, "key" | "listener"> {
   readonly log: Log;
   /** Pool group whose fleet document is followed. */
   readonly group: string;
-  /** Longest wait of one watch in milliseconds. @default 1500 */
-  readonly watchMs?: number;
 }
 
 /** Follows the fleet document of one pool group. */
@@ -30,21 +22,13 @@
   constructor(options: FleetFollowerOptions) {
     super();
     this.#options = options;
-    const { clock, random, keyValue, counters, group, watchMs = 1500 } = options;
     this.#watcher = new KeyWatcher({
-      clock,
-      random,
-      keyValue,
-      watchMs,
-      key: fleetKey(group),
+      ...options,
+      key: fleetKey(options.group),
       listener: {
         read: (entry) => {
           if (entry !== undefined) this.#read(entry);
         },
-        confirmed: () => undefined,
-        failed: (err) => {
-          counters.retry(err.kind === "ambiguous" ? "kv_ambiguous" : "kv_unavailable");
-        },
       },
     });
   }
--- a/src/coordination/key-watcher.ts
+++ b/src/coordination/key-watcher.ts
@@ -1,3 +1,4 @@
+import { Err, type Result } from "ts-results";
 import type { Clock } from "../platform/clock.ts";
 import type {
   KeyValueService,
@@ -6,7 +7,7 @@
   KvWatchReply,
 } from "../platform/key-value-service.ts";
 import type { Random } from "../platform/random.ts";
-import { Err, type Result } from "ts-results";
+import type { Counters } from "./ports.ts";
 
 const BACKOFF_FIRST_MS = 100;
 const BACKOFF_MAX_MS = 5000;
@@ -20,8 +21,7 @@
   /** The key was read; undefined means that it is absent. */
   read(entry: KvEntry | undefined, sentAt: number): void;
   /** The revision read last was current at some time after `sentAt`. */
-  confirmed(sentAt: number): void;
-  failed(err: KvError): void;
+  confirmed?(sentAt: number): void;
 }
 
 /** Options of {@link KeyWatcher}. */
@@ -29,15 +29,16 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly keyValue: KeyValueService;
+  readonly counters: Counters;
   readonly key: string;
-  /** Longest wait of one watch in milliseconds. */
-  readonly watchMs: number;
+  /** Longest wait of one watch in milliseconds. @default 1500 */
+  readonly watchMs?: number;
   readonly listener: KeyListener;
 }
 
 /** Follows one key of the key-value service with one waiting read at a time. */
 export class KeyWatcher {
-  readonly #options: KeyWatcherOptions;
+  readonly #options: Required<KeyWatcherOptions>;
   readonly #stop = new AbortController();
   #revision: number | undefined;
   #failures = 0;
@@ -45,8 +46,8 @@
   #waiting = false;
   #started = false;
 
-  constructor(options: KeyWatcherOptions) {
-    this.#options = options;
+  constructor({ watchMs = 1500, ...rest }: KeyWatcherOptions) {
+    this.#options = { watchMs, ...rest };
   }
 
   start(): void {
@@ -72,7 +73,7 @@
   }
 
   async #follow(): Promise<void> {
-    const { clock, listener, random } = this.#options;
+    const { clock, counters, random } = this.#options;
     while (!this.#stopped()) {
       this.#sentAt = clock.now();
       this.#waiting = true;
@@ -84,7 +85,7 @@
         this.#take(reply.val);
         continue;
       }
-      listener.failed(reply.val);
+      counters.retry(reply.val.kind === "ambiguous" ? "kv_ambiguous" : "kv_unavailable");
       const bound = Math.min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS * 2 ** this.#failures++);
       await clock.sleep(random.next() * bound, this.#stop.signal);
     }
@@ -109,7 +110,7 @@
   #take(reply: KvWatchReply): void {
     const { listener } = this.#options;
     if (!reply.changed) {
-      listener.confirmed(this.#sentAt);
+      listener.confirmed?.(this.#sentAt);
       return;
     }
     this.#revision = reply.entry?.revision ?? 0;
--- a/test/coordination/access-and-cancel.test.ts
+++ b/test/coordination/access-and-cancel.test.ts
@@ -112,7 +112,7 @@
   assert.is(summary(reply), "bad_job ran=yes");
   assert.match(reply.kind === "refusal" ? reply.refusal.detail : "", /s\d: no input; s\d/);
   assert.is(new Set(held.started.map((task) => task.server)).size, 3);
-  assert.is(counters.count("retry task_failed"), 2);
+  assert.is(counters.count("retry_task_failed"), 2);
   assert.is(summary(await onClock(clock, submit())), "task_failed ran=yes");
 });
 
--- a/test/coordination/at-most-once.test.ts
+++ b/test/coordination/at-most-once.test.ts
@@ -82,7 +82,7 @@
     assert.is(summary(await onClock(clock, reply)), expected);
     assert.is(held.started.length, starts);
     assert.is(new Set(held.started.map((task) => task.server)).size, starts);
-    assert.is(counters.count("retry server_lost"), starts - 1);
+    assert.is(counters.count("retry_server_lost"), starts - 1);
   }
 });
 
@@ -138,7 +138,7 @@
     spec.attempt < 3 ? { kind: "not-started", reason: "server_full" } : undefined;
   assert.is(summary(await onClock(clock, submit())), "answer");
   assert.is(held.started[0]!.spec.attempt, 3);
-  assert.is(counters.count("retry server_full"), 2);
+  assert.is(counters.count("retry_server_full"), 2);
   assert.is(budgets.running("red"), 0);
 });
 
--- a/test/coordination/config-follower.test.ts
+++ b/test/coordination/config-follower.test.ts
@@ -132,7 +132,7 @@
   assert.is(follower.current()?.revision, 6);
   // A platform that shows an older revision confirms nothing.
   assert.not(follower.keyedWorkAllowed());
-  assert.is(counters.counts.get("config_revision_back"), 2);
+  assert.is(counters.count("config_revision_back"), 2);
   follower.confirm(6, 100);
   assert.ok(follower.keyedWorkAllowed());
 });
@@ -146,7 +146,7 @@
   await write({ ...config(2), teams: "none" } as unknown as ConfigDocument);
   await clock.advance(100);
   assert.is(follower.current()?.revision, 1);
-  assert.is(counters.counts.get("config_malformed"), 1);
+  assert.is(counters.count("config_malformed"), 1);
   await write(config(3));
   await clock.until(() => follower.current()?.revision === 3, 2000);
 });
--- a/test/coordination/document-store.test.ts
+++ b/test/coordination/document-store.test.ts
@@ -5,7 +5,7 @@
 import { DocumentStore, type DocumentKind } from "../../src/coordination/document-store.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { LinkedKeyValue, newLink, PausableClock } from "../fakes/limits-network.ts";
-import { CountingCounters } from "../fakes/limits-ports.ts";
+import { RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
 
@@ -27,7 +27,7 @@
   const link = newLink();
   const inner = new KeyValueStore({ clock: world });
   const kv = new LinkedKeyValue(inner, { link, world, clock, random });
-  const counters = new CountingCounters();
+  const counters = new RecordedCounters();
   const store = new DocumentStore({ kv, clock, random, counters });
   return { world, clock, random, link, inner, kv, counters, store };
 }
@@ -56,7 +56,7 @@
   link.lostReplies = 0;
   const last = await onClock(world, store.read(KIND));
   assert.is(last.unwrap()?.value.count, 12);
-  assert.ok((counters.events.get("kv_ambiguous") ?? 0) > 0);
+  assert.ok(counters.count("retry_kv_ambiguous") > 0);
 });
 
 // Guards against an outcome stated as certain while the write may still arrive.
--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -83,7 +83,7 @@
   await runTasks(cluster, e1, 3);
   e1.pause();
   void e2.generateLoad(6);
-  await cluster.clock.until(() => e2.counters.events.get("incarnation_fenced") === 1, 90_000);
+  await cluster.clock.until(() => e2.counters.count("incarnation_fenced") === 1, 90_000);
   e1.kvLink.down = true;
   e2.pause();
   const startedBefore = cluster.started;
@@ -118,10 +118,10 @@
   e1.kvLink.down = true;
   await cluster.clock.advance(60_000);
   assert.ok(e1.leases.contribute().held.includes(held));
-  assert.ok((e2.counters.events.get("fencing_proof_refused") ?? 0) > 0);
+  assert.ok(e2.counters.count("fencing_proof_refused") > 0);
   assert.ok((await budgetOf(cluster, "e1")) > 0);
   assert.ok((await slotCount(cluster, "e1")) > 0);
-  assert.is(e2.counters.events.get("incarnation_fenced"), undefined);
+  assert.is(e2.counters.count("incarnation_fenced"), 0);
 });
 
 // Guards against a key that runs twice: a member of another zone that does not know of its own mark
--- a/test/coordination/leaving-watch.test.ts
+++ b/test/coordination/leaving-watch.test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { LeavingWatch } from "../../src/coordination/leaving-watch.ts";
 import type { ListedInstance } from "../../src/platform/instance-list.ts";
-import { FakeCounters } from "../fakes/peer-fakes.ts";
+import { RecordedCounters } from "../fakes/quiet.ts";
 import { StaticInstanceList } from "../../src/stand-ins/static-instance-list.ts";
 
 function listed(name: string, zone: string, state: ListedInstance["state"]): ListedInstance {
@@ -23,7 +23,7 @@
     self: { zone: "z1" },
     announceLeaving: (server: string) => announced.push(server),
   };
-  const counters = new FakeCounters();
+  const counters = new RecordedCounters();
   const watch = new LeavingWatch({ instanceList, counters, peers: peers as never });
   await watch.step();
   assert.equal(announced, ["a"]);
--- a/test/coordination/ledger-shard.test.ts
+++ b/test/coordination/ledger-shard.test.ts
@@ -5,7 +5,7 @@
 import { LedgerShard } from "../../src/coordination/ledger-shard.ts";
 import type { KvEntry, KvError, KvPut } from "../../src/platform/key-value-service.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
-import { CountingCounters } from "../fakes/limits-ports.ts";
+import { RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
 
@@ -33,7 +33,7 @@
   const clock = new VirtualClock();
   const kv = new SlowStore({ clock });
   const random = new SeededRandom(1);
-  const store = new DocumentStore({ kv, clock, random, counters: new CountingCounters() });
+  const store = new DocumentStore({ kv, clock, random, counters: new RecordedCounters() });
   const limitOf = () => ({ limit: 10, configRevision: 1 });
   const shardOf = (incarnation: string) =>
     new LedgerShard({ shard: 0, incarnation, store, clock, limitOf });
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -114,7 +114,7 @@
     if (pause % 2 === 0) first.store.paused = fleet.clock.sleep(1500);
     await fleet.clock.advance(6000);
   }
-  assert.ok((fleet.counters.counts.get("retry_kv_conflict") ?? 0) > 5);
+  assert.ok(fleet.counters.count("retry_kv_conflict") > 5);
   assert.ok(new Set(fleet.rebootOrders.map((server) => server.name)).size >= 10);
   checkWrites(fleet.kv.fleets, pools);
 });
--- a/test/fakes/entry-fixture.ts
+++ b/test/fakes/entry-fixture.ts
@@ -5,7 +5,8 @@
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import { ENTRY_DEFAULTS, type EntrySettings } from "../../src/settings/entry-settings.ts";
 import { FakeBudgets, FakeConfig, FakeFleet, FakeHeld, fixtureConfig } from "./entry-fakes.ts";
-import { FakeCounters, FakeHomes, FakePeers } from "./peer-fakes.ts";
+import { FakeHomes, FakePeers } from "./peer-fakes.ts";
+import { RecordedCounters } from "./quiet.ts";
 import { SeededRandom } from "./seeded-random.ts";
 import { onClock, VirtualClock } from "./virtual-clock.ts";
 
@@ -17,7 +18,7 @@
   readonly peers: FakePeers;
   readonly config: FakeConfig;
   readonly fleet: FakeFleet;
-  readonly counters: FakeCounters;
+  readonly counters: RecordedCounters;
   readonly path: RequestPath;
   readonly submit: (change?: Partial<CallerRequest>) => Promise<CallerReply>;
 }
@@ -40,7 +41,7 @@
     peers: new FakePeers(name, clock),
     config: new FakeConfig(document),
     fleet: new FakeFleet(),
-    counters: new FakeCounters(),
+    counters: new RecordedCounters(),
   };
   const path = new RequestPath({
     ...parts,
--- a/test/fakes/faulty-backend.ts
+++ b/test/fakes/faulty-backend.ts
@@ -1,14 +1,11 @@
 import { Err } from "ts-results";
 import {
   BackendConnector,
-  BackendServer,
-  type BackendEvents,
   type BackendResult,
-  type LeaseGrant,
-  type TaskRecord,
-  type TaskRef,
+  type BackendServer,
   type TaskSpec,
 } from "../../src/platform/backend-server.ts";
+import { InterceptedBackend } from "./intercepted.ts";
 import type { Links, Party } from "./links.ts";
 
 /** Time a call may take, in milliseconds, as the HTTP client allows. */
@@ -50,7 +47,7 @@
   readonly target: BackendParty | undefined;
 }
 
-class FaultyBackend extends BackendServer {
+class FaultyBackend extends InterceptedBackend {
   readonly #options: FaultyBackendOptions;
 
   constructor(options: FaultyBackendOptions) {
@@ -58,60 +55,22 @@
     this.#options = options;
   }
 
-  acquireLease(holder: string, ttlMs: number): BackendResult<LeaseGrant> {
-    return this.#call((server) => server.acquireLease(holder, ttlMs));
-  }
-
-  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
-    return this.#call((server) => server.renewLease(leaseId, ttlMs));
-  }
-
-  releaseLease(leaseId: string, successor?: string): BackendResult<void> {
-    return this.#call((server) => server.releaseLease(leaseId, successor));
-  }
-
-  startTask(leaseId: string, spec: TaskSpec): BackendResult<void> {
+  override startTask(leaseId: string, spec: TaskSpec): BackendResult<void> {
     const copy = structuredClone(spec);
-    return this.#call((server) => {
+    return this.intercept((server) => {
       this.#options.beforeStart?.(copy);
       return server.startTask(leaseId, copy);
     });
   }
 
-  listTasks(leaseId: string): BackendResult<readonly TaskRecord[]> {
-    return this.#call((server) => server.listTasks(leaseId));
-  }
-
-  pollEvents(leaseId: string, after: number, waitMs: number): BackendResult<BackendEvents> {
-    return this.#call(
-      (server) => server.pollEvents(leaseId, after, waitMs),
-      CALL_TIMEOUT_MS + waitMs,
-    );
-  }
-
-  stopTask(leaseId: string, ref: TaskRef): BackendResult<void> {
-    return this.#call((server) => server.stopTask(leaseId, ref));
-  }
-
-  checkpointTask(leaseId: string, ref: TaskRef): BackendResult<void> {
-    return this.#call((server) => server.checkpointTask(leaseId, ref));
-  }
-
-  acknowledgeTask(leaseId: string, ref: TaskRef): BackendResult<void> {
-    return this.#call((server) => server.acknowledgeTask(leaseId, ref));
-  }
-
-  reboot(leaseId: string): BackendResult<void> {
-    return this.#call((server) => server.reboot(leaseId));
-  }
-
-  async #call<T>(
-    op: (server: BackendServer) => BackendResult<T>,
-    timeoutMs = CALL_TIMEOUT_MS,
+  protected async intercept<T>(
+    call: (server: BackendServer) => BackendResult<T>,
+    waitMs = 0,
   ): Promise<Awaited<BackendResult<T>>> {
     const { links, party, target } = this.#options;
     if (target === undefined) return Err({ kind: "unreachable", detail: "no such address" });
-    const outcome = await links.call(party, target.party, () => op(target.server), timeoutMs);
+    const timeoutMs = CALL_TIMEOUT_MS + waitMs;
+    const outcome = await links.call(party, target.party, () => call(target.server), timeoutMs);
     if (outcome.kind === "ok") return outcome.value;
     if (outcome.kind === "not-sent") return Err({ kind: "unreachable", detail: "no connection" });
     return Err({ kind: "ambiguous", detail: "no reply" });
--- a/test/fakes/faulty-key-value.ts
+++ b/test/fakes/faulty-key-value.ts
@@ -1,13 +1,6 @@
-import { Err, type Result } from "ts-results";
-import {
-  KeyValueService,
-  type KvDelete,
-  type KvEntry,
-  type KvError,
-  type KvPut,
-  type KvWatch,
-  type KvWatchReply,
-} from "../../src/platform/key-value-service.ts";
+import { Err } from "ts-results";
+import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import { InterceptedKeyValue, type KvResult } from "./intercepted.ts";
 import type { Links, Party } from "./links.ts";
 
 /** Time a call may take, in milliseconds, as the HTTP client allows. */
@@ -24,7 +17,7 @@
 }
 
 /** One process's client of the key-value service, over a link that can fail. */
-export class FaultyKeyValue extends KeyValueService {
+export class FaultyKeyValue extends InterceptedKeyValue {
   readonly #options: FaultyKeyValueOptions;
 
   constructor(options: FaultyKeyValueOptions) {
@@ -32,44 +25,13 @@
     this.#options = options;
   }
 
-  get(key: string): Promise<Result<KvEntry | undefined, KvError>> {
-    return this.#call(() => this.#options.store.get(key));
-  }
-
-  list(prefix: string): Promise<Result<readonly KvEntry[], KvError>> {
-    return this.#call(() => this.#options.store.list(prefix));
-  }
-
-  put(put: KvPut): Promise<Result<number, KvError>> {
-    return this.#call(() => this.#options.store.put(put));
-  }
-
-  delete(del: KvDelete): Promise<Result<void, KvError>> {
-    return this.#call(() => this.#options.store.delete(del));
-  }
-
-  watch(watch: KvWatch): Promise<Result<KvWatchReply, KvError>> {
-    return this.#call(() => this.#options.store.watch(watch), CALL_TIMEOUT_MS + watch.waitMs);
-  }
-
-  grantLease(ttlMs: number): Promise<Result<string, KvError>> {
-    return this.#call(() => this.#options.store.grantLease(ttlMs));
-  }
-
-  renewLease(leaseId: string): Promise<Result<void, KvError>> {
-    return this.#call(() => this.#options.store.renewLease(leaseId));
-  }
-
-  revokeLease(leaseId: string): Promise<Result<void, KvError>> {
-    return this.#call(() => this.#options.store.revokeLease(leaseId));
-  }
-
-  async #call<T>(
-    op: () => Promise<Result<T, KvError>>,
-    timeoutMs = CALL_TIMEOUT_MS,
-  ): Promise<Result<T, KvError>> {
-    const { links, party, platform } = this.#options;
-    const outcome = await links.call(party, platform, op, timeoutMs);
+  protected async intercept<T>(
+    call: (service: KeyValueService) => KvResult<T>,
+    waitMs = 0,
+  ): KvResult<T> {
+    const { links, party, platform, store } = this.#options;
+    const timeoutMs = CALL_TIMEOUT_MS + waitMs;
+    const outcome = await links.call(party, platform, () => call(store), timeoutMs);
     if (outcome.kind === "ok") return outcome.value;
     if (outcome.kind === "not-sent") return Err({ kind: "unavailable", detail: "no connection" });
     return Err({ kind: "ambiguous", detail: "no reply" });
--- a/test/fakes/limits-entry.ts
+++ b/test/fakes/limits-entry.ts
@@ -28,13 +28,8 @@
   PausableClock,
   type Link,
 } from "./limits-network.ts";
-import {
-  CountingCounters,
-  FollowedFleet,
-  MapRecords,
-  TEAM,
-  type TestConfig,
-} from "./limits-ports.ts";
+import { FollowedFleet, MapRecords, TEAM, type TestConfig } from "./limits-ports.ts";
+import { RecordedCounters } from "./quiet.ts";
 import type { SeededRandom } from "./seeded-random.ts";
 import type { VirtualClock } from "./virtual-clock.ts";
 
@@ -105,7 +100,7 @@
   readonly proof: FencingProof;
   readonly handler: LimitsPeerHandler;
   readonly records = new MapRecords();
-  readonly counters = new CountingCounters();
+  readonly counters = new RecordedCounters();
   readonly store: DocumentStore;
   /** Set by a crash: nothing of the entry runs any more. */
   crashed = false;
--- a/test/fakes/limits-network.ts
+++ b/test/fakes/limits-network.ts
@@ -1,15 +1,10 @@
 /** In-memory clients with latency and faults, and a clock that can be paused. */
-import { Err, type Result } from "ts-results";
-import { BackendServer, type BackendError } from "../../src/platform/backend-server.ts";
+import { Err } from "ts-results";
+import type { BackendResult, BackendServer } from "../../src/platform/backend-server.ts";
 import { Clock, type Timer } from "../../src/platform/clock.ts";
-import {
-  KeyValueService,
-  type KvDelete,
-  type KvError,
-  type KvPut,
-  type KvWatch,
-} from "../../src/platform/key-value-service.ts";
+import type { KeyValueService } from "../../src/platform/key-value-service.ts";
 import type { Random } from "../../src/platform/random.ts";
+import { InterceptedBackend, InterceptedKeyValue, type KvResult } from "./intercepted.ts";
 
 /** A clock whose callbacks wait while its process is paused; time goes on. */
 export class PausableClock extends Clock {
@@ -118,7 +113,7 @@
 }
 
 /** Key-value client of one entry. */
-export class LinkedKeyValue extends KeyValueService {
+export class LinkedKeyValue extends InterceptedKeyValue {
   readonly #inner: KeyValueService;
   readonly #options: LinkOptions;
 
@@ -128,17 +123,8 @@
     this.#options = options;
   }
 
-  get = (key: string) => this.#carry(() => this.#inner.get(key));
-  list = (prefix: string) => this.#carry(() => this.#inner.list(prefix));
-  put = (put: KvPut) => this.#carry(() => this.#inner.put(put));
-  delete = (del: KvDelete) => this.#carry(() => this.#inner.delete(del));
-  watch = (watch: KvWatch) => this.#carry(() => this.#inner.watch(watch));
-  grantLease = (ttlMs: number) => this.#carry(() => this.#inner.grantLease(ttlMs));
-  renewLease = (leaseId: string) => this.#carry(() => this.#inner.renewLease(leaseId));
-  revokeLease = (leaseId: string) => this.#carry(() => this.#inner.revokeLease(leaseId));
-
-  async #carry<T>(call: () => Promise<Result<T, KvError>>): Promise<Result<T, KvError>> {
-    const reply = await carry(this.#options, call);
+  protected async intercept<T>(call: (service: KeyValueService) => KvResult<T>): KvResult<T> {
+    const reply = await carry(this.#options, () => call(this.#inner));
     if (!isFailure(reply)) return reply;
     const kind = reply.kind === "unreachable" ? "unavailable" : "ambiguous";
     return Err({ kind, detail: "simulated fault" });
@@ -146,7 +132,7 @@
 }
 
 /** Backend client of one entry. */
-export class LinkedBackend extends BackendServer {
+export class LinkedBackend extends InterceptedBackend {
   readonly #inner: BackendServer;
   readonly #options: LinkOptions;
 
@@ -156,28 +142,10 @@
     this.#options = options;
   }
 
-  acquireLease: BackendServer["acquireLease"] = (...args) =>
-    this.#carry(() => this.#inner.acquireLease(...args));
-  renewLease: BackendServer["renewLease"] = (...args) =>
-    this.#carry(() => this.#inner.renewLease(...args));
-  releaseLease: BackendServer["releaseLease"] = (...args) =>
-    this.#carry(() => this.#inner.releaseLease(...args));
-  startTask: BackendServer["startTask"] = (...args) =>
-    this.#carry(() => this.#inner.startTask(...args));
-  listTasks: BackendServer["listTasks"] = (...args) =>
-    this.#carry(() => this.#inner.listTasks(...args));
-  pollEvents: BackendServer["pollEvents"] = (...args) =>
-    this.#carry(() => this.#inner.pollEvents(...args));
-  stopTask: BackendServer["stopTask"] = (...args) =>
-    this.#carry(() => this.#inner.stopTask(...args));
-  checkpointTask: BackendServer["checkpointTask"] = (...args) =>
-    this.#carry(() => this.#inner.checkpointTask(...args));
-  acknowledgeTask: BackendServer["acknowledgeTask"] = (...args) =>
-    this.#carry(() => this.#inner.acknowledgeTask(...args));
-  reboot: BackendServer["reboot"] = (...args) => this.#carry(() => this.#inner.reboot(...args));
-
-  async #carry<T>(call: () => Promise<Result<T, BackendError>>): Promise<Result<T, BackendError>> {
-    const reply = await carry(this.#options, call);
+  protected async intercept<T>(
+    call: (server: BackendServer) => BackendResult<T>,
+  ): Promise<Awaited<BackendResult<T>>> {
+    const reply = await carry(this.#options, () => call(this.#inner));
     return isFailure(reply) ? Err({ kind: reply.kind, detail: "simulated fault" }) : reply;
   }
 }
--- a/test/fakes/limits-ports.ts
+++ b/test/fakes/limits-ports.ts
@@ -1,6 +1,6 @@
 /** Simple implementations of the interfaces between the parts of an entry. */
 import type { DocumentFollower } from "../../src/coordination/document-follower.ts";
-import { ConfigView, Counters, FleetView, type Unsubscribe } from "../../src/coordination/ports.ts";
+import { ConfigView, FleetView, type Unsubscribe } from "../../src/coordination/ports.ts";
 import type { StoredFleet } from "../../src/coordination/server-drain.ts";
 import { SlotRecords } from "../../src/coordination/slot-transfer.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
@@ -10,22 +10,6 @@
 /** The one team of the tests. */
 export const TEAM = "crew";
 
-export class CountingCounters extends Counters {
-  readonly events = new Map<string, number>();
-  refusal(): void {
-    return;
-  }
-  retry(reason: string): void {
-    this.event(reason);
-  }
-  event(name: string): void {
-    this.events.set(name, (this.events.get(name) ?? 0) + 1);
-  }
-  duration(): void {
-    return;
-  }
-}
-
 export class FollowedFleet extends FleetView {
   readonly #follower: DocumentFollower<StoredFleet>;
   constructor(follower: DocumentFollower<StoredFleet>) {
--- a/test/fakes/peer-fakes.ts
+++ b/test/fakes/peer-fakes.ts
@@ -1,4 +1,4 @@
-/** Fakes of homes, peers and counters. */
+/** Fakes of homes and peers. */
 import { Err, Ok, type Result } from "ts-results";
 import type { PeerError } from "../../src/platform/peer-transport.ts";
 import type {
@@ -9,7 +9,6 @@
   ReplyTo,
 } from "../../src/protocol/peer-messages.ts";
 import {
-  Counters,
   Homes,
   Peers,
   type HomeLookup,
@@ -124,31 +123,3 @@
     throw new Error("not used by the request path");
   }
 }
-
-export class FakeCounters extends Counters {
-  readonly counts = new Map<string, number>();
-
-  refusal(reason: string): void {
-    this.#add(`refusal ${reason}`);
-  }
-
-  retry(reason: string): void {
-    this.#add(`retry ${reason}`);
-  }
-
-  event(name: string): void {
-    this.#add(name);
-  }
-
-  duration(): void {
-    this.#add("duration");
-  }
-
-  count(name: string): number {
-    return this.counts.get(name) ?? 0;
-  }
-
-  #add(name: string): void {
-    this.counts.set(name, this.count(name) + 1);
-  }
-}
--- a/test/fakes/quiet.ts
+++ b/test/fakes/quiet.ts
@@ -14,7 +14,11 @@
   }
 
   event(name: string): void {
-    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+    this.counts.set(name, this.count(name) + 1);
+  }
+
+  count(name: string): number {
+    return this.counts.get(name) ?? 0;
   }
 
   duration(): void {
--- a/test/fakes/switched-key-value.ts
+++ b/test/fakes/switched-key-value.ts
@@ -1,16 +1,9 @@
-import { Err, type Result } from "ts-results";
-import {
-  KeyValueService,
-  type KvDelete,
-  type KvEntry,
-  type KvError,
-  type KvPut,
-  type KvWatch,
-  type KvWatchReply,
-} from "../../src/platform/key-value-service.ts";
+import { Err } from "ts-results";
+import type { KeyValueService, KvPut } from "../../src/platform/key-value-service.ts";
+import { InterceptedKeyValue, type KvResult } from "./intercepted.ts";
 
 /** A key-value service that one client can be cut off from. */
-export class SwitchedKeyValue extends KeyValueService {
+export class SwitchedKeyValue extends InterceptedKeyValue {
   readonly #inner: KeyValueService;
   /** `down` refuses calls at once, `silent` never replies. */
   mode: "up" | "down" | "silent" = "up";
@@ -24,45 +17,17 @@
     this.#inner = inner;
   }
 
-  get(key: string): Promise<Result<KvEntry | undefined, KvError>> {
-    return this.#call(() => this.#inner.get(key));
-  }
-
-  list(prefix: string): Promise<Result<readonly KvEntry[], KvError>> {
-    return this.#call(() => this.#inner.list(prefix));
-  }
-
-  async put(put: KvPut): Promise<Result<number, KvError>> {
+  override async put(put: KvPut): KvResult<number> {
     await this.beforePut(put);
-    const reply = await this.#call(() => this.#inner.put(put));
+    const reply = await super.put(put);
     if (this.lostReplies === 0 || put.key.startsWith("config-history/")) return reply;
     this.lostReplies--;
     return Err({ kind: "ambiguous", detail: "reply lost" });
   }
 
-  delete(del: KvDelete): Promise<Result<void, KvError>> {
-    return this.#call(() => this.#inner.delete(del));
-  }
-
-  watch(watch: KvWatch): Promise<Result<KvWatchReply, KvError>> {
-    return this.#call(() => this.#inner.watch(watch));
-  }
-
-  grantLease(ttlMs: number): Promise<Result<string, KvError>> {
-    return this.#call(() => this.#inner.grantLease(ttlMs));
-  }
-
-  renewLease(leaseId: string): Promise<Result<void, KvError>> {
-    return this.#call(() => this.#inner.renewLease(leaseId));
-  }
-
-  revokeLease(leaseId: string): Promise<Result<void, KvError>> {
-    return this.#call(() => this.#inner.revokeLease(leaseId));
-  }
-
-  async #call<T>(call: () => Promise<Result<T, KvError>>): Promise<Result<T, KvError>> {
+  protected async intercept<T>(call: (service: KeyValueService) => KvResult<T>): KvResult<T> {
     if (this.mode === "up") {
-      const reply = await call();
+      const reply = await call(this.#inner);
       // The service was cut off while a watch waited: its reply does not arrive.
       if ((this.mode as string) === "up") return reply;
     }
