--- a/src/coordination/key-watcher.ts
+++ b/src/coordination/key-watcher.ts
@@ -1,3 +1,4 @@
+import { Err, type Result } from "ts-results";
 import type { Clock } from "../platform/clock.ts";
 import type {
   KeyValueService,
@@ -6,7 +7,7 @@
   KvWatchReply,
 } from "../platform/key-value-service.ts";
 import type { Random } from "../platform/random.ts";
-import { Err, type Result } from "ts-results";
+import type { Counters } from "./ports.ts";
 
 const BACKOFF_FIRST_MS = 100;
 const BACKOFF_MAX_MS = 5000;
@@ -25,8 +26,7 @@
   /** The key was read; undefined means that it is absent. */
   read(entry: KvEntry | undefined, sentAt: number): void;
   /** The revision read last was current at some time after `sentAt`. */
-  confirmed(sentAt: number): void;
-  failed(err: KvError): void;
+  confirmed?(sentAt: number): void;
 }
 
 /** Options of {@link KeyWatcher}. */
@@ -34,12 +34,13 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly keyValue: KeyValueService;
+  readonly counters: Counters;
   readonly key: string;
-  /** Longest wait of one watch in milliseconds. */
-  readonly watchMs: number;
+  /** Longest wait of one watch in milliseconds. @default 1500 */
+  readonly watchMs?: number;
   /**
    * Age in milliseconds that a confirmation should not reach before the next one: waits get shorter
-   * when the service answers slowly. Unbounded by default.
+   * when the service answers slowly. @default Infinity
    */
   readonly maxAgeMs?: number;
   readonly listener: KeyListener;
@@ -47,7 +48,7 @@
 
 /** Follows one key of the key-value service with one waiting read at a time. */
 export class KeyWatcher {
-  readonly #options: KeyWatcherOptions;
+  readonly #options: Required<KeyWatcherOptions>;
   readonly #stop = new AbortController();
   #revision: number | undefined;
   #failures = 0;
@@ -60,8 +61,8 @@
   #waiting = false;
   #started = false;
 
-  constructor(options: KeyWatcherOptions) {
-    this.#options = options;
+  constructor({ watchMs = 1500, maxAgeMs = Infinity, ...rest }: KeyWatcherOptions) {
+    this.#options = { watchMs, maxAgeMs, ...rest };
   }
 
   start(): void {
@@ -87,7 +88,7 @@
   }
 
   async #follow(): Promise<void> {
-    const { clock, listener, random } = this.#options;
+    const { clock, counters, random } = this.#options;
     while (!this.#stopped()) {
       this.#sentAt = clock.now();
       this.#waitMs = this.#nextWaitMs();
@@ -100,7 +101,7 @@
         this.#take(reply.val);
         continue;
       }
-      listener.failed(reply.val);
+      counters.retry(reply.val.kind === "ambiguous" ? "kv_ambiguous" : "kv_unavailable");
       const bound = Math.min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS * 2 ** this.#failures++);
       await clock.sleep(random.next() * bound, this.#stop.signal);
     }
@@ -126,7 +127,7 @@
   /** The wait after which the reply still arrives within the age bound at the latency seen last. */
   #nextWaitMs(): number {
     const { clock, watchMs, maxAgeMs } = this.#options;
-    if (maxAgeMs === undefined) return watchMs;
+    if (maxAgeMs === Infinity) return watchMs;
     const boundMs = maxAgeMs - AGE_MARGIN_MS;
     // In a steady state the confirmation before is as old as one call takes.
     const ageMs = Math.max(boundMs / 2, clock.now() - this.#confirmedAt);
@@ -139,7 +140,7 @@
     this.#confirmedAt = this.#sentAt;
     if (!reply.changed) {
       this.#latencyMs = Math.max(0, clock.now() - this.#sentAt - this.#waitMs);
-      listener.confirmed(this.#sentAt);
+      listener.confirmed?.(this.#sentAt);
       return;
     }
     this.#revision = reply.entry?.revision ?? 0;
--- a/src/state/maintenance-rules.ts
+++ b/src/state/maintenance-rules.ts
@@ -1,14 +1,16 @@
 /** Maintenance waves: rack by rack, zone by zone. */
+import type { Explanation } from "../protocol/entry-status.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
 import {
   checkBudget,
   explain,
-  NOTHING_TO_DO,
   type Figures,
   type FleetSituation,
   type RuleOutcome,
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
+import { inRange, minutesUntilOpen, windowsOf, windowText } from "./maintenance-windows.ts";
+import { waveLimit } from "./planner-weights.ts";
 
 const DAY_MS = 86_400_000;
 /** A rebooted server that fails within this time counts as a failure of the wave. */
@@ -17,12 +19,12 @@
 export const REBOOT_LIMIT_MS = 900_000;
 /** One server down is an ordinary day's failure; two in the wave's zone may have one cause. */
 const DOWN_IN_ZONE_LIMIT = 2;
+/** Two servers down in a rack anywhere in the group: it may be lost, and the spare stands in. */
+const DOWN_IN_RACK_LIMIT = 2;
 
-/** True if drains for maintenance may start at this time of day (UTC). */
-export function inWindow(startMinute: number, endMinute: number, wallTimeMs: number): boolean {
-  const minute = Math.floor((wallTimeMs % DAY_MS) / 60_000);
-  if (startMinute <= endMinute) return minute >= startMinute && minute < endMinute;
-  return minute >= startMinute || minute < endMinute;
+/** True if drains for maintenance of the pool's servers may start now. */
+export function mayDrain({ config, wallTimeMs }: FleetSituation, pool: string): boolean {
+  return windowsOf(config, pool).every((window) => inRange(window, wallTimeMs));
 }
 
 /** Servers whose reboot is due, in the order of the wave. */
@@ -57,20 +59,68 @@
 
 /** Starts the drain of the next server of the wave. */
 export function continueWave(situation: FleetSituation): RuleOutcome {
-  const due = dueServers(situation);
-  const first = due[0];
-  if (first === undefined) return NOTHING_TO_DO;
-  const { startMinute, endMinute, maxParallel } = situation.config.maintenance;
-  if (!inWindow(startMinute, endMinute, situation.wallTimeMs)) return NOTHING_TO_DO;
+  const { due, withheld } = byWindow(situation);
+  if (due.length === 0) return { withheld };
+  const { limit, figures: weights } = waveLimit(situation.config);
   const active = serversInWave(situation);
-  const figures: Figures = { due: due.length, inWave: active.length, maxParallel };
+  const figures: Figures = { due: due.length, inWave: active.length, limit, ...weights };
   const wait = (text: string, more: Figures = {}): RuleOutcome => ({
-    withheld: [explain(situation, "maintenance", text, { ...figures, ...more })],
+    withheld: [...withheld, explain(situation, "maintenance", text, { ...figures, ...more })],
   });
-  const failures = waveFailures(situation, active[0] ?? first);
+  const failures = waveFailures(situation, zonesOfWave(situation, active, due));
   if (failures !== undefined) return wait(failures.text, failures.figures);
-  if (active.length >= maxParallel) return wait("the wave has as many servers as allowed at once");
-  return startNext(situation, { due, active, figures });
+  if (active.length >= limit) return wait("the wave has as many servers as allowed at once");
+  const started = startNext(situation, { due, active, figures });
+  return { ...started, withheld: [...withheld, ...started.withheld] };
+}
+
+/** Due servers of pools whose windows are open, and what keeps the others. */
+function byWindow(situation: FleetSituation): {
+  readonly due: readonly ServerRecord[];
+  readonly withheld: readonly Explanation[];
+} {
+  const due = dueServers(situation);
+  const closed = [...new Set(due.map((server) => server.pool))].filter(
+    (pool) => !mayDrain(situation, pool),
+  );
+  const waiting = due.filter((server) => closed.includes(server.pool));
+  return {
+    due: due.filter((server) => !closed.includes(server.pool)),
+    withheld: waitForWindows(situation, closed, waiting),
+  };
+}
+
+/** Explains which windows keep due servers; pools that wait for the same windows go together. */
+function waitForWindows(
+  situation: FleetSituation,
+  pools: readonly string[],
+  waiting: readonly ServerRecord[],
+): readonly Explanation[] {
+  const { config, wallTimeMs } = situation;
+  const groups = new Map<string, WindowWait>();
+  for (const pool of pools) {
+    const windows = windowsOf(config, pool);
+    const closed = windows.filter((window) => !inRange(window, wallTimeMs)).map(windowText);
+    const opensInMinutes = minutesUntilOpen(windows, wallTimeMs);
+    const wait = { closed: closed.join(" and "), opensInMinutes };
+    const key = JSON.stringify(wait);
+    groups.set(key, { ...wait, pools: [...(groups.get(key)?.pools ?? []), pool] });
+  }
+  return [...groups.values()].map((group) => {
+    const due = waiting.filter((server) => group.pools.includes(server.pool)).length;
+    const text = `reboots in ${group.pools.join(", ")} wait for the window of ${group.closed}`;
+    const { opensInMinutes } = group;
+    const opens = opensInMinutes === undefined ? {} : { opensInMinutes };
+    return explain(situation, "maintenance", text, { due, ...opens });
+  });
+}
+
+interface WindowWait {
+  readonly pools: readonly string[];
+  /** The windows that are closed now, as text. */
+  readonly closed: string;
+  /** Undefined if the windows have no minute in common. */
+  readonly opensInMinutes: number | undefined;
 }
 
 interface Wave {
@@ -99,10 +149,21 @@
   return { withheld };
 }
 
+/** Zones under way; between two racks, those of the next due server and of the next live one. */
+function zonesOfWave(
+  { health }: FleetSituation,
+  active: readonly ServerRecord[],
+  due: readonly ServerRecord[],
+): ReadonlySet<string> {
+  const next = [due[0], due.find((server) => health.live(server.name))];
+  const servers = active.length > 0 ? active : next.filter((server) => server !== undefined);
+  return new Set(servers.map((server) => server.zone));
+}
+
 /** Unplanned failures that pause the wave; undefined if there are none. */
 function waveFailures(
   { servers, health, wallTimeMs }: FleetSituation,
-  current: ServerRecord,
+  zones: ReadonlySet<string>,
 ): { readonly text: string; readonly figures: Figures } | undefined {
   const failing = servers.filter(
     (s) =>
@@ -114,14 +175,25 @@
     (s) => s.state === "rebooting" && wallTimeMs - s.since > REBOOT_LIMIT_MS,
   ).length;
   const down = servers.filter(
-    (s) =>
-      s.zone === current.zone &&
-      (s.state === "serving" || s.state === "draining") &&
-      !health.live(s.name),
-  ).length;
-  if (failing === 0 && stuck === 0 && down < DOWN_IN_ZONE_LIMIT) return undefined;
+    (s) => (s.state === "serving" || s.state === "draining") && !health.live(s.name),
+  );
+  const inZone = highestCount(down.map((s) => s.zone).filter((zone) => zones.has(zone)));
+  const inRack = highestCount(down.map(rackOf));
+  const lost = inRack.count >= DOWN_IN_RACK_LIMIT;
+  if (failing === 0 && stuck === 0 && inZone.count < DOWN_IN_ZONE_LIMIT && !lost) return undefined;
   return {
-    text: `the wave is paused because of failures in ${current.zone}`,
-    figures: { failedAfterReboot: failing, stuckRebooting: stuck, downInZone: down },
+    text: `the wave is paused because of failures in ${lost ? `rack ${inRack.name}` : [...zones].join(", ")}`,
+    figures: {
+      ...{ failedAfterReboot: failing, stuckRebooting: stuck },
+      ...{ downInZone: inZone.count, downInRack: inRack.count },
+    },
   };
 }
+
+/** The most frequent name and how often it occurs. */
+function highestCount(names: readonly string[]): { readonly name: string; readonly count: number } {
+  const counts = new Map<string, number>();
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1);
+  const [highest] = [...counts].sort(([, a], [, b]) => b - a);
+  return { name: highest?.[0] ?? "", count: highest?.[1] ?? 0 };
+}
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -1,8 +1,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { FleetDocument, ServerRecord } from "../../src/protocol/fleet-document.ts";
+import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
 import { bufferCoverage } from "../../src/state/fleet-situation.ts";
-import { mayGo } from "../../src/state/fleet-transitions.ts";
+import { checkWrites, serving } from "../fakes/fleet-checks.ts";
 import {
   exampleConfig,
   exampleInstances,
@@ -12,31 +12,6 @@
 
 const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
 
-/** Counts servers in service by state alone, so that planned work is judged without failures. */
-function serving(servers: readonly ServerRecord[], pool: string): number {
-  return servers.filter((server) => server.pool === pool && server.state === "serving").length;
-}
-
-/** Checks every write: one record per server, allowed transitions, and budgets of planned work. */
-function checkWrites(writes: readonly FleetDocument[], pools = exampleConfig().pools): void {
-  const before = new Map<string, ServerRecord>();
-  for (const [index, fleet] of writes.entries()) {
-    assert.is(new Set(fleet.servers.map((s) => s.name)).size, fleet.servers.length);
-    const former = writes[index - 1]?.servers ?? [];
-    for (const server of fleet.servers) {
-      const old = before.get(server.name);
-      before.set(server.name, server);
-      if (old === undefined) continue;
-      assert.ok(old.state === server.state || mayGo(old.state, server.state));
-      assert.is(server.epoch, old.epoch + (server.pool === old.pool ? 0 : 1));
-      if (server.pool !== old.pool) assert.is(old.state, "empty");
-      if (server.state !== "draining" || old.state !== "serving") continue;
-      const { minAvailable } = pools.find((pool) => pool.name === old.pool)!;
-      assert.ok(serving(former, old.pool) - 1 >= minAvailable, `budget of ${old.pool}`);
-    }
-  }
-}
-
 // Guards against pools that are filled from one rack, so that its loss empties them.
 test("new servers fill all pools to their targets and are spread over zones", async () => {
   const fleet = new PlannedFleet();
@@ -76,6 +51,31 @@
   }
 });
 
+// Guards against a wave that drains outside a team's window, or that never comes back to its pools.
+test("drains start within the team's window alone, and the wave finishes once it opens", async () => {
+  const fleet = new PlannedFleet();
+  const openFrom = 10 + Math.floor(fleet.clock.wallTime() / 60_000);
+  const teams = exampleConfig().teams.map((team) => {
+    const window = { maintenanceStart: openFrom % 1440, maintenanceEnd: (openFrom + 60) % 1440 };
+    return team.name === "certifiers" ? { ...team, ...window } : team;
+  });
+  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE, teams });
+  fleet.startHolders();
+  const { planner } = fleet.addPlanner(1);
+  await fleet.clock.advance(500_000);
+  const early = new Set(fleet.rebootOrders.map((server) => server.pool));
+  assert.equal([...early].sort(), ["allotments", "enrolment", "ledgers", "shared"]);
+  assert.match(
+    planner.status().withheld[0]?.text ?? "",
+    "certification wait for the window of team",
+  );
+  await fleet.clock.until(() => planner.status().rolloutMs !== undefined, 400_000, 500);
+  const late = fleet.rebootOrders.filter((server) => server.pool === "certification");
+  assert.is(fleet.rebootOrders.length, 35);
+  assert.ok(late.every((server) => server.since >= openFrom * 60_000));
+  checkWrites(fleet.kv.fleets);
+});
+
 // Guards against a server that counts as available, or as gone, while it is being rebooted.
 test("a server that takes long to reboot neither serves nor is removed meanwhile", async () => {
   const fleet = new PlannedFleet();
@@ -114,7 +114,7 @@
     if (pause % 2 === 0) first.store.paused = fleet.clock.sleep(1500);
     await fleet.clock.advance(6000);
   }
-  assert.ok((fleet.counters.counts.get("retry_kv_conflict") ?? 0) > 5);
+  assert.ok(fleet.counters.count("retry_kv_conflict") > 5);
   assert.ok(new Set(fleet.rebootOrders.map((server) => server.name)).size >= 10);
   checkWrites(fleet.kv.fleets, pools);
 });
--- a/test/state/fleet-rules.test.ts
+++ b/test/state/fleet-rules.test.ts
@@ -5,8 +5,9 @@
 import { bufferCoverage, checkBudget } from "../../src/state/fleet-situation.ts";
 import { goTo, markEmpty } from "../../src/state/fleet-transitions.ts";
 import { QUARANTINE_MS } from "../../src/state/health-rules.ts";
-import { inWindow } from "../../src/state/maintenance-rules.ts";
+import { inRange } from "../../src/state/maintenance-windows.ts";
 import {
+  EQUAL_WEIGHTS,
   exampleConfig,
   exampleInstances,
   serversByRack,
@@ -137,10 +138,97 @@
 // Guards against maintenance by day because a window crosses midnight.
 test("a maintenance window may cross midnight", () => {
   const at = (hour: number): number => hour * 3_600_000;
-  assert.ok(inWindow(22 * 60, 4 * 60, at(23)));
-  assert.ok(inWindow(22 * 60, 4 * 60, at(3)));
-  assert.not(inWindow(22 * 60, 4 * 60, at(4)));
-  assert.not(inWindow(3 * 60, 9 * 60, at(2)));
+  const night = { startMinute: 22 * 60, endMinute: 4 * 60 };
+  assert.ok(inRange(night, at(23)));
+  assert.ok(inRange(night, at(3)));
+  assert.not(inRange(night, at(4)));
+  assert.not(inRange({ startMinute: 3 * 60, endMinute: 9 * 60 }, at(2)));
+});
+
+/** The example with a window for one team that uses pool certification alone. */
+function certifiersWindow(maintenanceStart: number, maintenanceEnd: number) {
+  const teams = exampleConfig().teams.map((team) =>
+    team.name === "certifiers" ? { ...team, maintenanceStart, maintenanceEnd } : team,
+  );
+  return exampleConfig({ maintenance: EVERY_DAY, teams });
+}
+
+// Guards against a drain of a pool's server outside the window of a team that uses the pool.
+test("a team's window holds back the pools of its queues alone, and plan says so", () => {
+  const config = certifiersWindow(23 * 60, 60);
+  const day = Date.UTC(2026, 0, 5);
+  const planAt = (hour: number) =>
+    dryRun(situationOf(serversByRack(), { config, wallTimeMs: day + hour * 3_600_000 }), 40);
+  const drained = (hour: number): readonly string[] =>
+    planAt(hour).decisions.flatMap(({ text }) => /^\S+ of (\S+) in rack/.exec(text)?.[1] ?? []);
+  const held = planAt(22).withheld.filter(({ text }) => text.includes("wait for the window"));
+  assert.equal(
+    held.map(({ text, figures }) => ({ text, figures })),
+    [
+      {
+        text: "reboots in certification wait for the window of team certifiers (23:00 to 01:00 UTC)",
+        figures: { due: 6, opensInMinutes: 60 },
+      },
+    ],
+  );
+  assert.ok(drained(22).length > 0 && !drained(22).includes("certification"));
+  for (const hour of [23, 0]) {
+    assert.not(planAt(hour).withheld.some(({ text }) => text.includes("wait for the window")));
+  }
+  const alone = serversByRack().filter((server) => server.pool === "certification");
+  const count = (hour: number): number => {
+    const situation = situationOf(alone, { config, wallTimeMs: day + hour * 3_600_000 });
+    return dryRun(situation, 40).decisions.filter(({ rule }) => rule === "maintenance").length;
+  };
+  assert.equal(
+    [count(22), count(23), count(0), count(1)].map((n) => n > 0),
+    [false, true, true, false],
+  );
+});
+
+// Guards against a wave that goes on in a zone with failures, because a server that is down in
+// another zone is the next one due.
+test("a wave between two racks pauses for failures in the zone it would go on in", () => {
+  const now = 1_700_000_000_000;
+  const health = new TestHealth();
+  // s00 is in zone a, s04 and s16 are in racks r1 and r4 of zone b.
+  for (const name of ["s00", "s04", "s16"]) health.down.add(name);
+  const servers = serversByRack().map((server) => ({
+    ...server,
+    rebootedAt: server.zone === "andina-a" && server.name !== "s00" ? now - 3_600_000 : 0,
+  }));
+  const config = exampleConfig({ maintenance: EVERY_DAY });
+  const { decisions, withheld } = dryRun(situationOf(servers, { health, config }), 20);
+  assert.not(decisions.some(({ rule }) => rule === "maintenance"));
+  assert.match(withheld.map((e) => e.text).join(), "failures in andina-a, andina-b");
+});
+
+// Guards against weights that no rule reads, or that a plan does not name.
+test("the wave and the moves follow their weights, and plan names them", () => {
+  const planAt = (weights: Partial<typeof EQUAL_WEIGHTS>, targetSize = 6) => {
+    const pools = exampleConfig().pools.map((pool) =>
+      pool.name === "ledgers" ? { ...pool, targetSize } : pool,
+    );
+    const maintenance = { ...EVERY_DAY, maxParallel: 3, everyDays: targetSize > 6 ? 0 : 1 };
+    const config = exampleConfig({ pools, maintenance, weights: { ...EQUAL_WEIGHTS, ...weights } });
+    return dryRun(situationOf(serversByRack(), { config }), 20);
+  };
+  for (const [weights, drains] of [
+    [{}, 2],
+    [{ bufferCost: 3 }, 1],
+    [{ rolloutTime: 3 }, 2],
+  ] as const) {
+    const { decisions } = planAt(weights);
+    const wave = decisions.filter((decision) => decision.rule === "maintenance");
+    assert.is(wave.length, drains, JSON.stringify(weights));
+    const { figures } = wave.at(-1)!;
+    assert.is(figures.weight_buffer_cost, { ...EQUAL_WEIGHTS, ...weights }.bufferCost);
+    assert.is(figures.weight_rollout_time, { ...EQUAL_WEIGHTS, ...weights }.rolloutTime);
+  }
+  const started = (weights: Partial<typeof EQUAL_WEIGHTS>) =>
+    planAt(weights, 12).decisions.filter((decision) => decision.rule === "move");
+  assert.ok(started({ rolloutTime: 4 }).length > started({}).length);
+  assert.is(started({ rolloutTime: 4 })[0]?.figures.weight_rollout_time, 4);
 });
 
 test.run();
