test(fakes): one set of builders, one process clock

Cause: tests built configurations, gossip, server records, tasks and hellos field by field in thirteen places, and two clocks of a process that can be paused did the same. Change: test/fakes/builders.ts has one builder each; the entries of the limits tests run on ProcessGate and ProcessClock as those of the fuzzing do, so a crash is a killed gate; the planner's fleet uses the configuration fake of the request path. Ruled out: one fake network for the limits tests and the fuzzing; the former draws loss and delay per call and entry, the latter has cuts between parties, and their seeds would all change. Conclusion: no check dropped.

--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { CallerRequest } from "../../src/coordination/ports.ts";
+import { serverRecord } from "../fakes/builders.ts";
 import { fixtureConfig } from "../fakes/entry-fakes.ts";
 import {
   connect,
@@ -180,21 +181,7 @@
 });
 
 function fleetOf(names: readonly string[]) {
-  const servers = names.map((name) => ({
-    name,
-    address: "",
-    zone: "z1",
-    rack: "r1",
-    cores: 1,
-    memoryGb: 1,
-    accelerators: 0,
-    slots: 4,
-    pool: "jobs",
-    state: "serving" as const,
-    epoch: 1,
-    rebootedAt: 0,
-    since: 0,
-  }));
+  const servers = names.map((name) => serverRecord(name));
   return { revision: 1, writeId: "w", group: "g", servers, retired: [] };
 }
 
--- a/test/coordination/config-follower.test.ts
+++ b/test/coordination/config-follower.test.ts
@@ -5,6 +5,7 @@
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { issueKey } from "../../src/state/keys.ts";
+import { configDocument, helloOf } from "../fakes/builders.ts";
 import { QUIET_LOG, RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 import { SwitchedKeyValue } from "../fakes/switched-key-value.ts";
@@ -15,10 +16,7 @@
 
 function config(revision: number, keys = [KEY.stored]): ConfigDocument {
   const teams = [{ name: "ops", share: 1, upperLimit: 4, queues: [], keys }];
-  const maintenance = { startMinute: 0, endMinute: 1440, everyDays: 0, maxParallel: 2 };
-  const weights = { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 };
-  const head = { revision, writeId: `write-${revision}`, acceptedAt: 0 };
-  return { ...head, pools: [], queues: [], teams, maintenance, weights };
+  return configDocument({ revision, writeId: `write-${revision}`, teams });
 }
 
 class TestOutageView extends OutageView {
@@ -34,7 +32,7 @@
 }
 
 function peer(zone: string, platformReachable: boolean, receivedAt: number): PeerState {
-  const hello = { version: 1, incarnation: `i-${zone}`, address: "", zone, group: "g" };
+  const hello = helloOf(`i-${zone}`, { zone });
   const message = { platformReachable } as unknown as PeerState["message"];
   return { hello, message, receivedAt };
 }
--- a/test/coordination/document-store.test.ts
+++ b/test/coordination/document-store.test.ts
@@ -4,7 +4,8 @@
 import { DocumentFollower } from "../../src/coordination/document-follower.ts";
 import { DocumentStore, type DocumentKind } from "../../src/coordination/document-store.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
-import { LinkedKeyValue, newLink, PausableClock } from "../fakes/limits-network.ts";
+import { LinkedKeyValue, newLink } from "../fakes/limits-network.ts";
+import { ProcessClock, ProcessGate } from "../fakes/process-gate.ts";
 import { RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
@@ -22,7 +23,7 @@
 
 function setUp(seed = 1) {
   const world = new VirtualClock();
-  const clock = new PausableClock(world);
+  const clock = new ProcessClock({ base: world, gate: new ProcessGate({ clock: world }) });
   const random = new SeededRandom(seed);
   const link = newLink();
   const inner = new KeyValueStore({ clock: world });
--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -46,7 +46,7 @@
 test("a lost entry's budget returns except for its running tasks", async () => {
   const { cluster, e1, e2 } = await twoEntries({ runMs: () => 90_000 });
   await runTasks(cluster, e1, 4);
-  e1.crash();
+  e1.gate.kill();
   void e2.generateLoad(6);
   await cluster.clock.advance(40_000);
   assert.is(await budgetOf(cluster, "e1"), 4);
@@ -64,7 +64,7 @@
   assert.is(await slotCount(cluster, "e2"), 32);
   const key = cluster.random.uuidV7(cluster.clock.wallTime());
   const lost = e1.hello.incarnation;
-  e1.crash();
+  e1.gate.kill();
   await cluster.clock.advance(60_000);
   assert.is(await slotCount(cluster, lost), 0);
   const taken = (await cluster.homes()).slots.filter(({ takeoverAt }) => takeoverAt > 0);
@@ -81,13 +81,13 @@
 test("an entry that resumes after its fencing starts nothing", async () => {
   const { cluster, e1, e2 } = await twoEntries({ runMs: () => 500 });
   await runTasks(cluster, e1, 3);
-  e1.pause();
+  e1.gate.pause();
   void e2.generateLoad(6);
   await cluster.clock.until(() => e2.counters.count("incarnation_fenced") === 1, 90_000);
   e1.kvLink.down = true;
-  e2.pause();
+  e2.gate.pause();
   const startedBefore = cluster.started;
-  e1.resume();
+  e1.gate.resume();
   await cluster.clock.until(() => e1.leases.contribute().held.length > 0, 30_000);
   void e1.generateLoad(6);
   await cluster.clock.advance(10_000);
@@ -139,11 +139,11 @@
   const stateOf = async (incarnation: string) =>
     (await cluster.homes()).members.find((member) => member.incarnation === incarnation)?.state;
   assert.is(await stateOf("e3"), "retired");
-  e1.crash();
+  e1.gate.kill();
   await cluster.clock.advance(40_000);
   assert.is(await stateOf("e1"), "retired");
   assert.ok((await slotCount(cluster, "e1")) > 0);
-  e3.crash();
+  e3.gate.kill();
   await cluster.clock.advance(40_000);
   assert.equal([await stateOf("e1"), await stateOf("e3")], ["fenced", "fenced"]);
   assert.is((await slotCount(cluster, "e1")) + (await slotCount(cluster, "e3")), 0);
@@ -158,7 +158,7 @@
   const evidence = (entry: Entry) => entry.leases.evidence().map(({ server }) => server);
   assert.ok(evidence(e1).includes(name));
   cluster.servers.get(name)!.restart();
-  e1.crash();
+  e1.gate.kill();
   await cluster.clock.until(() => e2.leases.contribute().held.includes(name));
   assert.not(evidence(e2).includes(name));
   await cluster.clock.advance(6100);
--- a/test/coordination/gossip-delta.test.ts
+++ b/test/coordination/gossip-delta.test.ts
@@ -2,23 +2,10 @@
 import * as assert from "uvu/assert";
 import { decodeGossip, GossipEncoder } from "../../src/coordination/gossip-delta.ts";
 import type { GossipMessage, TeamLoad } from "../../src/protocol/peer-messages.ts";
+import { gossipMessage } from "../fakes/builders.ts";
 
 function snapshot(...teams: readonly TeamLoad[]): GossipMessage {
-  return {
-    type: "gossip",
-    sequence: 0,
-    baseline: 0,
-    configRevision: 1,
-    configAgeMs: 0,
-    platformReachable: true,
-    fleetRevision: 1,
-    homesRevision: 1,
-    pools: [],
-    teams,
-    held: [],
-    leaving: [],
-    stopping: false,
-  };
+  return gossipMessage({ sequence: 0, teams });
 }
 
 function load(team: string, running: number): TeamLoad {
--- a/test/coordination/limits-faults.test.ts
+++ b/test/coordination/limits-faults.test.ts
@@ -15,8 +15,8 @@
 /** Replaces entries that saw their mark, as the real process does. */
 function replaceRetired(cluster: Cluster, names: { next: number }): void {
   for (const entry of cluster.entries) {
-    if (entry.retiredSeen === 0 || entry.crashed) continue;
-    entry.crash();
+    if (entry.retiredSeen === 0 || entry.gate.dead) continue;
+    entry.gate.kill();
     addLoaded(cluster, names);
   }
 }
@@ -36,7 +36,7 @@
 function injectFault(cluster: Cluster, names: { next: number }): void {
   const { random, clock } = cluster;
   const pick = <T>(from: readonly T[]): T => from[Math.floor(random.next() * from.length)]!;
-  const alive = cluster.entries.filter((entry) => !entry.crashed);
+  const alive = cluster.entries.filter((entry) => !entry.gate.dead);
   const [entry, other] = [pick(alive), pick(alive)];
   const lossy = (link: Link): void => {
     Object.assign(link, { lostReplies: random.next() * 0.4, delayed: random.next() * 0.2 });
@@ -45,10 +45,10 @@
     [
       40_000,
       () => {
-        entry.pause();
+        entry.gate.pause();
       },
       () => {
-        if (!entry.crashed) entry.resume();
+        if (!entry.gate.dead) entry.gate.resume();
       },
     ],
     [
@@ -106,7 +106,7 @@
     [
       0,
       () => {
-        entry.crash();
+        entry.gate.kill();
         addLoaded(cluster, names);
       },
       () => undefined,
--- a/test/coordination/operator-actions.test.ts
+++ b/test/coordination/operator-actions.test.ts
@@ -5,14 +5,14 @@
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { formatChange, type ConfigContent } from "../../src/state/config-diff.ts";
 import { KeyIndex } from "../../src/state/keys.ts";
+import { configDocument } from "../fakes/builders.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 import { SwitchedKeyValue } from "../fakes/switched-key-value.ts";
 import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
 
 function content({ limit = 4, share = 1 } = {}): ConfigContent {
-  const maintenance = { startMinute: 0, endMinute: 1440, everyDays: 0, maxParallel: 2 };
-  const weights = { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 };
   const teams = [{ name: "ops", share, upperLimit: limit, queues: [], keys: [] }];
+  const { maintenance, weights } = configDocument();
   return { pools: [], queues: [], teams, maintenance, weights };
 }
 
--- a/test/fakes/entry-fakes.ts
+++ b/test/fakes/entry-fakes.ts
@@ -15,16 +15,18 @@
   type Unsubscribe,
 } from "../../src/coordination/ports.ts";
 import { refKey } from "../../src/coordination/work.ts";
+import { configDocument } from "./builders.ts";
 import type { VirtualClock } from "./virtual-clock.ts";
 
-export class FakeConfig extends ConfigView {
+/** A configuration that the test sets; `T` may include undefined for one not read yet. */
+export class FakeConfig<T extends ConfigDocument | undefined = ConfigDocument> extends ConfigView {
   allowed = true;
 
-  constructor(public document: ConfigDocument | undefined) {
+  constructor(public document: T) {
     super();
   }
 
-  current(): ConfigDocument | undefined {
+  current(): T {
     return this.document;
   }
 
@@ -56,27 +58,11 @@
 ): ConfigDocument {
   const { shares = { red: 1, blue: 1 }, urgentReserveSlots = 0 } = change;
   const queue = { pool: "jobs", open: false, idempotent: false, declaredRunMs: 100 };
-  return {
-    revision: 1,
-    writeId: "w",
-    acceptedAt: 0,
+  const pool = { group: "g", minAvailable: 0, targetSize: 1 };
+  return configDocument({
     pools: [
-      {
-        name: "jobs",
-        group: "g",
-        minAvailable: 0,
-        targetSize: 1,
-        urgentReserveSlots,
-        spare: false,
-      },
-      {
-        name: "spare",
-        group: "g",
-        minAvailable: 0,
-        targetSize: 1,
-        urgentReserveSlots: 0,
-        spare: true,
-      },
+      { ...pool, name: "jobs", urgentReserveSlots, spare: false },
+      { ...pool, name: "spare", urgentReserveSlots: 0, spare: true },
     ],
     queues: change.queues ?? [
       { ...queue, name: "jobs" },
@@ -84,15 +70,10 @@
       { ...queue, name: "open", open: true },
     ],
     teams: Object.entries(shares).map(([name, share]) => ({
-      name,
-      share,
-      upperLimit: 100,
+      ...{ name, share, upperLimit: 100, keys: [] },
       queues: name === "narrow" ? ["repeat"] : [],
-      keys: [],
     })),
-    maintenance: { startMinute: 0, endMinute: 1440, everyDays: 0, maxParallel: 2 },
-    weights: { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 },
-  };
+  });
 }
 
 export class FakeFleet extends FleetView {
--- a/test/fakes/entry-fixture.ts
+++ b/test/fakes/entry-fixture.ts
@@ -16,7 +16,7 @@
   readonly budgets: FakeBudgets;
   readonly homes: FakeHomes;
   readonly peers: FakePeers;
-  readonly config: FakeConfig;
+  readonly config: FakeConfig<ConfigDocument | undefined>;
   readonly fleet: FakeFleet;
   readonly counters: RecordedCounters;
   readonly path: RequestPath;
@@ -39,7 +39,7 @@
     budgets: new FakeBudgets(held),
     homes: new FakeHomes(name),
     peers: new FakePeers(name, clock),
-    config: new FakeConfig(document),
+    config: new FakeConfig<ConfigDocument | undefined>(document),
     fleet: new FakeFleet(),
     counters: new RecordedCounters(),
   };
--- a/test/fakes/keyed-load.ts
+++ b/test/fakes/keyed-load.ts
@@ -25,7 +25,7 @@
 async function submit(cluster: Cluster, key: string): Promise<void> {
   const receiver = pick(cluster);
   await receiver.clock.running();
-  if (receiver.crashed) return;
+  if (receiver.gate.dead) return;
   const id = receiver.homes.requestId(undefined, "q", key);
   const lookup = receiver.homes.lookup(id);
   if (lookup.kind === "self") await atHome(cluster, receiver, id);
@@ -70,7 +70,7 @@
 }
 
 function pick({ entries, random }: Cluster): Entry {
-  const alive = entries.filter((entry) => !entry.crashed);
+  const alive = entries.filter((entry) => !entry.gate.dead);
   return alive[Math.floor(random.next() * alive.length)]!;
 }
 
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -9,6 +9,7 @@
   SimulatedBackendServer,
   TaskRunner,
 } from "../../src/stand-ins/simulated-backend-server.ts";
+import { gossipMessage, serverRecord } from "./builders.ts";
 import { Entry, GROUP, type World } from "./limits-entry.ts";
 import { TestConfig } from "./limits-ports.ts";
 import { SeededRandom } from "./seeded-random.ts";
@@ -65,7 +66,9 @@
       }
     })();
     const records = zones.flatMap((zone) =>
-      Array.from({ length: servers }, (_, i) => serverRecord(`${zone}${i}`, zone, slots)),
+      Array.from({ length: servers }, (_, i) =>
+        serverRecord(`${zone}${i}`, { zone, slots, epoch: 0 }),
+      ),
     );
     for (const { name } of records) {
       const observe = (event: "start" | "end", spec: TaskSpec): void => {
@@ -109,7 +112,7 @@
   }
 
   connected(a: Entry, b: Entry): boolean {
-    if ([a, b].some((entry) => entry.crashed || entry.clock.paused)) return false;
+    if ([a, b].some((entry) => entry.gate.dead || entry.gate.paused)) return false;
     return !this.#cut.has([a.hello.incarnation, b.hello.incarnation].sort().join());
   }
 
@@ -167,25 +170,10 @@
   to.peers.states.set(from.hello.incarnation, {
     hello: from.hello,
     receivedAt: to.clock.now(),
-    message: {
-      type: "gossip",
-      sequence: 1,
-      baseline: 0,
-      configRevision: 1,
-      configAgeMs: 0,
-      platformReachable: true,
-      fleetRevision: 0,
-      homesRevision: 0,
-      pools: [],
+    message: gossipMessage({
       teams: from.budgets.loads(),
       stopping: from.stopping,
       ...from.leases.contribute(),
-    },
+    }),
   });
 }
-
-function serverRecord(name: string, zone: string, slots: number): ServerRecord {
-  const size = { cores: 16, memoryGb: 64, accelerators: 0, slots };
-  const times = { epoch: 0, rebootedAt: 0, since: 0 };
-  return { name, address: name, zone, rack: "r", ...size, pool: "p", state: "serving", ...times };
-}
--- a/test/fakes/limits-entry.ts
+++ b/test/fakes/limits-entry.ts
@@ -21,15 +21,11 @@
 import type { HomesDocument } from "../../src/protocol/homes-document.ts";
 import type { Hello, PeerReply, PeerRequest, ReplyTo } from "../../src/protocol/peer-messages.ts";
 import { ChargeBook } from "../../src/state/charge-book.ts";
-import {
-  LinkedBackend,
-  LinkedKeyValue,
-  newLink,
-  PausableClock,
-  type Link,
-} from "./limits-network.ts";
+import { helloOf, taskSpec } from "./builders.ts";
+import { LinkedBackend, LinkedKeyValue, newLink, type Link } from "./limits-network.ts";
 import { FollowedFleet, MapRecords, TEAM, type TestConfig } from "./limits-ports.ts";
 import { RecordedCounters } from "./quiet.ts";
+import { ProcessClock, ProcessGate } from "./process-gate.ts";
 import type { SeededRandom } from "./seeded-random.ts";
 import type { VirtualClock } from "./virtual-clock.ts";
 
@@ -85,7 +81,8 @@
 
 /** One entry instance. */
 export class Entry {
-  readonly clock: PausableClock;
+  readonly gate: ProcessGate;
+  readonly clock: ProcessClock;
   readonly kvLink: Link = newLink();
   readonly backendLink: Link = newLink();
   readonly hello: Hello;
@@ -102,8 +99,6 @@
   readonly records = new MapRecords();
   readonly counters = new RecordedCounters();
   readonly store: DocumentStore;
-  /** Set by a crash: nothing of the entry runs any more. */
-  crashed = false;
   stopping = false;
   retiredSeen = 0;
   #attempts = 0;
@@ -111,17 +106,12 @@
   constructor(cluster: World, incarnation: string, zone: string) {
     const world = cluster.clock;
     const { random } = cluster;
-    this.clock = new PausableClock(world);
+    this.gate = new ProcessGate({ clock: world });
+    this.clock = new ProcessClock({ base: world, gate: this.gate });
     const { clock, counters, charges } = this;
     const kvOptions = { link: this.kvLink, world, clock, random };
     const kv = new LinkedKeyValue(cluster.kv, kvOptions);
-    this.hello = {
-      version: 1,
-      incarnation,
-      address: `10.0.0.1:${incarnation}`,
-      zone,
-      group: GROUP,
-    };
+    this.hello = helloOf(incarnation, { address: `10.0.0.1:${incarnation}`, zone });
     const peers = (this.peers = new ClusterPeers(cluster, this.hello));
     const store = (this.store = new DocumentStore({ kv, clock, random, counters }));
     const base = { kv, store, clock, random, counters, peers };
@@ -176,17 +166,8 @@
   /** A task of a team, or of an open queue. */
   nextTask(team: string | undefined): TaskSpec {
     const { incarnation } = this.hello;
-    return {
-      requestId: `${incarnation}-${++this.#attempts}`,
-      attempt: 1,
-      home: incarnation,
-      chargedTo: incarnation,
-      team,
-      queue: "q",
-      priority: "normal",
-      idempotent: false,
-      payload: { contentType: "text/plain", body: new Uint8Array() },
-    };
+    const requestId = `${incarnation}-${++this.#attempts}`;
+    return taskSpec({ requestId, home: incarnation, chargedTo: incarnation, team });
   }
 
   /** Runs one task of the team if budget and a slot allow it; resolves ambiguous starts. */
@@ -209,17 +190,4 @@
       await this.clock.sleep(25);
     }
   }
-
-  crash(): void {
-    this.crashed = true;
-    this.clock.paused = true;
-  }
-
-  pause(): void {
-    this.clock.paused = true;
-  }
-
-  resume(): void {
-    this.clock.resume();
-  }
 }
--- a/test/fakes/limits-network.ts
+++ b/test/fakes/limits-network.ts
@@ -1,59 +1,11 @@
-/** In-memory clients with latency and faults, and a clock that can be paused. */
+/** In-memory clients with latency and faults. */
 import { Err } from "ts-results";
 import type { BackendResult, BackendServer } from "../../src/platform/backend-server.ts";
-import { Clock, type Timer } from "../../src/platform/clock.ts";
+import type { Clock } from "../../src/platform/clock.ts";
 import type { KeyValueService } from "../../src/platform/key-value-service.ts";
 import type { Random } from "../../src/platform/random.ts";
 import { InterceptedBackend, InterceptedKeyValue, type KvResult } from "./intercepted.ts";
-
-/** A clock whose callbacks wait while its process is paused; time goes on. */
-export class PausableClock extends Clock {
-  readonly #inner: Clock;
-  readonly #waiting = new Set<() => void>();
-  paused = false;
-
-  constructor(inner: Clock) {
-    super();
-    this.#inner = inner;
-  }
-
-  now(): number {
-    return this.#inner.now();
-  }
-
-  wallTime(): number {
-    return this.#inner.wallTime();
-  }
-
-  schedule(delayMs: number, callback: () => void): Timer {
-    let cancelled = false;
-    const timer = this.#inner.schedule(delayMs, () => {
-      const run = (): void => {
-        if (!cancelled) callback();
-      };
-      if (this.paused) this.#waiting.add(run);
-      else run();
-    });
-    return {
-      cancel: () => {
-        cancelled = true;
-        timer.cancel();
-      },
-    };
-  }
-
-  /** Resolves at once unless paused, else on resumption. */
-  running(): Promise<void> {
-    return this.paused ? new Promise((resolve) => this.#waiting.add(resolve)) : Promise.resolve();
-  }
-
-  resume(): void {
-    this.paused = false;
-    const waiting = [...this.#waiting];
-    this.#waiting.clear();
-    for (const run of waiting) run();
-  }
-}
+import type { ProcessClock } from "./process-gate.ts";
 
 /** Faults of one link. */
 export interface Link {
@@ -73,7 +25,7 @@
   readonly link: Link;
   /** Clock of the world, which is never paused. */
   readonly world: Clock;
-  readonly clock: PausableClock;
+  readonly clock: ProcessClock;
   readonly random: Random;
 }
 
--- a/test/fakes/limits-ports.ts
+++ b/test/fakes/limits-ports.ts
@@ -6,6 +6,7 @@
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
 import type { SlotRecord } from "../../src/protocol/peer-messages.ts";
+import { configDocument } from "./builders.ts";
 
 /** The one team of the tests. */
 export const TEAM = "crew";
@@ -43,16 +44,7 @@
   }
   current(): ConfigDocument {
     const team = { name: TEAM, share: 1, upperLimit: this.#limit, queues: [], keys: [] };
-    return {
-      revision: this.#revision,
-      writeId: "w",
-      acceptedAt: 0,
-      pools: [],
-      queues: [],
-      teams: [team],
-      maintenance: { startMinute: 0, endMinute: 0, everyDays: 0, maxParallel: 1 },
-      weights: { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 },
-    };
+    return configDocument({ revision: this.#revision, teams: [team] });
   }
   ageMs = (): number => 0;
   keyedWorkAllowed = (): boolean => true;
--- a/test/fakes/peer-fakes.ts
+++ b/test/fakes/peer-fakes.ts
@@ -15,6 +15,7 @@
   type IdVerdict,
   type PeerState,
 } from "../../src/coordination/ports.ts";
+import { gossipMessage, helloOf } from "./builders.ts";
 import type { VirtualClock } from "./virtual-clock.ts";
 
 /** Ids `<incarnation>.<n>` are at home where issued; ids in `moved` at the named entry. */
@@ -71,7 +72,7 @@
     readonly clock: VirtualClock,
   ) {
     super();
-    this.self = { version: 1, incarnation, address: "127.0.0.1:1", zone: "z1", group: "g" };
+    this.self = helloOf(incarnation);
   }
 
   async call<T extends PeerRequest>(
@@ -100,22 +101,7 @@
 
   /** Takes a peer's loads as its gossip would bring them. */
   hear(hello: Hello, part: Partial<GossipMessage>): void {
-    const message: GossipMessage = {
-      type: "gossip",
-      sequence: 1,
-      baseline: 0,
-      configRevision: 1,
-      configAgeMs: 0,
-      platformReachable: true,
-      fleetRevision: 1,
-      homesRevision: 1,
-      pools: [],
-      teams: [],
-      held: [],
-      leaving: [],
-      stopping: false,
-      ...part,
-    };
+    const message = gossipMessage(part);
     this.states.set(hello.incarnation, { hello, message, receivedAt: this.clock.now() });
   }
 
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -3,7 +3,6 @@
 import { FleetFollower } from "../../src/coordination/fleet-follower.ts";
 import { KeyValueFleetStore, type FleetWrite } from "../../src/coordination/fleet-store.ts";
 import { Planner, PlannerSupport } from "../../src/coordination/planner.ts";
-import { ConfigView } from "../../src/coordination/ports.ts";
 import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
 import type { KvError, KvPut } from "../../src/platform/key-value-service.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
@@ -12,13 +11,12 @@
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { FleetHealth, type FleetSituation } from "../../src/state/fleet-situation.ts";
 import { markEmpty } from "../../src/state/fleet-transitions.ts";
+import { EQUAL_WEIGHTS } from "./builders.ts";
+import { FakeConfig } from "./entry-fakes.ts";
 import { QUIET_LOG, RecordedCounters } from "./quiet.ts";
 import { SeededRandom } from "./seeded-random.ts";
 import { VirtualClock } from "./virtual-clock.ts";
 
-/** Weights at which every limit is as configured. */
-export const EQUAL_WEIGHTS = { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 };
-
 /** Piedra Viva at revision 1 with equal weights, and with other settings where given. */
 export function exampleConfig(change: Partial<ConfigDocument> = {}): ConfigDocument {
   const file = "examples/piedra-viva.ini";
@@ -89,30 +87,6 @@
   };
 }
 
-class FixedConfig extends ConfigView {
-  document = exampleConfig();
-
-  current(): ConfigDocument {
-    return this.document;
-  }
-
-  ageMs(): number {
-    return 0;
-  }
-
-  keyedWorkAllowed(): boolean {
-    return true;
-  }
-
-  teamOfKey(): undefined {
-    return undefined;
-  }
-
-  onChange(): () => void {
-    return () => undefined;
-  }
-}
-
 class FixedList extends InstanceList {
   instances = exampleInstances();
 
@@ -179,7 +153,7 @@
 export class PlannedFleet {
   readonly clock = new VirtualClock();
   readonly kv = new RecordingStore({ clock: this.clock });
-  readonly config = new FixedConfig();
+  readonly config = new FakeConfig(exampleConfig());
   readonly list = new FixedList();
   readonly health = new TestHealth();
   readonly counters = new RecordedCounters();
--- a/test/fakes/process-gate.ts
+++ b/test/fakes/process-gate.ts
@@ -41,6 +41,13 @@
     this.#held = [];
   }
 
+  /** Resolves at once, after the pause, or never if the process is dead. */
+  running(): Promise<void> {
+    return new Promise((resolve) => {
+      this.run(resolve);
+    });
+  }
+
   /** Runs the callback now, after the pause, or never if the process is dead. */
   run(callback: () => void): void {
     if (this.#state === "paused") this.#held.push(callback);
@@ -73,6 +80,10 @@
     return this.#options.base.wallTime() + this.#options.wallOffsetMs;
   }
 
+  running(): Promise<void> {
+    return this.#options.gate.running();
+  }
+
   schedule(delayMs: number, callback: () => void): Timer {
     const { base, gate } = this.#options;
     let cancelled = false;
--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -3,10 +3,9 @@
 import * as assert from "uvu/assert";
 import { KeyValueStore } from "../src/stand-ins/key-value-store.ts";
 import { EchoRunner, SimulatedBackendServer } from "../src/stand-ins/simulated-backend-server.ts";
-import type { TaskSpec } from "../src/platform/backend-server.ts";
 import type { PeerConnection, PeerError } from "../src/platform/peer-transport.ts";
-import { PEER_PROTOCOL_VERSION, type Hello } from "../src/protocol/peer-messages.ts";
 import { FaultyBackendConnector } from "./fakes/faulty-backend.ts";
+import { helloOf, taskSpec } from "./fakes/builders.ts";
 import { FaultyKeyValue } from "./fakes/faulty-key-value.ts";
 import { Links, type Party } from "./fakes/links.ts";
 import { PeerNetwork } from "./fakes/peer-network.ts";
@@ -29,21 +28,9 @@
   return { clock, links, party: (...tags) => ({ tags, gate: new ProcessGate({ clock }) }) };
 }
 
-function hello(address: string): Hello {
-  return { version: PEER_PROTOCOL_VERSION, incarnation: address, address, zone: "a", group: "g" };
-}
+const hello = (address: string) => helloOf(address, { address });
 
-const SPEC: TaskSpec = {
-  requestId: "r",
-  attempt: 1,
-  home: "e",
-  chargedTo: "e",
-  team: undefined,
-  queue: "q",
-  priority: "normal",
-  idempotent: false,
-  payload: { contentType: "text/plain", body: new Uint8Array([1]) },
-};
+const SPEC = taskSpec({ requestId: "r", team: undefined });
 
 test("a paused process runs its timers late and in order", async () => {
   const { clock } = fixture();
--- a/test/stand-ins/simulated-backend-server.test.ts
+++ b/test/stand-ins/simulated-backend-server.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
-import { taskSpec } from "../fakes/backend-fixtures.ts";
+import { taskSpec } from "../fakes/builders.ts";
 import { VirtualClock } from "../fakes/virtual-clock.ts";
 
 async function held(): Promise<{
--- a/test/state/fleet-rules.test.ts
+++ b/test/state/fleet-rules.test.ts
@@ -6,8 +6,8 @@
 import { goTo, markEmpty } from "../../src/state/fleet-transitions.ts";
 import { QUARANTINE_MS } from "../../src/state/health-rules.ts";
 import { inRange } from "../../src/state/maintenance-windows.ts";
+import { EQUAL_WEIGHTS } from "../fakes/builders.ts";
 import {
-  EQUAL_WEIGHTS,
   exampleConfig,
   exampleInstances,
   serversByRack,
--- a/test/state/planner-weights.test.ts
+++ b/test/state/planner-weights.test.ts
@@ -7,7 +7,8 @@
   movingLimit,
   waveLimit,
 } from "../../src/state/planner-weights.ts";
-import { EQUAL_WEIGHTS, exampleConfig } from "../fakes/planned-fleet.ts";
+import { EQUAL_WEIGHTS } from "../fakes/builders.ts";
+import { exampleConfig } from "../fakes/planned-fleet.ts";
 
 const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 6 };
 const LENDING = { lendWaitMs: 500, lendAfterMs: 500 };
--- a/test/transport/cut-connections.test.ts
+++ b/test/transport/cut-connections.test.ts
@@ -2,13 +2,12 @@
 import * as assert from "uvu/assert";
 import type { PeerConnection } from "../../src/platform/peer-transport.ts";
 import { SystemClock } from "../../src/platform/system-clock.ts";
-import type { Hello } from "../../src/protocol/peer-messages.ts";
 import { ConfigurableRunner } from "../../src/stand-ins/configurable-runner.ts";
 import { serveBackendServer } from "../../src/stand-ins/http-backend-server.ts";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
 import { HttpBackendConnector } from "../../src/transport/http-backend-server.ts";
 import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
-import { taskSpec } from "../fakes/backend-fixtures.ts";
+import { helloOf, taskSpec } from "../fakes/builders.ts";
 import { CuttingProxy } from "../fakes/cutting-proxy.ts";
 import { EventLog } from "../fakes/event-log.ts";
 
@@ -37,10 +36,6 @@
   return Number(address.split(":").at(-1));
 }
 
-function hello(incarnation: string): Hello {
-  return { version: 1, incarnation, address: "127.0.0.1:0", zone: "z1", group: "g1" };
-}
-
 // Guards against a false statement that a call never reached the peer, and against a call that
 // is processed twice.
 test("a peer never processed a call that is reported as not sent", async () => {
@@ -48,7 +43,7 @@
     const seen = new Map<string, number>();
     const log = { error: (): void => undefined };
     const transport = new TcpPeerTransport({ clock, counter: new EventLog(), log });
-    const listened = await transport.listen(hello("server"), (_from, req) => {
+    const listened = await transport.listen(helloOf("server"), (_from, req) => {
       const id = req.type === "cancel" ? req.requestId : "";
       seen.set(id, (seen.get(id) ?? 0) + 1);
       return Promise.resolve({ type: "state", state: undefined });
@@ -59,7 +54,7 @@
     let peer: PeerConnection | undefined;
     const outcomes = await callAll(async (n) => {
       if (peer?.open !== true) {
-        const connected = await transport.connect(address, hello("client"));
+        const connected = await transport.connect(address, helloOf("client"));
         if (connected.err) return connected.val.kind;
         peer = connected.val;
       }
--- a/test/transport/http-backend-server.test.ts
+++ b/test/transport/http-backend-server.test.ts
@@ -10,7 +10,7 @@
 import { StaticInstanceList } from "../../src/stand-ins/static-instance-list.ts";
 import { HttpBackendConnector } from "../../src/transport/http-backend-server.ts";
 import { HttpInstanceList } from "../../src/transport/http-instance-list.ts";
-import { taskSpec } from "../fakes/backend-fixtures.ts";
+import { taskSpec } from "../fakes/builders.ts";
 
 const test = suite("http-backend-server");
 const clock = new SystemClock();
--- a/test/transport/peer-tcp.test.ts
+++ b/test/transport/peer-tcp.test.ts
@@ -4,9 +4,9 @@
 import { SystemClock } from "../../src/platform/system-clock.ts";
 import type { Clock } from "../../src/platform/clock.ts";
 import type { PeerHandler } from "../../src/platform/peer-transport.ts";
-import type { Hello } from "../../src/protocol/peer-messages.ts";
 import { encodeFrame } from "../../src/transport/frames.ts";
 import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
+import { helloOf } from "../fakes/builders.ts";
 import { EventLog } from "../fakes/event-log.ts";
 import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
 import { waitUntil } from "../fakes/wait.ts";
@@ -24,10 +24,6 @@
   for (const step of cleanUp.splice(0)) await step();
 });
 
-function hello(incarnation: string, address = "127.0.0.1:0"): Hello {
-  return { version: 1, incarnation, address, zone: "z1", group: "g1" };
-}
-
 function transport(clock: Clock = new SystemClock()): TcpPeerTransport {
   const log = { error: (): void => undefined };
   const made = new TcpPeerTransport({ clock, counter: events, log });
@@ -37,7 +33,7 @@
 
 async function listening(handler: PeerHandler): Promise<string> {
   const server = transport();
-  (await server.listen(hello("server"), handler)).unwrap();
+  (await server.listen(helloOf("server"), handler)).unwrap();
   return server.address!;
 }
 
@@ -57,7 +53,7 @@
 }
 
 const frame = (value: unknown): Buffer => encodeFrame(value).unwrap();
-const helloFrame = (): Buffer => frame({ kind: "hello", hello: hello("scripted") });
+const helloFrame = (): Buffer => frame({ kind: "hello", hello: helloOf("scripted") });
 
 // Guards against replies given to the wrong call when handlers finish out of order.
 test("concurrent calls each get their own reply", async () => {
@@ -66,7 +62,7 @@
     await new Promise((resolve) => setTimeout(resolve, 20 - wanted));
     return { type: "ack", accepted: wanted % 2 === 0 };
   });
-  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const peer = (await transport().connect(address, helloOf("client"))).unwrap();
   assert.is(peer.remote.incarnation, "server");
   const calls = Array.from({ length: 20 }, (_, wanted) =>
     peer.call({ type: "budget-request", team: "t", wanted }, 1000),
@@ -82,11 +78,11 @@
 test("a transport that listens again answers as its new incarnation only", async () => {
   const server = transport();
   const handler: PeerHandler = () => Promise.resolve(REPLY);
-  (await server.listen(hello("first"), handler)).unwrap();
+  (await server.listen(helloOf("first"), handler)).unwrap();
   const { address } = server;
   await server.close();
-  (await server.listen(hello("second", address), handler)).unwrap();
-  const peer = (await transport().connect(address!, hello("client"))).unwrap();
+  (await server.listen(helloOf("second", { address: address! }), handler)).unwrap();
+  const peer = (await transport().connect(address!, helloOf("client"))).unwrap();
   assert.is(peer.remote.incarnation, "second");
   assert.equal((await peer.call(CONFIG, 1000)).unwrap(), REPLY);
   assert.is(events.of("peer_reply_unmatched"), 0);
@@ -102,7 +98,7 @@
     if (revision === 1) await held;
     return { ...REPLY, revision };
   });
-  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const peer = (await transport().connect(address, helloOf("client"))).unwrap();
   const late = await peer.call(CONFIG, 30);
   assert.is(late.err && late.val.kind, "ambiguous");
   release();
@@ -116,13 +112,13 @@
     if (chunk === 0) socket.write(helloFrame());
     else socket.destroy();
   });
-  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const peer = (await transport().connect(address, helloOf("client"))).unwrap();
   const lost = await peer.call(CONFIG, 1000);
   assert.is(lost.err && lost.val.kind, "ambiguous");
   await waitUntil(() => !peer.open);
   const closed = await peer.call(CONFIG, 1000);
   assert.is(closed.err && closed.val.kind, "not-sent");
-  const refused = await transport().connect("127.0.0.1:1", hello("client"));
+  const refused = await transport().connect("127.0.0.1:1", helloOf("client"));
   assert.is(refused.err && refused.val.kind, "not-sent");
 });
 
@@ -133,7 +129,7 @@
     socket.write(helloFrame());
     socket.pause();
   });
-  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const peer = (await transport().connect(address, helloOf("client"))).unwrap();
   const records = [
     {
       spec: {
@@ -207,7 +203,7 @@
   const address = await scripted((socket, chunk) => {
     socket.write(chunk === 0 ? helloFrame() : frame(wrong));
   });
-  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const peer = (await transport().connect(address, helloOf("client"))).unwrap();
   const reply = await peer.call(CONFIG, 1000);
   assert.is(reply.err && reply.val.kind, "ambiguous");
   assert.is(events.of("peer_reply_malformed"), 1);
@@ -219,7 +215,7 @@
   const address = await scripted((socket, chunk) => {
     if (chunk === 0) socket.write(helloFrame());
   });
-  const peer = (await transport(clock).connect(address, hello("client"))).unwrap();
+  const peer = (await transport(clock).connect(address, helloOf("client"))).unwrap();
   assert.is((await onClock(clock, peer.call(CONFIG, 1000))).err, true);
   assert.ok(peer.open);
   const calls = [peer.call(CONFIG, 2500), peer.call(CONFIG, 3500)];
@@ -231,7 +227,7 @@
 // Guards against a failing handler leaving its caller waiting.
 test("a failing handler gives an ambiguous result", async () => {
   const address = await listening(() => Promise.reject(new Error("fault")));
-  const peer = (await transport().connect(address, hello("client"))).unwrap();
+  const peer = (await transport().connect(address, helloOf("client"))).unwrap();
   const reply = await peer.call(CONFIG, 1000);
   assert.is(reply.err && reply.val.kind, "ambiguous");
   assert.is(events.of("peer_handler_failed"), 1);
