refactor(requests): what peers ask in a module of its own

Change: PeerRequests answers peers, HomelessResults searches; RequestPath has `peerRequests`. Ruled out: keeping `handlePeer` on EntryRequests as a pass-through; it has two callers. Conclusion: no change of behaviour.

--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -26,7 +26,7 @@
 import type { Planner } from "./planner.ts";
 import type { PeerState } from "./ports.ts";
 import { RequestPath } from "./request-path.ts";
-import type { RequestMessage } from "./entry-requests.ts";
+import type { RequestMessage } from "./peer-requests.ts";
 import { SessionKeeper } from "./session-keeper.ts";
 import { ShareMonitor } from "./share-monitor.ts";
 
@@ -252,6 +252,6 @@
     if (req.type === "config") return this.#configGossip.answer();
     if (req.type === "reboot") return this.#plannerSupport.handleReboot(req.server);
     const reply = await this.#limitsHandler.handlePeer(from, req);
-    return reply ?? this.path.requests.handlePeer(from, req as RequestMessage);
+    return reply ?? this.path.peerRequests.handlePeer(from, req as RequestMessage);
   }
 }
--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -1,24 +1,12 @@
 import type { Clock } from "../platform/clock.ts";
 import type { Random } from "../platform/random.ts";
-import type {
-  AckReply,
-  CancelRequest,
-  Hello,
-  QueryRequest,
-  RequestSpec,
-  RequestState,
-  ResultRequest,
-  RunCancelRequest,
-  RunReply,
-  RunRequest,
-  StateReply,
-  SubmitRequest,
-} from "../protocol/peer-messages.ts";
+import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
 import { REFUSAL_REASONS, type Refusal, type RefusalReason } from "../protocol/problem.ts";
 import { grantAccess, identify } from "./access.ts";
 import type { HomeAnswer, HomeClient } from "./home-client.ts";
 import type { HomeRequests, IdOrigin } from "./home-requests.ts";
-import { homeMoving, lateState, refused } from "./refused-states.ts";
+import type { HomelessResults } from "./homeless-results.ts";
+import { hasMoved, refused } from "./refused-states.ts";
 import {
   RequestService,
   type CallerReply,
@@ -26,9 +14,7 @@
   type ConfigView,
   type Counters,
   type Homes,
-  type Peers,
 } from "./ports.ts";
-import type { ResultDelivery } from "./result-delivery.ts";
 import type { RunOffers } from "./run-offers.ts";
 import { Deferred } from "./wait.ts";
 
@@ -38,31 +24,22 @@
 const FORWARD_MARGIN_MS = 20;
 /** How long a cancellation waits for a running task to stop. */
 const CANCEL_WAIT_MS = 2000;
-const HOMELESS_QUERY_TIMEOUT_MS = 1000;
 const RETRY_AFTER_MS = 1000;
 
-/** Messages between entries that this service answers. */
-export type RequestMessage =
-  SubmitRequest | QueryRequest | CancelRequest | RunRequest | RunCancelRequest | ResultRequest;
-
-/** Replies to {@link RequestMessage}. */
-export type RequestMessageReply = StateReply | RunReply | AckReply;
-
 /** Options of {@link EntryRequests}. */
 export interface EntryRequestsOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly config: ConfigView;
   readonly homes: Homes;
-  readonly peers: Peers;
   readonly counters: Counters;
   readonly home: HomeRequests;
   readonly homeClient: HomeClient;
   readonly offers: RunOffers;
-  readonly results: ResultDelivery;
+  readonly homeless: HomelessResults;
 }
 
-/** Answers callers and peers: finds each request's home and reports its outcome. */
+/** Answers callers: finds each request's home and reports its outcome. */
 export class EntryRequests extends RequestService {
   readonly #options: EntryRequestsOptions;
   readonly #waiting = new Set<Deferred<undefined>>();
@@ -131,7 +108,7 @@
   }
 
   async query(requestId: string, key: string | undefined, waitMs: number): Promise<CallerReply> {
-    const { clock, config, home, homes, homeClient } = this.#options;
+    const { clock, config, home, homeless, homes, homeClient } = this.#options;
     const asker = identify(config, key);
     if (asker.err) return this.#refuse({ ...asker.val, ran: "unknown", requestId });
     const team = asker.val;
@@ -141,7 +118,7 @@
       const state = await home.wait(record, waitMs);
       if (!hasMoved(state)) return this.#reply(requestId, state, "async");
     } else if (homes.lookup(requestId).kind === "self") {
-      const found = await this.#findHomeless(requestId, team);
+      const found = await homeless.find(requestId, team);
       return found === undefined
         ? this.#unknownId(requestId)
         : this.#reply(requestId, found, "async");
@@ -164,34 +141,18 @@
     return this.#fromHome(requestId, asker.val, answer, "async");
   }
 
-  /** Answers a peer's message. */
-  async handlePeer(from: Hello, req: RequestMessage): Promise<RequestMessageReply> {
-    switch (req.type) {
-      case "submit":
-        return this.#peerSubmit(req);
-      case "query":
-        return this.#peerQuery(req);
-      case "cancel":
-        return this.#peerCancel(req);
-      case "run":
-        return this.#options.offers.run(from.incarnation, req);
-      case "run-cancel":
-        this.#options.offers.cancel(req);
-        return { type: "ack", accepted: true };
-      case "result":
-        return { type: "ack", accepted: this.#peerResult(req) };
-    }
-  }
-
   async #submitHere(
     spec: RequestSpec,
     origin: IdOrigin,
     deadline: number,
     mode: "sync" | "async",
   ): Promise<CallerReply> {
-    const { home, clock } = this.#options;
+    const { home, homeless, clock } = this.#options;
     const admitted = home.submit(spec, origin);
-    if ("kind" in admitted) return this.#notAdmitted(spec, admitted, mode);
+    if ("kind" in admitted) {
+      const state = await homeless.findRefused(spec, admitted);
+      return this.#reply(spec.requestId, state, mode);
+    }
     const waitMs = mode === "async" ? 0 : deadline - clock.now() + DEADLINE_GRACE_MS;
     const state = await home.wait(admitted, waitMs);
     // The id's slot was handed over while the caller waited, so the next home is asked.
@@ -199,17 +160,6 @@
     return this.#reply(spec.requestId, state, mode);
   }
 
-  /** An id from before a takeover may have a result that its former home did not store. */
-  async #notAdmitted(
-    { requestId, team }: RequestSpec,
-    state: RequestState,
-    mode: "sync" | "async",
-  ): Promise<CallerReply> {
-    const old = state.kind === "refused" && state.reason === "id_too_old";
-    const found = old ? await this.#findHomeless(requestId, team) : undefined;
-    return this.#reply(requestId, found ?? state, mode);
-  }
-
   async #submitToHome(
     spec: RequestSpec,
     deadline: number,
@@ -230,7 +180,7 @@
     mode: "sync" | "async",
   ): Promise<CallerReply> {
     if (answer.kind === "gone") {
-      const found = await this.#findHomeless(requestId, team);
+      const found = await this.#options.homeless.find(requestId, team);
       const detail = "The request's home is gone and no result was found so far.";
       const unknown = refused("outcome_unknown", detail, "unknown", RETRY_AFTER_MS);
       return this.#reply(requestId, found ?? unknown, mode);
@@ -245,64 +195,6 @@
     return this.#reply(requestId, answer.state, mode);
   }
 
-  /** Looks for the result of a gone home's request on the servers held here and by peers. */
-  async #findHomeless(
-    requestId: string,
-    team: string | undefined,
-  ): Promise<RequestState | undefined> {
-    const { results, peers } = this.#options;
-    const here = results.homeless(requestId, team);
-    if (here !== undefined) return lateState(here);
-    const req = { type: "query", requestId, team, waitMs: 0 } as const;
-    const replies = await Promise.all(
-      [...peers.gossip().keys()].map((peer) => peers.call(peer, req, HOMELESS_QUERY_TIMEOUT_MS)),
-    );
-    const states = replies.map((reply) => (reply.ok ? reply.val.state : undefined));
-    return states.find((state) => state !== undefined && !hasMoved(state));
-  }
-
-  async #peerSubmit({ spec, waitMs }: SubmitRequest): Promise<StateReply> {
-    const { home, homes } = this.#options;
-    if (homes.lookup(spec.requestId).kind !== "self") return stateReply(homeMoving());
-    const admitted = home.submit(spec, "caller");
-    if ("kind" in admitted) {
-      const old = admitted.kind === "refused" && admitted.reason === "id_too_old";
-      const found = old ? await this.#findHomeless(spec.requestId, spec.team) : undefined;
-      return stateReply(found ?? admitted);
-    }
-    return stateReply(await home.wait(admitted, waitMs));
-  }
-
-  async #peerQuery({ requestId, team, waitMs }: QueryRequest): Promise<StateReply> {
-    const { home, homes, results } = this.#options;
-    const record = home.find(requestId, team);
-    if (record !== undefined) return stateReply(await home.wait(record, waitMs));
-    const homeless = results.homeless(requestId, team);
-    if (homeless !== undefined) return stateReply(lateState(homeless));
-    const { kind } = homes.lookup(requestId);
-    return stateReply(kind === "self" || kind === "gone" ? undefined : homeMoving());
-  }
-
-  async #peerCancel({ requestId, team }: CancelRequest): Promise<StateReply> {
-    const { home, homes } = this.#options;
-    const record = home.find(requestId, team);
-    if (record === undefined)
-      return stateReply(homes.lookup(requestId).kind === "self" ? undefined : homeMoving());
-    home.cancel(record);
-    return stateReply(await home.wait(record, CANCEL_WAIT_MS / 2));
-  }
-
-  /** False asks the sender to look for the home again. */
-  #peerResult({ requestId, attempt, server, result }: ResultRequest): boolean {
-    const { home, homes } = this.#options;
-    if (homes.lookup(requestId).kind !== "self") return false;
-    // Without a record the result belongs to a former home's request; it stays with its holder,
-    // which knows the team that may have it.
-    if (!home.knows(requestId) && homes.classify(requestId) !== "fresh") return false;
-    home.deliver({ requestId, attempt }, server, result);
-    return true;
-  }
-
   #unknownId(requestId: string): CallerReply {
     const detail = "There is no record of this id.";
     return this.#refuse({ reason: "id_unknown", detail, ran: "unknown", requestId });
@@ -326,14 +218,6 @@
   }
 }
 
-function hasMoved(state: RequestState): boolean {
-  return state.kind === "refused" && state.reason === "home_moving";
-}
-
-function stateReply(state: RequestState | undefined): StateReply {
-  return { type: "state", state };
-}
-
 /** Reasons come over the wire as text. */
 function knownReason(reason: string): RefusalReason {
   return REFUSAL_REASONS.find((each) => each === reason) ?? "internal";
--- /dev/null
+++ b/src/coordination/peer-requests.ts
@@ -0,0 +1,106 @@
+import type {
+  AckReply,
+  CancelRequest,
+  Hello,
+  QueryRequest,
+  RequestState,
+  ResultRequest,
+  RunCancelRequest,
+  RunReply,
+  RunRequest,
+  StateReply,
+  SubmitRequest,
+} from "../protocol/peer-messages.ts";
+import type { HomeRequests } from "./home-requests.ts";
+import type { HomelessResults } from "./homeless-results.ts";
+import type { Homes } from "./ports.ts";
+import { homeMoving } from "./refused-states.ts";
+import type { RunOffers } from "./run-offers.ts";
+
+/** How long a cancellation waits for a running task to stop; the peer's caller waits longer. */
+const CANCEL_WAIT_MS = 1000;
+
+/** Messages between entries about requests. */
+export type RequestMessage =
+  SubmitRequest | QueryRequest | CancelRequest | RunRequest | RunCancelRequest | ResultRequest;
+
+/** Replies to {@link RequestMessage}. */
+export type RequestMessageReply = StateReply | RunReply | AckReply;
+
+/** Options of {@link PeerRequests}. */
+export interface PeerRequestsOptions {
+  readonly homes: Homes;
+  readonly home: HomeRequests;
+  readonly offers: RunOffers;
+  readonly homeless: HomelessResults;
+}
+
+/** Answers peers' messages about requests whose home is here, and their offers of work. */
+export class PeerRequests {
+  readonly #options: PeerRequestsOptions;
+
+  constructor(options: PeerRequestsOptions) {
+    this.#options = options;
+  }
+
+  /** Answers a peer's message. */
+  async handlePeer(from: Hello, req: RequestMessage): Promise<RequestMessageReply> {
+    switch (req.type) {
+      case "submit":
+        return stateReply(await this.#submit(req));
+      case "query":
+        return stateReply(await this.#query(req));
+      case "cancel":
+        return stateReply(await this.#cancel(req));
+      case "run":
+        return this.#options.offers.run(from.incarnation, req);
+      case "run-cancel":
+        this.#options.offers.cancel(req);
+        return { type: "ack", accepted: true };
+      case "result":
+        return { type: "ack", accepted: this.#result(req) };
+    }
+  }
+
+  async #submit({ spec, waitMs }: SubmitRequest): Promise<RequestState> {
+    const { home, homes, homeless } = this.#options;
+    if (homes.lookup(spec.requestId).kind !== "self") return homeMoving();
+    const admitted = home.submit(spec, "caller");
+    if ("kind" in admitted) return homeless.findRefused(spec, admitted);
+    return home.wait(admitted, waitMs);
+  }
+
+  async #query({ requestId, team, waitMs }: QueryRequest): Promise<RequestState | undefined> {
+    const { home, homes, homeless } = this.#options;
+    const record = home.find(requestId, team);
+    if (record !== undefined) return home.wait(record, waitMs);
+    const here = homeless.findHere(requestId, team);
+    if (here !== undefined) return here;
+    const { kind } = homes.lookup(requestId);
+    return kind === "self" || kind === "gone" ? undefined : homeMoving();
+  }
+
+  async #cancel({ requestId, team }: CancelRequest): Promise<RequestState | undefined> {
+    const { home, homes } = this.#options;
+    const record = home.find(requestId, team);
+    if (record === undefined)
+      return homes.lookup(requestId).kind === "self" ? undefined : homeMoving();
+    home.cancel(record);
+    return home.wait(record, CANCEL_WAIT_MS);
+  }
+
+  /** False asks the sender to look for the home again. */
+  #result({ requestId, attempt, server, result }: ResultRequest): boolean {
+    const { home, homes } = this.#options;
+    if (homes.lookup(requestId).kind !== "self") return false;
+    // Without a record the result belongs to a former home's request; it stays with its holder,
+    // which knows the team that may have it.
+    if (!home.knows(requestId) && homes.classify(requestId) !== "fresh") return false;
+    home.deliver({ requestId, attempt }, server, result);
+    return true;
+  }
+}
+
+function stateReply(state: RequestState | undefined): StateReply {
+  return { type: "state", state };
+}
--- a/src/coordination/refused-states.ts
+++ b/src/coordination/refused-states.ts
@@ -10,6 +10,11 @@
   return refused("home_moving", detail, "unknown", RETRY_AFTER_MS);
 }
 
+/** True if the state asks to look for the request's home again. */
+export function hasMoved(state: RequestState): boolean {
+  return state.kind === "refused" && state.reason === "home_moving";
+}
+
 /** A refused state of a request. */
 export function refused(
   reason: RefusalReason,
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -12,6 +12,8 @@
 import { EntryRequests } from "./entry-requests.ts";
 import { HomeClient } from "./home-client.ts";
 import { HomeRequests } from "./home-requests.ts";
+import { HomelessResults } from "./homeless-results.ts";
+import { PeerRequests } from "./peer-requests.ts";
 import {
   type Budgets,
   type ConfigView,
@@ -44,8 +46,10 @@
 
 /** Builds the parts of the request path on the other parts of an entry instance. */
 export class RequestPath {
-  /** For the caller server and, with `handlePeer`, for peers. */
+  /** For the caller server. */
   readonly requests: EntryRequests;
+  /** For peers. */
+  readonly peerRequests: PeerRequests;
   /** For moves of home slots. */
   readonly records: RequestRecords;
   readonly #options: RequestPathOptions;
@@ -70,7 +74,9 @@
     const results = new ResultDelivery({ ...shared, home });
     const offers = new RunOffers(shared);
     const homeClient = new HomeClient(options);
-    this.requests = new EntryRequests({ ...options, home, homeClient, offers, results });
+    const homeless = new HomelessResults({ ...options, results });
+    this.requests = new EntryRequests({ ...options, home, homeClient, offers, homeless });
+    this.peerRequests = new PeerRequests({ ...options, home, offers, homeless });
     this.#attribution = attribution;
     this.#table = table;
     this.#dispatcher = dispatcher;
--- a/src/state/request-record.ts
+++ b/src/state/request-record.ts
@@ -42,11 +42,7 @@
   const pending = state.kind === "pending";
   const touched = attempt > 0 ? "unknown" : "no";
   return {
-    requestId: spec.requestId,
-    team: spec.team,
-    queue: spec.queue,
-    priority: spec.priority,
-    idempotent: spec.idempotent,
+    ...identityOf(spec),
     digest: digest === "" ? undefined : digest,
     acceptedAt,
     deadline: now + spec.timeoutMs,
@@ -64,10 +60,10 @@
 
 /** Form in which a record moves to another home. */
 export function exportedRecord(record: RequestRecord, now: number): SlotRecord {
-  const { requestId, team, queue, priority, idempotent, digest, state, acceptedAt } = record;
+  const { digest, state, acceptedAt } = record;
   const payload = record.payload ?? { contentType: "", body: new Uint8Array() };
   const timeoutMs = Math.max(0, record.deadline - now);
-  const spec = { requestId, team, queue, priority, idempotent, timeoutMs, payload };
+  const spec = { ...identityOf(record), timeoutMs, payload };
   return { spec, digest: digest ?? "", state, acceptedAt, attempt: record.attempt };
 }
 
@@ -78,11 +74,7 @@
   pinned: boolean,
 ): RequestRecord {
   return {
-    requestId: spec.requestId,
-    team: spec.team,
-    queue: spec.queue,
-    priority: spec.priority,
-    idempotent: spec.idempotent,
+    ...identityOf(spec),
     digest: payloadDigest(spec.payload),
     acceptedAt: at.wallTime,
     deadline: at.now + spec.timeoutMs,
@@ -97,6 +89,12 @@
   };
 }
 
+/** What stays the same of a request wherever its home is. */
+function identityOf(request: Omit<RequestSpec, "timeoutMs" | "payload">) {
+  const { requestId, team, queue, priority, idempotent } = request;
+  return { requestId, team, queue, priority, idempotent };
+}
+
 /** Hexadecimal SHA-256 of a payload, by which a retry is told from another request. */
 export function payloadDigest(payload: Payload): string {
   return createHash("sha256").update(`${payload.contentType}\n`).update(payload.body).digest("hex");
--- a/test/coordination/peers.test.ts
+++ b/test/coordination/peers.test.ts
@@ -128,7 +128,7 @@
 test("an offer that arrives after its withdrawal is declined", async () => {
   const { clock, first, second } = pair({ second: 2 });
   const cancel = { type: "run-cancel", requestId: "e1.9", attempt: 1 } as const;
-  await second.path.requests.handlePeer(first.peers.self, cancel);
+  await second.path.peerRequests.handlePeer(first.peers.self, cancel);
   const reply = await onClock(clock, offer(second));
   assert.is(reply.type === "run-reply" && reply.kind, "declined");
 });
@@ -293,7 +293,7 @@
   const spec = { ...fixtureSpec(), timeoutMs: 5000 };
   const hello = { ...to.peers.self, incarnation: "e1" };
   const req = { type: "run", spec, attempt, home: "e1", offerMs } as const;
-  return to.path.requests.handlePeer(hello, req);
+  return to.path.peerRequests.handlePeer(hello, req);
 }
 
 test.run();
--- a/test/fakes/entry-fixture.ts
+++ b/test/fakes/entry-fixture.ts
@@ -1,6 +1,6 @@
 /** Builds request paths on fakes and connects them to each other. */
 import { RequestPath } from "../../src/coordination/request-path.ts";
-import type { RequestMessage } from "../../src/coordination/entry-requests.ts";
+import type { RequestMessage } from "../../src/coordination/peer-requests.ts";
 import type { CallerReply, CallerRequest } from "../../src/coordination/ports.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import { ENTRY_DEFAULTS, type EntrySettings } from "../../src/settings/entry-settings.ts";
@@ -60,7 +60,7 @@
       if (from === to) continue;
       const { incarnation } = to.peers.self;
       from.peers.handlers.set(incarnation, (hello, req) =>
-        to.path.requests.handlePeer(hello, req as RequestMessage),
+        to.path.peerRequests.handlePeer(hello, req as RequestMessage),
       );
     }
   }
