refactor(coordination): outcomes of attempts and the view of the zone in modules of their own

Change: AttemptOutcomes decides on results, losses, retries and withdrawals; ZoneView holds servers and members of the zone. Ruled out: a split of LeaseKeeper's HeldServers interface; its methods share drivers and leases. Conclusion: no change of behaviour.

--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -36,6 +36,7 @@
 import { ServerDrain } from "./server-drain.ts";
 import { ATTEMPT_MS, ServerDriver } from "./server-driver.ts";
 import { ServerLease } from "./server-lease.ts";
+import { ZoneView } from "./zone-view.ts";
 
 /**
  * Part of the time to live for which a lease must have been held to count as evidence. A server
@@ -65,18 +66,16 @@
 export class LeaseKeeper extends HeldServers {
   readonly #options: LeaseKeeperOptions;
   readonly #drain: ServerDrain;
+  readonly #zone: ZoneView;
   readonly #drivers = new Map<string, ServerDriver>();
   readonly #finished = new Set<(task: FinishedTask) => void>();
   readonly #changed = new Set<() => void>();
   readonly #stopped = new AbortController();
-  #zone: { readonly revision: number; readonly records: readonly ServerRecord[] } = {
-    revision: -1,
-    records: [],
-  };
 
   constructor(options: LeaseKeeperOptions) {
     super();
     this.#options = options;
+    this.#zone = new ZoneView(options);
     const { store, clock, peers } = options;
     this.#drain = new ServerDrain({ store, clock, group: peers.self.group });
   }
@@ -106,7 +105,7 @@
   /** Hands every held server to the entry that is preferred without this one. */
   async shutdown(): Promise<void> {
     this.#stopped.abort();
-    const others = this.#liveMembers().filter((one) => one !== this.#self);
+    const others = this.#zone.liveOthers();
     const drivers = [...this.#drivers];
     await Promise.all(drivers.map(([name, driver]) => driver.stop(rendezvous(name, others))));
     this.#notify();
@@ -115,7 +114,7 @@
   list(): readonly HeldServer[] {
     const mayDispatch = this.#mayDispatch();
     const leaving = this.#options.peers.leavingServers();
-    return this.#records().flatMap((record) => {
+    return this.#zone.records().flatMap((record) => {
       const lease = this.#drivers.get(record.name)?.lease;
       if (lease?.held !== true) return [];
       const { name, zone, rack, pool, slots } = record;
@@ -126,7 +125,7 @@
   }
 
   async start(server: string, spec: TaskSpec): Promise<Result<void, StartError>> {
-    const record = this.#records().find(({ name }) => name === server);
+    const record = this.#zone.records().find(({ name }) => name === server);
     const lease = this.#drivers.get(server)?.lease;
     if (record === undefined || lease === undefined) {
       return Err({ kind: "not-started", reason: "lease_lapsed" });
@@ -219,18 +218,6 @@
     return this.#options.peers.self.incarnation;
   }
 
-  /** Servers of the own zone. */
-  #records(): readonly ServerRecord[] {
-    const fleet = this.#options.fleet.current();
-    if (fleet === undefined) return [];
-    if (fleet.revision !== this.#zone.revision) {
-      const { zone } = this.#options.peers.self;
-      const records = fleet.servers.filter((one) => one.zone === zone);
-      this.#zone = { revision: fleet.revision, records };
-    }
-    return this.#zone.records;
-  }
-
   #dispatchable(record: ServerRecord, lease: ServerLease): boolean {
     if (lease.leaseId === undefined || lease.releasing || lease.leaving) return false;
     return record.state === "serving" && !this.#drain.blocks(record.name, this.#zone.revision);
@@ -248,7 +235,7 @@
   #follow(document: FleetDocument): void {
     if (this.#stopped.signal.aborted) return;
     if (document.retired.some(({ incarnation }) => incarnation === this.#self)) return;
-    const records = new Map(this.#records().map((record) => [record.name, record]));
+    const records = new Map(this.#zone.records().map((record) => [record.name, record]));
     for (const [name, driver] of this.#drivers) {
       if (records.get(name)?.address === driver.address) continue;
       void driver.stop(undefined);
@@ -284,8 +271,7 @@
       lease,
       self: this.#self,
       liveMembers: () => this.#liveMembers(),
-      heldByPeer: (server) =>
-        [...peers.gossip().values()].some(({ message }) => message.held.includes(server)),
+      heldByPeer: (server) => this.#zone.heldByPeer(server),
     });
     this.#drivers.set(name, driver);
     void driver.run();
@@ -294,7 +280,7 @@
   /** Hands servers over and reports drained ones. */
   #tick(): void {
     for (const driver of this.#drivers.values()) driver.handOverIfDue();
-    for (const record of this.#records()) {
+    for (const record of this.#zone.records()) {
       const lease = this.#drivers.get(record.name)?.lease;
       if (record.state !== "draining" || lease?.leaseId === undefined) continue;
       if (lease.tasks.occupied > 0) continue;
@@ -302,15 +288,11 @@
     }
   }
 
-  /** Incarnations of this zone and group that are in contact, active and not shutting down. */
+  /** Entries that may hold servers of the zone, this one among them until its shutdown. */
   #liveMembers(): readonly string[] {
-    const { peers, membership } = this.#options;
-    const { zone, group } = peers.self;
-    const others = [...peers.gossip().values()].flatMap(({ hello, message }) =>
-      hello.zone === zone && hello.group === group && !message.stopping ? [hello.incarnation] : [],
-    );
-    const own = this.#stopped.signal.aborted ? [] : [this.#self];
-    return [...own, ...others].filter((one) => !membership.retired(one));
+    const others = this.#zone.liveOthers();
+    const gone = this.#stopped.signal.aborted || this.#options.membership.retired(this.#self);
+    return gone ? others : [this.#self, ...others];
   }
 
   #onFinished(server: string, record: TaskRecord): void {
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -1,42 +1,27 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
 import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
 import type { RequestState } from "../protocol/peer-messages.ts";
-import type { RefusalReason, RetryReason } from "../protocol/problem.ts";
-import type { EntrySettings } from "../settings/entry-settings.ts";
-import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { RequestRecord } from "../state/request-record.ts";
 import type { RequestTable } from "../state/request-table.ts";
-import type { RetryBudget } from "../state/retry-budget.ts";
+import { AttemptOutcomes, lostState, type AttemptOutcomesOptions } from "./attempt-outcomes.ts";
 import type { AttemptEnd, AttemptTracker, PlacedOutcome } from "./attempt-tracker.ts";
-import type { Dispatcher, Ticket } from "./dispatcher.ts";
-import { homeMoving, refused as refusedState } from "./refused-states.ts";
-import type { Budgets, Counters, HeldServers, Homes, Peers } from "./ports.ts";
+import type { Ticket } from "./dispatcher.ts";
+import { homeMoving } from "./refused-states.ts";
+import type { Budgets, HeldServers, Homes, Peers } from "./ports.ts";
 import { Deferred, waitAtMost } from "./wait.ts";
 import type { WithdrawReason } from "./work.ts";
 
-const RETRY_BASE_MS = 50;
-const RETRY_CAP_MS = 2000;
-const RETRY_AFTER_MS = 1000;
 /** How often a request looks whether its home slot has been moved. */
 const HOME_CHECK_MS = 100;
 const STOP_CALL_TIMEOUT_MS = 1000;
 
 /** Options of {@link RequestDriver}. */
-export interface RequestDriverOptions {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly settings: Pick<EntrySettings, "maxAttempts">;
+export interface RequestDriverOptions extends AttemptOutcomesOptions {
   readonly table: RequestTable;
-  readonly dispatcher: Dispatcher;
   readonly tracker: AttemptTracker;
   readonly budgets: Budgets;
   readonly held: HeldServers;
   readonly homes: Homes;
   readonly peers: Peers;
-  readonly counters: Counters;
-  readonly retryBudget: RetryBudget;
-  readonly attribution: FailureAttribution;
 }
 
 interface Active {
@@ -51,10 +36,12 @@
 /** Takes each request of this home from acceptance to its outcome, one loop per request. */
 export class RequestDriver {
   readonly #options: RequestDriverOptions;
+  readonly #outcomes: AttemptOutcomes;
   readonly #active = new Map<string, Active>();
 
   constructor(options: RequestDriverOptions) {
     this.#options = options;
+    this.#outcomes = new AttemptOutcomes(options);
   }
 
   /** Requests without an outcome. */
@@ -137,7 +124,7 @@
   /** One stay in the queue and what followed; undefined if the request is to be tried again. */
   async #attempt(record: RequestRecord, active: Active): Promise<RequestState | undefined> {
     if (!(await this.#isHome(record, active))) return homeMoving();
-    if (isCancelled(record)) return this.#withdrawn(record, "cancelled");
+    if (isCancelled(record)) return this.#outcomes.withdrawn(record, "cancelled");
     active.dispatching = true;
     const ticket = this.#dispatch(record, active);
     active.ticket = ticket;
@@ -146,7 +133,9 @@
     active.ticket = undefined;
     active.dispatching = false;
     if (outcome.kind === "withdrawn")
-      return outcome.reason === "moved" ? undefined : this.#withdrawn(record, outcome.reason);
+      return outcome.reason === "moved"
+        ? undefined
+        : this.#outcomes.withdrawn(record, outcome.reason);
     if (outcome.kind === "declined") return undefined;
     if (outcome.kind !== "started" && outcome.kind !== "ambiguous") {
       ticket.withdraw("cancelled");
@@ -220,76 +209,14 @@
   ): Promise<RequestState | undefined> {
     if (end.kind === "never-started") {
       this.#options.counters.retry("never_started");
-      return record.cancelRequested ? this.#withdrawn(record, "cancelled") : undefined;
+      return record.cancelRequested ? this.#outcomes.withdrawn(record, "cancelled") : undefined;
     }
     if (end.kind === "moved") return homeMoving();
     active.result = new Deferred();
     active.ref = undefined;
     record.runs++;
-    if (end.kind === "lost") {
-      record.ran = record.ran === "yes" ? "yes" : "unknown";
-      return this.#retry(record, "server_lost", lostState());
-    }
-    return this.#resultState(record, end.server, end.result);
-  }
-
-  async #resultState(
-    record: RequestRecord,
-    server: string,
-    result: TaskResult,
-  ): Promise<RequestState | undefined> {
-    const { attribution } = this.#options;
-    record.ran = "yes";
-    if (result.kind === "answer") {
-      attribution.succeeded(record.requestId, server, record.failures);
-      return { kind: "answered", payload: result.payload };
-    }
-    if (result.kind === "stopped") {
-      if (record.cancelRequested)
-        return refused(record, "cancelled", "The request was stopped while it ran.");
-      if (record.idempotent && record.deadline > this.#options.clock.now()) return undefined;
-      return refused(record, "task_failed", "The task was stopped before its end.");
-    }
-    attribution.failed(record.requestId, server);
-    record.failures.push({ server, reason: result.reason });
-    if (attribution.isBadJob(record.failures)) {
-      const reasons = record.failures.map((each) => `${each.server}: ${each.reason}`).join("; ");
-      return refused(record, "bad_job", `The task failed on different servers. ${reasons}`);
-    }
-    return this.#retry(record, "task_failed", refused(record, "task_failed", result.reason));
-  }
-
-  /** Waits before another attempt, or returns the given state if there may be none. */
-  async #retry(
-    record: RequestRecord,
-    reason: RetryReason,
-    otherwise: RequestState,
-  ): Promise<RequestState | undefined> {
-    const { clock, random, settings, retryBudget, counters } = this.#options;
-    if (!record.idempotent || record.cancelRequested) return otherwise;
-    if (record.runs >= settings.maxAttempts) return otherwise;
-    if (clock.now() >= record.deadline) return otherwise;
-    if (!retryBudget.tryTake(clock.now()))
-      return refused(record, "retry_budget", "Too many requests are being retried at the moment.");
-    counters.retry(reason);
-    const cap = Math.min(RETRY_CAP_MS, RETRY_BASE_MS * 2 ** record.attempt);
-    await clock.sleep(Math.min(random.next() * cap, record.deadline - clock.now()));
-    return undefined;
-  }
-
-  #withdrawn(record: RequestRecord, reason: WithdrawReason): RequestState {
-    if (reason === "cancelled") return refused(record, "cancelled", "The request was cancelled.");
-    if (reason === "stopping")
-      return refused(record, "stopping", "The entry instance shuts down.", RETRY_AFTER_MS);
-    const failure = record.failures.at(-1);
-    if (failure !== undefined) return refused(record, "task_failed", failure.reason);
-    if (record.ran !== "no") return lostState();
-    if (!this.#options.dispatcher.hasCapacity(record.queue)) {
-      const detail = "No backend server of the queue's pool was available before the deadline.";
-      return refused(record, "no_capacity", detail, RETRY_AFTER_MS);
-    }
-    const detail = "The request could not be started before its deadline.";
-    return refused(record, "deadline", detail, RETRY_AFTER_MS);
+    if (end.kind === "lost") return this.#outcomes.lost(record);
+    return this.#outcomes.result(record, end.server, end.result);
   }
 
   #releaseOwn(record: RequestRecord, outcome: PlacedOutcome): void {
@@ -312,17 +239,3 @@
 function isCancelled(record: RequestRecord): boolean {
   return record.cancelRequested;
 }
-
-function refused(
-  record: RequestRecord,
-  reason: RefusalReason,
-  detail: string,
-  retryAfterMs?: number,
-): RequestState {
-  return refusedState(reason, detail, record.ran, retryAfterMs);
-}
-
-function lostState(): RequestState {
-  const detail = "The request may have run; its result was lost.";
-  return refusedState("outcome_unknown", detail, "unknown");
-}
--- /dev/null
+++ b/src/coordination/zone-view.ts
@@ -0,0 +1,54 @@
+import type { ServerRecord } from "../protocol/fleet-document.ts";
+import type { Membership } from "./membership.ts";
+import type { FleetView, Peers } from "./ports.ts";
+
+/** Options of {@link ZoneView}. */
+export interface ZoneViewOptions {
+  readonly fleet: FleetView;
+  readonly peers: Peers;
+  readonly membership: Membership;
+}
+
+/** What this entry knows of its own availability zone: servers and the entries that share them. */
+export class ZoneView {
+  readonly #options: ZoneViewOptions;
+  #records: readonly ServerRecord[] = [];
+  #revision = -1;
+
+  constructor(options: ZoneViewOptions) {
+    this.#options = options;
+  }
+
+  /** Revision of the fleet document that {@link records} were last taken from. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Servers of the own zone. */
+  records(): readonly ServerRecord[] {
+    const { fleet, peers } = this.#options;
+    const document = fleet.current();
+    if (document === undefined) return [];
+    if (document.revision !== this.#revision) {
+      this.#revision = document.revision;
+      this.#records = document.servers.filter((one) => one.zone === peers.self.zone);
+    }
+    return this.#records;
+  }
+
+  /** Other incarnations of this zone and group that are in contact, active and not shutting down. */
+  liveOthers(): readonly string[] {
+    const { peers, membership } = this.#options;
+    const { zone, group } = peers.self;
+    return [...peers.gossip().values()].flatMap(({ hello, message }) => {
+      const ours = hello.zone === zone && hello.group === group && !message.stopping;
+      return ours && !membership.retired(hello.incarnation) ? [hello.incarnation] : [];
+    });
+  }
+
+  /** True if a peer in contact states that it holds the server. */
+  heldByPeer(server: string): boolean {
+    const states = [...this.#options.peers.gossip().values()];
+    return states.some(({ message }) => message.held.includes(server));
+  }
+}
