test(fakes): builders of moved records and waves, one outage view and one fixed instance list

Cause: three tests built moved records field by field, two wrote the same view of zones, two fakes the same instance list, and five tests set up the same wave. Change: `slotRecord` and `fleetInWave`; FakeOutage and FixedList serve both places each.

--- a/test/coordination/config-follower.test.ts
+++ b/test/coordination/config-follower.test.ts
@@ -1,11 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ConfigFollower, OutageView } from "../../src/coordination/config-follower.ts";
+import { ConfigFollower } from "../../src/coordination/config-follower.ts";
 import type { PeerState } from "../../src/coordination/ports.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { issueKey } from "../../src/state/keys.ts";
 import { configDocument, helloOf } from "../fakes/builders.ts";
+import { FakeOutage } from "../fakes/peer-fakes.ts";
 import { QUIET_LOG, RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 import { SwitchedKeyValue } from "../fakes/switched-key-value.ts";
@@ -19,29 +20,17 @@
   return configDocument({ revision, writeId: `write-${revision}`, teams });
 }
 
-class TestOutageView extends OutageView {
-  peerStates: PeerState[] = [];
-
-  zones(): ReadonlySet<string> {
-    return new Set(["a", "b", "c"]);
-  }
-
-  peers(): readonly PeerState[] {
-    return this.peerStates;
-  }
-}
-
-function peer(zone: string, platformReachable: boolean, receivedAt: number): PeerState {
+function hear(outage: FakeOutage, zone: string, platformReachable: boolean, receivedAt: number) {
   const hello = helloOf(`i-${zone}`, { zone });
   const message = { platformReachable } as unknown as PeerState["message"];
-  return { hello, message, receivedAt };
+  outage.states.set(zone, { hello, message, receivedAt });
 }
 
 function fixture() {
   const clock = new VirtualClock();
   const store = new KeyValueStore({ clock });
   const keyValue = new SwitchedKeyValue(store);
-  const outage = new TestOutageView();
+  const outage = new FakeOutage();
   const counters = new RecordedCounters();
   const random = new SeededRandom(1);
   const follower = new ConfigFollower({
@@ -77,9 +66,9 @@
     await clock.advance(3700);
     assert.ok(follower.keyedWorkAllowed());
     keyValue.mode = mode;
-    outage.peerStates = [peer("b", false, clock.now())];
+    hear(outage, "b", false, clock.now());
     await clock.advance(FRESHNESS_MS + 1);
-    outage.peerStates = [peer("b", false, clock.now())];
+    hear(outage, "b", false, clock.now());
     assert.not(follower.keyedWorkAllowed(), mode);
     keyValue.mode = "up";
     await clock.until(() => follower.keyedWorkAllowed(), 6000);
@@ -94,13 +83,16 @@
   await clock.advance(1000);
   keyValue.mode = "down";
   await clock.advance(60_000);
-  outage.peerStates = [peer("b", false, clock.now()), peer("c", false, clock.now())];
+  hear(outage, "b", false, clock.now());
+  hear(outage, "c", false, clock.now());
   assert.ok(follower.keyedWorkAllowed());
   // One zone that reaches the platform may have read a withdrawal.
-  outage.peerStates = [peer("b", false, clock.now()), peer("c", true, clock.now())];
+  hear(outage, "b", false, clock.now());
+  hear(outage, "c", true, clock.now());
   assert.not(follower.keyedWorkAllowed());
   // The contact with zone c is older than the bound.
-  outage.peerStates = [peer("b", false, clock.now()), peer("c", false, clock.now() - 4001)];
+  hear(outage, "b", false, clock.now());
+  hear(outage, "c", false, clock.now() - 4001);
   assert.not(follower.keyedWorkAllowed());
 });
 
--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { uuidV7Time } from "../../src/protocol/request-id.ts";
+import { slotRecord } from "../fakes/builders.ts";
 import { Cluster, type ClusterOptions } from "../fakes/limits-cluster.ts";
 import type { Entry } from "../fakes/limits-entry.ts";
 import { TEAM } from "../fakes/limits-ports.ts";
@@ -172,11 +173,7 @@
   await cluster.clock.until(() => e1.homesFollower.current !== undefined);
   for (let i = 0; i < 100; i++) {
     const requestId = e1.homes.requestId(TEAM, "q", `order-${i}`);
-    const payload = { contentType: "text/plain", body: new Uint8Array(10) };
-    const rest = { team: TEAM, queue: "q", priority: "normal" as const, idempotent: false };
-    const spec = { requestId, ...rest, timeoutMs: 1, payload };
-    const state = { kind: "answered" as const, payload };
-    e1.records.byId.set(requestId, { spec, digest: "", state, acceptedAt: 0, attempt: 1 });
+    e1.records.byId.set(requestId, slotRecord({ requestId, team: TEAM }));
   }
   // A request under way keeps its own slot here, not the others.
   const busy = [...e1.records.byId.keys()].sort()[0]!;
--- a/test/coordination/key-withdrawal.test.ts
+++ b/test/coordination/key-withdrawal.test.ts
@@ -1,10 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ConfigFollower, OutageView } from "../../src/coordination/config-follower.ts";
+import { ConfigFollower } from "../../src/coordination/config-follower.ts";
 import { ConfigStore } from "../../src/coordination/config-store.ts";
 import { OperatorActions } from "../../src/coordination/operator-actions.ts";
 import type { PeerState } from "../../src/coordination/ports.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { FakeOutage } from "../fakes/peer-fakes.ts";
 import { exampleConfig } from "../fakes/planned-fleet.ts";
 import { QUIET_LOG, RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
@@ -14,18 +15,6 @@
 const ZONES = ["a", "b", "c"];
 const BOUND_MS = 5000;
 
-class Contacts extends OutageView {
-  readonly states = new Map<string, PeerState>();
-
-  zones(): ReadonlySet<string> {
-    return new Set(ZONES);
-  }
-
-  peers(): Iterable<PeerState> {
-    return this.states.values();
-  }
-}
-
 /** One entry per zone, whose links to each other and to the platform a seed opens and closes. */
 class Region {
   readonly clock = new VirtualClock();
@@ -38,7 +27,7 @@
     this.#random = new SeededRandom(seed);
     this.entries = ZONES.map((zone, index) => {
       const keyValue = new SwitchedKeyValue(this.store);
-      const outage = new Contacts();
+      const outage = new FakeOutage();
       const parts = { clock: this.clock, random: new SeededRandom(seed + index), keyValue, outage };
       const counters = new RecordedCounters();
       const follower = new ConfigFollower({ ...parts, counters, log: QUIET_LOG, zone });
--- a/test/coordination/lost-racks.test.ts
+++ b/test/coordination/lost-racks.test.ts
@@ -1,9 +1,13 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { checkWrites, serving } from "../fakes/fleet-checks.ts";
-import { exampleConfig, exampleInstances, PlannedFleet } from "../fakes/planned-fleet.ts";
+import {
+  exampleConfig,
+  exampleInstances,
+  MAINTENANCE,
+  PlannedFleet,
+} from "../fakes/planned-fleet.ts";
 
-const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
 const LOST_MS = 120_000;
 
 /** A wave that drains servers of rack r0, all of pool enrolment, when another rack is lost. */
--- a/test/coordination/planner-faults.test.ts
+++ b/test/coordination/planner-faults.test.ts
@@ -1,9 +1,13 @@
 import { test } from "uvu";
 import { checkWrites } from "../fakes/fleet-checks.ts";
-import { exampleConfig, exampleInstances, PlannedFleet } from "../fakes/planned-fleet.ts";
+import {
+  exampleConfig,
+  exampleInstances,
+  MAINTENANCE,
+  PlannedFleet,
+} from "../fakes/planned-fleet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
 
-const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
 const ALL = exampleInstances();
 /** A few seeds; one takes 1.4 s. */
 const SEEDS = [1, 5, 17, 51];
--- a/test/coordination/planner.test.ts
+++ b/test/coordination/planner.test.ts
@@ -6,11 +6,12 @@
 import {
   exampleConfig,
   exampleInstances,
+  fleetInWave,
+  MAINTENANCE,
   PlannedFleet,
   situationOf,
 } from "../fakes/planned-fleet.ts";
-
-const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
+import { VirtualClock } from "../fakes/virtual-clock.ts";
 
 // Guards against pools that are filled from one rack, so that its loss empties them.
 test("new servers fill all pools to their targets and are spread over zones", async () => {
@@ -36,10 +37,7 @@
 
 // Guards against a wave that breaks budgets, reboots servers with tasks or never finishes.
 test("a wave reboots every server once, one rack at a time, within all budgets", async () => {
-  const fleet = new PlannedFleet();
-  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE });
-  fleet.startHolders();
-  const { planner } = fleet.addPlanner(1);
+  const { fleet, planner } = fleetInWave();
   await fleet.clock.until(() => planner.status().rolloutMs !== undefined, 600_000, 500);
   assert.is(new Set(fleet.rebootOrders.map((server) => server.name)).size, 35);
   assert.is(fleet.rebootOrders.length, 35);
@@ -53,15 +51,12 @@
 
 // Guards against a wave that drains outside a team's window, or that never comes back to its pools.
 test("drains start within the team's window alone, and the wave finishes once it opens", async () => {
-  const fleet = new PlannedFleet();
-  const openFrom = 10 + Math.floor(fleet.clock.wallTime() / 60_000);
+  const openFrom = 10 + Math.floor(new VirtualClock().wallTime() / 60_000);
   const teams = exampleConfig().teams.map((team) => {
     const window = { maintenanceStart: openFrom % 1440, maintenanceEnd: (openFrom + 60) % 1440 };
     return team.name === "certifiers" ? { ...team, ...window } : team;
   });
-  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE, teams });
-  fleet.startHolders();
-  const { planner } = fleet.addPlanner(1);
+  const { fleet, planner } = fleetInWave({ teams });
   await fleet.clock.advance(500_000);
   const early = new Set(fleet.rebootOrders.map((server) => server.pool));
   assert.equal([...early].sort(), ["allotments", "enrolment", "ledgers", "shared"]);
@@ -78,11 +73,8 @@
 
 // Guards against a server that counts as available, or as gone, while it is being rebooted.
 test("a server that takes long to reboot neither serves nor is removed meanwhile", async () => {
-  const fleet = new PlannedFleet();
-  fleet.config.document = exampleConfig({ maintenance: { ...MAINTENANCE, maxParallel: 1 } });
-  fleet.rebootDownMs = 120_000;
-  fleet.startHolders();
-  fleet.addPlanner(1);
+  const maintenance = { ...MAINTENANCE, maxParallel: 1 };
+  const { fleet } = fleetInWave({ maintenance }, { rebootDownMs: 120_000 });
   await fleet.clock.until(() => fleet.health.down.size > 0, 60_000);
   const [name = ""] = fleet.health.down;
   fleet.list.missing.add(name);
@@ -121,11 +113,7 @@
 
 // Guards against a wave that goes on although what it does, or the rack, fails.
 test("a rack lost inside a wave pauses it, returns drains and moves in spare servers", async () => {
-  const fleet = new PlannedFleet();
-  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE });
-  fleet.drainMs = 20_000;
-  fleet.startHolders();
-  const { planner } = fleet.addPlanner(1);
+  const { fleet, planner } = fleetInWave({}, { drainMs: 20_000 });
   await fleet.clock.advance(5000);
   assert.ok((await fleet.servers()).some((server) => server.state === "draining"));
   // The wave is in rack r0 of zone a; r3 is another rack of the same zone.
--- a/test/fakes/builders.ts
+++ b/test/fakes/builders.ts
@@ -6,6 +6,7 @@
   PEER_PROTOCOL_VERSION,
   type GossipMessage,
   type Hello,
+  type SlotRecord,
 } from "../../src/protocol/peer-messages.ts";
 
 /** Weights at which every limit is as configured. */
@@ -56,3 +57,12 @@
     ...change,
   };
 }
+
+/** A stored answer as it moves with its home slot. */
+export function slotRecord(spec: Partial<SlotRecord["spec"]>): SlotRecord {
+  const payload = { contentType: "text/plain", body: new Uint8Array(10) };
+  const { requestId, team, queue, priority, idempotent } = taskSpec({ team: undefined });
+  const base = { requestId, team, queue, priority, idempotent, timeoutMs: 1, payload };
+  const state = { kind: "answered", payload } as const;
+  return { spec: { ...base, ...spec }, digest: "", state, acceptedAt: 0, attempt: 1 };
+}
--- a/test/fakes/keyed-load.ts
+++ b/test/fakes/keyed-load.ts
@@ -1,5 +1,5 @@
 /** Callers that submit each key several times to different entries, and simple homes for them. */
-import type { SlotRecord } from "../../src/protocol/peer-messages.ts";
+import { slotRecord } from "./builders.ts";
 import type { Cluster } from "./limits-cluster.ts";
 import type { Entry } from "./limits-entry.ts";
 
@@ -41,7 +41,7 @@
 async function atHome(cluster: Cluster, home: Entry, id: string): Promise<void> {
   const { records, homes, clock } = home;
   if (records.byId.has(id) || homes.classify(id) !== "fresh") return;
-  records.byId.set(id, recordOf(id));
+  records.byId.set(id, slotRecord({ requestId: id }));
   records.pending.add(id);
   for (let i = 0; i < DISPATCH_TRIES; i++) {
     const runner = cluster.random.next() < 0.5 ? home : pick(cluster);
@@ -73,11 +73,3 @@
   const alive = entries.filter((entry) => !entry.gate.dead);
   return alive[Math.floor(random.next() * alive.length)]!;
 }
-
-function recordOf(requestId: string): SlotRecord {
-  const payload = { contentType: "text/plain", body: new Uint8Array() };
-  const rest = { team: undefined, queue: "q", priority: "normal" as const, idempotent: false };
-  const spec = { requestId, ...rest, timeoutMs: 1, payload };
-  const state = { kind: "answered" as const, payload };
-  return { spec, digest: "", state, acceptedAt: 0, attempt: 1 };
-}
--- a/test/fakes/peer-fakes.ts
+++ b/test/fakes/peer-fakes.ts
@@ -8,6 +8,7 @@
   PeerRequest,
   ReplyTo,
 } from "../../src/protocol/peer-messages.ts";
+import { OutageView } from "../../src/coordination/config-follower.ts";
 import {
   Homes,
   Peers,
@@ -109,3 +110,16 @@
     throw new Error("not used by the request path");
   }
 }
+
+/** Zones `a`, `b` and `c`, and the peers' states by zone. */
+export class FakeOutage extends OutageView {
+  readonly states = new Map<string, PeerState>();
+
+  zones(): ReadonlySet<string> {
+    return new Set(["a", "b", "c"]);
+  }
+
+  peers(): Iterable<PeerState> {
+    return this.states.values();
+  }
+}
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -87,8 +87,9 @@
   };
 }
 
-class FixedList extends InstanceList {
-  instances = exampleInstances();
+/** An instance list that the test sets. */
+export class FixedList extends InstanceList {
+  instances: readonly ListedInstance[] = [];
 
   /** Servers that the list leaves out for now. */
   readonly missing = new Set<string>();
@@ -149,6 +150,20 @@
   }
 }
 
+/** Waves on every day and at any time, of 3 servers at once. */
+export const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
+
+/** A fleet with holders and one planner, whose servers are all due for a reboot. */
+export function fleetInWave(
+  change: Partial<ConfigDocument> = {},
+  times: Partial<Pick<PlannedFleet, "drainMs" | "rebootDownMs">> = {},
+): { readonly fleet: PlannedFleet; readonly planner: Planner } {
+  const fleet = Object.assign(new PlannedFleet(), times);
+  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE, ...change });
+  fleet.startHolders();
+  return { fleet, planner: fleet.addPlanner(1).planner };
+}
+
 /** The example fleet under any number of planners, with lease holders that drain servers. */
 export class PlannedFleet {
   readonly clock = new VirtualClock();
@@ -164,6 +179,10 @@
   rebootDownMs = 1000;
   readonly #store = new KeyValueFleetStore({ keyValue: this.kv, group: "andina" });
 
+  constructor() {
+    this.list.instances = exampleInstances();
+  }
+
   /** Starts a planner that believes to hold the duty, as after a takeover from a paused one. */
   addPlanner(seed: number): { readonly planner: Planner; readonly store: PausableStore } {
     const store = new PausableStore({ keyValue: this.kv, group: "andina" });
--- a/test/fakes/test-cli.ts
+++ b/test/fakes/test-cli.ts
@@ -5,10 +5,11 @@
 import { addKeyCommands } from "../../src/cli/key-commands.ts";
 import { addStatusCommands } from "../../src/cli/status-commands.ts";
 import { EntryStatusReader } from "../../src/coordination/entry-directory.ts";
-import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
+import type { InstanceList } from "../../src/platform/instance-list.ts";
 import type { KeyValueService } from "../../src/platform/key-value-service.ts";
 import type { EntryStatus } from "../../src/protocol/entry-status.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { FixedList } from "./planned-fleet.ts";
 import { SeededRandom } from "./seeded-random.ts";
 import { onClock, VirtualClock } from "./virtual-clock.ts";
 
@@ -21,21 +22,13 @@
   }
 }
 
-class TestInstanceList extends InstanceList {
-  instances: readonly ListedInstance[] = [];
-
-  list(): Promise<Result<readonly ListedInstance[], never>> {
-    return Promise.resolve(Ok(this.instances));
-  }
-}
-
 /** Runs commands in this process against in-memory services and records what they print. */
 export class TestCli extends CliContext {
   readonly clock = new VirtualClock();
   readonly random = new SeededRandom(3);
   readonly statusReader = new TestStatusReader();
   readonly store = new KeyValueStore({ clock: this.clock });
-  readonly list = new TestInstanceList();
+  readonly list = new FixedList();
   readonly files = new Map<string, string>();
   out: string[] = [];
   errors: string[] = [];
--- a/test/transport/peer-tcp.test.ts
+++ b/test/transport/peer-tcp.test.ts
@@ -6,7 +6,7 @@
 import type { PeerHandler } from "../../src/platform/peer-transport.ts";
 import { encodeFrame } from "../../src/transport/frames.ts";
 import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
-import { helloOf } from "../fakes/builders.ts";
+import { helloOf, slotRecord } from "../fakes/builders.ts";
 import { EventLog } from "../fakes/event-log.ts";
 import { onClock, VirtualClock } from "../fakes/virtual-clock.ts";
 import { waitUntil } from "../fakes/wait.ts";
@@ -130,23 +130,9 @@
     socket.pause();
   });
   const peer = (await transport().connect(address, helloOf("client"))).unwrap();
-  const records = [
-    {
-      spec: {
-        requestId: "r",
-        team: undefined,
-        queue: "q",
-        priority: "normal",
-        idempotent: false,
-        timeoutMs: 1,
-        payload: { contentType: "a/b", body: Buffer.alloc(1_000_000) },
-      },
-      digest: "",
-      state: { kind: "pending", started: false },
-      acceptedAt: 0,
-      attempt: 0,
-    },
-  ] as const;
+  const payload = { contentType: "a/b", body: Buffer.alloc(1_000_000) };
+  const state = { kind: "pending", started: false } as const;
+  const records = [{ ...slotRecord({ payload }), state, attempt: 0 }];
   const results = await Promise.all(
     Array.from({ length: 300 }, () =>
       peer.call({ type: "slot-transfer", slots: [], records }, 100),
