test(moves): the extra server of a pool without surplus waits for the windows of teams

Cause: no test held the rule for the extra server to the windows of teams. Change: one rule test; with the fleet's window alone in that rule it fails. Conclusion: no change of the product.

--- a/test/state/fleet-rules.test.ts
+++ b/test/state/fleet-rules.test.ts
@@ -186,6 +186,24 @@
   );
 });
 
+// Guards against a spare server that stands in for a reboot that a team's window does not allow yet.
+test("a pool without a server to spare gets one only while its windows are open", () => {
+  const pools = exampleConfig().pools.map((pool) =>
+    pool.name === "certification" ? { ...pool, minAvailable: pool.targetSize } : pool,
+  );
+  const config = { ...certifiersWindow(23 * 60, 60), pools };
+  const moves = (hour: number): readonly string[] => {
+    const wallTimeMs = Date.UTC(2026, 0, 5, hour);
+    const { decisions } = dryRun(situationOf(serversByRack(), { config, wallTimeMs }), 40);
+    return decisions.filter(({ rule }) => rule === "move").map(({ text }) => text);
+  };
+  assert.equal(moves(22), []);
+  assert.equal(
+    moves(23).map((text) => text.replace(/^s\d+ /, "")),
+    ["is drained to go from shared to certification"],
+  );
+});
+
 // Guards against a wave that goes on in a zone with failures, because a server that is down in
 // another zone is the next one due.
 test("a wave between two racks pauses for failures in the zone it would go on in", () => {
