--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -3,7 +3,6 @@
 import { FleetFollower } from "../../src/coordination/fleet-follower.ts";
 import { KeyValueFleetStore, type FleetWrite } from "../../src/coordination/fleet-store.ts";
 import { Planner, PlannerSupport } from "../../src/coordination/planner.ts";
-import { ConfigView } from "../../src/coordination/ports.ts";
 import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
 import type { KvError, KvPut } from "../../src/platform/key-value-service.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
@@ -12,13 +11,12 @@
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { FleetHealth, type FleetSituation } from "../../src/state/fleet-situation.ts";
 import { markEmpty } from "../../src/state/fleet-transitions.ts";
+import { EQUAL_WEIGHTS } from "./builders.ts";
+import { FakeConfig } from "./entry-fakes.ts";
 import { QUIET_LOG, RecordedCounters } from "./quiet.ts";
 import { SeededRandom } from "./seeded-random.ts";
 import { VirtualClock } from "./virtual-clock.ts";
 
-/** Weights at which every limit is as configured. */
-export const EQUAL_WEIGHTS = { bufferCost: 1, rolloutTime: 1, moves: 1, closenessToShare: 1 };
-
 /** Piedra Viva at revision 1 with equal weights, and with other settings where given. */
 export function exampleConfig(change: Partial<ConfigDocument> = {}): ConfigDocument {
   const file = "examples/piedra-viva.ini";
@@ -89,32 +87,9 @@
   };
 }
 
-class FixedConfig extends ConfigView {
-  document = exampleConfig();
-
-  current(): ConfigDocument {
-    return this.document;
-  }
-
-  ageMs(): number {
-    return 0;
-  }
-
-  keyedWorkAllowed(): boolean {
-    return true;
-  }
-
-  teamOfKey(): undefined {
-    return undefined;
-  }
-
-  onChange(): () => void {
-    return () => undefined;
-  }
-}
-
-class FixedList extends InstanceList {
-  instances = exampleInstances();
+/** An instance list that the test sets. */
+export class FixedList extends InstanceList {
+  instances: readonly ListedInstance[] = [];
 
   /** Servers that the list leaves out for now. */
   readonly missing = new Set<string>();
@@ -175,11 +150,25 @@
   }
 }
 
+/** Waves on every day and at any time, of 3 servers at once. */
+export const MAINTENANCE = { startMinute: 0, endMinute: 1440, everyDays: 21, maxParallel: 3 };
+
+/** A fleet with holders and one planner, whose servers are all due for a reboot. */
+export function fleetInWave(
+  change: Partial<ConfigDocument> = {},
+  times: Partial<Pick<PlannedFleet, "drainMs" | "rebootDownMs">> = {},
+): { readonly fleet: PlannedFleet; readonly planner: Planner } {
+  const fleet = Object.assign(new PlannedFleet(), times);
+  fleet.config.document = exampleConfig({ maintenance: MAINTENANCE, ...change });
+  fleet.startHolders();
+  return { fleet, planner: fleet.addPlanner(1).planner };
+}
+
 /** The example fleet under any number of planners, with lease holders that drain servers. */
 export class PlannedFleet {
   readonly clock = new VirtualClock();
   readonly kv = new RecordingStore({ clock: this.clock });
-  readonly config = new FixedConfig();
+  readonly config = new FakeConfig(exampleConfig());
   readonly list = new FixedList();
   readonly health = new TestHealth();
   readonly counters = new RecordedCounters();
@@ -190,6 +179,10 @@
   rebootDownMs = 1000;
   readonly #store = new KeyValueFleetStore({ keyValue: this.kv, group: "andina" });
 
+  constructor() {
+    this.list.instances = exampleInstances();
+  }
+
   /** Starts a planner that believes to hold the duty, as after a takeover from a paused one. */
   addPlanner(seed: number): { readonly planner: Planner; readonly store: PausableStore } {
     const store = new PausableStore({ keyValue: this.kv, group: "andina" });
