perf(dispatch): keep the view of the peers, and ask for slots only for queued work

Cause: PeerDirectory.gossip and leavingServers built new collections at each call, LeaseKeeper.list built one array per server of the zone, and the fair-share queue asked for free slots although nothing was queued at a precedence. Change: The map of peers in contact is kept until an exchange, the end of a peer or a lapse of contact. The leaving servers of that map are kept with it. LeaseKeeper.list is a plain loop. The queue counts its items per precedence and asks the policy only about queued ones. Ruled out: Keeping the list of held servers: the running tasks change without a notice.

--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -113,16 +113,19 @@
   }
 
   list(): readonly HeldServer[] {
+    const listed: HeldServer[] = [];
     const mayDispatch = this.#mayDispatch();
     const leaving = this.#options.peers.leavingServers();
-    return this.#records().flatMap((record) => {
+    // A plain loop without records for servers of other entries, since this is called very often.
+    for (const record of this.#records()) {
       const lease = this.#drivers.get(record.name)?.lease;
-      if (lease?.held !== true) return [];
+      if (lease?.held !== true) continue;
       const { name, zone, rack, pool, slots } = record;
       const free = mayDispatch && !leaving.has(name);
       const dispatchable = free && this.#dispatchable(record, lease);
-      return [{ name, zone, rack, pool, slots, running: lease.tasks.occupied, dispatchable }];
-    });
+      listed.push({ name, zone, rack, pool, slots, running: lease.tasks.occupied, dispatchable });
+    }
+    return listed;
   }
 
   async start(server: string, spec: TaskSpec): Promise<Result<void, StartError>> {
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -47,6 +47,12 @@
   state: PeerState | undefined;
 }
 
+/** Peers in contact until a monotonic time in milliseconds. */
+interface Contacts {
+  readonly states: ReadonlyMap<string, PeerState>;
+  readonly until: number;
+}
+
 /** Keeps one connection and one exchange loop with every other entry instance. */
 export class PeerDirectory extends Peers {
   readonly self: Hello;
@@ -55,6 +61,13 @@
   readonly #encoder = new GossipEncoder();
   readonly #leaving = new Map<string, number>();
   readonly #abort = new AbortController();
+  #contacts: Contacts | undefined;
+  #leavingAtPeers:
+    | {
+        readonly states: ReadonlyMap<string, PeerState>;
+        readonly servers: ReadonlySet<string>;
+      }
+    | undefined;
   #stopping = false;
 
   constructor(options: PeerDirectoryOptions) {
@@ -88,15 +101,16 @@
 
   /** Those that peers state to be leaving and those that this entry announces. */
   override leavingServers(): ReadonlySet<string> {
-    return new Set([...super.leavingServers(), ...this.#announcedLeaving()]);
+    const { states } = this.#currentContacts();
+    if (this.#leavingAtPeers?.states !== states)
+      this.#leavingAtPeers = { states, servers: super.leavingServers() };
+    const { servers } = this.#leavingAtPeers;
+    return this.#leaving.size === 0 ? servers : new Set([...servers, ...this.#announcedLeaving()]);
   }
 
+  /** The same map until an exchange or a lapse of contact changes it, since it is read very often. */
   gossip(): ReadonlyMap<string, PeerState> {
-    const oldest = this.#options.clock.now() - CONTACT_MS;
-    const states = [...this.#tasks.values()].flatMap(({ state }) =>
-      state !== undefined && state.receivedAt >= oldest ? [state] : [],
-    );
-    return new Map(states.map((state) => [state.hello.incarnation, state]));
+    return this.#currentContacts().states;
   }
 
   async call<T extends PeerRequest>(
@@ -116,6 +130,19 @@
     return this.#encoder.encode(from.incarnation, req.sequence, snapshot);
   }
 
+  #currentContacts(): Contacts {
+    const now = this.#options.clock.now();
+    if (this.#contacts !== undefined && now <= this.#contacts.until) return this.#contacts;
+    const states = [...this.#tasks.values()].flatMap(({ state }) =>
+      state !== undefined && now <= state.receivedAt + CONTACT_MS ? [state] : [],
+    );
+    this.#contacts = {
+      states: new Map(states.map((state) => [state.hello.incarnation, state])),
+      until: Math.min(...states.map((state) => state.receivedAt)) + CONTACT_MS,
+    };
+    return this.#contacts;
+  }
+
   async #followMembers(): Promise<void> {
     const { clock, intervalMs } = this.#options;
     while (!this.#abort.signal.aborted) {
@@ -147,6 +174,7 @@
     task.abort.abort();
     task.connection?.close();
     this.#tasks.delete(task.member.incarnation);
+    this.#contacts = undefined;
     this.#encoder.forget(task.member.incarnation);
   }
 
@@ -202,6 +230,7 @@
     }
     const message = decodeGossip(task.state?.message, reply.val);
     task.state = { hello: connection.remote, message, receivedAt: sentAt };
+    this.#contacts = undefined;
     onGossip(task.state);
     return true;
   }
--- a/src/state/fair-share-queue.ts
+++ b/src/state/fair-share-queue.ts
@@ -86,6 +86,7 @@
   readonly #policy: SharePolicy;
   readonly #teams = new Map<string, TeamLanes>();
   readonly #items = new Map<string, Item>();
+  readonly #counts: Record<Priority, number> = { urgent: 0, normal: 0, batch: 0 };
 
   constructor({ policy }: { readonly policy: SharePolicy }) {
     this.#policy = policy;
@@ -114,6 +115,7 @@
     const item = { id, run, options: full, lane: lanes.lanes[precedence] };
     item.lane.add(item);
     this.#items.set(id, item);
+    this.#counts[precedence]++;
   }
 
   dequeue(): RunFunction | undefined {
@@ -127,6 +129,7 @@
     const item = this.#items.get(id);
     if (item === undefined) return;
     this.#items.delete(id);
+    this.#counts[item.options.precedence]--;
     item.lane.delete(id);
     if (this.#teams.get(item.options.team)?.size === 0) this.#teams.delete(item.options.team);
   }
@@ -138,10 +141,8 @@
 
   /** Queued items of a team, or of all teams, at this precedence. */
   queued(precedence: Priority, team?: string): number {
-    if (team !== undefined) return this.#teams.get(team)?.lanes[precedence].size ?? 0;
-    let sum = 0;
-    for (const lanes of this.#teams.values()) sum += lanes.lanes[precedence].size;
-    return sum;
+    if (team === undefined) return this.#counts[precedence];
+    return this.#teams.get(team)?.lanes[precedence].size ?? 0;
   }
 
   /** Time of acceptance of the oldest item of a precedence that waits for a slot, not a budget. */
@@ -168,19 +169,17 @@
   }
 
   #next(): Item | undefined {
-    const policy = this.#policy;
-    return (
-      this.#nextOf(["urgent"]) ??
-      this.#nextOf((["normal", "batch"] as const).filter((p) => policy.slotFree(p)))
-    );
+    return this.#nextOf(["urgent"]) ?? this.#nextOf(["normal", "batch"]);
   }
 
   #nextOf(precedences: readonly Priority[]): Item | undefined {
     const policy = this.#policy;
-    if (!precedences.some((precedence) => policy.slotFree(precedence))) return undefined;
+    // The policy is asked only about queued work, because its answers are costly.
+    const ready = precedences.filter((p) => this.#counts[p] > 0 && policy.slotFree(p));
+    if (ready.length === 0) return undefined;
     let best: Candidate | undefined;
     for (const [team, { lanes }] of this.#teams) {
-      const item = precedences.map((p) => lanes[p].first()).find((first) => first !== undefined);
+      const item = ready.map((p) => lanes[p].first()).find((first) => first !== undefined);
       if (item === undefined || !policy.budgetFree(team)) continue;
       const candidate = { item, usage: policy.usage(team), recent: policy.recent(team) };
       if (best === undefined || precedes(candidate, best)) best = candidate;
--- a/test/state/fair-share-queue.test.ts
+++ b/test/state/fair-share-queue.test.ts
@@ -137,6 +137,19 @@
   assert.ok(performance.now() - before < 1000);
 });
 
+// Guards against the cost of asking for free slots at each change although nothing is queued.
+test("the policy is asked for slots only for precedences with queued work", () => {
+  const { policy, queue, add } = fixture();
+  const asked: Priority[] = [];
+  policy.slotFree = (precedence) => asked.push(precedence) < 0;
+  assert.is(queue.size, 0);
+  assert.equal(asked, []);
+  queue.remove(add("red", "urgent"));
+  add("red", "batch");
+  assert.is(queue.size, 0);
+  assert.equal(asked, ["batch"]);
+});
+
 // Guards against a p-queue that removes items although none may leave.
 test("p-queue starts items only while the policy lets them leave", async () => {
   const policy = new TablePolicy();
