fix(dispatch): urgent work goes before other pools' normal work in every lent slot

Pools are served in the order of the configuration. The rule that urgent work of borrowers goes first held for the spare pool's own queue only, so normal work of an earlier borrowing pool took every lent slot from urgent work of a later one. Change: Work that is not urgent takes a slot of a pool only while no urgent work of another queue that may use this pool could start. Ruled out: The expected wait that counts spare slots (PoolWaits.here) as the only cause; it is unchanged here.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -262,16 +262,16 @@
       usage: this.#usage,
       openRunning: () => this.#starter.openRunning,
       paused: (team) => this.#starter.paused(team),
-      urgentBorrowers: () => this.#urgentBorrowersOf(pool),
+      urgentElsewhere: (slotsOf) => this.#urgentElsewhere(pool, slotsOf),
     });
     queue = new PoolQueue({ policy, launch: (item) => this.#launch(item) });
     this.#queues.set(pool, queue);
     return queue;
   }
 
-  #urgentBorrowersOf(pool: string): boolean {
+  #urgentElsewhere(pool: string, slotsOf: string): boolean {
     for (const [other, queue] of this.#queues) {
-      if (other === pool || !this.#lending.poolsFor(other).includes(pool)) continue;
+      if (other === pool || !this.#lending.poolsFor(other).includes(slotsOf)) continue;
       if (queue.urgentReady) return true;
     }
     return false;
--- a/src/coordination/local-policy.ts
+++ b/src/coordination/local-policy.ts
@@ -18,8 +18,8 @@
   readonly usage: TeamUsage;
   /** Number of open tasks started here that still run. */
   readonly openRunning: () => number;
-  /** True while urgent work of another pool could start in this pool's slots. */
-  readonly urgentBorrowers: () => boolean;
+  /** True while urgent work of a queue other than this pool's could start in a pool's slots. */
+  readonly urgentElsewhere: (slotsOf: string) => boolean;
   /** True while a team is passed over because a charge was refused. */
   readonly paused: (team: string) => boolean;
 }
@@ -34,10 +34,16 @@
   }
 
   slotFree(precedence: Priority): boolean {
-    const { picker, lending, pool, urgentBorrowers } = this.#options;
-    // The spare pool's own queue goes first, so its other work would starve borrowers' urgent work.
-    if (precedence !== "urgent" && urgentBorrowers()) return false;
-    return lending.poolsFor(pool).some((each) => picker.freeSlots(each, precedence) > 0);
+    const { picker, lending, pool, urgentElsewhere } = this.#options;
+    // Pools are served in a fixed order, so other work of an earlier one would take every slot
+    // that is lent from urgent work of a later one.
+    return lending
+      .poolsFor(pool)
+      .some(
+        (each) =>
+          picker.freeSlots(each, precedence) > 0 &&
+          (precedence === "urgent" || !urgentElsewhere(each)),
+      );
   }
 
   budgetFree(team: string): boolean {
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -56,6 +56,22 @@
   await clock.until(() => held.started.length === 64, 30_000);
 });
 
+// Guards against normal work of one borrowing pool that takes every slot lent from another's urgent.
+test("urgent work of a borrowing pool goes before other borrowing pools' normal work", async () => {
+  const base = fixtureConfig();
+  const pools = [...base.pools, { ...base.pools[0]!, name: "late" }];
+  const queues = [...base.queues, { ...base.queues[0]!, name: "late", pool: "late" }];
+  const entry = entryFixture({ config: { ...base, pools, queues } });
+  const { clock, held } = entry;
+  held.add("x1", { slots: 2, pool: "spare" });
+  held.runMs = 400;
+  submitMany(entry, 60);
+  submitMany(entry, 4, { queue: "late", priority: "urgent", key: "key-blue" });
+  const urgent = (): number => held.started.filter(({ spec }) => spec.priority === "urgent").length;
+  await clock.until(() => urgent() === 4, 3700);
+  await clock.until(() => held.started.length === 64, 30_000);
+});
+
 // Guards against urgent work that waits because normal work holds every slot.
 test("slots of the urgent reserve stay free for urgent work", async () => {
   const entry = entryFixture({ config: fixtureConfig({ urgentReserveSlots: 1 }) });
