fix(limits): a team with queued work gets budget although every slot is taken

The budget asked for was bounded by the free slots. Under full load there are none, so a team without budget never got any at that entry. With that bound lifted, the trace showed rows that add up to the limit (certifiers: 13 at an entry that ran 2 to 6), and nobody was asked for the unused part, because what was queued there counted as need. Change: The bound is the free slots, and at least 2 where any server is held. A peer with budget above its running tasks is asked for it, whatever it has queued; it gives what it does not need.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -30,6 +30,11 @@
 const BUDGET_REQUEST_TIMEOUT_MS = 500;
 /** Age up to which a count of free slots is used again, as it is needed for every start. */
 const FREE_SLOTS_AGE_MS = 20;
+/**
+ * Budget that a team with queued work may ask for beyond its running tasks when no slot is free.
+ * A raise takes about a second, and with 1 a team gained too little in that time.
+ */
+const LEAST_SLOTS = 2;
 const MAX_ASKED_PEERS = 3;
 const MAX_RESERVE = 4;
 
@@ -252,12 +257,17 @@
     return demand === 0 ? 0 : Math.min(demand, this.#freeSlots());
   }
 
+  /**
+   * Free slots, and at least {@link LEAST_SLOTS} where the slots are all taken. Under full load a slot is taken
+   * again as soon as it is free, so a team without budget here would never get one.
+   */
   #freeSlots(): number {
     const { held, clock } = this.#options;
     if (held === undefined) return Infinity;
     if (clock.now() - this.#free.at >= FREE_SLOTS_AGE_MS) {
       const usable = held.list().filter(({ dispatchable }) => dispatchable);
-      const count = usable.reduce((sum, { slots, running }) => sum + slots - running, 0);
+      const free = usable.reduce((sum, { slots, running }) => sum + slots - running, 0);
+      const count = usable.length === 0 ? 0 : Math.max(LEAST_SLOTS, free);
       this.#free = { at: clock.now(), count };
     }
     return this.#free.count;
@@ -271,7 +281,8 @@
     const { peers } = this.#options;
     const spares = [...peers.gossip().values()].flatMap(({ hello, message }) => {
       const load = message.teams.find((one) => one.team === team);
-      const spare = load === undefined ? 0 : load.budget - load.running - load.queued;
+      // What is queued there may lack slots rather than budget, so the peer decides what it needs.
+      const spare = load === undefined ? 0 : load.budget - load.running;
       return spare > 0 ? [{ incarnation: hello.incarnation, spare }] : [];
     });
     spares.sort((a, b) => b.spare - a.spare);
--- /dev/null
+++ b/test/coordination/budget-keeper.test.ts
@@ -0,0 +1,72 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { BudgetKeeper } from "../../src/coordination/budget-keeper.ts";
+import { DocumentStore } from "../../src/coordination/document-store.ts";
+import { LeaseCoverage } from "../../src/coordination/lease-coverage.ts";
+import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import { ledgerKey } from "../../src/protocol/ledger-document.ts";
+import { ChargeBook } from "../../src/state/charge-book.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { FakeConfig, FakeHeld, fixtureConfig } from "../fakes/entry-fakes.ts";
+import { FakePeers } from "../fakes/peer-fakes.ts";
+import { RecordedCounters } from "../fakes/quiet.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
+
+interface Fixture {
+  readonly clock: VirtualClock;
+  readonly peers: FakePeers;
+  readonly budgets: BudgetKeeper;
+}
+
+/** A keeper with one server whose two slots are taken; a peer holds `taken` of the limit of 100. */
+async function fullEntry(taken: number): Promise<Fixture> {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(1);
+  const counters = new RecordedCounters();
+  const kv = new KeyValueStore({ clock });
+  const rows = taken === 0 ? [] : [{ incarnation: "e2", budget: taken }];
+  const teams = [{ team: "red", limit: 100, configRevision: 1, rows }];
+  const value = JSON.stringify({ writeId: "w", teams, retired: [] });
+  await kv.put({ key: ledgerKey(0), value, expectedRevision: 0 });
+  const held = new FakeHeld(clock);
+  held.add("s1");
+  held.runMs = undefined;
+  for (const requestId of ["a", "b"]) await held.start("s1", { requestId, attempt: 1 } as TaskSpec);
+  const coverage = new LeaseCoverage({ clock });
+  coverage.extend("s1", { until: Infinity, wallUntil: Infinity });
+  const peers = new FakePeers("e1", clock);
+  const budgets = new BudgetKeeper({
+    store: new DocumentStore({ kv, clock, random, counters }),
+    ...{ clock, random, counters, peers, coverage, held },
+    config: new FakeConfig(fixtureConfig()),
+    charges: new ChargeBook(),
+    ledgerShards: 1,
+    budgetIdleMs: 2000,
+    onRetired: () => undefined,
+  });
+  void budgets.run();
+  return { clock, peers, budgets };
+}
+
+// Guards against a team that never starts at an entry whose slots are always taken by other teams.
+test("a team with queued work gets budget although no slot is free at the moment", async () => {
+  const { clock, budgets } = await fullEntry(0);
+  budgets.setDemand("red", 5);
+  await clock.until(() => budgets.room("red") > 0, 2000);
+  assert.ok(budgets.room("red") < 10, "no more than the slots could use");
+  budgets.stop();
+});
+
+// Guards against unused budget that nobody is asked for because its holder has work queued.
+test("a peer with unused budget is asked for it even if it has queued work", async () => {
+  const { clock, peers, budgets } = await fullEntry(100);
+  const load = { team: "red", running: 1, budget: 100, queued: 500 };
+  peers.hear({ ...peers.self, incarnation: "e2" }, { teams: [load] });
+  budgets.setDemand("red", 5);
+  const asked = (): boolean => peers.sent.some(({ req }) => req.type === "budget-request");
+  await clock.until(asked, 2000);
+  budgets.stop();
+});
+
+test.run();
