fix(shares): correct a lasting difference of a team from its share

Nothing took that back afterwards, because only the present usage is compared. Change: `ShareCorrection` adds up over 1 s by how much each waiting team's usage differs from the mean, at most half the mean. The queue's order uses the sum.

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -3,8 +3,10 @@
 import type { Priority } from "../platform/backend-server.ts";
 import type { PoolLoad } from "../protocol/peer-messages.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
+import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
+import { ShareCorrection } from "../state/share-correction.ts";
 import { TeamUsage } from "../state/team-usage.ts";
 import { CapacityReview } from "./capacity-review.ts";
 import { LocalPolicy } from "./local-policy.ts";
@@ -65,6 +67,7 @@
   readonly #lending: PoolLending;
   readonly #waits: PoolWaits;
   readonly #usage = new TeamUsage();
+  readonly #correction = new ShareCorrection();
   readonly #loads: PeerLoads;
   readonly #offers: PeerOffers;
   readonly #queueOffers: QueueOffers;
@@ -206,6 +209,7 @@
 
   /** Starts what can start here, then offers what a peer would start sooner. */
   review(): void {
+    this.#correctShares();
     this.#startQueued();
     for (const [pool, queue] of this.#queues) this.#queueOffers.considerAll(pool, queue);
   }
@@ -237,6 +241,19 @@
     this.#demand.report();
   }
 
+  #correctShares(): void {
+    const waiting = [...this.queuedByTeam().keys()].map((team) => {
+      return { team, running: this.#runningOf(team), weight: this.#waits.weight(team) };
+    });
+    this.#correction.update(waiting, this.#options.clock.now());
+  }
+
+  #runningOf(team: string): number {
+    const { budgets } = this.#options;
+    const here = team === OPEN_TEAM ? this.#starter.openRunning : budgets.running(team);
+    return here + this.#usage.remote(team);
+  }
+
   #poolOf(queue: string): string {
     const { queues = [] } = this.#options.config.current() ?? {};
     return queues.find((each) => each.name === queue)?.pool ?? "";
@@ -260,7 +277,8 @@
       budgets: this.#options.budgets,
       waits: this.#waits,
       usage: this.#usage,
-      openRunning: () => this.#starter.openRunning,
+      running: (team) => this.#runningOf(team),
+      correction: this.#correction,
       paused: (team) => this.#starter.paused(team),
       urgentElsewhere: (slotsOf) => this.#urgentElsewhere(pool, slotsOf),
     });
--- a/src/coordination/local-policy.ts
+++ b/src/coordination/local-policy.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../platform/clock.ts";
 import type { Priority } from "../platform/backend-server.ts";
 import { OPEN_TEAM, SharePolicy } from "../state/fair-share-queue.ts";
+import type { ShareCorrection } from "../state/share-correction.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
 import type { PoolLending } from "./pool-lending.ts";
 import type { PoolWaits } from "./pool-waits.ts";
@@ -16,8 +17,9 @@
   readonly budgets: Budgets;
   readonly waits: PoolWaits;
   readonly usage: TeamUsage;
-  /** Number of open tasks started here that still run. */
-  readonly openRunning: () => number;
+  /** Running tasks of a team in the whole fleet as known here. */
+  readonly running: (team: string) => number;
+  readonly correction: ShareCorrection;
   /** True while urgent work of a queue other than this pool's could start in a pool's slots. */
   readonly urgentElsewhere: (slotsOf: string) => boolean;
   /** True while a team is passed over because a charge was refused. */
@@ -52,9 +54,8 @@
   }
 
   usage(team: string): number {
-    const { budgets, usage, waits, openRunning } = this.#options;
-    const here = team === OPEN_TEAM ? openRunning() : budgets.running(team);
-    return (here + usage.remote(team)) / waits.weight(team);
+    const { waits, correction } = this.#options;
+    return this.#options.running(team) / waits.weight(team) + correction.of(team);
   }
 
   recent(team: string): number {
--- a/src/state/fair-share-queue.ts
+++ b/src/state/fair-share-queue.ts
@@ -25,7 +25,7 @@
   abstract slotFree(precedence: Priority): boolean;
   /** True if the team's budget allows one more running task. */
   abstract budgetFree(team: string): boolean;
-  /** Running tasks of the team divided by its weight. */
+  /** Running tasks of the team divided by its weight, with a correction of lasting differences. */
   abstract usage(team: string): number;
   /** Tasks of the team started lately divided by its weight; decides between equal usages. */
   abstract recent(team: string): number;
--- /dev/null
+++ b/test/state/share-correction.test.ts
@@ -0,0 +1,34 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ShareCorrection, type WaitingUse } from "../../src/state/share-correction.ts";
+
+const use = (team: string, running: number, weight: number): WaitingUse => {
+  return { team, running, weight };
+};
+
+function reviewed(waiting: readonly WaitingUse[], seconds: number): ShareCorrection {
+  const correction = new ShareCorrection();
+  for (let at = 0; at <= seconds * 1000; at += 50) correction.update(waiting, at);
+  return correction;
+}
+
+// Guards against a team that stays above its share because only the present usage is compared.
+test("a lasting difference from the mean usage is corrected", () => {
+  const correction = reviewed([use("small", 12, 1), use("large", 90, 9)], 2);
+  assert.ok(correction.of("small") > 1, `small ${correction.of("small")}`);
+  assert.ok(correction.of("large") < 0, `large ${correction.of("large")}`);
+  assert.is(reviewed([use("small", 10, 1), use("large", 90, 9)], 2).of("small"), 0);
+});
+
+// Guards against a team that gets nothing, or everything, for long after a long difference.
+test("a correction is at most half the mean usage and fades without waiting work", () => {
+  const correction = reviewed([use("small", 30, 1), use("large", 70, 9)], 600);
+  assert.is(correction.of("small"), 5);
+  correction.update([use("large", 70, 9)], 602_000);
+  assert.is(correction.of("small"), 2.5);
+  correction.update([use("large", 70, 9)], 660_000);
+  correction.update([], 661_000);
+  assert.is(correction.of("small"), 0);
+});
+
+test.run();
