fix(offers): without the platform, offer work only where budget is unused

A peer without budget was taken to raise it in 500 ms, also while the platform is unreachable. Change: While a peer states that the platform is unreachable, it is offered a team's work only if its unused budget exceeds the offers made since its last gossip. An entry without budget expects no end of the wait here while the platform is unreachable.

--- a/src/coordination/peer-offers.ts
+++ b/src/coordination/peer-offers.ts
@@ -4,6 +4,7 @@
 import type { PoolLoad, RunReply } from "../protocol/peer-messages.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { PeerLoads } from "./peer-loads.ts";
+import { shareTeam } from "./pool-queue.ts";
 import type { PoolWaits } from "./pool-waits.ts";
 import type { Counters, Peers, PeerState } from "./ports.ts";
 import { type Work } from "./work.ts";
@@ -53,7 +54,7 @@
 /** Chooses peers for work that cannot start here, from gossip and the offers made since. */
 export class PeerOffers {
   readonly #options: PeerOffersOptions;
-  /** Offers made since the peer's last gossip, which does not show them yet. */
+  /** Offers made since the peer's last gossip, which does not show them yet; also by team. */
   readonly #recent = new Map<string, { receivedAt: number; count: number }>();
   readonly #pausedUntil = new Map<string, number>();
   /**
@@ -93,7 +94,8 @@
     const remaining = work.expiresAt - clock.now();
     const offerMs = Math.min(MAX_OFFER_MS, remaining - DEADLINE_MARGIN_MS);
     if (offerMs <= 0) return { kind: "declined" };
-    this.#countOffer(peer);
+    this.#countOffer(peer, peer);
+    this.#countOffer(teamKey(peer, shareTeam(work.spec.team)), peer);
     counters.event("offer_made");
     const req = {
       type: "run",
@@ -135,7 +137,7 @@
       wait = Math.min(wait, this.#waitAt(peer, load, recent, need));
       slots += Math.max(0, load.freeSlots - recent);
     }
-    return { wait: wait + this.#budgetWait(peer, need.team), slots };
+    return { wait: wait + this.#budgetWait(incarnation, peer, need.team), slots };
   }
 
   #waitAt(peer: PeerState, load: PoolLoad, recent: number, need: OfferNeed): number {
@@ -156,11 +158,14 @@
     return (loads.team(peer, team)?.queued ?? 0) / share;
   }
 
-  /** A peer without budget must first raise it. */
-  #budgetWait(peer: PeerState, team: string): number {
+  /** A peer without unused budget must first raise it, which needs the platform. */
+  #budgetWait(incarnation: string, peer: PeerState, team: string): number {
     if (team === OPEN_TEAM) return 0;
     const load = this.#options.loads.team(peer, team);
-    return load !== undefined && load.budget > load.running ? 0 : BUDGET_RAISE_MS;
+    if (peer.message.platformReachable)
+      return load !== undefined && load.budget > load.running ? 0 : BUDGET_RAISE_MS;
+    const recent = this.#recentCount(teamKey(incarnation, team), peer);
+    return load !== undefined && load.budget > load.running + recent ? 0 : Infinity;
   }
 
   #draw(
@@ -174,16 +179,16 @@
     return undefined;
   }
 
-  #recentCount(incarnation: string, peer: PeerState): number {
-    const recent = this.#recent.get(incarnation);
+  #recentCount(key: string, peer: PeerState): number {
+    const recent = this.#recent.get(key);
     return recent?.receivedAt === peer.receivedAt ? recent.count : 0;
   }
 
-  #countOffer(incarnation: string): void {
+  #countOffer(key: string, incarnation: string): void {
     const peer = this.#options.peers.gossip().get(incarnation);
     if (peer === undefined) return;
-    const count = this.#recentCount(incarnation, peer) + 1;
-    this.#recent.set(incarnation, { receivedAt: peer.receivedAt, count });
+    const count = this.#recentCount(key, peer) + 1;
+    this.#recent.set(key, { receivedAt: peer.receivedAt, count });
   }
 
   #paused(incarnation: string, need: OfferNeed): boolean {
@@ -192,3 +197,7 @@
     return need.precedence !== "urgent" && (this.#pausedUntil.get(incarnation) ?? 0) > now;
   }
 }
+
+function teamKey(incarnation: string, team: string): string {
+  return `${incarnation}/${team}`;
+}
--- a/src/coordination/pool-waits.ts
+++ b/src/coordination/pool-waits.ts
@@ -105,10 +105,10 @@
   }
 
   #budgetWait(pool: string, team: string, runMs: number): number {
-    const { budgets, queues } = this.#options;
+    const { budgets, queues, config } = this.#options;
     if (team === OPEN_TEAM || budgets.room(team) > 0) return 0;
     const running = budgets.running(team);
-    if (running === 0) return BUDGET_RAISE_MS;
+    if (running === 0) return config.platformReachable() ? BUDGET_RAISE_MS : Infinity;
     const queued = queues.get(pool)?.queuedByTeam().get(team) ?? 0;
     return Math.max(BUDGET_RAISE_MS, ((queued + 1) * runMs) / running);
   }
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -41,6 +41,8 @@
   abstract ageMs(): number;
   /** True while work may be taken for keys; see section 7 of the design. */
   abstract keyedWorkAllowed(): boolean;
+  /** False while the platform cannot be read, so that no budget can be raised from here. */
+  abstract platformReachable(): boolean;
   /** Team of a key given in the clear, or undefined if no team has it. */
   abstract teamOfKey(key: string): string | undefined;
   abstract onChange(listener: (config: ConfigDocument) => void): Unsubscribe;
--- a/test/fakes/entry-fakes.ts
+++ b/test/fakes/entry-fakes.ts
@@ -19,6 +19,7 @@
 
 export class FakeConfig extends ConfigView {
   allowed = true;
+  reachable = true;
 
   constructor(public document: ConfigDocument | undefined) {
     super();
@@ -36,6 +37,10 @@
     return this.allowed;
   }
 
+  platformReachable(): boolean {
+    return this.reachable;
+  }
+
   /** The key of team `red` is `key-red`. */
   teamOfKey(key: string): string | undefined {
     return this.document?.teams.find((team) => key === `key-${team.name}`)?.name;
--- a/test/fakes/limits-ports.ts
+++ b/test/fakes/limits-ports.ts
@@ -57,6 +57,9 @@
     this.#revision++;
     for (const listener of this.#listeners) listener(this.current());
   }
+  platformReachable(): boolean {
+    return true;
+  }
   current(): ConfigDocument {
     const team = { name: TEAM, share: 1, upperLimit: this.#limit, queues: [], keys: [] };
     return {
--- a/test/fakes/planned-fleet.ts
+++ b/test/fakes/planned-fleet.ts
@@ -82,6 +82,10 @@
 class FixedConfig extends ConfigView {
   document = exampleConfig();
 
+  platformReachable(): boolean {
+    return true;
+  }
+
   current(): ConfigDocument {
     return this.document;
   }
