fix(limits): keep unused budget while the platform is unreachable

Entries went on giving up unused budget during the outage: the write fails, but the part given up stays unusable, because the write may still arrive. Change: An entry gives up no unused budget while its configuration watch shows the platform as unreachable. A lowered limit is followed as before.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -239,6 +239,8 @@
     const demand = this.#needed(team);
     const reserve = this.#reserve(team);
     if (this.#usable(shard) && running + demand > budget) return running + demand + reserve;
+    // What is given up could not be raised again while the platform is unreachable.
+    if (!this.#options.config.platformReachable()) return budget;
     const idle = Math.max(0, this.#idle.take(team, this.#spare(team)) - reserve);
     const given = Math.max(Math.min(returned, this.#spare(team)), idle);
     return Math.max(running, budget - given);
--- a/test/coordination/budget-keeper.test.ts
+++ b/test/coordination/budget-keeper.test.ts
@@ -17,6 +17,7 @@
   readonly clock: VirtualClock;
   readonly peers: FakePeers;
   readonly budgets: BudgetKeeper;
+  readonly config: FakeConfig;
 }
 
 /** A keeper with one server whose two slots are taken; a peer holds `taken` of the limit of 100. */
@@ -36,17 +37,17 @@
   const coverage = new LeaseCoverage({ clock });
   coverage.extend("s1", { until: Infinity, wallUntil: Infinity });
   const peers = new FakePeers("e1", clock);
+  const config = new FakeConfig(fixtureConfig());
   const budgets = new BudgetKeeper({
     store: new DocumentStore({ kv, clock, random, counters }),
-    ...{ clock, random, counters, peers, coverage, held },
-    config: new FakeConfig(fixtureConfig()),
+    ...{ clock, random, counters, peers, coverage, held, config },
     charges: new ChargeBook(),
     ledgerShards: 1,
     budgetIdleMs: 2000,
     onRetired: () => undefined,
   });
   void budgets.run();
-  return { clock, peers, budgets };
+  return { clock, peers, budgets, config };
 }
 
 // Guards against a team that never starts at an entry whose slots are always taken by other teams.
@@ -69,4 +70,19 @@
   budgets.stop();
 });
 
+// Guards against budget given up during an outage, which nobody could raise again before its end.
+test("unused budget is kept while the platform is unreachable", async () => {
+  const { clock, budgets, config } = await fullEntry(0);
+  budgets.setDemand("red", 5);
+  await clock.until(() => budgets.room("red") > 0, 2000);
+  const room = budgets.room("red");
+  budgets.setDemand("red", 0);
+  config.reachable = false;
+  await clock.advance(10_000);
+  assert.is(budgets.room("red"), room);
+  config.reachable = true;
+  await clock.until(() => budgets.room("red") < room, 5000);
+  budgets.stop();
+});
+
 test.run();
