fix(limits): each entry that holds servers keeps a reserve of each team

Change: The reserve (a quarter of the limit over all entries, at most 4) is raised without demand while the limit has room. A reserve that a peer asked for is raised again after 10 s at the earliest. The shard of a team is hashed once, and the requests to peers are in a module of their own. Ruled out: A longer estimate of the time of a raise was not tried. The test of fencing that cuts an entry off relied on the time of a raise for home slots to be shared first; it now waits for them, so its check of the slots has an object.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -7,6 +7,7 @@
 import type { ChargeBook } from "../state/charge-book.ts";
 import { retire, type BudgetWish, type UpperLimit } from "../state/ledger.ts";
 import type { DocumentStore } from "./document-store.ts";
+import { askForBudget } from "./budget-requests.ts";
 import { IdleWindow } from "./idle-window.ts";
 import type { LeaseCoverage } from "./lease-coverage.ts";
 import { LedgerShard } from "./ledger-shard.ts";
@@ -27,7 +28,6 @@
 const TICK_MS = 500;
 /** Age at which a shard in use is read again, so that caps and marks are seen. */
 const REFRESH_MS = 5000;
-const BUDGET_REQUEST_TIMEOUT_MS = 500;
 /** Age up to which a count of free slots is used again, as it is needed for every start. */
 const FREE_SLOTS_AGE_MS = 20;
 /**
@@ -35,8 +35,9 @@
  * A raise takes about a second, and with 1 a team gained too little in that time.
  */
 const LEAST_SLOTS = 2;
-const MAX_ASKED_PEERS = 3;
 const MAX_RESERVE = 4;
+/** A reserve that was given to a peer is raised again after this time. */
+const RESERVE_PAUSE_MS = 10_000;
 
 /** Options of {@link BudgetKeeper}. */
 export interface BudgetKeeperOptions {
@@ -63,8 +64,11 @@
   readonly #wakes = new Map<number, () => void>();
   readonly #demand = new Map<string, number>();
   readonly #returns = new Map<string, number>();
+  /** Time at which a peer last asked for budget and got some. */
+  readonly #givenAt = new Map<string, number>();
   readonly #idle: IdleWindow;
   readonly #listeners = new Set<() => void>();
+  readonly #indexes = new Map<string, number>();
   readonly #stopped = new AbortController();
   #free = { at: -Infinity, count: 0 };
   #tasks: Promise<unknown> = Promise.resolve();
@@ -170,6 +174,7 @@
     const given = Math.min(wanted, this.#spare(team));
     if (given <= 0) return { type: "ack", accepted: false };
     this.#returns.set(team, Math.max(given, this.#returns.get(team) ?? 0));
+    this.#givenAt.set(team, this.#options.clock.now());
     this.#wake(team);
     return { type: "ack", accepted: true };
   }
@@ -202,7 +207,7 @@
 
   /** One round of reads and writes of a shard; true if a team still lacks budget. */
   async #step(shard: LedgerShard, index: number): Promise<boolean> {
-    const { clock, coverage } = this.#options;
+    const { clock, coverage, peers } = this.#options;
     const age = clock.now() - (shard.confirmedAt ?? -Infinity);
     const unread = coverage.since() !== undefined && !this.#usable(shard);
     const teams = this.#teamsOf(shard, index);
@@ -216,7 +221,7 @@
     this.#notify();
     const short = teams.filter((team) => this.#shortfall(team) > 0);
     if (short.length === 0 || !this.#usable(shard)) return false;
-    await Promise.all(short.map((team) => this.#askPeers(team, this.#shortfall(team))));
+    await Promise.all(short.map((team) => askForBudget(peers, team, this.#shortfall(team))));
     await shard.read();
     return true;
   }
@@ -239,6 +244,8 @@
     const demand = this.#needed(team);
     const reserve = this.#reserve(team);
     if (this.#usable(shard) && running + demand > budget) return running + demand + reserve;
+    // Without a reserve, the first task of a team would wait here until a budget was raised.
+    if (this.#mayReserve(shard, team) && budget < running + reserve) return running + reserve;
     // What is given up could not be raised again while the platform is unreachable.
     if (!this.#options.config.platformReachable()) return budget;
     const idle = Math.max(0, this.#idle.take(team, this.#spare(team)) - reserve);
@@ -279,29 +286,20 @@
     return this.#needed(team) - this.room(team);
   }
 
-  async #askPeers(team: string, wanted: number): Promise<void> {
-    const { peers } = this.#options;
-    const spares = [...peers.gossip().values()].flatMap(({ hello, message }) => {
-      const load = message.teams.find((one) => one.team === team);
-      // What is queued there may lack slots rather than budget, so the peer decides what it needs.
-      const spare = load === undefined ? 0 : load.budget - load.running;
-      return spare > 0 ? [{ incarnation: hello.incarnation, spare }] : [];
-    });
-    spares.sort((a, b) => b.spare - a.spare);
-    const req: BudgetRequest = { type: "budget-request", team, wanted };
-    await Promise.all(
-      spares
-        .slice(0, MAX_ASKED_PEERS)
-        .map(({ incarnation }) => peers.call(incarnation, req, BUDGET_REQUEST_TIMEOUT_MS)),
-    );
-  }
-
   /** Unused budget kept here: small against the limit divided by the entries. */
   #reserve(team: string): number {
     const entries = this.#options.peers.gossip().size + 1;
     return Math.min(MAX_RESERVE, Math.floor((this.#limitOf(team)?.limit ?? 0) / (4 * entries)));
   }
 
+  /** A reserve that a peer asked for is not taken back at once. */
+  #mayReserve(shard: LedgerShard, team: string): boolean {
+    const { clock } = this.#options;
+    const givenAt = this.#givenAt.get(team) ?? -Infinity;
+    if (!this.#usable(shard) || clock.now() - givenAt < RESERVE_PAUSE_MS) return false;
+    return this.#freeSlots() > 0 && shard.remaining(team) > 0;
+  }
+
   /** The budget is zero unless the shard was read during the present unbroken lease coverage. */
   #usable(shard: LedgerShard): boolean {
     const since = this.#options.coverage.since();
@@ -322,7 +320,11 @@
 
   #teamsOf(shard: LedgerShard, index: number): readonly string[] {
     const own = [...this.#demand.keys()].filter((team) => this.#indexOf(team) === index);
-    return [...new Set([...shard.teams(), ...own])];
+    const { teams = [] } = this.#options.config.current() ?? {};
+    const reserved = teams.flatMap(({ name }) =>
+      this.#indexOf(name) === index && this.#reserve(name) > 0 ? [name] : [],
+    );
+    return [...new Set([...shard.teams(), ...own, ...reserved])];
   }
 
   #pending(shard: LedgerShard, index: number): boolean {
@@ -330,8 +332,14 @@
     return this.#teamsOf(shard, index).some((team) => this.#shortfall(team) > 0);
   }
 
+  /** Kept by team, since the hash is costly and needed for every start. */
   #indexOf(team: string): number {
-    return ledgerShardOf(team, this.#shards.length);
+    let index = this.#indexes.get(team);
+    if (index === undefined) {
+      index = ledgerShardOf(team, this.#shards.length);
+      this.#indexes.set(team, index);
+    }
+    return index;
   }
 
   #shardOf(team: string): LedgerShard {
--- a/src/coordination/ledger-shard.ts
+++ b/src/coordination/ledger-shard.ts
@@ -97,6 +97,13 @@
       .map(({ team }) => team);
   }
 
+  /** Part of a team's limit that is in no row as last read. */
+  remaining(team: string): number {
+    const record = this.document.teams.find((budgets) => budgets.team === team);
+    if (record === undefined) return this.#options.limitOf(team)?.limit ?? 0;
+    return record.limit - record.rows.reduce((sum, { budget }) => sum + budget, 0);
+  }
+
   /** Tasks of a team that may run under the own row as last read. */
   allowance(team: string): number {
     if (this.retired) return 0;
--- a/test/coordination/budget-keeper.test.ts
+++ b/test/coordination/budget-keeper.test.ts
@@ -85,4 +85,25 @@
   budgets.stop();
 });
 
+// Guards against the first task of a team that waits for a raise, or cannot start in an outage.
+test("a reserve is raised without demand, and one that a peer took is left to it", async () => {
+  const { clock, budgets } = await fullEntry(0);
+  await clock.until(() => budgets.room("red") === 4, 2000);
+  budgets.handleBudgetRequest({ type: "budget-request", team: "red", wanted: 3 });
+  await clock.until(() => budgets.room("red") === 1, 2000);
+  await clock.advance(5000);
+  assert.is(budgets.room("red"), 1);
+  await clock.until(() => budgets.room("red") === 4, 6000);
+  budgets.stop();
+});
+
+// Guards against rows that are written although nothing is left to reserve.
+test("no reserve is asked for when the limit is used up", async () => {
+  const { clock, peers, budgets } = await fullEntry(100);
+  await clock.advance(5000);
+  assert.is(budgets.room("red"), 0);
+  assert.equal(peers.sent, []);
+  budgets.stop();
+});
+
 test.run();
--- a/test/coordination/fencing.test.ts
+++ b/test/coordination/fencing.test.ts
@@ -113,6 +113,7 @@
   const { cluster, e1, e2 } = await twoEntries();
   const held = e1.leases.contribute().held[0]!;
   await runTasks(cluster, e1, 2);
+  while ((await slotCount(cluster, "e1")) === 0) await cluster.clock.advance(100);
   // e1 keeps its servers but is cut off from everything else.
   cluster.setCut(e1, e2, true);
   e1.kvLink.down = true;
