fix(overload): urgent work and teams below their share are not refused for others' waits

Cause: The expected wait of a request was the least of the own wait and the waits in the peers' gossip. Those are the waits of a pool's oldest work of any team that is not batch. An entry without slots of the pool refused an urgent request with a deadline of 2 s as `overload` although its urgent work would start at once at a peer, and a request of a team below its share for the queues of others. Change: Urgent work is not judged by peers' waits while one of them has slots. For other work, the wait under the team's share at each peer, as used for offers, counts as well. Checks: urgent work goes before the spare pool's batch work as before normal work (test).

--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -157,11 +157,19 @@
     return { outcome, withdraw };
   }
 
-  /** Expected wait in milliseconds of a request; 0 if no capacity is known anywhere. */
+  /**
+   * Expected wait in milliseconds of a request; 0 if no capacity is known anywhere. Peers report
+   * the waits of work that is not urgent, so urgent work is not judged by them.
+   */
   expectedWait(queue: string, team: string | undefined, precedence: Priority): number {
     const pool = this.#poolOf(queue);
-    const here = this.#waits.here({ pool, team: shareTeam(team), precedence });
-    const wait = Math.min(here, ...this.#loads.waits(pool));
+    const query = { pool, team: shareTeam(team), precedence };
+    const here = this.#waits.here(query);
+    const pools = this.#lending.poolsFor(pool);
+    const runMs = this.#waits.runMs(queue, query.team);
+    const atPeers = this.#offers.shortestWait({ ...query, pools, ownWaitMs: here, runMs });
+    if (precedence === "urgent" && Number.isFinite(atPeers)) return 0;
+    const wait = Math.min(here, atPeers, ...this.#loads.waits(pool));
     return Number.isFinite(wait) ? wait : 0;
   }
 
--- a/src/coordination/peer-offers.ts
+++ b/src/coordination/peer-offers.ts
@@ -88,6 +88,14 @@
     return this.#draw(free) ?? best;
   }
 
+  /** Shortest expected wait at any peer in milliseconds; infinite if none would start the work. */
+  shortestWait(need: OfferNeed): number {
+    const peers = this.#options.loads.takingWork();
+    return Math.min(
+      ...peers.map(([incarnation, peer]) => this.#prospect(incarnation, peer, need).wait),
+    );
+  }
+
   /** Makes an offer and waits for its end. */
   async offer(peer: string, work: Work, ref: TaskRef): Promise<OfferOutcome> {
     const { clock, peers, counters } = this.#options;
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -39,22 +39,24 @@
 });
 
 // Guards against urgent work that starves while the spare pool's own work takes every slot lent.
-test("urgent work of a borrowing pool goes before the spare pool's normal work", async () => {
-  const queue = { open: false, idempotent: false, declaredRunMs: 100 };
-  const queues = [
-    { ...queue, name: "jobs", pool: "jobs" },
-    { ...queue, name: "surveys", pool: "spare" },
-  ];
-  const entry = entryFixture({ config: fixtureConfig({ queues }) });
-  const { clock, held } = entry;
-  held.add("x1", { slots: 2, pool: "spare" });
-  held.runMs = 400;
-  submitMany(entry, 60, { queue: "surveys" });
-  submitMany(entry, 4, { priority: "urgent", key: "key-blue" });
-  const urgent = (): number => held.started.filter(({ spec }) => spec.priority === "urgent").length;
-  await clock.until(() => urgent() === 4, 3700);
-  await clock.until(() => held.started.length === 64, 30_000);
-});
+for (const priority of ["normal", "batch"] as const)
+  test(`urgent work of a borrowing pool goes before the spare pool's ${priority} work`, async () => {
+    const queue = { open: false, idempotent: false, declaredRunMs: 100 };
+    const queues = [
+      { ...queue, name: "jobs", pool: "jobs" },
+      { ...queue, name: "surveys", pool: "spare" },
+    ];
+    const entry = entryFixture({ config: fixtureConfig({ queues }) });
+    const { clock, held } = entry;
+    held.add("x1", { slots: 2, pool: "spare" });
+    held.runMs = 400;
+    submitMany(entry, 60, { queue: "surveys", priority });
+    submitMany(entry, 4, { priority: "urgent", key: "key-blue" });
+    const urgent = (): number =>
+      held.started.filter(({ spec }) => spec.priority === "urgent").length;
+    await clock.until(() => urgent() === 4, 3700);
+    await clock.until(() => held.started.length === 64, 30_000);
+  });
 
 // Guards against normal work of one borrowing pool that takes every slot lent from another's urgent.
 test("urgent work of a borrowing pool goes before other borrowing pools' normal work", async () => {
@@ -206,4 +208,29 @@
   return { revision: 1, writeId: "w", group: "g", servers, retired: [] };
 }
 
+// Guards against urgent work refused because of the wait that peers report for other work, and
+// against a team below its share refused because of the queues of others.
+test("no request is refused for waits that it would not have", async () => {
+  const entry = entryFixture({ config: fixtureConfig({ shares: { red: 1, blue: 9 } }) });
+  const { clock, peers } = entry;
+  const pools = [{ pool: "jobs", freeSlots: 0, totalSlots: 8, queued: 500, waitMs: 4500 }];
+  const load = { running: 4, budget: 100 };
+  const teams = [
+    { team: "red", queued: 500, ...load },
+    { team: "blue", queued: 0, ...load },
+  ];
+  peers.hear({ ...peers.self, incarnation: "e2" }, { pools, teams });
+  const replies: string[] = [];
+  for (const change of [
+    { key: "key-red", priority: "urgent" },
+    { key: "key-red", priority: "normal" },
+    { key: "key-blue", priority: "normal" },
+  ] as const)
+    void entry.submit({ timeoutMs: 2000, ...change }).then((reply) => {
+      replies.push(`${change.key} ${change.priority} ${summary(reply)}`);
+    });
+  await clock.advance(50);
+  assert.equal(replies, ["key-red normal overload ran=no"]);
+});
+
 test.run();
