--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -3,8 +3,10 @@
 import type { Priority } from "../platform/backend-server.ts";
 import type { PoolLoad } from "../protocol/peer-messages.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
+import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
+import { ShareCorrection } from "../state/share-correction.ts";
 import { TeamUsage } from "../state/team-usage.ts";
 import { CapacityReview } from "./capacity-review.ts";
 import { LocalPolicy } from "./local-policy.ts";
@@ -65,6 +67,7 @@
   readonly #lending: PoolLending;
   readonly #waits: PoolWaits;
   readonly #usage = new TeamUsage();
+  readonly #correction = new ShareCorrection();
   readonly #loads: PeerLoads;
   readonly #offers: PeerOffers;
   readonly #queueOffers: QueueOffers;
@@ -154,11 +157,19 @@
     return { outcome, withdraw };
   }
 
-  /** Expected wait in milliseconds of a request; 0 if no capacity is known anywhere. */
+  /**
+   * Expected wait in milliseconds of a request; 0 if no capacity is known anywhere. Peers report
+   * the waits of work that is not urgent, so urgent work is not judged by them.
+   */
   expectedWait(queue: string, team: string | undefined, precedence: Priority): number {
     const pool = this.#poolOf(queue);
-    const here = this.#waits.here({ pool, team: shareTeam(team), precedence });
-    const wait = Math.min(here, ...this.#loads.waits(pool));
+    const query = { pool, team: shareTeam(team), precedence };
+    const here = this.#waits.here(query);
+    const pools = this.#lending.poolsFor(pool);
+    const runMs = this.#waits.runMs(queue, query.team);
+    const atPeers = this.#offers.shortestWait({ ...query, pools, ownWaitMs: here, runMs });
+    if (precedence === "urgent" && Number.isFinite(atPeers)) return 0;
+    const wait = Math.min(here, atPeers, ...this.#loads.waits(pool));
     return Number.isFinite(wait) ? wait : 0;
   }
 
@@ -206,6 +217,7 @@
 
   /** Starts what can start here, then offers what a peer would start sooner. */
   review(): void {
+    this.#correctShares();
     this.#startQueued();
     for (const [pool, queue] of this.#queues) this.#queueOffers.considerAll(pool, queue);
   }
@@ -237,6 +249,19 @@
     this.#demand.report();
   }
 
+  #correctShares(): void {
+    const waiting = [...this.queuedByTeam().keys()].map((team) => {
+      return { team, running: this.#runningOf(team), weight: this.#waits.weight(team) };
+    });
+    this.#correction.update(waiting, this.#options.clock.now());
+  }
+
+  #runningOf(team: string): number {
+    const { budgets } = this.#options;
+    const here = team === OPEN_TEAM ? this.#starter.openRunning : budgets.running(team);
+    return here + this.#usage.remote(team);
+  }
+
   #poolOf(queue: string): string {
     const { queues = [] } = this.#options.config.current() ?? {};
     return queues.find((each) => each.name === queue)?.pool ?? "";
@@ -260,18 +285,19 @@
       budgets: this.#options.budgets,
       waits: this.#waits,
       usage: this.#usage,
-      openRunning: () => this.#starter.openRunning,
+      running: (team) => this.#runningOf(team),
+      correction: this.#correction,
       paused: (team) => this.#starter.paused(team),
-      urgentBorrowers: () => this.#urgentBorrowersOf(pool),
+      urgentElsewhere: (slotsOf) => this.#urgentElsewhere(pool, slotsOf),
     });
     queue = new PoolQueue({ policy, launch: (item) => this.#launch(item) });
     this.#queues.set(pool, queue);
     return queue;
   }
 
-  #urgentBorrowersOf(pool: string): boolean {
+  #urgentElsewhere(pool: string, slotsOf: string): boolean {
     for (const [other, queue] of this.#queues) {
-      if (other === pool || !this.#lending.poolsFor(other).includes(pool)) continue;
+      if (other === pool || !this.#lending.poolsFor(other).includes(slotsOf)) continue;
       if (queue.urgentReady) return true;
     }
     return false;
--- a/src/coordination/local-policy.ts
+++ b/src/coordination/local-policy.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../platform/clock.ts";
 import type { Priority } from "../platform/backend-server.ts";
 import { OPEN_TEAM, SharePolicy } from "../state/fair-share-queue.ts";
+import type { ShareCorrection } from "../state/share-correction.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
 import type { PoolLending } from "./pool-lending.ts";
 import type { PoolWaits } from "./pool-waits.ts";
@@ -16,10 +17,11 @@
   readonly budgets: Budgets;
   readonly waits: PoolWaits;
   readonly usage: TeamUsage;
-  /** Number of open tasks started here that still run. */
-  readonly openRunning: () => number;
-  /** True while urgent work of another pool could start in this pool's slots. */
-  readonly urgentBorrowers: () => boolean;
+  /** Running tasks of a team in the whole fleet as known here. */
+  readonly running: (team: string) => number;
+  readonly correction: ShareCorrection;
+  /** True while urgent work of a queue other than this pool's could start in a pool's slots. */
+  readonly urgentElsewhere: (slotsOf: string) => boolean;
   /** True while a team is passed over because a charge was refused. */
   readonly paused: (team: string) => boolean;
 }
@@ -34,10 +36,16 @@
   }
 
   slotFree(precedence: Priority): boolean {
-    const { picker, lending, pool, urgentBorrowers } = this.#options;
-    // The spare pool's own queue goes first, so its other work would starve borrowers' urgent work.
-    if (precedence !== "urgent" && urgentBorrowers()) return false;
-    return lending.poolsFor(pool).some((each) => picker.freeSlots(each, precedence) > 0);
+    const { picker, lending, pool, urgentElsewhere } = this.#options;
+    // Pools are served in a fixed order, so other work of an earlier one would take every slot
+    // that is lent from urgent work of a later one.
+    return lending
+      .poolsFor(pool)
+      .some(
+        (each) =>
+          picker.freeSlots(each, precedence) > 0 &&
+          (precedence === "urgent" || !urgentElsewhere(each)),
+      );
   }
 
   budgetFree(team: string): boolean {
@@ -46,9 +54,8 @@
   }
 
   usage(team: string): number {
-    const { budgets, usage, waits, openRunning } = this.#options;
-    const here = team === OPEN_TEAM ? openRunning() : budgets.running(team);
-    return (here + usage.remote(team)) / waits.weight(team);
+    const { waits, correction } = this.#options;
+    return this.#options.running(team) / waits.weight(team) + correction.of(team);
   }
 
   recent(team: string): number {
--- /dev/null
+++ b/test/coordination/budget-keeper.test.ts
@@ -0,0 +1,109 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { BudgetKeeper } from "../../src/coordination/budget-keeper.ts";
+import { DocumentStore } from "../../src/coordination/document-store.ts";
+import { LeaseCoverage } from "../../src/coordination/lease-coverage.ts";
+import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import { ledgerKey } from "../../src/protocol/ledger-document.ts";
+import { ChargeBook } from "../../src/state/charge-book.ts";
+import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
+import { FakeConfig, FakeHeld, fixtureConfig } from "../fakes/entry-fakes.ts";
+import { FakePeers } from "../fakes/peer-fakes.ts";
+import { RecordedCounters } from "../fakes/quiet.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
+
+interface Fixture {
+  readonly clock: VirtualClock;
+  readonly peers: FakePeers;
+  readonly budgets: BudgetKeeper;
+  readonly config: FakeConfig;
+}
+
+/** A keeper with one server whose two slots are taken; a peer holds `taken` of the limit of 100. */
+async function fullEntry(taken: number): Promise<Fixture> {
+  const clock = new VirtualClock();
+  const random = new SeededRandom(1);
+  const counters = new RecordedCounters();
+  const kv = new KeyValueStore({ clock });
+  const rows = taken === 0 ? [] : [{ incarnation: "e2", budget: taken }];
+  const teams = [{ team: "red", limit: 100, configRevision: 1, rows }];
+  const value = JSON.stringify({ writeId: "w", teams, retired: [] });
+  await kv.put({ key: ledgerKey(0), value, expectedRevision: 0 });
+  const held = new FakeHeld(clock);
+  held.add("s1");
+  held.runMs = undefined;
+  for (const requestId of ["a", "b"]) await held.start("s1", { requestId, attempt: 1 } as TaskSpec);
+  const coverage = new LeaseCoverage({ clock });
+  coverage.extend("s1", { until: Infinity, wallUntil: Infinity });
+  const peers = new FakePeers("e1", clock);
+  const config = new FakeConfig(fixtureConfig());
+  const budgets = new BudgetKeeper({
+    store: new DocumentStore({ kv, clock, random, counters }),
+    ...{ clock, random, counters, peers, coverage, held, config },
+    charges: new ChargeBook(),
+    ledgerShards: 1,
+    budgetIdleMs: 2000,
+    onRetired: () => undefined,
+  });
+  void budgets.run();
+  return { clock, peers, budgets, config };
+}
+
+// Guards against a team that never starts at an entry whose slots are always taken by other teams.
+test("a team with queued work gets budget although no slot is free at the moment", async () => {
+  const { clock, budgets } = await fullEntry(0);
+  budgets.setDemand("red", 5);
+  await clock.until(() => budgets.room("red") > 0, 2000);
+  assert.ok(budgets.room("red") < 10, "no more than the slots could use");
+  budgets.stop();
+});
+
+// Guards against unused budget that nobody is asked for because its holder has work queued.
+test("a peer with unused budget is asked for it even if it has queued work", async () => {
+  const { clock, peers, budgets } = await fullEntry(100);
+  const load = { team: "red", running: 1, budget: 100, queued: 500 };
+  peers.hear({ ...peers.self, incarnation: "e2" }, { teams: [load] });
+  budgets.setDemand("red", 5);
+  const asked = (): boolean => peers.sent.some(({ req }) => req.type === "budget-request");
+  await clock.until(asked, 2000);
+  budgets.stop();
+});
+
+// Guards against budget given up during an outage, which nobody could raise again before its end.
+test("unused budget is kept while the platform is unreachable", async () => {
+  const { clock, budgets, config } = await fullEntry(0);
+  budgets.setDemand("red", 5);
+  await clock.until(() => budgets.room("red") > 0, 2000);
+  const room = budgets.room("red");
+  budgets.setDemand("red", 0);
+  config.reachable = false;
+  await clock.advance(10_000);
+  assert.is(budgets.room("red"), room);
+  config.reachable = true;
+  await clock.until(() => budgets.room("red") < room, 5000);
+  budgets.stop();
+});
+
+// Guards against the first task of a team that waits for a raise, or cannot start in an outage.
+test("a reserve is raised without demand, and one that a peer took is left to it", async () => {
+  const { clock, budgets } = await fullEntry(0);
+  await clock.until(() => budgets.room("red") === 4, 2000);
+  budgets.handleBudgetRequest({ type: "budget-request", team: "red", wanted: 3 });
+  await clock.until(() => budgets.room("red") === 1, 2000);
+  await clock.advance(5000);
+  assert.is(budgets.room("red"), 1);
+  await clock.until(() => budgets.room("red") === 4, 6000);
+  budgets.stop();
+});
+
+// Guards against rows that are written although nothing is left to reserve.
+test("no reserve is asked for when the limit is used up", async () => {
+  const { clock, peers, budgets } = await fullEntry(100);
+  await clock.advance(5000);
+  assert.is(budgets.room("red"), 0);
+  assert.equal(peers.sent, []);
+  budgets.stop();
+});
+
+test.run();
--- a/test/fakes/entry-fakes.ts
+++ b/test/fakes/entry-fakes.ts
@@ -21,6 +21,7 @@
 /** A configuration that the test sets; `T` may include undefined for one not read yet. */
 export class FakeConfig<T extends ConfigDocument | undefined = ConfigDocument> extends ConfigView {
   allowed = true;
+  reachable = true;
 
   constructor(public document: T) {
     super();
@@ -38,6 +39,10 @@
     return this.allowed;
   }
 
+  platformReachable(): boolean {
+    return this.reachable;
+  }
+
   /** The key of team `red` is `key-red`. */
   teamOfKey(key: string): string | undefined {
     return this.document?.teams.find((team) => key === `key-${team.name}`)?.name;
