fix(limits): the last holder of an idle team's budget keeps one unit

Cause: entries return unused budget after 2 s, and the reserve, floor(limit / (4 * entries)), is 0 for small limits. A team that was idle when the platform went down had no budget at any entry, could not raise one, and got no keyed request served until the platform was back. Change: when an idle row is lowered and no other live row of the team has budget, the write leaves 1. It is decided within the compare-and-swap, because entries that become idle together each see the others' rows. A peer that asks for unused budget still gets all of it, and a retiring entry keeps nothing. `--served` lets teams work and then be idle for 10 s before that outage. Ruled out: deciding it from the shard as last read; the last of several concurrent lowerings would not know that it is the last. A team that never ran anything still has no budget in an outage. Conclusion: a team that was idle goes on in an outage, with one task at a time.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -32,6 +32,8 @@
 const FREE_SLOTS_AGE_MS = 20;
 const MAX_ASKED_PEERS = 3;
 const MAX_RESERVE = 4;
+/** Budget that the last holder of an idle team keeps, since none can be raised in an outage. */
+const LAST_KEPT = 1;
 
 /** Options of {@link BudgetKeeper}. */
 export interface BudgetKeeperOptions {
@@ -219,8 +221,9 @@
   #wishes(shard: LedgerShard, teams: readonly string[]): readonly BudgetWish[] {
     return teams.flatMap((team) => {
       const budget = shard.budget(team);
+      const keepIfLast = this.#returns.has(team) ? 0 : Math.min(LAST_KEPT, shard.allowance(team));
       const target = this.#target(shard, team, budget);
-      return target === budget ? [] : [this.#wish(team, target)];
+      return target === budget ? [] : [{ ...this.#wish(team, target), keepIfLast }];
     });
   }
 
--- a/src/state/ledger.ts
+++ b/src/state/ledger.ts
@@ -20,6 +20,8 @@
   readonly team: string;
   /** A lower value than the row's must already hold for the running tasks. */
   readonly target: number;
+  /** Budget that the row keeps when it is lowered and no other live row has any. @default 0 */
+  readonly keepIfLast?: number;
 }
 
 /** Number of running tasks of a team. */
@@ -103,7 +105,8 @@
     const old = next.teams.find((record) => record.team === wish.team);
     const record = old ?? { team: wish.team, limit: 0, configRevision: 0, rows: [] };
     const limited = mayRaise ? withLimit(record, wish, next.retired) : record;
-    const settled = settleRow(limited, incarnation, wish.target, mayRaise);
+    const target = Math.max(wish.target, keptByLast(limited, incarnation, wish, next.retired));
+    const settled = settleRow(limited, incarnation, target, mayRaise);
     const same = old?.rows === settled.rows && old.limit === settled.limit;
     if (same || (old === undefined && settled.rows.length === 0)) continue;
     next = { ...next, teams: replaceTeam(next.teams, settled) };
@@ -154,6 +157,19 @@
   );
 }
 
+/** What the last live row with budget keeps, which is no more than it has. */
+function keptByLast(
+  { rows }: TeamBudgets,
+  incarnation: string,
+  { keepIfLast = 0 }: BudgetWish,
+  retired: readonly Tombstone[],
+): number {
+  const dead = new Set(retired.map((mark) => mark.incarnation));
+  const live = rows.filter((row) => row.budget > 0 && !dead.has(row.incarnation));
+  const own = live.find((row) => row.incarnation === incarnation);
+  return live.length === 1 && own !== undefined ? Math.min(keepIfLast, own.budget) : 0;
+}
+
 function settleRow(
   record: TeamBudgets,
   incarnation: string,
--- a/test/coordination/limits.test.ts
+++ b/test/coordination/limits.test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { Cluster } from "../fakes/limits-cluster.ts";
+import { TEAM } from "../fakes/limits-ports.ts";
 
 // Guards against two entries raising their budgets from the same remainder, and against budget
 // that is never returned to those who need it.
@@ -34,4 +35,24 @@
   }
 });
 
+// Guards against an idle team without any budget, which cannot be raised in a platform outage.
+test("the last holder of an idle team's budget keeps some, and others still reach the limit", async () => {
+  const cluster = new Cluster({ limit: 4, servers: 4 });
+  const entries = ["e1", "e2", "e3"].map((name) => cluster.add(name));
+  await cluster.clock.until(() => entries.every((one) => one.leases.list().length > 0), 30_000);
+  for (const entry of entries) entry.budgets.setDemand(TEAM, 1);
+  await cluster.clock.advance(5000);
+  for (const entry of entries) entry.budgets.setDemand(TEAM, 0);
+  await cluster.clock.advance(10_000);
+  const rows = (await cluster.ledger()).flatMap((team) => team.rows);
+  assert.is(
+    rows.reduce((sum, row) => sum + row.budget, 0),
+    1,
+  );
+  const other = entries.find(({ budgets }) => budgets.room(TEAM) === 0)!;
+  other.budgets.setDemand(TEAM, 4);
+  await cluster.clock.until(() => other.budgets.room(TEAM) === 4, 5000);
+  assert.is(other.budgets.room(TEAM), 4);
+});
+
 test.run();
--- a/test/fuzz/served.ts
+++ b/test/fuzz/served.ts
@@ -10,6 +10,8 @@
 /** Length of each fault and of the load before it, in milliseconds. */
 const FAULT_MS = 30_000;
 const BEFORE_MS = 6000;
+/** Longer than entries keep unused budget, in milliseconds. */
+const IDLE_MS = 10_000;
 /** Each entry gets one request of each kind in this time, in milliseconds. */
 const ROUND_MS = 1000;
 const RUN_MS = 100;
@@ -20,26 +22,26 @@
 /** A fault during which requests are counted. */
 export interface ServedFault {
   readonly name: string;
-  /** Whether callers send requests before the fault, so that budgets are in use. */
-  readonly loaded: boolean;
+  /** Time without requests right before the fault, in which budgets are returned. */
+  readonly idleMs: number;
   readonly begin: (world: World) => void;
 }
 
 /** Every fault during which requests are counted. */
 export const SERVED_FAULTS: readonly ServedFault[] = [
-  { name: "none", loaded: true, begin: () => undefined },
+  { name: "none", idleMs: 0, begin: () => undefined },
   {
     name: "one zone partitioned",
-    loaded: true,
+    idleMs: 0,
     begin: (world) => {
       isolateZone(world, 0, FAULT_MS, false);
     },
   },
-  { name: "platform down", loaded: true, begin: platformDown },
-  { name: "platform down, teams idle before", loaded: false, begin: platformDown },
+  { name: "platform down", idleMs: 0, begin: platformDown },
+  { name: "platform down, teams idle before", idleMs: IDLE_MS, begin: platformDown },
   {
     name: "one entry dead",
-    loaded: true,
+    idleMs: 0,
     begin: (world) => {
       replaceLater(world, 0, FAULT_MS);
     },
@@ -69,12 +71,13 @@
   const zones = seed % 2 === 0 ? ["a", "b"] : ["a", "b", "c"];
   const world = new World({ seed, zones, entriesPerZone: 2, factory, log: QUIET_LOG });
   await world.start();
-  await load(world, BEFORE_MS, fault.loaded);
+  await load(world, BEFORE_MS);
+  await world.advance(fault.idleMs);
   const { requests } = world.oracle;
   const first = requests.count;
   fault.begin(world);
   world.observe();
-  await load(world, FAULT_MS, true);
+  await load(world, FAULT_MS);
   const sent = requests.count - first;
   await world.advance(TIMEOUT_MS);
   const answered = requests.answered(first, sent);
@@ -83,12 +86,12 @@
 }
 
 /** Callers reach live entries only, as behind the platform's load balancer. */
-async function load(world: World, forMs: number, on: boolean): Promise<void> {
+async function load(world: World, forMs: number): Promise<void> {
   for (let passed = 0; passed < forMs; passed += ROUND_MS) {
     const live = world.slots.filter((slot) => slot.process !== undefined);
     for (const [n, slot] of live.entries()) {
       const team = TEAMS[(n + passed / ROUND_MS) % TEAMS.length]!;
-      if (on) for (const queue of LOAD) submit(world, slot, queue, team);
+      for (const queue of LOAD) submit(world, slot, queue, team);
       await world.advance(ROUND_MS / live.length);
     }
   }
--- a/test/state/ledger.test.ts
+++ b/test/state/ledger.test.ts
@@ -14,14 +14,16 @@
   readonly target: number;
   readonly limit?: number;
   readonly configRevision?: number;
+  readonly keepIfLast?: number;
 }
 
 function wishOf(
   doc: LedgerDocument,
   incarnation: string,
-  { target, limit = 10, configRevision = 1 }: Wish,
+  { target, limit = 10, configRevision = 1, keepIfLast = 0 }: Wish,
 ): LedgerDocument {
-  return adjust(doc, incarnation, [{ team: "t", target, limit, configRevision }]) ?? doc;
+  const wish = { team: "t", target, limit, configRevision, keepIfLast };
+  return adjust(doc, incarnation, [wish]) ?? doc;
 }
 
 function budget(doc: LedgerDocument, incarnation: string): number {
@@ -40,6 +42,21 @@
   assert.equal([budget(doc, "a"), budget(doc, "b")], [7, 3]);
 });
 
+// Guards against an idle team without any budget, which cannot be raised in a platform outage.
+test("the last live row keeps what it is asked to, and is not raised for that", () => {
+  const keep = { target: 0, keepIfLast: 2 };
+  let doc = wishOf(wishOf(EMPTY_LEDGER, "a", { target: 3 }), "b", { target: 3 });
+  doc = wishOf(doc, "a", keep);
+  assert.equal([budget(doc, "a"), budget(doc, "b")], [0, 3]);
+  doc = wishOf(doc, "b", keep);
+  assert.is(budget(doc, "b"), 2);
+  doc = wishOf(wishOf(doc, "b", { target: 1 }), "b", keep);
+  assert.is(budget(doc, "b"), 1);
+  doc = wishOf(retire(doc, { ...mark, incarnation: "b" }) ?? doc, "a", { target: 3 });
+  assert.is(budget(wishOf(doc, "a", keep), "a"), 2);
+  assert.is(budget(wishOf(doc, "a", { target: 0 }), "a"), 0);
+});
+
 // Guards against caps that add up to more than the lowered limit once one row was lowered: from
 // rows 50 and 50 and a limit of 10, the first would lower to 5 and the second compute 50 * 10 / 55.
 test("caps after a lowered limit are set for all rows at once", () => {
