test(fakes): a stall delays messages that later ones overtake

Cause: the fuzzing relies on stalled starts, and a fault that does nothing would go unnoticed. Ruled out: nothing. Conclusion: the fault works as stated.

--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -194,4 +194,21 @@
   assert.is(list.visible.length, 1);
 });
 
+test("a stall delays what is on its way, and later messages overtake it", async () => {
+  const { clock, links, party } = fixture();
+  const [from, to] = [party("entry"), party("server")];
+  const arrived: string[] = [];
+  const send = (name: string): void => {
+    void links.call(from, to, () => Promise.resolve(arrived.push(name)), 1000);
+  };
+  send("first");
+  links.stall("entry", "server", { ms: 3000, forMs: 5 });
+  await clock.advance(100);
+  send("second");
+  await clock.advance(100);
+  assert.equal(arrived, ["second"]);
+  await clock.advance(3000);
+  assert.equal(arrived, ["second", "first"]);
+});
+
 test.run();
