fix(limits): keep no idle budget at an entry that may not use it

Cause: since the last holder of an idle team's budget keeps one unit, an entry that lost its servers kept it too. Change: nothing is kept while the entry may not use the shard's budget. The new test fails without the change. Conclusion: kept budget is always at an entry that peers can ask.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -221,7 +221,9 @@
   #wishes(shard: LedgerShard, teams: readonly string[]): readonly BudgetWish[] {
     return teams.flatMap((team) => {
       const budget = shard.budget(team);
-      const keepIfLast = this.#returns.has(team) ? 0 : Math.min(LAST_KEPT, shard.allowance(team));
+      // Peers in contact do not see the budget of an entry that may not use it, so none is kept there.
+      const given = this.#returns.has(team) || !this.#usable(shard);
+      const keepIfLast = given ? 0 : Math.min(LAST_KEPT, shard.allowance(team));
       const target = this.#target(shard, team, budget);
       return target === budget ? [] : [{ ...this.#wish(team, target), keepIfLast }];
     });
--- a/test/coordination/limits.test.ts
+++ b/test/coordination/limits.test.ts
@@ -55,4 +55,21 @@
   assert.is(other.budgets.room(TEAM), 4);
 });
 
+// Guards against kept budget that no peer sees, at an entry that holds no server any more.
+test("an entry that lost its servers keeps no budget of an idle team", async () => {
+  const cluster = new Cluster({ limit: 1, servers: 4 });
+  const entry = cluster.add("e1");
+  await cluster.clock.until(() => entry.leases.list().length > 0, 30_000);
+  entry.budgets.setDemand(TEAM, 1);
+  await cluster.clock.until(() => entry.budgets.room(TEAM) === 1, 5000);
+  entry.budgets.setDemand(TEAM, 0);
+  await cluster.changeFleet((server) => ({ ...server, zone: "b" }));
+  await cluster.clock.advance(20_000);
+  assert.equal(entry.leases.list(), []);
+  assert.equal(
+    (await cluster.ledger()).flatMap((team) => team.rows),
+    [],
+  );
+});
+
 test.run();
