fix(leaving): the planner's holder leaves the reclaim duty of its zone to another entry

Cause: the planner and the holder of a zone's reclaim duty read the instance list. One entry held both, as nothing kept it from that, and its loss left nobody in the zone to read the list until the duties' leases had ended. Change: an entry that holds the planner duty gives the reclaim duty up, and does not take it, while another entry of its zone that reaches the platform and is not stopping is in contact. A key whose write or deletion had no reply is adopted and given up again. Ruled out: two readers in each zone besides the planner, which would double the bytes of the list. Conclusion: the loss of any one entry leaves a reader. If both readers are lost at once, or the planner's holder is the only entry of its zone, the list is read again only when a duty changes hands.

--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -25,6 +25,8 @@
   readonly step: () => Promise<void>;
   /** Pause between two steps in milliseconds. */
   readonly intervalMs: number;
+  /** Gives the duty up, and does not contend for it, while true. @default never */
+  readonly leaveToOthers?: () => boolean;
 }
 
 /** Contends for one duty and does its steps while holding it. */
@@ -50,11 +52,15 @@
     const { clock, random, step, intervalMs } = this.#options;
     let retry = 0;
     while (!this.#stopped.signal.aborted) {
-      if (this.held) {
+      const leave = this.#options.leaveToOthers?.() === true;
+      if (this.held && leave) {
+        await this.#giveUp();
+        await clock.sleep(HELD_CHECK_MS, this.#stopped.signal);
+      } else if (this.held) {
         retry = 0;
         await step();
         await clock.sleep(intervalMs, this.#stopped.signal);
-      } else if (!(await this.#contend())) {
+      } else if (!(await this.#contend(leave))) {
         await clock.sleep(10 + fullJitterMs(random, retry++, RETRY_BACKOFF), this.#stopped.signal);
       }
     }
@@ -63,13 +69,23 @@
   /** Gives the duty up, so that another entry takes it at once. */
   async stop(): Promise<void> {
     this.#stopped.abort();
+    await this.#giveUp();
+  }
+
+  async #giveUp(): Promise<void> {
     if (!this.held) return;
     const { kv, name } = this.#options;
-    await kv.delete({ key: `duties/${name}`, expectedRevision: this.#revision });
+    const key = `duties/${name}`;
+    const deleted = await kv.delete({ key, expectedRevision: this.#revision });
+    // After a failure the key may still name this entry, so nobody else could take the duty.
+    if (deleted.ok || deleted.val.kind === "conflict") this.#underLease = undefined;
   }
 
-  /** Tries to take the duty, or waits for a change of its holder; false after a failure. */
-  async #contend(): Promise<boolean> {
+  /**
+   * Tries to take the duty unless it is left to others, or waits for a change of its holder; false
+   * after a failure.
+   */
+  async #contend(leave: boolean): Promise<boolean> {
     const { kv, name, session, incarnation, clock } = this.#options;
     const { leaseId } = session;
     if (leaseId === undefined) {
@@ -80,6 +96,10 @@
     const read = await kv.get(key);
     if (!read.ok) return false;
     if (read.val !== undefined) return this.#onHeld(read.val, leaseId);
+    if (leave) {
+      await clock.sleep(HELD_CHECK_MS, this.#stopped.signal);
+      return true;
+    }
     const value = JSON.stringify({ incarnation, leaseId });
     const put = await kv.put({ key, value, expectedRevision: 0, leaseId });
     if (!put.ok) return put.val.kind === "conflict";
--- a/src/coordination/entry-duties.ts
+++ b/src/coordination/entry-duties.ts
@@ -10,7 +10,7 @@
 import { HeldHealth } from "./held-health.ts";
 import { LeavingWatch } from "./leaving-watch.ts";
 import { Planner } from "./planner.ts";
-import type { ConfigView, FleetView, HeldServers } from "./ports.ts";
+import type { ConfigView, FleetView, HeldServers, Peers } from "./ports.ts";
 import type { SessionKeeper } from "./session-keeper.ts";
 
 const DUTY_INTERVAL_MS = 1000;
@@ -54,6 +54,8 @@
     ...dutyOptions,
     name: `reclaim-${zone}`,
     intervalMs: RECLAIM_INTERVAL_MS,
+    // The loss of one entry must not end both readers of the instance list.
+    leaveToOthers: () => plannerDuty.held && hasSubstitute(peers),
     step: async () => {
       await Promise.all([fencing.step(), leavingWatch.step()]);
     },
@@ -69,3 +71,15 @@
   });
   return { planner, support, all: [plannerDuty, reclaimDuty] };
 }
+
+/** True if another entry of the zone could take a duty of the zone. */
+function hasSubstitute(peers: Peers): boolean {
+  const { zone, group } = peers.self;
+  return [...peers.gossip().values()].some(
+    ({ hello, message }) =>
+      hello.zone === zone &&
+      hello.group === group &&
+      message.platformReachable &&
+      !message.stopping,
+  );
+}
