--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -106,7 +106,7 @@
 /** An instance is listed as leaving while requests for every server go on. */
 async function leaveUnderLoad(world: World, server: number, listOnly: boolean): Promise<void> {
   leave(world, server, listOnly);
-  for (let round = 0; round < 5; round++) {
+  for (let round = 0; round < 7; round++) {
     for (const team of TEAMS) {
       const key = world.operators.validKey(team);
       for (const queue of ["plans", "surveys"])
@@ -248,6 +248,13 @@
     }),
   ),
   fc.tuple(index, fc.boolean()).map(command("leave", leave)),
+  fc
+    .tuple(index)
+    .map(
+      command("leaveUnderLoad", (world: World, server: number) =>
+        leaveUnderLoad(world, server, true),
+      ),
+    ),
   fc
     .tuple(index, fc.constantFrom(true, true, false))
     .map(command("leaveUnderLoad", leaveUnderLoad)),
