--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -38,6 +38,8 @@
 const MAX_RESERVE = 4;
 /** A reserve that was given to a peer is raised again after this time. */
 const RESERVE_PAUSE_MS = 10_000;
+/** Budget that the last holder of an idle team keeps, since none can be raised in an outage. */
+const LAST_KEPT = 1;
 
 /** Options of {@link BudgetKeeper}. */
 export interface BudgetKeeperOptions {
@@ -229,8 +231,11 @@
   #wishes(shard: LedgerShard, teams: readonly string[]): readonly BudgetWish[] {
     return teams.flatMap((team) => {
       const budget = shard.budget(team);
+      // Peers in contact do not see the budget of an entry that may not use it, so none is kept there.
+      const given = this.#returns.has(team) || !this.#usable(shard);
+      const keepIfLast = given ? 0 : Math.min(LAST_KEPT, shard.allowance(team));
       const target = this.#target(shard, team, budget);
-      return target === budget ? [] : [this.#wish(team, target)];
+      return target === budget ? [] : [{ ...this.#wish(team, target), keepIfLast }];
     });
   }
 
