--- a/bench/baseline.ts
+++ b/bench/baseline.ts
@@ -1,114 +1,204 @@
 /**
  * The policy that the product is compared with: first come first served at each entry instance,
  * which has a fixed equal part of each pool's slots and of each team's limit. No forwarding, no
- * lending and no priorities; nothing is asked of the platform or of peers.
+ * lending, no priorities, no retries; nothing is asked of the platform or of peers. Maintenance
+ * goes rack by rack, all servers of a rack at once, whatever the availability budgets.
  */
-import type { Random } from "../src/platform/random.ts";
-import { ENTRIES, LATENCY_MS, POOLS, SLOTS, TEAMS } from "./fleet.ts";
+import type { ServerState } from "../src/protocol/fleet-document.ts";
+import type { SeededRandom } from "../test/fakes/seeded-random.ts";
+import { FaultTarget } from "./faults.ts";
+import { plannedServers, teamsOf } from "./fleet.ts";
+import { FleetObserver } from "./fleet-observer.ts";
 import { HeapClock } from "./heap-clock.ts";
-import { Recorder, type Figures } from "./recorder.ts";
-import type { Arrival, Scenario } from "./scenarios.ts";
+import { TAIL_MS } from "./product.ts";
+import { REBOOT_MS, type ProductFleetOptions } from "./product-fleet.ts";
+import { Recorder, type RunResult } from "./recorder.ts";
+import { FAILURE_MS } from "./simulated-parts.ts";
+import { entriesOf, SLOTS, type Site } from "./site.ts";
+import { StaticEntry, type StaticSlot } from "./static-entry.ts";
 
-interface PoolPart {
-  free: number;
-  /** Numbers of the queued requests in order of arrival. */
-  readonly queue: Set<number>;
-}
-
-class StaticEntry {
-  readonly #pools = new Map<string, PoolPart>();
-  readonly #room = new Map<string, number>();
-  readonly #start: (n: number, done: () => void) => void;
-  readonly #requests: readonly Arrival[];
+class BaselineFleet extends FaultTarget {
+  readonly clock = new HeapClock();
+  readonly site: Site;
+  readonly recorder: Recorder;
+  readonly #options: ProductFleetOptions;
+  readonly #random: SeededRandom;
+  readonly #observer: FleetObserver;
+  readonly #states: Map<string, ServerState>;
+  readonly #lost = new Set<string>();
+  readonly #failing = new Set<string>();
+  readonly #entries: readonly StaticEntry[];
+  readonly #slots: readonly StaticSlot[];
 
-  constructor(
-    index: number,
-    requests: readonly Arrival[],
-    start: (n: number, done: () => void) => void,
-  ) {
-    this.#requests = requests;
-    this.#start = start;
-    for (const { name, servers } of POOLS)
-      this.#pools.set(name, { free: equalPart(servers * SLOTS, index), queue: new Set() });
-    for (const { name, upperLimit } of TEAMS) this.#room.set(name, equalPart(upperLimit, index));
+  constructor(options: ProductFleetOptions) {
+    super();
+    const { site, scenario, requests, random } = options;
+    this.#options = options;
+    this.#random = random;
+    this.site = site;
+    this.#observer = new FleetObserver(site);
+    const servers = plannedServers(site);
+    this.#states = new Map(servers.map(({ name }) => [name, "serving"]));
+    this.#slots = servers.flatMap(({ name, pool }) =>
+      Array.from({ length: SLOTS }, () => ({ server: name, pool, running: undefined })),
+    );
+    const running = (server: string): number =>
+      this.#slots.filter((slot) => slot.server === server && slot.running !== undefined).length;
+    const probe = { observer: this.#observer, running, keepsReserve: false, lostBudget: () => 0 };
+    this.recorder = new Recorder({ clock: this.clock, site, scenario, requests, probe });
+    this.#entries = Array.from({ length: entriesOf(site) }, (_, index) => this.#newEntry(index));
   }
 
   submit(n: number): void {
-    const pool = this.#poolOf(n);
-    pool.queue.add(n);
-    this.#startQueued();
+    const { entry: index, at, timeoutMs, cancelAt } = this.#options.requests[n]!;
+    const after = [...this.#entries.slice(index), ...this.#entries.slice(0, index)];
+    const entry = after.find(({ dead }) => !dead)!;
+    this.recorder.submitted(n);
+    entry.submit(n);
+    this.clock.schedule(timeoutMs, () => {
+      if (entry.withdraw(n)) this.#reply(entry, n, "deadline");
+    });
+    if (cancelAt === undefined) return;
+    this.clock.schedule(cancelAt - at, () => {
+      if (!entry.waiting.has(n)) return;
+      this.recorder.cancelled(n);
+      this.recorder.cancelReplied(n);
+      if (entry.withdraw(n)) this.#reply(entry, n, "cancelled");
+    });
   }
 
-  /** True if the request was still queued. */
-  withdraw(n: number): boolean {
-    return this.#poolOf(n).queue.delete(n);
+  /** Drains and reboots every server. */
+  async maintain(): Promise<void> {
+    const servers = plannedServers(this.site);
+    for (const rack of [...new Set(servers.map((server) => server.rack))].sort()) {
+      const names = servers.filter((server) => server.rack === rack).map(({ name }) => name);
+      this.#setState(names, "draining");
+      await Promise.all(names.map((name) => this.#reboot(name)));
+    }
   }
 
-  #poolOf(n: number): PoolPart {
-    return this.#pools.get(this.#requests[n]!.queue)!;
+  cut(): void {
+    return;
   }
 
-  #startQueued(): void {
-    for (const pool of this.#pools.values()) {
-      const full = new Set<string>();
-      for (const n of pool.queue) {
-        if (pool.free <= 0 || full.size === TEAMS.length) break;
-        const { team } = this.#requests[n]!;
-        if (this.#room.get(team)! > 0) this.#launch(pool, n, team);
-        else full.add(team);
-      }
+  heal(): void {
+    return;
+  }
+
+  loseServer(name: string): void {
+    this.#lost.add(name);
+    this.#observer.lost(this.clock.now(), name);
+    for (const slot of this.#slots) {
+      if (slot.server === name && slot.running !== undefined)
+        this.#end(slot, slot.running, "server_lost");
     }
   }
 
-  #launch(pool: PoolPart, n: number, team: string): void {
-    pool.queue.delete(n);
-    pool.free--;
-    this.#room.set(team, this.#room.get(team)! - 1);
-    this.#start(n, () => {
-      pool.free++;
-      this.#room.set(team, this.#room.get(team)! + 1);
-      this.#startQueued();
+  restoreServer(name: string): void {
+    this.#lost.delete(name);
+    this.#observer.restored(name);
+    for (const entry of this.#entries) entry.startQueued();
+  }
+
+  setFailing(name: string): void {
+    this.#failing.add(name);
+  }
+
+  killEntry(index: number): void {
+    for (const n of this.#entries[index]!.kill()) this.recorder.replied(n, "connection_lost");
+  }
+
+  replaceEntry(index: number): void {
+    this.#entries[index]!.dead = false;
+  }
+
+  serverInWave(): string | undefined {
+    return this.#observer.inWave();
+  }
+
+  #newEntry(index: number): StaticEntry {
+    const { site } = this;
+    const { scenario, requests } = this.#options;
+    const entries = entriesOf(site);
+    // Slots are dealt by pool, so that every entry has part of each pool.
+    const slots = site.pools.flatMap(({ name }) =>
+      this.#slots.filter((slot) => slot.pool === name).filter((_, n) => n % entries === index),
+    );
+    return new StaticEntry({
+      ...{ site, index, entries, slots, requests, teams: teamsOf(site, scenario) },
+      serves: (server) => this.#states.get(server) === "serving" && !this.#lost.has(server),
+      start: (n, slot) => {
+        this.#start(n, slot);
+      },
     });
   }
-}
 
-/** Part of a whole number; parts differ by at most one. */
-function equalPart(whole: number, index: number): number {
-  return Math.floor(whole / ENTRIES) + (index < whole % ENTRIES ? 1 : 0);
-}
+  #latency(): number {
+    return this.site.latencyMs * (1 + this.#random.next());
+  }
 
-/** Runs the requests under the baseline policy. */
-export async function runBaseline(
-  scenario: Scenario,
-  requests: readonly Arrival[],
-  random: Random,
-): Promise<Figures> {
-  const clock = new HeapClock();
-  const recorder = new Recorder(clock, requests);
-  const latency = (): number => LATENCY_MS * (1 + random.next());
-  const start = (n: number, done: () => void): void => {
-    clock.schedule(latency(), () => {
-      recorder.started(n);
-      clock.schedule(requests[n]!.runMs, () => {
-        recorder.ended(n);
-        clock.schedule(latency(), () => {
-          recorder.replied(n, undefined);
-          done();
-        });
+  #start(n: number, slot: StaticSlot): void {
+    const { runMs, neverSucceeds } = this.#options.requests[n]!;
+    slot.running = n;
+    const fails = neverSucceeds || this.#failing.has(slot.server);
+    this.clock.schedule(this.#latency(), () => {
+      if (slot.running !== n) return;
+      this.recorder.started(n);
+      this.clock.schedule(fails ? FAILURE_MS : runMs, () => {
+        if (slot.running === n) this.#end(slot, n, fails ? "task_failed" : undefined);
       });
     });
-  };
-  const entries = Array.from({ length: ENTRIES }, (_, n) => new StaticEntry(n, requests, start));
+  }
+
+  /** The task ended; the entry learns of it after the latency of the link. */
+  #end(slot: StaticSlot, n: number, failure: string | undefined): void {
+    const entry = this.#entries.find((each) => each.owns(slot))!;
+    if (this.recorder.isRunning(n)) this.recorder.ended(n);
+    slot.running = undefined;
+    this.clock.schedule(this.#latency(), () => {
+      this.#reply(entry, n, failure);
+      entry.ended(n);
+    });
+  }
+
+  #reply(entry: StaticEntry, n: number, refusal: string | undefined): void {
+    if (entry.waiting.delete(n)) this.recorder.replied(n, refusal);
+  }
+
+  async #reboot(name: string): Promise<void> {
+    const busy = (): boolean =>
+      this.#lost.has(name) ||
+      this.#slots.some((slot) => slot.server === name && slot.running !== undefined);
+    while (busy()) await this.clock.sleep(100);
+    this.#setState([name], "rebooting");
+    await this.clock.sleep(REBOOT_MS);
+    this.#setState([name], "serving");
+    for (const entry of this.#entries) entry.startQueued();
+  }
+
+  #setState(names: readonly string[], state: ServerState): void {
+    for (const name of names) this.#states.set(name, state);
+    const servers = plannedServers(this.site).filter(({ name }) => names.includes(name));
+    this.#observer.recorded(
+      this.clock.now(),
+      servers.map(({ name, pool }) => ({ name, pool, state })),
+    );
+  }
+}
+
+/** Runs the requests under the baseline policy. */
+export async function runBaseline(options: ProductFleetOptions): Promise<RunResult> {
+  const { scenario, requests } = options;
+  const fleet = new BaselineFleet(options);
+  const { clock, recorder } = fleet;
   recorder.begin();
-  for (const [n, { at, entry, timeoutMs }] of requests.entries()) {
+  for (const fault of scenario.faults ?? []) fault.schedule(fleet);
+  if (scenario.maintenanceParallel !== undefined) void fleet.maintain();
+  for (const [n, { at }] of requests.entries()) {
     clock.schedule(at, () => {
-      recorder.submitted(n);
-      entries[entry]!.submit(n);
-      clock.schedule(timeoutMs, () => {
-        if (entries[entry]!.withdraw(n)) recorder.replied(n, "deadline");
-      });
+      fleet.submit(n);
     });
   }
-  await clock.advanceTo(scenario.loadMs + scenario.timeoutMs + 1000);
-  return recorder.figures();
+  await clock.advanceTo(scenario.loadMs + scenario.timeoutMs + TAIL_MS);
+  return recorder.result();
 }
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,58 +1,43 @@
-/** The fleet of the measurements: the size of Piedra Viva in section 1.2 of the design. */
-import { hashKey } from "../src/state/keys.ts";
+/** The fleet and the configuration of a site, as the benchmarks start it. */
 import type { ListedInstance } from "../src/platform/instance-list.ts";
 import type { ConfigDocument } from "../src/protocol/config-document.ts";
 import type { FleetDocument, ServerRecord } from "../src/protocol/fleet-document.ts";
+import { hashKey } from "../src/state/keys.ts";
+import type { Scenario } from "./scenario.ts";
+import { SLOTS, type Site, type TeamPlan } from "./site.ts";
 
-export const GROUP = "andina";
-export const ZONES = ["z1", "z2", "z3"] as const;
-export const ENTRIES_PER_ZONE = 3;
-export const ENTRIES = ZONES.length * ENTRIES_PER_ZONE;
-export const SLOTS = 8;
-/** One-way latency between instances, in milliseconds. */
-export const LATENCY_MS = 1.5;
 const SERVERS_PER_RACK = 4;
-
-/** A pool and the queue of the same name. */
-export const POOLS = [
-  { name: "enrolment", servers: 8, urgentReserveSlots: 8, spare: false },
-  { name: "allotments", servers: 6, urgentReserveSlots: 4, spare: false },
-  { name: "certification", servers: 6, urgentReserveSlots: 0, spare: false },
-  { name: "ledgers", servers: 6, urgentReserveSlots: 2, spare: false },
-  { name: "shared", servers: 9, urgentReserveSlots: 0, spare: true },
-] as const;
-
-export const TEAMS = [
-  { name: "head-office", share: 30, upperLimit: 120 },
-  { name: "north-schools", share: 25, upperLimit: 120 },
-  { name: "coast-schools", share: 20, upperLimit: 120 },
-  { name: "suppliers", share: 10, upperLimit: 48 },
-  { name: "certifiers", share: 10, upperLimit: 48 },
-  { name: "field-guides", share: 5, upperLimit: 48 },
-] as const;
+const DAY_MS = 86_400_000;
+/** Every instance is maintained once in this time. */
+const MAINTENANCE_DAYS = 21;
+/** Servers of a pool that planned work may take out at once. */
+const BUDGET_MARGIN = 2;
+const NEVER_DUE = { startMinute: 0, endMinute: 1440, everyDays: 0, maxParallel: 2 };
 
 /** API key of a team in the clear. */
 export function keyOf(team: string): string {
   return `key-${team}`;
 }
 
-interface PlannedServer extends ListedInstance {
+/** A backend server with the pool it starts in. */
+export interface PlannedServer extends ListedInstance {
   readonly pool: string;
 }
 
 /** Backend servers; each pool is spread over the zones. */
-export function plannedServers(): readonly PlannedServer[] {
-  const pools = POOLS.flatMap((pool) => Array.from({ length: pool.servers }, () => pool.name));
+export function plannedServers(site: Site): readonly PlannedServer[] {
+  const { zones, cores, memoryGb } = site;
+  const pools = site.pools.flatMap((pool) => Array.from({ length: pool.servers }, () => pool.name));
   return pools.map((pool, n) => {
-    const zone = ZONES[n % ZONES.length]!;
-    const rack = Math.floor(n / ZONES.length / SERVERS_PER_RACK);
+    const zone = zones[n % zones.length]!;
+    const rack = Math.floor(n / zones.length / SERVERS_PER_RACK);
     return {
       name: `${zone}-s${n}`,
       address: `http://10.1.0.${n + 1}:8000`,
       zone,
       rack: `${zone}-r${rack}`,
-      cores: 64,
-      memoryGb: 256,
+      cores,
+      memoryGb,
       accelerators: 0,
       slots: SLOTS,
       state: "live",
@@ -61,37 +46,56 @@
   });
 }
 
-export function plannedFleet(wallTime: number): Omit<FleetDocument, "revision"> {
-  const servers = plannedServers().map(({ state: _state, ...server }): ServerRecord => {
-    return { ...server, state: "serving", epoch: 1, rebootedAt: wallTime, since: wallTime };
+/** Availability budget of a pool. */
+export function minAvailableOf({ servers }: Site["pools"][number]): number {
+  return servers - BUDGET_MARGIN;
+}
+
+/** Teams with the upper limits of the scenario. */
+export function teamsOf(site: Site, { limitScale = 1 }: Scenario): readonly TeamPlan[] {
+  return site.teams.map((team) => ({
+    ...team,
+    upperLimit: Math.round(team.upperLimit * limitScale),
+  }));
+}
+
+/** Fleet document; servers whose maintenance is due are due from the given wall time on. */
+export function plannedFleet(site: Site, dueAt: number): Omit<FleetDocument, "revision"> {
+  const rebootedAt = dueAt - MAINTENANCE_DAYS * DAY_MS;
+  const servers = plannedServers(site).map(({ state: _state, ...server }): ServerRecord => {
+    return { ...server, state: "serving", epoch: 1, rebootedAt, since: rebootedAt };
   });
-  return { writeId: "initial", group: GROUP, servers, retired: [] };
+  return { writeId: "initial", group: site.group, servers, retired: [] };
 }
 
-export function plannedConfig(wallTime: number, runMs: number): ConfigDocument {
+export function plannedConfig(site: Site, scenario: Scenario, wallTime: number): ConfigDocument {
+  const { declaredFactor = (): number => 1, maintenanceParallel } = scenario;
   return {
     revision: 1,
     writeId: "initial",
     acceptedAt: wallTime,
-    pools: POOLS.map(({ servers, ...pool }) => ({
+    pools: site.pools.map(({ servers, ...pool }) => ({
       ...pool,
-      group: GROUP,
-      minAvailable: servers - 2,
+      group: site.group,
+      minAvailable: minAvailableOf({ servers, ...pool }),
       targetSize: servers,
     })),
-    queues: POOLS.map(({ name }) => ({
+    queues: site.pools.map(({ name }, queue) => ({
       name,
       pool: name,
       open: false,
       idempotent: true,
-      declaredRunMs: runMs,
+      declaredRunMs: Math.round(scenario.runMs * declaredFactor(queue)),
     })),
-    teams: TEAMS.map((team) => ({
+    teams: teamsOf(site, scenario).map((team) => ({
       ...team,
       queues: [],
       keys: [hashKey(keyOf(team.name), `salt-${team.name}`)],
     })),
-    maintenance: { startMinute: 0, endMinute: 1440, everyDays: 0, maxParallel: 2 },
-    weights: { bufferCost: 3, rolloutTime: 1, moves: 1, closenessToShare: 3 },
+    maintenance:
+      maintenanceParallel === undefined
+        ? NEVER_DUE
+        : { ...NEVER_DUE, everyDays: MAINTENANCE_DAYS, maxParallel: maintenanceParallel },
+    weights: site.weights,
   };
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,97 +1,67 @@
-/** `npm run bench -- NAME [--seed N] [--rounds N] [--json]` */
+/**
+ * `npm run bench -- NAME [--site S] [--seed N] [--rounds N] [--json]` and
+ * `npm run bench -- report [--input FILE,FILE] [--out FILE]`
+ */
+import { readFileSync, writeFileSync } from "node:fs";
 import sade from "sade";
 import * as v from "valibot";
-import { SeededRandom } from "../test/fakes/seeded-random.ts";
-import { runBaseline } from "./baseline.ts";
-import { runProduct } from "./product.ts";
-import type { Figures } from "./recorder.ts";
-import { arrivals, SCENARIOS, type Scenario } from "./scenarios.ts";
+import { measure } from "./measure.ts";
+import { MeasurementSchema, type Measurement } from "./measurement-schema.ts";
+import { printMeasurement } from "./print.ts";
+import { reportPage } from "./report.ts";
+import { SCENARIOS } from "./scenarios.ts";
+import { SITES } from "./site.ts";
 
 const MAX_ROUNDS = 100;
+const NAMES = Object.keys(SCENARIOS);
 const OptionsSchema = v.object({
+  site: v.picklist([...SITES.keys()]),
   seed: v.pipe(v.number(), v.integer(), v.minValue(0)),
   rounds: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(MAX_ROUNDS)),
   json: v.optional(v.boolean(), false),
+  input: v.optional(v.string()),
+  out: v.string(),
 });
+type Options = v.InferOutput<typeof OptionsSchema>;
 
-interface Row {
-  readonly figure: string;
-  readonly baseline: Spread | undefined;
-  readonly product: Spread | undefined;
+function run(name: string, { site, seed, rounds }: Options): Promise<Measurement> {
+  return measure({ name, scenario: SCENARIOS[name]!, site: SITES.get(site)!, seed, rounds });
 }
 
-interface Spread {
-  readonly min: number;
-  readonly median: number;
-  readonly max: number;
-}
-
-/** Undefined if the figure could not be taken in any round. A refusal that nobody got counts 0. */
-function spread(rounds: readonly Figures[], figure: string): Spread | undefined {
-  const absent = figure.startsWith("refused ") ? [0] : [];
-  const values = rounds.flatMap((round) => round.get(figure) ?? absent).sort((a, b) => a - b);
-  if (values.length === 0) return undefined;
-  const middle = (values.length - 1) / 2;
-  const median = (values[Math.floor(middle)]! + values[Math.ceil(middle)]!) / 2;
-  return { min: values[0]!, median, max: values.at(-1)! };
-}
-
-async function measure(scenario: Scenario, seed: number, rounds: number): Promise<readonly Row[]> {
-  const baseline: Figures[] = [];
-  const product: Figures[] = [];
-  for (let round = seed; round < seed + rounds; round++) {
-    const requests = arrivals(scenario, new SeededRandom(round));
-    baseline.push(await runBaseline(scenario, requests, new SeededRandom(round)));
-    product.push(await runProduct(scenario, requests, new SeededRandom(round)));
+async function writeReport(options: Options): Promise<void> {
+  const measurements: Measurement[] = [];
+  if (options.input === undefined) {
+    for (const name of NAMES) measurements.push(await run(name, options));
+  } else {
+    for (const file of options.input.split(","))
+      measurements.push(v.parse(MeasurementSchema, JSON.parse(readFileSync(file, "utf8"))));
   }
-  const names = new Set([...product, ...baseline].flatMap((figures) => [...figures.keys()]));
-  return [...names].map((figure) => ({
-    figure,
-    baseline: spread(baseline, figure),
-    product: spread(product, figure),
-  }));
-}
-
-function print(rows: readonly Row[]): void {
-  const text = (values: Spread | undefined): string =>
-    values === undefined
-      ? "none"
-      : [values.min, values.median, values.max]
-          .map((value) => String(Math.round(value * 100) / 100))
-          .join(" / ");
-  console.log("| figure | baseline min / median / max | product min / median / max |");
-  console.log("|---|---|---|");
-  for (const { figure, baseline, product } of rows)
-    console.log(`| ${figure} | ${text(baseline)} | ${text(product)} |`);
+  writeFileSync(options.out, reportPage(measurements));
+  console.log(`wrote ${options.out} with ${measurements.length} measurements`);
 }
 
 async function main(name: string, raw: unknown): Promise<void> {
-  const scenario = Object.hasOwn(SCENARIOS, name) ? SCENARIOS[name] : undefined;
+  const known = name === "report" || Object.hasOwn(SCENARIOS, name);
   const parsed = v.safeParse(OptionsSchema, raw);
-  if (scenario === undefined || !parsed.success) {
-    if (scenario === undefined)
-      console.error(`"${name}" is not one of ${Object.keys(SCENARIOS).join(", ")}`);
+  if (!known || !parsed.success) {
+    if (!known) console.error(`"${name}" is not one of ${[...NAMES, "report"].join(", ")}`);
     if (!parsed.success) console.error(v.summarize(parsed.issues));
     process.exitCode = 2;
     return;
   }
-  const { seed, rounds, json } = parsed.output;
-  const started = performance.now();
-  const rows = await measure(scenario, seed, rounds);
-  const seconds = ((performance.now() - started) / 1000).toFixed(1);
-  if (json) {
-    console.log(JSON.stringify({ scenario: name, seed, rounds, rows }, undefined, 2));
-    return;
-  }
-  console.log(`${name}: ${scenario.describe}`);
-  console.log(`seeds ${seed} to ${seed + rounds - 1}, ${seconds} s`);
-  print(rows);
+  if (name === "report") return writeReport(parsed.output);
+  const measurement = await run(name, parsed.output);
+  if (parsed.output.json) console.log(JSON.stringify(measurement));
+  else printMeasurement(measurement);
 }
 
 sade("bench <name>", true)
-  .describe(`Measures entry instances on virtual time. Names: ${Object.keys(SCENARIOS).join(", ")}`)
+  .describe(`Measures entry instances on virtual time. Names: ${NAMES.join(", ")}, report`)
+  .option("--site", `One of ${[...SITES.keys()].join(", ")}`, "piedra-viva")
   .option("--seed", "Seed of the first round", 1)
-  .option("--rounds", "Number of seeds", 3)
+  .option("--rounds", "Number of seeds", 1)
   .option("--json", "Print the figures as JSON", false)
+  .option("--input", "Files with JSON figures for the report, separated by commas")
+  .option("--out", "File of the report", "report.html")
   .action((name: string, options: unknown) => main(name, options))
   .parse(process.argv);
--- /dev/null
+++ b/bench/product-fleet.ts
@@ -0,0 +1,259 @@
+import { EntryInstance } from "../src/coordination/entry-instance.ts";
+import type { TaskSpec } from "../src/platform/backend-server.ts";
+import { CONFIG_KEY } from "../src/protocol/config-document.ts";
+import { fleetKey, type FleetDocument } from "../src/protocol/fleet-document.ts";
+import type { LedgerDocument } from "../src/protocol/ledger-document.ts";
+import { ENTRY_DEFAULTS, type EntrySettings } from "../src/settings/entry-settings.ts";
+import { KeyValueStore } from "../src/stand-ins/key-value-store.ts";
+import { FaultyBackendConnector } from "../test/fakes/faulty-backend.ts";
+import { FaultyKeyValue } from "../test/fakes/faulty-key-value.ts";
+import type { Party } from "../test/fakes/links.ts";
+import { PeerNetwork } from "../test/fakes/peer-network.ts";
+import { ProcessClock, ProcessGate } from "../test/fakes/process-gate.ts";
+import { QUIET_LOG } from "../test/fakes/quiet.ts";
+import { SeededRandom } from "../test/fakes/seeded-random.ts";
+import { LaggingInstances, StaleInstanceList } from "../test/fakes/stale-instance-list.ts";
+import { ObservedStore } from "../test/fuzz/observed-store.ts";
+import { FaultTarget } from "./faults.ts";
+import { plannedConfig, plannedFleet, plannedServers } from "./fleet.ts";
+import { FleetObserver } from "./fleet-observer.ts";
+import { HeapClock } from "./heap-clock.ts";
+import { CountingPeerTransport } from "./peer-bytes.ts";
+import { Recorder } from "./recorder.ts";
+import type { Arrival, Scenario } from "./scenario.ts";
+import {
+  CountingLinks,
+  numberOf,
+  PlannedRunner,
+  RebootingServer,
+  type Machine,
+} from "./simulated-parts.ts";
+import { entriesOf, SLOTS, zoneOfEntry, type Site } from "./site.ts";
+
+/** Time for entry instances to acquire servers, share homes and settle, in milliseconds. */
+const WARM_UP_MS = 15_000;
+/** A server is not reached for this time after it was told to reboot, in milliseconds. */
+export const REBOOT_MS = 8000;
+/** The reply to the order to reboot arrives before the server goes down, in milliseconds. */
+const REBOOT_REPLY_MS = 10;
+
+/** An entry instance with the process that it runs in. */
+export interface EntryProcess {
+  readonly instance: EntryInstance;
+  readonly party: Party;
+  /** Requests whose callers wait here for a reply. */
+  readonly waiting: Set<number>;
+}
+
+/** Options of {@link ProductFleet}. */
+export interface ProductFleetOptions {
+  readonly site: Site;
+  readonly scenario: Scenario;
+  readonly requests: readonly Arrival[];
+  readonly random: SeededRandom;
+}
+
+/** Entry instances as they are, with simulated links, servers and platform. */
+export class ProductFleet extends FaultTarget {
+  readonly clock = new HeapClock();
+  readonly site: Site;
+  readonly recorder: Recorder;
+  readonly #options: ProductFleetOptions;
+  readonly #links: CountingLinks;
+  readonly #store: ObservedStore;
+  readonly #platform: Party;
+  readonly #network: PeerNetwork;
+  readonly #machines: ReadonlyMap<string, Machine>;
+  readonly #instances: LaggingInstances;
+  readonly #observer: FleetObserver;
+  readonly #ledgers = new Map<string, LedgerDocument>();
+  readonly #entries: (EntryProcess | undefined)[];
+
+  constructor(options: ProductFleetOptions) {
+    super();
+    const { clock } = this;
+    const { site, random } = options;
+    this.#options = options;
+    this.site = site;
+    this.#observer = new FleetObserver(site);
+    this.#links = new CountingLinks({ clock, random, latencyMs: site.latencyMs });
+    this.#store = new ObservedStore({
+      inner: new KeyValueStore({ clock }),
+      onWrite: (key, value) => {
+        this.#written(key, value);
+      },
+    });
+    this.#platform = { tags: ["platform"], gate: new ProcessGate({ clock }) };
+    this.#network = new PeerNetwork({ links: this.#links });
+    const instances = plannedServers(site).map(({ pool: _pool, ...listed }) => listed);
+    this.#instances = new LaggingInstances({ clock, instances });
+    this.#machines = new Map(plannedServers(site).map((planned) => this.#newMachine(planned)));
+    this.recorder = this.#newRecorder();
+    this.#entries = Array.from({ length: entriesOf(site) }, (_, index) => this.#newEntry(index));
+  }
+
+  async start(): Promise<void> {
+    const { clock, site } = this;
+    const { scenario } = this.#options;
+    const config = JSON.stringify(plannedConfig(site, scenario, clock.wallTime()));
+    const fleet = JSON.stringify(plannedFleet(site, clock.wallTime() + WARM_UP_MS));
+    await this.#store.put({ key: CONFIG_KEY, value: config, expectedRevision: 0 });
+    await this.#store.put({ key: fleetKey(site.group), value: fleet, expectedRevision: 0 });
+    for (const entry of this.#entries) void entry?.instance.start();
+    await clock.advanceTo(clock.now() + WARM_UP_MS);
+  }
+
+  /** The entry instance that the load balancer chooses in place of one that is not ready. */
+  entry(index: number): EntryProcess {
+    const after = [...this.#entries.slice(index), ...this.#entries.slice(0, index)];
+    const running = after.filter((entry) => entry !== undefined);
+    return running.find(({ instance }) => instance.notReady().length === 0) ?? running[0]!;
+  }
+
+  stop(): void {
+    for (const entry of this.#entries) entry?.instance.kill();
+  }
+
+  cut(a: string, b: string): void {
+    this.#links.cut(a, b);
+  }
+
+  heal(a: string, b: string): void {
+    this.#links.heal(a, b);
+  }
+
+  loseServer(name: string): void {
+    this.cut(`host:${name}`, "entry");
+    this.#machines.get(name)!.server.restart();
+    this.#observer.lost(this.clock.now(), name);
+  }
+
+  restoreServer(name: string): void {
+    this.heal(`host:${name}`, "entry");
+    this.#observer.restored(name);
+  }
+
+  setFailing(name: string): void {
+    this.#machines.get(name)!.runner.failing = true;
+  }
+
+  killEntry(index: number): void {
+    const killed = this.#entries[index];
+    if (killed === undefined) return;
+    this.#entries[index] = undefined;
+    killed.party.gate.kill();
+    this.#links.partyDied(killed.party);
+    killed.instance.kill();
+    for (const n of killed.waiting) this.recorder.replied(n, "connection_lost");
+    killed.waiting.clear();
+  }
+
+  replaceEntry(index: number): void {
+    const entry = this.#newEntry(index);
+    this.#entries[index] = entry;
+    void entry.instance.start();
+  }
+
+  serverInWave(): string | undefined {
+    return this.#observer.inWave();
+  }
+
+  #newRecorder(): Recorder {
+    const { site, scenario, requests } = this.#options;
+    const probe = {
+      observer: this.#observer,
+      running: (server: string): number => this.#machines.get(server)!.server.running.length,
+      keepsReserve: true,
+      lostBudget: (): number => this.#lostBudget(),
+    };
+    const recorder = new Recorder({ clock: this.clock, site, scenario, requests, probe });
+    this.#links.onCall = (from, to) => {
+      if (to.tags.includes("platform")) recorder.platformCall(from.tags[0]!);
+      else if (to.tags.includes("entry")) recorder.peerCall(from.tags[0]!);
+    };
+    return recorder;
+  }
+
+  #written(key: string, value: string): void {
+    if (key === fleetKey(this.site.group)) {
+      const { servers } = JSON.parse(value) as FleetDocument;
+      this.#observer.recorded(this.clock.now(), servers);
+    } else if (key.startsWith("ledger/")) {
+      this.#ledgers.set(key, JSON.parse(value) as LedgerDocument);
+    }
+  }
+
+  #lostBudget(): number {
+    const live = new Set(this.#network.live.map(({ incarnation }) => incarnation));
+    const rows = [...this.#ledgers.values()].flatMap(({ teams }) =>
+      teams.flatMap((team) => team.rows),
+    );
+    return rows.reduce((sum, row) => sum + (live.has(row.incarnation) ? 0 : row.budget), 0);
+  }
+
+  #newMachine({
+    name,
+    address,
+    zone,
+  }: ReturnType<typeof plannedServers>[number]): readonly [string, Machine] {
+    const { clock } = this;
+    const runner = new PlannedRunner(this.#options.requests);
+    const observe = (event: "start" | "end", spec: TaskSpec): void => {
+      if (event === "start") this.recorder.started(numberOf(spec));
+      else this.recorder.ended(numberOf(spec));
+    };
+    // A lost host and a reboot are separate cuts, so that the end of one does not end the other.
+    const tags = [`server:${name}`, `host:${name}`, `zone:${zone}`, "server"];
+    const server = new RebootingServer({ clock, name, slots: SLOTS, runner, observe });
+    server.onReboot = (): void => {
+      clock.schedule(REBOOT_REPLY_MS, () => {
+        this.cut(`server:${name}`, "entry");
+      });
+      clock.schedule(REBOOT_MS, () => {
+        this.heal(`server:${name}`, "entry");
+      });
+    };
+    const party = { tags, gate: new ProcessGate({ clock }) };
+    return [name, { name, address, party, server, runner }];
+  }
+
+  #newEntry(index: number): EntryProcess {
+    const { clock, site } = this;
+    const zone = site.zones[zoneOfEntry(site, index)]!;
+    const tag = `entry:${index + 1}`;
+    const party: Party = {
+      tags: [tag, `zone:${zone}`, "entry"],
+      gate: new ProcessGate({ clock }),
+    };
+    const [links, platform, store] = [this.#links, this.#platform, this.#store];
+    const instance = new EntryInstance({
+      settings: settingsOf(site, zone, index + 1),
+      clock: new ProcessClock({ base: clock, gate: party.gate }),
+      random: new SeededRandom(Math.floor(this.#options.random.next() * 2 ** 32)),
+      keyValue: new FaultyKeyValue({ links, party, platform, store }),
+      instanceList: new StaleInstanceList({ links, party, platform, instances: this.#instances }),
+      backends: new FaultyBackendConnector({ links, party, servers: [...this.#machines.values()] }),
+      peerTransport: new CountingPeerTransport({
+        inner: this.#network.transport(party),
+        sent: (bytes) => {
+          this.recorder.peerBytes(tag, bytes);
+        },
+      }),
+      log: QUIET_LOG,
+    });
+    return { instance, party, waiting: new Set() };
+  }
+}
+
+function settingsOf({ group }: Site, zone: string, index: number): EntrySettings {
+  return {
+    ...ENTRY_DEFAULTS,
+    zone,
+    group,
+    callerAddress: `10.0.0.${index}:7000`,
+    adminAddress: `10.0.0.${index}:7001`,
+    peerAddress: `10.0.0.${index}:7002`,
+    keyValueUrl: "http://10.2.0.1:2379",
+    instanceListUrl: "http://10.2.0.2:2380",
+  };
+}
--- a/bench/recorder.ts
+++ b/bench/recorder.ts
@@ -1,128 +1,210 @@
-import { build } from "hdr-histogram-js";
 import type { Clock } from "../src/platform/clock.ts";
-import { ENTRIES, TEAMS } from "./fleet.ts";
-import type { Arrival } from "./scenarios.ts";
+import { CallCounts } from "./call-counts.ts";
+import { teamsOf } from "./fleet.ts";
+import type { FleetObserver } from "./fleet-observer.ts";
+import { Cancellations, Outcomes, Waits } from "./request-log.ts";
+import type { Arrival, Scenario } from "./scenario.ts";
+import { ShareWindows } from "./share-windows.ts";
+import { entriesOf, SLOTS, type Site, type TeamPlan } from "./site.ts";
+import { StrandedCapacity } from "./stranded.ts";
 
 const SAMPLE_MS = 100;
-const WINDOW_MS = 10_000;
+const SAMPLES_PER_POINT = 10;
+const WINDOWS_MS = [1000, 10_000];
 /** After the start of the load, queues fill and budgets move for this time, in milliseconds. */
 const SETTLING_MS = 2000;
 
 /** Figures of one run by name. */
 export type Figures = ReadonlyMap<string, number>;
 
+/** One value for each second of a run. */
+export type Series = Readonly<Record<string, readonly number[]>>;
+
+/** What one run gave. */
+export interface RunResult {
+  readonly figures: Figures;
+  readonly series: Series;
+}
+
+/** The servers as the recorder samples them. */
+export interface Probe {
+  readonly observer: FleetObserver;
+  /** Tasks that run on a server. */
+  readonly running: (server: string) => number;
+  /** Whether slots are kept for urgent work. */
+  readonly keepsReserve: boolean;
+  /** Budget recorded for entry instances that no longer run. */
+  readonly lostBudget: () => number;
+}
+
+/** Options of {@link Recorder}. */
+export interface RecorderOptions {
+  readonly clock: Clock;
+  readonly site: Site;
+  readonly scenario: Scenario;
+  readonly requests: readonly Arrival[];
+  readonly probe: Probe;
+}
+
 interface Team {
   running: number;
   queued: number;
-  used: number;
-  readonly distances: number[];
+  readonly plan: TeamPlan;
 }
 
 /** Records what becomes of each request of one run. */
 export class Recorder {
-  readonly #clock: Clock;
-  readonly #urgent = build({ numberOfSignificantValueDigits: 3 });
+  readonly #options: RecorderOptions;
+  readonly #urgent = new Waits();
   /** Worst urgent start wait by team and by pool, in milliseconds. */
   readonly #worst = new Map<string, number>();
-  readonly #started = new Set<number>();
-  readonly #waiting = new Set<number>();
-  readonly #refusals = new Map<string, number>();
-  readonly #calls = { platform: new Map<string, number>(), peer: new Map<string, number>() };
-  readonly #teams = new Map<string, Team>();
-  readonly #requests: readonly Arrival[];
+  readonly #running = new Set<number>();
+  readonly #startedAt = new Map<number, number>();
+  readonly #waiting = new Map<number, number>();
+  readonly #outcomes = new Outcomes();
+  readonly #cancellations = new Cancellations();
+  readonly #counts = {
+    "platform calls/s": new CallCounts(),
+    "peer calls/s": new CallCounts(),
+    "peer bytes/s": new CallCounts(),
+  };
+  readonly #teams: ReadonlyMap<string, Team>;
+  readonly #stranded: StrandedCapacity;
+  readonly #sharesReachable: boolean;
+  readonly #series = { running: [] as number[], queued: [] as number[], urgentWaitMs: [0] };
+  #windows: readonly ShareWindows[] = [];
   #from = 0;
-  #answered = 0;
-  #urgentSent = 0;
-  #urgentStarted = 0;
-  #windowFrom = 0;
-  #windows = 0;
-
-  constructor(clock: Clock, requests: readonly Arrival[]) {
-    this.#clock = clock;
-    this.#requests = requests;
-    for (const { name } of TEAMS)
-      this.#teams.set(name, { running: 0, queued: 0, used: 0, distances: [] });
+  #samples = 0;
+  #overLimit = 0;
+
+  constructor(options: RecorderOptions) {
+    this.#options = options;
+    const teams = teamsOf(options.site, options.scenario);
+    this.#teams = new Map(teams.map((plan) => [plan.name, { running: 0, queued: 0, plan }]));
+    this.#stranded = new StrandedCapacity(teams);
+    this.#sharesReachable = sharesReachable(options.site, teams);
   }
 
   /** Begins the measurement; the load starts now. */
   begin(): void {
-    this.#from = this.#clock.now();
-    for (const calls of Object.values(this.#calls)) calls.clear();
-    this.#windowFrom = this.#from + SETTLING_MS;
+    this.#from = this.#options.clock.now();
+    for (const counts of Object.values(this.#counts)) counts.clear();
+    const teams = [...this.#teams.values()].map(({ plan }) => plan);
+    const from = this.#from + SETTLING_MS;
+    this.#windows = WINDOWS_MS.map((windowMs) => new ShareWindows({ windowMs, teams, from }));
     this.#sampleLater();
   }
 
   submitted(n: number): void {
-    this.#waiting.add(n);
+    this.#waiting.set(n, this.#options.clock.now());
     this.#team(n).queued++;
-    if (this.#requests[n]!.priority === "urgent") this.#urgentSent++;
   }
 
   started(n: number): void {
-    this.#team(n).running++;
+    const team = this.#team(n);
+    team.running++;
+    this.#running.add(n);
+    this.#overLimit = Math.max(this.#overLimit, team.running - team.plan.upperLimit);
     this.#leaveQueue(n);
-    if (this.#started.has(n)) return;
-    this.#started.add(n);
-    const { at, priority, team, queue } = this.#requests[n]!;
-    if (priority !== "urgent") return;
-    this.#urgentStarted++;
-    const waitMs = this.#clock.now() - this.#from - at;
-    this.#urgent.recordValue(Math.max(1, Math.round(waitMs * 1000)));
-    for (const name of [team, `pool ${queue}`])
-      this.#worst.set(name, Math.max(this.#worst.get(name) ?? 0, waitMs));
+    this.#cancellations.started(n);
+    const first = !this.#startedAt.has(n);
+    this.#startedAt.set(n, this.#options.clock.now());
+    if (first && this.#request(n).priority === "urgent") this.#startedUrgent(n);
+  }
+
+  isRunning(n: number): boolean {
+    return this.#running.has(n);
   }
 
   ended(n: number): void {
+    this.#running.delete(n);
     this.#team(n).running--;
+    this.#cancellations.ended(n, this.#options.clock.now(), this.#startedAt.get(n)!);
   }
 
   /** The caller got an answer, or a refusal with a reason. */
   replied(n: number, refusal: string | undefined): void {
     this.#leaveQueue(n);
-    const { at, timeoutMs } = this.#requests[n]!;
-    if (refusal !== undefined) this.#refusals.set(refusal, (this.#refusals.get(refusal) ?? 0) + 1);
-    else if (this.#clock.now() - this.#from - at <= timeoutMs) this.#answered++;
-  }
-
-  called(kind: "platform" | "peer", entry: string): void {
-    const calls = this.#calls[kind];
-    calls.set(entry, (calls.get(entry) ?? 0) + 1);
-  }
-
-  figures(): Figures {
-    const seconds = (this.#clock.now() - this.#from) / 1000;
-    const sent = this.#requests.length;
-    const wait = (percentile: number): number =>
-      this.#urgent.getValueAtPercentile(percentile) / 1000;
-    const figures = new Map([
-      ["requests", sent],
-      ["urgent start wait p50 ms", wait(50)],
-      ["urgent start wait p99 ms", wait(99)],
-      ["urgent start wait p99.9 ms", wait(99.9)],
-      ["urgent start wait worst ms", this.#urgent.maxValue / 1000],
-      ["urgent not started", this.#urgentSent - this.#urgentStarted],
-      ["answered by deadline %", (100 * this.#answered) / sent],
+    const request = this.#request(n);
+    if (refusal !== undefined) this.#outcomes.refused(request, refusal);
+    else if (this.#elapsed(n) <= request.timeoutMs && !this.#cancellations.has(n))
+      this.#outcomes.answered(request);
+  }
+
+  /** The caller cancels a request that it has no reply to. */
+  cancelled(n: number): void {
+    this.#cancellations.cancelled(n, this.#options.clock.now());
+  }
+
+  /** The caller got a reply to its cancellation. */
+  cancelReplied(n: number): void {
+    this.#cancellations.replied(n, this.#options.clock.now());
+  }
+
+  platformCall(entry: string): void {
+    this.#counts["platform calls/s"].add(entry, 1);
+  }
+
+  peerCall(entry: string): void {
+    this.#counts["peer calls/s"].add(entry, 1);
+  }
+
+  /** An entry instance sent bytes to a peer. */
+  peerBytes(entry: string, bytes: number): void {
+    this.#counts["peer bytes/s"].add(entry, bytes);
+  }
+
+  result(): RunResult {
+    const { clock, site, requests, probe } = this.#options;
+    const seconds = (clock.now() - this.#from) / 1000;
+    const uncancelled = requests.filter((_, n) => !this.#cancellations.has(n));
+    const due = uncancelled.filter(({ neverSucceeds }) => !neverSucceeds);
+    const worst = [...this.#worst].sort(([a], [b]) => (a < b ? -1 : 1));
+    const figures = new Map<string, number>([
+      ["requests", requests.length],
+      ...this.#urgent.figures("urgent start wait"),
+      ["urgent not started", this.#urgentNotStarted()],
+      ...this.#outcomes.figures(due, uncancelled.length - due.length),
+      ...this.#cancellations.figures(),
+      ["tasks above an upper limit", this.#overLimit],
+      ...this.#stranded.figures(SAMPLE_MS),
+      ...probe.observer.figures(),
+      ...this.#windows.flatMap((windows) => windows.figures()),
+      ...worst.map(([name, ms]) => [`urgent start wait worst ms, ${name}`, ms] as const),
+      ...Object.entries(this.#counts).flatMap(([name, counts]) =>
+        counts.figures(name, entriesOf(site), seconds),
+      ),
     ]);
-    for (const [name, ms] of [...this.#worst].sort(([a], [b]) => (a < b ? -1 : 1)))
-      figures.set(`urgent start wait worst ms, ${name}`, ms);
-    for (const [reason, count] of this.#refusals) figures.set(`refused ${reason}`, count);
-    figures.set("share windows of 10 s", this.#windows);
-    for (const [name, { distances }] of this.#windows > 0 ? this.#teams : []) {
-      const sum = distances.reduce((total, distance) => total + distance, 0);
-      figures.set(`share distance ${name} mean %`, sum / distances.length);
-      figures.set(`share distance ${name} worst %`, Math.max(...distances));
-    }
-    for (const [kind, calls] of Object.entries(this.#calls)) {
-      const counts = [...calls.values()];
-      const total = counts.reduce((sum, count) => sum + count, 0);
-      figures.set(`${kind} calls/s per entry`, total / ENTRIES / seconds);
-      figures.set(`${kind} calls/s busiest entry`, Math.max(0, ...counts) / seconds);
-    }
-    return figures;
+    return { figures, series: this.#series };
+  }
+
+  #urgentNotStarted(): number {
+    return this.#options.requests.filter(
+      ({ priority }, n) =>
+        priority === "urgent" && !this.#startedAt.has(n) && !this.#cancellations.has(n),
+    ).length;
+  }
+
+  #startedUrgent(n: number): void {
+    const { team, queue } = this.#request(n);
+    const waitMs = this.#elapsed(n);
+    this.#urgent.add(waitMs);
+    const points = this.#series.urgentWaitMs;
+    points[points.length - 1] = Math.max(points.at(-1)!, waitMs);
+    for (const name of [team, `pool ${queue}`])
+      this.#worst.set(name, Math.max(this.#worst.get(name) ?? 0, waitMs));
+  }
+
+  #request(n: number): Arrival {
+    return this.#options.requests[n]!;
+  }
+
+  #elapsed(n: number): number {
+    return this.#options.clock.now() - this.#from - this.#request(n).at;
   }
 
   #team(n: number): Team {
-    return this.#teams.get(this.#requests[n]!.team)!;
+    return this.#teams.get(this.#request(n).team)!;
   }
 
   #leaveQueue(n: number): void {
@@ -130,35 +212,39 @@
   }
 
   #sampleLater(): void {
-    this.#clock.schedule(SAMPLE_MS, () => {
+    this.#options.clock.schedule(SAMPLE_MS, () => {
       this.#sample();
       this.#sampleLater();
     });
   }
 
-  /** A window counts only if every team had work queued at each sample of it. */
   #sample(): void {
-    const now = this.#clock.now();
+    const { clock, probe } = this.#options;
+    const now = clock.now();
+    probe.observer.sample(SAMPLE_MS);
+    const full = this.#stranded.sample({
+      now,
+      use: this.#teams,
+      free: probe.observer.freeSlots(probe),
+      waiting: [...this.#waiting].map(([n, since]) => [this.#request(n), since] as const),
+      lostBudget: probe.lostBudget(),
+    });
+    for (const windows of this.#windows)
+      windows.sample(now, this.#teams, full && this.#sharesReachable);
+    if (++this.#samples % SAMPLES_PER_POINT === 0) this.#addPoint();
+  }
+
+  #addPoint(): void {
     const teams = [...this.#teams.values()];
-    if (now <= this.#windowFrom) return;
-    if (teams.some((team) => team.queued === 0)) {
-      this.#newWindow(now);
-      return;
-    }
-    for (const team of teams) team.used += team.running;
-    if (now - this.#windowFrom < WINDOW_MS) return;
-    const total = teams.reduce((sum, team) => sum + team.used, 0);
-    const shares = TEAMS.reduce((sum, { share }) => sum + share, 0);
-    for (const { name, share } of TEAMS) {
-      const { used, distances } = this.#teams.get(name)!;
-      distances.push(100 * Math.abs(used / total / (share / shares) - 1));
-    }
-    this.#windows++;
-    this.#newWindow(now);
-  }
-
-  #newWindow(now: number): void {
-    this.#windowFrom = now;
-    for (const team of this.#teams.values()) team.used = 0;
+    this.#series.running.push(teams.reduce((sum, { running }) => sum + running, 0));
+    this.#series.queued.push(teams.reduce((sum, { queued }) => sum + queued, 0));
+    this.#series.urgentWaitMs.push(0);
   }
 }
+
+/** Shares mean nothing where a team's upper limit is below its share of the slots. */
+function sharesReachable({ pools }: Site, teams: readonly TeamPlan[]): boolean {
+  const slots = pools.reduce((sum, { servers }) => sum + servers * SLOTS, 0);
+  const shares = teams.reduce((sum, { share }) => sum + share, 0);
+  return teams.every(({ share, upperLimit }) => (share / shares) * slots <= upperLimit);
+}
--- /dev/null
+++ b/bench/request-log.ts
@@ -0,0 +1,101 @@
+import { build } from "hdr-histogram-js";
+import type { Arrival } from "./scenario.ts";
+
+/** Waits of urgent work and of cancellations, in milliseconds. */
+export class Waits {
+  readonly #histogram = build({ numberOfSignificantValueDigits: 3 });
+
+  add(ms: number): void {
+    this.#histogram.recordValue(Math.max(1, Math.round(ms * 1000)));
+  }
+
+  get count(): number {
+    return this.#histogram.totalCount;
+  }
+
+  figures(name: string): readonly (readonly [string, number])[] {
+    const at = (percentile: number): number =>
+      this.#histogram.getValueAtPercentile(percentile) / 1000;
+    return [
+      [`${name} p50 ms`, at(50)],
+      [`${name} p99 ms`, at(99)],
+      [`${name} p99.9 ms`, at(99.9)],
+      [`${name} worst ms`, this.#histogram.maxValue / 1000],
+    ];
+  }
+}
+
+/** What became of the requests that their callers cancelled. */
+export class Cancellations {
+  readonly #at = new Map<number, number>();
+  readonly #replies = new Waits();
+  #startedLater = 0;
+  #ranOnMs = 0;
+
+  has(n: number): boolean {
+    return this.#at.has(n);
+  }
+
+  get count(): number {
+    return this.#at.size;
+  }
+
+  cancelled(n: number, now: number): void {
+    this.#at.set(n, now);
+  }
+
+  replied(n: number, now: number): void {
+    const at = this.#at.get(n);
+    if (at !== undefined) this.#replies.add(now - at);
+  }
+
+  started(n: number): void {
+    if (this.#at.has(n)) this.#startedLater++;
+  }
+
+  ended(n: number, now: number, startedAt: number): void {
+    const at = this.#at.get(n);
+    if (at !== undefined) this.#ranOnMs += now - Math.max(at, startedAt);
+  }
+
+  figures(): readonly (readonly [string, number])[] {
+    if (this.#at.size === 0) return [];
+    return [
+      ["cancelled", this.#at.size],
+      ...this.#replies.figures("cancel reply"),
+      ["cancelled, started later", this.#startedLater],
+      ["cancelled, slot seconds used later", this.#ranOnMs / 1000],
+    ];
+  }
+}
+
+/** Counts of answers, refusals and deadlines. */
+export class Outcomes {
+  readonly #refusals = new Map<string, number>();
+  #answered = 0;
+  #urgentAnswered = 0;
+  #badJobsRefused = 0;
+
+  answered({ priority }: Arrival): void {
+    this.#answered++;
+    if (priority === "urgent") this.#urgentAnswered++;
+  }
+
+  refused({ neverSucceeds }: Arrival, reason: string): void {
+    this.#refusals.set(reason, (this.#refusals.get(reason) ?? 0) + 1);
+    if (neverSucceeds) this.#badJobsRefused++;
+  }
+
+  /** `due` are the requests that could be answered and were not cancelled. */
+  figures(due: readonly Arrival[], badJobs: number): readonly (readonly [string, number])[] {
+    const urgent = due.filter(({ priority }) => priority === "urgent").length;
+    return [
+      ["answered by deadline %", (100 * this.#answered) / Math.max(1, due.length)],
+      ["deadlines missed", due.length - this.#answered],
+      ["urgent deadlines missed", urgent - this.#urgentAnswered],
+      ...(badJobs === 0 ? [] : [["jobs that never succeed", badJobs] as const]),
+      ...(badJobs === 0 ? [] : [["of these refused", this.#badJobsRefused] as const]),
+      ...[...this.#refusals].map(([reason, count]) => [`refused ${reason}`, count] as const),
+    ];
+  }
+}
--- a/bench/scenarios.ts
+++ b/bench/scenarios.ts
@@ -1,121 +1,118 @@
-import type { Priority } from "../src/platform/backend-server.ts";
-import type { Random } from "../src/platform/random.ts";
-import { ENTRIES, POOLS, SLOTS, TEAMS } from "./fleet.ts";
-
-/** One request of a run. Times are in milliseconds. */
-export interface Arrival {
-  /** From the start of the load. */
-  readonly at: number;
-  /** Index of the entry instance that receives it. */
-  readonly entry: number;
-  readonly queue: string;
-  readonly team: string;
-  readonly priority: Priority;
-  readonly runMs: number;
-  readonly timeoutMs: number;
-}
-
-/** A fault of a run, from the start of the load, in milliseconds. */
-export interface Fault {
-  readonly kind: "platform-down" | "zone-cut";
-  readonly fromMs: number;
-  readonly toMs: number;
-}
-
-/** What is measured. Times are in milliseconds. */
-export interface Scenario {
-  readonly describe: string;
-  readonly loadMs: number;
-  readonly runMs: number;
-  readonly timeoutMs: number;
-  readonly fault?: Fault;
-  /** Requests a second of a queue, whose pool can run `capacity` a second. */
-  readonly rate: (queue: number, atMs: number, capacity: number) => number;
-  /** Weight with which a team is drawn for a request. */
-  readonly demand: (team: (typeof TEAMS)[number]) => number;
-}
+/**
+ * The scenarios. Their lengths and loads are chosen so that a round of one site takes less than
+ * 40 s of real time, which is why the outage lasts a minute and not an hour.
+ */
+import {
+  EntryChurn,
+  FailingServers,
+  PlatformDown,
+  RackLostInWave,
+  ServerChurn,
+  ZoneCut,
+} from "./faults.ts";
+import type { Scenario } from "./scenario.ts";
 
 const BURST_MS = 4000;
-const URGENT_SHARE = 0.1;
-/** Run times vary by this share of their mean to either side. */
-const RUN_TIME_SPREAD = 0.5;
+const QUEUES = 5;
+/** Callers cancel at these times what they sent within the time before it. */
+const CANCEL_AT_MS = [6000, 12_000];
+const CANCEL_BACK_MS = 4000;
+const CANCEL_SHARE = 0.8;
+/** Shorter than `budget_idle_ms`, so that budgets stay behind. */
+const TEAM_MOVES_EVERY_MS = 1000;
+const DECLARED_FACTOR = 20;
 
 export const SCENARIOS: Readonly<Record<string, Scenario>> = {
   burst: {
     describe: "each queue in turn asks 5 times its mean for 4 s (125% of its pool)",
-    loadMs: 20_000,
+    loadMs: QUEUES * BURST_MS,
     runMs: 200,
     timeoutMs: 5000,
     rate: (queue, atMs, capacity) => {
       const mean = capacity / 4;
-      const bursting = Math.floor(atMs / BURST_MS) % POOLS.length === queue;
+      const bursting = Math.floor(atMs / BURST_MS) % QUEUES === queue;
       return bursting ? 5 * mean : mean / 20;
     },
     demand: (team) => team.share,
   },
   full: {
-    describe: "each of 6 teams asks for 36% of the fleet for 30 s, whatever its share",
-    loadMs: 30_000,
-    runMs: 1000,
+    describe: "each of 6 teams asks for 36% of the fleet for 14 s, whatever its share",
+    loadMs: 14_000,
+    runMs: 1500,
     timeoutMs: 5000,
     rate: (_queue, _atMs, capacity) => 2.16 * capacity,
     demand: () => 1,
   },
+  maintenance: {
+    describe: "every server drained and rebooted, the rack under way lost from 16 s to 30 s",
+    loadMs: 170_000,
+    runMs: 2000,
+    timeoutMs: 5000,
+    rate: (_queue, _atMs, capacity) => 0.02 * capacity,
+    demand: (team) => team.share,
+    maintenanceParallel: 4,
+    faults: [new RackLostInWave({ fromMs: 16_000, toMs: 30_000 })],
+  },
   outage: {
-    describe: "key-value service down from 10 s to 310 s, steady load of 10% of the slots",
-    loadMs: 330_000,
+    describe:
+      "key-value service down from 5 s to 65 s; an entry instance is killed every 12 s and " +
+      "replaced after 6 s, a server lost every 10 s for 8 s; steady load of 10% of the slots",
+    loadMs: 80_000,
     runMs: 2000,
     timeoutMs: 5000,
-    fault: { kind: "platform-down", fromMs: 10_000, toMs: 310_000 },
     rate: (_queue, _atMs, capacity) => 0.1 * capacity,
     demand: (team) => team.share,
+    faults: [
+      new PlatformDown({ fromMs: 5000, toMs: 65_000 }),
+      new EntryChurn({ fromMs: 15_000, toMs: 60_000, everyMs: 12_000, downMs: 6000 }),
+      new ServerChurn({ fromMs: 10_000, toMs: 60_000, everyMs: 10_000, downMs: 8000 }),
+    ],
   },
   cut: {
-    describe: "zone z1 cut off from 5 s to 65 s, steady load of 20% of the slots",
-    loadMs: 80_000,
+    describe: "zone 1 cut off from 5 s to 45 s, steady load of 20% of the slots",
+    loadMs: 60_000,
     runMs: 1000,
     timeoutMs: 5000,
-    fault: { kind: "zone-cut", fromMs: 5000, toMs: 65_000 },
+    faults: [new ZoneCut({ fromMs: 5000, toMs: 45_000 })],
     rate: (_queue, _atMs, capacity) => 0.2 * capacity,
     demand: (team) => team.share,
   },
+  "bad-servers": {
+    describe:
+      "one server of each of 3 pools fails every task from 3 s on, 2% of the jobs never succeed, " +
+      "declared run times are 20 times too long or too short; load of 40% of the slots for 30 s",
+    loadMs: 30_000,
+    runMs: 1000,
+    timeoutMs: 5000,
+    rate: (_queue, _atMs, capacity) => 0.4 * capacity,
+    demand: (team) => team.share,
+    neverSucceedShare: 0.02,
+    declaredFactor: (queue) => (queue % 2 === 0 ? DECLARED_FACTOR : 1 / DECLARED_FACTOR),
+    faults: [new FailingServers({ fromMs: 3000, pools: 3 })],
+  },
+  cancel: {
+    describe: "load of 130% of the slots; at 6 s and 12 s callers cancel 80% of the last 4 s",
+    loadMs: 16_000,
+    runMs: 2000,
+    timeoutMs: 5000,
+    rate: (_queue, _atMs, capacity) => 1.3 * capacity,
+    demand: (team) => team.share,
+    cancelAt: (atMs, random) =>
+      random >= CANCEL_SHARE
+        ? undefined
+        : CANCEL_AT_MS.find((cancelAt) => atMs < cancelAt && atMs >= cancelAt - CANCEL_BACK_MS),
+  },
+  limits: {
+    describe:
+      "upper limits of half the usual, each team asks for 90% of its own and sends to another " +
+      "zone every second",
+    loadMs: 20_000,
+    runMs: 1000,
+    timeoutMs: 5000,
+    limitScale: 0.5,
+    rate: (_queue, _atMs, capacity) => 0.81 * capacity,
+    demand: (team) => team.upperLimit,
+    zoneOf: ({ zones }, team, atMs) =>
+      (team + Math.floor(atMs / TEAM_MOVES_EVERY_MS)) % zones.length,
+  },
 };
-
-/** Requests of one run in order of time, as Poisson arrivals at each queue. */
-export function arrivals(scenario: Scenario, random: Random): readonly Arrival[] {
-  return POOLS.flatMap((pool, queue) => queueArrivals(scenario, random, pool, queue)).sort(
-    (a, b) => a.at - b.at,
-  );
-}
-
-function queueArrivals(
-  scenario: Scenario,
-  random: Random,
-  pool: (typeof POOLS)[number],
-  queue: number,
-): readonly Arrival[] {
-  const { loadMs, runMs, timeoutMs, rate, demand } = scenario;
-  const capacity = (pool.servers * SLOTS * 1000) / runMs;
-  // Candidates at the highest rate are kept in proportion to the rate at their time.
-  const highest = Math.max(...POOLS.map((_, n) => rate(queue, n * BURST_MS, capacity)));
-  const found: Arrival[] = [];
-  for (let at = 0; ;) {
-    at += (-Math.log(1 - random.next()) * 1000) / highest;
-    if (at >= loadMs) return found;
-    if (random.next() * highest >= rate(queue, at, capacity)) continue;
-    found.push({
-      at,
-      entry: Math.floor(random.next() * ENTRIES),
-      queue: pool.name,
-      team: drawTeam(random, demand),
-      priority: random.next() < URGENT_SHARE ? "urgent" : "normal",
-      runMs: runMs * (1 + RUN_TIME_SPREAD * (2 * random.next() - 1)),
-      timeoutMs,
-    });
-  }
-}
-
-function drawTeam(random: Random, demand: Scenario["demand"]): string {
-  let left = random.next() * TEAMS.reduce((sum, team) => sum + demand(team), 0);
-  return (TEAMS.find((team) => (left -= demand(team)) < 0) ?? TEAMS[0]).name;
-}
--- /dev/null
+++ b/bench/simulated-parts.ts
@@ -0,0 +1,66 @@
+/** Simulated links, servers and tasks of a measured fleet. */
+import type { BackendResult, TaskResult, TaskSpec } from "../src/platform/backend-server.ts";
+import { SimulatedBackendServer, TaskRunner } from "../src/stand-ins/simulated-backend-server.ts";
+import type { BackendParty } from "../test/fakes/faulty-backend.ts";
+import { Links, type LinkOutcome, type Party } from "../test/fakes/links.ts";
+import type { Arrival } from "./scenario.ts";
+
+/** Time until a failing task fails, in milliseconds. */
+export const FAILURE_MS = 20;
+
+/** Links that report each call. */
+export class CountingLinks extends Links {
+  onCall: (from: Party, to: Party) => void = () => undefined;
+
+  override call<T>(
+    from: Party,
+    to: Party,
+    deliver: () => Promise<T>,
+    timeoutMs: number,
+  ): Promise<LinkOutcome<T>> {
+    this.onCall(from, to);
+    return super.call(from, to, deliver, timeoutMs);
+  }
+}
+
+/** Runs each task as its request was planned. */
+export class PlannedRunner extends TaskRunner {
+  readonly #requests: readonly Arrival[];
+  failing = false;
+
+  constructor(requests: readonly Arrival[]) {
+    super();
+    this.#requests = requests;
+  }
+
+  run(spec: TaskSpec): { readonly runMs: number; readonly result: TaskResult } {
+    const { runMs, neverSucceeds } = this.#requests[numberOf(spec)]!;
+    if (!this.failing && !neverSucceeds)
+      return { runMs, result: { kind: "answer", payload: spec.payload } };
+    const reason = neverSucceeds ? "bad input" : "disk error";
+    return { runMs: FAILURE_MS, result: { kind: "failure", reason } };
+  }
+}
+
+/** A server that reports when it was told to reboot. */
+export class RebootingServer extends SimulatedBackendServer {
+  onReboot: () => void = () => undefined;
+
+  override async reboot(leaseId: string): Promise<Awaited<BackendResult<void>>> {
+    const done = await super.reboot(leaseId);
+    if (done.ok) this.onReboot();
+    return done;
+  }
+}
+
+/** A backend server with its place in the network. */
+export interface Machine extends BackendParty {
+  readonly name: string;
+  readonly server: RebootingServer;
+  readonly runner: PlannedRunner;
+}
+
+/** The body of a request is its number. */
+export function numberOf(spec: TaskSpec): number {
+  return Number(Buffer.from(spec.payload.body).toString());
+}
--- /dev/null
+++ b/bench/stranded.ts
@@ -0,0 +1,96 @@
+import type { Arrival } from "./scenario.ts";
+import type { TeamPlan } from "./site.ts";
+import type { TeamUse } from "./share-windows.ts";
+
+/** A request that is under way between processes is not yet waiting for a slot. */
+const UNDER_WAY_MS = 50;
+
+/** State of the fleet at one sample. */
+export interface FleetSample {
+  readonly now: number;
+  readonly use: ReadonlyMap<string, TeamUse>;
+  /** Free slots by pool, which may be negative while the urgent reserve is in use. */
+  readonly free: ReadonlyMap<string, number>;
+  /** Queued requests with the time at which each was submitted. */
+  readonly waiting: Iterable<readonly [Arrival, number]>;
+  /** Budget of entry instances that no longer run. */
+  readonly lostBudget: number;
+}
+
+/**
+ * Stranded capacity: slots that stay free while work of their pool waits that its team's upper
+ * limit allows, and budget that is recorded for entry instances that no longer run.
+ */
+export class StrandedCapacity {
+  readonly #teams: readonly TeamPlan[];
+  #samples = 0;
+  #slots = 0;
+  #worstSlots = 0;
+  #worstBudget = 0;
+  #budgetSamples = 0;
+  #limitSamples = 0;
+  #limitUse = 0;
+
+  constructor(teams: readonly TeamPlan[]) {
+    this.#teams = teams;
+  }
+
+  /** Accounts for one sample; true if work waits in every one of the pools. */
+  sample(sample: FleetSample): boolean {
+    const { use, free, lostBudget } = sample;
+    const queued = queuedByPool(sample);
+    const room = new Map(
+      this.#teams.map(({ name, upperLimit }) => [name, upperLimit - use.get(name)!.running]),
+    );
+    let stranded = 0;
+    for (const [pool, teams] of queued) {
+      let left = Math.max(0, free.get(pool) ?? 0);
+      for (const [team, count] of teams) {
+        const startable = Math.max(0, Math.min(count, room.get(team)!, left));
+        room.set(team, room.get(team)! - startable);
+        left -= startable;
+        stranded += startable;
+      }
+    }
+    this.#limits(queued, use);
+    this.#samples++;
+    this.#slots += stranded;
+    this.#worstSlots = Math.max(this.#worstSlots, stranded);
+    this.#worstBudget = Math.max(this.#worstBudget, lostBudget);
+    if (lostBudget > 0) this.#budgetSamples++;
+    return [...free.keys()].every((pool) => queued.has(pool));
+  }
+
+  figures(sampleMs: number): readonly (readonly [string, number])[] {
+    const found: (readonly [string, number])[] = [
+      ["stranded slots mean", this.#slots / Math.max(1, this.#samples)],
+      ["stranded slots worst", this.#worstSlots],
+      ["stranded budget worst", this.#worstBudget],
+      ["stranded budget s", (this.#budgetSamples * sampleMs) / 1000],
+    ];
+    if (this.#limitSamples > 0)
+      found.push(["limit use while work waits %", (100 * this.#limitUse) / this.#limitSamples]);
+    return found;
+  }
+
+  #limits(
+    queued: ReadonlyMap<string, ReadonlyMap<string, number>>,
+    use: ReadonlyMap<string, TeamUse>,
+  ): void {
+    for (const { name, upperLimit } of this.#teams) {
+      if (![...queued.values()].some((teams) => teams.has(name))) continue;
+      this.#limitSamples++;
+      this.#limitUse += use.get(name)!.running / upperLimit;
+    }
+  }
+}
+
+function queuedByPool({ now, waiting }: FleetSample): Map<string, Map<string, number>> {
+  const queued = new Map<string, Map<string, number>>();
+  for (const [{ queue, team }, since] of waiting) {
+    if (now - since < UNDER_WAY_MS) continue;
+    const teams = queued.get(queue) ?? new Map<string, number>();
+    queued.set(queue, teams.set(team, (teams.get(team) ?? 0) + 1));
+  }
+  return queued;
+}
--- /dev/null
+++ b/bench/workload.ts
@@ -0,0 +1,72 @@
+import type { Random } from "../src/platform/random.ts";
+import { teamsOf } from "./fleet.ts";
+import type { Arrival, Scenario } from "./scenario.ts";
+import { entriesOf, SLOTS, type PoolPlan, type Site, type TeamPlan } from "./site.ts";
+
+const URGENT_SHARE = 0.1;
+/** Run times vary by this share of their mean to either side. */
+const RUN_TIME_SPREAD = 0.5;
+/** Step in milliseconds at which the highest rate of a queue is looked for. */
+const RATE_STEP_MS = 1000;
+
+/** Requests of one run in order of time, as Poisson arrivals at each queue. */
+export function arrivals(site: Site, scenario: Scenario, random: Random): readonly Arrival[] {
+  return site.pools
+    .flatMap((pool, queue) => queueArrivals({ site, scenario, random, pool, queue }))
+    .sort((a, b) => a.at - b.at);
+}
+
+interface QueueLoad {
+  readonly site: Site;
+  readonly scenario: Scenario;
+  readonly random: Random;
+  readonly pool: PoolPlan;
+  readonly queue: number;
+}
+
+function queueArrivals(load: QueueLoad): readonly Arrival[] {
+  const { scenario, random, pool, queue } = load;
+  const { loadMs, runMs, rate } = scenario;
+  const capacity = (pool.servers * SLOTS * 1000) / runMs;
+  const steps = Array.from({ length: Math.ceil(loadMs / RATE_STEP_MS) }, (_, n) => n);
+  // Candidates at the highest rate are kept in proportion to the rate at their time.
+  const highest = Math.max(...steps.map((n) => rate(queue, n * RATE_STEP_MS, capacity)));
+  const found: Arrival[] = [];
+  for (let at = 0; ;) {
+    at += (-Math.log(1 - random.next()) * 1000) / highest;
+    if (at >= loadMs) return found;
+    if (random.next() * highest < rate(queue, at, capacity)) found.push(arrival(load, at));
+  }
+}
+
+function arrival({ site, scenario, random, pool }: QueueLoad, at: number): Arrival {
+  const { runMs, timeoutMs, neverSucceedShare = 0 } = scenario;
+  const entry = random.next();
+  const teams = teamsOf(site, scenario);
+  const team = drawTeam(random, teams, scenario.demand);
+  return {
+    at,
+    entry: entryOf(site, entry, scenario.zoneOf?.(site, teams.indexOf(team), at)),
+    queue: pool.name,
+    team: team.name,
+    priority: random.next() < URGENT_SHARE ? "urgent" : "normal",
+    runMs: runMs * (1 + RUN_TIME_SPREAD * (2 * random.next() - 1)),
+    timeoutMs,
+    neverSucceeds: neverSucceedShare > 0 && random.next() < neverSucceedShare,
+    cancelAt: scenario.cancelAt?.(at, random.next()),
+  };
+}
+
+function entryOf(site: Site, drawn: number, zone: number | undefined): number {
+  if (zone === undefined) return Math.floor(drawn * entriesOf(site));
+  return zone * site.entriesPerZone + Math.floor(drawn * site.entriesPerZone);
+}
+
+function drawTeam(
+  random: Random,
+  teams: readonly TeamPlan[],
+  demand: Scenario["demand"],
+): TeamPlan {
+  let left = random.next() * teams.reduce((sum, team) => sum + demand(team), 0);
+  return teams.find((team) => (left -= demand(team)) < 0) ?? teams[0]!;
+}
--- /dev/null
+++ b/test/bench/observers.test.ts
@@ -0,0 +1,57 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FleetObserver } from "../../bench/fleet-observer.ts";
+import { reportPage } from "../../bench/report.ts";
+import { ShareWindows } from "../../bench/share-windows.ts";
+import { SITES } from "../../bench/site.ts";
+
+const site = SITES.get("piedra-viva")!;
+const place = (n: number, state: "serving" | "draining") =>
+  ({ name: `z${(n % 3) + 1}-s${n}`, pool: "enrolment", state }) as const;
+
+// Guards against a benchmark that misses a planned drain below an availability budget.
+test("the observer counts the drain that breaks the budget, by servers that are up", () => {
+  const observer = new FleetObserver(site);
+  observer.lost(0, "z1-s0");
+  observer.recorded(20_000, [place(1, "draining")]);
+  const count = (): number | undefined => new Map(observer.figures()).get("drains below budget");
+  assert.is(count(), 0);
+  observer.recorded(20_000, [place(2, "draining")]);
+  assert.is(count(), 1);
+});
+
+// Guards against windows that count although the fleet was not full.
+test("a share window counts only if the fleet was full at each sample", () => {
+  const teams = [
+    { name: "a", share: 3, upperLimit: 9 },
+    { name: "b", share: 1, upperLimit: 9 },
+  ];
+  const use = new Map(teams.map(({ name }) => [name, { running: 2, queued: 1 }]));
+  const windows = new ShareWindows({ windowMs: 1000, teams, from: 0 });
+  for (let now = 500; now <= 2500; now += 500) windows.sample(now, use, now !== 500);
+  const figures = new Map(windows.figures());
+  assert.is(figures.get("share windows of 1 s"), 2);
+  assert.is(figures.get("share distance 1 s b worst %"), 100);
+});
+
+// Guards against a report that needs a network or runs scripts.
+test("the report is one page without scripts and without addresses", () => {
+  const page = reportPage([
+    {
+      scenario: "full",
+      site: "piedra-viva",
+      describe: "a < b",
+      seed: 1,
+      rounds: 1,
+      secondsPerRound: 1,
+      cpuSecondsPerRound: 1,
+      rows: [{ figure: "requests", baseline: { min: 1, median: 1, max: 1 }, product: undefined }],
+      series: { baseline: { running: [1, 2] }, product: { running: [2, 3] } },
+    },
+  ]);
+  assert.match(page, "<svg");
+  assert.match(page, "a &lt; b");
+  assert.not.match(page, /<script|https?:/);
+});
+
+test.run();
