fix(dispatch): a server on probation gets at most one probe a second

Cause: `ServerPicker.pick` takes the least loaded server. A server that fails tasks at once is idle most of the time, so on probation, with a limit of one task, it still was the least loaded and got the next task as soon as the last had failed. The retries used up the retry budget, and jobs that would have succeeded were refused as `retry_budget`.

Change: after a pick, a server on probation is left alone for a second. The benchmark counts the tasks that failing servers failed. The test of one task at a time waits a second before its last load, because a probe may have ended just before; what it asserts is unchanged.

Ruled out: picking servers on probation last. Under light load they would never be probed, and so never be cleared or put into quarantine.

--- a/bench/baseline.ts
+++ b/bench/baseline.ts
@@ -144,6 +144,7 @@
     this.clock.schedule(this.#latency(), () => {
       if (slot.running !== n) return;
       this.recorder.started(n);
+      if (this.#failing.has(slot.server)) this.recorder.failedByServer();
       this.clock.schedule(fails ? FAILURE_MS : runMs, () => {
         if (slot.running === n) this.#end(slot, n, fails ? "task_failed" : undefined);
       });
--- a/bench/product-fleet.ts
+++ b/bench/product-fleet.ts
@@ -199,6 +199,7 @@
     const { clock } = this;
     const runner = new PlannedRunner(this.#options.requests);
     const observe = (event: "start" | "end", spec: TaskSpec): void => {
+      if (event === "start" && runner.failing) this.recorder.failedByServer();
       if (event === "start") this.recorder.started(numberOf(spec));
       else this.recorder.ended(numberOf(spec));
     };
--- a/bench/recorder.ts
+++ b/bench/recorder.ts
@@ -76,6 +76,7 @@
   #from = 0;
   #samples = 0;
   #overLimit = 0;
+  #failedByServers = 0;
 
   constructor(options: RecorderOptions) {
     this.#options = options;
@@ -122,6 +123,11 @@
     this.#cancellations.ended(n, this.#options.clock.now(), this.#startedAt.get(n)!);
   }
 
+  /** A server that fails every task failed one. */
+  failedByServer(): void {
+    this.#failedByServers++;
+  }
+
   /** The caller got an answer, or a refusal with a reason. */
   replied(n: number, refusal: string | undefined): void {
     this.#leaveQueue(n);
@@ -167,6 +173,7 @@
       ...this.#outcomes.figures(due, uncancelled.length - due.length),
       ...this.#cancellations.figures(),
       ["tasks above an upper limit", this.#overLimit],
+      ["tasks failed by bad servers", this.#failedByServers],
       ...this.#stranded.figures(SAMPLE_MS),
       ...probe.observer.figures(),
       ...this.#windows.flatMap((windows) => windows.figures()),
--- a/src/coordination/server-picker.ts
+++ b/src/coordination/server-picker.ts
@@ -6,6 +6,11 @@
 
 /** A server that refused a start is left alone this long, so that the next try goes elsewhere. */
 const COOL_DOWN_MS = 200;
+/**
+ * Pause between two tasks of a server on probation. A server that fails tasks at once is idle most
+ * of the time, so that without a pause the least loaded server would nearly always be the bad one.
+ */
+const PROBE_INTERVAL_MS = 1000;
 
 /** Options of {@link ServerPicker}. */
 export interface ServerPickerOptions {
@@ -43,7 +48,7 @@
       const free = this.#usable(pool).filter((server) => this.#free(server) > 0);
       const preferred = free.filter((server) => !avoid.includes(server.name));
       const picked = this.#leastLoaded(preferred) ?? this.#leastLoaded(free);
-      if (picked !== undefined) return picked;
+      if (picked !== undefined) return this.#probed(picked);
     }
     return undefined;
   }
@@ -80,6 +85,12 @@
     }
   }
 
+  #probed(server: HeldServer): HeldServer {
+    if (this.#options.attribution.onProbation(server.name))
+      this.#coolUntil.set(server.name, this.#options.clock.now() + PROBE_INTERVAL_MS);
+    return server;
+  }
+
   #usable(pool: string): readonly HeldServer[] {
     const now = this.#options.clock.now();
     return this.#options.held
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -56,6 +56,31 @@
   await clock.until(() => held.started.length === 64, 30_000);
 });
 
+// Guards against a server that fails every task fast, is idle for that and so attracts the next.
+test("a server on probation gets one probe a second", async () => {
+  const entry = entryFixture();
+  const { clock, held, fleet } = entry;
+  const names = ["s1", "s2", "s3", "s4"];
+  for (const name of names) held.add(name, { slots: 8 });
+  fleet.document = fleetOf(names);
+  held.runMs = 20;
+  held.result = ({ server, spec }) =>
+    server === "s1"
+      ? { kind: "failure", reason: "disk error" }
+      : { kind: "answer", payload: spec.payload };
+  const load = async (ms: number): Promise<number> => {
+    const before = held.started.length;
+    for (let at = 0; at < ms; at += 10) {
+      submitMany(entry, 1);
+      await clock.advance(10);
+    }
+    return held.started.slice(before).filter(({ server }) => server === "s1").length;
+  };
+  await load(2000);
+  const probes = await load(5000);
+  assert.ok(probes >= 3 && probes <= 6, `${probes} tasks in 5 s`);
+});
+
 // Guards against urgent work that waits because normal work holds every slot.
 test("slots of the urgent reserve stay free for urgent work", async () => {
   const entry = entryFixture({ config: fixtureConfig({ urgentReserveSlots: 1 }) });
@@ -103,6 +128,8 @@
     await clock.advance(200);
   }
   held.runMs = 5000;
+  // A probe may have ended just now; the next one follows within a second.
+  await clock.advance(1000);
   submitMany(entry, 16, { queue: "repeat" });
   await clock.advance(10);
   assert.is(runningOn(entry, "s1"), 1);
