fix(bench): no share distance from a window in which nothing ran

Change: such a window does not count.

Ruled out: counting it as a distance of 100%; no part of zero slot time belongs to any team.

--- a/bench/share-windows.ts
+++ b/bench/share-windows.ts
@@ -60,6 +60,7 @@
 
   #close(): void {
     const total = [...this.#used.values()].reduce((sum, used) => sum + used, 0);
+    if (total === 0) return;
     const shares = this.#teams.reduce((sum, { share }) => sum + share, 0);
     for (const { name, share } of this.#teams) {
       const part = this.#used.get(name)! / total;
--- a/test/bench/observers.test.ts
+++ b/test/bench/observers.test.ts
@@ -34,6 +34,14 @@
   assert.is(figures.get("share distance 1 s b worst %"), 100);
 });
 
+// Guards against distances that are no numbers after a window in which nothing ran.
+test("a share window in which nothing runs does not count", () => {
+  const teams = [{ name: "a", share: 1, upperLimit: 9 }];
+  const windows = new ShareWindows({ windowMs: 1000, teams, from: 0 });
+  windows.sample(1000, new Map([["a", { running: 0, queued: 1 }]]), true);
+  assert.equal(windows.figures(), [["share windows of 1 s", 0]]);
+});
+
 // Guards against a report that needs a network or runs scripts.
 test("the report is one page without scripts and without addresses", () => {
   const page = reportPage([
