feat(bench): capacity series of today's size

Cause: the target for one idle entry names today's size (9 entries in 3 zones, 36 servers, 6 teams), but no series of the capacity benchmark measured it. Change: series `site` with one point of that size. Ruled out: working it out from the slopes of the other series; their points have one or two zones.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -39,6 +39,7 @@
     servers: 16,
     requestsPerSecond,
   })),
+  { ...BASE, series: "site", zones: 3, entries: 9, servers: 36 },
 ];
 
 function template({ teams }: Point): string {
