perf(dispatch): review once a second while nothing is queued or lent

Change: 50 ms while anything is queued or lent here or a peer reported queued work, 1 s otherwise; a new item or a gossip reply ends the long pause at once if there is something to decide. Ruled out: ending the pause on every budget or server change; those events already start queued work directly, and without queued work there is nothing to review.

--- a/src/coordination/capacity-review.ts
+++ b/src/coordination/capacity-review.ts
@@ -3,16 +3,21 @@
 import type { TeamUsage } from "../state/team-usage.ts";
 import type { PeerLoads } from "./peer-loads.ts";
 import type { PoolLending } from "./pool-lending.ts";
+import type { PoolQueue } from "./pool-queue.ts";
 import type { PoolWaits } from "./pool-waits.ts";
 import type { ServerPicker } from "./server-picker.ts";
 import type { TaskStarter } from "./task-starter.ts";
+import { WAIT_ENDED } from "./wait.ts";
 
-/** How often lending, offers and demand are reviewed without another cause. */
+/** How often lending, offers and demand are reviewed while anything is queued or lent. */
 const REVIEW_INTERVAL_MS = 50;
+/** Interval otherwise. Idle entries spent much of their processor time on reviews every 50 ms. */
+const IDLE_REVIEW_INTERVAL_MS = 1000;
 
 /** Options of {@link CapacityReview}. */
 export interface CapacityReviewOptions {
   readonly clock: Clock;
+  readonly queues: ReadonlyMap<string, PoolQueue>;
   readonly picker: ServerPicker;
   readonly starter: TaskStarter;
   readonly lending: PoolLending;
@@ -26,6 +31,8 @@
 export class CapacityReview {
   readonly #options: CapacityReviewOptions;
   #lastGossipAt = -1;
+  /** Ends the present pause; undefined outside of a long one. */
+  #idlePause: AbortController | undefined;
 
   constructor(options: CapacityReviewOptions) {
     this.#options = options;
@@ -33,17 +40,43 @@
 
   /** Reviews until the signal aborts, each time followed by `then`. */
   async run(signal: AbortSignal, then: () => void): Promise<void> {
-    const { clock, picker, starter } = this.#options;
+    const { picker, starter } = this.#options;
     while (!signal.aborted) {
       this.#reviewPeers();
       picker.prune();
       starter.prune();
       this.#reviewPools();
       then();
-      await clock.sleep(REVIEW_INTERVAL_MS, signal);
+      await this.#pause(signal);
     }
   }
 
+  /** Reviews at once, and then at the short interval, if there is now something to decide. */
+  wake(): void {
+    if (this.#idlePause !== undefined && this.#busy()) this.#idlePause.abort(WAIT_ENDED);
+  }
+
+  async #pause(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    if (this.#busy()) return clock.sleep(REVIEW_INTERVAL_MS, signal);
+    const pause = new AbortController();
+    const end = (): void => {
+      pause.abort(WAIT_ENDED);
+    };
+    signal.addEventListener("abort", end);
+    this.#idlePause = pause;
+    await clock.sleep(IDLE_REVIEW_INTERVAL_MS, pause.signal);
+    this.#idlePause = undefined;
+    signal.removeEventListener("abort", end);
+  }
+
+  /** True while time alone can change a decision. */
+  #busy(): boolean {
+    const { queues, lending, loads } = this.#options;
+    for (const queue of queues.values()) if (queue.length > 0) return true;
+    return lending.lent() || loads.queuedAtPeers();
+  }
+
   #reviewPools(): void {
     const { clock, picker, lending, waits, loads, attribution } = this.#options;
     const atPeers = loads.longestWaits();
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -70,6 +70,7 @@
   readonly #queueOffers: QueueOffers;
   readonly #starter: TaskStarter;
   readonly #demand: TeamDemand;
+  readonly #capacityReview: CapacityReview;
   readonly #subscriptions: readonly Unsubscribe[];
   readonly #closed = new AbortController();
   #ids = 0;
@@ -111,14 +112,14 @@
       });
     };
     this.#subscriptions = [options.held.onChange(pump), options.budgets.onChange(pump)];
-    const review = new CapacityReview({
+    this.#capacityReview = new CapacityReview({
       ...options,
       ...shared,
       waits: this.#waits,
       loads: this.#loads,
       starter: this.#starter,
     });
-    void review.run(this.#closed.signal, () => {
+    void this.#capacityReview.run(this.#closed.signal, () => {
       this.review();
     });
   }
@@ -208,6 +209,7 @@
   review(): void {
     this.#startQueued();
     for (const [pool, queue] of this.#queues) this.#queueOffers.considerAll(pool, queue);
+    this.#capacityReview.wake();
   }
 
   /** Declines what peers offered, and offers whatever is queued to peers. */
@@ -247,6 +249,7 @@
     queue.add(item, returned);
     if (isQueued(item) && !item.work.offered) this.#queueOffers.consider(queue, item);
     this.#demand.report();
+    this.#capacityReview.wake();
   }
 
   #queueOf(pool: string): PoolQueue {
--- a/src/coordination/peer-loads.ts
+++ b/src/coordination/peer-loads.ts
@@ -37,6 +37,13 @@
     });
   }
 
+  /** True if a peer in contact reported queued work. */
+  queuedAtPeers(): boolean {
+    return this.takingWork().some(([, { message }]) =>
+      message.pools.some((pool) => pool.queued > 0),
+    );
+  }
+
   /** Longest expected wait of each pool at any peer. */
   longestWaits(): ReadonlyMap<string, number> {
     const waits = new Map<string, number>();
--- a/src/coordination/pool-lending.ts
+++ b/src/coordination/pool-lending.ts
@@ -28,6 +28,11 @@
     return spare === undefined || spare === pool ? [pool] : [pool, spare];
   }
 
+  /** True while any pool borrows slots. */
+  lent(): boolean {
+    return this.poolsInOrder().some((pool) => this.#lending.borrowing(pool));
+  }
+
   /** Configured pools, spare pools first, so that their own work precedes borrowers. */
   poolsInOrder(): readonly string[] {
     const pools = this.#config.current()?.pools ?? [];
--- a/test/coordination/capacity.test.ts
+++ b/test/coordination/capacity.test.ts
@@ -171,6 +171,23 @@
   assert.is(budgets.demand.get("blue"), 3);
 });
 
+// Guards against work that waits for an idle entry's next review although a peer has room.
+test("work queued at an idle entry is reviewed at the short interval at once", async () => {
+  const clock = new VirtualClock();
+  const [first, second] = [
+    entryFixture({ name: "e1", clock }),
+    entryFixture({ name: "e2", clock }),
+  ];
+  connect(first, second);
+  await clock.advance(5300);
+  void first.submit();
+  await clock.advance(10);
+  second.held.add("s2");
+  gossip(first, second);
+  await clock.advance(60);
+  assert.is(second.held.started.length, 1);
+});
+
 function fleetOf(names: readonly string[]) {
   const servers = names.map((name) => ({
     name,
