--- a/bench/transport.ts
+++ b/bench/transport.ts
@@ -72,12 +72,16 @@
   return [
     { name: "config", req: { type: "config" } },
     { name: `submit, body of ${BODY_BYTES} bytes`, req: { type: "submit", spec, waitMs: 1000 } },
-    ...TEAMS.map((teams) => ({ name: `gossip, ${teams} teams`, req: gossip(teams) })),
+    // The answering side takes the number of teams from the sequence number.
+    ...TEAMS.map((teams) => ({
+      name: `gossip, ${teams} teams`,
+      req: { type: "gossip", sequence: teams, configRevision: 3600 } as const,
+    })),
   ];
 }
 
 function answer(req: PeerRequest): Promise<PeerReply> {
-  if (req.type === "gossip") return Promise.resolve(req);
+  if (req.type === "gossip") return Promise.resolve(gossip(req.sequence));
   if (req.type === "submit") return Promise.resolve({ type: "state", state: undefined });
   return Promise.resolve({ type: "config-reply", revision: 1, document: undefined });
 }
--- a/src/coordination/config-gossip.ts
+++ b/src/coordination/config-gossip.ts
@@ -31,10 +31,9 @@
     };
   }
 
-  /** Takes a peer's state; requests carry no bound on their age and are passed over. */
+  /** Takes a peer's state. */
   received(state: PeerState): void {
     const { config, clock } = this.#options;
-    if (!Number.isFinite(state.receivedAt)) return;
     const own = config.current()?.revision ?? 0;
     const { configRevision } = state.message;
     if (configRevision > own) void this.#ask(state);
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -250,6 +250,7 @@
     if (isQueued(item) && !item.work.offered) this.#queueOffers.consider(queue, item);
     this.#demand.report();
     this.#capacityReview.wake();
+    if (isQueued(item)) this.#options.peers.hurry();
   }
 
   #queueOf(pool: string): PoolQueue {
--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -78,6 +78,8 @@
       self: this.hello,
       transport: peerTransport,
       intervalMs: settings.gossipIntervalMs,
+      queued: () => this.path.queued(),
+      configRevision: () => config.current()?.revision ?? 0,
       members: () => (homes.current === undefined ? [] : activeMembers(homes.current.value)),
       sources: [
         () => this.path.contribute(),
--- a/src/coordination/gossip-delta.ts
+++ b/src/coordination/gossip-delta.ts
@@ -1,29 +1,58 @@
-import type { GossipMessage, PoolLoad, TeamLoad } from "../protocol/peer-messages.ts";
+import type { GossipMessage, GossipReply, PoolLoad, TeamLoad } from "../protocol/peer-messages.ts";
 
 interface Sent {
   readonly message: GossipMessage;
   readonly sequence: number;
 }
 
+/** What is assumed of fields that a complete reply lacks: nothing is confirmed, nothing is free. */
+export const EMPTY_GOSSIP: GossipMessage = {
+  type: "gossip",
+  sequence: 0,
+  baseline: 0,
+  configRevision: 0,
+  configAgeMs: Number.MAX_SAFE_INTEGER,
+  platformReachable: false,
+  fleetRevision: 0,
+  homesRevision: 0,
+  pools: [],
+  teams: [],
+  held: [],
+  leaving: [],
+  stopping: false,
+};
+
+/** Fields that are sent whole when they change. */
+const WHOLE_FIELDS = [
+  "configRevision",
+  "platformReachable",
+  "fleetRevision",
+  "homesRevision",
+  "held",
+  "leaving",
+  "stopping",
+] as const;
+
 /** Reduces gossip replies to what changed since the receiver's last snapshot. */
 export class GossipEncoder {
   readonly #sent = new Map<string, Sent>();
   #sequence = 0;
 
   /** Encodes a snapshot for a peer that last received the snapshot `known` (0 for none). */
-  encode(peer: string, known: number, snapshot: GossipMessage): GossipMessage {
+  encode(peer: string, known: number, snapshot: GossipMessage): GossipReply {
     const previous = this.#sent.get(peer);
     const sequence = ++this.#sequence;
     this.#sent.set(peer, { message: snapshot, sequence });
-    if (previous?.sequence !== known) {
-      return { ...snapshot, sequence, baseline: 0 };
-    }
+    const { type, configAgeMs } = snapshot;
+    if (previous?.sequence !== known) return { ...snapshot, sequence, baseline: 0 };
+    const { message } = previous;
+    const pools = changed(message.pools, snapshot.pools, poolKey, emptyPool);
+    const teams = changed(message.teams, snapshot.teams, teamKey, emptyTeam);
     return {
-      ...snapshot,
-      sequence,
-      baseline: known,
-      pools: changed(previous.message.pools, snapshot.pools, poolKey, emptyPool),
-      teams: changed(previous.message.teams, snapshot.teams, teamKey, emptyTeam),
+      ...{ type, sequence, baseline: known, configAgeMs },
+      ...changedFields(message, snapshot),
+      ...(pools.length === 0 ? {} : { pools }),
+      ...(teams.length === 0 ? {} : { teams }),
     };
   }
 
@@ -33,32 +62,41 @@
   }
 }
 
-/** Restores the full snapshot from a reply and the previous snapshot of the same peer. */
+/**
+ * Restores the full snapshot from a reply and the previous snapshot of the same peer. Returns the
+ * previous one if the reply states changes to another snapshot.
+ */
 export function decodeGossip(
   previous: GossipMessage | undefined,
-  reply: GossipMessage,
-): GossipMessage {
-  if (reply.baseline === 0) return reply;
-  if (previous?.sequence !== reply.baseline) return withoutLoads(previous, reply);
+  reply: GossipReply,
+): GossipMessage | undefined {
+  if (reply.baseline === 0) return { ...EMPTY_GOSSIP, ...reply };
+  if (previous?.sequence !== reply.baseline) return previous;
   return {
+    ...previous,
     ...reply,
     pools: merged(previous.pools, reply.pools, poolKey),
     teams: merged(previous.teams, reply.teams, teamKey),
   };
 }
 
-/** Keeps the known loads when changes refer to another snapshot than the last one received. */
-function withoutLoads(previous: GossipMessage | undefined, reply: GossipMessage): GossipMessage {
-  const { sequence = 0, pools = [], teams = [] } = previous ?? {};
-  return { ...reply, sequence, pools, teams };
+function changedFields(before: GossipMessage, after: GossipMessage): Partial<GossipMessage> {
+  const fields = WHOLE_FIELDS.filter((field) => !sameField(before[field], after[field]));
+  return Object.fromEntries(fields.map((field) => [field, after[field]]));
+}
+
+function sameField(a: unknown, b: unknown): boolean {
+  if (!Array.isArray(a) || !Array.isArray(b)) return a === b;
+  return a.length === b.length && a.every((item, n) => item === b[n]);
 }
 
-function changed<T>(
+function changed<T extends PoolLoad | TeamLoad>(
   before: readonly T[],
   after: readonly T[],
   key: (item: T) => string,
   empty: (item: T) => T,
 ): readonly T[] {
+  if (before.length === after.length && after.every((item, n) => same(before[n], item))) return [];
   const known = new Map(before.map((item) => [key(item), item]));
   const updates = after.filter((item) => !same(known.get(key(item)), item));
   const present = new Set(after.map(key));
@@ -68,16 +106,19 @@
 
 function merged<T>(
   before: readonly T[],
-  updates: readonly T[],
+  updates: readonly T[] | undefined,
   key: (item: T) => string,
 ): readonly T[] {
+  if (updates === undefined) return before;
   const items = new Map(before.map((item) => [key(item), item]));
   for (const item of updates) items.set(key(item), item);
   return [...items.values()];
 }
 
-function same<T>(a: T | undefined, b: T): boolean {
-  return a !== undefined && JSON.stringify(a) === JSON.stringify(b);
+function same<T extends PoolLoad | TeamLoad>(a: T | undefined, b: T): boolean {
+  if (a === undefined) return false;
+  for (const field in b) if (a[field] !== b[field]) return false;
+  return true;
 }
 
 function poolKey(load: PoolLoad): string {
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -3,8 +3,16 @@
 import type { Log } from "../platform/log.ts";
 import type { PeerConnection, PeerError, PeerTransport } from "../platform/peer-transport.ts";
 import type { Random } from "../platform/random.ts";
-import type { GossipMessage, Hello, PeerRequest, ReplyTo } from "../protocol/peer-messages.ts";
-import { decodeGossip, GossipEncoder } from "./gossip-delta.ts";
+import type {
+  GossipMessage,
+  GossipReply,
+  GossipRequest,
+  Hello,
+  PeerRequest,
+  ReplyTo,
+} from "../protocol/peer-messages.ts";
+import { ExchangePace } from "./exchange-pace.ts";
+import { decodeGossip, EMPTY_GOSSIP, GossipEncoder } from "./gossip-delta.ts";
 import { Peers, type Counters, type GossipSource, type PeerState } from "./ports.ts";
 
 /** Another entry instance to stay in contact with. */
@@ -23,12 +31,16 @@
   readonly random: Random;
   readonly counters: Counters;
   readonly log: Log;
-  /** Time between two exchanges with a peer, in milliseconds. */
+  /** Time between two exchanges with a peer while there is work, in milliseconds. */
   readonly intervalMs: number;
+  /** True while work is queued here. */
+  readonly queued: () => boolean;
+  /** Revision of the adopted configuration, 0 for none. */
+  readonly configRevision: () => number;
   /** Other active entry instances as last known. */
   readonly members: () => readonly PeerMember[];
   readonly sources: readonly GossipSource[];
-  /** Called with each peer's state after an exchange, and with the request of an exchange. */
+  /** Called with each peer's state after an exchange. */
   readonly onGossip: (state: PeerState) => void;
 }
 
@@ -37,14 +49,19 @@
 const GOSSIP_TIMEOUT_MS = 1500;
 const RECONNECT_MIN_MS = 200;
 const RECONNECT_MAX_MS = 2000;
+/** Exchanges stay frequent for this long after an offer, since offers follow in bursts. */
+const OFFERED_MS = 2000;
 /** A leaving backend server is announced for this long, in milliseconds. */
 const LEAVING_ANNOUNCED_MS = 30_000;
 
 interface PeerTask {
   readonly member: PeerMember;
   readonly abort: AbortController;
+  readonly pace: ExchangePace;
   connection: PeerConnection | undefined;
   state: PeerState | undefined;
+  /** The peer's last request. */
+  heard: GossipRequest | undefined;
 }
 
 /** Keeps one connection and one exchange loop with every other entry instance. */
@@ -56,6 +73,7 @@
   readonly #leaving = new Map<string, number>();
   readonly #abort = new AbortController();
   #stopping = false;
+  #offeredAt = -Infinity;
 
   constructor(options: PeerDirectoryOptions) {
     super();
@@ -86,6 +104,10 @@
     if (!known) this.#exchangeNow();
   }
 
+  override hurry(): void {
+    for (const { pace } of this.#tasks.values()) pace.soon();
+  }
+
   /** Those that peers state to be leaving and those that this entry announces. */
   override leavingServers(): ReadonlySet<string> {
     return new Set([...super.leavingServers(), ...this.#announcedLeaving()]);
@@ -104,14 +126,19 @@
     req: T,
     timeoutMs: number,
   ): Promise<Result<ReplyTo<T>, PeerError>> {
+    if (req.type === "run") this.#offeredAt = this.#options.clock.now();
     const connection = this.#tasks.get(incarnation)?.connection;
     if (connection?.open !== true) return Err({ kind: "not-sent", detail: "no connection" });
     return connection.call(req, timeoutMs);
   }
 
   /** Answers a peer's exchange with this entry's own state. */
-  answerGossip(from: Hello, req: GossipMessage): GossipMessage {
-    this.#options.onGossip({ hello: from, message: req, receivedAt: -Infinity });
+  answerGossip(from: Hello, req: GossipRequest): GossipReply {
+    const task = this.#tasks.get(from.incarnation);
+    if (task !== undefined) {
+      if (hasNews(req, task)) task.pace.now();
+      task.heard = req;
+    }
     const snapshot = this.#snapshot(from.group === this.self.group);
     return this.#encoder.encode(from.incarnation, req.sequence, snapshot);
   }
@@ -135,8 +162,10 @@
       const task = {
         member,
         abort: new AbortController(),
+        pace: new ExchangePace(this.#options),
         connection: undefined,
         state: undefined,
+        heard: undefined,
       };
       this.#tasks.set(member.incarnation, task);
       void this.#follow(task);
@@ -145,6 +174,7 @@
 
   #end(task: PeerTask): void {
     task.abort.abort();
+    task.pace.end();
     task.connection?.close();
     this.#tasks.delete(task.member.incarnation);
     this.#encoder.forget(task.member.incarnation);
@@ -180,10 +210,10 @@
   }
 
   async #exchangeLoop(task: PeerTask): Promise<void> {
-    const { clock, random, intervalMs } = this.#options;
     while (!task.abort.signal.aborted && task.connection?.open === true) {
       if (!(await this.#exchange(task))) break;
-      await clock.sleep(intervalMs * (0.75 + random.next() / 2), task.abort.signal);
+      if (this.#hasWork()) task.pace.soon();
+      await task.pace.pause();
     }
     task.connection?.close();
     task.connection = undefined;
@@ -200,41 +230,49 @@
       counters.event(`gossip_${reply.val.kind.replace("-", "_")}`);
       return reply.val.kind === "busy";
     }
-    const message = decodeGossip(task.state?.message, reply.val);
+    const previous = task.state?.message;
+    const message = decodeGossip(previous, reply.val);
+    if (message === undefined || message === previous) {
+      counters.event("gossip_other_baseline");
+      return true;
+    }
+    if (showsWork(message, previous)) task.pace.soon();
     task.state = { hello: connection.remote, message, receivedAt: sentAt };
     onGossip(task.state);
     return true;
   }
 
   #exchangeNow(): void {
-    for (const task of this.#tasks.values()) void this.#exchange(task);
+    for (const { pace } of this.#tasks.values()) pace.now();
   }
 
-  /** Loads are left out of requests; only replies carry them. */
-  #request(known: number): GossipMessage {
-    return { ...this.#snapshot(false), sequence: known, pools: [], teams: [] };
+  #hasWork(): boolean {
+    const { clock, queued } = this.#options;
+    return queued() || clock.now() - this.#offeredAt < OFFERED_MS;
   }
 
-  #snapshot(sameGroup: boolean): GossipMessage {
-    const empty: GossipMessage = {
+  #request(sequence: number): GossipRequest {
+    const leaving = this.#announcedLeaving();
+    return {
       type: "gossip",
-      sequence: 0,
-      baseline: 0,
-      configRevision: 0,
-      configAgeMs: Number.MAX_SAFE_INTEGER,
-      platformReachable: false,
-      fleetRevision: 0,
-      homesRevision: 0,
-      pools: [],
-      teams: [],
-      held: [],
-      leaving: [],
-      stopping: this.#stopping,
+      sequence,
+      configRevision: this.#options.configRevision(),
+      ...(leaving.length === 0 ? {} : { leaving }),
+      ...(this.#stopping ? { stopping: true } : {}),
     };
+  }
+
+  #snapshot(sameGroup: boolean): GossipMessage {
     const parts = this.#options.sources.map((source) => source());
-    const full = parts.reduce<GossipMessage>((message, part) => ({ ...message, ...part }), empty);
+    const full = parts.reduce<GossipMessage>(
+      (message, part) => ({ ...message, ...part }),
+      EMPTY_GOSSIP,
+    );
     const leaving = [...new Set([...full.leaving, ...this.#announcedLeaving()])];
-    return { ...full, leaving, stopping: this.#stopping, held: sameGroup ? full.held : [] };
+    // A whole number takes 3 bytes instead of 9; rounded up, so that nothing appears fresher.
+    const configAgeMs = Math.ceil(full.configAgeMs);
+    const held = sameGroup ? full.held : [];
+    return { ...full, configAgeMs, leaving, stopping: this.#stopping, held };
   }
 
   #announcedLeaving(): readonly string[] {
@@ -245,3 +283,20 @@
     return [...this.#leaving.keys()];
   }
 }
+
+/** True if the peer tells of urgent news that neither its last reply nor its last request showed. */
+function hasNews(req: GossipRequest, { state, heard }: PeerTask): boolean {
+  const seen = [state?.message, heard];
+  if (seen.every((known) => req.configRevision > (known?.configRevision ?? 0))) return true;
+  if (req.stopping === true && seen.every((known) => known?.stopping !== true)) return true;
+  const { leaving = [] } = req;
+  return leaving.some((server) => seen.every((known) => known?.leaving?.includes(server) !== true));
+}
+
+/** True if the peer reports queued work, or if its free slots changed. */
+function showsWork({ pools }: GossipMessage, previous: GossipMessage | undefined): boolean {
+  const freeBefore = new Map(previous?.pools.map((load) => [load.pool, load.freeSlots]));
+  return pools.some(
+    ({ pool, queued, freeSlots }) => queued > 0 || freeSlots !== freeBefore.get(pool),
+  );
+}
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -152,6 +152,11 @@
   /** Announces a leaving backend server. */
   abstract announceLeaving(server: string): void;
 
+  /** Work was queued: exchanges gossip at the interval for work from now on. */
+  hurry(): void {
+    // Peers without a longer interval have nothing to shorten.
+  }
+
   /** Backend servers that peers in contact state to be leaving. */
   leavingServers(): ReadonlySet<string> {
     const leaving = new Set<string>();
--- a/src/coordination/request-path.ts
+++ b/src/coordination/request-path.ts
@@ -92,6 +92,11 @@
     return { pools: this.#dispatcher.poolLoads(), teams: active };
   }
 
+  /** True while work is queued here. */
+  queued(): boolean {
+    return this.#dispatcher.queuedByTeam().size > 0;
+  }
+
   /** True if a held server is on probation and failed further jobs since. */
   isBadServer(server: string): boolean {
     return this.#attribution.quarantineCandidates().includes(server);
--- a/src/protocol/peer-field-numbers.ts
+++ b/src/protocol/peer-field-numbers.ts
@@ -39,6 +39,8 @@
   "state",
   "server",
   "result",
+  "sequence",
+  "baseline",
 ] as const;
 
 /** Number of each field, from 1. Fields that are not listed are sent by name. */
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -2,7 +2,7 @@
 import type { RanState } from "./problem.ts";
 
 /** Version of the peer protocol; connections between different versions are refused. */
-export const PEER_PROTOCOL_VERSION = 1;
+export const PEER_PROTOCOL_VERSION = 2;
 
 /** First message in both directions on a connection. */
 export interface Hello {
@@ -32,17 +32,12 @@
   readonly queued: number;
 }
 
-/**
- * Load and freshness, exchanged regularly with every peer.
- *
- * Only replies carry loads and are used for freshness: a reply was produced after its request was
- * sent, so its age is bounded by the sender's own clock however long the network delayed it.
- */
+/** Load and freshness of an entry instance, exchanged regularly with every peer. */
 export interface GossipMessage {
   readonly type: "gossip";
-  /** In a reply: number of this snapshot. In a request: number of the last snapshot received. */
+  /** Number of this snapshot. */
   readonly sequence: number;
-  /** In a reply: snapshot that `pools` and `teams` are changes to; 0 if they are complete. */
+  /** Snapshot that a reply states changes to; 0 if it is complete. */
   readonly baseline: number;
   readonly configRevision: number;
   /** Age in milliseconds of the last confirmation that the revision is current. */
@@ -60,6 +55,22 @@
   readonly stopping: boolean;
 }
 
+/**
+ * Asks for a peer's gossip. It tells of urgent news only, upon which the receiver asks in turn:
+ * a reply was produced after its request was sent, so its age is bounded by the clock of the
+ * instance that asked, however long the network delayed it.
+ */
+export interface GossipRequest extends Partial<Pick<GossipMessage, "leaving" | "stopping">> {
+  readonly type: "gossip";
+  /** Number of the last snapshot received, 0 for none. */
+  readonly sequence: number;
+  readonly configRevision: number;
+}
+
+/** A complete snapshot, or what changed since the snapshot `baseline`. */
+export type GossipReply = Pick<GossipMessage, "type" | "sequence" | "baseline" | "configAgeMs"> &
+  Partial<GossipMessage>;
+
 /** Asks for the sender's configuration document. */
 export interface ConfigRequest {
   readonly type: "config";
@@ -175,7 +186,7 @@
 
 /** Every request between peers. */
 export type PeerRequest =
-  | GossipMessage
+  | GossipRequest
   | ConfigRequest
   | SubmitRequest
   | QueryRequest
@@ -259,10 +270,10 @@
 
 /** Every reply between peers. `gossip` is answered with the receiver's own gossip. */
 export type PeerReply =
-  GossipMessage | StateReply | ConfigReply | RunReply | TaskStatusReply | LeaseReport | AckReply;
+  GossipReply | StateReply | ConfigReply | RunReply | TaskStatusReply | LeaseReport | AckReply;
 
 interface ReplyMap {
-  readonly gossip: GossipMessage;
+  readonly gossip: GossipReply;
   readonly config: ConfigReply;
   readonly submit: StateReply;
   readonly query: StateReply;
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -57,20 +57,28 @@
   queued: integer,
 });
 
-const gossip = v.strictObject({
+const gossipRequest = v.strictObject({
   type: v.literal("gossip"),
   sequence: count,
-  baseline: count,
   configRevision: count,
+  leaving: v.exactOptional(strings),
+  stopping: v.exactOptional(v.boolean()),
+});
+
+const gossipReply = v.strictObject({
+  type: v.literal("gossip"),
+  sequence: count,
+  baseline: count,
+  configRevision: v.exactOptional(count),
   configAgeMs: milliseconds,
-  platformReachable: v.boolean(),
-  fleetRevision: count,
-  homesRevision: count,
-  pools: v.array(poolLoad),
-  teams: v.array(teamLoad),
-  held: strings,
-  leaving: strings,
-  stopping: v.boolean(),
+  platformReachable: v.exactOptional(v.boolean()),
+  fleetRevision: v.exactOptional(count),
+  homesRevision: v.exactOptional(count),
+  pools: v.exactOptional(v.array(poolLoad)),
+  teams: v.exactOptional(v.array(teamLoad)),
+  held: v.exactOptional(strings),
+  leaving: v.exactOptional(strings),
+  stopping: v.exactOptional(v.boolean()),
 });
 
 const slotRecord = v.strictObject({
@@ -92,7 +100,7 @@
 
 /** Any request between peers. */
 export const PeerRequestSchema = v.variant("type", [
-  gossip,
+  gossipRequest,
   v.strictObject({ type: v.literal("config") }),
   v.strictObject({ type: v.literal("submit"), spec: requestSpec, waitMs: milliseconds }),
   v.strictObject({
@@ -166,7 +174,7 @@
     ReplyTo<Extract<PeerRequest, { readonly type: K }>>
   >;
 } = {
-  gossip,
+  gossip: gossipReply,
   config: v.strictObject({
     type: v.literal("config-reply"),
     revision: count,
--- a/test/coordination/gossip-delta.test.ts
+++ b/test/coordination/gossip-delta.test.ts
@@ -1,37 +1,29 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { decodeGossip, GossipEncoder } from "../../src/coordination/gossip-delta.ts";
-import type { GossipMessage, TeamLoad } from "../../src/protocol/peer-messages.ts";
+import { decodeGossip, EMPTY_GOSSIP, GossipEncoder } from "../../src/coordination/gossip-delta.ts";
+import type { GossipMessage, GossipReply, TeamLoad } from "../../src/protocol/peer-messages.ts";
 
 function snapshot(...teams: readonly TeamLoad[]): GossipMessage {
-  return {
-    type: "gossip",
-    sequence: 0,
-    baseline: 0,
-    configRevision: 1,
-    configAgeMs: 0,
-    platformReachable: true,
-    fleetRevision: 1,
-    homesRevision: 1,
-    pools: [],
-    teams,
-    held: [],
-    leaving: [],
-    stopping: false,
-  };
+  const revisions = { configRevision: 1, fleetRevision: 1, homesRevision: 1 };
+  return { ...EMPTY_GOSSIP, ...revisions, configAgeMs: 0, platformReachable: true, teams };
 }
 
 function load(team: string, running: number): TeamLoad {
   return { team, running, budget: 4, queued: 0 };
 }
 
+/** What a receiver of both replies knows after the second. */
+function restored(first: GossipReply, second: GossipReply): GossipMessage {
+  return decodeGossip(decodeGossip(undefined, first), second) ?? EMPTY_GOSSIP;
+}
+
 // Guards against a receiver that keeps an old figure because a change was left out.
 test("a reply carries only the teams that changed and restores the full snapshot", () => {
   const encoder = new GossipEncoder();
   const first = encoder.encode("b", 0, snapshot(load("x", 1), load("y", 1)));
   const second = encoder.encode("b", first.sequence, snapshot(load("x", 2), load("y", 1)));
   assert.equal(second.teams, [load("x", 2)]);
-  assert.equal(decodeGossip(first, second).teams, [load("x", 2), load("y", 1)]);
+  assert.equal(restored(first, second).teams, [load("x", 2), load("y", 1)]);
 });
 
 // Guards against merging changes into a snapshot that they do not refer to.
@@ -41,7 +33,7 @@
   encoder.encode("b", first.sequence, snapshot(load("x", 2)));
   const third = encoder.encode("b", first.sequence, snapshot(load("x", 2), load("y", 3)));
   assert.is(third.baseline, 0);
-  assert.equal(decodeGossip(first, third).teams, [load("x", 2), load("y", 3)]);
+  assert.equal(restored(first, third).teams, [load("x", 2), load("y", 3)]);
 });
 
 // Guards against teams that are gone staying in the receiver's view with their last load.
@@ -58,7 +50,20 @@
   const first = encoder.encode("b", 0, snapshot(load("x", 1)));
   const second = encoder.encode("b", first.sequence, snapshot(load("x", 2)));
   const newer = { ...snapshot(load("x", 9)), sequence: 99 };
-  assert.equal(decodeGossip(newer, second).teams, [load("x", 9)]);
+  assert.equal(decodeGossip(newer, second)?.teams, [load("x", 9)]);
+});
+
+// Guards against a field that keeps its old value at the receiver, or is sent without a change.
+test("a reply carries only the fields that changed and its age", () => {
+  const encoder = new GossipEncoder();
+  const before = snapshot(load("x", 1));
+  const first = encoder.encode("b", 0, before);
+  const same = encoder.encode("b", first.sequence, { ...before, configAgeMs: 7 });
+  assert.equal(Object.keys(same).sort(), ["baseline", "configAgeMs", "sequence", "type"]);
+  const after = { ...before, configRevision: 2, held: ["s1"], stopping: true };
+  const next = encoder.encode("b", same.sequence, after);
+  const { sequence, baseline } = next;
+  assert.equal(decodeGossip(restored(first, same), next), { ...after, sequence, baseline });
 });
 
 test.run();
--- a/test/transport/cut-connections.test.ts
+++ b/test/transport/cut-connections.test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import type { PeerConnection } from "../../src/platform/peer-transport.ts";
 import { SystemClock } from "../../src/platform/system-clock.ts";
-import type { Hello } from "../../src/protocol/peer-messages.ts";
+import { PEER_PROTOCOL_VERSION, type Hello } from "../../src/protocol/peer-messages.ts";
 import { ConfigurableRunner } from "../../src/stand-ins/configurable-runner.ts";
 import { serveBackendServer } from "../../src/stand-ins/http-backend-server.ts";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
@@ -38,7 +38,13 @@
 }
 
 function hello(incarnation: string): Hello {
-  return { version: 1, incarnation, address: "127.0.0.1:0", zone: "z1", group: "g1" };
+  return {
+    version: PEER_PROTOCOL_VERSION,
+    incarnation,
+    address: "127.0.0.1:0",
+    zone: "z1",
+    group: "g1",
+  };
 }
 
 // Guards against a false statement that a call never reached the peer, and against a call that
--- a/test/transport/peer-tcp.test.ts
+++ b/test/transport/peer-tcp.test.ts
@@ -4,7 +4,7 @@
 import { SystemClock } from "../../src/platform/system-clock.ts";
 import type { Clock } from "../../src/platform/clock.ts";
 import type { PeerHandler } from "../../src/platform/peer-transport.ts";
-import type { Hello } from "../../src/protocol/peer-messages.ts";
+import { PEER_PROTOCOL_VERSION, type Hello } from "../../src/protocol/peer-messages.ts";
 import { encodeFrame } from "../../src/transport/frames.ts";
 import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
 import { EventLog } from "../fakes/event-log.ts";
@@ -25,7 +25,7 @@
 });
 
 function hello(incarnation: string, address = "127.0.0.1:0"): Hello {
-  return { version: 1, incarnation, address, zone: "z1", group: "g1" };
+  return { version: PEER_PROTOCOL_VERSION, incarnation, address, zone: "z1", group: "g1" };
 }
 
 function transport(clock: Clock = new SystemClock()): TcpPeerTransport {
