perf(leases): poll an idle server every 30 s and detect lost replies by the renewal

Cause: each held server needed a renewal every 1.3 s and an event poll every 2 s. Change: the poll waits up to 30 s. A server that omits the position is polled every 2 s as before. A poll under way no longer outlives the lease. Ruled out: comparing the position of one renewal with what was delivered by then; at a busy server some event is always on its way, so the position seen one interval earlier is compared. Conclusion: a lost reply delays a result by at most two renewal intervals (test), not by 30 s.

--- a/src/coordination/server-lease.ts
+++ b/src/coordination/server-lease.ts
@@ -21,7 +21,6 @@
 const VALID_PART = 0.9;
 /** Interval of renewals as a part of the time to live. */
 const RENEW_PART = 1 / 3;
-const POLL_WAIT_MS = 2000;
 const RETRY_MS = 200;
 /** Interval at which finished tasks that nobody acknowledged are announced again. */
 const ANNOUNCE_MS = 2000;
@@ -263,8 +262,10 @@
     const validity = this.#validityFromNow();
     const reply = await backend.renewLease(leaseId, leaseTtlMs);
     if (isLost(tenure) || leaseId !== tenure.leaseId) return true;
-    if (reply.ok) this.#extend(tenure, validity);
-    else if (reply.val.kind === "lease-lapsed") this.#end(tenure);
+    if (reply.ok) {
+      this.#extend(tenure, validity);
+      tenure.events.renewed(reply.val.next, this.#options.clock.now(), leaseTtlMs * RENEW_PART);
+    } else if (reply.val.kind === "lease-lapsed") this.#end(tenure);
     return reply.ok;
   }
 
@@ -298,19 +299,21 @@
 
   async #pollLoop(tenure: Tenure): Promise<void> {
     const { clock, backend, charges } = this.#options;
+    const { events } = tenure;
     const { signal } = tenure.lost;
-    let after = 0;
     while (!isLost(tenure)) {
       const leaseId = tenure.leaseId;
-      const reply = await backend.pollEvents(leaseId, after, POLL_WAIT_MS);
+      const poll = backend.pollEvents(leaseId, events.delivered, events.pollWaitMs);
+      const reply = await events.replyOrLoss(poll, signal);
       if (isLost(tenure)) return;
+      if (reply === undefined) continue;
       if (!reply.ok) {
         const lapsed = reply.val.kind === "lease-lapsed" && leaseId === tenure.leaseId;
         if (lapsed && tenure.adopted) this.#end(tenure);
         await clock.sleep(RETRY_MS, signal);
         continue;
       }
-      after = reply.val.next;
+      events.take(reply.val.next);
       for (const record of this.tasks.finish(reply.val.finished)) this.#announce(record);
       for (const record of reply.val.finished) charges.ended(record);
       if (reply.val.leaving) this.#leave();
--- a/src/coordination/tenure.ts
+++ b/src/coordination/tenure.ts
@@ -1,3 +1,4 @@
+import { EventProgress } from "./event-progress.ts";
 import type { Validity } from "./lease-coverage.ts";
 
 /** Time during which a server is held without a break. */
@@ -6,6 +7,8 @@
   readonly lost: AbortController;
   /** Aborted to end the present pause between renewals. */
   hurry: AbortController;
+  /** What the server reports of its events. */
+  readonly events: EventProgress;
   /** Monotonic time of the first grant's receipt in milliseconds. */
   readonly startedAt: number;
   leaseId: string;
@@ -16,7 +19,8 @@
 
 export function newTenure(startedAt: number, leaseId: string, validity: Validity): Tenure {
   const [lost, hurry] = [new AbortController(), new AbortController()];
-  return { lost, hurry, startedAt, leaseId, validity, adopted: false };
+  const events = new EventProgress();
+  return { lost, hurry, events, startedAt, leaseId, validity, adopted: false };
 }
 
 export function isLost(tenure: Tenure): boolean {
--- a/src/platform/backend-server.ts
+++ b/src/platform/backend-server.ts
@@ -50,6 +50,12 @@
   readonly bootId: string;
 }
 
+/** A renewed lease. */
+export interface LeaseRenewal {
+  /** Position of the newest event, as in {@link BackendEvents.next}; some servers omit it. */
+  readonly next?: number;
+}
+
 /** Events since the previous poll. */
 export interface BackendEvents {
   /** Value to pass as `after` in the next poll. */
@@ -86,7 +92,7 @@
 export abstract class BackendServer {
   abstract acquireLease(holder: string, ttlMs: number): BackendResult<LeaseGrant>;
   /** Succeeds only while the lease has not lapsed, so a renewed lease was held throughout. */
-  abstract renewLease(leaseId: string, ttlMs: number): BackendResult<void>;
+  abstract renewLease(leaseId: string, ttlMs: number): BackendResult<LeaseRenewal>;
   /** Ends the lease; only the named successor may acquire the server for the next 2 seconds. */
   abstract releaseLease(leaseId: string, successor?: string): BackendResult<void>;
   abstract startTask(leaseId: string, spec: TaskSpec): BackendResult<void>;
--- a/src/protocol/backend-http.ts
+++ b/src/protocol/backend-http.ts
@@ -42,6 +42,8 @@
 export const LeaseGrantSchema = v.object({ leaseId: v.string(), bootId: v.string() });
 /** Body of `PUT /lease/{leaseId}`. */
 export const RenewSchema = v.object({ ttlMs: milliseconds });
+/** Reply of `PUT /lease/{leaseId}`; some servers reply without a body. */
+export const RenewalSchema = v.optional(v.object({ next: v.exactOptional(count) }), {});
 /** Body of `DELETE /lease/{leaseId}`. */
 export const ReleaseSchema = v.object({ successor: v.exactOptional(v.string()) });
 /** Body of `POST /tasks`. */
--- a/src/stand-ins/http-backend-server.ts
+++ b/src/stand-ins/http-backend-server.ts
@@ -64,7 +64,7 @@
       path: "/lease/:leaseId",
       handle: (call) =>
         withBody(call, RenewSchema, async ({ ttlMs }) =>
-          answer(await backend.renewLease(param(call, "leaseId"), ttlMs)),
+          answer(await backend.renewLease(param(call, "leaseId"), ttlMs), (renewal) => renewal),
         ),
     },
     {
--- a/src/stand-ins/simulated-backend-server.ts
+++ b/src/stand-ins/simulated-backend-server.ts
@@ -5,6 +5,7 @@
   type BackendEvents,
   type BackendResult,
   type LeaseGrant,
+  type LeaseRenewal,
   type TaskRecord,
   type TaskRef,
   type TaskResult,
@@ -144,11 +145,11 @@
     );
   }
 
-  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
+  renewLease(leaseId: string, ttlMs: number): BackendResult<LeaseRenewal> {
     const lease = this.#validLease();
     if (lease?.id !== leaseId) return fail({ kind: "lease-lapsed" });
     lease.expiresAt = this.#options.clock.now() + ttlMs;
-    return Promise.resolve(Ok(undefined));
+    return Promise.resolve(Ok({ next: this.#position }));
   }
 
   releaseLease(leaseId: string, successor?: string): BackendResult<void> {
--- a/src/transport/http-backend-server.ts
+++ b/src/transport/http-backend-server.ts
@@ -7,6 +7,7 @@
   type BackendEvents,
   type BackendResult,
   type LeaseGrant,
+  type LeaseRenewal,
   type TaskRecord,
   type TaskRef,
   type TaskSpec,
@@ -18,6 +19,7 @@
   eventsOf,
   LeaseGrantSchema,
   recordOf,
+  RenewalSchema,
   startBody,
   TaskListSchema,
 } from "../protocol/backend-http.ts";
@@ -73,8 +75,9 @@
     return this.#send({ method: "POST", path: "/lease", json }, LeaseGrantSchema);
   }
 
-  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
-    return this.#send({ method: "PUT", path: leasePath(leaseId), json: { ttlMs } }, v.void());
+  renewLease(leaseId: string, ttlMs: number): BackendResult<LeaseRenewal> {
+    const call = { method: "PUT", path: leasePath(leaseId), json: { ttlMs } } as const;
+    return this.#send(call, RenewalSchema);
   }
 
   releaseLease(leaseId: string, successor?: string): BackendResult<void> {
--- /dev/null
+++ b/test/coordination/server-lease.test.ts
@@ -0,0 +1,84 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LeaseCoverage } from "../../src/coordination/lease-coverage.ts";
+import { ServerLease } from "../../src/coordination/server-lease.ts";
+import type { TaskRecord } from "../../src/platform/backend-server.ts";
+import { ChargeBook } from "../../src/state/charge-book.ts";
+import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
+import { FakeCounters } from "../fakes/peer-fakes.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
+
+/** A server that can lose the replies to polls and leave out the position of its events. */
+class LossyServer extends SimulatedBackendServer {
+  losing = false;
+  positions = true;
+  polls = 0;
+  renewals = 0;
+
+  override async pollEvents(...args: Parameters<SimulatedBackendServer["pollEvents"]>) {
+    this.polls++;
+    const reply = await super.pollEvents(...args);
+    return this.losing ? new Promise<never>(() => undefined) : reply;
+  }
+
+  override async renewLease(...args: Parameters<SimulatedBackendServer["renewLease"]>) {
+    this.renewals++;
+    const reply = await super.renewLease(...args);
+    return this.positions ? reply : reply.map(() => ({}));
+  }
+}
+
+function holder() {
+  const clock = new VirtualClock();
+  const server = new LossyServer({ clock, name: "s1" });
+  const finished: TaskRecord[] = [];
+  const lease = new ServerLease({
+    ...{ clock, name: "s1", backend: server, incarnation: "e1", leaseTtlMs: 4000 },
+    ...{ random: new SeededRandom(1), counters: new FakeCounters(), charges: new ChargeBook() },
+    resultRetentionMs: 600_000,
+    coverage: new LeaseCoverage({ clock }),
+    onFinished: (record) => finished.push(record),
+    onLeaving: () => undefined,
+    onChange: () => undefined,
+  });
+  void lease.tryHold();
+  const start = () =>
+    lease.start({
+      ...{ requestId: "r", attempt: 1, home: "e1", chargedTo: "e1", team: undefined, queue: "q" },
+      ...{ priority: "normal", idempotent: true },
+      payload: { contentType: "", body: new Uint8Array() },
+    });
+  return { clock, server, lease, finished, start };
+}
+
+// Guards against an idle server that costs more than one renewal per third of the lease.
+test("an idle server is polled every 30 s, or every 2 s without positions", async () => {
+  for (const [positions, expected] of [
+    [true, 2],
+    [false, 30],
+  ] as const) {
+    const { clock, server } = holder();
+    server.positions = positions;
+    await clock.advance(10_000);
+    const [polls, renewals] = [server.polls, server.renewals];
+    await clock.advance(60_000);
+    assert.is(server.polls - polls, expected);
+    assert.ok(server.renewals - renewals <= 45);
+  }
+});
+
+// Guards against a result that arrives only with the end of a long poll whose reply was lost.
+test("a lost reply to a poll delays a result by at most two renewal intervals", async () => {
+  const { clock, server, finished, start } = holder();
+  await clock.advance(5000);
+  server.losing = true;
+  void start();
+  await clock.advance(30);
+  assert.is(finished.length, 0);
+  server.losing = false;
+  await clock.advance((2 * 4000) / 3);
+  assert.is(finished.length, 1);
+});
+
+test.run();
--- a/test/fakes/faulty-backend.ts
+++ b/test/fakes/faulty-backend.ts
@@ -5,6 +5,7 @@
   type BackendEvents,
   type BackendResult,
   type LeaseGrant,
+  type LeaseRenewal,
   type TaskRecord,
   type TaskRef,
   type TaskSpec,
@@ -62,7 +63,7 @@
     return this.#call((server) => server.acquireLease(holder, ttlMs));
   }
 
-  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
+  renewLease(leaseId: string, ttlMs: number): BackendResult<LeaseRenewal> {
     return this.#call((server) => server.renewLease(leaseId, ttlMs));
   }
 
--- a/test/fuzz/forwarding.ts
+++ b/test/fuzz/forwarding.ts
@@ -5,6 +5,7 @@
   type BackendEvents,
   type BackendResult,
   type LeaseGrant,
+  type LeaseRenewal,
   type TaskRecord,
   type TaskRef,
   type TaskSpec,
@@ -30,7 +31,7 @@
     return this.inner.acquireLease(holder, ttlMs);
   }
 
-  renewLease(leaseId: string, ttlMs: number): BackendResult<void> {
+  renewLease(leaseId: string, ttlMs: number): BackendResult<LeaseRenewal> {
     return this.inner.renewLease(leaseId, ttlMs);
   }
 
--- a/test/transport/http-backend-server.test.ts
+++ b/test/transport/http-backend-server.test.ts
@@ -53,6 +53,8 @@
   const { payload: _payload, ...fields } = spec;
   const record = { ...fields, state: "finished", result: { kind: "answer", payload } };
   assert.equal(events.finished, [record]);
+  const { next } = events;
+  assert.equal((await backend.renewLease(leaseId, 4000)).unwrap(), { next });
   assert.equal((await backend.listTasks(leaseId)).unwrap(), [record]);
   assert.ok((await backend.acknowledgeTask(leaseId, spec)).ok);
   assert.equal((await backend.listTasks(leaseId)).unwrap(), []);
