--- a/src/coordination/held-health.ts
+++ b/src/coordination/held-health.ts
@@ -4,6 +4,8 @@
 
 /** A server that no entry of its zone has held for this long counts as down, in milliseconds. */
 const DOWN_AFTER_MS = 10_000;
+/** A planning round asks about every server, and each look reads all leases and all gossip. */
+const OBSERVE_INTERVAL_MS = 50;
 
 /** Options of {@link HeldHealth}. */
 export interface HeldHealthOptions {
@@ -21,6 +23,7 @@
   readonly #lastHeld = new Map<string, number>();
   /** Like `#lastHeld`, but only from what entries stated. */
   readonly #stated = new Map<string, number>();
+  #observedAt = -Infinity;
 
   constructor(options: HeldHealthOptions) {
     super();
@@ -56,6 +59,8 @@
   }
 
   #observe(now: number): void {
+    if (now - this.#observedAt < OBSERVE_INTERVAL_MS) return;
+    this.#observedAt = now;
     const { held, peers } = this.#options;
     const stated = [...peers.gossip().values()].flatMap(({ message }) => message.held);
     for (const name of [...held.list().map((server) => server.name), ...stated]) {
