--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -67,7 +67,7 @@
     const base = { ...settings, kv: keyValue, keyValue, clock, random, counters, log };
     const store = new DocumentStore(base);
     const homes = new DocumentFollower({ ...base, kind: HOMES_KIND, waitMs: HOMES_WATCH_MS });
-    const fleet = new FleetFollower({ ...base, watchMs: settings.configWatchMs });
+    const fleet = new FleetFollower(base);
     const config = new ConfigFollower({
       ...base,
       watchMs: settings.configWatchMs,
@@ -78,6 +78,8 @@
       self: this.hello,
       transport: peerTransport,
       intervalMs: settings.gossipIntervalMs,
+      queued: () => this.path.queued(),
+      configRevision: () => config.current()?.revision ?? 0,
       members: () => (homes.current === undefined ? [] : activeMembers(homes.current.value)),
       sources: [
         () => this.path.contribute(),
--- a/src/coordination/fleet-follower.ts
+++ b/src/coordination/fleet-follower.ts
@@ -5,6 +5,9 @@
 import { KeyWatcher, type KeyWatcherOptions } from "./key-watcher.ts";
 import { FleetView, type Unsubscribe } from "./ports.ts";
 
+/** A change ends the wait, and no bound relies on a confirmation that nothing has changed. */
+const FLEET_WATCH_MS = 5000;
+
 /** Options of {@link FleetFollower}. */
 export interface FleetFollowerOptions extends Omit<KeyWatcherOptions, "key" | "listener"> {
   readonly log: Log;
@@ -23,6 +26,7 @@
     super();
     this.#options = options;
     this.#watcher = new KeyWatcher({
+      watchMs: FLEET_WATCH_MS,
       ...options,
       key: fleetKey(options.group),
       listener: {
--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -34,7 +34,7 @@
   type Unsubscribe,
 } from "./ports.ts";
 import { ServerDrain } from "./server-drain.ts";
-import { ATTEMPT_MS, ServerDriver } from "./server-driver.ts";
+import { ATTEMPT_MS, ServerDriver, type HolderView } from "./server-driver.ts";
 import { ServerLease } from "./server-lease.ts";
 import { ZoneView } from "./zone-view.ts";
 
@@ -273,16 +273,15 @@
       address,
       lease,
       self: this.#self,
-      liveMembers: () => this.#liveMembers(),
-      heldByPeer: (server) => this.#zone.heldByPeer(server),
     });
     this.#drivers.set(name, driver);
-    void driver.run();
+    driver.review(this.#holderView());
   }
 
-  /** Hands servers over and reports drained ones. */
+  /** Acquires servers, hands them over and reports drained ones. */
   #tick(): void {
-    for (const driver of this.#drivers.values()) driver.handOverIfDue();
+    const view = this.#holderView();
+    for (const driver of this.#drivers.values()) driver.review(view);
     for (const record of this.#zone.records()) {
       const lease = this.#drivers.get(record.name)?.lease;
       if (record.state !== "draining" || lease?.leaseId === undefined) continue;
@@ -291,6 +290,10 @@
     }
   }
 
+  #holderView(): HolderView {
+    return { liveMembers: this.#liveMembers(), heldByPeers: this.#zone.heldByPeers() };
+  }
+
   /** Entries that may hold servers of the zone, this one among them until its shutdown. */
   #liveMembers(): readonly string[] {
     const others = this.#zone.liveOthers();
--- a/src/coordination/zone-view.ts
+++ b/src/coordination/zone-view.ts
@@ -46,9 +46,9 @@
     });
   }
 
-  /** True if a peer in contact states that it holds the server. */
-  heldByPeer(server: string): boolean {
+  /** Servers that peers in contact state to hold. */
+  heldByPeers(): ReadonlySet<string> {
     const states = [...this.#options.peers.gossip().values()];
-    return states.some(({ message }) => message.held.includes(server));
+    return new Set(states.flatMap(({ message }) => message.held));
   }
 }
--- a/test/coordination/peer-contacts.test.ts
+++ b/test/coordination/peer-contacts.test.ts
@@ -50,6 +50,8 @@
     counters: new RecordedCounters(),
     log: QUIET_LOG,
     intervalMs: 500,
+    queued: () => true,
+    configRevision: () => 1,
     members: () => [{ incarnation: "b", address: "10.0.0.2:7002", zone: "z1" }],
     sources: [],
     onGossip: () => undefined,
