fix(leases): take no server while a peer of the zone has a newer fleet document

Cause: a server forgets its lease in its reboot. Change: gossip states each entry's fleet revision. An entry with an older one than a peer of its zone in contact acquires nothing; that peer can. Servers that it already holds are not affected. Ruled out: requiring a document read after the lease was granted, which would stop takeovers in a platform outage. Conclusion: the case is closed for entries in contact. An entry cut from the platform and from every up-to-date entry of its zone, but not from the server, can still do it.

--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -283,7 +283,7 @@
       address,
       lease,
       self: this.#self,
-      liveMembers: () => this.#liveMembers(),
+      liveMembers: () => (this.#fleetIsOld() ? [] : this.#liveMembers()),
       heldByPeer: (server) =>
         [...peers.gossip().values()].some(({ message }) => message.held.includes(server)),
     });
@@ -302,6 +302,20 @@
     }
   }
 
+  /**
+   * True if an entry of the zone has a newer fleet document. A server that was drained since would
+   * be taken after its reboot and given work by the state before; that entry can take it instead.
+   */
+  #fleetIsOld(): boolean {
+    const { peers, fleet } = this.#options;
+    const { zone, group } = peers.self;
+    const own = fleet.current()?.revision ?? 0;
+    return [...peers.gossip().values()].some(
+      ({ hello, message }) =>
+        hello.zone === zone && hello.group === group && message.fleetRevision > own,
+    );
+  }
+
   /** Incarnations of this zone and group that are in contact, active and not shutting down. */
   #liveMembers(): readonly string[] {
     const { peers, membership } = this.#options;
--- a/test/coordination/leases.test.ts
+++ b/test/coordination/leases.test.ts
@@ -103,4 +103,29 @@
   assert.ok((await server.acquireLease("other", 1000)).ok);
 });
 
+// Guards against work on a server that was drained and rebooted, started by an entry that was cut
+// from the platform and still has the fleet document from before the drain.
+test("an entry takes no server while a peer of its zone has a newer fleet document", async () => {
+  const cluster = new Cluster({ servers: 4 });
+  const entries = ["e1", "e2"].map((name) => cluster.add(name));
+  await cluster.clock.until(() => entries.every((one) => one.leases.list().length > 0), 30_000);
+  await cluster.clock.advance(5000);
+  const [holder, cut] = entries as [(typeof entries)[0], (typeof entries)[0]];
+  const { name } = holder.leases.list()[0]!;
+  cut.kvLink.down = true;
+  await cluster.clock.advance(2000);
+  await cluster.changeFleet((server) =>
+    server.name === name ? { ...server, state: "draining" } : server,
+  );
+  await cluster.clock.advance(3000);
+  assert.is((await cluster.fleetRecord(name)).state, "empty");
+  holder.backendLink.down = true;
+  cluster.server(name).restart();
+  await cluster.clock.advance(20_000);
+  assert.ok(cut.leases.list().length > 0);
+  assert.not(cut.leases.list().some((server) => server.name === name));
+  cut.kvLink.down = false;
+  await cluster.clock.until(() => cut.leases.list().some((server) => server.name === name), 20_000);
+});
+
 test.run();
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -174,7 +174,7 @@
       configRevision: 1,
       configAgeMs: 0,
       platformReachable: true,
-      fleetRevision: 0,
+      fleetRevision: from.fleet.current()?.revision ?? 0,
       homesRevision: 0,
       pools: [],
       teams: from.budgets.loads(),
