test(fuzz): processes that end while their budgets are in use

Change: `replaceUnderLoad` sends requests for both teams to every entry and then ends one process. The oracle is unchanged. Ruled out: nothing.

--- a/test/fuzz/commands/faults.ts
+++ b/test/fuzz/commands/faults.ts
@@ -116,6 +116,16 @@
   }
 }
 
+/** Ends a process whose budgets are in use, so that they must be reclaimed. */
+async function replaceUnderLoad(world: World, entry: number, afterMs: number): Promise<void> {
+  for (const team of TEAMS) {
+    const key = world.operators.validKey(team);
+    submitEverywhere(world, { queue: "plans", team, key, timeoutMs: 10_000 });
+  }
+  await world.advance(1200);
+  replaceLater(world, entry, afterMs);
+}
+
 /** Pauses the entry instance that holds a duty past its lease, and resumes it later. */
 async function pauseHolder(world: World, duty: string, ms: number): Promise<void> {
   const holder = await world.dutyHolder(duty);
@@ -143,6 +153,7 @@
   fc
     .tuple(index, fc.constantFrom(100, 3000, 10_000, 120_000))
     .map(command("replace", replaceLater)),
+  fc.tuple(index, fc.constantFrom(100, 10_000)).map(command("replaceUnderLoad", replaceUnderLoad)),
   fc.tuple(index).map(
     command("shutDown", (world: World, entry: number) => {
       world.shutDown(world.slot(entry));
