--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -290,8 +290,10 @@
     }
   }
 
+  /** Nothing is acquired or handed over by an outdated fleet document. */
   #holderView(): HolderView {
-    return { liveMembers: this.#liveMembers(), heldByPeers: this.#zone.heldByPeers() };
+    const liveMembers = this.#zone.fleetIsOld() ? [] : this.#liveMembers();
+    return { liveMembers, heldByPeers: this.#zone.heldByPeers() };
   }
 
   /** Entries that may hold servers of the zone, this one among them until its shutdown. */
--- a/src/coordination/zone-view.ts
+++ b/src/coordination/zone-view.ts
@@ -46,6 +46,20 @@
     });
   }
 
+  /**
+   * True if an entry of the zone has a newer fleet document. A server that was drained since would
+   * be taken after its reboot and given work by the state before; that entry can take it instead.
+   */
+  fleetIsOld(): boolean {
+    const { peers, fleet } = this.#options;
+    const { zone, group } = peers.self;
+    const own = fleet.current()?.revision ?? 0;
+    return [...peers.gossip().values()].some(
+      ({ hello, message }) =>
+        hello.zone === zone && hello.group === group && message.fleetRevision > own,
+    );
+  }
+
   /** Servers that peers in contact state to hold. */
   heldByPeers(): ReadonlySet<string> {
     const states = [...this.#options.peers.gossip().values()];
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -171,6 +171,7 @@
     hello: from.hello,
     receivedAt: to.clock.now(),
     message: gossipMessage({
+      fleetRevision: from.fleet.current()?.revision ?? 0,
       teams: from.budgets.loads(),
       stopping: from.stopping,
       ...from.leases.contribute(),
