--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -33,7 +33,7 @@
   ...[4, 16, 32, 64].map((servers) => ({ ...BASE, series: "servers", servers })),
   ...[6, 50, 100, 150].map((teams) => ({ ...BASE, series: "teams", entries: 2, teams })),
   ...[2, 4, 8, 16].map((entries) => ({ ...BASE, series: "entries", zones: 2, entries })),
-  ...[10, 40, 80, 160, 240, 320, 400, 480].map((requestsPerSecond) => ({
+  ...[10, 40, 80, 160, 240, 320, 400, 480, 640, 960, 1280].map((requestsPerSecond) => ({
     ...BASE,
     series: "load",
     servers: 16,
