fix(config): give a newer configuration to peers that cannot reach the platform

Cause: an entry that became a member while the others could not read the members read a withdrawal as the last one to reach the platform. Change: an entry offers its configuration (`config-offer`) to a peer that states a lower revision and that it does not reach the platform. It is adopted without counting as confirmed. Ruled out: refusing keyed work in an outage when any gossip request names a higher revision, which would stop it where the document cannot be had; a fault of budgets (the key was accepted). Conclusion: the two-sided rule holds for members that others do not know yet.

--- a/src/coordination/config-gossip.ts
+++ b/src/coordination/config-gossip.ts
@@ -1,5 +1,14 @@
+import type { Result } from "ts-results";
 import type { Clock } from "../platform/clock.ts";
-import type { ConfigReply, GossipMessage } from "../protocol/peer-messages.ts";
+import type { PeerError } from "../platform/peer-transport.ts";
+import type {
+  AckReply,
+  ConfigOffer,
+  ConfigReply,
+  GossipMessage,
+  PeerRequest,
+  ReplyTo,
+} from "../protocol/peer-messages.ts";
 import type { ConfigFollower } from "./config-follower.ts";
 import type { Peers, PeerState } from "./ports.ts";
 
@@ -15,7 +24,8 @@
 /** Passes configurations and confirmations between peers, so that one reachable peer suffices. */
 export class ConfigGossip {
   readonly #options: ConfigGossipOptions;
-  readonly #asking = new Set<string>();
+  /** Peers that are being asked for their configuration, or given this entry's. */
+  readonly #calling = new Set<string>();
 
   constructor(options: ConfigGossipOptions) {
     this.#options = options;
@@ -35,8 +45,9 @@
   received(state: PeerState): void {
     const { config, clock } = this.#options;
     const own = config.current()?.revision ?? 0;
-    const { configRevision } = state.message;
+    const { configRevision, platformReachable } = state.message;
     if (configRevision > own) void this.#ask(state);
+    if (configRevision < own && !platformReachable) void this.#offer(state);
     if (configRevision === own) config.confirm(own, confirmationAgeMs(clock, state));
   }
 
@@ -47,18 +58,37 @@
     return { type: "config-reply", revision, document: config.documentText() };
   }
 
+  /** Takes a newer configuration from a peer, which says nothing about when it was the newest. */
+  offered({ document }: ConfigOffer): AckReply {
+    return { type: "ack", accepted: this.#options.config.adopt(document, Infinity) };
+  }
+
+  async #offer({ hello }: PeerState): Promise<void> {
+    const document = this.#options.config.documentText();
+    if (document !== undefined)
+      await this.#call(hello.incarnation, { type: "config-offer", document });
+  }
+
   async #ask(state: PeerState): Promise<void> {
-    const { config, peers, clock } = this.#options;
-    const { incarnation } = state.hello;
-    if (this.#asking.has(incarnation)) return;
-    this.#asking.add(incarnation);
-    const reply = await peers.call(incarnation, { type: "config" }, CONFIG_TIMEOUT_MS);
-    this.#asking.delete(incarnation);
-    if (reply.err || reply.val.document === undefined) return;
+    const { config, clock } = this.#options;
+    const reply = await this.#call(state.hello.incarnation, { type: "config" });
+    if (reply === undefined || reply.err || reply.val.document === undefined) return;
     // The peer's confirmation was of the revision it named, not of a later one.
     const confirmed = reply.val.revision === state.message.configRevision;
     config.adopt(reply.val.document, confirmed ? confirmationAgeMs(clock, state) : Infinity);
   }
+
+  /** Undefined while another call to the peer is under way. */
+  async #call<T extends PeerRequest>(
+    incarnation: string,
+    req: T,
+  ): Promise<Result<ReplyTo<T>, PeerError> | undefined> {
+    if (this.#calling.has(incarnation)) return undefined;
+    this.#calling.add(incarnation);
+    const reply = await this.#options.peers.call(incarnation, req, CONFIG_TIMEOUT_MS);
+    this.#calling.delete(incarnation);
+    return reply;
+  }
 }
 
 function confirmationAgeMs(clock: Clock, { message, receivedAt }: PeerState): number {
--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -252,6 +252,7 @@
   async #handlePeer(from: Hello, req: PeerRequest): Promise<PeerReply> {
     if (req.type === "gossip") return this.#peers.answerGossip(from, req);
     if (req.type === "config") return this.#configGossip.answer();
+    if (req.type === "config-offer") return this.#configGossip.offered(req);
     if (req.type === "reboot") return this.#plannerSupport.handleReboot(req.server);
     const reply = await this.#limitsHandler.handlePeer(from, req);
     return reply ?? this.path.peerRequests.handlePeer(from, req as RequestMessage);
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -76,6 +76,16 @@
   readonly type: "config";
 }
 
+/**
+ * Gives a peer that cannot reach the platform a newer configuration. It may not know the sender as
+ * a member, and then could not ask for it.
+ */
+export interface ConfigOffer {
+  readonly type: "config-offer";
+  /** The stored document as JSON text. */
+  readonly document: string;
+}
+
 /** A request as its home needs it. */
 export interface RequestSpec {
   readonly requestId: string;
@@ -188,6 +198,7 @@
 export type PeerRequest =
   | GossipRequest
   | ConfigRequest
+  | ConfigOffer
   | SubmitRequest
   | QueryRequest
   | CancelRequest
@@ -275,6 +286,7 @@
 interface ReplyMap {
   readonly gossip: GossipReply;
   readonly config: ConfigReply;
+  readonly "config-offer": AckReply;
   readonly submit: StateReply;
   readonly query: StateReply;
   readonly cancel: StateReply;
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -102,6 +102,7 @@
 export const PeerRequestSchema = v.variant("type", [
   gossipRequest,
   v.strictObject({ type: v.literal("config") }),
+  v.strictObject({ type: v.literal("config-offer"), document: v.string() }),
   v.strictObject({ type: v.literal("submit"), spec: requestSpec, waitMs: milliseconds }),
   v.strictObject({
     type: v.literal("query"),
@@ -180,6 +181,7 @@
     revision: count,
     document: v.undefinedable(v.string()),
   }),
+  "config-offer": ack,
   submit: state,
   query: state,
   cancel: state,
--- /dev/null
+++ b/test/coordination/config-gossip.test.ts
@@ -0,0 +1,47 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ConfigGossip } from "../../src/coordination/config-gossip.ts";
+import type { ConfigFollower } from "../../src/coordination/config-follower.ts";
+import { gossipMessage, helloOf } from "../fakes/builders.ts";
+import { FakePeers } from "../fakes/peer-fakes.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
+
+function fixture() {
+  const clock = new VirtualClock();
+  const peers = new FakePeers("e1", clock);
+  const adopted: [string, number][] = [];
+  const config = {
+    current: () => ({ revision: 2 }),
+    documentText: () => "revision 2",
+    confirm: () => undefined,
+    adopt: (text: string, ageMs: number) => adopted.push([text, ageMs]) > 0,
+  } as unknown as ConfigFollower;
+  return { peers, adopted, gossip: new ConfigGossip({ clock, config, peers }) };
+}
+
+// Guards against a withdrawn key that works in an outage at entries that do not know the one entry
+// that read the withdrawal, because it became a member when they could not read the members.
+test("a peer without the platform is given a newer configuration, any other reads it itself", () => {
+  for (const [platformReachable, configRevision, offered] of [
+    [false, 1, true],
+    [true, 1, false],
+    [false, 2, false],
+  ] as const) {
+    const { peers, gossip } = fixture();
+    const message = gossipMessage({ platformReachable, configRevision });
+    gossip.received({ hello: helloOf("e2"), message, receivedAt: 0 });
+    assert.is(
+      peers.sent.some(({ req }) => req.type === "config-offer"),
+      offered,
+    );
+  }
+});
+
+// Guards against a configuration that counts as confirmed because a peer passed it on.
+test("an offered configuration is adopted without a confirmation", () => {
+  const { adopted, gossip } = fixture();
+  assert.ok(gossip.offered({ type: "config-offer", document: "revision 3" }).accepted);
+  assert.equal(adopted, [["revision 3", Infinity]]);
+});
+
+test.run();
