fix(leases): give no work to a server before its record was read under the present lease

Change: a server is dispatched to only once the fleet document was confirmed after the lease was granted, or in a platform-wide outage. The document is read again as soon as a server is acquired. Ruled out: a boot id in the fleet document (a write for each restart, and a server that restarts in an outage would stay unused); refusing to acquire while cut off, which depends on how soon the cut is noticed compared with the time a reboot takes. The new test fails without the change.

--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -105,7 +105,7 @@
 
   keyedWorkAllowed(): boolean {
     if (this.#current === undefined) return false;
-    return this.ageMs() <= this.#options.keyFreshnessMs || this.#platformWideOutage();
+    return this.ageMs() <= this.#options.keyFreshnessMs || this.platformWideOutage();
   }
 
   teamOfKey(key: string): string | undefined {
@@ -163,8 +163,7 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, at);
   }
 
-  /** True if every zone is in contact and no entry in contact reaches the platform. */
-  #platformWideOutage(): boolean {
+  platformWideOutage(): boolean {
     const { outage, clock, keyFreshnessMs, zone } = this.#options;
     const zones = outage.zones();
     if (zones === undefined || zones.size === 0 || this.#watcher.reachable()) return false;
--- a/src/coordination/fleet-follower.ts
+++ b/src/coordination/fleet-follower.ts
@@ -21,6 +21,8 @@
   readonly #watcher: KeyWatcher;
   readonly #listeners = new Set<(fleet: FleetDocument) => void>();
   #current: FleetDocument | undefined;
+  #confirmedAt = -Infinity;
+  #refreshing: Promise<void> | undefined;
 
   constructor(options: FleetFollowerOptions) {
     super();
@@ -30,8 +32,11 @@
       ...options,
       key: fleetKey(options.group),
       listener: {
-        read: (entry) => {
-          if (entry !== undefined) this.#read(entry);
+        read: (entry, sentAt) => {
+          this.#take(entry, sentAt);
+        },
+        confirmed: (sentAt) => {
+          this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
         },
       },
     });
@@ -49,6 +54,17 @@
     return this.#current;
   }
 
+  confirmedAt(): number {
+    return this.#confirmedAt;
+  }
+
+  refresh(): Promise<void> {
+    this.#refreshing ??= this.#get().finally(() => {
+      this.#refreshing = undefined;
+    });
+    return this.#refreshing;
+  }
+
   onChange(listener: (fleet: FleetDocument) => void): Unsubscribe {
     this.#listeners.add(listener);
     return () => {
@@ -56,6 +72,20 @@
     };
   }
 
+  async #get(): Promise<void> {
+    const { clock, keyValue, group } = this.#options;
+    const sentAt = clock.now();
+    const reply = await keyValue.get(fleetKey(group));
+    if (reply.ok) this.#take(reply.val, sentAt);
+  }
+
+  #take(entry: KvEntry | undefined, sentAt: number): void {
+    if (entry !== undefined) this.#read(entry);
+    // A malformed document leaves the one before in use, and a late reply shows an older one.
+    if (entry?.revision === this.#current?.revision)
+      this.#confirmedAt = Math.max(this.#confirmedAt, sentAt);
+  }
+
   #read(entry: KvEntry): void {
     // Replies may arrive out of order; an older one must not bring back a former pool or state.
     if (entry.revision <= (this.#current?.revision ?? 0)) return;
--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -24,6 +24,7 @@
 import type { Membership } from "./membership.ts";
 import {
   HeldServers,
+  type ConfigView,
   type Counters,
   type FinishedTask,
   type FleetView,
@@ -55,6 +56,7 @@
   readonly counters: Counters;
   readonly peers: Peers;
   readonly fleet: FleetView;
+  readonly config: Pick<ConfigView, "platformWideOutage">;
   readonly membership: Membership;
   readonly coverage: LeaseCoverage;
   readonly charges: ChargeBook;
@@ -223,7 +225,28 @@
 
   #dispatchable(record: ServerRecord, lease: ServerLease): boolean {
     if (lease.leaseId === undefined || lease.releasing || lease.leaving) return false;
-    return record.state === "serving" && !this.#drain.blocks(record.name, this.#zone.revision);
+    if (record.state !== "serving" || !this.#recordKnown(lease)) return false;
+    return !this.#drain.blocks(record.name, this.#zone.revision);
+  }
+
+  /**
+   * True if the server's record was read after the server was acquired. An entry that is cut off
+   * could otherwise take a server that was drained and rebooted since, and give it work of its
+   * former pool. In a platform-wide outage nobody can have changed the record.
+   */
+  #recordKnown(lease: ServerLease): boolean {
+    const { fleet, config } = this.#options;
+    return lease.heldSince <= fleet.confirmedAt() || config.platformWideOutage();
+  }
+
+  /** Reads the fleet document again for servers that were acquired since it was read last. */
+  #confirmRecords(): void {
+    const confirmedAt = this.#options.fleet.confirmedAt();
+    const drivers = [...this.#drivers.values()];
+    if (!drivers.some(({ lease }) => lease.held && lease.heldSince > confirmedAt)) return;
+    void this.#options.fleet.refresh().then(() => {
+      this.#notify();
+    });
   }
 
   /** A fenced entry that resumes with a new lease must not start even work without a budget. */
@@ -264,6 +287,7 @@
         peers.announceLeaving(name);
       },
       onChange: () => {
+        this.#confirmRecords();
         this.#notify();
       },
     });
@@ -280,6 +304,7 @@
 
   /** Acquires servers, hands them over and reports drained ones. */
   #tick(): void {
+    this.#confirmRecords();
     const view = this.#holderView();
     for (const driver of this.#drivers.values()) driver.review(view);
     for (const record of this.#zone.records()) {
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -43,6 +43,8 @@
   abstract keyedWorkAllowed(): boolean;
   /** False while the platform cannot be read, so that no budget can be raised from here. */
   abstract platformReachable(): boolean;
+  /** True if every zone is in contact and no entry in contact reaches the platform. */
+  abstract platformWideOutage(): boolean;
   /** Team of a key given in the clear, or undefined if no team has it. */
   abstract teamOfKey(key: string): string | undefined;
   abstract onChange(listener: (config: ConfigDocument) => void): Unsubscribe;
@@ -51,6 +53,10 @@
 /** The fleet document as last read. */
 export abstract class FleetView {
   abstract current(): FleetDocument | undefined;
+  /** Monotonic time in ms at which the last call was sent that showed the newest document. */
+  abstract confirmedAt(): number;
+  /** Reads the document now. */
+  abstract refresh(): Promise<void>;
   abstract onChange(listener: (fleet: FleetDocument) => void): Unsubscribe;
 }
 
--- a/src/coordination/server-lease.ts
+++ b/src/coordination/server-lease.ts
@@ -90,6 +90,11 @@
     return Math.max(0, (this.#tenure?.validity.until ?? 0) - this.#options.clock.now());
   }
 
+  /** Monotonic time in milliseconds since which the server is held; infinite if it is not. */
+  get heldSince(): number {
+    return this.#tenure?.startedAt ?? Infinity;
+  }
+
   /** Time in milliseconds since the lease was first granted without a break since. */
   get heldForMs(): number {
     return this.#tenure === undefined ? 0 : this.#options.clock.now() - this.#tenure.startedAt;
--- a/test/coordination/leases.test.ts
+++ b/test/coordination/leases.test.ts
@@ -128,4 +128,22 @@
   await cluster.clock.until(() => cut.leases.list().some((server) => server.name === name), 20_000);
 });
 
+// Guards against work of its former pool on a server that was drained and rebooted while the entry
+// that takes it could not read the fleet document.
+test("a server taken without the platform gets no work before its record was read", async () => {
+  const cluster = new Cluster({ servers: 6 });
+  const [e1, e2] = [cluster.add("e1"), cluster.add("e2")];
+  const usable = (): readonly string[] =>
+    e2.leases.list().flatMap((one) => (one.dispatchable ? [one.name] : []));
+  const settled = (): boolean => e1.leases.list().length + usable().length === 6;
+  await cluster.clock.until(() => usable().length > 0 && settled(), 30_000);
+  const own = usable();
+  e2.kvLink.down = true;
+  e1.gate.kill();
+  await cluster.clock.until(() => e2.leases.list().length === 6, 20_000);
+  assert.equal(usable(), own);
+  e2.kvLink.down = false;
+  await cluster.clock.until(() => usable().length === 6, 10_000);
+});
+
 test.run();
--- a/test/fakes/entry-fakes.ts
+++ b/test/fakes/entry-fakes.ts
@@ -43,6 +43,10 @@
     return this.reachable;
   }
 
+  platformWideOutage(): boolean {
+    return false;
+  }
+
   /** The key of team `red` is `key-red`. */
   teamOfKey(key: string): string | undefined {
     return this.document?.teams.find((team) => key === `key-${team.name}`)?.name;
@@ -84,6 +88,14 @@
 export class FakeFleet extends FleetView {
   document: FleetDocument | undefined;
 
+  confirmedAt(): number {
+    return Infinity;
+  }
+
+  refresh(): Promise<void> {
+    return Promise.resolve();
+  }
+
   current(): FleetDocument | undefined {
     return this.document;
   }
--- a/test/fakes/limits-entry.ts
+++ b/test/fakes/limits-entry.ts
@@ -132,7 +132,7 @@
     const shared = { ...base, fleet, homes, membership, coverage, charges, connector, onRetired };
     const sizes = { ledgerShards: 2, budgetIdleMs: 2000, idempotencyWindowMs: 3_600_000 };
     const options = { ...shared, ...leaseOptions, ...sizes, sessionTtlMs: SESSION_TTL_MS };
-    const leases = (this.leases = new LeaseKeeper(options));
+    const leases = (this.leases = new LeaseKeeper({ ...options, config: cluster.config }));
     const budgets = (this.budgets = new BudgetKeeper({
       ...options,
       held: leases,
--- a/test/fakes/limits-ports.ts
+++ b/test/fakes/limits-ports.ts
@@ -21,6 +21,12 @@
     const known = this.#follower.current;
     return known && { revision: known.revision, ...known.value };
   }
+  confirmedAt(): number {
+    return this.#follower.confirmedAt ?? -Infinity;
+  }
+  async refresh(): Promise<void> {
+    await this.#follower.refresh();
+  }
   onChange(listener: (fleet: FleetDocument) => void): Unsubscribe {
     return this.#follower.onChange(({ revision, value }) => {
       listener({ revision, ...value });
@@ -45,6 +51,10 @@
   platformReachable(): boolean {
     return true;
   }
+
+  platformWideOutage(): boolean {
+    return false;
+  }
   current(): ConfigDocument {
     const team = { name: TEAM, share: 1, upperLimit: this.#limit, queues: [], keys: [] };
     return configDocument({ revision: this.#revision, teams: [team] });
