--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -55,6 +55,7 @@
   readonly operators: OperatorDesk;
   /** Whether a process ended without or with notice, so that its memory is gone. */
   memoryLost = false;
+  readonly #incarnationAt = new Map<string, string>();
   #calmFrom = 0;
   readonly #store: ObservedStore;
   readonly #options: WorldOptions;
@@ -221,6 +222,7 @@
 
   /** Tells the oracle who can see the platform now. Called after every change of a fault. */
   observe(): void {
+    this.#noteRestarts();
     const processes = this.slots.filter((slot) => slot.process !== undefined);
     const seeing = processes.filter((slot) => this.#seesPlatform(slot));
     const whole = this.#inContact(processes);
@@ -241,6 +243,15 @@
     this.farm.reportLeaving(new Set(zones.filter((zone) => !blind.has(zone))));
   }
 
+  /** An entry that was retired starts anew in its process without the memory of its calls. */
+  #noteRestarts(): void {
+    for (const { address, incarnation } of this.#network.live) {
+      const before = this.#incarnationAt.get(address);
+      if (before !== undefined && before !== incarnation) this.memoryLost = true;
+      this.#incarnationAt.set(address, incarnation);
+    }
+  }
+
   /** Whether every two processes reach each other and each zone has one. */
   #inContact(processes: readonly EntrySlot[]): boolean {
     const zones = new Set(processes.map((slot) => slot.zone));
