refactor(limits): reserve and usable slots of the budget keeper in modules of their own

Ruled out: splitting the writing of rows from their targets, which read the same state. Conclusion: no change of behaviour.

--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -7,6 +7,7 @@
 import type { ChargeBook } from "../state/charge-book.ts";
 import { retire, type BudgetWish, type UpperLimit } from "../state/ledger.ts";
 import type { DocumentStore } from "./document-store.ts";
+import { BudgetReserve } from "./budget-reserve.ts";
 import { askForBudget } from "./budget-requests.ts";
 import { IdleWindow } from "./idle-window.ts";
 import type { LeaseCoverage } from "./lease-coverage.ts";
@@ -19,6 +20,7 @@
   type Peers,
   type Unsubscribe,
 } from "./ports.ts";
+import { UsableSlots } from "./usable-slots.ts";
 
 /** Least time between two writes of one shard by one entry, which bounds the service's load. */
 const WRITE_INTERVAL_MS = 500;
@@ -30,16 +32,6 @@
 const UNUSED_TICK_MS = 5000;
 /** Age at which a shard in use is read again, so that caps and marks are seen. */
 const REFRESH_MS = 5000;
-/** Age up to which a count of free slots is used again, as it is needed for every start. */
-const FREE_SLOTS_AGE_MS = 20;
-/**
- * Budget that a team with queued work may ask for beyond its running tasks when no slot is free.
- * A raise takes about a second, and with 1 a team gained too little in that time.
- */
-const LEAST_SLOTS = 2;
-const MAX_RESERVE = 4;
-/** A reserve that was given to a peer is raised again after this time. */
-const RESERVE_PAUSE_MS = 10_000;
 /** Budget that the last holder of an idle team keeps, since none can be raised in an outage. */
 const LAST_KEPT = 1;
 
@@ -68,13 +60,12 @@
   readonly #wakes = new Map<number, () => void>();
   readonly #demand = new Map<string, number>();
   readonly #returns = new Map<string, number>();
-  /** Time at which a peer last asked for budget and got some. */
-  readonly #givenAt = new Map<string, number>();
   readonly #idle: IdleWindow;
+  readonly #slots: UsableSlots;
+  readonly #reserve: BudgetReserve;
   readonly #listeners = new Set<() => void>();
   readonly #indexes = new Map<string, number>();
   readonly #stopped = new AbortController();
-  #free = { at: -Infinity, count: 0 };
   #tasks: Promise<unknown> = Promise.resolve();
 
   constructor(options: BudgetKeeperOptions) {
@@ -88,6 +79,8 @@
       (_, shard) => new LedgerShard({ shard, incarnation, store, clock, limitOf }),
     );
     this.#idle = new IdleWindow({ clock, windowMs: budgetIdleMs });
+    this.#slots = new UsableSlots({ clock, held: options.held });
+    this.#reserve = new BudgetReserve({ clock, peers });
     charges.onChange((team) => {
       this.#idle.observe(team, this.#spare(team));
       this.#notify();
@@ -178,7 +171,7 @@
     const given = Math.min(wanted, this.#spare(team));
     if (given <= 0) return { type: "ack", accepted: false };
     this.#returns.set(team, Math.max(given, this.#returns.get(team) ?? 0));
-    this.#givenAt.set(team, this.#options.clock.now());
+    this.#reserve.given(team);
     this.#wake(team);
     return { type: "ack", accepted: true };
   }
@@ -194,11 +187,6 @@
     }));
   }
 
-  /** Tasks of a team that run above a limit that was lowered. */
-  excess(team: string): number {
-    return Math.max(0, this.running(team) - this.#shardOf(team).allowance(team));
-  }
-
   async #runShard(shard: LedgerShard, index: number): Promise<void> {
     const { clock, random } = this.#options;
     while (!this.#stopped.signal.aborted) {
@@ -249,9 +237,8 @@
     const returned = this.#returns.get(team) ?? 0;
     this.#returns.delete(team);
     const demand = this.#needed(team);
-    const reserve = this.#reserve(team);
+    const reserve = this.#reserveOf(team);
     if (this.#usable(shard) && running + demand > budget) return running + demand + reserve;
-    // Without a reserve, the first task of a team would wait here until a budget was raised.
     if (this.#mayReserve(shard, team) && budget < running + reserve) return running + reserve;
     // What is given up could not be raised again while the platform is unreachable.
     if (!this.#options.config.platformReachable()) return budget;
@@ -270,41 +257,20 @@
   /** Queued tasks that could start here if the budget allowed it. */
   #needed(team: string): number {
     const demand = this.#demand.get(team) ?? 0;
-    return demand === 0 ? 0 : Math.min(demand, this.#freeSlots());
-  }
-
-  /**
-   * Free slots, and at least {@link LEAST_SLOTS} where the slots are all taken. Under full load a slot is taken
-   * again as soon as it is free, so a team without budget here would never get one.
-   */
-  #freeSlots(): number {
-    const { held, clock } = this.#options;
-    if (held === undefined) return Infinity;
-    if (clock.now() - this.#free.at >= FREE_SLOTS_AGE_MS) {
-      const usable = held.list().filter(({ dispatchable }) => dispatchable);
-      const free = usable.reduce((sum, { slots, running }) => sum + slots - running, 0);
-      const count = usable.length === 0 ? 0 : Math.max(LEAST_SLOTS, free);
-      this.#free = { at: clock.now(), count };
-    }
-    return this.#free.count;
+    return demand === 0 ? 0 : Math.min(demand, this.#slots.count());
   }
 
   #shortfall(team: string): number {
     return this.#needed(team) - this.room(team);
   }
 
-  /** Unused budget kept here: small against the limit divided by the entries. */
-  #reserve(team: string): number {
-    const entries = this.#options.peers.gossip().size + 1;
-    return Math.min(MAX_RESERVE, Math.floor((this.#limitOf(team)?.limit ?? 0) / (4 * entries)));
+  #reserveOf(team: string): number {
+    return this.#reserve.of(this.#limitOf(team)?.limit ?? 0);
   }
 
-  /** A reserve that a peer asked for is not taken back at once. */
   #mayReserve(shard: LedgerShard, team: string): boolean {
-    const { clock } = this.#options;
-    const givenAt = this.#givenAt.get(team) ?? -Infinity;
-    if (!this.#usable(shard) || clock.now() - givenAt < RESERVE_PAUSE_MS) return false;
-    return this.#freeSlots() > 0 && shard.remaining(team) > 0;
+    if (!this.#usable(shard) || !this.#reserve.mayRaise(team)) return false;
+    return this.#slots.count() > 0 && shard.remaining(team) > 0;
   }
 
   /** The budget is zero unless the shard was read during the present unbroken lease coverage. */
@@ -329,7 +295,7 @@
     const own = [...this.#demand.keys()].filter((team) => this.#indexOf(team) === index);
     const { teams = [] } = this.#options.config.current() ?? {};
     const reserved = teams.flatMap(({ name }) =>
-      this.#indexOf(name) === index && this.#reserve(name) > 0 ? [name] : [],
+      this.#indexOf(name) === index && this.#reserveOf(name) > 0 ? [name] : [],
     );
     return [...new Set([...shard.teams(), ...own, ...reserved])];
   }
--- /dev/null
+++ b/src/coordination/usable-slots.ts
@@ -0,0 +1,44 @@
+import type { Clock } from "../platform/clock.ts";
+import type { HeldServers } from "./ports.ts";
+
+/** Age up to which a count is used again in milliseconds, as it is needed for every start. */
+const COUNT_AGE_MS = 20;
+/**
+ * Budget that a team with queued work may ask for beyond its running tasks when no slot is free.
+ * A raise takes about a second, and with 1 a team gained too little in that time.
+ */
+const LEAST_SLOTS = 2;
+
+/** Options of {@link UsableSlots}. */
+export interface UsableSlotsOptions {
+  readonly clock: Clock;
+  /** Without it, slots are not bounded. */
+  readonly held: HeldServers | undefined;
+}
+
+/** How many more tasks the held servers could run. */
+export class UsableSlots {
+  readonly #options: UsableSlotsOptions;
+  #count = 0;
+  #countedAt = -Infinity;
+
+  constructor(options: UsableSlotsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Free slots, and at least {@link LEAST_SLOTS} where the slots are all taken. Under full load a
+   * slot is taken again as soon as it is free, so a team without budget here would never get one.
+   */
+  count(): number {
+    const { held, clock } = this.#options;
+    if (held === undefined) return Infinity;
+    if (clock.now() - this.#countedAt >= COUNT_AGE_MS) {
+      const usable = held.list().filter(({ dispatchable }) => dispatchable);
+      const free = usable.reduce((sum, { slots, running }) => sum + slots - running, 0);
+      this.#count = usable.length === 0 ? 0 : Math.max(LEAST_SLOTS, free);
+      this.#countedAt = clock.now();
+    }
+    return this.#count;
+  }
+}
--- a/test/process/callers.ts
+++ b/test/process/callers.ts
@@ -2,6 +2,13 @@
 import * as assert from "uvu/assert";
 import type { EntryProcessHandle, ProcessCluster } from "./cluster.ts";
 
+/** A template with the queue `orders`, whose work must not run twice, and the team `crew`. */
+export function orderTemplate({ upperLimit }: { readonly upperLimit: number }): string {
+  const pool = "[pool.work]\ngroup = g\ntarget_size = 6\nmin_available = 2\n";
+  const queue = "[queue.orders]\npool = work\n";
+  return `${pool}${queue}[team.crew]\nshare = 1\nupper_limit = ${upperLimit}\n`;
+}
+
 /** What a caller got for one request. */
 export interface Reply {
   readonly sent: string;
