test(fuzz): begin the check of recovery when every operator's command has ended

Ruled out: a fault of the product (statuses and ledger shards were printed at the violation); reading the limit again in each round, which would pass if a limit were lowered for no reason. Conclusion: the check asks for the limit that is in force.

--- a/test/fuzz/recovery.ts
+++ b/test/fuzz/recovery.ts
@@ -37,6 +37,8 @@
 /** Heals everything and checks that every promise is kept in the stated time. */
 export async function checkRecovery(world: World): Promise<void> {
   await healEverything(world);
+  // An operator's change that takes effect later would change the limits that are to be reached.
+  await world.settleBackground();
   const keys = new Map<string, string>();
   for (const team of TEAMS) {
     const key = await world.complete(world.operators.giveKey(team));
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -55,6 +55,7 @@
   readonly operators: OperatorDesk;
   /** Whether a process ended without or with notice, so that its memory is gone. */
   memoryLost = false;
+  readonly #background: Promise<unknown>[] = [];
   readonly #incarnationAt = new Map<string, string>();
   #calmFrom = 0;
   readonly #store: ObservedStore;
@@ -190,9 +191,15 @@
 
   /** Lets an action go on while time passes; it must not throw. */
   background(action: Promise<unknown>): void {
-    action.catch((error: unknown) => {
+    const settled = action.catch((error: unknown) => {
       this.oracle.threw("a background action", error);
     });
+    this.#background.push(settled);
+  }
+
+  /** Lets time pass until every action in the background is done. */
+  async settleBackground(): Promise<void> {
+    await this.complete(Promise.all(this.#background));
   }
 
   /** Lets time pass until an action is done. */
