fix(leaving): read the instance list at any entry whose zone's duty is vacant

Change: an entry that knows of no holder reads the list every second itself. Ruled out: shorter pauses between attempts, which load the platform when it comes back; the fault being new (the commands that produce the load are, and changed nothing about duties). Conclusion: a vacant duty delays reclaims only.

--- a/src/coordination/entry-duties.ts
+++ b/src/coordination/entry-duties.ts
@@ -34,6 +34,8 @@
   readonly planner: Planner;
   readonly support: EntryPlannerSupport;
   readonly all: readonly Duty[];
+  /** Reads the instance list for the zone while its duty is vacant, until the signal aborts. */
+  readonly watchLeaving: (signal: AbortSignal) => Promise<void>;
 }
 
 /** Builds the planner's duty for the pool group and the reclaim duty for the zone. */
@@ -69,7 +71,9 @@
     health: new HeldHealth({ ...options, isBad: isBadServer }),
     intervalMs: settings.plannerIntervalMs,
   });
-  return { planner, support, all: [plannerDuty, reclaimDuty] };
+  const watchLeaving = (signal: AbortSignal): Promise<void> =>
+    leavingWatch.run(() => reclaimDuty.unclaimed && !plannerDuty.held, signal);
+  return { planner, support, all: [plannerDuty, reclaimDuty], watchLeaving };
 }
 
 /** True if another entry of the zone could take a duty of the zone. */
--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -55,6 +55,8 @@
   readonly #planner: Planner;
   readonly #plannerSupport: EntryPlannerSupport;
   readonly #duties: readonly Duty[];
+  readonly #watchLeaving: (signal: AbortSignal) => Promise<void>;
+  readonly #stopped = new AbortController();
   readonly #shares: ShareMonitor;
   #retired = false;
 
@@ -142,6 +144,7 @@
     this.#planner = duties.planner;
     this.#plannerSupport = duties.support;
     this.#duties = duties.all;
+    this.#watchLeaving = duties.watchLeaving;
     this.#shares = new ShareMonitor({ clock, config, loads: () => this.#teamLoads() });
   }
 
@@ -163,11 +166,13 @@
     void this.#resolver.run();
     this.#planner.start();
     for (const duty of this.#duties) void duty.run();
+    void this.#watchLeaving(this.#stopped.signal);
     this.#shares.start();
   }
 
   /** Ends every loop at once; running tasks stay on their servers. */
   async stop(): Promise<void> {
+    this.#stopped.abort();
     this.path.abandon();
     this.#shares.stop();
     this.#planner.stop();
--- a/test/coordination/leaving-watch.test.ts
+++ b/test/coordination/leaving-watch.test.ts
@@ -3,6 +3,7 @@
 import { LeavingWatch } from "../../src/coordination/leaving-watch.ts";
 import type { ListedInstance } from "../../src/platform/instance-list.ts";
 import { RecordedCounters } from "../fakes/quiet.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
 import { StaticInstanceList } from "../../src/stand-ins/static-instance-list.ts";
 
 function listed(name: string, zone: string, state: ListedInstance["state"]): ListedInstance {
@@ -24,9 +25,29 @@
     announceLeaving: (server: string) => announced.push(server),
   };
   const counters = new RecordedCounters();
-  const watch = new LeavingWatch({ instanceList, counters, peers: peers as never });
+  const clock = new VirtualClock();
+  const watch = new LeavingWatch({ clock, instanceList, counters, peers: peers as never });
   await watch.step();
   assert.equal(announced, ["a"]);
 });
 
+// Guards against a vacant duty, as after an outage, in which nobody of the zone reads the list.
+test("the list is read while the duty of the zone is vacant, and only then", async () => {
+  const clock = new VirtualClock();
+  const instanceList = new StaticInstanceList([listed("a", "z1", "leaving")]);
+  const announced: string[] = [];
+  const peers = { self: { zone: "z1" }, announceLeaving: (name: string) => announced.push(name) };
+  const counters = new RecordedCounters();
+  const watch = new LeavingWatch({ clock, instanceList, counters, peers: peers as never });
+  let vacant = false;
+  const end = new AbortController();
+  void watch.run(() => vacant, end.signal);
+  await clock.advance(5000);
+  assert.equal(announced, []);
+  vacant = true;
+  await clock.advance(1000);
+  assert.equal(announced, ["a"]);
+  end.abort();
+});
+
 test.run();
