--- a/src/state/maintenance-rules.ts
+++ b/src/state/maintenance-rules.ts
@@ -10,7 +10,6 @@
 } from "./fleet-situation.ts";
 import { step } from "./health-rules.ts";
 import { inRange, minutesUntilOpen, windowsOf, windowText } from "./maintenance-windows.ts";
-import { waveLimit } from "./planner-weights.ts";
 
 const DAY_MS = 86_400_000;
 /** A rebooted server that fails within this time counts as a failure of the wave. */
@@ -61,15 +60,15 @@
 export function continueWave(situation: FleetSituation): RuleOutcome {
   const { due, withheld } = byWindow(situation);
   if (due.length === 0) return { withheld };
-  const { limit, figures: weights } = waveLimit(situation.config);
+  const { maxParallel } = situation.config.maintenance;
   const active = serversInWave(situation);
-  const figures: Figures = { due: due.length, inWave: active.length, limit, ...weights };
+  const figures: Figures = { due: due.length, inWave: active.length, maxParallel };
   const wait = (text: string, more: Figures = {}): RuleOutcome => ({
     withheld: [...withheld, explain(situation, "maintenance", text, { ...figures, ...more })],
   });
   const failures = waveFailures(situation, zonesOfWave(situation, active, due));
   if (failures !== undefined) return wait(failures.text, failures.figures);
-  if (active.length >= limit) return wait("the wave has as many servers as allowed at once");
+  if (active.length >= maxParallel) return wait("the wave has as many servers as allowed at once");
   const started = startNext(situation, { due, active, figures });
   return { ...started, withheld: [...withheld, ...started.withheld] };
 }
--- a/src/state/planner-weights.ts
+++ b/src/state/planner-weights.ts
@@ -37,16 +37,6 @@
   return { limit, figures: { weight_rollout_time: rolloutTime, weight_moves: moves } };
 }
 
-/** A wave of more servers ends earlier and needs more servers to stand in for them. */
-export function waveLimit({ maintenance, weights }: ConfigDocument): WeightedLimit {
-  const { rolloutTime, bufferCost } = weights;
-  const share = Math.floor(maintenance.maxParallel * Math.min(1, ratio(rolloutTime, bufferCost)));
-  return {
-    limit: Math.min(maintenance.maxParallel, Math.max(1, share)),
-    figures: { weight_rollout_time: rolloutTime, weight_buffer_cost: bufferCost },
-  };
-}
-
 /** Expected wait in milliseconds beyond which a pool borrows; earlier brings teams to their share. */
 export function borrowWait(
   { lendWaitMs, lendAfterMs }: LendingOptions,
@@ -66,22 +56,10 @@
   lending: LendingOptions,
   at: number,
 ): readonly Explanation[] {
-  const { maintenance, weights } = config;
-  const wave = waveLimit(config);
-  const borrow = borrowWait(lending, weights);
-  const explanations = [
-    {
-      text: `a wave takes ${wave.limit} of max_parallel ${maintenance.maxParallel} servers at once`,
-      figures: wave.figures,
-    },
-    {
-      text: `pools borrow at an expected wait of ${borrow.limit} ms where lend_wait_ms is ${lending.lendWaitMs}`,
-      figures: borrow.figures,
-    },
-  ];
-  return explanations
-    .filter(({ figures }) => new Set(Object.values(figures)).size > 1)
-    .map((explanation) => ({ at, rule: "weights", ...explanation }));
+  const borrow = borrowWait(lending, config.weights);
+  if (new Set(Object.values(borrow.figures)).size === 1) return [];
+  const text = `pools borrow at an expected wait of ${borrow.limit} ms where lend_wait_ms is ${lending.lendWaitMs}`;
+  return [{ at, rule: "weights", text, figures: borrow.figures }];
 }
 
 /** One for equal weights, also if both are 0. */
