fix(leaving): every entry reads the instance list

The fix before read it only while the duty was known as vacant. Ruled out: judging by the duty's key alone, which names a paused holder until its session lapses. Conclusion: no paused or lost entry hides a leaving server from its zone any more.

--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -37,7 +37,6 @@
   /** Lease under which the duty's key was written. */
   #underLease: string | undefined;
   #revision = 0;
-  #heldByOther = false;
   /** The key as last read while somebody else held the duty. */
   #seen: { readonly entry: KvEntry | undefined } | undefined;
 
@@ -51,11 +50,6 @@
     return leaseId !== undefined && leaseId === this.#underLease;
   }
 
-  /** True unless this entry or, as far as it knows, another one holds the duty. */
-  get unclaimed(): boolean {
-    return !this.held && !this.#heldByOther;
-  }
-
   /** Contends for the duty until {@link stop}. */
   async run(): Promise<void> {
     const { clock, random, step, intervalMs } = this.#options;
@@ -135,11 +129,9 @@
       return true;
     }
     const { key, revision } = entry;
-    this.#heldByOther = true;
     const reply = await kv.watch({ key, afterRevision: revision, waitMs: WATCH_WAIT_MS });
     if (!reply.ok) this.#seen = undefined;
     else this.#seen = { entry: reply.val.changed ? reply.val.entry : entry };
-    this.#heldByOther = this.#seen?.entry !== undefined;
     return reply.ok;
   }
 }
--- a/src/coordination/entry-duties.ts
+++ b/src/coordination/entry-duties.ts
@@ -34,7 +34,7 @@
   readonly planner: Planner;
   readonly support: EntryPlannerSupport;
   readonly all: readonly Duty[];
-  /** Reads the instance list for the zone while its duty is vacant, until the signal aborts. */
+  /** Reads the instance list while this entry holds no duty that does, until the signal aborts. */
   readonly watchLeaving: (signal: AbortSignal) => Promise<void>;
 }
 
@@ -72,7 +72,7 @@
     intervalMs: settings.plannerIntervalMs,
   });
   const watchLeaving = (signal: AbortSignal): Promise<void> =>
-    leavingWatch.run(() => reclaimDuty.unclaimed && !plannerDuty.held, signal);
+    leavingWatch.run(() => !reclaimDuty.held && !plannerDuty.held, signal);
   return { planner, support, all: [plannerDuty, reclaimDuty], watchLeaving };
 }
 
--- a/src/coordination/leaving-watch.ts
+++ b/src/coordination/leaving-watch.ts
@@ -2,7 +2,8 @@
 import type { InstanceList } from "../platform/instance-list.ts";
 import type { Counters, Peers } from "./ports.ts";
 
-const INTERVAL_MS = 1000;
+/** Time between two reads by an entry without a duty, in milliseconds; below the bound of 3 s. */
+const INTERVAL_MS = 2000;
 
 /** Options of {@link LeavingWatch}. */
 export interface LeavingWatchOptions {
@@ -24,8 +25,8 @@
   }
 
   /**
-   * Reads the list every second while `needed`, until the signal aborts. After an outage or the end
-   * of its holder the zone's duty may be vacant for seconds, in which nobody would see the sign.
+   * Reads the list every 2 s while `needed`, until the signal aborts. The entries with duties read
+   * it more often, but both may be paused or gone, and after an outage the duties may be vacant.
    */
   async run(needed: () => boolean, signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
