--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -154,12 +154,12 @@
   return (parts) => ({ ...parts, settings: { ...parts.settings, ...settings } });
 }
 
-/** Drops the calls of one type, as if the mechanism that sends them did not exist. */
-function withoutCalls(type: string): NonNullable<Mutant["parts"]> {
+/** Drops the calls of some types, as if the mechanism that sends them did not exist. */
+function withoutCalls(...types: readonly string[]): NonNullable<Mutant["parts"]> {
   return (parts) => ({
     ...parts,
     peerTransport: new ChangingTransport(parts.peerTransport, async (req, next) => {
-      if (req.type !== type) return next(req);
+      if (!types.includes(req.type)) return next(req);
       await parts.clock.sleep(10);
       return Err({ kind: "not-sent", detail: "mutant" });
     }),
@@ -213,8 +213,8 @@
   {
     name: "config-not-passed-on",
     property: "keys",
-    detail: "entries do not ask each other for newer configurations",
-    parts: withoutCalls("config"),
+    detail: "entries neither ask each other for newer configurations nor offer them",
+    parts: withoutCalls("config", "config-offer"),
   },
   {
     name: "limit-ignored",
