refactor(bench): one base for losses that come one after the other

Cause: EntryChurn and ServerChurn repeated options and schedule. Conclusion: no change of behaviour.

--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -74,8 +74,8 @@
   readonly downMs: number;
 }
 
-/** Entry instances are killed one after the other, and each is replaced after a while. */
-export class EntryChurn extends Fault {
+/** What is lost one after the other, and comes back after a while. */
+abstract class ChurnFault extends Fault {
   readonly #churn: Churn;
 
   constructor(churn: Churn) {
@@ -85,42 +85,51 @@
 
   schedule(target: FaultTarget): void {
     const { fromMs, toMs, everyMs, downMs } = this.#churn;
-    const entries = entriesOf(target.site);
     for (let at = fromMs, n = 0; at < toMs; at += everyMs, n++) {
-      // Successive losses are in different zones.
-      const index = (n * target.site.entriesPerZone + Math.floor(n / 3)) % entries;
       target.clock.schedule(at, () => {
-        target.killEntry(index);
+        this.lose(target, n);
       });
       target.clock.schedule(at + downMs, () => {
-        target.replaceEntry(index);
+        this.restore(target, n);
       });
     }
   }
+
+  /** Begins the loss of this number, from 0. */
+  protected abstract lose(target: FaultTarget, n: number): void;
+  protected abstract restore(target: FaultTarget, n: number): void;
 }
 
-/** Backend servers are lost one after the other, and each comes back after a while. */
-export class ServerChurn extends Fault {
-  readonly #churn: Churn;
+/** Entry instances are killed one after the other, and each is replaced after a while. */
+export class EntryChurn extends ChurnFault {
+  protected lose(target: FaultTarget, n: number): void {
+    target.killEntry(entryIndex(target, n));
+  }
 
-  constructor(churn: Churn) {
-    super();
-    this.#churn = churn;
+  protected restore(target: FaultTarget, n: number): void {
+    target.replaceEntry(entryIndex(target, n));
   }
+}
 
-  schedule(target: FaultTarget): void {
-    const { fromMs, toMs, everyMs, downMs } = this.#churn;
-    const servers = plannedServers(target.site);
-    for (let at = fromMs, n = 0; at < toMs; at += everyMs, n++) {
-      const { name } = servers[(n * 7) % servers.length]!;
-      target.clock.schedule(at, () => {
-        target.loseServer(name);
-      });
-      target.clock.schedule(at + downMs, () => {
-        target.restoreServer(name);
-      });
-    }
+/** Backend servers are lost one after the other, and each comes back after a while. */
+export class ServerChurn extends ChurnFault {
+  protected lose(target: FaultTarget, n: number): void {
+    target.loseServer(serverName(target, n));
   }
+
+  protected restore(target: FaultTarget, n: number): void {
+    target.restoreServer(serverName(target, n));
+  }
+}
+
+/** Successive losses are in different zones. */
+function entryIndex({ site }: FaultTarget, n: number): number {
+  return (n * site.entriesPerZone + Math.floor(n / 3)) % entriesOf(site);
+}
+
+function serverName({ site }: FaultTarget, n: number): string {
+  const servers = plannedServers(site);
+  return servers[(n * 7) % servers.length]!.name;
 }
 
 /** The rack of a server that is in the wave at that time is lost. */
