--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -4,7 +4,7 @@
  */
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
-import { SystemClock } from "../src/platform/system-clock.ts";
+import { SystemClock } from "../src/ports/system-clock.ts";
 import { ProcessCluster, waitFor } from "../test/process/cluster.ts";
 import { runLoad } from "./load-generator.ts";
 import { usageOf } from "./process-usage.ts";
--- a/bench/farm.ts
+++ b/bench/farm.ts
@@ -1,6 +1,6 @@
 /** Many simulated backend servers in one process, registered with an instance list. */
 import sade from "sade";
-import { SystemClock } from "../src/platform/system-clock.ts";
+import { SystemClock } from "../src/ports/system-clock.ts";
 import { ConfigurableRunner } from "../src/stand-ins/configurable-runner.ts";
 import { serveBackendServer } from "../src/stand-ins/http-backend-server.ts";
 import { SimulatedBackendServer } from "../src/stand-ins/simulated-backend-server.ts";
--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -1,5 +1,5 @@
 /** Faults of the scenarios. Times are in milliseconds from the start of the load. */
-import type { Clock } from "../src/platform/clock.ts";
+import type { Clock } from "../src/ports/clock.ts";
 import { plannedServers } from "./fleet.ts";
 import { entriesOf, type Site } from "./site.ts";
 
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,5 +1,5 @@
 /** The fleet and the configuration of a site, as the benchmarks start it. */
-import type { ListedInstance } from "../src/platform/instance-list.ts";
+import type { ListedInstance } from "../src/ports/instance-list.ts";
 import type { ConfigDocument } from "../src/protocol/config-document.ts";
 import type { FleetDocument, ServerRecord } from "../src/protocol/fleet-document.ts";
 import { hashKey } from "../src/state/keys.ts";
--- a/bench/heap-clock.ts
+++ b/bench/heap-clock.ts
@@ -1,4 +1,4 @@
-import { Clock, type Timer } from "../src/platform/clock.ts";
+import { Clock, type Timer } from "../src/ports/clock.ts";
 
 interface Pending {
   readonly at: number;
--- a/bench/load-generator.ts
+++ b/bench/load-generator.ts
@@ -1,6 +1,6 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { Agent, request } from "undici";
-import type { Clock } from "../src/platform/clock.ts";
+import type { Clock } from "../src/ports/clock.ts";
 
 /** Bounds of one run, so that it ends by itself whatever the options say. */
 export const LOAD_LIMITS = { requestsPerSecond: 5000, seconds: 600, inFlight: 2000 } as const;
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,7 +1,7 @@
 /** Sends requests at a fixed rate to entry instances on loopback and prints latencies as JSON. */
 import sade from "sade";
 import * as v from "valibot";
-import { SystemClock } from "../src/platform/system-clock.ts";
+import { SystemClock } from "../src/ports/system-clock.ts";
 import { LOAD_LIMITS, runLoad } from "./load-generator.ts";
 
 const OptionsSchema = v.object({
--- a/bench/peer-bytes.ts
+++ b/bench/peer-bytes.ts
@@ -4,7 +4,7 @@
   PeerTransport,
   type PeerError,
   type PeerHandler,
-} from "../src/platform/peer-transport.ts";
+} from "../src/ports/peer-transport.ts";
 import type { Hello, PeerReply, PeerRequest, ReplyTo } from "../src/protocol/peer-messages.ts";
 import type { PeerEnvelope } from "../src/protocol/peer-schemas.ts";
 import { encodeFrame } from "../src/transport/frames.ts";
--- a/bench/product-fleet.ts
+++ b/bench/product-fleet.ts
@@ -1,5 +1,5 @@
 import { EntryInstance } from "../src/coordination/entry-instance.ts";
-import type { TaskSpec } from "../src/platform/backend-server.ts";
+import type { TaskSpec } from "../src/ports/backend-server.ts";
 import { CONFIG_KEY } from "../src/protocol/config-document.ts";
 import { fleetKey, type FleetDocument } from "../src/protocol/fleet-document.ts";
 import type { LedgerDocument } from "../src/protocol/ledger-document.ts";
--- a/bench/recorder.ts
+++ b/bench/recorder.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../src/platform/clock.ts";
+import type { Clock } from "../src/ports/clock.ts";
 import { CallCounts } from "./call-counts.ts";
 import { teamsOf } from "./fleet.ts";
 import type { FleetObserver } from "./fleet-observer.ts";
--- a/bench/scenario.ts
+++ b/bench/scenario.ts
@@ -1,4 +1,4 @@
-import type { Priority } from "../src/platform/backend-server.ts";
+import type { Priority } from "../src/ports/backend-server.ts";
 import type { Fault } from "./faults.ts";
 import type { Site, TeamPlan } from "./site.ts";
 
--- a/bench/simulated-parts.ts
+++ b/bench/simulated-parts.ts
@@ -1,5 +1,5 @@
 /** Simulated links, servers and tasks of a measured fleet. */
-import type { BackendResult, TaskResult, TaskSpec } from "../src/platform/backend-server.ts";
+import type { BackendResult, TaskResult, TaskSpec } from "../src/ports/backend-server.ts";
 import { SimulatedBackendServer, TaskRunner } from "../src/stand-ins/simulated-backend-server.ts";
 import type { BackendParty } from "../test/fakes/faulty-backend.ts";
 import { Links, type LinkOutcome, type Party } from "../test/fakes/links.ts";
--- a/bench/transport.ts
+++ b/bench/transport.ts
@@ -3,8 +3,8 @@
  * sides together, since both run in this process, and bytes of one gossip message.
  */
 import { build } from "hdr-histogram-js";
-import type { PeerConnection } from "../src/platform/peer-transport.ts";
-import { SystemClock } from "../src/platform/system-clock.ts";
+import type { PeerConnection } from "../src/ports/peer-transport.ts";
+import { SystemClock } from "../src/ports/system-clock.ts";
 import {
   PEER_PROTOCOL_VERSION,
   type GossipMessage,
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -1,4 +1,4 @@
-import type { Random } from "../src/platform/random.ts";
+import type { Random } from "../src/ports/random.ts";
 import { teamsOf } from "./fleet.ts";
 import type { Arrival, Scenario } from "./scenario.ts";
 import { entriesOf, SLOTS, type PoolPlan, type Site, type TeamPlan } from "./site.ts";
--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -1,8 +1,8 @@
 import type { EntryStatusReader } from "../coordination/entry-directory.ts";
-import type { Clock } from "../platform/clock.ts";
-import type { InstanceList } from "../platform/instance-list.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { InstanceList } from "../ports/instance-list.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
+import type { Random } from "../ports/random.ts";
 import { suggestion } from "../settings/problem.ts";
 
 /** What operators' commands need from the process they run in. */
--- a/src/cli/dev-platform.ts
+++ b/src/cli/dev-platform.ts
@@ -1,6 +1,6 @@
-import { BackendConnector, type BackendServer } from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
-import type { ListedInstance } from "../platform/instance-list.ts";
+import { BackendConnector, type BackendServer } from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { ListedInstance } from "../ports/instance-list.ts";
 import { ConfigurableRunner } from "../stand-ins/configurable-runner.ts";
 import { KeyValueStore } from "../stand-ins/key-value-store.ts";
 import { SimulatedBackendServer } from "../stand-ins/simulated-backend-server.ts";
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 import sade from "sade";
-import { SystemClock } from "../platform/system-clock.ts";
-import { SystemRandom } from "../platform/system-random.ts";
+import { SystemClock } from "../ports/system-clock.ts";
+import { SystemRandom } from "../ports/system-random.ts";
 import { HttpEntryStatusReader } from "../transport/admin-client.ts";
 import { HttpInstanceList } from "../transport/http-instance-list.ts";
 import { HttpKeyValueService } from "../transport/http-key-value.ts";
--- a/src/cli/stand-in.ts
+++ b/src/cli/stand-in.ts
@@ -1,10 +1,10 @@
 import type { Sade } from "sade";
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { TaskSpec } from "../platform/backend-server.ts";
-import type { ListedInstance } from "../platform/instance-list.ts";
-import { SystemClock } from "../platform/system-clock.ts";
-import { SystemRandom } from "../platform/system-random.ts";
+import type { TaskSpec } from "../ports/backend-server.ts";
+import type { ListedInstance } from "../ports/instance-list.ts";
+import { SystemClock } from "../ports/system-clock.ts";
+import { SystemRandom } from "../ports/system-random.ts";
 import { ConfigurableRunner } from "../stand-ins/configurable-runner.ts";
 import { serveBackendServer } from "../stand-ins/http-backend-server.ts";
 import { serveInstanceList } from "../stand-ins/http-instance-list.ts";
--- a/src/cli/status-commands.ts
+++ b/src/cli/status-commands.ts
@@ -5,7 +5,7 @@
 import type { Explanation } from "../protocol/entry-status.ts";
 import type { FleetDocument } from "../protocol/fleet-document.ts";
 import { ENTRY_DEFAULTS } from "../settings/entry-settings.ts";
-import type { ListedInstance } from "../platform/instance-list.ts";
+import type { ListedInstance } from "../ports/instance-list.ts";
 import { dryRun, type DryRun } from "../state/fleet-rules.ts";
 import { bufferCoverage, type FleetSituation } from "../state/fleet-situation.ts";
 import { explainWeights } from "../state/planner-weights.ts";
--- a/src/coordination/absence-tracker.ts
+++ b/src/coordination/absence-tracker.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { ListedInstance } from "../platform/instance-list.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { ListedInstance } from "../ports/instance-list.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
 import { REBOOT_LIMIT_MS } from "../state/maintenance-rules.ts";
 
--- a/src/coordination/attempt-outcomes.ts
+++ b/src/coordination/attempt-outcomes.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
-import type { TaskResult } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
+import type { TaskResult } from "../ports/backend-server.ts";
 import type { RequestState } from "../protocol/peer-messages.ts";
 import type { RefusalReason, RetryReason } from "../protocol/problem.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
--- a/src/coordination/attempt-tracker.ts
+++ b/src/coordination/attempt-tracker.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { TaskRef, TaskResult } from "../ports/backend-server.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
 import type { RequestRecord } from "../state/request-record.ts";
 import type { FleetView, HeldServers, Peers, TaskStatus } from "./ports.ts";
--- a/src/coordination/backoff.ts
+++ b/src/coordination/backoff.ts
@@ -1,4 +1,4 @@
-import type { Random } from "../platform/random.ts";
+import type { Random } from "../ports/random.ts";
 
 /** Limits of a retry delay in milliseconds. */
 export interface BackoffLimits {
--- a/src/coordination/budget-keeper.ts
+++ b/src/coordination/budget-keeper.ts
@@ -1,7 +1,7 @@
 /** This entry's budgets: rows in the ledger, raised on demand and returned when idle. */
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
-import type { TaskRef } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
+import type { TaskRef } from "../ports/backend-server.ts";
 import { ledgerShardOf } from "../protocol/ledger-document.ts";
 import type { AckReply, BudgetRequest, TeamLoad } from "../protocol/peer-messages.ts";
 import type { ChargeBook } from "../state/charge-book.ts";
--- a/src/coordination/budget-reserve.ts
+++ b/src/coordination/budget-reserve.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { Peers } from "./ports.ts";
 
 const MAX_RESERVE = 4;
--- a/src/coordination/capacity-review.ts
+++ b/src/coordination/capacity-review.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
 import type { PeerLoads } from "./peer-loads.ts";
--- a/src/coordination/charge-resolver.ts
+++ b/src/coordination/charge-resolver.ts
@@ -1,5 +1,5 @@
 /** Ends charges of tasks on servers that this entry no longer holds, once they are known to be over. */
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { Charge, ChargeBook } from "../state/charge-book.ts";
 import type { FleetView, HeldServers, Peers, TaskStatus } from "./ports.ts";
 
--- a/src/coordination/config-follower.ts
+++ b/src/coordination/config-follower.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Log } from "../platform/log.ts";
+import type { Log } from "../ports/log.ts";
 import {
   CONFIG_KEY,
   ConfigDocumentSchema,
--- a/src/coordination/config-gossip.ts
+++ b/src/coordination/config-gossip.ts
@@ -1,6 +1,6 @@
 import type { Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { PeerError } from "../platform/peer-transport.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { PeerError } from "../ports/peer-transport.ts";
 import type {
   AckReply,
   ConfigOffer,
--- a/src/coordination/config-store.ts
+++ b/src/coordination/config-store.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvEntry, KvError } from "../platform/key-value-service.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService, KvEntry, KvError } from "../ports/key-value-service.ts";
 import { CONFIG_KEY, type ConfigDocument } from "../protocol/config-document.ts";
 import { parseConfigDocument } from "./config-follower.ts";
 
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
-import type { Priority } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
+import type { Priority } from "../ports/backend-server.ts";
 import type { PoolLoad } from "../protocol/peer-messages.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
--- a/src/coordination/document-follower.ts
+++ b/src/coordination/document-follower.ts
@@ -1,8 +1,8 @@
 /** Follows one document of the key-value service with watches. */
 import type { Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvEntry, KvError } from "../platform/key-value-service.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService, KvEntry, KvError } from "../ports/key-value-service.ts";
+import type { Random } from "../ports/random.ts";
 import { fullJitterMs } from "./backoff.ts";
 import {
   decodeDocument,
--- a/src/coordination/document-store.ts
+++ b/src/coordination/document-store.ts
@@ -1,9 +1,9 @@
 /** Typed JSON documents in the key-value service, changed by compare-and-swap. */
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvEntry, KvError } from "../platform/key-value-service.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService, KvEntry, KvError } from "../ports/key-value-service.ts";
+import type { Random } from "../ports/random.ts";
 import { fullJitterMs } from "./backoff.ts";
 import type { Counters } from "./ports.ts";
 
--- a/src/coordination/duty.ts
+++ b/src/coordination/duty.ts
@@ -1,7 +1,7 @@
 /** A leader-elected periodic role, held under this entry's session. */
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvEntry } from "../platform/key-value-service.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService, KvEntry } from "../ports/key-value-service.ts";
+import type { Random } from "../ports/random.ts";
 import { fullJitterMs } from "./backoff.ts";
 import type { SessionKeeper } from "./session-keeper.ts";
 
--- a/src/coordination/entry-directory.ts
+++ b/src/coordination/entry-directory.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
 import {
   SESSION_PREFIX,
   SessionSchema,
--- a/src/coordination/entry-duties.ts
+++ b/src/coordination/entry-duties.ts
@@ -1,6 +1,6 @@
-import type { BackendConnector } from "../platform/backend-server.ts";
-import type { InstanceList } from "../platform/instance-list.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { BackendConnector } from "../ports/backend-server.ts";
+import type { InstanceList } from "../ports/instance-list.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
 import { Duty } from "./duty.ts";
 import type { EntryParts } from "./entry-parts.ts";
--- a/src/coordination/entry-parts.ts
+++ b/src/coordination/entry-parts.ts
@@ -1,10 +1,10 @@
-import type { BackendConnector } from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
-import type { InstanceList } from "../platform/instance-list.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
-import type { Log } from "../platform/log.ts";
-import type { PeerTransport } from "../platform/peer-transport.ts";
-import type { Random } from "../platform/random.ts";
+import type { BackendConnector } from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { InstanceList } from "../ports/instance-list.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
+import type { Log } from "../ports/log.ts";
+import type { PeerTransport } from "../ports/peer-transport.ts";
+import type { Random } from "../ports/random.ts";
 import type { EntrySettings } from "../settings/entry-settings.ts";
 import type { Counters } from "./ports.ts";
 
--- a/src/coordination/entry-planner-support.ts
+++ b/src/coordination/entry-planner-support.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { BackendConnector } from "../platform/backend-server.ts";
+import type { BackendConnector } from "../ports/backend-server.ts";
 import type { AckReply } from "../protocol/peer-messages.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
 import { PlannerSupport } from "./planner.ts";
--- a/src/coordination/entry-requests.ts
+++ b/src/coordination/entry-requests.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
 import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
 import { REFUSAL_REASONS, type Refusal, type RefusalReason } from "../protocol/problem.ts";
 import { grantAccess, identify } from "./access.ts";
--- a/src/coordination/fencing-proof.ts
+++ b/src/coordination/fencing-proof.ts
@@ -1,5 +1,5 @@
 /** Evidence that a lost incarnation can start no work: who reports what, and when it suffices. */
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { HomesDocument } from "../protocol/homes-document.ts";
 import type { Hello, LeaseReport, LeaseReportRequest } from "../protocol/peer-messages.ts";
 import { activeMembers } from "../state/homes.ts";
--- a/src/coordination/fencing.ts
+++ b/src/coordination/fencing.ts
@@ -1,7 +1,7 @@
 /** Reclaims budgets and home slots of lost incarnations of one zone, after the fencing proof. */
 import { Ok } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
 import type { HomesDocument, Member } from "../protocol/homes-document.ts";
 import { memberOf, retireMember, takeOver } from "../state/homes.ts";
 import { budgetOf, EMPTY_LEDGER, reclaim, retire } from "../state/ledger.ts";
--- a/src/coordination/fleet-follower.ts
+++ b/src/coordination/fleet-follower.ts
@@ -1,6 +1,6 @@
 import * as v from "valibot";
-import type { KvEntry } from "../platform/key-value-service.ts";
-import type { Log } from "../platform/log.ts";
+import type { KvEntry } from "../ports/key-value-service.ts";
+import type { Log } from "../ports/log.ts";
 import { FleetDocumentSchema, fleetKey, type FleetDocument } from "../protocol/fleet-document.ts";
 import { KeyWatcher, type KeyWatcherOptions } from "./key-watcher.ts";
 import { FleetView, type Unsubscribe } from "./ports.ts";
--- a/src/coordination/fleet-overview.ts
+++ b/src/coordination/fleet-overview.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
 import type { ConfigDocument } from "../protocol/config-document.ts";
 import type { Closeness, EntryStatus, PlannerStatus } from "../protocol/entry-status.ts";
 import type { FleetDocument, ServerState } from "../protocol/fleet-document.ts";
--- a/src/coordination/fleet-store.ts
+++ b/src/coordination/fleet-store.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { KeyValueService } from "../platform/key-value-service.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
 import { fleetKey, type FleetDocument } from "../protocol/fleet-document.ts";
 import { parseFleetDocument } from "./fleet-follower.ts";
 
--- a/src/coordination/held-health.ts
+++ b/src/coordination/held-health.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import { FleetHealth } from "../state/fleet-situation.ts";
 import type { FleetView, HeldServers, Peers } from "./ports.ts";
 
--- a/src/coordination/home-client.ts
+++ b/src/coordination/home-client.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
 import type {
   CancelRequest,
   QueryRequest,
--- a/src/coordination/home-keeper.ts
+++ b/src/coordination/home-keeper.ts
@@ -1,6 +1,6 @@
 /** Homes of request ids: membership, home slots and what a home knows about an id. */
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
 import type { HomesDocument } from "../protocol/homes-document.ts";
 import type { AckReply, SlotTransferRequest } from "../protocol/peer-messages.ts";
 import { issuedRequestId, parseRequestId, requestIdOfKey } from "../protocol/request-id.ts";
--- a/src/coordination/home-requests.ts
+++ b/src/coordination/home-requests.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { TaskRef, TaskResult } from "../ports/backend-server.ts";
 import type { RequestSpec, RequestState } from "../protocol/peer-messages.ts";
 import type { RanState } from "../protocol/problem.ts";
 import { idTime } from "../state/id-time.ts";
--- a/src/coordination/idle-window.ts
+++ b/src/coordination/idle-window.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 
 interface Window {
   readonly startedAt: number;
--- a/src/coordination/key-watcher.ts
+++ b/src/coordination/key-watcher.ts
@@ -1,12 +1,12 @@
 import { Err, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type {
   KeyValueService,
   KvEntry,
   KvError,
   KvWatchReply,
-} from "../platform/key-value-service.ts";
-import type { Random } from "../platform/random.ts";
+} from "../ports/key-value-service.ts";
+import type { Random } from "../ports/random.ts";
 import type { Counters } from "./ports.ts";
 
 const BACKOFF_FIRST_MS = 100;
--- a/src/coordination/lease-coverage.ts
+++ b/src/coordination/lease-coverage.ts
@@ -1,5 +1,5 @@
 /** Time during which this entry has continuously held a valid lease on some backend server. */
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 
 /** End of a lease's validity on both clocks of the holder. */
 export interface Validity {
--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -6,9 +6,9 @@
   TaskRecord,
   TaskRef,
   TaskSpec,
-} from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
+} from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
 import type { FleetDocument, ServerRecord } from "../protocol/fleet-document.ts";
 import type {
   GossipMessage,
--- a/src/coordination/leaving-watch.ts
+++ b/src/coordination/leaving-watch.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { InstanceList } from "../platform/instance-list.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { InstanceList } from "../ports/instance-list.ts";
 import type { Counters, Peers } from "./ports.ts";
 
 /** Time between two reads by an entry without a duty, in milliseconds; below the bound of 3 s. */
--- a/src/coordination/ledger-shard.ts
+++ b/src/coordination/ledger-shard.ts
@@ -1,6 +1,6 @@
 /** This entry's view of one ledger shard and its own rows in it. */
 import { Ok, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import {
   LedgerDocumentSchema,
   ledgerKey,
--- a/src/coordination/local-policy.ts
+++ b/src/coordination/local-policy.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Priority } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Priority } from "../ports/backend-server.ts";
 import { OPEN_TEAM, SharePolicy } from "../state/fair-share-queue.ts";
 import type { ShareCorrection } from "../state/share-correction.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
--- a/src/coordination/operator-actions.ts
+++ b/src/coordination/operator-actions.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
 import type { ConfigDocument, TeamConfig } from "../protocol/config-document.ts";
 import {
   diffConfig,
--- a/src/coordination/peer-directory.ts
+++ b/src/coordination/peer-directory.ts
@@ -1,8 +1,8 @@
 import { Err, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { Log } from "../platform/log.ts";
-import type { PeerConnection, PeerError, PeerTransport } from "../platform/peer-transport.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Log } from "../ports/log.ts";
+import type { PeerConnection, PeerError, PeerTransport } from "../ports/peer-transport.ts";
+import type { Random } from "../ports/random.ts";
 import type {
   GossipMessage,
   GossipReply,
--- a/src/coordination/peer-offers.ts
+++ b/src/coordination/peer-offers.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
-import type { Priority } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
+import type { Priority } from "../ports/backend-server.ts";
 import type { PoolLoad, RunReply } from "../protocol/peer-messages.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { PeerLoads } from "./peer-loads.ts";
@@ -8,7 +8,7 @@
 import type { PoolWaits } from "./pool-waits.ts";
 import type { Counters, Peers, PeerState } from "./ports.ts";
 import { type Work } from "./work.ts";
-import type { TaskRef } from "../platform/backend-server.ts";
+import type { TaskRef } from "../ports/backend-server.ts";
 
 /** A peer that declined or was not reached is offered no work for this long. */
 const DECLINE_PAUSE_MS = 100;
--- a/src/coordination/planner.ts
+++ b/src/coordination/planner.ts
@@ -1,8 +1,8 @@
 import { Ok, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { InstanceList, ListedInstance } from "../platform/instance-list.ts";
-import type { Log } from "../platform/log.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { InstanceList, ListedInstance } from "../ports/instance-list.ts";
+import type { Log } from "../ports/log.ts";
+import type { Random } from "../ports/random.ts";
 import type { Explanation, PlannerStatus } from "../protocol/entry-status.ts";
 import type { FleetDocument, ServerRecord } from "../protocol/fleet-document.ts";
 import { planNext } from "../state/fleet-rules.ts";
--- a/src/coordination/pool-queue.ts
+++ b/src/coordination/pool-queue.ts
@@ -1,5 +1,5 @@
 import PQueue from "p-queue";
-import type { Priority, TaskRef } from "../platform/backend-server.ts";
+import type { Priority, TaskRef } from "../ports/backend-server.ts";
 import {
   FairShareQueue,
   OPEN_TEAM,
--- a/src/coordination/pool-waits.ts
+++ b/src/coordination/pool-waits.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Priority } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Priority } from "../ports/backend-server.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { RunTimeEstimates } from "../state/run-time-estimates.ts";
 import type { PoolLending } from "./pool-lending.ts";
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -7,8 +7,8 @@
   TaskRecord,
   TaskRef,
   TaskSpec,
-} from "../platform/backend-server.ts";
-import type { PeerError } from "../platform/peer-transport.ts";
+} from "../ports/backend-server.ts";
+import type { PeerError } from "../ports/peer-transport.ts";
 import type {
   GossipMessage,
   Hello,
--- a/src/coordination/queue-offers.ts
+++ b/src/coordination/queue-offers.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { PeerLoads } from "./peer-loads.ts";
 import type { PeerOffers } from "./peer-offers.ts";
 import type { PoolLending } from "./pool-lending.ts";
--- a/src/coordination/refused-states.ts
+++ b/src/coordination/refused-states.ts
@@ -1,4 +1,4 @@
-import type { TaskResult } from "../platform/backend-server.ts";
+import type { TaskResult } from "../ports/backend-server.ts";
 import type { RequestState } from "../protocol/peer-messages.ts";
 import type { RanState, RefusalReason } from "../protocol/problem.ts";
 
--- a/src/coordination/request-driver.ts
+++ b/src/coordination/request-driver.ts
@@ -1,4 +1,4 @@
-import type { TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { TaskRef, TaskResult } from "../ports/backend-server.ts";
 import type { RequestState } from "../protocol/peer-messages.ts";
 import type { RequestRecord } from "../state/request-record.ts";
 import type { RequestTable } from "../state/request-table.ts";
--- a/src/coordination/request-records.ts
+++ b/src/coordination/request-records.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { SlotRecord } from "../protocol/peer-messages.ts";
 import { exportedRecord, importedRecord, type RequestRecord } from "../state/request-record.ts";
 import type { RequestTable } from "../state/request-table.ts";
--- a/src/coordination/result-delivery.ts
+++ b/src/coordination/result-delivery.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
-import type { TaskResult } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
+import type { TaskResult } from "../ports/backend-server.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { maySee, type HomeRequests } from "./home-requests.ts";
 import type { Counters, FinishedTask, HeldServers, Homes, Peers } from "./ports.ts";
--- a/src/coordination/run-offers.ts
+++ b/src/coordination/run-offers.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { TaskRef } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { TaskRef } from "../ports/backend-server.ts";
 import type { RunReply, RunRequest } from "../protocol/peer-messages.ts";
 import type { AttemptTracker } from "./attempt-tracker.ts";
 import type { Dispatcher, Ticket } from "./dispatcher.ts";
--- a/src/coordination/server-drain.ts
+++ b/src/coordination/server-drain.ts
@@ -5,7 +5,7 @@
   type FleetDocument,
   type ServerRecord,
 } from "../protocol/fleet-document.ts";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { DocumentKind, DocumentStore } from "./document-store.ts";
 
 /** Fleet document as stored, without the revision it was read at. */
--- a/src/coordination/server-driver.ts
+++ b/src/coordination/server-driver.ts
@@ -1,5 +1,5 @@
 /** Decides when this entry holds one server's lease and when it hands the lease over. */
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import { rendezvous } from "../state/rendezvous.ts";
 import type { ServerLease } from "./server-lease.ts";
 
--- a/src/coordination/server-lease.ts
+++ b/src/coordination/server-lease.ts
@@ -7,9 +7,9 @@
   TaskRecord,
   TaskRef,
   TaskSpec,
-} from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
-import type { Random } from "../platform/random.ts";
+} from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Random } from "../ports/random.ts";
 import { taskKey, type ChargeBook } from "../state/charge-book.ts";
 import { ServerTasks } from "../state/server-tasks.ts";
 import { isValid, type LeaseCoverage, type Validity } from "./lease-coverage.ts";
--- a/src/coordination/server-picker.ts
+++ b/src/coordination/server-picker.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { Priority } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Priority } from "../ports/backend-server.ts";
 import { AdaptiveLimit } from "../state/adaptive-limit.ts";
 import type { FailureAttribution } from "../state/failure-attribution.ts";
 import type { ConfigView, FleetView, HeldServer, HeldServers } from "./ports.ts";
--- a/src/coordination/session-keeper.ts
+++ b/src/coordination/session-keeper.ts
@@ -1,7 +1,7 @@
 /** This entry's session: a key that disappears when the entry stops renewing its lease. */
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService } from "../platform/key-value-service.ts";
-import type { Random } from "../platform/random.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService } from "../ports/key-value-service.ts";
+import type { Random } from "../ports/random.ts";
 import type { Hello } from "../protocol/peer-messages.ts";
 import { fullJitterMs } from "./backoff.ts";
 import type { Counters } from "./ports.ts";
--- a/src/coordination/share-monitor.ts
+++ b/src/coordination/share-monitor.ts
@@ -1,4 +1,4 @@
-import type { Clock, Timer } from "../platform/clock.ts";
+import type { Clock, Timer } from "../ports/clock.ts";
 import type { Closeness } from "../protocol/entry-status.ts";
 import type { TeamLoad } from "../protocol/peer-messages.ts";
 import { ClosenessMeter, type TeamSample } from "../state/measures.ts";
--- a/src/coordination/slot-transfer.ts
+++ b/src/coordination/slot-transfer.ts
@@ -1,5 +1,5 @@
 /** Planned hand-over of home slots together with their records. */
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { HomesDocument } from "../protocol/homes-document.ts";
 import type { SlotRecord } from "../protocol/peer-messages.ts";
 import { parseRequestId } from "../protocol/request-id.ts";
--- a/src/coordination/start-outcome.ts
+++ b/src/coordination/start-outcome.ts
@@ -1,4 +1,4 @@
-import type { BackendError } from "../platform/backend-server.ts";
+import type { BackendError } from "../ports/backend-server.ts";
 import type { RetryReason } from "../protocol/problem.ts";
 import type { StartError } from "./ports.ts";
 
--- a/src/coordination/task-starter.ts
+++ b/src/coordination/task-starter.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../platform/clock.ts";
-import type { TaskRef, TaskSpec } from "../platform/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { TaskRef, TaskSpec } from "../ports/backend-server.ts";
 import { OPEN_TEAM } from "../state/fair-share-queue.ts";
 import type { TeamUsage } from "../state/team-usage.ts";
 import type { PoolLending } from "./pool-lending.ts";
--- a/src/coordination/usable-slots.ts
+++ b/src/coordination/usable-slots.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { HeldServers } from "./ports.ts";
 
 /** Age up to which a count is used again in milliseconds, as it is needed for every start. */
--- a/src/coordination/wait.ts
+++ b/src/coordination/wait.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 
 /** Given as reason, because an abort without one builds an error with a stack trace. */
 export const WAIT_ENDED = "wait ended";
--- a/src/coordination/work.ts
+++ b/src/coordination/work.ts
@@ -1,4 +1,4 @@
-import type { TaskRef } from "../platform/backend-server.ts";
+import type { TaskRef } from "../ports/backend-server.ts";
 import type { RequestSpec } from "../protocol/peer-messages.ts";
 import type { RetryReason } from "../protocol/problem.ts";
 
--- a/src/protocol/backend-http.ts
+++ b/src/protocol/backend-http.ts
@@ -7,7 +7,7 @@
   TaskRecord,
   TaskResult,
   TaskSpec,
-} from "../platform/backend-server.ts";
+} from "../ports/backend-server.ts";
 
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 const milliseconds = v.pipe(v.number(), v.minValue(0));
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -1,4 +1,4 @@
-import type { Payload, Priority, TaskRef, TaskResult } from "../platform/backend-server.ts";
+import type { Payload, Priority, TaskRef, TaskResult } from "../ports/backend-server.ts";
 import type { RanState } from "./problem.ts";
 
 /** Version of the peer protocol; connections between different versions are refused. */
--- a/src/stand-ins/configurable-runner.ts
+++ b/src/stand-ins/configurable-runner.ts
@@ -1,5 +1,5 @@
 import * as v from "valibot";
-import type { TaskResult, TaskSpec } from "../platform/backend-server.ts";
+import type { TaskResult, TaskSpec } from "../ports/backend-server.ts";
 import { TaskRunner } from "./simulated-backend-server.ts";
 
 /** What a JSON request body may ask of the runner; other fields are ignored. */
--- a/src/stand-ins/http-backend-server.ts
+++ b/src/stand-ins/http-backend-server.ts
@@ -1,6 +1,6 @@
 import type { Result } from "ts-results";
-import type { BackendError, TaskRef } from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
+import type { BackendError, TaskRef } from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
 import {
   AcquireSchema,
   BACKEND_STATUS,
--- a/src/stand-ins/http-instance-list.ts
+++ b/src/stand-ins/http-instance-list.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import { ListedInstanceSchema } from "../protocol/instance-list-http.ts";
 import { StandInServer, withBody } from "./stand-in-server.ts";
 import type { StaticInstanceList } from "./static-instance-list.ts";
--- a/src/stand-ins/http-key-value.ts
+++ b/src/stand-ins/http-key-value.ts
@@ -1,6 +1,6 @@
 import type { Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
-import type { KeyValueService, KvError } from "../platform/key-value-service.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { KeyValueService, KvError } from "../ports/key-value-service.ts";
 import { KvGrantSchema, KvPutSchema } from "../protocol/key-value-http.ts";
 import {
   queryNumber,
--- a/src/stand-ins/key-value-store.ts
+++ b/src/stand-ins/key-value-store.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import {
   KeyValueService,
   type KvDelete,
@@ -8,7 +8,7 @@
   type KvPut,
   type KvWatch,
   type KvWatchReply,
-} from "../platform/key-value-service.ts";
+} from "../ports/key-value-service.ts";
 
 interface Lease {
   readonly ttlMs: number;
--- a/src/stand-ins/simulated-backend-server.ts
+++ b/src/stand-ins/simulated-backend-server.ts
@@ -10,8 +10,8 @@
   type TaskRef,
   type TaskResult,
   type TaskSpec,
-} from "../platform/backend-server.ts";
-import type { Clock, Timer } from "../platform/clock.ts";
+} from "../ports/backend-server.ts";
+import type { Clock, Timer } from "../ports/clock.ts";
 
 /** How long only the named successor may acquire a released server, in milliseconds. */
 const SUCCESSOR_HOLD_MS = 2000;
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -3,7 +3,7 @@
 import polka from "polka";
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 
 /** Above the largest key-value value, which JSON escapes can lengthen. */
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
--- a/src/stand-ins/static-instance-list.ts
+++ b/src/stand-ins/static-instance-list.ts
@@ -3,7 +3,7 @@
   InstanceList,
   type InstanceListError,
   type ListedInstance,
-} from "../platform/instance-list.ts";
+} from "../ports/instance-list.ts";
 
 /** In-memory instance list, which can be frozen to stand for one that lags. */
 export class StaticInstanceList extends InstanceList {
--- a/src/state/charge-book.ts
+++ b/src/state/charge-book.ts
@@ -1,5 +1,5 @@
 /** Running tasks charged to this entry's budgets. */
-import type { TaskRef } from "../platform/backend-server.ts";
+import type { TaskRef } from "../ports/backend-server.ts";
 
 /** A charged task and where it was started. */
 export interface Charge extends TaskRef {
--- a/src/state/fair-share-queue.ts
+++ b/src/state/fair-share-queue.ts
@@ -1,4 +1,4 @@
-import type { Priority } from "../platform/backend-server.ts";
+import type { Priority } from "../ports/backend-server.ts";
 
 /** What `p-queue` hands to its queue class. */
 export type RunFunction = () => Promise<unknown>;
--- a/src/state/fleet-situation.ts
+++ b/src/state/fleet-situation.ts
@@ -1,4 +1,4 @@
-import type { ListedInstance } from "../platform/instance-list.ts";
+import type { ListedInstance } from "../ports/instance-list.ts";
 import type { ConfigDocument, PoolConfig } from "../protocol/config-document.ts";
 import type { Explanation } from "../protocol/entry-status.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
--- a/src/state/keys.ts
+++ b/src/state/keys.ts
@@ -1,5 +1,5 @@
 import { createHash, timingSafeEqual } from "node:crypto";
-import type { Random } from "../platform/random.ts";
+import type { Random } from "../ports/random.ts";
 import type { ConfigDocument, KeyConfig } from "../protocol/config-document.ts";
 
 const KEY_ID_BYTES = 6;
--- a/src/state/listing-rules.ts
+++ b/src/state/listing-rules.ts
@@ -1,5 +1,5 @@
 /** Rules that bring the fleet document in line with the platform's instance list. */
-import type { ListedInstance } from "../platform/instance-list.ts";
+import type { ListedInstance } from "../ports/instance-list.ts";
 import type { PoolConfig } from "../protocol/config-document.ts";
 import type { ServerRecord } from "../protocol/fleet-document.ts";
 import {
--- a/src/state/request-record.ts
+++ b/src/state/request-record.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import type { Payload, Priority } from "../platform/backend-server.ts";
+import type { Payload, Priority } from "../ports/backend-server.ts";
 import type { RequestSpec, RequestState, SlotRecord } from "../protocol/peer-messages.ts";
 import type { RanState } from "../protocol/problem.ts";
 import type { JobFailure } from "./failure-attribution.ts";
--- a/src/state/request-table.ts
+++ b/src/state/request-table.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { RequestState } from "../protocol/peer-messages.ts";
 import type { RequestRecord } from "./request-record.ts";
 
--- a/src/state/server-tasks.ts
+++ b/src/state/server-tasks.ts
@@ -1,6 +1,6 @@
 /** Tasks on one backend server as its lease holder knows them. */
-import type { TaskRecord, TaskRef, TaskSpec } from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
+import type { TaskRecord, TaskRef, TaskSpec } from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
 import { taskKey } from "./charge-book.ts";
 import type { TeamCharge } from "./ledger.ts";
 
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -1,8 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import polka, { type Request } from "polka";
-import type { Clock } from "../platform/clock.ts";
-import type { Log } from "../platform/log.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Log } from "../ports/log.ts";
 import type { CallerReply, Counters, RequestService } from "../coordination/ports.ts";
 import type { RanState, Refusal, RefusalReason } from "../protocol/problem.ts";
 import { parseQuestion, parseSubmitHeaders, type SubmitHeaders } from "./caller-request.ts";
--- a/src/transport/http-backend-server.ts
+++ b/src/transport/http-backend-server.ts
@@ -11,8 +11,8 @@
   type TaskRecord,
   type TaskRef,
   type TaskSpec,
-} from "../platform/backend-server.ts";
-import type { Clock } from "../platform/clock.ts";
+} from "../ports/backend-server.ts";
+import type { Clock } from "../ports/clock.ts";
 import {
   BackendErrorSchema,
   EventsSchema,
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,6 +1,6 @@
 import { Err, Ok, type Result } from "ts-results";
 import { Agent, type Dispatcher } from "undici";
-import type { Clock, Timer } from "../platform/clock.ts";
+import type { Clock, Timer } from "../ports/clock.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 /** Shorter than the 5 s after which common servers close an idle connection. */
--- a/src/transport/http-instance-list.ts
+++ b/src/transport/http-instance-list.ts
@@ -1,11 +1,11 @@
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import {
   InstanceList,
   type InstanceListError,
   type ListedInstance,
-} from "../platform/instance-list.ts";
+} from "../ports/instance-list.ts";
 import { InstancesSchema } from "../protocol/instance-list-http.ts";
 import { HttpClient } from "./http-client.ts";
 
--- a/src/transport/http-key-value.ts
+++ b/src/transport/http-key-value.ts
@@ -1,7 +1,7 @@
 import PQueue from "p-queue";
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import {
   KeyValueService,
   type KvDelete,
@@ -10,7 +10,7 @@
   type KvPut,
   type KvWatch,
   type KvWatchReply,
-} from "../platform/key-value-service.ts";
+} from "../ports/key-value-service.ts";
 import {
   keyPath,
   KvEntrySchema,
--- a/src/transport/peer-client.ts
+++ b/src/transport/peer-client.ts
@@ -1,7 +1,7 @@
 import * as v from "valibot";
 import { Err, Ok, type Result } from "ts-results";
-import type { Clock, Timer } from "../platform/clock.ts";
-import { PeerConnection, type PeerError } from "../platform/peer-transport.ts";
+import type { Clock, Timer } from "../ports/clock.ts";
+import { PeerConnection, type PeerError } from "../ports/peer-transport.ts";
 import type { Hello, PeerReply, PeerRequest, ReplyTo } from "../protocol/peer-messages.ts";
 import { REPLY_SCHEMAS, ReplyEnvelopeSchema, type PeerEnvelope } from "../protocol/peer-schemas.ts";
 import { encodeFrame } from "./frames.ts";
--- a/src/transport/peer-server.ts
+++ b/src/transport/peer-server.ts
@@ -1,6 +1,6 @@
 import * as v from "valibot";
-import type { Log } from "../platform/log.ts";
-import type { PeerHandler } from "../platform/peer-transport.ts";
+import type { Log } from "../ports/log.ts";
+import type { PeerHandler } from "../ports/peer-transport.ts";
 import type { Hello, PeerRequest } from "../protocol/peer-messages.ts";
 import { CallEnvelopeSchema, type PeerEnvelope } from "../protocol/peer-schemas.ts";
 import { encodeFrame } from "./frames.ts";
--- a/src/transport/peer-tcp.ts
+++ b/src/transport/peer-tcp.ts
@@ -1,14 +1,14 @@
 import { connect as connectTcp, createServer, type AddressInfo, type Socket } from "node:net";
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../platform/clock.ts";
-import type { Log } from "../platform/log.ts";
+import type { Clock } from "../ports/clock.ts";
+import type { Log } from "../ports/log.ts";
 import {
   PeerTransport,
   type PeerConnection,
   type PeerError,
   type PeerHandler,
-} from "../platform/peer-transport.ts";
+} from "../ports/peer-transport.ts";
 import { PEER_PROTOCOL_VERSION, type Hello } from "../protocol/peer-messages.ts";
 import { HelloSchema } from "../protocol/peer-schemas.ts";
 import { encodeFrame } from "./frames.ts";
--- a/src/transport/request-body.ts
+++ b/src/transport/request-body.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { Err, Ok, type Result } from "ts-results";
-import type { Clock } from "../platform/clock.ts";
+import type { Clock } from "../ports/clock.ts";
 import type { RefusalReason } from "../protocol/problem.ts";
 
 /** Why a body was not read. `gone` means that the client closed the connection. */
--- a/test/coordination/at-most-once.test.ts
+++ b/test/coordination/at-most-once.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import { entryFixture, onClock, summary } from "../fakes/entry-fixture.ts";
 
 const KEYED = { idempotencyKey: "order-1" };
--- a/test/coordination/budget-keeper.test.ts
+++ b/test/coordination/budget-keeper.test.ts
@@ -3,7 +3,7 @@
 import { BudgetKeeper } from "../../src/coordination/budget-keeper.ts";
 import { DocumentStore } from "../../src/coordination/document-store.ts";
 import { LeaseCoverage } from "../../src/coordination/lease-coverage.ts";
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import { ledgerKey } from "../../src/protocol/ledger-document.ts";
 import { ChargeBook } from "../../src/state/charge-book.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
--- a/test/coordination/ledger-shard.test.ts
+++ b/test/coordination/ledger-shard.test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import { DocumentStore } from "../../src/coordination/document-store.ts";
 import { LedgerShard } from "../../src/coordination/ledger-shard.ts";
-import type { KvEntry, KvError, KvPut } from "../../src/platform/key-value-service.ts";
+import type { KvEntry, KvError, KvPut } from "../../src/ports/key-value-service.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import { RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
--- a/test/coordination/peer-contacts.test.ts
+++ b/test/coordination/peer-contacts.test.ts
@@ -6,7 +6,7 @@
   PeerTransport,
   type PeerConnection,
   type PeerError,
-} from "../../src/platform/peer-transport.ts";
+} from "../../src/ports/peer-transport.ts";
 import type { GossipMessage, Hello } from "../../src/protocol/peer-messages.ts";
 import { QUIET_LOG, RecordedCounters } from "../fakes/quiet.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
--- a/test/coordination/server-lease.test.ts
+++ b/test/coordination/server-lease.test.ts
@@ -2,7 +2,7 @@
 import * as assert from "uvu/assert";
 import { LeaseCoverage } from "../../src/coordination/lease-coverage.ts";
 import { ServerLease } from "../../src/coordination/server-lease.ts";
-import type { TaskRecord } from "../../src/platform/backend-server.ts";
+import type { TaskRecord } from "../../src/ports/backend-server.ts";
 import { ChargeBook } from "../../src/state/charge-book.ts";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
 import { RecordedCounters } from "../fakes/quiet.ts";
--- a/test/fakes/builders.ts
+++ b/test/fakes/builders.ts
@@ -1,5 +1,5 @@
 /** Documents, messages and tasks with fields that tests replace. */
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { ServerRecord } from "../../src/protocol/fleet-document.ts";
 import {
--- a/test/fakes/entry-fakes.ts
+++ b/test/fakes/entry-fakes.ts
@@ -1,6 +1,6 @@
 /** Fakes of the configuration, the fleet, held servers and budgets. */
 import { Err, Ok, type Result } from "ts-results";
-import type { TaskRef, TaskResult, TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskRef, TaskResult, TaskSpec } from "../../src/ports/backend-server.ts";
 import type { ConfigDocument, QueueConfig } from "../../src/protocol/config-document.ts";
 import type { FleetDocument } from "../../src/protocol/fleet-document.ts";
 import {
--- a/test/fakes/faulty-backend.ts
+++ b/test/fakes/faulty-backend.ts
@@ -4,7 +4,7 @@
   type BackendResult,
   type BackendServer,
   type TaskSpec,
-} from "../../src/platform/backend-server.ts";
+} from "../../src/ports/backend-server.ts";
 import { InterceptedBackend } from "./intercepted.ts";
 import type { Links, Party } from "./links.ts";
 
--- a/test/fakes/faulty-key-value.ts
+++ b/test/fakes/faulty-key-value.ts
@@ -1,5 +1,5 @@
 import { Err } from "ts-results";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import type { KeyValueService } from "../../src/ports/key-value-service.ts";
 import { InterceptedKeyValue, type KvResult } from "./intercepted.ts";
 import type { Links, Party } from "./links.ts";
 
--- a/test/fakes/intercepted.ts
+++ b/test/fakes/intercepted.ts
@@ -5,14 +5,14 @@
   type BackendResult,
   type TaskRef,
   type TaskSpec,
-} from "../../src/platform/backend-server.ts";
+} from "../../src/ports/backend-server.ts";
 import {
   KeyValueService,
   type KvDelete,
   type KvError,
   type KvPut,
   type KvWatch,
-} from "../../src/platform/key-value-service.ts";
+} from "../../src/ports/key-value-service.ts";
 
 /** Reply of the key-value service. */
 export type KvResult<T> = Promise<Result<T, KvError>>;
--- a/test/fakes/limits-cluster.ts
+++ b/test/fakes/limits-cluster.ts
@@ -1,6 +1,6 @@
 /** Entries with the state and membership parts only, servers and a key-value store, in memory. */
 import type { StoredFleet } from "../../src/coordination/server-drain.ts";
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import { fleetKey, type ServerRecord } from "../../src/protocol/fleet-document.ts";
 import type { HomesDocument } from "../../src/protocol/homes-document.ts";
 import { ledgerKey, type LedgerDocument } from "../../src/protocol/ledger-document.ts";
--- a/test/fakes/limits-entry.ts
+++ b/test/fakes/limits-entry.ts
@@ -15,9 +15,9 @@
 import { Peers, type PeerState } from "../../src/coordination/ports.ts";
 import { fleetKind } from "../../src/coordination/server-drain.ts";
 import { SessionKeeper } from "../../src/coordination/session-keeper.ts";
-import type { BackendServer, TaskSpec } from "../../src/platform/backend-server.ts";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
-import type { PeerError } from "../../src/platform/peer-transport.ts";
+import type { BackendServer, TaskSpec } from "../../src/ports/backend-server.ts";
+import type { KeyValueService } from "../../src/ports/key-value-service.ts";
+import type { PeerError } from "../../src/ports/peer-transport.ts";
 import type { HomesDocument } from "../../src/protocol/homes-document.ts";
 import type { Hello, PeerReply, PeerRequest, ReplyTo } from "../../src/protocol/peer-messages.ts";
 import { ChargeBook } from "../../src/state/charge-book.ts";
--- a/test/fakes/limits-network.ts
+++ b/test/fakes/limits-network.ts
@@ -1,9 +1,9 @@
 /** In-memory clients with latency and faults. */
 import { Err } from "ts-results";
-import type { BackendResult, BackendServer } from "../../src/platform/backend-server.ts";
-import type { Clock } from "../../src/platform/clock.ts";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
-import type { Random } from "../../src/platform/random.ts";
+import type { BackendResult, BackendServer } from "../../src/ports/backend-server.ts";
+import type { Clock } from "../../src/ports/clock.ts";
+import type { KeyValueService } from "../../src/ports/key-value-service.ts";
+import type { Random } from "../../src/ports/random.ts";
 import { InterceptedBackend, InterceptedKeyValue, type KvResult } from "./intercepted.ts";
 import type { ProcessClock } from "./process-gate.ts";
 
--- a/test/fakes/links.ts
+++ b/test/fakes/links.ts
@@ -1,5 +1,5 @@
-import type { Clock, Timer } from "../../src/platform/clock.ts";
-import type { Random } from "../../src/platform/random.ts";
+import type { Clock, Timer } from "../../src/ports/clock.ts";
+import type { Random } from "../../src/ports/random.ts";
 import type { ProcessGate } from "./process-gate.ts";
 
 /** One end of a link. Faults select parties by tag. */
--- a/test/fakes/peer-fakes.ts
+++ b/test/fakes/peer-fakes.ts
@@ -1,6 +1,6 @@
 /** Fakes of homes and peers. */
 import { Err, Ok, type Result } from "ts-results";
-import type { PeerError } from "../../src/platform/peer-transport.ts";
+import type { PeerError } from "../../src/ports/peer-transport.ts";
 import type {
   GossipMessage,
   Hello,
--- a/test/fakes/process-gate.ts
+++ b/test/fakes/process-gate.ts
@@ -1,4 +1,4 @@
-import { Clock, type Timer } from "../../src/platform/clock.ts";
+import { Clock, type Timer } from "../../src/ports/clock.ts";
 
 /** Whether a simulated process runs. Timers and incoming messages pass through its gate. */
 export class ProcessGate {
--- a/test/fakes/quiet.ts
+++ b/test/fakes/quiet.ts
@@ -1,5 +1,5 @@
 import { Counters } from "../../src/coordination/ports.ts";
-import type { Log } from "../../src/platform/log.ts";
+import type { Log } from "../../src/ports/log.ts";
 
 /** Counters that tests can read. */
 export class RecordedCounters extends Counters {
--- a/test/fakes/seeded-random.ts
+++ b/test/fakes/seeded-random.ts
@@ -1,5 +1,5 @@
 import { v7 } from "uuid";
-import { Random } from "../../src/platform/random.ts";
+import { Random } from "../../src/ports/random.ts";
 
 /** A repeatable random source (mulberry32). */
 export class SeededRandom extends Random {
--- a/test/fakes/stale-instance-list.ts
+++ b/test/fakes/stale-instance-list.ts
@@ -1,10 +1,10 @@
 import { Err, Ok, type Result } from "ts-results";
-import type { Clock } from "../../src/platform/clock.ts";
+import type { Clock } from "../../src/ports/clock.ts";
 import {
   InstanceList,
   type InstanceListError,
   type ListedInstance,
-} from "../../src/platform/instance-list.ts";
+} from "../../src/ports/instance-list.ts";
 import type { Links, Party } from "./links.ts";
 
 /** Time a call may take, in milliseconds, as the HTTP client allows. */
--- a/test/fakes/switched-key-value.ts
+++ b/test/fakes/switched-key-value.ts
@@ -1,5 +1,5 @@
 import { Err } from "ts-results";
-import type { KeyValueService, KvPut } from "../../src/platform/key-value-service.ts";
+import type { KeyValueService, KvPut } from "../../src/ports/key-value-service.ts";
 import { InterceptedKeyValue, type KvResult } from "./intercepted.ts";
 
 /** A key-value service that one client can be cut off from. */
--- a/test/fuzz/campaign.ts
+++ b/test/fuzz/campaign.ts
@@ -1,5 +1,5 @@
 import fc, { type AsyncCommand } from "fast-check";
-import type { Log } from "../../src/platform/log.ts";
+import type { Log } from "../../src/ports/log.ts";
 import { faultCommands } from "./commands/faults.ts";
 import type { Model } from "./commands/command.ts";
 import { operatorCommands } from "./commands/operators.ts";
--- a/test/fuzz/entry-slot.ts
+++ b/test/fuzz/entry-slot.ts
@@ -1,7 +1,7 @@
-import type { Log } from "../../src/platform/log.ts";
+import type { Log } from "../../src/ports/log.ts";
 import type { Hello, PeerRequest } from "../../src/protocol/peer-messages.ts";
 import { ENTRY_DEFAULTS, type EntrySettings } from "../../src/settings/entry-settings.ts";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import type { KeyValueService } from "../../src/ports/key-value-service.ts";
 import { FaultyBackendConnector } from "../fakes/faulty-backend.ts";
 import { FaultyKeyValue } from "../fakes/faulty-key-value.ts";
 import type { Links, Party } from "../fakes/links.ts";
--- a/test/fuzz/entry-under-test.ts
+++ b/test/fuzz/entry-under-test.ts
@@ -1,7 +1,7 @@
 import type { EntryInstanceOptions } from "../../src/coordination/entry-instance.ts";
 import type { RequestService } from "../../src/coordination/ports.ts";
-import type { BackendServer } from "../../src/platform/backend-server.ts";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import type { BackendServer } from "../../src/ports/backend-server.ts";
+import type { KeyValueService } from "../../src/ports/key-value-service.ts";
 import type { Property } from "./violations.ts";
 
 /** What an entry instance is built from; the oracle reads none of the product's counters. */
--- a/test/fuzz/fleet-history.ts
+++ b/test/fuzz/fleet-history.ts
@@ -1,4 +1,4 @@
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import type { ServerRecord, ServerState } from "../../src/protocol/fleet-document.ts";
 import type { OperatorHistory } from "./operator-history.ts";
 import type { Violations } from "./violations.ts";
--- a/test/fuzz/fleet-plan.ts
+++ b/test/fuzz/fleet-plan.ts
@@ -1,4 +1,4 @@
-import type { ListedInstance } from "../../src/platform/instance-list.ts";
+import type { ListedInstance } from "../../src/ports/instance-list.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { ServerRecord } from "../../src/protocol/fleet-document.ts";
 
--- a/test/fuzz/forwarding.ts
+++ b/test/fuzz/forwarding.ts
@@ -9,13 +9,13 @@
   type TaskRecord,
   type TaskRef,
   type TaskSpec,
-} from "../../src/platform/backend-server.ts";
+} from "../../src/ports/backend-server.ts";
 import {
   PeerConnection,
   PeerTransport,
   type PeerError,
   type PeerHandler,
-} from "../../src/platform/peer-transport.ts";
+} from "../../src/ports/peer-transport.ts";
 import type { Hello, PeerRequest, ReplyTo } from "../../src/protocol/peer-messages.ts";
 
 /** Passes every call on. Base of wrappers that change one of them. */
--- a/test/fuzz/history-builders.ts
+++ b/test/fuzz/history-builders.ts
@@ -1,5 +1,5 @@
 /** Builders of the histories that the oracle's own tests hand to it. */
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { ServerRecord, ServerState } from "../../src/protocol/fleet-document.ts";
 import type { RanState, RefusalReason } from "../../src/protocol/problem.ts";
--- a/test/fuzz/jobs.ts
+++ b/test/fuzz/jobs.ts
@@ -1,4 +1,4 @@
-import type { Payload, TaskResult, TaskSpec } from "../../src/platform/backend-server.ts";
+import type { Payload, TaskResult, TaskSpec } from "../../src/ports/backend-server.ts";
 import { TaskRunner } from "../../src/stand-ins/simulated-backend-server.ts";
 
 /** What the body of a simulated request asks for. */
--- a/test/fuzz/mutants.ts
+++ b/test/fuzz/mutants.ts
@@ -5,7 +5,7 @@
   LeaseGrant,
   TaskRecord,
   TaskSpec,
-} from "../../src/platform/backend-server.ts";
+} from "../../src/ports/backend-server.ts";
 import type {
   KeyValueService,
   KvEntry,
@@ -13,8 +13,8 @@
   KvPut,
   KvWatch,
   KvWatchReply,
-} from "../../src/platform/key-value-service.ts";
-import { InstanceList, type ListedInstance } from "../../src/platform/instance-list.ts";
+} from "../../src/ports/key-value-service.ts";
+import { InstanceList, type ListedInstance } from "../../src/ports/instance-list.ts";
 import { CONFIG_KEY, type ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { EntryParts, Mutant } from "./entry-under-test.ts";
 import { ChangingTransport, ForwardingBackend, WrappingConnector } from "./forwarding.ts";
--- a/test/fuzz/observed-store.ts
+++ b/test/fuzz/observed-store.ts
@@ -7,7 +7,7 @@
   type KvPut,
   type KvWatch,
   type KvWatchReply,
-} from "../../src/platform/key-value-service.ts";
+} from "../../src/ports/key-value-service.ts";
 
 /** Passes every call on. Base of wrappers that change one of them. */
 export class ForwardingKeyValue extends KeyValueService {
--- a/test/fuzz/operator-desk.ts
+++ b/test/fuzz/operator-desk.ts
@@ -1,7 +1,7 @@
 import { ConfigStore } from "../../src/coordination/config-store.ts";
 import { OperatorActions } from "../../src/coordination/operator-actions.ts";
-import type { Clock } from "../../src/platform/clock.ts";
-import type { KeyValueService } from "../../src/platform/key-value-service.ts";
+import type { Clock } from "../../src/ports/clock.ts";
+import type { KeyValueService } from "../../src/ports/key-value-service.ts";
 import type { ConfigDocument } from "../../src/protocol/config-document.ts";
 import type { ConfigContent } from "../../src/state/config-diff.ts";
 import type { SeededRandom } from "../fakes/seeded-random.ts";
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -1,4 +1,4 @@
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import { FleetHistory } from "./fleet-history.ts";
 import { OperatorHistory } from "./operator-history.ts";
 import { OutageHistory } from "./outage-history.ts";
--- a/test/fuzz/request-history.ts
+++ b/test/fuzz/request-history.ts
@@ -1,4 +1,4 @@
-import type { TaskSpec } from "../../src/platform/backend-server.ts";
+import type { TaskSpec } from "../../src/ports/backend-server.ts";
 import type { CallerReply } from "../../src/coordination/ports.ts";
 import type { Violations } from "./violations.ts";
 
--- a/test/fuzz/server-farm.ts
+++ b/test/fuzz/server-farm.ts
@@ -1,5 +1,5 @@
-import type { BackendServer, TaskSpec } from "../../src/platform/backend-server.ts";
-import type { ListedInstance } from "../../src/platform/instance-list.ts";
+import type { BackendServer, TaskSpec } from "../../src/ports/backend-server.ts";
+import type { ListedInstance } from "../../src/ports/instance-list.ts";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
 import type { BackendParty } from "../fakes/faulty-backend.ts";
 import type { Links } from "../fakes/links.ts";
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -1,4 +1,4 @@
-import type { Log } from "../../src/platform/log.ts";
+import type { Log } from "../../src/ports/log.ts";
 import { CONFIG_KEY, type ConfigDocument } from "../../src/protocol/config-document.ts";
 import { fleetKey } from "../../src/protocol/fleet-document.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
--- a/test/links.test.ts
+++ b/test/links.test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import { KeyValueStore } from "../src/stand-ins/key-value-store.ts";
 import { EchoRunner, SimulatedBackendServer } from "../src/stand-ins/simulated-backend-server.ts";
-import type { PeerConnection, PeerError } from "../src/platform/peer-transport.ts";
+import type { PeerConnection, PeerError } from "../src/ports/peer-transport.ts";
 import { FaultyBackendConnector } from "./fakes/faulty-backend.ts";
 import { helloOf, taskSpec } from "./fakes/builders.ts";
 import { FaultyKeyValue } from "./fakes/faulty-key-value.ts";
--- a/test/state/fair-share-queue.test.ts
+++ b/test/state/fair-share-queue.test.ts
@@ -1,7 +1,7 @@
 import PQueue from "p-queue";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Priority } from "../../src/platform/backend-server.ts";
+import type { Priority } from "../../src/ports/backend-server.ts";
 import {
   FairShareQueue,
   SharePolicy,
--- a/test/transport/caller-server.test.ts
+++ b/test/transport/caller-server.test.ts
@@ -1,7 +1,7 @@
 import { connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { SystemClock } from "../../src/platform/system-clock.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
 import {
   RequestService,
   type CallerReply,
--- a/test/transport/cut-connections.test.ts
+++ b/test/transport/cut-connections.test.ts
@@ -1,7 +1,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import type { PeerConnection } from "../../src/platform/peer-transport.ts";
-import { SystemClock } from "../../src/platform/system-clock.ts";
+import type { PeerConnection } from "../../src/ports/peer-transport.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
 import { ConfigurableRunner } from "../../src/stand-ins/configurable-runner.ts";
 import { serveBackendServer } from "../../src/stand-ins/http-backend-server.ts";
 import { SimulatedBackendServer } from "../../src/stand-ins/simulated-backend-server.ts";
--- a/test/transport/http-backend-server.test.ts
+++ b/test/transport/http-backend-server.test.ts
@@ -1,7 +1,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import type { BackendServer } from "../../src/platform/backend-server.ts";
-import { SystemClock } from "../../src/platform/system-clock.ts";
+import type { BackendServer } from "../../src/ports/backend-server.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
 import { ConfigurableRunner } from "../../src/stand-ins/configurable-runner.ts";
 import { serveBackendServer } from "../../src/stand-ins/http-backend-server.ts";
 import { serveInstanceList } from "../../src/stand-ins/http-instance-list.ts";
--- a/test/transport/http-client.test.ts
+++ b/test/transport/http-client.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from "node:net";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { SystemClock } from "../../src/platform/system-clock.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
 import { HttpClient } from "../../src/transport/http-client.ts";
 
 const test = suite("http-client");
--- a/test/transport/http-instance-list.test.ts
+++ b/test/transport/http-instance-list.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { SystemClock } from "../../src/platform/system-clock.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
 import { serveInstanceList } from "../../src/stand-ins/http-instance-list.ts";
 import { StaticInstanceList } from "../../src/stand-ins/static-instance-list.ts";
 import { HttpInstanceList } from "../../src/transport/http-instance-list.ts";
--- a/test/transport/http-key-value.test.ts
+++ b/test/transport/http-key-value.test.ts
@@ -1,6 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { SystemClock } from "../../src/platform/system-clock.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
 import { serveKeyValue } from "../../src/stand-ins/http-key-value.ts";
 import { KeyValueStore } from "../../src/stand-ins/key-value-store.ts";
 import type { StandInServer } from "../../src/stand-ins/stand-in-server.ts";
--- a/test/transport/peer-tcp.test.ts
+++ b/test/transport/peer-tcp.test.ts
@@ -1,9 +1,9 @@
 import { connect as connectTcp, createServer, type AddressInfo, type Socket } from "node:net";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
-import { SystemClock } from "../../src/platform/system-clock.ts";
-import type { Clock } from "../../src/platform/clock.ts";
-import type { PeerHandler } from "../../src/platform/peer-transport.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
+import type { Clock } from "../../src/ports/clock.ts";
+import type { PeerHandler } from "../../src/ports/peer-transport.ts";
 import { encodeFrame } from "../../src/transport/frames.ts";
 import { TcpPeerTransport } from "../../src/transport/peer-tcp.ts";
 import { helloOf, slotRecord } from "../fakes/builders.ts";
