--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "build/", "node_modules/", "eslint.config.js"] },
+  { ignores: ["target/", "dist/", "build/", "node_modules/", "eslint.config.js"] },
   eslint.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- /dev/null
+++ b/scripts/bundle.ts
@@ -0,0 +1,30 @@
+import { build } from "esbuild";
+import { readFileSync } from "node:fs";
+
+const DEV_TEMPLATE = "examples/piedra-viva.ini";
+
+/** Options of {@link bundle}. */
+export interface BundleOptions {
+  readonly outfile: string;
+  /** Shortens names and removes white space, so that less is read at a start. @default false */
+  readonly minify?: boolean;
+}
+
+/** Bundles the program and its libraries into one CommonJS file. */
+export async function bundle({ outfile, minify = false }: BundleOptions): Promise<void> {
+  await build({
+    entryPoints: ["src/cli/main.ts"],
+    outfile,
+    minify,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    // Without this order the bundled ts-results fails at run time, because it requires tslib.
+    mainFields: ["module", "main"],
+    define: { BUNDLED_TEMPLATE: JSON.stringify(readFileSync(DEV_TEMPLATE, "utf8")) },
+    // A require of a package that is not bundled would print a warning at every start.
+    alias: { "cbor-extract": "./scripts/no-native-part.ts" },
+    logLevel: "warning",
+  });
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,6 +6,7 @@
 import { HttpInstanceList } from "../transport/http-instance-list.ts";
 import { HttpKeyValueService } from "../transport/http-key-value.ts";
 import { findUsageFault } from "./command-line.ts";
+import { addPlatformCommand } from "../../platform/command.ts";
 import { addConfigCommands } from "./config-commands.ts";
 import { addDevCommand } from "./dev-command.ts";
 import { addEntryCommand } from "./entry-command.ts";
@@ -32,6 +33,7 @@
 addStatusCommands(program, ctx);
 addDevCommand(program, ctx);
 addStandInCommands(program);
+addPlatformCommand(program, ctx);
 const fault = findUsageFault(program, process.argv.slice(2));
 if (fault === undefined) program.parse(process.argv);
 else {
--- /dev/null
+++ b/src/coordination/jobs/config-view.ts
@@ -0,0 +1,101 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type {
+  FleetConfig,
+  OrganisationConfig,
+  PoolConfig,
+  QueueConfig,
+  WaveRequest,
+} from "../../protocol/fleet-config.ts";
+import { OperatorListener } from "./job-feeds.ts";
+
+/** The newest configuration that this entry instance knows, indexed. Versions only go up. */
+export class FleetConfigView extends OperatorListener {
+  readonly #clock: Clock;
+  readonly #log: Log;
+  readonly #waves = new Map<number, WaveRequest>();
+  readonly #listeners = new Set<() => void>();
+  #config: FleetConfig | undefined;
+  #queues = new Map<string, QueueConfig>();
+  #pools = new Map<string, PoolConfig>();
+  #organisations = new Map<string, OrganisationConfig>();
+  #keys = new Map<string, OrganisationConfig>();
+  #confirmedAt: number | undefined;
+
+  constructor(clock: Clock, log: Log) {
+    super();
+    this.#clock = clock;
+    this.#log = log;
+  }
+
+  get current(): FleetConfig | undefined {
+    return this.#config;
+  }
+
+  /** Time in ms since the configuration was last known to be the newest; infinite before. */
+  get ageMs(): number {
+    return this.#confirmedAt === undefined ? Infinity : this.#clock.now() - this.#confirmedAt;
+  }
+
+  get waves(): readonly WaveRequest[] {
+    return [...this.#waves.values()];
+  }
+
+  queue(name: string): QueueConfig | undefined {
+    return this.#queues.get(name);
+  }
+
+  pool(name: string): PoolConfig | undefined {
+    return this.#pools.get(name);
+  }
+
+  organisation(name: string): OrganisationConfig | undefined {
+    return this.#organisations.get(name);
+  }
+
+  /** Organisation of a key in the clear; undefined if no organisation has it. */
+  organisationOfKey(key: string): OrganisationConfig | undefined {
+    return this.#keys.get(key);
+  }
+
+  /** Queue of a call: its host, and the longest prefix that the path begins with. */
+  route(host: string, path: string): QueueConfig | undefined {
+    let best: QueueConfig | undefined;
+    for (const queue of this.#config?.queues ?? []) {
+      if (queue.host !== host || !path.startsWith(queue.prefix)) continue;
+      if (best === undefined || queue.prefix.length > best.prefix.length) best = queue;
+    }
+    return best;
+  }
+
+  /** Calls the listener after each change; returns what stops that. */
+  onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  configured(config: FleetConfig): void {
+    const before = this.#config?.version;
+    if (before !== undefined && config.version <= before) return;
+    this.#config = config;
+    this.#queues = new Map(config.queues.map((queue) => [queue.name, queue]));
+    this.#pools = new Map(config.pools.map((pool) => [pool.name, pool]));
+    this.#organisations = new Map(config.organisations.map((org) => [org.name, org]));
+    this.#keys = new Map(config.organisations.flatMap((org) => org.keys.map((key) => [key, org])));
+    this.#log.info({ version: config.version, before }, "configuration in force");
+    this.#changed();
+  }
+
+  waveRequested(wave: WaveRequest): void {
+    this.#waves.set(wave.wave, wave);
+    this.#changed();
+  }
+
+  confirmed(): void {
+    this.#confirmedAt = this.#clock.now();
+  }
+
+  #changed(): void {
+    for (const listener of this.#listeners) listener();
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/entry-view.ts
@@ -0,0 +1,56 @@
+import type { Log } from "../../ports/log.ts";
+import type { RecordEvent, StoredRecord } from "../../ports/record-store.ts";
+import {
+  decodeSession,
+  SCHEDULER_KEY,
+  SESSIONS_PREFIX,
+  type SessionRecord,
+} from "../../protocol/job-records.ts";
+import { RecordListener } from "./record-follower.ts";
+
+/** Live entry instances and the scheduler's lock, as last read from the store. */
+export class EntryView extends RecordListener {
+  readonly #log: Log;
+  readonly #onChange: () => void;
+  #sessions = new Map<string, SessionRecord>();
+  #locked = false;
+  #loaded = false;
+
+  constructor(log: Log, onChange: () => void) {
+    super();
+    this.#log = log;
+    this.#onChange = onChange;
+  }
+
+  /** True if it is known that nobody has the scheduler's lock. */
+  get vacant(): boolean {
+    return this.#loaded && !this.#locked;
+  }
+
+  get sessions(): readonly SessionRecord[] {
+    return [...this.#sessions.values()];
+  }
+
+  reset(records: readonly StoredRecord[]): void {
+    this.#sessions = new Map();
+    this.#locked = false;
+    this.#loaded = true;
+    for (const record of records) this.#written(record);
+    this.#onChange();
+  }
+
+  change(event: RecordEvent): void {
+    if (event.kind === "written") this.#written(event.record);
+    else if (event.key === SCHEDULER_KEY) this.#locked = false;
+    else this.#sessions.delete(event.key);
+    this.#onChange();
+  }
+
+  #written({ key, value }: StoredRecord): void {
+    if (key === SCHEDULER_KEY) this.#locked = true;
+    if (!key.startsWith(SESSIONS_PREFIX)) return;
+    const session = decodeSession(value);
+    if (session === undefined) this.#log.error({ key }, "session record is unreadable");
+    else this.#sessions.set(key, session);
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/fleet-drivers.ts
@@ -0,0 +1,77 @@
+import type { RegisteredServer } from "../../protocol/fleet-config.ts";
+import { ServerListener } from "./job-feeds.ts";
+import type { ServerDriver } from "./server-driver.ts";
+
+/** Options of {@link FleetDrivers}. */
+export interface FleetDriversOptions {
+  readonly open: (registration: RegisteredServer) => ServerDriver;
+  /** A server id has booted anew. */
+  readonly rebooted: (server: string, bootedAt: number) => void;
+  readonly wake: () => void;
+}
+
+/** One driver for each registered backend server, and for each that still has runs. */
+export class FleetDrivers extends ServerListener {
+  readonly #options: FleetDriversOptions;
+  readonly #drivers = new Map<string, ServerDriver>();
+  #loaded = false;
+
+  constructor(options: FleetDriversOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** True once the registered servers were read. */
+  get loaded(): boolean {
+    return this.#loaded;
+  }
+
+  get(server: string): ServerDriver | undefined {
+    return this.#drivers.get(server);
+  }
+
+  all(): Iterable<ServerDriver> {
+    return this.#drivers.values();
+  }
+
+  reset(servers: readonly RegisteredServer[]): void {
+    const present = new Set(servers.map(({ id }) => id));
+    for (const id of this.#drivers.keys()) if (!present.has(id)) this.removed(id);
+    for (const server of servers) this.registered(server);
+    this.#loaded = true;
+  }
+
+  registered(server: RegisteredServer): void {
+    const driver = this.#drivers.get(server.id);
+    if (driver?.bootedAt === server.bootedAt) {
+      if (!driver.closed) driver.registered(server);
+    } else if (driver === undefined || driver.bootedAt < server.bootedAt) {
+      driver?.close();
+      this.#options.rebooted(server.id, server.bootedAt);
+      const opened = this.#options.open(server);
+      this.#drivers.set(server.id, opened);
+      void opened.run();
+    }
+    this.#options.wake();
+  }
+
+  removed(id: string): void {
+    const driver = this.#drivers.get(id);
+    if (driver === undefined) return;
+    driver.absent = true;
+    driver.wake();
+  }
+
+  /** Forgets servers that are gone and have no runs. */
+  prune(hasRuns: (server: string) => boolean): void {
+    for (const [id, driver] of this.#drivers) {
+      if (!driver.absent || hasRuns(id)) continue;
+      driver.close();
+      this.#drivers.delete(id);
+    }
+  }
+
+  close(): void {
+    for (const driver of this.#drivers.values()) driver.close();
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/job-board.ts
@@ -0,0 +1,117 @@
+import type { Log } from "../../ports/log.ts";
+import type { RecordEvent, StoredRecord } from "../../ports/record-store.ts";
+import {
+  decodeJob,
+  decodeProgress,
+  parseJobKey,
+  progressId,
+  type ProgressRecord,
+} from "../../protocol/job-records.ts";
+import { Job } from "../../state/jobs/job.ts";
+import { RecordListener } from "./record-follower.ts";
+
+/** What the scheduler does with jobs as they come. */
+export interface BoardHandlers {
+  readonly added: (job: Job) => void;
+  readonly cancelled: (job: Job) => void;
+}
+
+interface StoredProgress {
+  readonly record: ProgressRecord;
+  readonly revision: number;
+}
+
+/** Every stored job, kept up to date from the store. */
+export class JobBoard extends RecordListener {
+  readonly #log: Log;
+  readonly #handlers: BoardHandlers;
+  readonly #jobs = new Map<string, Job>();
+  readonly #open = new Set<Job>();
+  readonly #cancelled = new Set<string>();
+  #progress = new Map<string, StoredProgress>();
+  #loaded = false;
+
+  constructor(log: Log, handlers: BoardHandlers) {
+    super();
+    this.#log = log;
+    this.#handlers = handlers;
+  }
+
+  /** True once the stored jobs were read. */
+  get loaded(): boolean {
+    return this.#loaded;
+  }
+
+  /** Jobs that are not in a final state. */
+  get open(): ReadonlySet<Job> {
+    return this.#open;
+  }
+
+  get jobs(): Iterable<Job> {
+    return this.#jobs.values();
+  }
+
+  job(id: string): Job | undefined {
+    return this.#jobs.get(id);
+  }
+
+  /** Takes the progress that former schedulers stored. Called before any job is read. */
+  takeProgress(records: readonly StoredRecord[]): void {
+    this.#progress = new Map();
+    for (const { key, value, revision } of records) {
+      const record = decodeProgress(value);
+      if (record === undefined) this.#log.error({ key }, "progress record is unreadable");
+      else this.#progress.set(progressId(key), { record, revision });
+    }
+  }
+
+  reset(records: readonly StoredRecord[]): void {
+    for (const record of records) this.#written(record);
+    this.#loaded = true;
+  }
+
+  change(event: RecordEvent): void {
+    if (event.kind === "written") this.#written(event.record);
+  }
+
+  /** A job reached a final state. */
+  closed(job: Job): void {
+    this.#open.delete(job);
+  }
+
+  /** A job's records were deleted. */
+  forget(job: Job): void {
+    this.#open.delete(job);
+    this.#jobs.delete(job.spec.id);
+    this.#cancelled.delete(job.spec.id);
+  }
+
+  #written({ key, value }: StoredRecord): void {
+    const { id, kind } = parseJobKey(key);
+    if (kind === "cancel") this.#cancel(id);
+    else if (!this.#jobs.has(id)) this.#add(key, value);
+  }
+
+  #add(key: string, value: Uint8Array): void {
+    const spec = decodeJob(value);
+    if (spec === undefined) {
+      this.#log.error({ key }, "job record is unreadable");
+      return;
+    }
+    const job = new Job(spec);
+    const stored = this.#progress.get(spec.id);
+    if (stored !== undefined) job.restore(stored.record, stored.revision);
+    this.#progress.delete(spec.id);
+    this.#jobs.set(spec.id, job);
+    if (!job.final) this.#open.add(job);
+    this.#handlers.added(job);
+    if (this.#cancelled.has(spec.id)) this.#cancel(spec.id);
+  }
+
+  #cancel(id: string): void {
+    this.#cancelled.add(id);
+    const job = this.#jobs.get(id);
+    if (job === undefined || job.final) return;
+    this.#handlers.cancelled(job);
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/job-entry.ts
@@ -0,0 +1,146 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { InstanceControl } from "../../ports/instance-control.ts";
+import type { JobBackendConnector } from "../../ports/job-backend.ts";
+import type { Log } from "../../ports/log.ts";
+import type { Random } from "../../ports/random.ts";
+import type { RecordStore } from "../../ports/record-store.ts";
+import { ENTRIES_PREFIX } from "../../protocol/job-records.ts";
+import type { Counters } from "../ports.ts";
+import { Deferred, waitAtMost } from "../wait.ts";
+import { FleetConfigView } from "./config-view.ts";
+import { EntryView } from "./entry-view.ts";
+import type { OperatorFeed, ServerRegistry } from "./job-feeds.ts";
+import { JobService } from "./job-service.ts";
+import { JobSubmitter } from "./job-submitter.ts";
+import { MaintenanceRunner } from "./maintenance-runner.ts";
+import { PendingPublisher } from "./pending-counts.ts";
+import { RecordCollector } from "./record-collector.ts";
+import { RecordFollower } from "./record-follower.ts";
+import { Scheduler } from "./scheduler.ts";
+import { SchedulerLock, type LockTenure } from "./scheduler-lock.ts";
+
+/** Pause in ms after the lock was found taken, or the store failed. */
+const CANDIDACY_PAUSE_MS = 150;
+/** A configuration whose confirmation is older may have been replaced, in milliseconds. */
+const MAX_CONFIG_AGE_MS = 4500;
+
+/** What an entry instance is connected to. */
+export interface JobEntryPorts {
+  readonly store: RecordStore;
+  readonly registry: ServerRegistry;
+  readonly operators: OperatorFeed;
+  readonly connector: JobBackendConnector;
+  readonly instances: InstanceControl;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly counters: Counters;
+}
+
+/** Options of {@link JobEntry}. */
+export interface JobEntryOptions extends JobEntryPorts {
+  /** Name of this entry instance. */
+  readonly name: string;
+  /** Time to live of the lease given to backend servers, in milliseconds. */
+  readonly leaseTtlMs: number;
+  /** Time in ms for which callers may ask for the state of a job that has ended. */
+  readonly keepEndedMs: number;
+}
+
+/** One entry instance: serves callers of jobs and stands by to be the scheduler. */
+export class JobEntry {
+  readonly config: FleetConfigView;
+  readonly service: JobService;
+  readonly #options: JobEntryOptions;
+  readonly #view: EntryView;
+  readonly #stopped = new AbortController();
+  readonly #lock: SchedulerLock;
+  #changed = new Deferred<void>();
+  #tenure: LockTenure | undefined;
+  #running: Promise<unknown> = Promise.resolve();
+
+  constructor(options: JobEntryOptions) {
+    this.#options = options;
+    this.config = new FleetConfigView(options.clock, options.log);
+    this.service = new JobService({ ...options, submitter: new JobSubmitter(options) });
+    this.#lock = new SchedulerLock({ ...options, holder: options.name });
+    this.#view = new EntryView(options.log, () => {
+      this.#changed.resolve();
+    });
+  }
+
+  /** True if callers may be sent here. */
+  get ready(): boolean {
+    return this.configured && !this.#stopped.signal.aborted;
+  }
+
+  /** True if the configuration is known, and known to be in force. */
+  get configured(): boolean {
+    return this.config.current !== undefined && this.config.ageMs <= MAX_CONFIG_AGE_MS;
+  }
+
+  /** True while this entry instance is the scheduler. */
+  get scheduling(): boolean {
+    return this.#tenure?.valid === true;
+  }
+
+  /** Begins to follow the store and to stand for the scheduler's lock. */
+  start(): void {
+    const { store, clock, random, log, operators } = this.#options;
+    const { signal } = this.#stopped;
+    const entries = { store, clock, random, log, prefix: ENTRIES_PREFIX, listener: this.#view };
+    this.#running = Promise.all([
+      operators.follow(this.config, signal),
+      new RecordFollower(entries).run(signal),
+      this.#stand(signal),
+    ]);
+  }
+
+  /** Gives up the lock, so that another instance can take over at once. */
+  async resign(): Promise<void> {
+    this.#stopped.abort();
+    this.#changed.resolve();
+    if (this.#tenure !== undefined) await this.#lock.release(this.#tenure);
+  }
+
+  /** Resolves once everything has ended after {@link resign}. */
+  async ended(): Promise<void> {
+    await this.#running;
+  }
+
+  async #stand(signal: AbortSignal): Promise<void> {
+    const { clock } = this.#options;
+    while (!signal.aborted) {
+      if (!this.#view.vacant) {
+        const changed = this.#changed.promise;
+        await waitAtMost(clock, changed, CANDIDACY_PAUSE_MS);
+        this.#changed = new Deferred();
+        continue;
+      }
+      const tenure = await this.#lock.acquire();
+      if (tenure === undefined) await clock.sleep(CANDIDACY_PAUSE_MS, signal);
+      else if (signal.aborted) await this.#lock.release(tenure);
+      else await this.#serve(tenure);
+    }
+  }
+
+  async #serve(tenure: LockTenure): Promise<void> {
+    this.#tenure = tenure;
+    const scheduler = new Scheduler({ ...this.#options, config: this.config, tenure });
+    const { board } = scheduler;
+    const openJobs = () => board.open;
+    await Promise.all([
+      this.#lock.keep(tenure),
+      scheduler.run(),
+      new PendingPublisher({ ...this.#options, tenure, openJobs }).run(),
+      new RecordCollector({
+        ...{ ...this.#options, tenure, board, keepMs: this.#options.keepEndedMs },
+      }).run(),
+      new MaintenanceRunner({
+        ...{ ...this.#options, holder: this.#options.name },
+        ...{ tenure, config: this.config, scheduler },
+      }).run(),
+    ]);
+    this.#tenure = undefined;
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/job-service.ts
@@ -0,0 +1,154 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type { RecordStore, StoredRecord, StoreError } from "../../ports/record-store.ts";
+import {
+  cancelKey,
+  decodeJob,
+  decodePending,
+  decodeProgress,
+  jobKey,
+  PENDING_KEY,
+  parseJobKey,
+  progressKey,
+} from "../../protocol/job-records.ts";
+import {
+  FINAL_STATES,
+  type JobRequest,
+  type JobSpec,
+  type JobState,
+} from "../../protocol/job-spec.ts";
+import type { QueueConfig } from "../../protocol/fleet-config.ts";
+import type { Counters } from "../ports.ts";
+import type { JobSubmitter, SubmitOutcome } from "./job-submitter.ts";
+
+/** Reads of the pending counts are shared for this time in ms. */
+const PENDING_CACHE_MS = 400;
+const CANCEL_RETRY_MS = 100;
+
+/** A caller's question about a job. */
+export interface JobQuestion {
+  readonly id: string;
+  /** Undefined on queues open to all. */
+  readonly organisation: string | undefined;
+  /** Monotonic time in ms at which the caller stops waiting. */
+  readonly deadline: number;
+}
+
+/** Answer to a question. `unavailable`: nothing is known now; the caller may ask again. */
+export type JobAnswer =
+  | { readonly kind: "state"; readonly state: JobState }
+  | { readonly kind: "unknown-job" }
+  | { readonly kind: "unavailable" };
+
+/** Options of {@link JobService}. */
+export interface JobServiceOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly submitter: JobSubmitter;
+}
+
+/** What an entry instance does for callers of jobs. Every answer comes from the store. */
+export class JobService {
+  readonly #options: JobServiceOptions;
+  #pending:
+    { readonly readAt: number; readonly counts: Readonly<Record<string, number>> } | undefined;
+
+  constructor(options: JobServiceOptions) {
+    this.#options = options;
+  }
+
+  /** Stores a job. Repeating it with the same id has no further effect. */
+  submit(
+    req: JobRequest,
+    queue: QueueConfig,
+    { id, organisation, deadline }: JobQuestion,
+  ): Promise<SubmitOutcome> {
+    const acceptedAtMs = this.#options.clock.wallTime();
+    const job: JobSpec = {
+      ...req,
+      ...{ id, queue: queue.name, pool: queue.pool, organisation, acceptedAtMs },
+    };
+    return this.#options.submitter.submit(job, deadline);
+  }
+
+  /** Reads the state of a job. */
+  async state({ id, organisation }: JobQuestion): Promise<JobAnswer> {
+    const { store, log } = this.#options;
+    // The progress is read after the job, so a job that is there has not been forgotten meanwhile.
+    const [records, progress] = await Promise.all([
+      store.range(jobKey(id)),
+      store.get(progressKey(id)),
+    ]);
+    if (records.err || progress.err) return { kind: "unavailable" };
+    const job = findJob(records.val.records, id);
+    if (job === undefined || job.organisation !== organisation) return { kind: "unknown-job" };
+    const stored = progress.val === undefined ? undefined : decodeProgress(progress.val.value);
+    if (progress.val !== undefined && stored === undefined) {
+      log.error({ job: id }, "progress record is unreadable");
+      return { kind: "unavailable" };
+    }
+    const state = stored?.state ?? "queued";
+    if (FINAL_STATES.includes(state)) return { kind: "state", state };
+    const cancelled = records.val.records.some(({ key }) => parseJobKey(key).kind === "cancel");
+    return { kind: "state", state: cancelled ? "cancelled" : state };
+  }
+
+  /** Marks a job as cancelled; the scheduler stops it. */
+  async cancel(question: JobQuestion): Promise<JobAnswer> {
+    const { store, clock, log } = this.#options;
+    const { id, organisation, deadline } = question;
+    for (;;) {
+      const records = await store.range(jobKey(id));
+      if (records.ok) {
+        const job = findJob(records.val.records, id);
+        if (job === undefined || job.organisation !== organisation) return { kind: "unknown-job" };
+        const marked = records.val.records.some(({ key }) => key === cancelKey(id));
+        if (marked || (await this.#mark(id, records.val.records))) {
+          log.info({ job: id, marked }, "cancel stored");
+          return { kind: "state", state: "cancelled" };
+        }
+      }
+      if (clock.now() + CANCEL_RETRY_MS > deadline) return { kind: "unavailable" };
+      await clock.sleep(CANCEL_RETRY_MS);
+    }
+  }
+
+  /** Jobs of a queue of which no task was started; undefined if the store can't be read. */
+  async pending(queue: string): Promise<number | undefined> {
+    const { store, clock, log } = this.#options;
+    const cached = this.#pending;
+    if (cached !== undefined && clock.now() - cached.readAt < PENDING_CACHE_MS)
+      return cached.counts[queue] ?? 0;
+    const readAt = clock.now();
+    const record = await store.get(PENDING_KEY);
+    if (record.err) return undefined;
+    const decoded = record.val === undefined ? undefined : decodePending(record.val.value);
+    if (record.val !== undefined && decoded === undefined)
+      log.error({ key: PENDING_KEY }, "pending counts are unreadable");
+    const counts = decoded?.pending ?? {};
+    this.#pending = { readAt, counts };
+    return counts[queue] ?? 0;
+  }
+
+  /** True once the mark is stored. A repeated write has the same effect. */
+  async #mark(id: string, records: readonly StoredRecord[]): Promise<boolean> {
+    const revision = records.find(({ key }) => key === jobKey(id))?.revision ?? 0;
+    const result = await this.#options.store.commit({
+      conditions: [{ key: jobKey(id), revision }],
+      puts: [{ key: cancelKey(id), value: new Uint8Array() }],
+    });
+    if (result.err) this.#logFailure(id, result.val);
+    return result.ok;
+  }
+
+  #logFailure(id: string, err: StoreError): void {
+    this.#options.log.warn({ job: id, err }, "cancel not stored yet");
+  }
+}
+
+function findJob(records: readonly StoredRecord[], id: string): JobSpec | undefined {
+  const record = records.find(({ key }) => key === jobKey(id));
+  return record === undefined ? undefined : decodeJob(record.value);
+}
--- /dev/null
+++ b/src/coordination/jobs/progress-writer.ts
@@ -0,0 +1,160 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type { Random } from "../../ports/random.ts";
+import {
+  MAX_TRANSACTION_ENTRIES,
+  type RecordStore,
+  type RecordTransaction,
+  type StoredRecord,
+} from "../../ports/record-store.ts";
+import { encodeProgress, progressKey } from "../../protocol/job-records.ts";
+import type { Job } from "../../state/jobs/job.ts";
+import { fullJitterMs } from "../backoff.ts";
+import { Deferred } from "../wait.ts";
+import type { LockTenure } from "./scheduler-lock.ts";
+
+/** One entry of a transaction is the condition on the lock; each job takes a condition and a put. */
+const JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
+const RETRY = { baseMs: 30, maxMs: 400 } as const;
+
+/** Options of {@link ProgressWriter}. */
+export interface ProgressWriterOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly tenure: LockTenure;
+}
+
+interface Pending {
+  readonly job: Job;
+  readonly waiters: Deferred<boolean>[];
+}
+
+interface Snapshot {
+  readonly pending: Pending;
+  readonly key: string;
+  readonly value: Uint8Array;
+}
+
+/**
+ * Writes the progress of jobs, one transaction at a time. Changes that come meanwhile share the next
+ * one. Each write is conditional on the scheduler's lock and on the former progress, so neither a
+ * former scheduler nor a repeated write can replace newer progress.
+ */
+export class ProgressWriter {
+  readonly #options: ProgressWriterOptions;
+  readonly #pending = new Map<string, Pending>();
+  #inFlight: readonly Pending[] = [];
+  #writing = false;
+
+  constructor(options: ProgressWriterOptions) {
+    this.#options = options;
+    options.tenure.signal.addEventListener("abort", () => {
+      this.#abandon();
+    });
+  }
+
+  /** True while a transaction waits for the store longer than its first attempt. */
+  stalled = false;
+
+  /** Resolves true once progress at least as new as now is stored; false if the lock is lost. */
+  save(job: Job): Promise<boolean> {
+    if (this.#options.tenure.signal.aborted) return Promise.resolve(false);
+    const waiter = new Deferred<boolean>();
+    const pending = this.#pending.get(job.spec.id);
+    if (pending === undefined) this.#pending.set(job.spec.id, { job, waiters: [waiter] });
+    else pending.waiters.push(waiter);
+    if (!this.#writing) void this.#write();
+    return waiter.promise;
+  }
+
+  /** Resolves like {@link save}, but writes nothing that is not waiting to be written. */
+  settled(job: Job): Promise<boolean> {
+    if (this.#pending.has(job.spec.id)) return this.save(job);
+    const inFlight = this.#inFlight.find((pending) => pending.job === job);
+    if (inFlight === undefined) return Promise.resolve(!this.#options.tenure.signal.aborted);
+    const waiter = new Deferred<boolean>();
+    inFlight.waiters.push(waiter);
+    return waiter.promise;
+  }
+
+  async #write(): Promise<void> {
+    this.#writing = true;
+    // Changes of the same moment share the transaction.
+    await Promise.resolve();
+    while (this.#pending.size > 0 && !this.#options.tenure.signal.aborted) {
+      const batch = [...this.#pending.values()].slice(0, JOBS_PER_TRANSACTION);
+      for (const { job } of batch) this.#pending.delete(job.spec.id);
+      this.#inFlight = batch;
+      const snapshots = batch.map(snapshot);
+      const revision = await this.#commit(snapshots);
+      this.#inFlight = [];
+      if (revision !== undefined) for (const { job } of batch) job.revision = revision;
+      for (const { waiters } of batch)
+        for (const waiter of waiters) waiter.resolve(revision !== undefined);
+    }
+    this.#writing = false;
+  }
+
+  /** Repeats the same transaction until its outcome is known; undefined if the lock is lost. */
+  async #commit(snapshots: readonly Snapshot[]): Promise<number | undefined> {
+    const { store, clock, random, log, tenure } = this.#options;
+    const txn = this.#transaction(snapshots);
+    for (let attempt = 0; !tenure.signal.aborted; attempt++) {
+      const result = await store.commit(txn);
+      if (result.ok) {
+        this.stalled = false;
+        return result.val;
+      }
+      const err = result.val;
+      if (err.kind === "conflict") {
+        const revision = appliedBefore(snapshots, err.current);
+        if (revision === undefined) {
+          log.warn({ token: tenure.token }, "progress was written by another scheduler");
+          tenure.end();
+        }
+        this.stalled = false;
+        return revision;
+      }
+      if (attempt === 0) log.warn({ err, jobs: snapshots.length }, "progress not written");
+      this.stalled = true;
+      await clock.sleep(fullJitterMs(random, attempt, RETRY), tenure.signal);
+    }
+    return undefined;
+  }
+
+  #transaction(snapshots: readonly Snapshot[]): RecordTransaction {
+    const revisions = snapshots.map(({ key, pending }) => ({
+      key,
+      revision: pending.job.revision,
+    }));
+    return {
+      conditions: [this.#options.tenure.condition, ...revisions],
+      puts: snapshots.map(({ key, value }) => ({ key, value })),
+    };
+  }
+
+  #abandon(): void {
+    for (const { waiters } of this.#pending.values())
+      for (const waiter of waiters) waiter.resolve(false);
+    this.#pending.clear();
+  }
+}
+
+function snapshot(pending: Pending): Snapshot {
+  const { job } = pending;
+  return { pending, key: progressKey(job.spec.id), value: encodeProgress(job.record()) };
+}
+
+/** Revision of an earlier attempt whose answer was lost; undefined if there was none. */
+function appliedBefore(
+  snapshots: readonly Snapshot[],
+  current: readonly StoredRecord[],
+): number | undefined {
+  const [first] = snapshots;
+  if (first === undefined) return undefined;
+  const stored = current.find(({ key }) => key === first.key);
+  if (stored === undefined || stored.revision <= first.pending.job.revision) return undefined;
+  return Buffer.compare(stored.value, first.value) === 0 ? stored.revision : undefined;
+}
--- /dev/null
+++ b/src/coordination/jobs/record-follower.ts
@@ -0,0 +1,95 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type { Random } from "../../ports/random.ts";
+import type {
+  RecordEvent,
+  RecordStore,
+  StoredRecord,
+  StoreError,
+} from "../../ports/record-store.ts";
+import { fullJitterMs } from "../backoff.ts";
+
+/** Longest wait of a watch in ms; short, so that a silent connection is noticed soon. */
+const WATCH_WAIT_MS = 2500;
+const RETRY = { baseMs: 100, maxMs: 600 } as const;
+
+/** Receives the records under a prefix and their changes. */
+export abstract class RecordListener {
+  /** All records under the prefix; those that are missing were deleted. */
+  abstract reset(records: readonly StoredRecord[]): void;
+  abstract change(event: RecordEvent): void;
+  /** Called after a reset, and after the events of each watch, also if there were none. */
+  confirmed(): void {
+    // Most listeners need no confirmation.
+  }
+}
+
+/** Options of {@link RecordFollower}. */
+export interface RecordFollowerOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly prefix: string;
+  readonly listener: RecordListener;
+}
+
+/**
+ * Follows the records under a prefix: reads them once, then watches. If the history was dropped, they
+ * are read afresh, so no change is missed.
+ */
+export class RecordFollower {
+  readonly #options: RecordFollowerOptions;
+  #failures = 0;
+
+  constructor(options: RecordFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Follows until the signal aborts. Never rejects. */
+  async run(signal: AbortSignal): Promise<void> {
+    let revision: number | undefined;
+    while (!signal.aborted) {
+      const next = revision === undefined ? await this.#read() : await this.#watch(revision);
+      if (signal.aborted) return;
+      if (typeof next === "number") {
+        revision = next;
+        this.#succeeded();
+      } else if (next.kind === "compacted") {
+        this.#options.log.info({ prefix: this.#options.prefix, revision }, "history was dropped");
+        revision = undefined;
+      } else await this.#failed(next, signal);
+    }
+  }
+
+  async #read(): Promise<number | StoreError> {
+    const { store, prefix, listener } = this.#options;
+    const range = await store.range(prefix);
+    if (range.err) return range.val;
+    listener.reset(range.val.records);
+    listener.confirmed();
+    return range.val.revision;
+  }
+
+  async #watch(after: number): Promise<number | StoreError> {
+    const { store, prefix, listener } = this.#options;
+    const changes = await store.watch(prefix, after, WATCH_WAIT_MS);
+    if (changes.err) return changes.val;
+    for (const event of changes.val.events) listener.change(event);
+    listener.confirmed();
+    return changes.val.revision;
+  }
+
+  #succeeded(): void {
+    const { log, prefix } = this.#options;
+    if (this.#failures > 0)
+      log.info({ prefix, failures: this.#failures }, "records are read again");
+    this.#failures = 0;
+  }
+
+  async #failed(err: StoreError, signal: AbortSignal): Promise<void> {
+    const { clock, random, log, prefix } = this.#options;
+    if (this.#failures === 0) log.warn({ prefix, err }, "records cannot be read");
+    await clock.sleep(fullJitterMs(random, this.#failures++, RETRY), signal);
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/run-tracker.ts
@@ -0,0 +1,361 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { EndedRun, OrderError, RunLists } from "../../ports/job-backend.ts";
+import type { Log } from "../../ports/log.ts";
+import { parseTaskName } from "../../protocol/job-spec.ts";
+import { inheritedLapse } from "../../state/jobs/server-clock.ts";
+import type { Job, Task } from "../../state/jobs/job.ts";
+import { reconcile } from "../../state/jobs/reconciliation.ts";
+import { RunBook, type ActiveRun, type RunPhase } from "../../state/jobs/run-book.ts";
+import type { FleetConfigView } from "./config-view.ts";
+import type { JobBoard } from "./job-board.ts";
+import { MAX_LISTED_ENDS } from "./order-timing.ts";
+import type { ProgressWriter } from "./progress-writer.ts";
+import type { LockTenure } from "./scheduler-lock.ts";
+import { DriverListener, type ServerDriver } from "./server-driver.ts";
+
+/** Pause before a task is started again after its start was refused, in milliseconds. */
+const REFUSED_START_PAUSE_MS = 250;
+/** Pause before a backend server that refused a start is asked again, in milliseconds. */
+const REFUSING_SERVER_PAUSE_MS = 1000;
+/** Attempts of a queue that is no longer configured. */
+const DEFAULT_MAX_ATTEMPTS = 1;
+
+/** Options of {@link RunTracker}. */
+export interface RunTrackerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly tenure: LockTenure;
+  readonly board: JobBoard;
+  readonly writer: ProgressWriter;
+  readonly config: FleetConfigView;
+  readonly driver: (server: string) => ServerDriver | undefined;
+  /** Called when work may be placed. */
+  readonly wake: () => void;
+  readonly leaseTtlMs: number;
+}
+
+/** Follows every run from its recorded placement to its recorded end. */
+export class RunTracker extends DriverListener {
+  readonly book = new RunBook();
+  readonly #options: RunTrackerOptions;
+  /** Starts that were not answered before their backend server rebooted. */
+  readonly #orphans = new Map<string, ActiveRun[]>();
+
+  constructor(options: RunTrackerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Takes over runs that a former scheduler recorded. */
+  inherit(job: Job): void {
+    for (const task of job.tasks()) {
+      if (task.placement === undefined) continue;
+      const { server, bootedAt } = task.placement;
+      const run = this.#add(task, server, bootedAt, "inherited");
+      const driver = this.#options.driver(server);
+      if (driver !== undefined && driver.bootedAt !== bootedAt) this.#release(run, "rebooted");
+      else if (job.final) this.#stop(run);
+    }
+  }
+
+  /** Assigns a task to a backend server. Nothing is ordered before {@link launch}. */
+  place(task: Task, driver: ServerDriver): ActiveRun {
+    task.run++;
+    task.placement = { server: driver.id, bootedAt: driver.bootedAt };
+    return this.#add(task, driver.id, driver.bootedAt, "recording");
+  }
+
+  /** Records the placements of a job, then orders the starts. */
+  async launch(job: Job, runs: readonly ActiveRun[]): Promise<void> {
+    job.refreshState(this.#options.clock.wallTime());
+    const stored = await this.#options.writer.save(job);
+    if (!stored) return;
+    for (const run of runs) if (run.phase === "recording") void this.#start(run);
+  }
+
+  /** Ends a job and stops what runs of it. Resolves once the state is stored. */
+  async end(job: Job, state: "cancelled" | "failed"): Promise<boolean> {
+    const { clock, writer, board, log } = this.#options;
+    log.info({ job: job.spec.id, state, before: job.state }, "job ended");
+    job.finish(state, clock.wallTime());
+    board.closed(job);
+    this.#stopAll(job);
+    return writer.save(job);
+  }
+
+  /** Orders the stop of a run for other reasons than the end of its job. */
+  stop(run: ActiveRun): void {
+    if (run.phase === "running") this.#stop(run);
+  }
+
+  hasRuns(server: string): boolean {
+    return this.book.onServer(server).length > 0;
+  }
+
+  async listed(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean> {
+    const touched = new Set<Job>();
+    for (const ended of lists.ended) this.#ended(driver, ended, touched);
+    this.#compare(driver, lists, askedAt, touched);
+    await this.#settleOrphans(driver);
+    if (touched.size > 0) this.#options.wake();
+    const { writer } = this.#options;
+    const stored = [...touched].map((job) => writer.save(job));
+    for (const job of this.#jobsOf(lists.ended))
+      if (!touched.has(job)) stored.push(writer.settled(job));
+    return (await Promise.all(stored)).every(Boolean);
+  }
+
+  runsGone(driver: ServerDriver, reason: "rebooted" | "gone" | "lapsed"): void {
+    if (reason !== "lapsed") driver.close();
+    const runs = this.book.onServer(driver.id);
+    if (runs.length === 0) return;
+    this.#options.log.warn({ server: driver.id, reason, runs: runs.length }, "runs are gone");
+    this.#releaseAll(runs, reason);
+  }
+
+  /** A backend server registered with a later boot than the one that runs were recorded on. */
+  rebooted(server: string, bootedAt: number): void {
+    const runs = this.book.onServer(server).filter((run) => run.bootedAt !== bootedAt);
+    this.#releaseAll(runs, "rebooted");
+  }
+
+  /** Releases inherited runs on backend servers that nobody can ask, once their leases lapsed. */
+  releaseUnreachable(takenOverAt: number): void {
+    const { clock, leaseTtlMs, driver } = this.#options;
+    if (clock.now() <= inheritedLapse(takenOverAt, leaseTtlMs)) return;
+    const runs = [...this.book.all()].filter(
+      (run) => run.phase === "inherited" && driver(run.server) === undefined,
+    );
+    this.#releaseAll(runs, "lapsed");
+  }
+
+  fenced(): void {
+    this.#options.log.warn({ token: this.#options.tenure.token }, "a newer scheduler gives orders");
+    this.#options.tenure.end();
+  }
+
+  #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
+    const since = this.#options.clock.now();
+    const run: ActiveRun = {
+      ...{ task, run: task.run, server, bootedAt, phase, since },
+      ...{ percent: 0, pace: 100, load: 0 },
+    };
+    this.book.add(run);
+    return run;
+  }
+
+  async #start(run: ActiveRun): Promise<void> {
+    const { driver, tenure } = this.#options;
+    const server = driver(run.server);
+    if (server === undefined || server.closed || !tenure.valid) {
+      // Nothing was ordered, so the task may go elsewhere at once.
+      this.#release(run, "not-started");
+      return;
+    }
+    this.#enter(run, "starting");
+    const { task } = run;
+    const result = await server.start({
+      task: task.name,
+      run: run.run,
+      spec: task.job.spec.spec,
+      ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
+    });
+    if (this.book.ofTask(task.name) !== run) return;
+    if (result.err) this.#startFailed(run, server, result.val);
+    else if (run.phase === "starting") this.#enter(run, "running");
+    else this.#enter(run, run.phase);
+    server.wake();
+  }
+
+  #startFailed(run: ActiveRun, server: ServerDriver, err: OrderError): void {
+    const { clock, log } = this.#options;
+    const { task } = run;
+    log.warn({ task: task.name, run: run.run, server: server.id, err }, "start failed");
+    if (err.kind === "unknown") {
+      this.#enter(run, run.phase === "stopping" ? "stopping" : "unconfirmed");
+      return;
+    }
+    if (err.kind === "not-done") server.health.failed(task.job.spec.id, clock.now());
+    if (err.kind === "not-done" || err.kind === "no-room")
+      server.notBefore = clock.now() + REFUSING_SERVER_PAUSE_MS;
+    task.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
+    this.#release(run, "not-started");
+  }
+
+  #ended(driver: ServerDriver, ended: EndedRun, touched: Set<Job>): void {
+    const run = this.book.ofTask(ended.task);
+    if (run?.run !== ended.run || run.server !== driver.id) {
+      this.#endedUnexpectedly(ended, touched);
+      return;
+    }
+    const { task } = run;
+    const { job } = task;
+    const { log, clock } = this.#options;
+    touched.add(job);
+    if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
+    log.debug({ task: task.name, run: run.run, server: driver.id, end: ended.end }, "run ended");
+    this.#drop(run);
+    if (ended.end === "done") {
+      driver.health.succeeded();
+      this.#done(task);
+    } else if (ended.end === "failed") {
+      driver.health.failed(job.spec.id, clock.now());
+      this.#failed(task, driver.id);
+    }
+    this.#endGang(task);
+  }
+
+  /** A run that was given up has ended as done all the same, so the task is not run again. */
+  #endedUnexpectedly(ended: EndedRun, touched: Set<Job>): void {
+    if (ended.end !== "done") return;
+    const task = this.#task(ended.task);
+    if (task === undefined || task.done || task.run < ended.run) return;
+    this.#options.log.warn({ task: task.name, run: ended.run }, "a run that was given up is done");
+    const run = this.book.ofTask(task.name);
+    if (run !== undefined) this.#stop(run);
+    touched.add(task.job);
+    this.#done(task);
+  }
+
+  #done(task: Task): void {
+    const { clock, board } = this.#options;
+    const { job } = task;
+    const tasks = task.step.spec.gang ? task.step.tasks : [task];
+    for (const member of tasks) member.done = true;
+    job.refreshState(clock.wallTime());
+    if (job.final) board.closed(job);
+  }
+
+  #failed(task: Task, server: string): void {
+    const { config, log } = this.#options;
+    const { job, step } = task;
+    const tasks = step.spec.gang ? step.tasks : [task];
+    for (const member of tasks) member.failures++;
+    task.failedOn.add(server);
+    const allowed = config.queue(job.spec.queue)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+    if (step.spec.longRunning || task.failures < allowed || job.final) return;
+    log.info({ task: task.name, failures: task.failures, allowed, server }, "task failed for good");
+    void this.end(job, "failed");
+  }
+
+  /** The other members of a gang end with it, and start again together. */
+  #endGang(task: Task): void {
+    if (!task.step.spec.gang || task.done) return;
+    for (const member of task.step.tasks) {
+      const run = this.book.ofTask(member.name);
+      if (run !== undefined) this.#stop(run);
+    }
+  }
+
+  #compare(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
+    const runs = this.book.onServer(driver.id);
+    const found = reconcile(runs, lists, askedAt);
+    for (const [run, listed] of found.present) {
+      run.percent = listed.percent;
+      run.load = listed.load;
+      if (listed.checkpoint !== "") run.task.checkpoint = listed.checkpoint;
+      if (run.phase === "unconfirmed" || run.phase === "inherited") this.#enter(run, "running");
+    }
+    for (const run of found.missing) this.#stop(run);
+    for (const { task, run } of found.unknown) this.#stopUnknown(driver, task, run);
+    // A list that is cut off may lack the ends of runs that are not listed as running.
+    if (lists.ended.length >= MAX_LISTED_ENDS) return;
+    for (const run of found.vanished) {
+      this.#options.log.info(
+        { task: run.task.name, run: run.run, phase: run.phase },
+        "run is over",
+      );
+      this.#drop(run);
+      touched.add(run.task.job);
+    }
+  }
+
+  #stopUnknown(driver: ServerDriver, task: string, run: number): void {
+    const own = this.book.ofTask(task);
+    if (own !== undefined && own.server === driver.id && own.run >= run) return;
+    this.#options.log.warn(
+      { server: driver.id, task, run },
+      "stops a run that nobody accounts for",
+    );
+    void driver.stop(task, run);
+  }
+
+  #stopAll(job: Job): void {
+    for (const task of job.tasks()) {
+      const run = this.book.ofTask(task.name);
+      if (run !== undefined) this.#stop(run);
+    }
+  }
+
+  #stop(run: ActiveRun): void {
+    if (run.phase === "recording") {
+      this.#release(run, "not-started");
+      return;
+    }
+    if (run.phase === "stopping") return;
+    run.phase = "stopping";
+    run.since = Infinity;
+    void this.#orderStop(run);
+  }
+
+  async #orderStop(run: ActiveRun): Promise<void> {
+    const { driver, clock } = this.#options;
+    await driver(run.server)?.stop(run.task.name, run.run);
+    // Only lists that are asked for from now on prove that the run is over.
+    run.since = clock.now();
+  }
+
+  #releaseAll(runs: readonly ActiveRun[], reason: ReleaseReason): void {
+    for (const run of runs) this.#release(run, reason);
+  }
+
+  /** The run is certainly not under way; the task waits again. */
+  #release(run: ActiveRun, reason: ReleaseReason): void {
+    const { log, writer, wake } = this.#options;
+    const { task, phase } = run;
+    if (reason === "rebooted" && (phase === "starting" || phase === "unconfirmed"))
+      this.#orphans.set(run.server, [...(this.#orphans.get(run.server) ?? []), run]);
+    log.debug({ task: task.name, run: run.run, server: run.server, reason }, "run released");
+    this.#drop(run);
+    this.#endGang(task);
+    void writer.save(task.job);
+    wake();
+  }
+
+  #drop(run: ActiveRun): void {
+    this.book.remove(run);
+    if (run.task.run === run.run) run.task.placement = undefined;
+    this.#options.driver(run.server)?.wake();
+  }
+
+  /** An unanswered start could still begin on the next boot of its server; a stop prevents that. */
+  async #settleOrphans(driver: ServerDriver): Promise<void> {
+    const orphans = this.#orphans.get(driver.id);
+    if (orphans === undefined) return;
+    this.#orphans.delete(driver.id);
+    await Promise.all(orphans.map(({ task, run }) => driver.stop(task.name, run)));
+  }
+
+  #enter(run: ActiveRun, phase: RunPhase): void {
+    run.phase = phase;
+    run.since = this.#options.clock.now();
+  }
+
+  #task(name: string): Task | undefined {
+    const address = parseTaskName(name);
+    if (address === undefined) return undefined;
+    const { job, occurrence, step, index } = address;
+    return this.#options.board.job(job)?.task(occurrence, step, index);
+  }
+
+  #jobsOf(ended: readonly EndedRun[]): Iterable<Job> {
+    const jobs = new Set<Job>();
+    for (const { task } of ended) {
+      const job = this.#task(task)?.job;
+      if (job !== undefined) jobs.add(job);
+    }
+    return jobs;
+  }
+}
+
+type ReleaseReason = "not-started" | "rebooted" | "gone" | "lapsed";
--- /dev/null
+++ b/src/coordination/jobs/scheduler-lock.ts
@@ -0,0 +1,157 @@
+import { decode, encode } from "cbor-x";
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type { Random } from "../../ports/random.ts";
+import type { RecordCondition, RecordStore } from "../../ports/record-store.ts";
+import { SCHEDULER_KEY } from "../../protocol/job-records.ts";
+import { fullJitterMs } from "../backoff.ts";
+
+/** Time to live of the lock. A scheduler that is gone is replaced after this time. */
+export const LOCK_TTL_MS = 2500;
+const RENEW_INTERVAL_MS = 500;
+/** Covers clock drift between this process and the store over one time to live. */
+const SAFETY_MARGIN_MS = 150;
+const RETRY = { baseMs: 50, maxMs: 400 } as const;
+/** A larger difference of both clocks since the last renewal means that the process was suspended. */
+const MAX_CLOCK_DIFFERENCE_MS = 150;
+const MAX_CANDIDACY_DELAY_MS = 40;
+
+/** Options of {@link SchedulerLock}. */
+export interface SchedulerLockOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  /** Name of this entry instance. */
+  readonly holder: string;
+}
+
+/** One tenure of the scheduler's lock. */
+export class LockTenure {
+  /** Fencing token: the revision at which the lock was created. */
+  readonly token: number;
+  readonly leaseId: number;
+  readonly #clock: Clock;
+  readonly #ended = new AbortController();
+  #renewedAt: number;
+  #renewedAtWallTime: number;
+
+  constructor(clock: Clock, token: number, leaseId: number, grantedAt: LockTime) {
+    this.#clock = clock;
+    this.token = token;
+    this.leaseId = leaseId;
+    this.#renewedAt = grantedAt.now;
+    this.#renewedAtWallTime = grantedAt.wallTime;
+  }
+
+  /** Aborts when the lock is lost or given up. */
+  get signal(): AbortSignal {
+    return this.#ended.signal;
+  }
+
+  /** Condition under which only this tenure can write. */
+  get condition(): RecordCondition {
+    return { key: SCHEDULER_KEY, revision: this.token };
+  }
+
+  /**
+   * True while nobody else can have the lock. Time is counted from before the last renewal was sent.
+   * A suspension stops the monotonic clock but not the time of day, so a difference between both
+   * asks for a renewal first.
+   */
+  get valid(): boolean {
+    if (this.#ended.signal.aborted) return false;
+    const elapsed = this.#clock.now() - this.#renewedAt;
+    const elapsedWallTime = this.#clock.wallTime() - this.#renewedAtWallTime;
+    if (elapsed > LOCK_TTL_MS - SAFETY_MARGIN_MS) return false;
+    return Math.abs(elapsedWallTime - elapsed) <= MAX_CLOCK_DIFFERENCE_MS;
+  }
+
+  /** Takes note of a renewal that was sent at the given time. */
+  renewed(sentAt: LockTime): void {
+    this.#renewedAt = sentAt.now;
+    this.#renewedAtWallTime = sentAt.wallTime;
+  }
+
+  end(): void {
+    this.#ended.abort();
+  }
+}
+
+/** The same instant on both clocks, in milliseconds. */
+export interface LockTime {
+  readonly now: number;
+  readonly wallTime: number;
+}
+
+/** The lock that makes one entry instance the scheduler. It lies in the store under a lease. */
+export class SchedulerLock {
+  readonly #options: SchedulerLockOptions;
+
+  constructor(options: SchedulerLockOptions) {
+    this.#options = options;
+  }
+
+  /** Tries to take the lock once; undefined if another instance has it or the store fails. */
+  async acquire(): Promise<LockTenure | undefined> {
+    const { store, clock, random, log, holder } = this.#options;
+    await clock.sleep(random.next() * MAX_CANDIDACY_DELAY_MS);
+    const grantedAt = this.#time();
+    const lease = await store.grantLease(LOCK_TTL_MS);
+    if (lease.err) return undefined;
+    const nonce = random.hex(8);
+    const value = encode({ holder, nonce });
+    const condition = { key: SCHEDULER_KEY, revision: 0 };
+    const put = { key: SCHEDULER_KEY, value, lease: lease.val.id };
+    const written = await store.commit({ conditions: [condition], puts: [put] });
+    let token = written.ok ? written.val : undefined;
+    if (written.err && written.val.kind === "unknown") token = await this.#readBack(nonce);
+    if (token === undefined) {
+      void store.endLease(lease.val.id);
+      return undefined;
+    }
+    log.info({ token, holder }, "scheduler lock acquired");
+    return new LockTenure(clock, token, lease.val.id, grantedAt);
+  }
+
+  /** Renews the lock until it is lost. */
+  async keep(tenure: LockTenure): Promise<void> {
+    const { store, clock, random, log } = this.#options;
+    let failures = 0;
+    while (!tenure.signal.aborted) {
+      const sentAt = this.#time();
+      const kept = await store.keepLease(tenure.leaseId);
+      if (kept.ok) {
+        tenure.renewed(sentAt);
+        failures = 0;
+        await clock.sleep(RENEW_INTERVAL_MS, tenure.signal);
+      } else if (kept.val.kind === "lease-ended") {
+        log.warn({ token: tenure.token }, "scheduler lock lost");
+        tenure.end();
+      } else {
+        if (failures === 0) log.warn({ err: kept.val }, "scheduler lock not renewed");
+        await clock.sleep(fullJitterMs(random, failures++, RETRY), tenure.signal);
+      }
+    }
+  }
+
+  /** Gives the lock up, so that another instance can take it at once. */
+  async release(tenure: LockTenure): Promise<void> {
+    tenure.end();
+    const ended = await this.#options.store.endLease(tenure.leaseId);
+    this.#options.log.info({ token: tenure.token, ended: ended.ok }, "scheduler lock released");
+  }
+
+  /** Token of a lock whose writing was not answered; undefined if it is not this one's. */
+  async #readBack(nonce: string): Promise<number | undefined> {
+    const record = await this.#options.store.get(SCHEDULER_KEY);
+    if (record.err || record.val === undefined) return undefined;
+    const lock = decode(record.val.value) as { readonly nonce?: unknown } | null;
+    return lock?.nonce === nonce ? record.val.revision : undefined;
+  }
+
+  #time(): LockTime {
+    const { clock } = this.#options;
+    return { now: clock.now(), wallTime: clock.wallTime() };
+  }
+}
--- /dev/null
+++ b/src/coordination/jobs/scheduler.ts
@@ -0,0 +1,155 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { JobBackendConnector } from "../../ports/job-backend.ts";
+import type { Log } from "../../ports/log.ts";
+import type { Random } from "../../ports/random.ts";
+import type { RecordStore } from "../../ports/record-store.ts";
+import type { RegisteredServer } from "../../protocol/fleet-config.ts";
+import { JOBS_PREFIX, PROGRESS_PREFIX } from "../../protocol/job-records.ts";
+import type { Job } from "../../state/jobs/job.ts";
+import type { Counters } from "../ports.ts";
+import type { FleetConfigView } from "./config-view.ts";
+import { FleetDrivers } from "./fleet-drivers.ts";
+import { JobBoard } from "./job-board.ts";
+import type { ServerRegistry } from "./job-feeds.ts";
+import { PlacementRound } from "./placement-round.ts";
+import { ProgressWriter } from "./progress-writer.ts";
+import { RecordFollower } from "./record-follower.ts";
+import { RunTracker } from "./run-tracker.ts";
+import type { LockTenure } from "./scheduler-lock.ts";
+import { ServerDriver } from "./server-driver.ts";
+
+/** Changes within this time in ms share a round of placements. */
+const ROUND_DELAY_MS = 3;
+/** Rounds that no change asks for, in ms: pauses end and scheduled occurrences fall due. */
+const TICK_MS = 100;
+const READ_RETRY_MS = 100;
+
+/** Options of {@link Scheduler}. */
+export interface SchedulerOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly tenure: LockTenure;
+  readonly config: FleetConfigView;
+  readonly registry: ServerRegistry;
+  readonly connector: JobBackendConnector;
+  /** Time to live of the lease given to backend servers, in milliseconds. */
+  readonly leaseTtlMs: number;
+}
+
+/**
+ * Schedules all jobs during one tenure of the lock. Everything is built anew from the store and the
+ * backend servers at the beginning of a tenure, and dropped at its end.
+ */
+export class Scheduler {
+  readonly board: JobBoard;
+  readonly drivers: FleetDrivers;
+  readonly tracker: RunTracker;
+  readonly writer: ProgressWriter;
+  readonly #options: SchedulerOptions;
+  readonly #takenOverAt: number;
+  #roundDue = false;
+
+  constructor(options: SchedulerOptions) {
+    this.#options = options;
+    const { log, clock, leaseTtlMs, config, tenure } = options;
+    this.#takenOverAt = clock.now();
+    const wake = (): void => {
+      this.#wake();
+    };
+    this.writer = new ProgressWriter(options);
+    this.board = new JobBoard(log, {
+      added: (job) => {
+        this.#added(job);
+      },
+      cancelled: (job) => void this.tracker.end(job, "cancelled"),
+    });
+    this.tracker = new RunTracker({
+      ...{ clock, log, tenure, board: this.board, writer: this.writer, config, wake, leaseTtlMs },
+      driver: (server) => this.drivers.get(server),
+    });
+    this.drivers = new FleetDrivers({
+      open: (registration) => this.#open(registration),
+      rebooted: (server, bootedAt) => {
+        this.tracker.rebooted(server, bootedAt);
+      },
+      wake,
+    });
+  }
+
+  /** Schedules until the lock is lost or given up. */
+  async run(): Promise<void> {
+    const { clock, registry, tenure, log, config, store, random } = this.#options;
+    const { signal } = tenure;
+    if (!(await this.#readProgress())) return;
+    const jobs = { store, clock, random, log, prefix: JOBS_PREFIX, listener: this.board };
+    const following = [registry.follow(this.drivers, signal), new RecordFollower(jobs).run(signal)];
+    const stopListening = config.onChange(() => {
+      this.#wake();
+    });
+    while (!signal.aborted) {
+      await clock.sleep(TICK_MS, signal);
+      this.tracker.releaseUnreachable(this.#takenOverAt);
+      this.drivers.prune((server) => this.tracker.hasRuns(server));
+      this.#wake();
+    }
+    stopListening();
+    this.drivers.close();
+    await Promise.all(following);
+    log.info({ token: tenure.token }, "scheduling ended");
+  }
+
+  /** Reads stored progress before any job, so that no job looks new that is not. */
+  async #readProgress(): Promise<boolean> {
+    const { store, clock, tenure, log, counters } = this.#options;
+    while (!tenure.signal.aborted) {
+      const range = await store.range(PROGRESS_PREFIX);
+      if (range.ok) {
+        this.board.takeProgress(range.val.records);
+        const durationMs = Math.round(clock.now() - this.#takenOverAt);
+        counters.duration("takeover_read", durationMs);
+        log.info({ jobs: range.val.records.length, durationMs }, "progress read at takeover");
+        return true;
+      }
+      await clock.sleep(READ_RETRY_MS, tenure.signal);
+    }
+    return false;
+  }
+
+  #added(job: Job): void {
+    this.tracker.inherit(job);
+    this.#wake();
+  }
+
+  #open(registration: RegisteredServer): ServerDriver {
+    const { clock, log, tenure, connector, leaseTtlMs } = this.#options;
+    return new ServerDriver({
+      ...{ clock, log, tenure, registration, leaseTtlMs, listener: this.tracker },
+      backend: connector.connect(registration.address, registration.id),
+      takenOverAt: this.#takenOverAt,
+    });
+  }
+
+  #wake(): void {
+    if (this.#roundDue || this.#options.tenure.signal.aborted) return;
+    this.#roundDue = true;
+    this.#options.clock.schedule(ROUND_DELAY_MS, () => {
+      this.#roundDue = false;
+      this.#round();
+    });
+  }
+
+  #round(): void {
+    const { clock, config, tenure } = this.#options;
+    // Placements that can't be recorded must not be made.
+    if (!tenure.valid || this.writer.stalled) return;
+    if (!this.board.loaded || !this.drivers.loaded || config.current === undefined) return;
+    const round = new PlacementRound({
+      ...{ clock, config, book: this.tracker.book, drivers: this.drivers.all() },
+      place: (task, driver) => this.tracker.place(task, driver),
+    });
+    for (const [job, runs] of round.run(this.board.open)) void this.tracker.launch(job, runs);
+  }
+}
--- /dev/null
+++ b/src/protocol/job-records.ts
@@ -0,0 +1,199 @@
+/** Records of jobs in the store: keys, contents and their encoding. */
+import { decode, encode } from "cbor-x";
+import * as v from "valibot";
+import { FINAL_STATES, type JobSpec, type JobState } from "./job-spec.ts";
+
+/** Every key of the product lies under this prefix. */
+const ROOT = "teaselspool/";
+/** Jobs and cancel marks, written by the entry instances that accept them. */
+export const JOBS_PREFIX = `${ROOT}job/`;
+/** Progress of jobs, written by the scheduler. */
+export const PROGRESS_PREFIX = `${ROOT}progress/`;
+/** Sessions of entry instances and the scheduler's lock. */
+export const ENTRIES_PREFIX = `${ROOT}entry/`;
+/** Number of jobs without a started task, per queue. */
+export const PENDING_KEY = `${ROOT}pending`;
+/** Lock of the scheduler. Its creation revision is the fencing token. */
+export const SCHEDULER_KEY = `${ENTRIES_PREFIX}scheduler`;
+/** Sessions under {@link ENTRIES_PREFIX}. */
+export const SESSIONS_PREFIX = `${ENTRIES_PREFIX}session/`;
+
+const CANCEL_SUFFIX = "/cancel";
+
+/** Key of an accepted job. */
+export function jobKey(id: string): string {
+  return `${JOBS_PREFIX}${id}`;
+}
+
+/** Key of the mark that cancels a job. */
+export function cancelKey(id: string): string {
+  return `${JOBS_PREFIX}${id}${CANCEL_SUFFIX}`;
+}
+
+/** Key of a job's progress. */
+export function progressKey(id: string): string {
+  return `${PROGRESS_PREFIX}${id}`;
+}
+
+/** Job id of a progress key. */
+export function progressId(key: string): string {
+  return key.slice(PROGRESS_PREFIX.length);
+}
+
+/** What a key under {@link JOBS_PREFIX} holds. */
+export interface JobKey {
+  readonly id: string;
+  readonly kind: "job" | "cancel";
+}
+
+/** Reads a key under {@link JOBS_PREFIX}. */
+export function parseJobKey(key: string): JobKey {
+  const rest = key.slice(JOBS_PREFIX.length);
+  return rest.endsWith(CANCEL_SUFFIX)
+    ? { id: rest.slice(0, -CANCEL_SUFFIX.length), kind: "cancel" }
+    : { id: rest, kind: "job" };
+}
+
+/** Where a task was started last. Recorded before the start, so that no other start is missed. */
+export interface PlacementRecord {
+  readonly server: string;
+  /** Boot of the backend server, as Unix time in ms. */
+  readonly bootedAt: number;
+}
+
+/** Recorded progress of one task. Tasks that never started have none. */
+export interface TaskRecord {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+  /** Highest run that was ordered; higher ones never were. */
+  readonly run: number;
+  readonly done: boolean;
+  readonly failures: number;
+  readonly checkpoint: string;
+  /** Undefined if no run of the task can be under way. */
+  readonly placement: PlacementRecord | undefined;
+}
+
+/** Recorded progress of a job. */
+export interface ProgressRecord {
+  readonly state: JobState;
+  readonly tasks: readonly TaskRecord[];
+  /** Unix time in ms at which the job reached a final state; 0 before. */
+  readonly endedAtMs: number;
+}
+
+/** A live entry instance. */
+export interface SessionRecord {
+  readonly name: string;
+  /** Address for peers, `IP:PORT`. */
+  readonly peerAddress: string;
+  readonly zone: string;
+}
+
+/** Jobs without a started task, per queue. */
+export interface PendingRecord {
+  readonly pending: Readonly<Record<string, number>>;
+}
+
+const JobSpecSchema = v.custom<JobSpec>(
+  (value) => isRecord(value) && typeof value.id === "string" && Array.isArray(value.steps),
+);
+const ProgressSchema = v.object({
+  state: v.picklist(["queued", "running", ...FINAL_STATES] as const),
+  endedAtMs: v.number(),
+  tasks: v.array(
+    v.tuple([
+      v.number(),
+      v.number(),
+      v.number(),
+      v.number(),
+      v.boolean(),
+      v.number(),
+      v.string(),
+      v.nullable(v.string()),
+      v.number(),
+    ]),
+  ),
+});
+const SessionSchema = v.object({ name: v.string(), peerAddress: v.string(), zone: v.string() });
+const PendingSchema = v.object({ pending: v.record(v.string(), v.number()) });
+
+/** Encodes a job. */
+export function encodeJob(job: JobSpec): Uint8Array {
+  return encode(job);
+}
+
+/** Decodes a job; undefined if the bytes are none. */
+export function decodeJob(bytes: Uint8Array): JobSpec | undefined {
+  return decodeWith(JobSpecSchema, bytes);
+}
+
+/** Encodes a job's progress. Tasks are rows, because wide jobs have hundreds of them. */
+export function encodeProgress({ state, endedAtMs, tasks }: ProgressRecord): Uint8Array {
+  const rows = tasks.map((task) => [
+    task.occurrence,
+    task.step,
+    task.index,
+    task.run,
+    task.done,
+    task.failures,
+    task.checkpoint,
+    task.placement?.server ?? null,
+    task.placement?.bootedAt ?? 0,
+  ]);
+  return encode({ state, endedAtMs, tasks: rows });
+}
+
+/** Decodes a job's progress; undefined if the bytes are none. */
+export function decodeProgress(bytes: Uint8Array): ProgressRecord | undefined {
+  const stored = decodeWith(ProgressSchema, bytes);
+  if (stored === undefined) return undefined;
+  const tasks = stored.tasks.map(
+    ([occurrence, step, index, run, done, failures, checkpoint, server, bootedAt]): TaskRecord => ({
+      occurrence,
+      step,
+      index,
+      run,
+      done,
+      failures,
+      checkpoint,
+      placement: server === null ? undefined : { server, bootedAt },
+    }),
+  );
+  return { state: stored.state, endedAtMs: stored.endedAtMs, tasks };
+}
+
+/** Encodes a session. */
+export function encodeSession(session: SessionRecord): Uint8Array {
+  return encode(session);
+}
+
+/** Decodes a session; undefined if the bytes are none. */
+export function decodeSession(bytes: Uint8Array): SessionRecord | undefined {
+  return decodeWith(SessionSchema, bytes);
+}
+
+/** Encodes the numbers of pending jobs. */
+export function encodePending(record: PendingRecord): Uint8Array {
+  return encode(record);
+}
+
+/** Decodes the numbers of pending jobs; undefined if the bytes are none. */
+export function decodePending(bytes: Uint8Array): PendingRecord | undefined {
+  return decodeWith(PendingSchema, bytes);
+}
+
+function decodeWith<T>(schema: v.GenericSchema<unknown, T>, bytes: Uint8Array): T | undefined {
+  try {
+    const parsed = v.safeParse(schema, decode(bytes));
+    return parsed.success ? parsed.output : undefined;
+  } catch {
+    // Bytes that are no CBOR; the reader logs the key.
+    return undefined;
+  }
+}
+
+function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === "object" && value !== null;
+}
--- /dev/null
+++ b/src/state/jobs/job.ts
@@ -0,0 +1,188 @@
+import type { PlacementRecord, ProgressRecord, TaskRecord } from "../../protocol/job-records.ts";
+import {
+  FINAL_STATES,
+  formatTaskName,
+  type JobSpec,
+  type JobState,
+  type StepSpec,
+} from "../../protocol/job-spec.ts";
+
+/** One task of one occurrence of a job. */
+export class Task {
+  readonly step: StepRun;
+  readonly index: number;
+  readonly name: string;
+  /** Highest run that was ordered. */
+  run = 0;
+  done = false;
+  failures = 0;
+  checkpoint = "";
+  /** Where a run may be under way; undefined if none can be. */
+  placement: PlacementRecord | undefined;
+  /** Monotonic time in ms before which the task is not started again. */
+  notBefore = 0;
+  /** Backend servers on which a run of this task failed. */
+  readonly failedOn = new Set<string>();
+
+  constructor(step: StepRun, index: number) {
+    this.step = step;
+    this.index = index;
+    const { job, occurrence, position } = step;
+    this.name = formatTaskName({ job: job.spec.id, occurrence, step: position, index });
+  }
+
+  get job(): Job {
+    return this.step.job;
+  }
+
+  /** True if the task is to be started once its step is ready. */
+  get waiting(): boolean {
+    return !this.done && this.placement === undefined;
+  }
+}
+
+/** One occurrence of a step. */
+export class StepRun {
+  readonly job: Job;
+  readonly occurrence: number;
+  readonly position: number;
+  readonly spec: StepSpec;
+  readonly tasks: readonly Task[];
+
+  constructor(job: Job, occurrence: number, position: number, spec: StepSpec) {
+    this.job = job;
+    this.occurrence = occurrence;
+    this.position = position;
+    this.spec = spec;
+    this.tasks = Array.from({ length: spec.tasks }, (_, index) => new Task(this, index));
+  }
+
+  get done(): boolean {
+    return this.tasks.every((task) => task.done);
+  }
+}
+
+/** One occurrence of all steps of a job. */
+export interface Occurrence {
+  readonly number: number;
+  /** Unix time in ms at which it may begin. */
+  readonly releasedAtMs: number;
+  readonly steps: readonly StepRun[];
+}
+
+/** A job and its progress, as the scheduler knows it. */
+export class Job {
+  readonly spec: JobSpec;
+  state: JobState = "queued";
+  endedAtMs = 0;
+  /** Revision of the stored progress; 0 if there is none. */
+  revision = 0;
+  readonly occurrences: Occurrence[] = [];
+
+  constructor(spec: JobSpec) {
+    this.spec = spec;
+    if (spec.schedule === undefined) this.#addOccurrence(0, spec.acceptedAtMs);
+  }
+
+  get final(): boolean {
+    return FINAL_STATES.includes(this.state);
+  }
+
+  /** Adds the occurrences that are due at the given Unix time in ms. */
+  release(wallTimeMs: number): void {
+    const { schedule } = this.spec;
+    if (schedule === undefined || this.final) return;
+    while (this.occurrences.length < schedule.occurrences) {
+      const dueAt = schedule.firstAtMs + this.occurrences.length * schedule.intervalMs;
+      if (dueAt > wallTimeMs) return;
+      this.#addOccurrence(this.occurrences.length, dueAt);
+    }
+  }
+
+  /** Unix time in ms at which the next occurrence is due; undefined if none is left. */
+  nextRelease(): number | undefined {
+    const { schedule } = this.spec;
+    if (schedule === undefined || this.occurrences.length >= schedule.occurrences) return undefined;
+    return schedule.firstAtMs + this.occurrences.length * schedule.intervalMs;
+  }
+
+  /** Steps that have waiting tasks and whose earlier steps are all done. */
+  *readySteps(): Iterable<StepRun> {
+    if (this.final) return;
+    for (const { steps } of this.occurrences) {
+      for (const step of steps) {
+        if (!step.tasks.some((task) => task.waiting)) continue;
+        if (step.spec.after.every((position) => steps[position]?.done === true)) yield step;
+      }
+    }
+  }
+
+  /** Every task of the occurrences that are due. */
+  *tasks(): Iterable<Task> {
+    for (const { steps } of this.occurrences) {
+      for (const { tasks } of steps) yield* tasks;
+    }
+  }
+
+  task(occurrence: number, step: number, index: number): Task | undefined {
+    return this.occurrences[occurrence]?.steps[step]?.tasks[index];
+  }
+
+  /** True if no task was ever started. */
+  get untouched(): boolean {
+    for (const task of this.tasks()) if (task.run > 0) return false;
+    return true;
+  }
+
+  /** Sets the state that follows from the tasks. */
+  refreshState(wallTimeMs: number): void {
+    if (this.final) return;
+    const { schedule } = this.spec;
+    const all = this.occurrences.length === (schedule?.occurrences ?? 1);
+    const done = all && this.occurrences.every(({ steps }) => steps.every((step) => step.done));
+    if (done) this.finish("completed", wallTimeMs);
+    else this.state = this.untouched ? "queued" : "running";
+  }
+
+  /** Ends the job. */
+  finish(state: JobState, wallTimeMs: number): void {
+    this.state = state;
+    this.endedAtMs = wallTimeMs;
+  }
+
+  /** What is stored of the progress. */
+  record(): ProgressRecord {
+    const tasks: TaskRecord[] = [];
+    for (const task of this.tasks()) {
+      if (task.run === 0 && !task.done) continue;
+      const { run, done, failures, checkpoint, placement, index, step } = task;
+      const { occurrence, position } = step;
+      tasks.push({ occurrence, step: position, index, run, done, failures, checkpoint, placement });
+    }
+    return { state: this.state, tasks, endedAtMs: this.endedAtMs };
+  }
+
+  /** Takes over stored progress. */
+  restore(record: ProgressRecord, revision: number): void {
+    this.revision = revision;
+    this.endedAtMs = record.endedAtMs;
+    for (const stored of record.tasks) {
+      while (this.occurrences.length <= stored.occurrence) {
+        const { schedule } = this.spec;
+        const number = this.occurrences.length;
+        const dueAt = (schedule?.firstAtMs ?? 0) + number * (schedule?.intervalMs ?? 0);
+        this.#addOccurrence(number, dueAt);
+      }
+      const task = this.task(stored.occurrence, stored.step, stored.index);
+      if (task === undefined) continue;
+      const { run, done, failures, checkpoint, placement } = stored;
+      Object.assign(task, { run, done, failures, checkpoint, placement });
+    }
+    this.state = record.state;
+  }
+
+  #addOccurrence(number: number, releasedAtMs: number): void {
+    const steps = this.spec.steps.map((spec, index) => new StepRun(this, number, index, spec));
+    this.occurrences.push({ number, releasedAtMs, steps });
+  }
+}
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -31,6 +31,8 @@
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly path: string;
   readonly json?: unknown;
+  /** Further request headers. */
+  readonly headers?: Readonly<Record<string, string>>;
   /** Version of a body that the caller has; the reply then is 304 if it is the newest. */
   readonly ifNoneMatch?: string | undefined;
   /** Time for everything, including the wait for a free connection, in milliseconds. */
@@ -42,6 +44,8 @@
   readonly clock: Clock;
   /** Most connections to one origin. */
   readonly connections: number;
+  /** Time for which an idle connection is kept, in milliseconds. @default 4000 */
+  readonly keepAliveMs?: number;
 }
 
 /** JSON over HTTP with kept connections, which tells whether a failed request was sent. */
@@ -49,13 +53,14 @@
   readonly #clock: Clock;
   readonly #agent: Agent;
 
-  constructor({ clock, connections }: HttpClientOptions) {
+  constructor({ clock, connections, keepAliveMs = KEEP_ALIVE_MS }: HttpClientOptions) {
     this.#clock = clock;
     this.#agent = new Agent({
       connections,
       pipelining: 1,
       connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveTimeout: keepAliveMs,
+      keepAliveMaxTimeout: keepAliveMs,
       // Time-outs are by the clock of the caller.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -68,6 +73,7 @@
     method,
     path,
     json,
+    headers: further = {},
     ifNoneMatch,
     timeoutMs,
   }: HttpCall): Promise<Result<HttpReply, HttpFailure>> {
@@ -75,6 +81,7 @@
       const exchange = new Exchange(this.#clock, timeoutMs, resolve);
       const body = json === undefined ? null : JSON.stringify(json);
       const headers = {
+        ...further,
         ...(body === null ? {} : { "content-type": "application/json" }),
         ...(ifNoneMatch === undefined ? {} : { "if-none-match": ifNoneMatch }),
       };
