fix(scheduler): take no lists of backend servers before all jobs are read

Cause: at a takeover the registered servers and the jobs were read at the same time; lists that came first held runs of jobs not read yet, which were stopped as unknown and started again. Ruled out: missing progress records (55 were read). Change: servers are followed once the jobs are loaded.

--- a/src/coordination/jobs/job-board.ts
+++ b/src/coordination/jobs/job-board.ts
@@ -8,6 +8,7 @@
   type ProgressRecord,
 } from "../../protocol/job-records.ts";
 import { Job } from "../../state/jobs/job.ts";
+import { Deferred } from "../wait.ts";
 import { RecordListener } from "./record-follower.ts";
 
 /** What the scheduler does with jobs as they come. */
@@ -30,6 +31,7 @@
   readonly #cancelled = new Set<string>();
   #progress = new Map<string, StoredProgress>();
   #loaded = false;
+  readonly #whenLoaded = new Deferred<void>();
 
   constructor(log: Log, handlers: BoardHandlers) {
     super();
@@ -42,6 +44,14 @@
     return this.#loaded;
   }
 
+  /** Resolves once the stored jobs were read, or the signal aborts. */
+  whenLoaded(signal: AbortSignal): Promise<void> {
+    signal.addEventListener("abort", () => {
+      this.#whenLoaded.resolve();
+    });
+    return this.#whenLoaded.promise;
+  }
+
   /** Jobs that are not in a final state. */
   get open(): ReadonlySet<Job> {
     return this.#open;
@@ -68,6 +78,7 @@
   reset(records: readonly StoredRecord[]): void {
     for (const record of records) this.#written(record);
     this.#loaded = true;
+    this.#whenLoaded.resolve();
   }
 
   change(event: RecordEvent): void {
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -7,6 +7,7 @@
 import { ENTRIES_PREFIX } from "../../protocol/job-records.ts";
 import type { Counters } from "../ports.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
+import { InstanceView } from "./instance-view.ts";
 import { FleetConfigView } from "./config-view.ts";
 import { EntryView } from "./entry-view.ts";
 import type { OperatorFeed, ServerRegistry } from "./job-feeds.ts";
@@ -138,7 +139,7 @@
       }).run(),
       new MaintenanceRunner({
         ...{ ...this.#options, holder: this.#options.name },
-        ...{ tenure, config: this.config, scheduler },
+        ...{ tenure, config: this.config, scheduler, view: new InstanceView(this.#options) },
       }).run(),
     ]);
     this.#tenure = undefined;
--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -1,44 +1,243 @@
 import type { Clock } from "../../ports/clock.ts";
-import type { ControlledInstance, InstanceControl } from "../../ports/instance-control.ts";
+import type {
+  ControlError,
+  ControlledInstance,
+  InstanceControl,
+} from "../../ports/instance-control.ts";
 import type { Log } from "../../ports/log.ts";
+import type { RecordStore } from "../../ports/record-store.ts";
 import type { WaveRequest } from "../../protocol/fleet-config.ts";
+import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../protocol/job-records.ts";
+import { mayInterrupt } from "../../state/jobs/availability.ts";
+import type { ActiveRun } from "../../state/jobs/run-book.ts";
+import { chooseReservations, type WaveInstance } from "../../state/jobs/wave-plan.ts";
 import type { FleetConfigView } from "./config-view.ts";
+import type { InstanceView } from "./instance-view.ts";
 import type { OperatorFeed } from "./job-feeds.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import type { ServerDriver } from "./server-driver.ts";
 
-const INTERVAL_MS = 500;
+const INTERVAL_MS = 300;
+/** Time in ms for which a reserved instance may finish its short tasks. */
+const DRAIN_PATIENCE_MS = 3000;
+/** Lists that lack an instance before it is taken as removed; lists lag. */
+const LISTS_WITHOUT_INSTANCE = 8;
 
 /** Options of {@link MaintenanceRunner}. */
 export interface MaintenanceRunnerOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly store: RecordStore;
   readonly tenure: LockTenure;
   readonly config: FleetConfigView;
   readonly operators: OperatorFeed;
   readonly instances: InstanceControl;
+  readonly view: InstanceView;
   readonly scheduler: Scheduler;
   /** Name of this entry instance, given with each order. */
   readonly holder: string;
 }
 
-/** Brings the instances of maintenance waves through their maintenance. */
+interface Underway {
+  /** Server that ran on the instance when its maintenance was ordered. */
+  readonly server: string | undefined;
+}
+
+interface WaveProgress {
+  readonly request: WaveRequest;
+  /** Instances whose maintenance was accepted by the platform. */
+  readonly done: Set<string>;
+  readonly underway: Map<string, Underway>;
+  readonly reservedSince: Map<string, number>;
+  readonly missing: Map<string, number>;
+  reported: "nothing" | "running" | "completed";
+}
+
+/** Brings the instances of maintenance waves through their maintenance, within every budget. */
 export class MaintenanceRunner {
   readonly #options: MaintenanceRunnerOptions;
+  readonly #waves = new Map<number, WaveProgress>();
 
   constructor(options: MaintenanceRunnerOptions) {
     this.#options = options;
   }
 
+  /** Works on waves until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure } = this.#options;
+    const { clock, tenure, config } = this.#options;
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
-      await this.#pass(this.#options.config.waves);
+      for (const request of config.waves) {
+        if (!tenure.valid) break;
+        const wave = await this.#progress(request);
+        if (wave !== undefined && wave.reported !== "completed") await this.#advance(wave);
+      }
     }
   }
 
-  #pass(_waves: readonly WaveRequest[]): Promise<readonly ControlledInstance[]> {
-    return Promise.resolve([]);
+  /** Progress of a wave, read from the store at first; undefined if it can't be read. */
+  async #progress(request: WaveRequest): Promise<WaveProgress | undefined> {
+    const known = this.#waves.get(request.wave);
+    if (known !== undefined) return known;
+    const record = await this.#options.store.get(waveKey(request.wave));
+    if (record.err) return undefined;
+    const stored = record.val === undefined ? undefined : decodeWaveRecord(record.val.value);
+    const wave: WaveProgress = {
+      request,
+      done: new Set(stored?.maintained),
+      underway: new Map(),
+      reservedSince: new Map(),
+      missing: new Map(),
+      reported: stored?.completed === true ? "completed" : "nothing",
+    };
+    this.#waves.set(request.wave, wave);
+    return wave;
+  }
+
+  async #advance(wave: WaveProgress): Promise<void> {
+    const { view, operators } = this.#options;
+    const instances = await view.read();
+    if (instances === undefined) return;
+    if (wave.reported === "nothing" && (await operators.reportWave(wave.request.wave, "running")))
+      wave.reported = "running";
+    this.#noteReturns(wave, instances);
+    const open = this.#open(wave, instances);
+    this.#reserve(wave, instances, open);
+    await Promise.all(open.map((candidate) => this.#maintain(wave, candidate)));
+    const left = wave.request.instances.filter((name) => !this.#settled(wave, name));
+    if (left.length === 0 && wave.underway.size === 0) await this.#complete(wave);
+  }
+
+  #settled({ done, missing }: WaveProgress, name: string): boolean {
+    return done.has(name) || (missing.get(name) ?? 0) >= LISTS_WITHOUT_INSTANCE;
+  }
+
+  /** An instance is back when it is up with another server than before. */
+  #noteReturns(wave: WaveProgress, instances: readonly ControlledInstance[]): void {
+    const listed = new Map(instances.map((instance) => [instance.name, instance]));
+    for (const [name, { server }] of wave.underway) {
+      const instance = listed.get(name);
+      if (instance?.state === "up" && instance.server !== server) wave.underway.delete(name);
+    }
+    for (const name of wave.request.instances) {
+      const absent = listed.has(name) ? 0 : (wave.missing.get(name) ?? 0) + 1;
+      wave.missing.set(name, absent);
+    }
+    // Orders of a former scheduler: an instance that is down for maintenance takes a place.
+    for (const { name, state } of instances) {
+      if (state !== "upkeep" || wave.underway.has(name)) continue;
+      if (wave.request.instances.includes(name)) wave.underway.set(name, { server: undefined });
+    }
+  }
+
+  #open(wave: WaveProgress, instances: readonly ControlledInstance[]): readonly WaveInstance[] {
+    const wanted = new Set(wave.request.instances);
+    return instances
+      .filter(({ name }) => wanted.has(name) && !wave.done.has(name) && !wave.underway.has(name))
+      .map((instance) => {
+        const runs = this.#runs(instance);
+        const longTasks = runs.filter((run) => run.task.step.spec.longRunning).length;
+        const reserved = wave.reservedSince.has(instance.name);
+        return { instance, reserved, longTasks, shortTasks: runs.length - longTasks };
+      });
+  }
+
+  #reserve(
+    wave: WaveProgress,
+    instances: readonly ControlledInstance[],
+    open: readonly WaveInstance[],
+  ): void {
+    const { clock, log } = this.#options;
+    const poolSizes = new Map<string, number>();
+    for (const { pool, state } of instances)
+      if (state === "up") poolSizes.set(pool, (poolSizes.get(pool) ?? 0) + 1);
+    const underway = instances.filter(({ name }) => wave.underway.has(name));
+    const { request } = wave;
+    for (const instance of chooseReservations({ request, open, underway, poolSizes })) {
+      log.info(
+        { wave: request.wave, instance: instance.name, pool: instance.pool },
+        "drains for maintenance",
+      );
+      wave.reservedSince.set(instance.name, clock.now());
+    }
+    for (const { instance } of open) {
+      const driver = this.#driver(instance);
+      if (driver !== undefined && wave.reservedSince.has(instance.name)) driver.reserved = true;
+    }
+  }
+
+  async #maintain(wave: WaveProgress, { instance, shortTasks }: WaveInstance): Promise<void> {
+    const { clock, log, instances, tenure, holder } = this.#options;
+    const since = wave.reservedSince.get(instance.name);
+    if (since === undefined || instance.state !== "up") return;
+    if (wave.underway.size >= wave.request.maxAtOnce) return;
+    if (shortTasks > 0 && clock.now() - since < DRAIN_PATIENCE_MS) return;
+    if (!mayInterrupt(this.#runs(instance), this.#options.scheduler.tracker.book)) return;
+    wave.underway.set(instance.name, { server: instance.server });
+    const driver = this.#driver(instance);
+    // The budget is checked for all instances in turn, so what ends here counts as away at once.
+    const runs = this.#runs(instance);
+    for (const run of runs) run.percent = 0;
+    const order = { instance: instance.name, holder, token: tenure.token };
+    const result = await instances.maintain(order, wave.request.wave);
+    const { wave: number } = wave.request;
+    log.info(
+      { wave: number, instance: instance.name, runs: runs.length, ok: result.ok },
+      "maintenance ordered",
+    );
+    if (result.err) this.#refused(wave, instance, result.val);
+    else await this.#accepted(wave, instance, driver);
+  }
+
+  #refused(wave: WaveProgress, { name }: ControlledInstance, err: ControlError): void {
+    const { log, tenure } = this.#options;
+    log.warn({ wave: wave.request.wave, instance: name, err }, "maintenance refused");
+    if (err.kind === "fenced") tenure.end();
+    // An order without an answer is repeated; it has no further effect if it was carried out.
+    wave.underway.delete(name);
+    if (err.kind === "not-in-wave" || err.kind === "invalid") wave.done.add(name);
+  }
+
+  async #accepted(
+    wave: WaveProgress,
+    { name }: ControlledInstance,
+    driver: ServerDriver | undefined,
+  ): Promise<void> {
+    const { store, tenure, scheduler } = this.#options;
+    wave.done.add(name);
+    wave.reservedSince.delete(name);
+    if (driver !== undefined) scheduler.tracker.runsGone(driver, "gone");
+    await this.#record(wave, false, store, tenure);
+  }
+
+  async #complete(wave: WaveProgress): Promise<void> {
+    const { operators, store, tenure, log } = this.#options;
+    if (!(await operators.reportWave(wave.request.wave, "completed"))) return;
+    wave.reported = "completed";
+    log.info({ wave: wave.request.wave, instances: wave.done.size }, "wave completed");
+    await this.#record(wave, true, store, tenure);
+  }
+
+  /** A record that is not written costs a repeated order after a takeover, nothing else. */
+  async #record(
+    wave: WaveProgress,
+    completed: boolean,
+    store: RecordStore,
+    tenure: LockTenure,
+  ): Promise<void> {
+    const value = encodeWaveRecord({ maintained: [...wave.done], completed });
+    const put = { key: waveKey(wave.request.wave), value };
+    const result = await store.commit({ conditions: [tenure.condition], puts: [put] });
+    if (result.err)
+      this.#options.log.warn({ wave: wave.request.wave, err: result.val }, "wave not recorded");
+  }
+
+  #driver({ server }: ControlledInstance): ServerDriver | undefined {
+    return server === undefined ? undefined : this.#options.scheduler.drivers.get(server);
+  }
+
+  #runs({ server }: ControlledInstance): readonly ActiveRun[] {
+    return server === undefined ? [] : this.#options.scheduler.tracker.book.onServer(server);
   }
 }
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -97,7 +97,7 @@
     }
     stopListening();
     this.drivers.close();
-    await Promise.all(following);
+    await Promise.all([followingJobs, followingServers]);
     log.info({ token: tenure.token }, "scheduling ended");
   }
 
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -40,6 +40,11 @@
   return key.slice(PROGRESS_PREFIX.length);
 }
 
+/** Key of the progress of a maintenance wave. */
+export function waveKey(wave: number): string {
+  return `${ROOT}wave/${wave}`;
+}
+
 /** What a key under {@link JOBS_PREFIX} holds. */
 export interface JobKey {
   readonly id: string;
@@ -96,6 +101,13 @@
   readonly pending: Readonly<Record<string, number>>;
 }
 
+/** Recorded progress of a maintenance wave. */
+export interface WaveRecord {
+  /** Instances whose maintenance was accepted. */
+  readonly maintained: readonly string[];
+  readonly completed: boolean;
+}
+
 const JobSpecSchema = v.custom<JobSpec>(
   (value) => isRecord(value) && typeof value.id === "string" && Array.isArray(value.steps),
 );
@@ -118,6 +130,7 @@
 });
 const SessionSchema = v.object({ name: v.string(), peerAddress: v.string(), zone: v.string() });
 const PendingSchema = v.object({ pending: v.record(v.string(), v.number()) });
+const WaveSchema = v.object({ maintained: v.array(v.string()), completed: v.boolean() });
 
 /** Encodes a job. */
 export function encodeJob(job: JobSpec): Uint8Array {
@@ -184,6 +197,16 @@
   return decodeWith(PendingSchema, bytes);
 }
 
+/** Encodes the progress of a wave. */
+export function encodeWaveRecord(record: WaveRecord): Uint8Array {
+  return encode(record);
+}
+
+/** Decodes the progress of a wave; undefined if the bytes are none. */
+export function decodeWaveRecord(bytes: Uint8Array): WaveRecord | undefined {
+  return decodeWith(WaveSchema, bytes);
+}
+
 function decodeWith<T>(schema: v.GenericSchema<unknown, T>, bytes: Uint8Array): T | undefined {
   try {
     const parsed = v.safeParse(schema, decode(bytes));
--- /dev/null
+++ b/src/state/jobs/wave-plan.ts
@@ -0,0 +1,63 @@
+/** Which instances of a maintenance wave come next. */
+import type { ControlledInstance } from "../../ports/instance-control.ts";
+import type { WaveRequest } from "../../protocol/fleet-config.ts";
+
+/** Instances of one pool that are emptied or maintained at the same time. */
+const MAX_SHARE_OF_POOL = 0.25;
+
+/** An instance of a wave and what hinders its maintenance. */
+export interface WaveInstance {
+  readonly instance: ControlledInstance;
+  /** It takes no new tasks because its maintenance is next. */
+  readonly reserved: boolean;
+  /** Tasks that end by themselves; maintenance would lose their work. */
+  readonly shortTasks: number;
+  /** Long-running tasks, which start again elsewhere. */
+  readonly longTasks: number;
+}
+
+/** State of a wave. */
+export interface WaveState {
+  readonly request: WaveRequest;
+  /** Instances that are still to be maintained. */
+  readonly open: readonly WaveInstance[];
+  /** Instances whose maintenance was ordered and that are not back. */
+  readonly underway: readonly ControlledInstance[];
+  /** Instances of each pool that are up. */
+  readonly poolSizes: ReadonlyMap<string, number>;
+}
+
+/**
+ * Chooses the instances to reserve, in addition to those that are. Spreads a wave over the pools, so
+ * that each pool loses a small part of its capacity at a time, and takes the instances first that
+ * are empty soonest.
+ */
+export function chooseReservations(state: WaveState): readonly ControlledInstance[] {
+  const { request, open, underway } = state;
+  const busy = new Map<string, number>();
+  for (const { pool } of underway) busy.set(pool, (busy.get(pool) ?? 0) + 1);
+  let slots = request.maxAtOnce - underway.length;
+  for (const { instance, reserved } of open) {
+    if (!reserved) continue;
+    busy.set(instance.pool, (busy.get(instance.pool) ?? 0) + 1);
+    slots--;
+  }
+  const chosen: ControlledInstance[] = [];
+  for (const { instance, reserved } of [...open].sort(byWork)) {
+    if (reserved || instance.state !== "up" || slots <= 0) continue;
+    const inPool = busy.get(instance.pool) ?? 0;
+    if (inPool >= allowedInPool(state.poolSizes.get(instance.pool) ?? 1)) continue;
+    busy.set(instance.pool, inPool + 1);
+    chosen.push(instance);
+    slots--;
+  }
+  return chosen;
+}
+
+function allowedInPool(size: number): number {
+  return Math.max(1, Math.floor(size * MAX_SHARE_OF_POOL));
+}
+
+function byWork(a: WaveInstance, b: WaveInstance): number {
+  return a.shortTasks - b.shortTasks || a.longTasks - b.longTasks;
+}
