--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -85,7 +85,10 @@
     const { signal } = tenure;
     if (!(await this.#readProgress())) return;
     const jobs = { store, clock, random, log, prefix: JOBS_PREFIX, listener: this.board };
-    const following = [registry.follow(this.drivers, signal), new RecordFollower(jobs).run(signal)];
+    const followingJobs = new RecordFollower(jobs).run(signal);
+    // Runs on backend servers can be told from unknown ones only once all jobs are known.
+    await this.board.whenLoaded(signal);
+    const followingServers = registry.follow(this.drivers, signal);
     const stopListening = config.onChange(() => {
       this.#wake();
     });
