feat(scheduler): size pools by demand and switch idle instances off

Cause: one queue at a time asks several times what its pool holds while the others are nearly idle; instances stayed in fixed pools, so jobs waited and 29 idle instances were paid for.

--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -15,6 +15,7 @@
 import { JobSubmitter } from "./job-submitter.ts";
 import { MaintenanceRunner } from "./maintenance-runner.ts";
 import { PendingPublisher } from "./pending-counts.ts";
+import { PoolSizer } from "./pool-sizer.ts";
 import { RecordCollector } from "./record-collector.ts";
 import { RecordFollower } from "./record-follower.ts";
 import { Scheduler } from "./scheduler.ts";
@@ -44,6 +45,8 @@
   readonly name: string;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
+  /** Time in ms after a takeover in which instances get no orders. */
+  readonly takeoverPauseMs: number;
   /** Time in ms for which callers may ask for the state of a job that has ended. */
   readonly keepEndedMs: number;
 }
@@ -130,6 +133,10 @@
     const scheduler = new Scheduler({ ...this.#options, config: this.config, tenure });
     const { board } = scheduler;
     const openJobs = () => board.open;
+    const planned = {
+      ...{ ...this.#options, holder: this.#options.name, config: this.config },
+      ...{ tenure, scheduler, view: new InstanceView(this.#options) },
+    };
     await Promise.all([
       this.#lock.keep(tenure),
       scheduler.run(),
@@ -137,10 +144,8 @@
       new RecordCollector({
         ...{ ...this.#options, tenure, board, keepMs: this.#options.keepEndedMs },
       }).run(),
-      new MaintenanceRunner({
-        ...{ ...this.#options, holder: this.#options.name },
-        ...{ tenure, config: this.config, scheduler, view: new InstanceView(this.#options) },
-      }).run(),
+      new MaintenanceRunner(planned).run(),
+      new PoolSizer(planned).run(),
     ]);
     this.#tenure = undefined;
   }
--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -8,7 +8,7 @@
 import type { RecordStore } from "../../ports/record-store.ts";
 import type { WaveRequest } from "../../protocol/fleet-config.ts";
 import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../protocol/job-records.ts";
-import { mayInterrupt } from "../../state/jobs/availability.ts";
+import { atWork, mayInterrupt } from "../../state/jobs/availability.ts";
 import type { ActiveRun } from "../../state/jobs/run-book.ts";
 import { chooseReservations, type WaveInstance } from "../../state/jobs/wave-plan.ts";
 import type { FleetConfigView } from "./config-view.ts";
@@ -37,6 +37,8 @@
   readonly scheduler: Scheduler;
   /** Name of this entry instance, given with each order. */
   readonly holder: string;
+  /** Time in ms after a takeover in which the former scheduler's orders may still arrive. */
+  readonly takeoverPauseMs: number;
 }
 
 interface Underway {
@@ -65,7 +67,8 @@
 
   /** Works on waves until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure, config } = this.#options;
+    const { clock, tenure, config, takeoverPauseMs } = this.#options;
+    await clock.sleep(takeoverPauseMs, tenure.signal);
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
       for (const request of config.waves) {
@@ -163,7 +166,8 @@
     }
     for (const { instance } of open) {
       const driver = this.#driver(instance);
-      if (driver !== undefined && wave.reservedSince.has(instance.name)) driver.reserved = true;
+      if (driver !== undefined) driver.maintenanceAhead = true;
+      if (wave.reservedSince.has(instance.name)) driver?.reserve("maintenance");
     }
   }
 
@@ -173,7 +177,10 @@
     if (since === undefined || instance.state !== "up") return;
     if (wave.underway.size >= wave.request.maxAtOnce) return;
     if (shortTasks > 0 && clock.now() - since < DRAIN_PATIENCE_MS) return;
-    if (!mayInterrupt(this.#runs(instance), this.#options.scheduler.tracker.book)) return;
+    if (!mayInterrupt(this.#runs(instance), this.#options.scheduler.tracker.book)) {
+      this.#evacuate(instance);
+      return;
+    }
     wave.underway.set(instance.name, { server: instance.server });
     const driver = this.#driver(instance);
     // The budget is checked for all instances in turn, so what ends here counts as away at once.
@@ -190,6 +197,15 @@
     else await this.#accepted(wave, instance, driver);
   }
 
+  /** Moves long-running tasks away one after the other where their budget forbids all at once. */
+  #evacuate(instance: ControlledInstance): void {
+    const { tracker } = this.#options.scheduler;
+    for (const run of this.#runs(instance)) {
+      if (!run.task.step.spec.longRunning || !atWork(run)) continue;
+      if (mayInterrupt([run], tracker.book)) tracker.stop(run);
+    }
+  }
+
   #refused(wave: WaveProgress, { name }: ControlledInstance, err: ControlError): void {
     const { log, tenure } = this.#options;
     log.warn({ wave: wave.request.wave, instance: name, err }, "maintenance refused");
--- a/src/coordination/jobs/order-timing.ts
+++ b/src/coordination/jobs/order-timing.ts
@@ -6,6 +6,8 @@
 export const START_VALID_MS = 2500;
 /** Wait for an end that a look at a backend server asks for; each look costs a call. */
 export const POLL_WAIT_MS = 2000;
+/** The same while the start-up of a long-running task is waited for. */
+export const PROGRESS_POLL_WAIT_MS = 400;
 /** Pause between looks that cannot wait. */
 export const POLL_RETRY_MS = 400;
 /** Pause before a stop order is repeated. */
--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -148,10 +148,24 @@
       if (run.server === id) ofStep++;
       if (this.#rackOf(run.server) === rack) ofStepOnRack++;
     }
+    const longTasks = book.onServer(id).filter((run) => run.task.step.spec.longRunning).length;
     const free = subtract(capacity, book.usedOnServer(id));
     const { penalty } = driver.health;
+    const { maintenanceAhead } = driver;
     const failedHere = failedOn.has(id);
-    return { id, rack, zone, labels, free, ofStep, ofStepOnRack, penalty, failedHere };
+    return {
+      id,
+      rack,
+      zone,
+      labels,
+      free,
+      ofStep,
+      ofStepOnRack,
+      longTasks,
+      penalty,
+      failedHere,
+      maintenanceAhead,
+    };
   }
 
   #rackOf(server: string): string | undefined {
--- /dev/null
+++ b/src/coordination/jobs/pool-sizer.ts
@@ -0,0 +1,216 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { ControlledInstance, InstanceControl } from "../../ports/instance-control.ts";
+import type { Log } from "../../ports/log.ts";
+import type { Resources } from "../../protocol/job-spec.ts";
+import {
+  instancesNeeded,
+  planMoves,
+  type MovableInstance,
+  type PlannedMove,
+  type PoolLoad,
+} from "../../state/jobs/pool-sizing.ts";
+import { add, NO_RESOURCES, occupied, times } from "../../state/jobs/resources.ts";
+import type { FleetConfigView } from "./config-view.ts";
+import type { InstanceView } from "./instance-view.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { LockTenure } from "./scheduler-lock.ts";
+
+const INTERVAL_MS = 250;
+/** Age in ms of the demand that a rise is measured against. */
+const RISE_WINDOW_MS = 1000;
+/** Demand that has passed keeps its instances for this time in ms, since work comes in bursts. */
+const MEMORY_MS = 1500;
+/** Lists lag, so a moved instance counts to its new pool for this time in ms. */
+const MOVE_SETTLE_MS = 4000;
+
+/** Options of {@link PoolSizer}. */
+export interface PoolSizerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly tenure: LockTenure;
+  readonly config: FleetConfigView;
+  readonly instances: InstanceControl;
+  readonly view: InstanceView;
+  readonly scheduler: Scheduler;
+  /** Name of this entry instance, given with each order. */
+  readonly holder: string;
+  /** Time in ms after a takeover in which the former scheduler's orders may still arrive. */
+  readonly takeoverPauseMs: number;
+}
+
+interface Sample {
+  readonly at: number;
+  readonly short: ReadonlyMap<string, Resources>;
+}
+
+interface RecentMove {
+  readonly pool: string;
+  readonly at: number;
+}
+
+/** Moves instances between pools and the spare pool as demand comes and goes. */
+export class PoolSizer {
+  readonly #options: PoolSizerOptions;
+  readonly #samples: Sample[] = [];
+  readonly #idleSince = new Map<string, number>();
+  readonly #moves = new Map<string, RecentMove>();
+
+  constructor(options: PoolSizerOptions) {
+    this.#options = options;
+  }
+
+  /** Sizes pools until the tenure ends. */
+  async run(): Promise<void> {
+    const { clock, tenure, takeoverPauseMs, scheduler } = this.#options;
+    await clock.sleep(takeoverPauseMs, tenure.signal);
+    while (!tenure.signal.aborted) {
+      await clock.sleep(INTERVAL_MS, tenure.signal);
+      if (!tenure.valid || !scheduler.ready) continue;
+      const instances = await this.#options.view.read();
+      if (instances !== undefined) await this.#pass(instances);
+    }
+  }
+
+  async #pass(instances: readonly ControlledInstance[]): Promise<void> {
+    const { config } = this.#options;
+    const pools = config.current?.pools ?? [];
+    const sparePool = pools.find(({ spare }) => spare)?.name;
+    if (sparePool === undefined) return;
+    const needed = this.#needed(instances, sparePool);
+    const sizes = this.#sizes(instances);
+    const movable = this.#movable(instances, sparePool);
+    const moves = planMoves({ needed, sizes, instances: movable, sparePool });
+    await Promise.all(moves.map((move) => this.#move(move, instances)));
+  }
+
+  #needed(
+    instances: readonly ControlledInstance[],
+    sparePool: string,
+  ): ReadonlyMap<string, number> {
+    const { clock, config } = this.#options;
+    const now = clock.now();
+    const { long, short, distinct } = this.#demand();
+    this.#samples.push({ at: now, short });
+    while ((this.#samples[0]?.at ?? now) < now - RISE_WINDOW_MS - MEMORY_MS) this.#samples.shift();
+    const before = this.#samples.findLast(({ at }) => at <= now - RISE_WINDOW_MS);
+    const needed = new Map<string, number>();
+    for (const { name: pool, spare } of config.current?.pools ?? []) {
+      if (spare || pool === sparePool) continue;
+      const load: PoolLoad = {
+        pool,
+        long: long.get(pool) ?? NO_RESOURCES,
+        short: this.#recentPeak(pool, now),
+        shortBefore: before?.short.get(pool) ?? NO_RESOURCES,
+        distinctServers: distinct.get(pool) ?? 0,
+        capacity: typicalCapacity(instances),
+      };
+      needed.set(pool, instancesNeeded(load));
+    }
+    return needed;
+  }
+
+  /** Largest demand of the last moments, by processor time. */
+  #recentPeak(pool: string, now: number): Resources {
+    let peak = NO_RESOURCES;
+    for (const { at, short } of this.#samples) {
+      const demand = short.get(pool) ?? NO_RESOURCES;
+      if (at >= now - MEMORY_MS && demand.cpuMillis > peak.cpuMillis) peak = demand;
+    }
+    return peak;
+  }
+
+  /** Demand of what runs and of what could start now, by pool. */
+  #demand() {
+    const long = new Map<string, Resources>();
+    const short = new Map<string, Resources>();
+    const distinct = new Map<string, number>();
+    const { scheduler, config } = this.#options;
+    for (const job of scheduler.board.open) {
+      const pool = config.queue(job.spec.queue)?.pool ?? job.spec.pool;
+      for (const step of job.activeSteps()) {
+        const open = step.tasks.filter((task) => !task.done).length;
+        const sums = step.spec.longRunning ? long : short;
+        const demand = times(occupied(step.spec), open);
+        sums.set(pool, add(sums.get(pool) ?? NO_RESOURCES, demand));
+        const servers = step.spec.maxPerServer > 0 ? Math.ceil(open / step.spec.maxPerServer) : 0;
+        distinct.set(pool, Math.max(distinct.get(pool) ?? 0, servers));
+      }
+    }
+    return { long, short, distinct };
+  }
+
+  #sizes(instances: readonly ControlledInstance[]): ReadonlyMap<string, number> {
+    const sizes = new Map<string, number>();
+    for (const instance of instances) {
+      if (instance.state === "down") continue;
+      const pool = this.#poolOf(instance);
+      sizes.set(pool, (sizes.get(pool) ?? 0) + 1);
+    }
+    return sizes;
+  }
+
+  #poolOf({ name, pool }: ControlledInstance): string {
+    const recent = this.#moves.get(name);
+    if (recent === undefined) return pool;
+    if (this.#options.clock.now() - recent.at < MOVE_SETTLE_MS) return recent.pool;
+    this.#moves.delete(name);
+    return pool;
+  }
+
+  #movable(
+    instances: readonly ControlledInstance[],
+    sparePool: string,
+  ): readonly MovableInstance[] {
+    const { clock, scheduler } = this.#options;
+    const now = clock.now();
+    return instances.flatMap((instance): readonly MovableInstance[] => {
+      const { name, pool, server, state } = instance;
+      const spare = pool === sparePool;
+      if (state !== "up" || this.#moves.has(name)) return [];
+      const driver = server === undefined ? undefined : scheduler.drivers.get(server);
+      if (!spare && (driver?.adopted !== true || driver.reserved)) return [];
+      const runs = server === undefined ? [] : scheduler.tracker.book.onServer(server);
+      if (runs.length > 0) this.#idleSince.delete(name);
+      else if (!this.#idleSince.has(name)) this.#idleSince.set(name, now);
+      const idleMs = now - (this.#idleSince.get(name) ?? now);
+      const longTasks = runs.filter((run) => run.task.step.spec.longRunning).length;
+      return [{ name, pool, spare, idle: runs.length === 0, idleMs, longTasks }];
+    });
+  }
+
+  async #move(
+    { instance, pool }: PlannedMove,
+    instances: readonly ControlledInstance[],
+  ): Promise<void> {
+    const { clock, log, tenure, holder, scheduler } = this.#options;
+    const listed = instances.find(({ name }) => name === instance);
+    const driver = listed?.server === undefined ? undefined : scheduler.drivers.get(listed.server);
+    if (driver !== undefined) {
+      // A task may have been placed since the plan was made.
+      if (scheduler.tracker.hasRuns(driver.id)) return;
+      driver.reserve("move");
+    }
+    this.#moves.set(instance, { pool, at: clock.now() });
+    this.#idleSince.delete(instance);
+    const order = { instance, holder, token: tenure.token };
+    const result = await this.#options.instances.move(order, pool);
+    log.info({ instance, from: listed?.pool, to: pool, ok: result.ok }, "instance moved");
+    if (result.ok) {
+      if (driver !== undefined) scheduler.tracker.runsGone(driver, "gone");
+      return;
+    }
+    log.warn({ instance, pool, err: result.val }, "move refused");
+    if (result.val.kind === "fenced") tenure.end();
+    // An order without an answer may still be carried out, so the instance gets no work for a while.
+    if (result.val.kind === "unknown") return;
+    this.#moves.delete(instance);
+    driver?.release("move");
+  }
+}
+
+function typicalCapacity(instances: readonly ControlledInstance[]): Resources {
+  const sorted = instances
+    .map(({ capacity }) => capacity)
+    .sort((a, b) => a.cpuMillis - b.cpuMillis);
+  return sorted[Math.floor(sorted.length / 2)] ?? NO_RESOURCES;
+}
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -4,6 +4,7 @@
 import { parseTaskName } from "../../protocol/job-spec.ts";
 import { inheritedLapse } from "../../state/jobs/server-clock.ts";
 import type { Job, Task } from "../../state/jobs/job.ts";
+import { atWork } from "../../state/jobs/availability.ts";
 import { reconcile } from "../../state/jobs/reconciliation.ts";
 import { RunBook, type ActiveRun, type RunPhase } from "../../state/jobs/run-book.ts";
 import type { FleetConfigView } from "./config-view.ts";
@@ -92,6 +93,11 @@
     return this.book.onServer(server).length > 0;
   }
 
+  expectsProgress(server: string): boolean {
+    const runs = this.book.onServer(server);
+    return runs.some((run) => run.task.step.spec.longRunning && !atWork(run));
+  }
+
   async listed(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean> {
     const touched = new Set<Job>();
     for (const ended of lists.ended) this.#ended(driver, ended, touched);
@@ -255,6 +261,8 @@
       run.load = listed.load;
       if (listed.checkpoint !== "") run.task.checkpoint = listed.checkpoint;
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#enter(run, "running");
+      // The stop had no effect, or its server was not known yet when it was due.
+      else if (run.phase === "stopping" && run.since < askedAt) this.#repeatStop(run);
     }
     for (const run of found.missing) this.#stop(run);
     for (const { task, run } of found.unknown) this.#stopUnknown(driver, task, run);
@@ -298,6 +306,11 @@
     void this.#orderStop(run);
   }
 
+  #repeatStop(run: ActiveRun): void {
+    run.since = Infinity;
+    void this.#orderStop(run);
+  }
+
   async #orderStop(run: ActiveRun): Promise<void> {
     const { driver, clock } = this.#options;
     await driver(run.server)?.stop(run.task.name, run.run);
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -79,6 +79,12 @@
     });
   }
 
+  /** True once jobs, backend servers and the configuration are known. */
+  get ready(): boolean {
+    const { config } = this.#options;
+    return this.board.loaded && this.drivers.loaded && config.current !== undefined;
+  }
+
   /** Schedules until the lock is lost or given up. */
   async run(): Promise<void> {
     const { clock, registry, tenure, log, config, store, random } = this.#options;
@@ -148,7 +154,7 @@
     const { clock, config, tenure } = this.#options;
     // Placements that can't be recorded must not be made.
     if (!tenure.valid || this.writer.stalled) return;
-    if (!this.board.loaded || !this.drivers.loaded || config.current === undefined) return;
+    if (!this.ready) return;
     const round = new PlacementRound({
       ...{ clock, config, book: this.tracker.book, drivers: this.drivers.all() },
       place: (task, driver) => this.tracker.place(task, driver),
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -13,13 +13,21 @@
 import { inheritedLapse, ServerClock } from "../../state/jobs/server-clock.ts";
 import { ServerHealth } from "../../state/jobs/server-health.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
-import { POLL_RETRY_MS, POLL_WAIT_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
+import {
+  POLL_RETRY_MS,
+  POLL_WAIT_MS,
+  PROGRESS_POLL_WAIT_MS,
+  START_VALID_MS,
+  STOP_RETRY_MS,
+} from "./order-timing.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
 
 /** What a driver reports to the scheduler. */
 export abstract class DriverListener {
   /** True if runs on the server have to be watched. */
   abstract hasRuns(server: string): boolean;
+  /** True if a change other than an end is expected there. */
+  abstract expectsProgress(server: string): boolean;
   /**
    * New lists were read at a question sent at `askedAt`. Resolves true once what follows from the
    * ends is stored, so that they can be acknowledged.
@@ -31,6 +39,9 @@
   abstract fenced(): void;
 }
 
+/** Planned work for which a backend server takes no new tasks. */
+export type ReservationReason = "maintenance" | "move";
+
 /** Options of {@link ServerDriver}. */
 export interface ServerDriverOptions {
   readonly backend: JobBackend;
@@ -55,8 +66,9 @@
   adopted = false;
   /** No longer registered: it takes no new tasks, but what runs there may go on. */
   absent = false;
-  /** Takes no new tasks because of planned work. */
-  reserved = false;
+  readonly #reservations = new Set<ReservationReason>();
+  /** Its instance belongs to a maintenance wave and is still to be maintained. */
+  maintenanceAhead = false;
   /** Monotonic time in ms before which it takes no new tasks, after it refused one. */
   notBefore = 0;
   #registration: RegisteredServer;
@@ -86,6 +98,21 @@
     return this.#registration;
   }
 
+  /** True while it takes no new tasks because of planned work. */
+  get reserved(): boolean {
+    return this.#reservations.size > 0;
+  }
+
+  /** Keeps new tasks away for planned work. */
+  reserve(reason: ReservationReason): void {
+    this.#reservations.add(reason);
+  }
+
+  /** Ends a reservation. */
+  release(reason: ReservationReason): void {
+    this.#reservations.delete(reason);
+  }
+
   get closed(): boolean {
     return this.#closed.signal.aborted;
   }
@@ -174,7 +201,7 @@
     const askedAt = clock.now();
     const deadlineMs = this.#time.deadline(askedAt, leaseTtlMs);
     const acknowledged = this.#acknowledged;
-    const waitMs = this.adopted && this.#failures === 0 ? POLL_WAIT_MS : 0;
+    const waitMs = this.#pollWait();
     const order: PollOrder = { ...this.#order(), deadlineMs, acknowledged, waitMs };
     const result = await backend.poll(order);
     if (this.closed) return;
@@ -186,6 +213,12 @@
     await this.#take(result.val, askedAt);
   }
 
+  /** Only ends are announced, so other changes have to be looked for. */
+  #pollWait(): number {
+    if (!this.adopted || this.#failures > 0) return 0;
+    return this.#options.listener.expectsProgress(this.id) ? PROGRESS_POLL_WAIT_MS : POLL_WAIT_MS;
+  }
+
   #order(): { readonly token: number } {
     return { token: this.#options.tenure.token };
   }
--- a/src/state/jobs/job.ts
+++ b/src/state/jobs/job.ts
@@ -109,9 +109,14 @@
   /** Steps that have waiting tasks and whose earlier steps are all done. */
   *readySteps(): Iterable<StepRun> {
     if (this.final) return;
+    for (const step of this.activeSteps()) if (step.tasks.some((task) => task.waiting)) yield step;
+  }
+
+  /** Steps that are not done and whose earlier steps are all done. */
+  *activeSteps(): Iterable<StepRun> {
     for (const { steps } of this.occurrences) {
       for (const step of steps) {
-        if (!step.tasks.some((task) => task.waiting)) continue;
+        if (step.done) continue;
         if (step.spec.after.every((position) => steps[position]?.done === true)) yield step;
       }
     }
--- a/src/state/jobs/placement.ts
+++ b/src/state/jobs/placement.ts
@@ -1,6 +1,9 @@
 import type { Resources, StepSpec } from "../../protocol/job-spec.ts";
 import { fits, subtract } from "./resources.ts";
 
+/** Backend servers over which the tasks of a long-running step are spread at least. */
+const LONG_TASK_SERVERS = 2;
+
 /** A backend server that may take a task, with what is free on it. */
 export interface PlacementCandidate {
   readonly id: string;
@@ -12,6 +15,10 @@
   readonly ofStep: number;
   /** Tasks of the same occurrence of the step on this rack. */
   readonly ofStepOnRack: number;
+  /** Long-running tasks of all jobs on this backend server. */
+  readonly longTasks: number;
+  /** Maintenance will end what runs there. */
+  readonly maintenanceAhead: boolean;
   /** Lower is better: recent failures on this backend server. */
   readonly penalty: number;
   /** The task failed here before. */
@@ -23,8 +30,8 @@
  *
  * Answers bursts of wide steps: short tasks fill the backend server that they leave the least
  * processor time on, so that whole backend servers stay free for the large tasks of the next step.
- * Long-running tasks are spread over racks instead, because a lost rack or a maintenance wave must
- * not take more of them than their availability budget.
+ * Long-running tasks are gathered on a few backend servers, but not all on one, because a lost server
+ * or a maintenance wave should take a small part of them.
  */
 export function choosePlacement(
   step: StepSpec,
@@ -61,8 +68,9 @@
     Number(a.failedHere) - Number(b.failedHere) ||
     distance(step, a) - distance(step, b) ||
     a.penalty - b.penalty ||
+    interrupted(step, a) - interrupted(step, b) ||
     spread(step, a) - spread(step, b) ||
-    a.ofStep - b.ofStep ||
+    gathered(step, b) - gathered(step, a) ||
     left(step, demand, a) - left(step, demand, b)
   );
 }
@@ -74,12 +82,24 @@
   return 0;
 }
 
-function spread(step: StepSpec, { ofStepOnRack }: PlacementCandidate): number {
-  return step.longRunning ? ofStepOnRack : 0;
+/** 1 where a long-running task would have to move again soon. */
+function interrupted(step: StepSpec, { maintenanceAhead }: PlacementCandidate): number {
+  return step.longRunning && maintenanceAhead ? 1 : 0;
+}
+
+/** 1 where a long-running step would have more than its part of tasks on one backend server. */
+function spread(step: StepSpec, { ofStep }: PlacementCandidate): number {
+  if (!step.longRunning) return 0;
+  return ofStep < Math.ceil(step.tasks / LONG_TASK_SERVERS) ? 0 : 1;
+}
+
+/** Long-running tasks share few backend servers, so that the others can leave the pool when idle. */
+function gathered(step: StepSpec, { longTasks }: PlacementCandidate): number {
+  return step.longRunning ? Math.min(1, longTasks) : 0;
 }
 
 function left(step: StepSpec, demand: Resources, { free }: PlacementCandidate): number {
   const { cpuMillis } = subtract(free, demand);
-  // Long-running tasks and fillers go where most is free, to disturb each other least.
-  return step.longRunning || step.filler ? -cpuMillis : cpuMillis;
+  // Fillers go where most is free, to disturb serving tasks least.
+  return step.filler ? -cpuMillis : cpuMillis;
 }
