test(jobs): stateful fuzzing of the job core on stand-ins

Random histories of submissions, cancels, killed, frozen and cut schedulers, lost answers, late starts, crashed and cut backend servers and store outages on virtual time, with an oracle that knows what callers and backend servers saw. Also: leases that a former scheduler may have given are waited for before a server that falls silent right after a takeover counts as lapsed; runs that crawl or hang start anew elsewhere; slow servers get single trials.

--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -123,7 +123,7 @@
       }
       const tenure = await this.#lock.acquire();
       if (tenure === undefined) await clock.sleep(CANDIDACY_PAUSE_MS, signal);
-      else if (signal.aborted) await this.#lock.release(tenure);
+      else if (this.#stopped.signal.aborted) await this.#lock.release(tenure);
       else await this.#serve(tenure);
     }
   }
--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -12,6 +12,9 @@
 /** Used for jobs whose queue is no longer configured. */
 const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
 
+/** Time in ms that a task waits before it goes to a server that is slow or fails. */
+const DOUBTFUL_AFTER_MS = 1500;
+
 /** Options of {@link PlacementRound}. */
 export interface PlacementRoundOptions {
   readonly clock: Clock;
@@ -32,6 +35,8 @@
   readonly #options: PlacementRoundOptions;
   readonly #now: number;
   readonly #byPool = new Map<string, ServerDriver[]>();
+  /** Servers that are slow or fail, for tasks that have found no other place for some time. */
+  readonly #doubtful = new Map<string, ServerDriver[]>();
   /** Demands that did not fit; equal tasks after them need not be tried. */
   readonly #refused = new Set<string>();
 
@@ -39,9 +44,10 @@
     this.#options = options;
     this.#now = options.clock.now();
     for (const driver of options.drivers) {
-      if (!this.#usable(driver)) continue;
+      if (!this.#open(driver)) continue;
       const { pool } = driver.registration;
-      this.#byPool.set(pool, [...(this.#byPool.get(pool) ?? []), driver]);
+      const group = this.#trusted(driver) ? this.#byPool : this.#doubtful;
+      group.set(pool, [...(group.get(pool) ?? []), driver]);
     }
   }
 
@@ -63,6 +69,7 @@
       job.release(wallTime);
       const queue = config.queue(job.spec.queue);
       for (const step of job.readySteps()) {
+        step.readyAt ??= this.#now;
         const occurrence = job.occurrences[step.occurrence];
         if (occurrence === undefined) continue;
         steps.push({ step, ...this.#rank(step, occurrence, queue, wallTime) });
@@ -118,16 +125,30 @@
     if (organisation !== undefined && !this.#withinCap(organisation, spec.demand)) return undefined;
     const demand = occupied(spec);
     const key = refusalKey(task, pool, demand);
+    const chosen =
+      this.#choose(task, demand, this.#byPool.get(pool) ?? [], key) ??
+      (this.#patient(task)
+        ? undefined
+        : this.#choose(task, demand, this.#doubtful.get(pool) ?? [], `${key}|doubtful`));
+    return chosen === undefined ? undefined : this.#options.place(task, chosen);
+  }
+
+  #choose(
+    task: Task,
+    demand: Resources,
+    drivers: readonly ServerDriver[],
+    key: string,
+  ): ServerDriver | undefined {
     if (this.#refused.has(key)) return undefined;
-    const drivers = this.#byPool.get(pool) ?? [];
     const candidates = drivers.map((driver) => this.#candidate(driver, task));
-    const chosen = choosePlacement(spec, demand, candidates);
-    const driver = drivers.find(({ id }) => id === chosen?.id);
-    if (driver === undefined) {
-      this.#refused.add(key);
-      return undefined;
-    }
-    return this.#options.place(task, driver);
+    const chosen = choosePlacement(task.step.spec, demand, candidates);
+    if (chosen === undefined) this.#refused.add(key);
+    return drivers.find(({ id }) => id === chosen?.id);
+  }
+
+  /** True while the task may rather wait than go to a doubtful server. */
+  #patient({ step, releasedAt }: Task): boolean {
+    return this.#now - Math.max(step.readyAt ?? this.#now, releasedAt) < DOUBTFUL_AFTER_MS;
   }
 
   #withinCap(organisation: string, demand: Resources): boolean {
@@ -152,6 +173,7 @@
     const free = subtract(capacity, book.usedOnServer(id));
     const { penalty } = driver.health;
     const { maintenanceAhead } = driver;
+    const { slow } = driver.speed;
     const failedHere = failedOn.has(id);
     return {
       id,
@@ -165,6 +187,7 @@
       penalty,
       failedHere,
       maintenanceAhead,
+      slow,
     };
   }
 
@@ -176,12 +199,18 @@
     return undefined;
   }
 
-  #usable(driver: ServerDriver): boolean {
-    const { adopted, absent, reserved, reachable, closed, notBefore, health } = driver;
+  #open(driver: ServerDriver): boolean {
+    const { adopted, absent, reserved, reachable, closed, notBefore } = driver;
     if (!adopted || absent || reserved || !reachable || closed) return false;
-    if (driver.registration.draining || notBefore > this.#now) return false;
-    if (health.quarantined(this.#now)) return false;
-    return !health.onProbation || this.#options.book.onServer(driver.id).length === 0;
+    return !driver.registration.draining && notBefore <= this.#now;
+  }
+
+  /** False for servers that fail or crawl; now and then they get a single task as a trial. */
+  #trusted({ id, health, speed }: ServerDriver): boolean {
+    if (!speed.slow && !health.onProbation) return true;
+    if (health.quarantined(this.#now) || (speed.slow && !speed.trialDue(this.#now))) return false;
+    const runs = this.#options.book.onServer(id);
+    return runs.every((run) => run.task.step.spec.longRunning);
   }
 }
 
--- a/src/coordination/jobs/record-follower.ts
+++ b/src/coordination/jobs/record-follower.ts
@@ -51,7 +51,6 @@
     let revision: number | undefined;
     while (!signal.aborted) {
       const next = revision === undefined ? await this.#read() : await this.#watch(revision);
-      if (signal.aborted) return;
       if (typeof next === "number") {
         revision = next;
         this.#succeeded();
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -6,10 +6,16 @@
 import type { Job, Task } from "../../state/jobs/job.ts";
 import { atWork } from "../../state/jobs/availability.ts";
 import { reconcile } from "../../state/jobs/reconciliation.ts";
+import {
+  overdue,
+  projectedRatio,
+  timeUntilOverdue,
+  worthRestarting,
+} from "../../state/jobs/run-speed.ts";
 import { RunBook, type ActiveRun, type RunPhase } from "../../state/jobs/run-book.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import type { JobBoard } from "./job-board.ts";
-import { MAX_LISTED_ENDS } from "./order-timing.ts";
+import { MAX_LISTED_ENDS, POLL_WAIT_MS, PROGRESS_POLL_WAIT_MS } from "./order-timing.ts";
 import type { ProgressWriter } from "./progress-writer.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
 import { DriverListener, type ServerDriver } from "./server-driver.ts";
@@ -18,6 +24,8 @@
 const REFUSED_START_PAUSE_MS = 250;
 /** Pause before a backend server that refused a start is asked again, in milliseconds. */
 const REFUSING_SERVER_PAUSE_MS = 1000;
+/** Age in ms of a progress that is too old to judge a run by. */
+const STRAGGLER_LOOK_MS = 700;
 /** Attempts of a queue that is no longer configured. */
 const DEFAULT_MAX_ATTEMPTS = 1;
 
@@ -93,9 +101,18 @@
     return this.book.onServer(server).length > 0;
   }
 
-  expectsProgress(server: string): boolean {
-    const runs = this.book.onServer(server);
-    return runs.some((run) => run.task.step.spec.longRunning && !atWork(run));
+  /** Only ends are announced, so other changes have to be looked for. */
+  pollWait(server: string): number {
+    const now = this.#options.clock.now();
+    let wait = POLL_WAIT_MS;
+    for (const run of this.book.onServer(server)) {
+      const { longRunning, filler } = run.task.step.spec;
+      if (longRunning && !filler && !atWork(run)) wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
+      const overdueIn = timeUntilOverdue(run, now);
+      if (overdueIn !== undefined)
+        wait = Math.min(wait, Math.max(PROGRESS_POLL_WAIT_MS, overdueIn));
+    }
+    return wait;
   }
 
   async listed(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean> {
@@ -125,6 +142,17 @@
     this.#releaseAll(runs, "rebooted");
   }
 
+  /** Has runs looked at that take too long, and starts those anew that hang or crawl. */
+  restartStragglers(): void {
+    const now = this.#options.clock.now();
+    for (const run of [...this.book.all()]) {
+      if (!overdue(run, now)) continue;
+      const driver = this.#options.driver(run.server);
+      if (now - run.listedAt > STRAGGLER_LOOK_MS || run.listedAt <= run.since) driver?.wake();
+      else if (driver !== undefined) this.#judge(run, driver, now);
+    }
+  }
+
   /** Releases inherited runs on backend servers that nobody can ask, once their leases lapsed. */
   releaseUnreachable(takenOverAt: number): void {
     const { clock, leaseTtlMs, driver } = this.#options;
@@ -140,11 +168,26 @@
     this.#options.tenure.end();
   }
 
+  #judge(run: ActiveRun, driver: ServerDriver, now: number): void {
+    const { task } = run;
+    const resumable = task.checkpoint === "" ? 0 : run.percent / 100;
+    if (task.step.spec.gang || !worthRestarting(run, resumable)) return;
+    const ratio = projectedRatio(run);
+    driver.speed.observeSlowRun(ratio, now);
+    const { percent } = run;
+    this.#options.log.info(
+      { task: task.name, server: driver.id, ratio, percent },
+      "slow run restarts",
+    );
+    task.failedOn.add(driver.id);
+    this.#stop(run);
+  }
+
   #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
     const since = this.#options.clock.now();
     const run: ActiveRun = {
       ...{ task, run: task.run, server, bootedAt, phase, since },
-      ...{ percent: 0, pace: 100, load: 0 },
+      ...{ percent: 0, pace: 100, load: 0, listedAt: since },
     };
     this.book.add(run);
     return run;
@@ -198,6 +241,9 @@
     const { job } = task;
     const { log, clock } = this.#options;
     touched.add(job);
+    const { estimateMs, longRunning } = task.step.spec;
+    if (ended.end === "done" && run.phase === "running" && !longRunning && estimateMs > 0)
+      driver.speed.observe((clock.now() - run.since) / estimateMs, clock.now());
     if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
     log.debug({ task: task.name, run: run.run, server: driver.id, end: ended.end }, "run ended");
     this.#drop(run);
@@ -259,6 +305,7 @@
     for (const [run, listed] of found.present) {
       run.percent = listed.percent;
       run.load = listed.load;
+      run.listedAt = askedAt;
       if (listed.checkpoint !== "") run.task.checkpoint = listed.checkpoint;
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#enter(run, "running");
       // The stop had no effect, or its server was not known yet when it was due.
@@ -280,7 +327,7 @@
 
   #stopUnknown(driver: ServerDriver, task: string, run: number): void {
     const own = this.book.ofTask(task);
-    if (own !== undefined && own.server === driver.id && own.run >= run) return;
+    if (own?.server === driver.id && own.run >= run) return;
     this.#options.log.warn(
       { server: driver.id, task, run },
       "stops a run that nobody accounts for",
@@ -338,6 +385,7 @@
   #drop(run: ActiveRun): void {
     this.book.remove(run);
     if (run.task.run === run.run) run.task.placement = undefined;
+    run.task.releasedAt = this.#options.clock.now();
     this.#options.driver(run.server)?.wake();
   }
 
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -100,6 +100,7 @@
     });
     while (!signal.aborted) {
       await clock.sleep(TICK_MS, signal);
+      this.tracker.restartStragglers();
       this.tracker.releaseUnreachable(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
       this.#wake();
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -11,23 +11,18 @@
 import type { Log } from "../../ports/log.ts";
 import type { RegisteredServer } from "../../protocol/fleet-config.ts";
 import { inheritedLapse, ServerClock } from "../../state/jobs/server-clock.ts";
+import { ServerSpeed } from "../../state/jobs/run-speed.ts";
 import { ServerHealth } from "../../state/jobs/server-health.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
-import {
-  POLL_RETRY_MS,
-  POLL_WAIT_MS,
-  PROGRESS_POLL_WAIT_MS,
-  START_VALID_MS,
-  STOP_RETRY_MS,
-} from "./order-timing.ts";
+import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
 
 /** What a driver reports to the scheduler. */
 export abstract class DriverListener {
   /** True if runs on the server have to be watched. */
   abstract hasRuns(server: string): boolean;
-  /** True if a change other than an end is expected there. */
-  abstract expectsProgress(server: string): boolean;
+  /** Longest wait in ms for an end there, before progress should be looked at. */
+  abstract pollWait(server: string): number;
   /**
    * New lists were read at a question sent at `askedAt`. Resolves true once what follows from the
    * ends is stored, so that they can be acknowledged.
@@ -63,6 +58,7 @@
  */
 export class ServerDriver {
   readonly health = new ServerHealth();
+  readonly speed = new ServerSpeed();
   adopted = false;
   /** No longer registered: it takes no new tasks, but what runs there may go on. */
   absent = false;
@@ -213,10 +209,9 @@
     await this.#take(result.val, askedAt);
   }
 
-  /** Only ends are announced, so other changes have to be looked for. */
   #pollWait(): number {
     if (!this.adopted || this.#failures > 0) return 0;
-    return this.#options.listener.expectsProgress(this.id) ? PROGRESS_POLL_WAIT_MS : POLL_WAIT_MS;
+    return this.#options.listener.pollWait(this.id);
   }
 
   #order(): { readonly token: number } {
@@ -258,7 +253,7 @@
   #lapsed(): boolean {
     if (this.reachable || this.closed) return false;
     const { clock, takenOverAt, leaseTtlMs } = this.#options;
-    const lapsedAt = this.#time.lapsedAt() ?? inheritedLapse(takenOverAt, leaseTtlMs);
-    return clock.now() > lapsedAt;
+    const inherited = inheritedLapse(takenOverAt, leaseTtlMs);
+    return clock.now() > Math.max(inherited, this.#time.lapsedAt() ?? 0);
   }
 }
--- /dev/null
+++ b/src/stand-ins/memory-record-store.ts
@@ -0,0 +1,257 @@
+/** The platform's store of records in memory, with switchable faults for each of its clients. */
+import { Err, Ok, type Result } from "ts-results";
+import type { Clock, Timer } from "../ports/clock.ts";
+import {
+  RecordStore,
+  type RecordChanges,
+  type RecordEvent,
+  type RecordLease,
+  type RecordRange,
+  type RecordTransaction,
+  type StoredRecord,
+  type StoreError,
+  type StoreResult,
+} from "../ports/record-store.ts";
+
+interface Held {
+  readonly record: StoredRecord;
+  readonly lease: number;
+}
+
+interface Lease {
+  readonly id: number;
+  readonly ttlMs: number;
+  timer: Timer;
+}
+
+interface Waiter {
+  readonly prefix: string;
+  readonly after: number;
+  readonly resolve: () => void;
+}
+
+/** Faults of the way between one client and the store. */
+export interface StoreFaults {
+  /** Calls get no answer and have no effect. */
+  silent: boolean;
+  /** Calls are refused. */
+  refusing: boolean;
+  /** Number of the next commits that take effect without an answer. */
+  lostAnswers: number;
+  /** Delay in ms after which a commit that got no answer takes effect. @default 0 */
+  lateMs: number;
+}
+
+/** Time after which a client gives up a call, in milliseconds. */
+const CALL_TIMEOUT_MS = 900;
+
+/** The state of the store, shared by its clients. */
+export class MemoryRecordStore {
+  readonly #clock: Clock;
+  readonly #latencyMs: number;
+  readonly #records = new Map<string, Held>();
+  readonly #leases = new Map<number, Lease>();
+  readonly #waiters = new Set<Waiter>();
+  #history: { readonly revision: number; readonly key: string; readonly event: RecordEvent }[] = [];
+  #compactedAt = 0;
+  #revision = 1;
+  #nextLease = 1;
+
+  constructor(clock: Clock, { latencyMs = 4 }: { readonly latencyMs?: number } = {}) {
+    this.#clock = clock;
+    this.#latencyMs = latencyMs;
+  }
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Opens a client with faults of its own. */
+  client(): MemoryRecordClient {
+    return new MemoryRecordClient(this, this.#clock, this.#latencyMs);
+  }
+
+  /** Forgets all history, so that waiting watches have to read afresh. */
+  compact(): void {
+    this.#history = [];
+    this.#compactedAt = this.#revision;
+    this.#notify("");
+  }
+
+  read(key: string): StoredRecord | undefined {
+    return this.#records.get(key)?.record;
+  }
+
+  range(prefix: string): RecordRange {
+    const records = [...this.#records.values()].map(({ record }) => record);
+    const within = records.filter(({ key }) => key.startsWith(prefix));
+    within.sort((a, b) => (a.key < b.key ? -1 : 1));
+    return { records: within, revision: this.#revision };
+  }
+
+  /** Writes on behalf of the operators or backend servers. */
+  write(key: string, value: Uint8Array): void {
+    this.#put(key, value, 0);
+  }
+
+  delete(key: string): void {
+    if (!this.#records.delete(key)) return;
+    this.#revision++;
+    this.#remember(key, { kind: "deleted", key, revision: this.#revision });
+  }
+
+  commit({ conditions, puts, deletes = [] }: RecordTransaction): Result<number, StoreError> {
+    const held = conditions.every(
+      ({ key, revision }) => (this.#records.get(key)?.record.revision ?? 0) === revision,
+    );
+    if (!held) {
+      const current = conditions.flatMap(({ key }) => this.read(key) ?? []);
+      return Err({ kind: "conflict", current });
+    }
+    if (puts.some(({ lease = 0 }) => lease !== 0 && !this.#leases.has(lease)))
+      return Err({ kind: "lease-ended" });
+    for (const key of deletes) this.delete(key);
+    for (const { key, value, lease = 0 } of puts) this.#put(key, value, lease);
+    return Ok(this.#revision);
+  }
+
+  grant(ttlMs: number): RecordLease {
+    const id = this.#nextLease++;
+    this.#leases.set(id, { id, ttlMs, timer: this.#expiry(id, ttlMs) });
+    return { id, ttlMs };
+  }
+
+  keep(id: number): boolean {
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return false;
+    lease.timer.cancel();
+    lease.timer = this.#expiry(id, lease.ttlMs);
+    return true;
+  }
+
+  endLease(id: number): boolean {
+    const lease = this.#leases.get(id);
+    if (lease === undefined) return false;
+    lease.timer.cancel();
+    this.#leases.delete(id);
+    for (const [key, held] of [...this.#records]) if (held.lease === id) this.delete(key);
+    return true;
+  }
+
+  /** Events under a prefix after a revision; undefined if that history is gone. */
+  events(prefix: string, after: number): readonly RecordEvent[] | undefined {
+    if (after < this.#compactedAt) return undefined;
+    return this.#history
+      .filter(({ revision, key }) => revision > after && key.startsWith(prefix))
+      .map(({ event }) => event);
+  }
+
+  /** Resolves when something under the prefix changes, or after the wait. */
+  async changed(prefix: string, after: number, waitMs: number): Promise<void> {
+    const abort = new AbortController();
+    await new Promise<void>((resolve) => {
+      const waiter = { prefix, after, resolve };
+      this.#waiters.add(waiter);
+      void this.#clock.sleep(waitMs, abort.signal).then(() => {
+        this.#waiters.delete(waiter);
+        resolve();
+      });
+    });
+    abort.abort();
+  }
+
+  #put(key: string, value: Uint8Array, lease: number): void {
+    this.#revision++;
+    const record = { key, value: Uint8Array.from(value), revision: this.#revision };
+    this.#records.set(key, { record, lease });
+    this.#remember(key, { kind: "written", record });
+  }
+
+  #remember(key: string, event: RecordEvent): void {
+    this.#history.push({ revision: this.#revision, key, event });
+    this.#notify(key);
+  }
+
+  #notify(key: string): void {
+    for (const waiter of [...this.#waiters])
+      if (key === "" || key.startsWith(waiter.prefix)) waiter.resolve();
+  }
+
+  #expiry(id: number, ttlMs: number): Timer {
+    return this.#clock.schedule(ttlMs, () => {
+      this.endLease(id);
+    });
+  }
+}
+
+/** A client of {@link MemoryRecordStore} behind a way that may fail. */
+export class MemoryRecordClient extends RecordStore {
+  readonly faults: StoreFaults = { silent: false, refusing: false, lostAnswers: 0, lateMs: 0 };
+  readonly #store: MemoryRecordStore;
+  readonly #clock: Clock;
+  readonly #latencyMs: number;
+
+  constructor(store: MemoryRecordStore, clock: Clock, latencyMs: number) {
+    super();
+    this.#store = store;
+    this.#clock = clock;
+    this.#latencyMs = latencyMs;
+  }
+
+  get(key: string): StoreResult<StoredRecord | undefined> {
+    return this.#call(() => Ok(this.#store.read(key)), "unavailable");
+  }
+
+  range(prefix: string): StoreResult<RecordRange> {
+    return this.#call(() => Ok(this.#store.range(prefix)), "unavailable");
+  }
+
+  async watch(prefix: string, after: number, waitMs: number): StoreResult<RecordChanges> {
+    if ((this.#store.events(prefix, after)?.length ?? 1) === 0)
+      await this.#store.changed(prefix, after, waitMs);
+    return this.#call(() => {
+      const events = this.#store.events(prefix, after);
+      if (events === undefined) return Err({ kind: "compacted" });
+      return Ok({ events, revision: this.#store.revision });
+    }, "unavailable");
+  }
+
+  async commit(txn: RecordTransaction): StoreResult<number> {
+    if (this.faults.lostAnswers > 0 && !this.faults.silent) {
+      this.faults.lostAnswers--;
+      this.#clock.schedule(this.faults.lateMs, () => this.#store.commit(txn));
+      await this.#clock.sleep(CALL_TIMEOUT_MS);
+      return Err({ kind: "unknown", detail: "the answer was lost" });
+    }
+    return this.#call(() => this.#store.commit(txn), "unknown");
+  }
+
+  grantLease(ttlMs: number): StoreResult<RecordLease> {
+    return this.#call(() => Ok(this.#store.grant(ttlMs)), "unknown");
+  }
+
+  keepLease(id: number): StoreResult<void> {
+    return this.#call(() => this.#onLease(this.#store.keep(id)), "unknown");
+  }
+
+  endLease(id: number): StoreResult<void> {
+    return this.#call(() => this.#onLease(this.#store.endLease(id)), "unknown");
+  }
+
+  #onLease(found: boolean): Result<void, StoreError> {
+    return found ? Ok(undefined) : Err({ kind: "lease-ended" });
+  }
+
+  async #call<T>(
+    execute: () => Result<T, StoreError>,
+    whenSilent: "unavailable" | "unknown",
+  ): StoreResult<T> {
+    if (this.faults.silent) {
+      await this.#clock.sleep(CALL_TIMEOUT_MS);
+      return Err({ kind: whenSilent, detail: "no answer" });
+    }
+    await this.#clock.sleep(this.#latencyMs);
+    if (this.faults.refusing) return Err({ kind: "unavailable", detail: "refused" });
+    return execute();
+  }
+}
--- a/src/state/jobs/job.ts
+++ b/src/state/jobs/job.ts
@@ -21,7 +21,9 @@
   placement: PlacementRecord | undefined;
   /** Monotonic time in ms before which the task is not started again. */
   notBefore = 0;
-  /** Backend servers on which a run of this task failed. */
+  /** Monotonic time in ms at which its last run was over. */
+  releasedAt = -Infinity;
+  /** Backend servers on which a run of this task failed or crawled. */
   readonly failedOn = new Set<string>();
 
   constructor(step: StepRun, index: number) {
@@ -48,6 +50,8 @@
   readonly position: number;
   readonly spec: StepSpec;
   readonly tasks: readonly Task[];
+  /** Monotonic time in ms at which it was first seen ready; undefined before. */
+  readyAt: number | undefined;
 
   constructor(job: Job, occurrence: number, position: number, spec: StepSpec) {
     this.job = job;
--- a/src/state/jobs/placement.ts
+++ b/src/state/jobs/placement.ts
@@ -17,6 +17,8 @@
   readonly ofStepOnRack: number;
   /** Long-running tasks of all jobs on this backend server. */
   readonly longTasks: number;
+  /** What ran there took far longer than estimated. */
+  readonly slow: boolean;
   /** Maintenance will end what runs there. */
   readonly maintenanceAhead: boolean;
   /** Lower is better: recent failures on this backend server. */
@@ -66,6 +68,7 @@
 ): number {
   return (
     Number(a.failedHere) - Number(b.failedHere) ||
+    Number(a.slow) - Number(b.slow) ||
     distance(step, a) - distance(step, b) ||
     a.penalty - b.penalty ||
     interrupted(step, a) - interrupted(step, b) ||
--- a/src/state/jobs/run-book.ts
+++ b/src/state/jobs/run-book.ts
@@ -28,6 +28,8 @@
   since: number;
   /** Progress in percent, as last listed. */
   percent: number;
+  /** Monotonic time in ms at which percent and load were asked for. */
+  listedAt: number;
   /** Share of its speed in percent that it was ordered to work at. */
   pace: number;
   /** Tail latency in ms or thousandths of a core, as last listed. */
--- /dev/null
+++ b/test/fakes/jobs/entry-way.ts
@@ -0,0 +1,199 @@
+import type { Clock, Timer } from "../../../src/ports/clock.ts";
+import { Clock as AbstractClock } from "../../../src/ports/clock.ts";
+import {
+  JobBackend,
+  JobBackendConnector,
+  type OrderResult,
+  type PaceOrder,
+  type PollOrder,
+  type StartOrder,
+  type StopOrder,
+} from "../../../src/ports/job-backend.ts";
+import { Err } from "ts-results";
+import {
+  RecordStore,
+  type RecordTransaction,
+  type StoreResult,
+} from "../../../src/ports/record-store.ts";
+import type { MemoryRecordClient } from "../../../src/stand-ins/memory-record-store.ts";
+import type { SimulatedJobServer } from "../../../src/stand-ins/simulated-job-server.ts";
+
+const ORDER_TIMEOUT_MS = 900;
+
+/** The state of one entry's process and of its ways out, switched by tests. */
+export class EntryWay {
+  /** The way to backend servers loses everything. */
+  cutFromServers = false;
+  readonly #clock: Clock;
+  #frozen = false;
+  #thawed: (() => void)[] = [];
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Stops the process without it noticing; the monotonic clock goes on. */
+  freeze(): void {
+    this.#frozen = true;
+  }
+
+  thaw(): void {
+    this.#frozen = false;
+    const waiting = this.#thawed;
+    this.#thawed = [];
+    for (const resume of waiting) resume();
+  }
+
+  /** Resolves once the process runs. */
+  running(): Promise<void> {
+    if (!this.#frozen) return Promise.resolve();
+    return new Promise((resolve) => this.#thawed.push(resolve));
+  }
+
+  /** What a process does in its own time happens only while it runs. */
+  async pass<T>(call: () => Promise<T>): Promise<T> {
+    await this.running();
+    const result = await call();
+    await this.running();
+    return result;
+  }
+
+  /** The clock as the process sees it. */
+  clock(): Clock {
+    return new ProcessClock(this.#clock, this);
+  }
+}
+
+class ProcessClock extends AbstractClock {
+  readonly #clock: Clock;
+  readonly #way: EntryWay;
+
+  constructor(clock: Clock, way: EntryWay) {
+    super();
+    this.#clock = clock;
+    this.#way = way;
+  }
+
+  now(): number {
+    return this.#clock.now();
+  }
+
+  wallTime(): number {
+    return this.#clock.wallTime();
+  }
+
+  schedule(delayMs: number, callback: () => void): Timer {
+    let cancelled = false;
+    const timer = this.#clock.schedule(delayMs, () => {
+      void this.#way.running().then(() => {
+        if (!cancelled) callback();
+      });
+    });
+    return {
+      cancel: () => {
+        cancelled = true;
+        timer.cancel();
+      },
+    };
+  }
+}
+
+/** The store as one entry reaches it. */
+export class EntryStore extends RecordStore {
+  readonly #client: MemoryRecordClient;
+  readonly #way: EntryWay;
+
+  constructor(client: MemoryRecordClient, way: EntryWay) {
+    super();
+    this.#client = client;
+    this.#way = way;
+  }
+
+  get(key: string) {
+    return this.#way.pass(() => this.#client.get(key));
+  }
+
+  range(prefix: string) {
+    return this.#way.pass(() => this.#client.range(prefix));
+  }
+
+  watch(prefix: string, after: number, waitMs: number) {
+    return this.#way.pass(() => this.#client.watch(prefix, after, waitMs));
+  }
+
+  commit(txn: RecordTransaction): StoreResult<number> {
+    return this.#way.pass(() => this.#client.commit(txn));
+  }
+
+  grantLease(ttlMs: number) {
+    return this.#way.pass(() => this.#client.grantLease(ttlMs));
+  }
+
+  keepLease(id: number) {
+    return this.#way.pass(() => this.#client.keepLease(id));
+  }
+
+  endLease(id: number) {
+    return this.#way.pass(() => this.#client.endLease(id));
+  }
+}
+
+/** The backend servers as one entry reaches them. */
+export class EntryConnector extends JobBackendConnector {
+  readonly #clock: Clock;
+  readonly #way: EntryWay;
+  readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
+
+  constructor(clock: Clock, way: EntryWay, servers: ReadonlyMap<string, SimulatedJobServer>) {
+    super();
+    this.#clock = clock;
+    this.#way = way;
+    this.#servers = servers;
+  }
+
+  connect(_address: string, id: string): JobBackend {
+    const server = this.#servers.get(id);
+    if (server === undefined) throw new Error(`no server ${id}`);
+    return new EntryBackend(this.#clock, this.#way, server.client());
+  }
+}
+
+class EntryBackend extends JobBackend {
+  readonly #clock: Clock;
+  readonly #way: EntryWay;
+  readonly #backend: JobBackend;
+
+  constructor(clock: Clock, way: EntryWay, backend: JobBackend) {
+    super();
+    this.#clock = clock;
+    this.#way = way;
+    this.#backend = backend;
+  }
+
+  start(order: StartOrder) {
+    return this.#order(() => this.#backend.start(order));
+  }
+
+  stop(order: StopOrder) {
+    return this.#order(() => this.#backend.stop(order));
+  }
+
+  poll(order: PollOrder) {
+    return this.#order(() => this.#backend.poll(order));
+  }
+
+  pace(order: PaceOrder) {
+    return this.#order(() => this.#backend.pace(order));
+  }
+
+  #order<T>(call: () => OrderResult<T>): OrderResult<T> {
+    return this.#way.pass(async () => {
+      if (!this.#way.cutFromServers) {
+        const result = await call();
+        if (!this.#way.cutFromServers) return result;
+      }
+      await this.#clock.sleep(ORDER_TIMEOUT_MS);
+      return Err({ kind: "unknown", detail: "no answer" });
+    });
+  }
+}
--- /dev/null
+++ b/test/fakes/jobs/job-builders.ts
@@ -0,0 +1,45 @@
+import type { FleetConfig, QueueConfig } from "../../../src/protocol/fleet-config.ts";
+import type { JobRequest, Resources, StepSpec } from "../../../src/protocol/job-spec.ts";
+import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
+
+/** A step of one task of one core. */
+export function step(changes: Partial<StepSpec> = {}): StepSpec {
+  return {
+    ...{ tasks: 1, estimateMs: 400, after: [], checkpointing: false, gang: false },
+    ...{ sameRack: false, requiredLabel: "", dataRack: "", maxPerServer: 0, speculative: false },
+    ...{ longRunning: false, image: "", targetLatencyMs: 0, filler: false },
+    ...{ availabilityBudget: 0, demand: { cpuMillis: 1000, memoryMb: 500, accelerators: 0 } },
+    ...changes,
+  };
+}
+
+/** A job of the given steps. */
+export function jobRequest(...steps: readonly StepSpec[]): JobRequest {
+  return { spec: "work", steps, schedule: undefined };
+}
+
+/** The only queue of {@link fleetConfig}. */
+export function queueConfig(changes: Partial<QueueConfig> = {}): QueueConfig {
+  return {
+    ...{ name: "queue", host: "host", prefix: "/queue/", pool: "pool", priority: 0 },
+    ...{ maxAttempts: 3, stretch: 1.6, targetLatencyMs: 600, openToAll: true, advice: undefined },
+    ...changes,
+  };
+}
+
+/** One queue, one pool and one organisation. */
+export function fleetConfig(changes: Partial<FleetConfig> = {}): FleetConfig {
+  return {
+    version: 1,
+    queues: [queueConfig()],
+    pools: [{ name: "pool", admissionCheck: false, spare: false }],
+    organisations: [{ name: "org", keys: ["key"], weight: 1, cap: NO_RESOURCES }],
+    maxBodyBytes: 100_000,
+    ...changes,
+  };
+}
+
+/** An amount of processor time alone, in thousandths of a core. */
+export function cpu(cpuMillis: number): Resources {
+  return { cpuMillis, memoryMb: 0, accelerators: 0 };
+}
--- /dev/null
+++ b/test/fakes/jobs/job-cluster.ts
@@ -0,0 +1,262 @@
+import { Ok } from "ts-results";
+import { MetricCounters } from "../../../src/coordination/counters.ts";
+import { JobEntry } from "../../../src/coordination/jobs/job-entry.ts";
+import {
+  OperatorFeed,
+  ServerRegistry,
+  type OperatorListener,
+  type ServerListener,
+} from "../../../src/coordination/jobs/job-feeds.ts";
+import type { SubmitOutcome } from "../../../src/coordination/jobs/job-submitter.ts";
+import { InstanceControl } from "../../../src/ports/instance-control.ts";
+import type { Log } from "../../../src/ports/log.ts";
+import type { Random } from "../../../src/ports/random.ts";
+import type { FleetConfig, RegisteredServer } from "../../../src/protocol/fleet-config.ts";
+import type { JobRequest, JobState, Resources } from "../../../src/protocol/job-spec.ts";
+import {
+  MemoryRecordStore,
+  type MemoryRecordClient,
+} from "../../../src/stand-ins/memory-record-store.ts";
+import {
+  SimulatedJobServer,
+  type TaskBehaviour,
+} from "../../../src/stand-ins/simulated-job-server.ts";
+import { onClock, VirtualClock } from "../virtual-clock.ts";
+import { EntryConnector, EntryStore, EntryWay } from "./entry-way.ts";
+import { fleetConfig } from "./job-builders.ts";
+
+const LEASE_TTL_MS = 6000;
+const CALLER_WAIT_MS = 3000;
+const CONFIRM_INTERVAL_MS = 500;
+
+const SILENT: Log = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+/** One entry instance of the cluster. */
+export interface ClusterEntry {
+  readonly entry: JobEntry;
+  readonly way: EntryWay;
+  readonly store: MemoryRecordClient;
+  alive: boolean;
+}
+
+/** Options of {@link JobCluster}. */
+export interface JobClusterOptions {
+  readonly random: Random;
+  readonly entries?: number;
+  readonly servers?: number;
+  readonly capacity?: Resources;
+  readonly behaviour?: (task: string) => TaskBehaviour;
+  readonly config?: FleetConfig;
+  readonly log?: Log;
+}
+
+/** Several entry instances over one store and some backend servers, on virtual time. */
+export class JobCluster {
+  readonly clock = new VirtualClock();
+  readonly store = new MemoryRecordStore(this.clock);
+  readonly servers = new Map<string, SimulatedJobServer>();
+  readonly entries: ClusterEntry[] = [];
+  readonly #registry = new FakeRegistry(this.servers);
+  readonly #operators: FakeOperators;
+  readonly #options: Required<Omit<JobClusterOptions, "entries" | "servers" | "config">>;
+
+  constructor(options: JobClusterOptions) {
+    const { entries = 3, servers = 4, config = fleetConfig() } = options;
+    this.#options = {
+      random: options.random,
+      capacity: options.capacity ?? { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
+      behaviour: options.behaviour ?? (() => ({ durationMs: 400 })),
+      log: options.log ?? SILENT,
+    };
+    this.#operators = new FakeOperators(this.clock, config);
+    for (let index = 0; index < servers; index++) this.addServer(`s${index}`);
+    for (let index = 0; index < entries; index++) this.addEntry();
+  }
+
+  addServer(id: string): SimulatedJobServer {
+    const { capacity, behaviour } = this.#options;
+    const server = new SimulatedJobServer({ clock: this.clock, id, capacity, behaviour });
+    this.servers.set(id, server);
+    this.#registry.changed(id);
+    return server;
+  }
+
+  addEntry(): ClusterEntry {
+    const way = new EntryWay(this.clock);
+    const store = this.store.client();
+    const clock = way.clock();
+    const { random, log } = this.#options;
+    const entry = new JobEntry({
+      ...{ clock, random, log, counters: new MetricCounters() },
+      store: new EntryStore(store, way),
+      registry: this.#registry,
+      operators: this.#operators,
+      connector: new EntryConnector(this.clock, way, this.servers),
+      instances: new NoInstances(),
+      name: `e${this.entries.length}`,
+      leaseTtlMs: LEASE_TTL_MS,
+      takeoverPauseMs: 0,
+      keepEndedMs: 120_000,
+    });
+    entry.start();
+    const added = { entry, way, store, alive: true };
+    this.entries.push(added);
+    return added;
+  }
+
+  /** The entry that is the scheduler now. */
+  get scheduler(): ClusterEntry | undefined {
+    return this.entries.find(({ entry, alive }) => alive && entry.scheduling);
+  }
+
+  get alive(): readonly ClusterEntry[] {
+    return this.entries.filter(({ alive }) => alive);
+  }
+
+  /** Ends a process at once, without a word to anybody. */
+  kill(target: ClusterEntry): void {
+    target.alive = false;
+    target.store.faults.silent = true;
+    target.way.cutFromServers = true;
+    void target.entry.resign();
+  }
+
+  /** A backend server loses everything and leaves the registry. */
+  crash(id: string): void {
+    this.servers.get(id)?.crash();
+    this.#registry.changed(id);
+  }
+
+  boot(id: string): void {
+    this.servers.get(id)?.boot();
+    this.#registry.changed(id);
+  }
+
+  configure(config: FleetConfig): void {
+    this.#operators.configure(config);
+  }
+
+  /** Runs virtual time until a scheduler is there. */
+  async elect(): Promise<ClusterEntry> {
+    await this.clock.until(() => this.scheduler !== undefined);
+    return this.scheduler!;
+  }
+
+  submit(
+    target: ClusterEntry,
+    id: string,
+    job: JobRequest,
+    organisation?: string,
+  ): Promise<SubmitOutcome> {
+    const { entry } = target;
+    const [queue] = entry.config.current?.queues ?? [];
+    if (queue === undefined) return Promise.resolve("refused");
+    const deadline = this.clock.now() + CALLER_WAIT_MS;
+    return target.way.pass(() => entry.service.submit(job, queue, { id, organisation, deadline }));
+  }
+
+  /** Asks the store for the state of a job through any live entry. */
+  async state(
+    id: string,
+    organisation?: string,
+  ): Promise<JobState | "unknown-job" | "unavailable"> {
+    const [target] = this.alive;
+    if (target === undefined) return "unavailable";
+    const deadline = this.clock.now() + CALLER_WAIT_MS;
+    const asked = target.entry.service.state({ id, organisation, deadline });
+    const answer = await onClock(this.clock, asked);
+    return answer.kind === "state" ? answer.state : answer.kind;
+  }
+
+  /** Lets every backend server account for the time that has passed. */
+  settle(): void {
+    for (const server of this.servers.values()) server.settle();
+  }
+}
+
+class FakeRegistry extends ServerRegistry {
+  readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
+  readonly #listeners = new Set<ServerListener>();
+
+  constructor(servers: ReadonlyMap<string, SimulatedJobServer>) {
+    super();
+    this.#servers = servers;
+  }
+
+  follow(listener: ServerListener, signal: AbortSignal): Promise<void> {
+    listener.reset([...this.#servers.values()].filter(({ up }) => up).map(registration));
+    this.#listeners.add(listener);
+    return new Promise((resolve) => {
+      signal.addEventListener("abort", () => {
+        this.#listeners.delete(listener);
+        resolve();
+      });
+    });
+  }
+
+  changed(id: string): void {
+    const server = this.#servers.get(id);
+    for (const listener of this.#listeners) {
+      if (server?.up === true) listener.registered(registration(server));
+      else listener.removed(id);
+    }
+  }
+}
+
+function registration({ id, capacity, bootedAt }: SimulatedJobServer): RegisteredServer {
+  return {
+    ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: "z", draining: false },
+    labels: ["kind", "rack"],
+    rack: "rack",
+  };
+}
+
+class FakeOperators extends OperatorFeed {
+  readonly #clock: VirtualClock;
+  readonly #listeners = new Set<OperatorListener>();
+  #config: FleetConfig;
+
+  constructor(clock: VirtualClock, config: FleetConfig) {
+    super();
+    this.#clock = clock;
+    this.#config = config;
+  }
+
+  configure(config: FleetConfig): void {
+    this.#config = config;
+    for (const listener of this.#listeners) listener.configured(config);
+  }
+
+  async follow(listener: OperatorListener, signal: AbortSignal): Promise<void> {
+    listener.configured(this.#config);
+    this.#listeners.add(listener);
+    while (!signal.aborted) {
+      listener.confirmed();
+      await this.#clock.sleep(CONFIRM_INTERVAL_MS, signal);
+    }
+    this.#listeners.delete(listener);
+  }
+
+  reportWave(): Promise<boolean> {
+    return Promise.resolve(true);
+  }
+}
+
+class NoInstances extends InstanceControl {
+  list() {
+    return Promise.resolve(Ok([]));
+  }
+
+  move() {
+    return Promise.resolve(Ok(undefined));
+  }
+
+  maintain() {
+    return Promise.resolve(Ok(undefined));
+  }
+}
--- /dev/null
+++ b/test/fuzz/jobs/job-world.ts
@@ -0,0 +1,190 @@
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { JobCluster, type ClusterEntry } from "../../fakes/jobs/job-cluster.ts";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { onClock } from "../../fakes/virtual-clock.ts";
+import type { JobRequest } from "../../../src/protocol/job-spec.ts";
+import { JobOracle, type KnownJob } from "./job-oracle.ts";
+
+/** Time after the last fault in which every accepted job has to end, in milliseconds. */
+const RECOVERY_MS = 40_000;
+/** Time from a cancel's acknowledgement to the end of everything that runs, in milliseconds. */
+const CANCEL_BOUND_MS = 3200;
+const MAX_ENTRIES = 5;
+
+/** Shapes of jobs that commands choose from. */
+export const JOB_SHAPES: readonly JobRequest[] = [
+  jobRequest(step({ tasks: 3 })),
+  jobRequest(step({ tasks: 2 }), step({ tasks: 2, after: [0] })),
+  jobRequest(step({ tasks: 6, demand: { cpuMillis: 3000, memoryMb: 500, accelerators: 0 } })),
+  jobRequest(step({ tasks: 3, longRunning: true, maxPerServer: 1 })),
+];
+
+/** The system under test, its faults and its oracle. */
+export class JobWorld {
+  readonly cluster: JobCluster;
+  readonly oracle: JobOracle;
+  readonly #pending: Promise<unknown>[] = [];
+
+  constructor(seed: number) {
+    const random = new SeededRandom(seed);
+    const long = new Set<string>();
+    this.cluster = new JobCluster({
+      random,
+      behaviour: (task) => {
+        const id = task.split(".")[0] ?? "";
+        if (long.has(id)) return { durationMs: undefined };
+        return { durationMs: 200 + random.next() * 600, fails: random.next() < 0.05 };
+      },
+    });
+    this.oracle = new JobOracle(this.cluster.servers);
+    this.#long = long;
+  }
+
+  readonly #long: Set<string>;
+
+  /** Hands a job in; a repeat with the same number is the same job. */
+  submit(number: number, shape: number, at: number): void {
+    const request = JOB_SHAPES[shape % JOB_SHAPES.length]!;
+    const id = `job${number}`;
+    const job = this.oracle.submitted(id, request);
+    if (job.request.steps.some(({ longRunning }) => longRunning)) this.#long.add(id);
+    const target = this.#entry(at);
+    if (target === undefined) return;
+    this.#track(
+      this.cluster.submit(target, id, job.request).then((outcome) => {
+        if (outcome === "accepted") job.accepted = true;
+        if (outcome === "refused") job.refused = true;
+      }),
+    );
+  }
+
+  cancel(number: number, at: number): void {
+    const job = this.oracle.jobs.find(({ id }) => id === `job${number}`);
+    const target = this.#entry(at);
+    if (job?.accepted !== true || target === undefined) return;
+    const { clock } = this.cluster;
+    const question = { id: job.id, organisation: undefined, deadline: clock.now() + 3000 };
+    this.#track(
+      target.way
+        .pass(() => target.entry.service.cancel(question))
+        .then(({ kind }) => {
+          if (kind === "state") job.cancelledAt ??= clock.now();
+        }),
+    );
+  }
+
+  killScheduler(): void {
+    const { scheduler } = this.cluster;
+    if (scheduler !== undefined) this.cluster.kill(scheduler);
+    if (this.cluster.alive.length < MAX_ENTRIES) this.cluster.addEntry();
+  }
+
+  killAll(): void {
+    for (const target of this.cluster.alive) this.cluster.kill(target);
+    for (let count = 0; count < 3; count++) this.cluster.addEntry();
+  }
+
+  /** Applies a fault to the scheduler for some time. */
+  disturbScheduler(fault: "freeze" | "no-store" | "no-servers", ms: number): void {
+    const target = this.cluster.scheduler;
+    if (target === undefined) return;
+    const { way, store } = target;
+    if (fault === "freeze") way.freeze();
+    if (fault === "no-store") store.faults.silent = true;
+    if (fault === "no-servers") way.cutFromServers = true;
+    this.cluster.clock.schedule(ms, () => {
+      if (fault === "freeze") way.thaw();
+      if (!target.alive) return;
+      if (fault === "no-store") store.faults.silent = false;
+      if (fault === "no-servers") way.cutFromServers = false;
+    });
+  }
+
+  loseAnswers(count: number, lateMs: number): void {
+    for (const { store } of this.cluster.alive) {
+      store.faults.lostAnswers = count;
+      store.faults.lateMs = lateMs;
+    }
+  }
+
+  storeDown(ms: number): void {
+    const targets = this.cluster.alive;
+    for (const { store } of targets) store.faults.silent = true;
+    this.cluster.clock.schedule(ms, () => {
+      for (const { store, alive } of targets) if (alive) store.faults.silent = false;
+    });
+  }
+
+  crashServer(number: number, ms: number): void {
+    const id = this.#server(number);
+    if (this.cluster.servers.get(id)?.up !== true) return;
+    this.cluster.crash(id);
+    this.cluster.clock.schedule(ms, () => {
+      this.cluster.boot(id);
+    });
+  }
+
+  cutServer(number: number, ms: number): void {
+    const server = this.cluster.servers.get(this.#server(number));
+    if (server === undefined) return;
+    server.faults.silent = true;
+    this.cluster.clock.schedule(ms, () => {
+      server.faults.silent = false;
+    });
+  }
+
+  lateStarts(number: number, lateMs: number): void {
+    const server = this.cluster.servers.get(this.#server(number));
+    if (server !== undefined) Object.assign(server.faults, { lateStarts: 2, lateMs });
+  }
+
+  async advance(ms: number): Promise<void> {
+    const { clock } = this.cluster;
+    for (let passed = 0; passed < ms; passed += 10) {
+      await clock.advance(Math.min(10, ms - passed));
+      this.cluster.settle();
+    }
+  }
+
+  /** Ends all faults, lets the system recover and returns what is wrong. */
+  async finish(): Promise<readonly string[]> {
+    await this.advance(15_000);
+    for (const { store } of this.cluster.alive) store.faults.lostAnswers = 0;
+    for (const server of this.cluster.servers.values()) server.faults.lateStarts = 0;
+    await this.advance(RECOVERY_MS);
+    await onClock(this.cluster.clock, Promise.all(this.#pending));
+    const unfinished: string[] = [];
+    for (const job of this.oracle.jobs) unfinished.push(...(await this.#checkEnd(job)));
+    return [...this.oracle.violations(), ...unfinished];
+  }
+
+  async #checkEnd(job: KnownJob): Promise<readonly string[]> {
+    if (!job.accepted) return [];
+    const state = await this.cluster.state(job.id);
+    const running = [...this.cluster.servers.values()].flatMap((server) => server.running);
+    const own = running.filter((task) => task.startsWith(`${job.id}.`));
+    if (job.cancelledAt !== undefined) {
+      const late = this.cluster.clock.now() - job.cancelledAt > CANCEL_BOUND_MS && own.length > 0;
+      if (late) return [`${job.id} runs on after its cancel`];
+      return ["cancelled", "completed", "failed"].includes(state) ? [] : [`${job.id} is ${state}`];
+    }
+    if (this.#long.has(job.id)) {
+      const wanted = job.request.steps[0]?.tasks ?? 0;
+      return own.length === wanted ? [] : [`${job.id} has ${own.length} of ${wanted} tasks`];
+    }
+    return state === "completed" || state === "failed" ? [] : [`${job.id} is ${state} at the end`];
+  }
+
+  #track(promise: Promise<unknown>): void {
+    this.#pending.push(promise);
+  }
+
+  #entry(at: number): ClusterEntry | undefined {
+    const { alive } = this.cluster;
+    return alive[at % Math.max(1, alive.length)];
+  }
+
+  #server(number: number): string {
+    return `s${number % this.cluster.servers.size}`;
+  }
+}
