fix(jobs): start nothing of a job that was cancelled while its placement was written

Cause: a cancel released runs whose placement was being recorded, but the start followed once the write was confirmed, because only the phase was looked at and not whether the run still counts. The run then occupied a backend server without being accounted for. The new test fails without the change.

--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -79,7 +79,11 @@
     job.refreshState(this.#options.clock.wallTime());
     const stored = await this.#options.writer.save(job);
     if (!stored) return;
-    for (const run of runs) if (run.phase === "recording") void this.#start(run);
+    for (const run of runs) {
+      // The job may have been cancelled while its placements were written.
+      const due = run.phase === "recording" && this.book.ofTask(run.task.name) === run;
+      if (due) void this.#start(run);
+    }
   }
 
   /** Ends a job and stops what runs of it. Resolves once the state is stored. */
@@ -203,6 +207,7 @@
     }
     this.#enter(run, "starting");
     const { task } = run;
+    this.#options.log.debug({ task: task.name, run: run.run, server: run.server }, "run ordered");
     const result = await server.start({
       task: task.name,
       run: run.run,
--- /dev/null
+++ b/test/coordination/jobs/cancel.test.ts
@@ -0,0 +1,28 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { JobCluster } from "../../fakes/jobs/job-cluster.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { onClock } from "../../fakes/virtual-clock.ts";
+
+test("a task whose placement was being recorded when its job was cancelled is not started", async () => {
+  const cluster = new JobCluster({
+    random: new SeededRandom(1),
+    behaviour: () => ({ durationMs: 5000 }),
+  });
+  const { clock } = cluster;
+  const scheduler = await cluster.elect();
+  const caller = cluster.alive.find((target) => target !== scheduler)!;
+  // The answer to the write of the placement is lost, so it takes long to be confirmed.
+  scheduler.store.faults.lostAnswers = 1;
+  await onClock(clock, cluster.submit(caller, "job", jobRequest(step({ tasks: 2 }))));
+  await clock.advance(100);
+  const question = { id: "job", organisation: undefined, deadline: clock.now() + 3000 };
+  await onClock(clock, caller.entry.service.cancel(question));
+  await clock.advance(5000);
+  const runs = [...cluster.servers.values()].flatMap(({ history }) => history);
+  assert.equal(runs, []);
+  assert.is(await cluster.state("job"), "cancelled");
+});
+
+test.run();
