--- a/test/settings/operations-page.test.ts
+++ b/test/settings/operations-page.test.ts
@@ -6,8 +6,8 @@
 import * as template from "../../src/settings/template-file.ts";
 
 // Guards against settings and counters that operators cannot look up.
-test("docs/operations.md names every setting, refusal and retry", () => {
-  const page = readFileSync("docs/operations.md", "utf8");
+test("docs/OPERATIONS.md names every setting, refusal and retry", () => {
+  const page = readFileSync("docs/OPERATIONS.md", "utf8");
   const schemas = [
     ...[entry.EntrySectionSchema, entry.TimingSectionSchema, entry.LimitsSectionSchema],
     ...[template.PoolSectionSchema, template.QueueSectionSchema, template.TeamSectionSchema],
