feat(jobs): placement advice, pacing of fillers, evacuation of leaving servers

Cause: queues with a placement policy, tasks that fill beside serving ones and servers that drain had no handling. Change: tickets are asked for in batches and kept while they hold; fillers slow down as a serving task nears its target and come back in steps; long-running tasks leave draining servers at once. The run tracker is split (ends, stragglers, wait of looks).

--- /dev/null
+++ b/src/coordination/jobs/filler-pacer.ts
@@ -0,0 +1,52 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import {
+  FULL_PACE,
+  nextPace,
+  worstLatencyRatio,
+  type FillerPace,
+} from "../../state/jobs/pacing.ts";
+import type { ActiveRun, RunBook } from "../../state/jobs/run-book.ts";
+import type { ServerDriver } from "./server-driver.ts";
+
+/** Options of {@link FillerPacer}. */
+export interface FillerPacerOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly book: RunBook;
+}
+
+/** Slows tasks that fill spare capacity while they disturb serving tasks beside them. */
+export class FillerPacer {
+  readonly #options: FillerPacerOptions;
+  readonly #paces = new Map<string, FillerPace>();
+
+  constructor(options: FillerPacerOptions) {
+    this.#options = options;
+  }
+
+  /** Looks at one backend server after its lists were read, and orders what follows. */
+  review(driver: ServerDriver): void {
+    const { clock, log, book } = this.#options;
+    const runs = book.onServer(driver.id);
+    const fillers = runs.filter(({ task, phase }) => task.step.spec.filler && phase === "running");
+    if (fillers.length === 0) {
+      this.#paces.delete(driver.id);
+      return;
+    }
+    const ratio = worstLatencyRatio(runs);
+    const before = this.#paces.get(driver.id) ?? FULL_PACE;
+    const pace = nextPace(before, ratio, clock.now());
+    this.#paces.set(driver.id, pace);
+    if (pace.percent !== before.percent)
+      log.info({ server: driver.id, ratio, percent: pace.percent }, "fillers are paced");
+    for (const run of fillers) if (run.pace !== pace.percent) void this.#order(driver, run, pace);
+  }
+
+  async #order(driver: ServerDriver, run: ActiveRun, { percent }: FillerPace): Promise<void> {
+    const before = run.pace;
+    run.pace = percent;
+    // A refused order is repeated at the next look.
+    if (!(await driver.pace(run.task.name, run.run, percent))) run.pace = before;
+  }
+}
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -2,6 +2,7 @@
 import type { InstanceControl } from "../../ports/instance-control.ts";
 import type { JobBackendConnector } from "../../ports/job-backend.ts";
 import type { Log } from "../../ports/log.ts";
+import type { PlacementAdvisor } from "../../ports/placement-advisor.ts";
 import type { Random } from "../../ports/random.ts";
 import type { RecordStore } from "../../ports/record-store.ts";
 import { ENTRIES_PREFIX } from "../../protocol/job-records.ts";
@@ -33,6 +34,7 @@
   readonly operators: OperatorFeed;
   readonly connector: JobBackendConnector;
   readonly instances: InstanceControl;
+  readonly advisor: PlacementAdvisor;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -6,6 +6,7 @@
 import { choosePlacement, type PlacementCandidate } from "../../state/jobs/placement.ts";
 import { occupied, subtract, withinCap } from "../../state/jobs/resources.ts";
 import type { ActiveRun, RunBook } from "../../state/jobs/run-book.ts";
+import type { AdviceBook } from "./advice-book.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
@@ -21,6 +22,7 @@
   readonly config: FleetConfigView;
   readonly book: RunBook;
   readonly drivers: Iterable<ServerDriver>;
+  readonly advice: AdviceBook;
   readonly place: (task: Task, driver: ServerDriver) => ActiveRun;
 }
 
@@ -124,7 +126,8 @@
     const { organisation } = job.spec;
     if (organisation !== undefined && !this.#withinCap(organisation, spec.demand)) return undefined;
     const demand = occupied(spec);
-    const key = refusalKey(task, pool, demand);
+    const advised = this.#options.config.queue(job.spec.queue)?.advice !== undefined;
+    const key = refusalKey(task, pool, demand, advised);
     const chosen =
       this.#choose(task, demand, this.#byPool.get(pool) ?? [], key) ??
       (this.#patient(task)
@@ -140,12 +143,23 @@
     key: string,
   ): ServerDriver | undefined {
     if (this.#refused.has(key)) return undefined;
-    const candidates = drivers.map((driver) => this.#candidate(driver, task));
+    const allowed = this.#advised(task.step, drivers);
+    const candidates = allowed.map((driver) => this.#candidate(driver, task));
     const chosen = choosePlacement(task.step.spec, demand, candidates);
     if (chosen === undefined) this.#refused.add(key);
     return drivers.find(({ id }) => id === chosen?.id);
   }
 
+  /** Servers that the queue's placement policy allows; the advisor is asked about others. */
+  #advised(step: StepRun, drivers: readonly ServerDriver[]): readonly ServerDriver[] {
+    const { config, advice } = this.#options;
+    const cost = config.queue(step.job.spec.queue)?.advice;
+    if (cost === undefined) return drivers;
+    const ids = drivers.map(({ id }) => id);
+    advice.request(step, ids, cost);
+    return drivers.filter(({ id }) => advice.ticket(step, id) !== undefined);
+  }
+
   /** True while the task may rather wait than go to a doubtful server. */
   #patient({ step, releasedAt }: Task): boolean {
     return this.#now - Math.max(step.readyAt ?? this.#now, releasedAt) < DOUBTFUL_AFTER_MS;
@@ -214,10 +228,10 @@
   }
 }
 
-function refusalKey({ step }: Task, pool: string, demand: Resources): string {
+function refusalKey({ step }: Task, pool: string, demand: Resources, advised: boolean): string {
   const { spec, job, position, occurrence } = step;
   // Rules that depend on the step's other tasks can't be shared between steps.
-  const own = spec.maxPerServer > 0 ? `${job.spec.id}.${occurrence}.${position}` : "";
+  const own = spec.maxPerServer > 0 || advised ? `${job.spec.id}.${occurrence}.${position}` : "";
   const { cpuMillis, memoryMb, accelerators } = demand;
   return [pool, cpuMillis, memoryMb, accelerators, spec.requiredLabel, own].join("|");
 }
--- /dev/null
+++ b/src/coordination/jobs/run-ends.ts
@@ -0,0 +1,127 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { EndedRun } from "../../ports/job-backend.ts";
+import type { Log } from "../../ports/log.ts";
+import { parseTaskName } from "../../protocol/job-spec.ts";
+import type { Job, Task } from "../../state/jobs/job.ts";
+import type { ActiveRun, RunBook } from "../../state/jobs/run-book.ts";
+import type { FleetConfigView } from "./config-view.ts";
+import type { JobBoard } from "./job-board.ts";
+import type { ServerDriver } from "./server-driver.ts";
+
+/** Attempts of a queue that is no longer configured. */
+const DEFAULT_MAX_ATTEMPTS = 1;
+
+/** Options of {@link RunEnds}. */
+export interface RunEndsOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly book: RunBook;
+  readonly board: JobBoard;
+  readonly config: FleetConfigView;
+  /** Removes a run that is over. */
+  readonly drop: (run: ActiveRun) => void;
+  readonly stop: (run: ActiveRun) => void;
+  readonly fail: (job: Job) => void;
+}
+
+/** Draws the conclusions from runs that have ended. */
+export class RunEnds {
+  readonly #options: RunEndsOptions;
+
+  constructor(options: RunEndsOptions) {
+    this.#options = options;
+  }
+
+  /** Takes note of an end; adds the job whose progress it changes. */
+  note(driver: ServerDriver, ended: EndedRun, touched: Set<Job>): void {
+    const run = this.#options.book.ofTask(ended.task);
+    if (run?.run === ended.run && run.server === driver.id)
+      this.#known(driver, run, ended, touched);
+    else if (ended.end === "done") this.#givenUp(ended, touched);
+  }
+
+  /** Jobs that a list of ends speaks of. */
+  jobsOf(ended: readonly EndedRun[]): Iterable<Job> {
+    const jobs = new Set<Job>();
+    for (const { task } of ended) {
+      const job = this.#task(task)?.job;
+      if (job !== undefined) jobs.add(job);
+    }
+    return jobs;
+  }
+
+  /** The other members of a gang end with it, and start again together. */
+  endGang(task: Task): void {
+    if (!task.step.spec.gang || task.done) return;
+    for (const member of task.step.tasks) {
+      const run = this.#options.book.ofTask(member.name);
+      if (run !== undefined) this.#options.stop(run);
+    }
+  }
+
+  #known(driver: ServerDriver, run: ActiveRun, ended: EndedRun, touched: Set<Job>): void {
+    const { log, clock, drop } = this.#options;
+    const { task } = run;
+    const { job } = task;
+    const now = clock.now();
+    touched.add(job);
+    if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
+    log.debug({ task: task.name, run: run.run, server: driver.id, end: ended.end }, "run ended");
+    drop(run);
+    if (ended.end === "done") {
+      driver.health.succeeded();
+      observeSpeed(driver, run, now);
+      this.#done(task);
+    } else if (ended.end === "failed") {
+      driver.health.failed(job.spec.id, now);
+      this.#failed(task, driver.id);
+    }
+    this.endGang(task);
+  }
+
+  /** A run that was given up has ended as done all the same, so the task is not run again. */
+  #givenUp(ended: EndedRun, touched: Set<Job>): void {
+    const { log, book, stop } = this.#options;
+    const task = this.#task(ended.task);
+    if (task === undefined || task.done || task.run < ended.run) return;
+    log.warn({ task: task.name, run: ended.run }, "a run that was given up is done");
+    const run = book.ofTask(task.name);
+    if (run !== undefined) stop(run);
+    touched.add(task.job);
+    this.#done(task);
+  }
+
+  #done(task: Task): void {
+    const { clock, board } = this.#options;
+    const { job } = task;
+    const tasks = task.step.spec.gang ? task.step.tasks : [task];
+    for (const member of tasks) member.done = true;
+    job.refreshState(clock.wallTime());
+    if (job.final) board.closed(job);
+  }
+
+  #failed(task: Task, server: string): void {
+    const { config, log, fail } = this.#options;
+    const { job, step } = task;
+    const tasks = step.spec.gang ? step.tasks : [task];
+    for (const member of tasks) member.failures++;
+    task.failedOn.add(server);
+    const allowed = config.queue(job.spec.queue)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+    if (step.spec.longRunning || task.failures < allowed || job.final) return;
+    log.info({ task: task.name, failures: task.failures, allowed, server }, "task failed for good");
+    fail(job);
+  }
+
+  #task(name: string): Task | undefined {
+    const address = parseTaskName(name);
+    if (address === undefined) return undefined;
+    const { job, occurrence, step, index } = address;
+    return this.#options.board.job(job)?.task(occurrence, step, index);
+  }
+}
+
+function observeSpeed(driver: ServerDriver, run: ActiveRun, now: number): void {
+  const { estimateMs, longRunning } = run.task.step.spec;
+  if (run.phase !== "running" || longRunning || estimateMs <= 0) return;
+  driver.speed.observe((now - run.since) / estimateMs, now);
+}
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -1,33 +1,26 @@
 import type { Clock } from "../../ports/clock.ts";
-import type { EndedRun, OrderError, RunLists } from "../../ports/job-backend.ts";
+import type { OrderError, RunLists } from "../../ports/job-backend.ts";
 import type { Log } from "../../ports/log.ts";
-import { parseTaskName } from "../../protocol/job-spec.ts";
 import { inheritedLapse } from "../../state/jobs/server-clock.ts";
 import type { Job, Task } from "../../state/jobs/job.ts";
-import { atWork } from "../../state/jobs/availability.ts";
+import { pollWaitMs } from "../../state/jobs/poll-wait.ts";
 import { reconcile } from "../../state/jobs/reconciliation.ts";
-import {
-  overdue,
-  projectedRatio,
-  timeUntilOverdue,
-  worthRestarting,
-} from "../../state/jobs/run-speed.ts";
 import { RunBook, type ActiveRun, type RunPhase } from "../../state/jobs/run-book.ts";
+import type { AdviceBook } from "./advice-book.ts";
 import type { FleetConfigView } from "./config-view.ts";
+import { FillerPacer } from "./filler-pacer.ts";
 import type { JobBoard } from "./job-board.ts";
-import { MAX_LISTED_ENDS, POLL_WAIT_MS, PROGRESS_POLL_WAIT_MS } from "./order-timing.ts";
+import { MAX_LISTED_ENDS } from "./order-timing.ts";
 import type { ProgressWriter } from "./progress-writer.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import { RunEnds } from "./run-ends.ts";
+import { StragglerWatch } from "./straggler-watch.ts";
 import { DriverListener, type ServerDriver } from "./server-driver.ts";
 
 /** Pause before a task is started again after its start was refused, in milliseconds. */
 const REFUSED_START_PAUSE_MS = 250;
 /** Pause before a backend server that refused a start is asked again, in milliseconds. */
 const REFUSING_SERVER_PAUSE_MS = 1000;
-/** Age in ms of a progress that is too old to judge a run by. */
-const STRAGGLER_LOOK_MS = 700;
-/** Attempts of a queue that is no longer configured. */
-const DEFAULT_MAX_ATTEMPTS = 1;
 
 /** Options of {@link RunTracker}. */
 export interface RunTrackerOptions {
@@ -37,6 +30,7 @@
   readonly board: JobBoard;
   readonly writer: ProgressWriter;
   readonly config: FleetConfigView;
+  readonly advice: AdviceBook;
   readonly driver: (server: string) => ServerDriver | undefined;
   /** Called when work may be placed. */
   readonly wake: () => void;
@@ -46,6 +40,9 @@
 /** Follows every run from its recorded placement to its recorded end. */
 export class RunTracker extends DriverListener {
   readonly book = new RunBook();
+  readonly #pacer: FillerPacer;
+  readonly #ends: RunEnds;
+  readonly #stragglers: StragglerWatch;
   readonly #options: RunTrackerOptions;
   /** Starts that were not answered before their backend server rebooted. */
   readonly #orphans = new Map<string, ActiveRun[]>();
@@ -53,6 +50,19 @@
   constructor(options: RunTrackerOptions) {
     super();
     this.#options = options;
+    const { book } = this;
+    const stop = (run: ActiveRun): void => {
+      this.#stop(run);
+    };
+    this.#pacer = new FillerPacer({ ...options, book });
+    this.#stragglers = new StragglerWatch({ ...options, book, stop });
+    this.#ends = new RunEnds({
+      ...{ ...options, book, stop },
+      drop: (run) => {
+        this.#drop(run);
+      },
+      fail: (job) => void this.end(job, "failed"),
+    });
   }
 
   /** Takes over runs that a former scheduler recorded. */
@@ -105,29 +115,20 @@
     return this.book.onServer(server).length > 0;
   }
 
-  /** Only ends are announced, so other changes have to be looked for. */
   pollWait(server: string): number {
-    const now = this.#options.clock.now();
-    let wait = POLL_WAIT_MS;
-    for (const run of this.book.onServer(server)) {
-      const { longRunning, filler } = run.task.step.spec;
-      if (longRunning && !filler && !atWork(run)) wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
-      const overdueIn = timeUntilOverdue(run, now);
-      if (overdueIn !== undefined)
-        wait = Math.min(wait, Math.max(PROGRESS_POLL_WAIT_MS, overdueIn));
-    }
-    return wait;
+    return pollWaitMs(this.book.onServer(server), this.#options.clock.now());
   }
 
   async listed(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean> {
     const touched = new Set<Job>();
-    for (const ended of lists.ended) this.#ended(driver, ended, touched);
+    for (const ended of lists.ended) this.#ends.note(driver, ended, touched);
     this.#compare(driver, lists, askedAt, touched);
+    this.#pacer.review(driver);
     await this.#settleOrphans(driver);
     if (touched.size > 0) this.#options.wake();
     const { writer } = this.#options;
     const stored = [...touched].map((job) => writer.save(job));
-    for (const job of this.#jobsOf(lists.ended))
+    for (const job of this.#ends.jobsOf(lists.ended))
       if (!touched.has(job)) stored.push(writer.settled(job));
     return (await Promise.all(stored)).every(Boolean);
   }
@@ -146,14 +147,17 @@
     this.#releaseAll(runs, "rebooted");
   }
 
-  /** Has runs looked at that take too long, and starts those anew that hang or crawl. */
+  /** Starts runs anew that hang or crawl. */
   restartStragglers(): void {
-    const now = this.#options.clock.now();
-    for (const run of [...this.book.all()]) {
-      if (!overdue(run, now)) continue;
-      const driver = this.#options.driver(run.server);
-      if (now - run.listedAt > STRAGGLER_LOOK_MS || run.listedAt <= run.since) driver?.wake();
-      else if (driver !== undefined) this.#judge(run, driver, now);
+    this.#stragglers.review();
+  }
+
+  /** Moves long-running tasks away from servers that are about to leave. */
+  evacuateLeaving(drivers: Iterable<ServerDriver>): void {
+    for (const driver of drivers) {
+      if (!driver.registration.draining) continue;
+      for (const run of this.book.onServer(driver.id))
+        if (run.task.step.spec.longRunning) this.stop(run);
     }
   }
 
@@ -172,21 +176,6 @@
     this.#options.tenure.end();
   }
 
-  #judge(run: ActiveRun, driver: ServerDriver, now: number): void {
-    const { task } = run;
-    const resumable = task.checkpoint === "" ? 0 : run.percent / 100;
-    if (task.step.spec.gang || !worthRestarting(run, resumable)) return;
-    const ratio = projectedRatio(run);
-    driver.speed.observeSlowRun(ratio, now);
-    const { percent } = run;
-    this.#options.log.info(
-      { task: task.name, server: driver.id, ratio, percent },
-      "slow run restarts",
-    );
-    task.failedOn.add(driver.id);
-    this.#stop(run);
-  }
-
   #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
     const since = this.#options.clock.now();
     const run: ActiveRun = {
@@ -213,6 +202,7 @@
       run: run.run,
       spec: task.job.spec.spec,
       ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
+      ...this.#ticket(run),
     });
     if (this.book.ofTask(task.name) !== run) return;
     if (result.err) this.#startFailed(run, server, result.val);
@@ -221,6 +211,11 @@
     server.wake();
   }
 
+  #ticket({ task, server }: ActiveRun): { readonly ticket?: string } {
+    const ticket = this.#options.advice.ticket(task.step, server);
+    return ticket === undefined ? {} : { ticket };
+  }
+
   #startFailed(run: ActiveRun, server: ServerDriver, err: OrderError): void {
     const { clock, log } = this.#options;
     const { task } = run;
@@ -232,78 +227,11 @@
     if (err.kind === "not-done") server.health.failed(task.job.spec.id, clock.now());
     if (err.kind === "not-done" || err.kind === "no-room")
       server.notBefore = clock.now() + REFUSING_SERVER_PAUSE_MS;
+    if (err.kind === "ticket") this.#options.advice.refused(task.step, server.id);
     task.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
     this.#release(run, "not-started");
   }
 
-  #ended(driver: ServerDriver, ended: EndedRun, touched: Set<Job>): void {
-    const run = this.book.ofTask(ended.task);
-    if (run?.run !== ended.run || run.server !== driver.id) {
-      this.#endedUnexpectedly(ended, touched);
-      return;
-    }
-    const { task } = run;
-    const { job } = task;
-    const { log, clock } = this.#options;
-    touched.add(job);
-    const { estimateMs, longRunning } = task.step.spec;
-    if (ended.end === "done" && run.phase === "running" && !longRunning && estimateMs > 0)
-      driver.speed.observe((clock.now() - run.since) / estimateMs, clock.now());
-    if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
-    log.debug({ task: task.name, run: run.run, server: driver.id, end: ended.end }, "run ended");
-    this.#drop(run);
-    if (ended.end === "done") {
-      driver.health.succeeded();
-      this.#done(task);
-    } else if (ended.end === "failed") {
-      driver.health.failed(job.spec.id, clock.now());
-      this.#failed(task, driver.id);
-    }
-    this.#endGang(task);
-  }
-
-  /** A run that was given up has ended as done all the same, so the task is not run again. */
-  #endedUnexpectedly(ended: EndedRun, touched: Set<Job>): void {
-    if (ended.end !== "done") return;
-    const task = this.#task(ended.task);
-    if (task === undefined || task.done || task.run < ended.run) return;
-    this.#options.log.warn({ task: task.name, run: ended.run }, "a run that was given up is done");
-    const run = this.book.ofTask(task.name);
-    if (run !== undefined) this.#stop(run);
-    touched.add(task.job);
-    this.#done(task);
-  }
-
-  #done(task: Task): void {
-    const { clock, board } = this.#options;
-    const { job } = task;
-    const tasks = task.step.spec.gang ? task.step.tasks : [task];
-    for (const member of tasks) member.done = true;
-    job.refreshState(clock.wallTime());
-    if (job.final) board.closed(job);
-  }
-
-  #failed(task: Task, server: string): void {
-    const { config, log } = this.#options;
-    const { job, step } = task;
-    const tasks = step.spec.gang ? step.tasks : [task];
-    for (const member of tasks) member.failures++;
-    task.failedOn.add(server);
-    const allowed = config.queue(job.spec.queue)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
-    if (step.spec.longRunning || task.failures < allowed || job.final) return;
-    log.info({ task: task.name, failures: task.failures, allowed, server }, "task failed for good");
-    void this.end(job, "failed");
-  }
-
-  /** The other members of a gang end with it, and start again together. */
-  #endGang(task: Task): void {
-    if (!task.step.spec.gang || task.done) return;
-    for (const member of task.step.tasks) {
-      const run = this.book.ofTask(member.name);
-      if (run !== undefined) this.#stop(run);
-    }
-  }
-
   #compare(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const runs = this.book.onServer(driver.id);
     const found = reconcile(runs, lists, askedAt);
@@ -382,7 +310,7 @@
       this.#orphans.set(run.server, [...(this.#orphans.get(run.server) ?? []), run]);
     log.debug({ task: task.name, run: run.run, server: run.server, reason }, "run released");
     this.#drop(run);
-    this.#endGang(task);
+    this.#ends.endGang(task);
     void writer.save(task.job);
     wake();
   }
@@ -406,22 +334,6 @@
     run.phase = phase;
     run.since = this.#options.clock.now();
   }
-
-  #task(name: string): Task | undefined {
-    const address = parseTaskName(name);
-    if (address === undefined) return undefined;
-    const { job, occurrence, step, index } = address;
-    return this.#options.board.job(job)?.task(occurrence, step, index);
-  }
-
-  #jobsOf(ended: readonly EndedRun[]): Iterable<Job> {
-    const jobs = new Set<Job>();
-    for (const { task } of ended) {
-      const job = this.#task(task)?.job;
-      if (job !== undefined) jobs.add(job);
-    }
-    return jobs;
-  }
 }
 
 type ReleaseReason = "not-started" | "rebooted" | "gone" | "lapsed";
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../ports/clock.ts";
 import type { JobBackendConnector } from "../../ports/job-backend.ts";
 import type { Log } from "../../ports/log.ts";
+import type { PlacementAdvisor } from "../../ports/placement-advisor.ts";
 import type { Random } from "../../ports/random.ts";
 import type { RecordStore } from "../../ports/record-store.ts";
 import type { RegisteredServer } from "../../protocol/fleet-config.ts";
@@ -8,6 +9,7 @@
 import type { Job } from "../../state/jobs/job.ts";
 import type { Counters } from "../ports.ts";
 import type { FleetConfigView } from "./config-view.ts";
+import { AdviceBook } from "./advice-book.ts";
 import { FleetDrivers } from "./fleet-drivers.ts";
 import { JobBoard } from "./job-board.ts";
 import type { ServerRegistry } from "./job-feeds.ts";
@@ -35,6 +37,7 @@
   readonly config: FleetConfigView;
   readonly registry: ServerRegistry;
   readonly connector: JobBackendConnector;
+  readonly advisor: PlacementAdvisor;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
 }
@@ -49,6 +52,7 @@
   readonly tracker: RunTracker;
   readonly writer: ProgressWriter;
   readonly #options: SchedulerOptions;
+  readonly #advice: AdviceBook;
   readonly #takenOverAt: number;
   #roundDue = false;
 
@@ -59,6 +63,7 @@
     const wake = (): void => {
       this.#wake();
     };
+    this.#advice = new AdviceBook({ clock, log, advisor: options.advisor, wake });
     this.writer = new ProgressWriter(options);
     this.board = new JobBoard(log, {
       added: (job) => {
@@ -68,6 +73,7 @@
     });
     this.tracker = new RunTracker({
       ...{ clock, log, tenure, board: this.board, writer: this.writer, config, wake, leaseTtlMs },
+      advice: this.#advice,
       driver: (server) => this.drivers.get(server),
     });
     this.drivers = new FleetDrivers({
@@ -101,6 +107,7 @@
     while (!signal.aborted) {
       await clock.sleep(TICK_MS, signal);
       this.tracker.restartStragglers();
+      this.tracker.evacuateLeaving(this.drivers.all());
       this.tracker.releaseUnreachable(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
       this.#wake();
@@ -158,6 +165,7 @@
     if (!this.ready) return;
     const round = new PlacementRound({
       ...{ clock, config, book: this.tracker.book, drivers: this.drivers.all() },
+      advice: this.#advice,
       place: (task, driver) => this.tracker.place(task, driver),
     });
     for (const [job, runs] of round.run(this.board.open)) void this.tracker.launch(job, runs);
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -254,7 +254,7 @@
     await this.#clock.sleep(LATENCY_MS);
     if (this.#unreachable()) return this.#unanswered();
     const result = execute();
-    return "kind" in result ? Err(result as OrderError) : Ok(result);
+    return "kind" in result ? Err(result) : Ok(result);
   }
 
   async #unanswered(): OrderResult<never> {
--- a/test/fakes/jobs/entry-way.ts
+++ b/test/fakes/jobs/entry-way.ts
@@ -186,12 +186,16 @@
     return this.#order(() => this.#backend.pace(order));
   }
 
+  /** The way may have been cut since the order was sent. */
+  #lost(): boolean {
+    return this.#way.cutFromServers;
+  }
+
   #order<T>(call: () => OrderResult<T>): OrderResult<T> {
     return this.#way.pass(async () => {
-      if (!this.#way.cutFromServers) {
-        const result = await call();
-        if (!this.#way.cutFromServers) return result;
-      }
+      const reached = !this.#way.cutFromServers;
+      const result = reached ? await call() : undefined;
+      if (result !== undefined && !this.#lost()) return result;
       await this.#clock.sleep(ORDER_TIMEOUT_MS);
       return Err({ kind: "unknown", detail: "no answer" });
     });
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -1,4 +1,4 @@
-import { Ok } from "ts-results";
+import { Err, Ok } from "ts-results";
 import { MetricCounters } from "../../../src/coordination/counters.ts";
 import { JobEntry } from "../../../src/coordination/jobs/job-entry.ts";
 import {
@@ -8,6 +8,7 @@
   type ServerListener,
 } from "../../../src/coordination/jobs/job-feeds.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/job-submitter.ts";
+import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import { InstanceControl } from "../../../src/ports/instance-control.ts";
 import type { Log } from "../../../src/ports/log.ts";
 import type { Random } from "../../../src/ports/random.ts";
@@ -98,6 +99,7 @@
       operators: this.#operators,
       connector: new EntryConnector(this.clock, way, this.servers),
       instances: new NoInstances(),
+      advisor: new NoAdvisor(),
       name: `e${this.entries.length}`,
       leaseTtlMs: LEASE_TTL_MS,
       takeoverPauseMs: 0,
@@ -260,3 +262,9 @@
     return Promise.resolve(Ok(undefined));
   }
 }
+
+class NoAdvisor extends PlacementAdvisor {
+  advise() {
+    return Promise.resolve(Err({ kind: "unavailable" as const, detail: "none" }));
+  }
+}
