feat(store): reach the store through peers where it turns an instance away

Cause: a scheduler that the store refuses (or is cut from) lost its lock, was replaced after 2.5 s and left pools unsized for 3 s more; entry instances in the same state refused every caller. Change: entry instances keep sessions in the store and pass on each other's store calls over the framed peer protocol; a write of unknown outcome is never repeated by the relay. Draining servers are evacuated within budgets at first.

--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -5,7 +5,7 @@
 import type { PlacementAdvisor } from "../../ports/placement-advisor.ts";
 import type { Random } from "../../ports/random.ts";
 import type { RecordStore } from "../../ports/record-store.ts";
-import { ENTRIES_PREFIX } from "../../protocol/job-records.ts";
+import { ENTRIES_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
 import type { Counters } from "../ports.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
 import { InstanceView } from "./instance-view.ts";
@@ -20,6 +20,7 @@
 import { RecordCollector } from "./record-collector.ts";
 import { RecordFollower } from "./record-follower.ts";
 import { Scheduler } from "./scheduler.ts";
+import { SessionRegistration } from "./session-registration.ts";
 import { SchedulerLock, type LockTenure } from "./scheduler-lock.ts";
 
 /** Pause in ms after the lock was found taken, or the store failed. */
@@ -45,6 +46,8 @@
 export interface JobEntryOptions extends JobEntryPorts {
   /** Name of this entry instance. */
   readonly name: string;
+  /** What peers need to know of this entry instance. */
+  readonly session: SessionRecord;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
   /** Time in ms after a takeover in which instances get no orders. */
@@ -85,6 +88,11 @@
     return this.config.current !== undefined && this.config.ageMs <= MAX_CONFIG_AGE_MS;
   }
 
+  /** Live entry instances, as last read. */
+  get sessions(): readonly SessionRecord[] {
+    return this.#view.sessions;
+  }
+
   /** True while this entry instance is the scheduler. */
   get scheduling(): boolean {
     return this.#tenure?.valid === true;
@@ -98,6 +106,7 @@
     this.#running = Promise.all([
       operators.follow(this.config, signal),
       new RecordFollower(entries).run(signal),
+      new SessionRegistration(this.#options).run(signal),
       this.#stand(signal),
     ]);
   }
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -3,6 +3,7 @@
 import type { Log } from "../../ports/log.ts";
 import { inheritedLapse } from "../../state/jobs/server-clock.ts";
 import type { Job, Task } from "../../state/jobs/job.ts";
+import { mayInterrupt } from "../../state/jobs/availability.ts";
 import { pollWaitMs } from "../../state/jobs/poll-wait.ts";
 import { reconcile } from "../../state/jobs/reconciliation.ts";
 import { RunBook, type ActiveRun, type RunPhase } from "../../state/jobs/run-book.ts";
@@ -22,6 +23,9 @@
 /** Pause before a backend server that refused a start is asked again, in milliseconds. */
 const REFUSING_SERVER_PAUSE_MS = 1000;
 
+/** Time in ms for which tasks leave a draining server one after the other. */
+const GENTLE_EVACUATION_MS = 1200;
+
 /** Options of {@link RunTracker}. */
 export interface RunTrackerOptions {
   readonly clock: Clock;
@@ -152,12 +156,20 @@
     this.#stragglers.review();
   }
 
-  /** Moves long-running tasks away from servers that are about to leave. */
+  /**
+   * Moves long-running tasks away from servers that are about to leave: at first within their
+   * availability budgets, then all that are left, since they end with the server anyway.
+   */
   evacuateLeaving(drivers: Iterable<ServerDriver>): void {
+    const now = this.#options.clock.now();
     for (const driver of drivers) {
-      if (!driver.registration.draining) continue;
-      for (const run of this.book.onServer(driver.id))
-        if (run.task.step.spec.longRunning) this.stop(run);
+      const { drainingSince } = driver;
+      if (drainingSince === undefined) continue;
+      const urgent = now - drainingSince > GENTLE_EVACUATION_MS;
+      for (const run of this.book.onServer(driver.id)) {
+        if (!run.task.step.spec.longRunning) continue;
+        if (urgent || mayInterrupt([run], this.book)) this.stop(run);
+      }
     }
   }
 
--- a/src/coordination/jobs/scheduler-lock.ts
+++ b/src/coordination/jobs/scheduler-lock.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { decode, encode } from "cbor-x";
 import type { Clock } from "../../ports/clock.ts";
 import type { Log } from "../../ports/log.ts";
@@ -42,6 +43,8 @@
     this.leaseId = leaseId;
     this.#renewedAt = grantedAt.now;
     this.#renewedAtWallTime = grantedAt.wallTime;
+    // Every part of the scheduler waits on this signal.
+    setMaxListeners(0, this.#ended.signal);
   }
 
   /** Aborts when the lock is lost or given up. */
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -60,6 +60,8 @@
   readonly health = new ServerHealth();
   readonly speed = new ServerSpeed();
   adopted = false;
+  /** Monotonic time in ms at which it was first seen draining; undefined if it is not. */
+  drainingSince: number | undefined;
   /** No longer registered: it takes no new tasks, but what runs there may go on. */
   absent = false;
   readonly #reservations = new Set<ReservationReason>();
@@ -80,6 +82,7 @@
   constructor(options: ServerDriverOptions) {
     this.#options = options;
     this.#registration = options.registration;
+    if (options.registration.draining) this.drainingSince = options.clock.now();
   }
 
   get id(): string {
@@ -121,6 +124,8 @@
   /** Takes over a newer registration of the same boot. */
   registered(registration: RegisteredServer): void {
     this.#registration = registration;
+    if (registration.draining) this.drainingSince ??= this.#options.clock.now();
+    else this.drainingSince = undefined;
     this.absent = false;
     this.wake();
   }
--- /dev/null
+++ b/src/coordination/jobs/session-registration.ts
@@ -0,0 +1,58 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type { RecordStore } from "../../ports/record-store.ts";
+import { encodeSession, SESSIONS_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
+
+/** Time to live of a session; peers of an instance that is gone are asked in vain for that long. */
+const SESSION_TTL_MS = 8000;
+/** Renewals also tell soon whether the store is within reach. */
+const RENEW_INTERVAL_MS = 1000;
+
+/** Options of {@link SessionRegistration}. */
+export interface SessionRegistrationOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly session: SessionRecord;
+}
+
+/** Keeps the session of this entry instance in the store, so that peers find it. */
+export class SessionRegistration {
+  readonly #options: SessionRegistrationOptions;
+
+  constructor(options: SessionRegistrationOptions) {
+    this.#options = options;
+  }
+
+  /** Keeps the session until the signal aborts, then ends it. */
+  async run(signal: AbortSignal): Promise<void> {
+    const { store, clock, log } = this.#options;
+    let lease: number | undefined;
+    while (!signal.aborted) {
+      lease ??= await this.#register();
+      await clock.sleep(RENEW_INTERVAL_MS, signal);
+      if (lease === undefined) continue;
+      const kept = await store.keepLease(lease);
+      if (kept.ok || kept.val.kind !== "lease-ended") continue;
+      log.info({ lease }, "session ended, registers again");
+      lease = undefined;
+    }
+    if (lease !== undefined) await store.endLease(lease);
+  }
+
+  async #register(): Promise<number | undefined> {
+    const { store, log, session } = this.#options;
+    const lease = await store.grantLease(SESSION_TTL_MS);
+    if (lease.err) return undefined;
+    const { id } = lease.val;
+    const put = {
+      key: `${SESSIONS_PREFIX}${session.name}`,
+      value: encodeSession(session),
+      lease: id,
+    };
+    const written = await store.commit({ conditions: [], puts: [put] });
+    if (written.ok) return id;
+    log.warn({ err: written.val }, "session not registered");
+    return undefined;
+  }
+}
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -194,6 +194,13 @@
   readonly server: string;
 }
 
+/** Asks a peer to make a call to the platform's store, which the sender cannot reach. */
+export interface StoreCallRequest {
+  readonly type: "store-call";
+  /** The encoded call, see `store-calls.ts`. */
+  readonly call: Uint8Array;
+}
+
 /** Every request between peers. */
 export type PeerRequest =
   | GossipRequest
@@ -210,7 +217,8 @@
   | ChargeReleaseRequest
   | LeaseReportRequest
   | SlotTransferRequest
-  | RebootRequest;
+  | RebootRequest
+  | StoreCallRequest;
 
 /** State of a request as its home knows it. */
 export type RequestState =
@@ -279,9 +287,22 @@
   readonly accepted: boolean;
 }
 
+/** Reply to `store-call`: the encoded result. */
+export interface StoreCallReply {
+  readonly type: "store-call-reply";
+  readonly result: Uint8Array;
+}
+
 /** Every reply between peers. `gossip` is answered with the receiver's own gossip. */
 export type PeerReply =
-  GossipReply | StateReply | ConfigReply | RunReply | TaskStatusReply | LeaseReport | AckReply;
+  | GossipReply
+  | StateReply
+  | ConfigReply
+  | RunReply
+  | TaskStatusReply
+  | LeaseReport
+  | AckReply
+  | StoreCallReply;
 
 interface ReplyMap {
   readonly gossip: GossipReply;
@@ -299,6 +320,7 @@
   readonly "lease-report": LeaseReport;
   readonly "slot-transfer": AckReply;
   readonly reboot: AckReply;
+  readonly "store-call": StoreCallReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -143,6 +143,7 @@
     records: v.array(slotRecord),
   }),
   v.strictObject({ type: v.literal("reboot"), server: v.string() }),
+  v.strictObject({ type: v.literal("store-call"), call: bytes }),
 ]);
 
 const state = v.strictObject({ type: v.literal("state"), state: v.undefinedable(requestState) });
@@ -197,6 +198,7 @@
   "lease-report": leaseReport,
   "slot-transfer": ack,
   reboot: ack,
+  "store-call": v.strictObject({ type: v.literal("store-call-reply"), result: bytes }),
 };
 
 /** One frame after the hello. */
--- /dev/null
+++ b/src/protocol/store-calls.ts
@@ -0,0 +1,81 @@
+/** Calls to the record store as peers pass them on for each other. */
+import { decode, encode } from "cbor-x";
+import * as v from "valibot";
+import type { Result } from "ts-results";
+import { Err, Ok } from "ts-results";
+import type { RecordTransaction, StoreError } from "../ports/record-store.ts";
+
+/** A call to the record store. */
+export type StoreCall =
+  | { readonly kind: "get"; readonly key: string }
+  | { readonly kind: "range"; readonly prefix: string }
+  | {
+      readonly kind: "watch";
+      readonly prefix: string;
+      readonly after: number;
+      readonly waitMs: number;
+    }
+  | { readonly kind: "commit"; readonly txn: RecordTransaction }
+  | { readonly kind: "grant"; readonly ttlMs: number }
+  | { readonly kind: "keep"; readonly lease: number }
+  | { readonly kind: "end"; readonly lease: number };
+
+const bytes = v.custom<Uint8Array>((value) => value instanceof Uint8Array);
+const condition = v.object({ key: v.string(), revision: v.number() });
+const put = v.object({ key: v.string(), value: bytes, lease: v.exactOptional(v.number()) });
+const StoreCallSchema: v.GenericSchema<unknown, StoreCall> = v.variant("kind", [
+  v.object({ kind: v.literal("get"), key: v.string() }),
+  v.object({ kind: v.literal("range"), prefix: v.string() }),
+  v.object({
+    ...{ kind: v.literal("watch"), prefix: v.string() },
+    ...{ after: v.number(), waitMs: v.number() },
+  }),
+  v.object({
+    kind: v.literal("commit"),
+    txn: v.object({
+      conditions: v.array(condition),
+      puts: v.array(put),
+      deletes: v.exactOptional(v.array(v.string())),
+    }),
+  }),
+  v.object({ kind: v.literal("grant"), ttlMs: v.number() }),
+  v.object({ kind: v.literal("keep"), lease: v.number() }),
+  v.object({ kind: v.literal("end"), lease: v.number() }),
+]);
+const ResultSchema = v.variant("ok", [
+  v.object({ ok: v.literal(true), val: v.unknown() }),
+  v.object({ ok: v.literal(false), err: v.looseObject({ kind: v.string() }) }),
+]);
+
+/** Encodes a call. */
+export function encodeStoreCall(call: StoreCall): Uint8Array {
+  return encode(call);
+}
+
+/** Decodes a call; undefined if the bytes are none. */
+export function decodeStoreCall(data: Uint8Array): StoreCall | undefined {
+  try {
+    const parsed = v.safeParse(StoreCallSchema, decode(data));
+    return parsed.success ? parsed.output : undefined;
+  } catch {
+    // Bytes that are no CBOR; the peer's call is answered as malformed.
+    return undefined;
+  }
+}
+
+/** Encodes the result of a call. */
+export function encodeStoreResult(result: Result<unknown, StoreError>): Uint8Array {
+  return encode(result.ok ? { ok: true, val: result.val } : { ok: false, err: result.val });
+}
+
+/** Decodes the result of a call. Peers are the product's own, so its content is not checked again. */
+export function decodeStoreResult(data: Uint8Array): Result<unknown, StoreError> {
+  try {
+    const parsed = v.safeParse(ResultSchema, decode(data));
+    if (!parsed.success) return Err({ kind: "unknown", detail: "unexpected result from a peer" });
+    const { output } = parsed;
+    return output.ok ? Ok(output.val) : Err(output.err as StoreError);
+  } catch {
+    return Err({ kind: "unknown", detail: "unreadable result from a peer" });
+  }
+}
--- /dev/null
+++ b/test/coordination/jobs/relayed-store.test.ts
@@ -0,0 +1,150 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Err, Ok } from "ts-results";
+import { MetricCounters } from "../../../src/coordination/counters.ts";
+import { RelayedStore } from "../../../src/coordination/jobs/relayed-store.ts";
+import { StorePeers } from "../../../src/coordination/jobs/store-peers.ts";
+import {
+  PeerConnection,
+  PeerTransport,
+  type PeerHandler,
+} from "../../../src/ports/peer-transport.ts";
+import type { Hello, PeerRequest, ReplyTo } from "../../../src/protocol/peer-messages.ts";
+import {
+  MemoryRecordStore,
+  type MemoryRecordClient,
+} from "../../../src/stand-ins/memory-record-store.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { onClock, VirtualClock } from "../../fakes/virtual-clock.ts";
+
+const LOG = { debug: silent, info: silent, warn: silent, error: silent };
+
+function silent(): void {
+  // Nothing is checked by its log lines here.
+}
+
+/** Connects the handlers of one network by address. */
+class FakeTransport extends PeerTransport {
+  readonly #network: Map<string, PeerHandler>;
+
+  constructor(network: Map<string, PeerHandler>) {
+    super();
+    this.#network = network;
+  }
+
+  listen(self: Hello, handler: PeerHandler) {
+    this.#network.set(self.address, handler);
+    return Promise.resolve(Ok(undefined));
+  }
+
+  connect(address: string, self: Hello) {
+    const handler = this.#network.get(address);
+    if (handler === undefined)
+      return Promise.resolve(Err({ kind: "not-sent" as const, detail: "no listener" }));
+    return Promise.resolve(Ok(new FakeConnection(handler, self)));
+  }
+
+  close() {
+    return Promise.resolve();
+  }
+}
+
+class FakeConnection extends PeerConnection {
+  readonly remote: Hello;
+  readonly open = true;
+  readonly #handler: PeerHandler;
+
+  constructor(handler: PeerHandler, self: Hello) {
+    super();
+    this.remote = self;
+    this.#handler = handler;
+  }
+
+  async call<T extends PeerRequest>(req: T) {
+    return Ok((await this.#handler(this.remote, req)) as ReplyTo<T>);
+  }
+
+  close(): void {
+    // There is no socket.
+  }
+}
+
+interface Member {
+  readonly store: RelayedStore;
+  readonly direct: MemoryRecordClient;
+}
+
+/** Entry instances that all know each other. */
+async function members(count: number) {
+  const clock = new VirtualClock();
+  const memory = new MemoryRecordStore(clock);
+  const network = new Map<string, PeerHandler>();
+  const names = Array.from({ length: count }, (_, index) => `10.0.0.${index}:1`);
+  const sessions = names.map((name) => ({ name, peerAddress: name, zone: "z" }));
+  const created = names.map(async (address): Promise<Member> => {
+    const direct = memory.client();
+    const peers = new StorePeers({
+      ...{ direct, log: LOG, random: new SeededRandom(1), sessions: () => sessions },
+      transport: new FakeTransport(network),
+      self: { version: 2, incarnation: address, address, zone: "z", group: "" },
+    });
+    await peers.listen();
+    const counters = new MetricCounters();
+    return { direct, store: new RelayedStore({ direct, peers, clock, log: LOG, counters }) };
+  });
+  return { clock, memory, members: await Promise.all(created) };
+}
+
+test("an instance that the store turns away writes and reads through a peer", async () => {
+  const { clock, memory, members: all } = await members(3);
+  all[0]!.direct.faults.refusing = true;
+  const put = { key: "a", value: Uint8Array.of(1) };
+  const txn = { conditions: [{ key: "a", revision: 0 }], puts: [put] };
+  const written = await onClock(clock, all[0]!.store.commit(txn));
+  assert.ok(written.ok);
+  assert.equal(memory.read("a")?.revision, written.val);
+  const read = await onClock(clock, all[0]!.store.get("a"));
+  assert.equal(Buffer.from(read.unwrap()!.value), Buffer.from(put.value));
+});
+
+test("another peer is asked when the first is turned away as well", async () => {
+  const { clock, members: all } = await members(4);
+  for (const { direct } of all.slice(0, 3)) direct.faults.refusing = true;
+  for (let round = 0; round < 5; round++) {
+    const lease = await onClock(clock, all[0]!.store.grantLease(1000));
+    assert.ok(lease.ok, `round ${round}`);
+  }
+});
+
+test("a write that may have been executed is not repeated by the relay", async () => {
+  const { clock, memory, members: all } = await members(2);
+  all[0]!.direct.faults.lostAnswers = 1;
+  const txn = {
+    conditions: [{ key: "a", revision: 0 }],
+    puts: [{ key: "a", value: Uint8Array.of(1) }],
+  };
+  const written = await onClock(clock, all[0]!.store.commit(txn));
+  assert.is(written.err && written.val.kind, "unknown");
+  assert.ok(memory.read("a"));
+  const again = await onClock(clock, all[0]!.store.commit(txn));
+  assert.is(again.err && again.val.kind, "conflict", "the caller learns that it was executed");
+});
+
+test("a waiting watch goes through a peer once the store is out of reach", async () => {
+  const { clock, memory, members: all } = await members(2);
+  const { store, direct } = all[0]!;
+  const watched = store.watch("a", memory.revision, 2500);
+  await clock.advance(100);
+  direct.faults.silent = true;
+  const kept = store.keepLease(1);
+  await clock.advance(1000);
+  const txn = { conditions: [], puts: [{ key: "a", value: Uint8Array.of(1) }] };
+  await onClock(clock, all[1]!.store.commit(txn));
+  const began = clock.now();
+  const changes = await onClock(clock, watched);
+  assert.is(changes.unwrap().events.length, 1);
+  assert.ok(clock.now() - began < 100, "the change is seen at once");
+  await onClock(clock, kept);
+});
+
+test.run();
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -101,6 +101,7 @@
       instances: new NoInstances(),
       advisor: new NoAdvisor(),
       name: `e${this.entries.length}`,
+      session: { name: `e${this.entries.length}`, peerAddress: "", zone: "z" },
       leaseTtlMs: LEASE_TTL_MS,
       takeoverPauseMs: 0,
       keepEndedMs: 120_000,
