fix(leases): give no more time to a server that is silent

Cause: each unanswered look carried a new deadline, and an unanswered order may be carried out, so the lease of a server that was gone for good never counted as lapsed and its long-running tasks never started elsewhere. Ruled out: a full pool. Change: looks at a silent server renew nothing. The new test fails without it.

--- a/src/coordination/jobs/pool-sizer.ts
+++ b/src/coordination/jobs/pool-sizer.ts
@@ -3,6 +3,7 @@
 import type { Log } from "../../ports/log.ts";
 import type { Resources } from "../../protocol/job-spec.ts";
 import {
+  chooseDraining,
   instancesNeeded,
   planMoves,
   type MovableInstance,
@@ -23,6 +24,8 @@
 /** Lists lag, so a moved instance counts to its new pool for this time in ms. */
 const MOVE_SETTLE_MS = 4000;
 
+const LOG_INTERVAL_MS = 2000;
+
 /** Options of {@link PoolSizer}. */
 export interface PoolSizerOptions {
   readonly clock: Clock;
@@ -52,6 +55,7 @@
 export class PoolSizer {
   readonly #options: PoolSizerOptions;
   readonly #samples: Sample[] = [];
+  #loggedAt = -Infinity;
   readonly #idleSince = new Map<string, number>();
   readonly #moves = new Map<string, RecentMove>();
 
@@ -79,10 +83,31 @@
     const needed = this.#needed(instances, sparePool);
     const sizes = this.#sizes(instances);
     const movable = this.#movable(instances, sparePool);
-    const moves = planMoves({ needed, sizes, instances: movable, sparePool });
+    this.#logSizes(needed, sizes);
+    const plan = { needed, sizes, instances: movable, sparePool };
+    this.#drain(chooseDraining(plan), instances);
+    const moves = planMoves(plan);
     await Promise.all(moves.map((move) => this.#move(move, instances)));
   }
 
+  #drain(chosen: ReadonlySet<string>, instances: readonly ControlledInstance[]): void {
+    for (const { name, server } of instances) {
+      const driver = server === undefined ? undefined : this.#options.scheduler.drivers.get(server);
+      if (chosen.has(name)) driver?.reserve("surplus");
+      else driver?.release("surplus");
+    }
+  }
+
+  #logSizes(needed: ReadonlyMap<string, number>, sizes: ReadonlyMap<string, number>): void {
+    const { clock, log } = this.#options;
+    if (clock.now() - this.#loggedAt < LOG_INTERVAL_MS) return;
+    this.#loggedAt = clock.now();
+    log.info(
+      { needed: Object.fromEntries(needed), sizes: Object.fromEntries(sizes) },
+      "pool sizes",
+    );
+  }
+
   #needed(
     instances: readonly ControlledInstance[],
     sparePool: string,
@@ -174,7 +199,11 @@
       else if (!this.#idleSince.has(name)) this.#idleSince.set(name, now);
       const idleMs = now - (this.#idleSince.get(name) ?? now);
       const longTasks = runs.filter((run) => run.task.step.spec.longRunning).length;
-      return [{ name, pool, spare, idle: runs.length === 0, idleMs, longTasks }];
+      const shortTasks = runs.length - longTasks;
+      const draining = driver?.busyWith("surplus") === true;
+      return [
+        { name, pool, spare, idle: runs.length === 0, idleMs, draining, shortTasks, longTasks },
+      ];
     });
   }
 
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -35,7 +35,7 @@
 }
 
 /** Planned work for which a backend server takes no new tasks. */
-export type ReservationReason = "maintenance" | "move";
+export type ReservationReason = "maintenance" | "move" | "surplus";
 
 /** Options of {@link ServerDriver}. */
 export interface ServerDriverOptions {
@@ -102,6 +102,11 @@
     return this.#reservations.size > 0;
   }
 
+  /** True if it is reserved for one of the given reasons. */
+  busyWith(...reasons: readonly ReservationReason[]): boolean {
+    return reasons.some((reason) => this.#reservations.has(reason));
+  }
+
   /** Keeps new tasks away for planned work. */
   reserve(reason: ReservationReason): void {
     this.#reservations.add(reason);
@@ -200,7 +205,8 @@
   async #poll(): Promise<void> {
     const { backend, clock, leaseTtlMs } = this.#options;
     const askedAt = clock.now();
-    const deadlineMs = this.#time.deadline(askedAt, leaseTtlMs);
+    // A silent server gets no more time, so that its lease certainly lapses.
+    const deadlineMs = this.reachable ? this.#time.deadline(askedAt, leaseTtlMs) : undefined;
     const acknowledged = this.#acknowledged;
     const waitMs = this.#pollWait();
     const order: PollOrder = { ...this.#order(), deadlineMs, acknowledged, waitMs };
--- a/src/state/jobs/pool-sizing.ts
+++ b/src/state/jobs/pool-sizing.ts
@@ -3,12 +3,14 @@
 
 /** Room beyond the sum of demands, since tasks do not fill backend servers exactly. */
 const FRAGMENTATION_FACTOR = 1.15;
+/** Part of the last second's rise that is expected to come again. */
+const RISE_WEIGHT = 1;
 /** Instances that hold long-running tasks, so that one loss or maintenance takes few of them. */
 const MIN_WITH_LONG_TASKS = 2;
 /** A pool without any work keeps one instance, because a move takes longer than a short task. */
 const MIN_INSTANCES = 1;
 /** Time in ms for which an instance stays idle before it leaves its pool; moves cost little. */
-const IDLE_BEFORE_RELEASE_MS = 2500;
+const IDLE_BEFORE_RELEASE_MS = 1500;
 
 /** Demand of a pool at one time. */
 export interface PoolLoad {
@@ -35,6 +37,9 @@
   readonly idle: boolean;
   /** Time in ms since something ran on it. */
   readonly idleMs: number;
+  /** It takes no new tasks because its pool has more than it needs. */
+  readonly draining: boolean;
+  readonly shortTasks: number;
   readonly longTasks: number;
 }
 
@@ -46,14 +51,14 @@
 
 /**
  * Instances that a pool needs. Answers queues whose demand rises within seconds to several times what
- * their pool holds, one after the other: the rise of the last second is taken to go on for the time
- * that a move takes.
+ * their pool holds, one after the other: a part of the last second's rise is taken to come again
+ * while a move takes place.
  */
 export function instancesNeeded(load: PoolLoad): number {
   const { long, short, shortBefore, capacity, distinctServers } = load;
   const needed = (["cpuMillis", "memoryMb", "accelerators"] as const).map((resource) => {
     if (capacity[resource] <= 0) return 0;
-    const rise = Math.max(0, short[resource] - shortBefore[resource]);
+    const rise = Math.max(0, short[resource] - shortBefore[resource]) * RISE_WEIGHT;
     const demand = long[resource] + (short[resource] + rise) * FRAGMENTATION_FACTOR;
     return Math.ceil(demand / capacity[resource]);
   });
@@ -96,12 +101,31 @@
   }
   if (plan.sparePool === undefined) return moves;
   for (const donor of donors) {
-    if (donor.spare || moved.has(donor.name) || donor.idleMs < IDLE_BEFORE_RELEASE_MS) continue;
+    if (donor.spare || moved.has(donor.name)) continue;
+    if (!donor.draining && donor.idleMs < IDLE_BEFORE_RELEASE_MS) continue;
     if (surplus(donor.pool) > 0) move(donor, plan.sparePool);
   }
   return moves;
 }
 
+/**
+ * Chooses the instances of each pool that take no new tasks, so that they become idle: as many as the
+ * pool has beyond its need, those with the least work first. Answers the end of a queue's turn, when
+ * what is left of its work would otherwise keep every instance of the pool busy a little.
+ */
+export function chooseDraining(plan: PoolPlan): ReadonlySet<string> {
+  const chosen = new Set<string>();
+  for (const [pool, needed] of plan.needed) {
+    const surplus = (plan.sizes.get(pool) ?? 0) - needed;
+    if (surplus <= 0) continue;
+    const candidates = plan.instances
+      .filter((instance) => instance.pool === pool && instance.longTasks === 0)
+      .sort((a, b) => a.shortTasks - b.shortTasks);
+    for (const { name } of candidates.slice(0, surplus)) chosen.add(name);
+  }
+  return chosen;
+}
+
 function bySpareFirst(a: MovableInstance, b: MovableInstance): number {
   return Number(b.spare) - Number(a.spare) || b.idleMs - a.idleMs;
 }
--- /dev/null
+++ b/test/coordination/jobs/lost-server.test.ts
@@ -0,0 +1,48 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { JobCluster } from "../../fakes/jobs/job-cluster.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { onClock } from "../../fakes/virtual-clock.ts";
+
+/** Lease of servers on the slowest clock, and the time of some unanswered looks. */
+const LAPSE_BOUND_MS = 11_000;
+
+async function longRunning() {
+  const cluster = new JobCluster({
+    random: new SeededRandom(1),
+    behaviour: () => ({ durationMs: undefined }),
+  });
+  const { clock } = cluster;
+  const scheduler = await cluster.elect();
+  const job = jobRequest(step({ tasks: 1, longRunning: true }));
+  await onClock(clock, cluster.submit(scheduler, "job", job));
+  await clock.advance(2000);
+  const first = [...cluster.servers.values()].find(({ running }) => running.length > 0)!;
+  return { cluster, clock, first };
+}
+
+test("a long-running task starts elsewhere once the lease of a silent server has lapsed", async () => {
+  const { cluster, clock, first } = await longRunning();
+  first.crash();
+  await clock.advance(LAPSE_BOUND_MS);
+  const others = [...cluster.servers.values()].filter((server) => server !== first);
+  assert.is(others.flatMap(({ running }) => running).length, 1);
+});
+
+test("a server that is cut off ends its tasks before they start elsewhere", async () => {
+  const { cluster, clock, first } = await longRunning();
+  first.faults.silent = true;
+  const limit = clock.now() + LAPSE_BOUND_MS;
+  while (clock.now() < limit) {
+    await clock.advance(20);
+    cluster.settle();
+    const running = [...cluster.servers.values()].flatMap((server) => server.running);
+    assert.ok(running.length <= 1, `at ${clock.now()}`);
+  }
+  assert.is(first.running.length, 0);
+  const all = [...cluster.servers.values()].flatMap((server) => server.running);
+  assert.is(all.length, 1, "it runs elsewhere");
+});
+
+test.run();
