fix(stragglers): restart slow runs only where the server is to blame

Change: a run restarts only if runs of several jobs crawl on its server, what ended there took long, or it hardly moves; twice at most a task.

--- a/src/coordination/jobs/straggler-watch.ts
+++ b/src/coordination/jobs/straggler-watch.ts
@@ -1,12 +1,20 @@
 import type { Clock } from "../../ports/clock.ts";
 import type { Log } from "../../ports/log.ts";
 import type { ActiveRun, RunBook } from "../../state/jobs/run-book.ts";
-import { overdue, projectedRatio, worthRestarting } from "../../state/jobs/run-speed.ts";
+import {
+  overdue,
+  projectedRatio,
+  serverToBlame,
+  worthRestarting,
+} from "../../state/jobs/run-speed.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Age in ms of a progress that is too old to judge a run by. */
 const MAX_PROGRESS_AGE_MS = 700;
 
+/** A task that crawls everywhere takes longer than estimated, and must be left to end. */
+const MAX_SLOW_RESTARTS = 2;
+
 /** Options of {@link StragglerWatch}. */
 export interface StragglerWatchOptions {
   readonly clock: Clock;
@@ -40,7 +48,9 @@
   #judge(run: ActiveRun, server: ServerDriver, now: number): void {
     const { task, percent } = run;
     const resumable = task.checkpoint === "" ? 0 : percent / 100;
-    if (task.step.spec.gang || !worthRestarting(run, resumable)) return;
+    if (task.step.spec.gang || task.slowRestarts >= MAX_SLOW_RESTARTS) return;
+    if (!worthRestarting(run, resumable)) return;
+    if (!serverToBlame(run, this.#options.book.onServer(run.server), server.speed)) return;
     const ratio = projectedRatio(run);
     server.speed.observeSlowRun(ratio, now);
     this.#options.log.info(
@@ -48,6 +58,7 @@
       "slow run stops",
     );
     task.failedOn.add(server.id);
+    task.slowRestarts++;
     this.#options.stop(run);
   }
 }
--- a/src/state/jobs/job.ts
+++ b/src/state/jobs/job.ts
@@ -21,6 +21,8 @@
   placement: PlacementRecord | undefined;
   /** Monotonic time in ms before which the task is not started again. */
   notBefore = 0;
+  /** Runs that were stopped because they crawled. */
+  slowRestarts = 0;
   /** Monotonic time in ms at which its last run was over. */
   releasedAt = -Infinity;
   /** Backend servers on which a run of this task failed or crawled. */
--- a/src/state/jobs/run-speed.ts
+++ b/src/state/jobs/run-speed.ts
@@ -8,6 +8,10 @@
 const TRIAL_AFTER_MS = 3000;
 /** Duration over estimate from which a backend server counts as slow; estimates are rough. */
 const SLOW_RATIO = 2.2;
+/** Duration over estimate of what ended on a server that makes a slow run there its fault. */
+const SUSPICIOUS_RATIO = 1.6;
+/** Projected duration over estimate beyond any error of an estimate. */
+const STUCK_RATIO = 5;
 /** A run may be looked at when it has taken this multiple of its estimate. */
 const OVERDUE_RATIO = 1.4;
 /** Estimates below this time in ms are too short to judge by. */
@@ -93,3 +97,22 @@
   const remaining = ratio - elapsed;
   return remaining - (1 - resumable) > MIN_GAIN;
 }
+
+/**
+ * True if slowness is the server's and not the task's: runs of several jobs crawl there, what ended
+ * there took long, or the run hardly moves. Estimates of single tasks may be far too low.
+ */
+export function serverToBlame(
+  run: ActiveRun,
+  onServer: readonly ActiveRun[],
+  speed: ServerSpeed,
+): boolean {
+  if (speed.ratio >= SUSPICIOUS_RATIO || projectedRatio(run) >= STUCK_RATIO) return true;
+  const jobs = new Set<string>();
+  for (const other of onServer) {
+    const { estimateMs, longRunning } = other.task.step.spec;
+    if (longRunning || other.phase !== "running" || estimateMs < MIN_ESTIMATE_MS) continue;
+    if (projectedRatio(other) >= SLOW_RATIO) jobs.add(other.task.job.spec.id);
+  }
+  return jobs.size > 1;
+}
