fix(drivers): ask a silent server until it answers, also without runs

Cause: after the lease of a silent server had lapsed nothing was believed to run there, so it was no longer asked, stayed unreachable and got no task for the rest of the tenure. Found by fuzz seed 5 (a long-running task that needs a server of its own stayed away); the trace shows no look after the lapse.

--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -197,7 +197,8 @@
   }
 
   #idle(): boolean {
-    if (!this.adopted) return false;
+    // A silent server is asked until it answers, also when nothing runs there any more.
+    if (!this.adopted || !this.reachable) return false;
     if (this.#acknowledged > this.#acknowledgedThere) return false;
     return !this.#options.listener.hasRuns(this.id);
   }
--- a/test/coordination/jobs/lost-server.test.ts
+++ b/test/coordination/jobs/lost-server.test.ts
@@ -45,4 +45,18 @@
   assert.is(all.length, 1, "it runs elsewhere");
 });
 
+test("a server that was silent until its lease lapsed gets tasks again", async () => {
+  const { cluster, clock, first } = await longRunning();
+  first.faults.silent = true;
+  await clock.advance(LAPSE_BOUND_MS);
+  first.faults.silent = false;
+  await clock.advance(3000);
+  const scheduler = cluster.scheduler!;
+  const wide = jobRequest(step({ tasks: 4, longRunning: true, maxPerServer: 1 }));
+  await onClock(clock, cluster.submit(scheduler, "wide", wide));
+  await clock.advance(2000);
+  const tasks = first.running.filter((task) => task.startsWith("wide."));
+  assert.is(tasks.length, 1);
+});
+
 test.run();
--- a/test/fuzz/jobs/job-world.ts
+++ b/test/fuzz/jobs/job-world.ts
@@ -1,3 +1,4 @@
+import type { Log } from "../../../src/ports/log.ts";
 import { SeededRandom } from "../../fakes/seeded-random.ts";
 import { JobCluster, type ClusterEntry } from "../../fakes/jobs/job-cluster.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
@@ -25,11 +26,12 @@
   readonly oracle: JobOracle;
   readonly #pending: Promise<unknown>[] = [];
 
-  constructor(seed: number) {
+  constructor(seed: number, log?: Log) {
     const random = new SeededRandom(seed);
     const long = new Set<string>();
     this.cluster = new JobCluster({
       random,
+      ...(log === undefined ? {} : { log }),
       behaviour: (task) => {
         const id = task.split(".")[0] ?? "";
         if (long.has(id)) return { durationMs: undefined };
