--- /dev/null
+++ b/test/fuzz/jobs/job-fuzz.test.ts
@@ -0,0 +1,69 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type {
+  ObservedRun,
+  SimulatedJobServer,
+} from "../../../src/stand-ins/simulated-job-server.ts";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { runJobCampaign } from "./job-campaign.ts";
+import { JobOracle } from "./job-oracle.ts";
+
+const RUNS = 12;
+
+/** Campaigns that have failed once, with the cause that was found. */
+const REGRESSIONS: readonly (readonly [number, string])[] = [
+  [5, "a server that fell silent without runs was never asked again"],
+];
+
+test("random histories keep every guarantee", async () => {
+  assert.is(await runJobCampaign(1, RUNS), undefined);
+});
+
+for (const [seed, cause] of REGRESSIONS) {
+  test(`campaign ${seed} passes, which failed because ${cause}`, async () => {
+    assert.is(await runJobCampaign(seed, RUNS), undefined);
+  });
+}
+
+function observed(
+  task: string,
+  startedAt: number,
+  changes: Partial<ObservedRun> = {},
+): ObservedRun {
+  return {
+    ...{ task, run: 1, server: "s", startedAt, endedAt: startedAt + 100, end: "done" },
+    acknowledged: true,
+    ...changes,
+  };
+}
+
+function oracle(...history: ObservedRun[]): JobOracle {
+  const server = { history, id: "s", capacity: { cpuMillis: 1500, memoryMb: 0, accelerators: 0 } };
+  const servers = new Map([["s", server as unknown as SimulatedJobServer]]);
+  const subject = new JobOracle(servers);
+  const request = jobRequest(step({ tasks: 2 }), step({ after: [0] }));
+  subject.submitted("j", request).accepted = true;
+  return subject;
+}
+
+test("the oracle finds each violation that it is meant to find", () => {
+  const cases: readonly (readonly [string, JobOracle])[] = [
+    ["ran twice at once", oracle(observed("j.0.0.0", 0), observed("j.0.0.0", 50, { run: 2 }))],
+    ["after it was done", oracle(observed("j.0.0.0", 0), observed("j.0.0.0", 200, { run: 2 }))],
+    ["overloaded", oracle(observed("j.0.0.0", 0), observed("j.0.0.1", 50))],
+    ["before j.0.0.1 was done", oracle(observed("j.0.0.0", 0), observed("j.0.1.0", 200))],
+    ["never handed in", oracle(observed("x.0.0.0", 0))],
+    [
+      "after three runs had failed",
+      oracle(...[0, 200, 400, 600].map((at) => observed("j.0.0.0", at, { end: "failed" }))),
+    ],
+  ];
+  for (const [text, subject] of cases) assert.match(subject.violations().join(), text);
+});
+
+test("a history that keeps the rules has no violation", () => {
+  const history = [observed("j.0.0.0", 0), observed("j.0.0.1", 200), observed("j.0.1.0", 400)];
+  assert.equal(oracle(...history).violations(), []);
+});
+
+test.run();
--- /dev/null
+++ b/test/platform/ingress.test.ts
@@ -0,0 +1,156 @@
+import { request as httpRequest } from "node:http";
+import { createServer, type AddressInfo } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Ingress, parseJob } from "../../platform/ingress.ts";
+import { MetricCounters } from "../../src/coordination/counters.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
+import { fleetConfig, queueConfig } from "../fakes/jobs/job-builders.ts";
+import { JobCluster } from "../fakes/jobs/job-cluster.ts";
+import { SeededRandom } from "../fakes/seeded-random.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
+
+const ID = "5c0e7a21d94b36f8";
+const JOB = { spec: "s", steps: [{ count: 1, cpu: 100, memMb: 10, estimateMs: 50 }] };
+
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer().listen(0, "127.0.0.1", () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
+}
+
+interface Call {
+  readonly method: string;
+  readonly path: string;
+  readonly key?: string;
+  readonly json?: unknown;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
+  readonly retryAfter: string | undefined;
+}
+
+/** An ingress in front of entry instances whose virtual clock runs with the real one. */
+async function withIngress(
+  check: (call: (call: Call) => Promise<Answer>, cluster: JobCluster) => Promise<void>,
+): Promise<void> {
+  const keyed = queueConfig({ name: "keyed", prefix: "/keyed/", openToAll: false });
+  const config = fleetConfig({ queues: [queueConfig(), keyed] });
+  const cluster = new JobCluster({ random: new SeededRandom(1), config });
+  const { entry } = await cluster.elect();
+  const running = runClock(cluster.clock);
+  const ingress = new Ingress({
+    ...{ clock: new SystemClock(), log: SILENT, counters: new MetricCounters(), entry },
+  });
+  const [callers, readiness] = [await freePort(), await freePort()];
+  await ingress.listen(
+    { host: "127.0.0.1", port: callers },
+    { host: "127.0.0.1", port: readiness },
+  );
+  try {
+    await check((call) => send(callers, call), cluster);
+  } finally {
+    running.stop();
+    await ingress.close();
+  }
+}
+
+const SILENT = { debug: none, info: none, warn: none, error: none };
+
+function none(): void {
+  // Lines are not looked at here.
+}
+
+function runClock(clock: VirtualClock) {
+  let stopped = false;
+  const step = async (): Promise<void> => {
+    while (!stopped) {
+      await clock.advance(5);
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+  };
+  void step();
+  return {
+    stop: () => {
+      stopped = true;
+    },
+  };
+}
+
+function send(port: number, { method, path, key, json }: Call): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const headers = { host: "host", ...(key === undefined ? {} : { "api-key": key }) };
+    const req = httpRequest({ port, host: "127.0.0.1", method, path, headers }, (res) => {
+      const chunks: Buffer[] = [];
+      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      res.on("end", () => {
+        const body: unknown = JSON.parse(Buffer.concat(chunks).toString("utf8"));
+        resolve({ status: res.statusCode ?? 0, body, retryAfter: res.headers["retry-after"] });
+      });
+    });
+    req.on("error", reject);
+    req.end(json === undefined ? undefined : JSON.stringify(json));
+  });
+}
+
+test("a job is accepted once, repeated without effect, shown and cancelled", async () => {
+  await withIngress(async (call) => {
+    const path = `/queue/${ID}`;
+    assert.is((await call({ method: "POST", path, json: JOB })).status, 200);
+    assert.is((await call({ method: "POST", path, json: JOB })).status, 200);
+    const { body } = await call({ method: "GET", path });
+    assert.ok(["queued", "running", "completed"].includes((body as { state: string }).state));
+    assert.is((await call({ method: "DELETE", path })).status, 200);
+  });
+});
+
+test("queues, keys and jobs that are not there are told apart", async () => {
+  await withIngress(async (call) => {
+    const path = `/keyed/${ID}`;
+    assert.is((await call({ method: "GET", path: `/nowhere/${ID}` })).status, 404);
+    assert.is((await call({ method: "GET", path })).status, 401);
+    assert.is((await call({ method: "GET", path, key: "wrong" })).status, 401);
+    assert.is((await call({ method: "GET", path, key: "key" })).status, 410);
+    assert.is((await call({ method: "DELETE", path, key: "key" })).status, 410);
+    const malformed = await call({ method: "POST", path, key: "key", json: { steps: "none" } });
+    assert.is(malformed.status, 400);
+  });
+});
+
+test("a queue tells its pending jobs", async () => {
+  await withIngress(async (call) => {
+    const answer = await call({ method: "GET", path: "/queue/" });
+    assert.equal(answer.body, { pending: 0 });
+  });
+});
+
+test("a job that can't be stored is refused with a time to come back", async () => {
+  await withIngress(async (call, cluster) => {
+    for (const { store } of cluster.entries) store.faults.refusing = true;
+    const answer = await call({ method: "POST", path: `/queue/${ID}`, json: JOB });
+    assert.is(answer.status, 503);
+    assert.is(answer.retryAfter, "1");
+  });
+});
+
+test("a step that waits for a later one is malformed", () => {
+  const steps = [{ count: 1, after: [1] }, { count: 1 }];
+  assert.is(parseJob(Buffer.from(JSON.stringify({ steps }))), undefined);
+  assert.is(parseJob(Buffer.from("no json")), undefined);
+});
+
+test("fields that are left out take their defaults", () => {
+  const job = parseJob(Buffer.from(JSON.stringify({ steps: [{ cpu: 5, mayMiss: 2 }] })));
+  assert.is(job?.steps[0]?.tasks, 1);
+  assert.is(job?.steps[0]?.availabilityBudget, 2);
+  assert.is(job?.schedule, undefined);
+});
+
+test.run();
--- /dev/null
+++ b/test/platform/settings.test.ts
@@ -0,0 +1,53 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { readSettings } from "../../platform/settings.ts";
+
+const SETTINGS = `
+nodeName = "front-1"
+zone = "z"
+ip = "10.0.0.1"
+portRange = [7000, 7015]
+unknownField = "ignored"
+[listenAddrs]
+front = "10.0.0.1:8340"
+ready = "10.0.0.1:8343"
+[bounds]
+holdMaxMs = 10000
+[platform]
+address = "10.0.0.2:8344"
+`;
+
+function file(content: string): string {
+  const path = join(mkdtempSync(join(tmpdir(), "settings-")), "node.toml");
+  writeFileSync(path, content);
+  return path;
+}
+
+test("settings are read, unknown fields are ignored and absent bounds have defaults", () => {
+  const settings = readSettings(file(SETTINGS)).unwrap();
+  assert.equal(settings.callers, { host: "10.0.0.1", port: 8340 });
+  assert.is(settings.storeUrl, "http://10.0.0.2:8344");
+  assert.is(settings.maxServerLeaseMs, 10_000);
+  assert.is(settings.keepEndedMs, 120_000);
+  assert.is(settings.instanceControlUrl, undefined);
+});
+
+test("a wrong value is named with its file, key and what is allowed", () => {
+  const path = file(SETTINGS.replace('ready = "10.0.0.1:8343"', 'ready = "nowhere"'));
+  const err = readSettings(path);
+  assert.ok(err.err);
+  assert.match(err.val, path);
+  assert.match(err.val, "listenAddrs.ready");
+  assert.match(err.val, "IP:PORT");
+});
+
+test("a missing file, no TOML and a missing variable are errors, not crashes", () => {
+  assert.ok(readSettings(join(tmpdir(), "missing.toml")).err);
+  assert.ok(readSettings(file("= broken")).err);
+  assert.ok(readSettings(undefined).err);
+});
+
+test.run();
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,112 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { PlatformStore } from "../../platform/store.ts";
+import { SystemClock } from "../../src/ports/system-clock.ts";
+import { HttpFront, type FrontAnswer, type FrontCall } from "../fakes/jobs/http-front.ts";
+
+const TXN = {
+  conditions: [{ key: "a", revision: 0 }],
+  puts: [{ key: "a", value: Buffer.from("x"), lease: 7 }],
+};
+
+async function withStore(
+  answer: (call: FrontCall) => FrontAnswer,
+  check: (store: PlatformStore, front: HttpFront) => Promise<void>,
+): Promise<void> {
+  const front = new HttpFront(answer);
+  const url = `http://${await front.listen()}`;
+  const store = new PlatformStore({ clock: new SystemClock(), url, count: () => undefined });
+  try {
+    await check(store, front);
+  } finally {
+    front.close();
+  }
+}
+
+function failureOf(result: { readonly err: boolean; readonly val: unknown }): unknown {
+  return result.err ? (result.val as { readonly kind: string }).kind : "none";
+}
+
+test("a write is sent with its conditions and base64 values", async () => {
+  await withStore(
+    () => ({ status: 200, body: { revision: 9 } }),
+    async (store, front) => {
+      assert.is((await store.commit(TXN)).unwrap(), 9);
+      assert.equal(front.calls[0]?.body, {
+        expectedRevision: [{ key: "a", revision: 0 }],
+        puts: [{ key: "a", value: "eA==", lease: 7 }],
+        delete: [],
+      });
+    },
+  );
+});
+
+test("a refused write is certain, a broken one is not", async () => {
+  const answers: readonly (readonly [FrontAnswer, string])[] = [
+    [{ status: 503 }, "unavailable"],
+    [{ status: 429 }, "unavailable"],
+    [{ status: 404 }, "lease-ended"],
+    [{ status: 412, body: { items: [] } }, "conflict"],
+    [{ status: 500 }, "unknown"],
+    [{ status: undefined }, "unknown"],
+  ];
+  for (const [answer, kind] of answers) {
+    await withStore(
+      () => answer,
+      async (store) => {
+        assert.is(failureOf(await store.commit(TXN)), kind, `status ${String(answer.status)}`);
+      },
+    );
+  }
+});
+
+test("all pages of a range are read and watched from the first one's revision", async () => {
+  const page = (key: string, hasMore: boolean, storeRevision: number): FrontAnswer => ({
+    status: 200,
+    body: { items: [{ key, value: "eA==", revision: 3 }], hasMore, storeRevision },
+  });
+  await withStore(
+    ({ query }) => (query.get("after") === null ? page("a", true, 5) : page("b", false, 8)),
+    async (store, front) => {
+      const range = (await store.range("")).unwrap();
+      assert.equal(
+        range.records.map(({ key }) => key),
+        ["a", "b"],
+      );
+      assert.is(range.revision, 5);
+      assert.is(front.calls[1]?.query.get("after"), "a");
+    },
+  );
+});
+
+test("a watch tells deletions and a history that is gone", async () => {
+  const events = [
+    { key: "a", value: "eA==", revision: 4 },
+    { key: "b", revision: 5, deleted: true },
+  ];
+  await withStore(
+    () => ({ status: 200, body: { events, storeRevision: 5 } }),
+    async (store, front) => {
+      const changes = (await store.watch("p", 3, 100)).unwrap();
+      assert.equal(
+        changes.events.map(({ kind }) => kind),
+        ["written", "deleted"],
+      );
+      front.answer = () => ({ status: 410 });
+      assert.is(failureOf(await store.watch("p", 3, 100)), "compacted");
+    },
+  );
+});
+
+test("an absent key is no failure, and an unreadable answer is no absent key", async () => {
+  await withStore(
+    () => ({ status: 404 }),
+    async (store, front) => {
+      assert.is((await store.get("a")).unwrap(), undefined);
+      front.answer = () => ({ status: 200, body: { nothing: 1 } });
+      assert.ok((await store.get("a")).err);
+    },
+  );
+});
+
+test.run();
--- /dev/null
+++ b/test/state/jobs/job-order.test.ts
@@ -0,0 +1,76 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { Job } from "../../../src/state/jobs/job.ts";
+import {
+  chainMs,
+  compareRanks,
+  rankStep,
+  remainingChainMs,
+} from "../../../src/state/jobs/job-order.ts";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { jobSpec } from "../../fakes/jobs/run-builders.ts";
+
+const URGENCY = { priority: 0, stretch: 1.6, targetLatencyMs: 600 };
+
+function rank(estimateMs: number, acceptedAtMs: number, now: number, changes = {}) {
+  const request = jobRequest(step({ estimateMs, ...changes }));
+  const job = new Job(jobSpec(request, { acceptedAtMs }));
+  const [occurrence] = job.occurrences;
+  return rankStep(occurrence!.steps[0]!, occurrence!, URGENCY, now);
+}
+
+test("the longest chain follows the steps' order and not their sum", () => {
+  const request = jobRequest(
+    step({ estimateMs: 100 }),
+    step({ estimateMs: 300 }),
+    step({ estimateMs: 50, after: [0, 1] }),
+  );
+  const [occurrence] = new Job(jobSpec(request)).occurrences;
+  assert.is(chainMs(occurrence!), 350);
+  assert.is(remainingChainMs(occurrence!, 0), 150);
+  assert.is(remainingChainMs(occurrence!, 2), 50);
+});
+
+test("a job that can't be on time any more does not hold up one that can", () => {
+  const late = rank(1000, 0, 5000);
+  const fresh = rank(1000, 4900, 5000);
+  assert.is(late.reachable, false);
+  assert.ok(compareRanks(fresh, late) < 0);
+});
+
+test("among jobs that can be on time the one with the least time left comes first", () => {
+  assert.ok(compareRanks(rank(1000, 0, 100), rank(1000, 500, 600)) < 0);
+});
+
+test("long-running tasks come first, then the queue's priority", () => {
+  const lasting = rank(1000, 0, 99_000, { longRunning: true });
+  const urgent = rank(1000, 98_900, 99_000);
+  assert.ok(compareRanks(lasting, urgent) < 0);
+  assert.ok(compareRanks(urgent, { ...urgent, priority: 1, latestStartMs: 0 }) < 0);
+});
+
+test("occurrences of a schedule are released at their time and never early", () => {
+  const schedule = { occurrences: 3, firstAtMs: 1000, intervalMs: 500 };
+  const job = new Job(jobSpec({ ...jobRequest(step()), schedule }));
+  job.release(999);
+  assert.is(job.occurrences.length, 0);
+  job.release(1500);
+  assert.is(job.occurrences.length, 2);
+  assert.is(job.nextRelease(), 2000);
+  job.release(9000);
+  assert.is(job.occurrences.length, 3);
+});
+
+test("progress that was stored is restored with its open placements", () => {
+  const job = new Job(jobSpec(jobRequest(step({ tasks: 2 }))));
+  const [first, second] = [...job.tasks()];
+  Object.assign(first!, { run: 3, done: true });
+  Object.assign(second!, { run: 1, failures: 1, placement: { server: "s", bootedAt: 7 } });
+  job.refreshState(0);
+  const copy = new Job(job.spec);
+  copy.restore(job.record(), 9);
+  assert.equal(copy.record(), job.record());
+  assert.is(copy.state, "running");
+});
+
+test.run();
--- /dev/null
+++ b/test/state/jobs/planned-work.test.ts
@@ -0,0 +1,165 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { mayInterrupt } from "../../../src/state/jobs/availability.ts";
+import {
+  chooseDraining,
+  instancesNeeded,
+  planMoves,
+  type MovableInstance,
+} from "../../../src/state/jobs/pool-sizing.ts";
+import { RunBook } from "../../../src/state/jobs/run-book.ts";
+import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
+import { chooseReservations, type WaveInstance } from "../../../src/state/jobs/wave-plan.ts";
+import { cpu, jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
+
+function lasting(tasks: number, budget: number) {
+  const request = jobRequest(step({ tasks, longRunning: true, availabilityBudget: budget }));
+  const book = new RunBook();
+  const runs = stepRun(request).tasks.map((task) => activeRun(task));
+  for (const run of runs) book.add(run);
+  return { book, runs };
+}
+
+test("planned work ends no more tasks of a step than its availability budget", () => {
+  const { book, runs } = lasting(4, 1);
+  assert.is(mayInterrupt(runs.slice(0, 1), book), true);
+  assert.is(mayInterrupt(runs.slice(0, 2), book), false);
+});
+
+test("tasks that are away for any other cause count against the budget", () => {
+  const { book, runs } = lasting(4, 1);
+  runs[3]!.percent = 40;
+  assert.is(mayInterrupt(runs.slice(0, 1), book), false);
+  runs[3]!.percent = 100;
+  runs[2]!.phase = "stopping";
+  assert.is(mayInterrupt(runs.slice(0, 1), book), false);
+});
+
+test("tasks that are not at work lose nothing by being ended", () => {
+  const { book, runs } = lasting(3, 1);
+  runs[0]!.percent = 10;
+  assert.is(mayInterrupt(runs.slice(0, 1), book), true);
+});
+
+const CAPACITY = cpu(16_000);
+
+function load(long: number, short: number, shortBefore: number, distinctServers = 0) {
+  return {
+    ...{ pool: "p", long: cpu(long), short: cpu(short), shortBefore: cpu(shortBefore) },
+    ...{ distinctServers, capacity: CAPACITY },
+  };
+}
+
+test("a queue's turn is met by more instances than its present demand needs", () => {
+  const steady = instancesNeeded(load(0, 64_000, 64_000));
+  const rising = instancesNeeded(load(0, 64_000, 16_000));
+  assert.ok(steady >= 4);
+  assert.ok(rising >= steady + 3, `${rising} against ${steady}`);
+});
+
+test("tasks that need servers of their own keep as many instances", () => {
+  assert.is(instancesNeeded(load(1000, 0, 0, 5)), 5);
+});
+
+test("an idle pool keeps one instance, and two if long-running tasks are there", () => {
+  assert.is(instancesNeeded({ ...load(0, 0, 0), long: NO_RESOURCES }), 1);
+  assert.is(instancesNeeded(load(1000, 0, 0)), 2);
+});
+
+function instance(name: string, pool: string, changes: Partial<MovableInstance> = {}) {
+  return {
+    ...{ name, pool, spare: false, idle: true, idleMs: 60_000, draining: false },
+    ...{ shortTasks: 0, longTasks: 0 },
+    ...changes,
+  };
+}
+
+test("a pool that lacks instances takes spare ones first and never more than another needs", () => {
+  const moves = planMoves({
+    needed: new Map([
+      ["hot", 3],
+      ["cold", 1],
+    ]),
+    sizes: new Map([
+      ["hot", 0],
+      ["cold", 2],
+      ["off", 1],
+    ]),
+    instances: [
+      instance("c1", "cold"),
+      instance("c2", "cold"),
+      instance("o1", "off", { spare: true }),
+    ],
+    sparePool: "off",
+  });
+  assert.equal(moves, [
+    { instance: "o1", pool: "hot" },
+    { instance: "c1", pool: "hot" },
+  ]);
+});
+
+test("an instance with tasks is never moved", () => {
+  const moves = planMoves({
+    needed: new Map([["cold", 0]]),
+    sizes: new Map([["cold", 1]]),
+    instances: [instance("c1", "cold", { idle: false, shortTasks: 1 })],
+    sparePool: "off",
+  });
+  assert.equal(moves, []);
+});
+
+test("instances beyond the need drain, the least busy first, and keep long-running tasks", () => {
+  const draining = chooseDraining({
+    needed: new Map([["p", 1]]),
+    sizes: new Map([["p", 3]]),
+    instances: [
+      instance("busy", "p", { idle: false, shortTasks: 9 }),
+      instance("long", "p", { idle: false, longTasks: 1 }),
+      instance("light", "p", { idle: false, shortTasks: 1 }),
+    ],
+    sparePool: "off",
+  });
+  assert.equal([...draining].sort(), ["busy", "light"]);
+});
+
+function waveInstance(
+  name: string,
+  pool: string,
+  changes: Partial<WaveInstance> = {},
+): WaveInstance {
+  const instance = { name, pool, state: "up" as const, zone: "z", labels: [] };
+  return {
+    instance: { ...instance, capacity: CAPACITY, server: name },
+    ...{ reserved: false, shortTasks: 0, longTasks: 0 },
+    ...changes,
+  };
+}
+
+test("a wave never reserves more instances than may be in maintenance at once", () => {
+  const open = ["a", "b", "c", "d"].map((name) => waveInstance(name, name));
+  const request = { wave: 1, instances: [], durationMs: 1000, maxAtOnce: 3 };
+  const underway = [open[0]!.instance];
+  const chosen = chooseReservations({
+    ...{ request, underway, poolSizes: new Map() },
+    open: [{ ...open[1]!, reserved: true }, ...open.slice(2)],
+  });
+  assert.is(chosen.length, 1);
+});
+
+test("a wave takes a small part of a pool at a time, those with the least work first", () => {
+  const request = { wave: 1, instances: [], durationMs: 1000, maxAtOnce: 8 };
+  const open = [
+    waveInstance("busy", "p", { shortTasks: 5 }),
+    waveInstance("idle", "p"),
+    waveInstance("other", "q"),
+  ];
+  const poolSizes = new Map([
+    ["p", 4],
+    ["q", 4],
+  ]);
+  const chosen = chooseReservations({ request, open, underway: [], poolSizes });
+  assert.equal(chosen.map(({ name }) => name).sort(), ["idle", "other"]);
+});
+
+test.run();
--- /dev/null
+++ b/test/state/jobs/server-quality.test.ts
@@ -0,0 +1,91 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FULL_PACE, nextPace, worstLatencyRatio } from "../../../src/state/jobs/pacing.ts";
+import {
+  overdue,
+  ServerSpeed,
+  serverToBlame,
+  worthRestarting,
+} from "../../../src/state/jobs/run-speed.ts";
+import { inheritedLapse, ServerClock } from "../../../src/state/jobs/server-clock.ts";
+import { ServerHealth } from "../../../src/state/jobs/server-health.ts";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
+
+test("a server that fails what several jobs start gets nothing, then single trials", () => {
+  const health = new ServerHealth();
+  health.failed("a", 0);
+  health.failed("b", 0);
+  assert.is(health.onProbation, false);
+  health.failed("c", 0);
+  assert.is(health.onProbation, true);
+  assert.is(health.quarantined(1000), true);
+  assert.is(health.quarantined(2500), false);
+  health.succeeded();
+  assert.is(health.onProbation, false);
+});
+
+test("a job that fails wherever it runs does not bring its servers into quarantine", () => {
+  const health = new ServerHealth();
+  for (let attempt = 0; attempt < 6; attempt++) health.failed("poison", 0);
+  assert.is(health.onProbation, false);
+});
+
+function crawling(estimateMs = 1000) {
+  const run = activeRun(stepRun(jobRequest(step({ estimateMs }))).tasks[0]!, { percent: 20 });
+  run.listedAt = 1500;
+  return run;
+}
+
+test("a task that takes longer than estimated everywhere is left to end", () => {
+  const run = { ...crawling(), percent: 45 };
+  assert.is(overdue(run, 1500), true);
+  assert.is(worthRestarting(run, 0), true);
+  assert.is(serverToBlame(run, [run], new ServerSpeed()), false);
+});
+
+test("a run that hardly moves, or a server that is slow for others, is to blame", () => {
+  assert.is(serverToBlame(crawling(), [], new ServerSpeed()), true);
+  const speed = new ServerSpeed();
+  for (let ended = 0; ended < 4; ended++) speed.observe(4, 0);
+  assert.is(serverToBlame({ ...crawling(), percent: 45 }, [], speed), true);
+});
+
+test("a slow server gets a trial after a pause and is cleared by good runs", () => {
+  const speed = new ServerSpeed();
+  for (let ended = 0; ended < 6; ended++) speed.observe(6, 100);
+  assert.is(speed.slow, true);
+  assert.is(speed.trialDue(200), false);
+  assert.is(speed.trialDue(4000), true);
+  for (let ended = 0; ended < 3; ended++) speed.observe(1, 4000);
+  assert.is(speed.slow, false);
+});
+
+test("a lease is taken as lapsed only once the slowest clock has passed every deadline sent", () => {
+  const time = new ServerClock();
+  time.read({ clockMs: 10_000, receivedAt: 500 });
+  const deadline = time.deadline(500, 6000)!;
+  assert.ok(time.lapsedAt()! >= 500 + (deadline - 10_000) / 0.98);
+  time.read({ clockMs: 9000, receivedAt: 600 });
+  assert.ok(time.lapsedAt()! > 6500, "an older reading that arrives late changes nothing");
+  assert.ok(inheritedLapse(0, 6000) > 6000);
+});
+
+function serving(load: number) {
+  const spec = step({ longRunning: true, targetLatencyMs: 100 });
+  return activeRun(stepRun(jobRequest(spec)).tasks[0]!, { load });
+}
+
+test("fillers stop at once when a serving task is over its target, and come back in steps", () => {
+  const over = nextPace(FULL_PACE, worstLatencyRatio([serving(130)]), 0);
+  assert.is(over.percent, 0);
+  assert.is(nextPace(over, worstLatencyRatio([serving(40)]), 1000).percent, 0);
+  assert.is(nextPace(over, worstLatencyRatio([serving(40)]), 2000).percent, 20);
+});
+
+test("fillers slow down before the target is missed", () => {
+  assert.is(nextPace(FULL_PACE, worstLatencyRatio([serving(90)]), 0).percent, 50);
+  assert.is(nextPace(FULL_PACE, worstLatencyRatio([serving(70)]), 0).percent, 100);
+});
+
+test.run();
