--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,45 @@
+import type { Sade } from "sade";
+import { parseLogLine, tellStory, type LogLine } from "../state/jobs/job-story.ts";
+import {
+  runCommand,
+  UsageError,
+  type CliContext,
+  type CliOptions,
+  type ExitCode,
+} from "./context.ts";
+
+/** Adds `explain`. */
+export function addExplainCommand(program: Sade, ctx: CliContext): void {
+  program
+    .command("explain <id>")
+    .describe("Print what became of a job, from the log lines of all processes.")
+    .option("--log", "File with log lines; several are separated by commas")
+    .option("--json", "Print the lines as JSON")
+    .example("explain 5c0e7a21d94b36f8 --log a.log,b.log")
+    .action((id: string, options: CliOptions) =>
+      runCommand(ctx, options, ["log", "json"], () => Promise.resolve(explain(ctx, id, options))),
+    );
+}
+
+function explain(ctx: CliContext, id: string, { log, json }: CliOptions): ExitCode {
+  if (typeof log !== "string")
+    throw new UsageError("--log: missing; allowed: files with log lines");
+  const lines = log.split(",").flatMap((file) => readLines(ctx, file));
+  const story = tellStory(lines, id);
+  if (story.length === 0) {
+    ctx.printError(`no line speaks of ${id}`);
+    return 1;
+  }
+  for (const line of story) ctx.print(json === true ? JSON.stringify(line) : format(line));
+  return 0;
+}
+
+function readLines(ctx: CliContext, file: string): readonly LogLine[] {
+  const text = ctx.readFile(file);
+  if (text === undefined) throw new UsageError(`--log: ${file} cannot be read; allowed: files`);
+  return text.split("\n").flatMap((line) => parseLogLine(line) ?? []);
+}
+
+function format({ time, instance, msg, fields }: LogLine): string {
+  return `${new Date(time).toISOString()} ${instance} ${msg} ${JSON.stringify(fields)}`;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import { addConfigCommands } from "./config-commands.ts";
 import { addDevCommand } from "./dev-command.ts";
 import { addEntryCommand } from "./entry-command.ts";
+import { addExplainCommand } from "./explain-command.ts";
 import { addKeyCommands } from "./key-commands.ts";
 import { addStandInCommands } from "./stand-in.ts";
 import { addStatusCommands } from "./status-commands.ts";
@@ -34,6 +35,7 @@
 addDevCommand(program, ctx);
 addStandInCommands(program);
 addPlatformCommand(program, ctx);
+addExplainCommand(program, ctx);
 const fault = findUsageFault(program, process.argv.slice(2));
 if (fault === undefined) program.parse(process.argv);
 else {
--- a/src/coordination/jobs/run-ends.ts
+++ b/src/coordination/jobs/run-ends.ts
@@ -66,7 +66,8 @@
     const now = clock.now();
     touched.add(job);
     if (ended.checkpoint !== "") task.checkpoint = ended.checkpoint;
-    log.debug({ task: task.name, run: run.run, server: driver.id, end: ended.end }, "run ended");
+    const level = ended.end === "done" ? "debug" : "info";
+    log[level]({ task: task.name, run: run.run, server: driver.id, end: ended.end }, "run ended");
     drop(run);
     if (ended.end === "done") {
       driver.health.succeeded();
@@ -97,7 +98,10 @@
     const tasks = task.step.spec.gang ? task.step.tasks : [task];
     for (const member of tasks) member.done = true;
     job.refreshState(clock.wallTime());
-    if (job.final) board.closed(job);
+    if (!job.final) return;
+    board.closed(job);
+    const tookMs = Math.round(job.endedAtMs - job.spec.acceptedAtMs);
+    this.#options.log.info({ job: job.spec.id, state: job.state, tookMs }, "job ended");
   }
 
   #failed(task: Task, server: string): void {
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -93,6 +93,7 @@
     job.refreshState(this.#options.clock.wallTime());
     const stored = await this.#options.writer.save(job);
     if (!stored) return;
+    this.#logStarts(job, runs);
     for (const run of runs) {
       // The job may have been cancelled while its placements were written.
       const due = run.phase === "recording" && this.book.ofTask(run.task.name) === run;
@@ -100,6 +101,12 @@
     }
   }
 
+  #logStarts(job: Job, runs: readonly ActiveRun[]): void {
+    const tasks = runs.map(({ task, run, server }) => `${task.name}#${run}@${server}`);
+    const waitedMs = Math.round(this.#options.clock.wallTime() - job.spec.acceptedAtMs);
+    this.#options.log.info({ job: job.spec.id, tasks, waitedMs }, "tasks are started");
+  }
+
   /** Ends a job and stops what runs of it. Resolves once the state is stored. */
   async end(job: Job, state: "cancelled" | "failed"): Promise<boolean> {
     const { clock, writer, board, log } = this.#options;
--- /dev/null
+++ b/test/state/jobs/job-story.test.ts
@@ -0,0 +1,31 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { parseLogLine, tellStory } from "../../../src/state/jobs/job-story.ts";
+
+function line(time: number, msg: string, fields: object): string {
+  return JSON.stringify({ level: 30, time, instance: "e1", msg, ...fields });
+}
+
+const LOG = [
+  line(30, "run ended", { task: "abc.0.0.1", end: "failed" }),
+  line(10, "job submitted", { job: "abc" }),
+  line(20, "scheduler lock lost", { token: 4 }),
+  line(5, "scheduler lock acquired", { token: 4 }),
+  line(25, "job submitted", { job: "other" }),
+  "12.5 e2 " + line(12, "call refused", { path: "/queue/abc", status: 503 }),
+  "no json",
+];
+
+test("a job's lines of all processes are told in time order with what happened meanwhile", () => {
+  const lines = LOG.flatMap((text) => parseLogLine(text) ?? []);
+  assert.equal(
+    tellStory(lines, "abc").map(({ msg }) => msg),
+    ["job submitted", "call refused", "scheduler lock lost", "run ended"],
+  );
+});
+
+test("a job that no line speaks of has no story", () => {
+  assert.equal(tellStory([], "abc"), []);
+});
+
+test.run();
