feat(store): adaptive time-outs; orders to instances go on after a takeover

Change: a call is given up after six times the average answer (150 ms at least, doubled with each time-out in a row, 900 ms at most), since writes are repeatable; recent orders to instances are announced in the store, so a new scheduler leaves only those instances alone.

--- /dev/null
+++ b/src/coordination/jobs/instance-orders.ts
@@ -0,0 +1,68 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { Log } from "../../ports/log.ts";
+import type { RecordStore } from "../../ports/record-store.ts";
+import { decodeOrders, encodeOrders, INSTANCE_ORDERS_KEY } from "../../protocol/job-records.ts";
+import type { LockTenure } from "./scheduler-lock.ts";
+
+/** Covers different times of day on the instances that write and read, in milliseconds. */
+const CLOCK_MARGIN_MS = 1500;
+
+/** Options of {@link InstanceOrders}. */
+export interface InstanceOrdersOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly tenure: LockTenure;
+  /** Time in ms in which two holders must not give orders to one instance. */
+  readonly takeoverPauseMs: number;
+}
+
+/**
+ * Keeps the instances that were ordered something lately, so that a new scheduler leaves just these
+ * alone for a while instead of all.
+ */
+export class InstanceOrders {
+  readonly #options: InstanceOrdersOptions;
+  readonly #recent = new Map<string, number>();
+  /** Instances of the former scheduler's orders, with the wall time of each. */
+  #inherited: ReadonlyMap<string, number> | undefined;
+
+  constructor(options: InstanceOrdersOptions) {
+    this.#options = options;
+  }
+
+  /** Reads the former scheduler's orders; false if the store can't be read now. */
+  async load(): Promise<boolean> {
+    if (this.#inherited !== undefined) return true;
+    const { store, log } = this.#options;
+    const record = await store.get(INSTANCE_ORDERS_KEY);
+    if (record.err) return false;
+    const orders = record.val === undefined ? {} : decodeOrders(record.val.value)?.orders;
+    if (orders === undefined) log.error({ key: INSTANCE_ORDERS_KEY }, "record is unreadable");
+    this.#inherited = new Map(Object.entries(orders ?? {}));
+    return true;
+  }
+
+  /** False while an order of the former scheduler to the instance is too recent. */
+  allowed(instance: string): boolean {
+    const at = this.#inherited?.get(instance);
+    if (at === undefined) return true;
+    const { clock, takeoverPauseMs } = this.#options;
+    return Math.abs(clock.wallTime() - at) > takeoverPauseMs + CLOCK_MARGIN_MS;
+  }
+
+  /** Records orders that are about to be given; false if they must not be. */
+  async announce(instances: readonly string[]): Promise<boolean> {
+    if (instances.length === 0) return true;
+    const { store, clock, log, tenure, takeoverPauseMs } = this.#options;
+    const now = clock.wallTime();
+    for (const [name, at] of this.#recent)
+      if (now - at > takeoverPauseMs + CLOCK_MARGIN_MS) this.#recent.delete(name);
+    for (const name of instances) this.#recent.set(name, now);
+    const value = encodeOrders({ orders: Object.fromEntries(this.#recent) });
+    const put = { key: INSTANCE_ORDERS_KEY, value };
+    const written = await store.commit({ conditions: [tenure.condition], puts: [put] });
+    if (written.err) log.warn({ err: written.val }, "orders to instances not announced");
+    return written.ok && tenure.valid;
+  }
+}
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -8,6 +8,7 @@
 import { ENTRIES_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
 import type { Counters } from "../ports.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
+import { InstanceOrders } from "./instance-orders.ts";
 import { InstanceView } from "./instance-view.ts";
 import { FleetConfigView } from "./config-view.ts";
 import { EntryView } from "./entry-view.ts";
@@ -50,7 +51,7 @@
   readonly session: SessionRecord;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
-  /** Time in ms after a takeover in which instances get no orders. */
+  /** Time in ms in which two schedulers must not give orders to one instance. */
   readonly takeoverPauseMs: number;
   /** Time in ms for which callers may ask for the state of a job that has ended. */
   readonly keepEndedMs: number;
@@ -147,6 +148,7 @@
     const planned = {
       ...{ ...this.#options, holder: this.#options.name, config: this.config },
       ...{ tenure, scheduler, view: new InstanceView(this.#options) },
+      orders: new InstanceOrders({ ...this.#options, tenure }),
     };
     await Promise.all([
       this.#lock.keep(tenure),
--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -12,6 +12,7 @@
 import type { ActiveRun } from "../../state/jobs/run-book.ts";
 import { chooseReservations, type WaveInstance } from "../../state/jobs/wave-plan.ts";
 import type { FleetConfigView } from "./config-view.ts";
+import type { InstanceOrders } from "./instance-orders.ts";
 import type { InstanceView } from "./instance-view.ts";
 import type { OperatorFeed } from "./job-feeds.ts";
 import type { Scheduler } from "./scheduler.ts";
@@ -37,8 +38,7 @@
   readonly scheduler: Scheduler;
   /** Name of this entry instance, given with each order. */
   readonly holder: string;
-  /** Time in ms after a takeover in which the former scheduler's orders may still arrive. */
-  readonly takeoverPauseMs: number;
+  readonly orders: InstanceOrders;
 }
 
 interface Underway {
@@ -67,12 +67,11 @@
 
   /** Works on waves until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure, config, takeoverPauseMs } = this.#options;
-    await clock.sleep(takeoverPauseMs, tenure.signal);
+    const { clock, tenure, config, orders } = this.#options;
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
       for (const request of config.waves) {
-        if (!tenure.valid) break;
+        if (!tenure.valid || !(await orders.load())) break;
         const wave = await this.#progress(request);
         if (wave !== undefined && wave.reported !== "completed") await this.#advance(wave);
       }
@@ -176,6 +175,7 @@
     const since = wave.reservedSince.get(instance.name);
     if (since === undefined || instance.state !== "up") return;
     if (wave.underway.size >= wave.request.maxAtOnce) return;
+    if (!this.#options.orders.allowed(instance.name)) return;
     if (shortTasks > 0 && clock.now() - since < DRAIN_PATIENCE_MS) return;
     if (!mayInterrupt(this.#runs(instance), this.#options.scheduler.tracker.book)) {
       this.#evacuate(instance);
@@ -186,6 +186,10 @@
     // The budget is checked for all instances in turn, so what ends here counts as away at once.
     const runs = this.#runs(instance);
     for (const run of runs) run.percent = 0;
+    if (!(await this.#options.orders.announce([instance.name]))) {
+      wave.underway.delete(instance.name);
+      return;
+    }
     const order = { instance: instance.name, holder, token: tenure.token };
     const result = await instances.maintain(order, wave.request.wave);
     const { wave: number } = wave.request;
--- a/src/coordination/jobs/pool-sizer.ts
+++ b/src/coordination/jobs/pool-sizer.ts
@@ -12,6 +12,7 @@
 } from "../../state/jobs/pool-sizing.ts";
 import { add, NO_RESOURCES, occupied, times } from "../../state/jobs/resources.ts";
 import type { FleetConfigView } from "./config-view.ts";
+import type { InstanceOrders } from "./instance-orders.ts";
 import type { InstanceView } from "./instance-view.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
@@ -37,8 +38,7 @@
   readonly scheduler: Scheduler;
   /** Name of this entry instance, given with each order. */
   readonly holder: string;
-  /** Time in ms after a takeover in which the former scheduler's orders may still arrive. */
-  readonly takeoverPauseMs: number;
+  readonly orders: InstanceOrders;
 }
 
 interface Sample {
@@ -65,11 +65,10 @@
 
   /** Sizes pools until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure, takeoverPauseMs, scheduler } = this.#options;
-    await clock.sleep(takeoverPauseMs, tenure.signal);
+    const { clock, tenure, scheduler, orders } = this.#options;
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
-      if (!tenure.valid || !scheduler.ready) continue;
+      if (!tenure.valid || !scheduler.ready || !(await orders.load())) continue;
       const instances = await this.#options.view.read();
       if (instances !== undefined) await this.#pass(instances);
     }
@@ -87,6 +86,7 @@
     const plan = { needed, sizes, instances: movable, sparePool };
     this.#drain(chooseDraining(plan), instances);
     const moves = planMoves(plan);
+    if (!(await this.#options.orders.announce(moves.map((move) => move.instance)))) return;
     await Promise.all(moves.map((move) => this.#move(move, instances)));
   }
 
@@ -192,6 +192,7 @@
       const { name, pool, server, state } = instance;
       const spare = pool === sparePool;
       if (state !== "up" || this.#moves.has(name)) return [];
+      if (!this.#options.orders.allowed(name)) return [];
       const driver = server === undefined ? undefined : scheduler.drivers.get(server);
       if (!spare && (driver?.adopted !== true || driver.reserved)) return [];
       const runs = server === undefined ? [] : scheduler.tracker.book.onServer(server);
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -13,6 +13,8 @@
 export const ENTRIES_PREFIX = `${ROOT}entry/`;
 /** Number of jobs without a started task, per queue. */
 export const PENDING_KEY = `${ROOT}pending`;
+/** Instances that were ordered something lately. */
+export const INSTANCE_ORDERS_KEY = `${ROOT}instance-orders`;
 /** Lock of the scheduler. Its creation revision is the fencing token. */
 export const SCHEDULER_KEY = `${ENTRIES_PREFIX}scheduler`;
 /** Sessions under {@link ENTRIES_PREFIX}. */
@@ -108,6 +110,12 @@
   readonly completed: boolean;
 }
 
+/** Instances that were ordered something lately, with the Unix time of each order in ms. */
+export interface OrdersRecord {
+  readonly orders: Readonly<Record<string, number>>;
+}
+
+const OrdersSchema = v.object({ orders: v.record(v.string(), v.number()) });
 const JobSpecSchema = v.custom<JobSpec>(
   (value) => isRecord(value) && typeof value.id === "string" && Array.isArray(value.steps),
 );
@@ -207,6 +215,16 @@
   return decodeWith(WaveSchema, bytes);
 }
 
+/** Encodes recent orders to instances. */
+export function encodeOrders(record: OrdersRecord): Uint8Array {
+  return encode(record);
+}
+
+/** Decodes recent orders to instances; undefined if the bytes are none. */
+export function decodeOrders(bytes: Uint8Array): OrdersRecord | undefined {
+  return decodeWith(OrdersSchema, bytes);
+}
+
 function decodeWith<T>(schema: v.GenericSchema<unknown, T>, bytes: Uint8Array): T | undefined {
   try {
     const parsed = v.safeParse(schema, decode(bytes));
--- /dev/null
+++ b/test/transport/adaptive-timeout.test.ts
@@ -0,0 +1,27 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { AdaptiveTimeout } from "../../src/transport/adaptive-timeout.ts";
+
+test("a single lost answer is given up long before the longest wait", () => {
+  const timeout = new AdaptiveTimeout(900);
+  for (let call = 0; call < 20; call++) timeout.answered(10);
+  assert.ok(timeout.currentMs <= 200);
+});
+
+test("a service that became slow is waited for after some timeouts", () => {
+  const timeout = new AdaptiveTimeout(900);
+  timeout.answered(5);
+  for (let call = 0; call < 3; call++) timeout.timedOut();
+  assert.is(timeout.currentMs, 900);
+  for (let call = 0; call < 20; call++) timeout.answered(240);
+  assert.is(timeout.currentMs, 900);
+});
+
+test("waits come down again when answers are fast", () => {
+  const timeout = new AdaptiveTimeout(900);
+  for (let call = 0; call < 5; call++) timeout.timedOut();
+  for (let call = 0; call < 30; call++) timeout.answered(8);
+  assert.is(timeout.currentMs, 150);
+});
+
+test.run();
