fix(availability): tasks on a silent server count as away

Cause: planned work took tasks as at work as long as the last list said so, also when their server had crashed seconds before, and ended more of a step than its budget. Change: a list older than 3.5 s, which is less than the time after which an absence counts, proves nothing. The new test fails without the change.

--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -177,7 +177,8 @@
     if (wave.underway.size >= wave.request.maxAtOnce) return;
     if (!this.#options.orders.allowed(instance.name)) return;
     if (shortTasks > 0 && clock.now() - since < DRAIN_PATIENCE_MS) return;
-    if (!mayInterrupt(this.#runs(instance), this.#options.scheduler.tracker.book)) {
+    const { book } = this.#options.scheduler.tracker;
+    if (!mayInterrupt(this.#runs(instance), book, clock.now())) {
       this.#evacuate(instance);
       return;
     }
@@ -203,10 +204,12 @@
 
   /** Moves long-running tasks away one after the other where their budget forbids all at once. */
   #evacuate(instance: ControlledInstance): void {
-    const { tracker } = this.#options.scheduler;
+    const { clock, scheduler } = this.#options;
+    const { tracker } = scheduler;
+    const now = clock.now();
     for (const run of this.#runs(instance)) {
-      if (!run.task.step.spec.longRunning || !atWork(run)) continue;
-      if (mayInterrupt([run], tracker.book)) tracker.stop(run);
+      if (!run.task.step.spec.longRunning || !atWork(run, now)) continue;
+      if (mayInterrupt([run], tracker.book, now)) tracker.stop(run);
     }
   }
 
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -175,7 +175,7 @@
       const urgent = now - drainingSince > GENTLE_EVACUATION_MS;
       for (const run of this.book.onServer(driver.id)) {
         if (!run.task.step.spec.longRunning) continue;
-        if (urgent || mayInterrupt([run], this.book)) this.stop(run);
+        if (urgent || mayInterrupt([run], this.book, now)) this.stop(run);
       }
     }
   }
--- a/src/state/jobs/poll-wait.ts
+++ b/src/state/jobs/poll-wait.ts
@@ -18,7 +18,7 @@
   let wait = paced ? PACING_POLL_WAIT_MS : POLL_WAIT_MS;
   for (const run of runs) {
     const { longRunning, filler } = run.task.step.spec;
-    if (longRunning && !filler && !atWork(run)) wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
+    if (longRunning && !filler && !atWork(run, now)) wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
     const overdueIn = timeUntilOverdue(run, now);
     if (overdueIn !== undefined) wait = Math.min(wait, Math.max(PROGRESS_POLL_WAIT_MS, overdueIn));
   }
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -13,6 +13,8 @@
 import { cpu, jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
 
+const NOW = 1000;
+
 function lasting(tasks: number, budget: number) {
   const request = jobRequest(step({ tasks, longRunning: true, availabilityBudget: budget }));
   const book = new RunBook();
@@ -23,23 +25,33 @@
 
 test("planned work ends no more tasks of a step than its availability budget", () => {
   const { book, runs } = lasting(4, 1);
-  assert.is(mayInterrupt(runs.slice(0, 1), book), true);
-  assert.is(mayInterrupt(runs.slice(0, 2), book), false);
+  assert.is(mayInterrupt(runs.slice(0, 1), book, NOW), true);
+  assert.is(mayInterrupt(runs.slice(0, 2), book, NOW), false);
 });
 
 test("tasks that are away for any other cause count against the budget", () => {
   const { book, runs } = lasting(4, 1);
   runs[3]!.percent = 40;
-  assert.is(mayInterrupt(runs.slice(0, 1), book), false);
+  assert.is(mayInterrupt(runs.slice(0, 1), book, NOW), false);
   runs[3]!.percent = 100;
   runs[2]!.phase = "stopping";
-  assert.is(mayInterrupt(runs.slice(0, 1), book), false);
+  assert.is(mayInterrupt(runs.slice(0, 1), book, NOW), false);
+});
+
+test("tasks on a server that has not answered for some seconds count as away", () => {
+  const { book, runs } = lasting(4, 1);
+  const now = 10_000;
+  for (const run of runs.slice(0, 3)) run.listedAt = now - 500;
+  runs[3]!.listedAt = now - 5000;
+  assert.is(mayInterrupt(runs.slice(0, 1), book, now), false);
+  runs[3]!.listedAt = now - 2500;
+  assert.is(mayInterrupt(runs.slice(0, 1), book, now), true);
 });
 
 test("tasks that are not at work lose nothing by being ended", () => {
   const { book, runs } = lasting(3, 1);
   runs[0]!.percent = 10;
-  assert.is(mayInterrupt(runs.slice(0, 1), book), true);
+  assert.is(mayInterrupt(runs.slice(0, 1), book, NOW), true);
 });
 
 const CAPACITY = cpu(16_000);
