fix(submit): refuse at once while the store does not answer

Change: what was not written yet is refused with the failing transaction, and on arrival while it goes on.

--- a/src/coordination/jobs/job-submitter.ts
+++ b/src/coordination/jobs/job-submitter.ts
@@ -47,6 +47,8 @@
   readonly #options: JobSubmitterOptions;
   #waiting: Submission[] = [];
   #writing = false;
+  /** Monotonic time in ms since which no transaction was answered. */
+  #failingSince: number | undefined;
 
   constructor(options: JobSubmitterOptions) {
     this.#options = options;
@@ -56,6 +58,9 @@
   async submit(job: JobSpec, deadline: number): Promise<SubmitOutcome> {
     const { clock } = this.#options;
     const since = clock.now();
+    // A caller who would only wait for a store that fails is told at once.
+    const failingMs = since - (this.#failingSince ?? since);
+    if (failingMs >= REFUSAL_PATIENCE_MS && this.#writing) return "refused";
     const submission: Submission = {
       ...{ job, deadline, since, outcome: new Deferred<SubmitOutcome>(), uncertain: false },
     };
@@ -75,8 +80,10 @@
       const batch = this.#waiting.slice(0, JOBS_PER_TRANSACTION);
       this.#waiting = this.#waiting.slice(JOBS_PER_TRANSACTION);
       const err = await this.#commit(batch);
-      if (err === undefined) failures = 0;
-      else await clock.sleep(fullJitterMs(random, failures++, RETRY));
+      if (err === undefined) {
+        failures = 0;
+        this.#failingSince = undefined;
+      } else await clock.sleep(fullJitterMs(random, failures++, RETRY));
     }
     this.#writing = false;
   }
@@ -109,8 +116,12 @@
     const { clock, log } = this.#options;
     log.warn({ err, jobs: batch.length }, "jobs not stored yet");
     const now = clock.now();
-    for (const submission of batch) {
-      if (err.kind === "unknown") submission.uncertain = true;
+    this.#failingSince ??= now;
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    // What waited for its turn was not written yet, so it can be refused as well.
+    for (const submission of [...batch, ...waiting]) {
+      if (err.kind === "unknown" && batch.includes(submission)) submission.uncertain = true;
       const { uncertain, since, deadline, outcome } = submission;
       if (!uncertain && now - since >= REFUSAL_PATIENCE_MS) outcome.resolve("refused");
       else if (now >= deadline) outcome.resolve(uncertain ? "unknown" : "refused");
