fix(availability): count tasks that would be ended as at work

Cause: tasks that were starting up when last listed were taken as no loss, but were at work when the order arrived, so maintenance ended two of a step that may miss one. Ruled out: the age of the list (it was fresh). Change: what would be ended counts as at work, everything else as away unless known to be at work. The test that held the opposite is replaced by one as strict.

--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -8,7 +8,7 @@
 import type { RecordStore } from "../../ports/record-store.ts";
 import type { WaveRequest } from "../../protocol/fleet-config.ts";
 import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../protocol/job-records.ts";
-import { atWork, mayInterrupt } from "../../state/jobs/availability.ts";
+import { mayInterrupt } from "../../state/jobs/availability.ts";
 import type { ActiveRun } from "../../state/jobs/run-book.ts";
 import { chooseReservations, type WaveInstance } from "../../state/jobs/wave-plan.ts";
 import type { FleetConfigView } from "./config-view.ts";
@@ -208,7 +208,7 @@
     const { tracker } = scheduler;
     const now = clock.now();
     for (const run of this.#runs(instance)) {
-      if (!run.task.step.spec.longRunning || !atWork(run, now)) continue;
+      if (!run.task.step.spec.longRunning) continue;
       if (mayInterrupt([run], tracker.book, now)) tracker.stop(run);
     }
   }
--- a/src/state/jobs/availability.ts
+++ b/src/state/jobs/availability.ts
@@ -1,4 +1,4 @@
-import type { StepRun } from "./job.ts";
+import type { StepRun, Task } from "./job.ts";
 import type { ActiveRun, RunBook } from "./run-book.ts";
 
 /** Budget of long-running steps that state none: planned work takes one task at a time. */
@@ -15,26 +15,23 @@
   return now - run.listedAt <= MAX_LIST_AGE_MS;
 }
 
-/** Tasks of a long-running step that are not at work. */
-export function tasksAway(step: StepRun, book: RunBook, now: number): number {
-  return step.tasks.filter((task) => !atWork(book.ofTask(task.name), now)).length;
-}
-
 /**
  * True if planned work may end all the given runs at once: no long-running step loses more tasks
- * than its availability budget, counting those that are not at work for any other cause. Tasks on a
- * server that has not answered for some seconds count as away.
+ * than its availability budget, counting those that are not at work for any other cause. What is
+ * known of a run is some moments old, so a run that would be ended counts as at work, and any other
+ * one as away unless it is known to be at work.
  */
 export function mayInterrupt(runs: readonly ActiveRun[], book: RunBook, now: number): boolean {
-  const ending = new Map<StepRun, number>();
-  for (const run of runs) {
-    const { step } = run.task;
-    if (!step.spec.longRunning || !atWork(run, now)) continue;
-    ending.set(step, (ending.get(step) ?? 0) + 1);
+  const ending = new Map<StepRun, Set<Task>>();
+  for (const { task } of runs) {
+    if (!task.step.spec.longRunning) continue;
+    ending.set(task.step, (ending.get(task.step) ?? new Set()).add(task));
   }
-  for (const [step, count] of ending) {
+  for (const [step, tasks] of ending) {
     const budget = step.spec.availabilityBudget || DEFAULT_BUDGET;
-    if (tasksAway(step, book, now) + count > budget) return false;
+    const others = step.tasks.filter((task) => !tasks.has(task));
+    const away = others.filter((task) => !atWork(book.ofTask(task.name), now)).length;
+    if (away + tasks.size > budget) return false;
   }
   return true;
 }
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -48,10 +48,11 @@
   assert.is(mayInterrupt(runs.slice(0, 1), book, now), true);
 });
 
-test("tasks that are not at work lose nothing by being ended", () => {
-  const { book, runs } = lasting(3, 1);
-  runs[0]!.percent = 10;
-  assert.is(mayInterrupt(runs.slice(0, 1), book, NOW), true);
+test("tasks that were starting up when last listed may be at work by now", () => {
+  const { book, runs } = lasting(4, 1);
+  runs[0]!.percent = 80;
+  runs[1]!.percent = 80;
+  assert.is(mayInterrupt(runs.slice(0, 2), book, NOW), false);
 });
 
 const CAPACITY = cpu(16_000);
