--- /dev/null
+++ b/test/coordination/jobs/instance-orders.test.ts
@@ -0,0 +1,51 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { InstanceOrders } from "../../../src/coordination/jobs/instance-orders.ts";
+import { SchedulerLock } from "../../../src/coordination/jobs/scheduler-lock.ts";
+import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { onClock, VirtualClock } from "../../fakes/virtual-clock.ts";
+
+const LOG = { debug: none, info: none, warn: none, error: none };
+const PAUSE_MS = 3000;
+
+function none(): void {
+  // Lines are not looked at here.
+}
+
+async function holder(clock: VirtualClock, memory: MemoryRecordStore) {
+  const store = memory.client();
+  const random = new SeededRandom(1);
+  const lock = new SchedulerLock({ store, clock, random, log: LOG, holder: "e" });
+  const tenure = (await onClock(clock, lock.acquire()))!;
+  const orders = new InstanceOrders({
+    ...{ store, clock, tenure, log: LOG, takeoverPauseMs: PAUSE_MS },
+  });
+  await onClock(clock, orders.load());
+  return { lock, tenure, orders };
+}
+
+test("a new scheduler leaves the instances of its predecessor's last orders alone", async () => {
+  const clock = new VirtualClock();
+  const memory = new MemoryRecordStore(clock);
+  const former = await holder(clock, memory);
+  assert.is(await onClock(clock, former.orders.announce(["a"])), true);
+  assert.is(former.orders.allowed("a"), true, "its own orders do not hinder it");
+  await onClock(clock, former.lock.release(former.tenure));
+  const next = await holder(clock, memory);
+  assert.is(next.orders.allowed("a"), false);
+  assert.is(next.orders.allowed("b"), true);
+  await clock.advance(5000);
+  assert.is(next.orders.allowed("a"), true);
+});
+
+test("a scheduler that lost its lock announces nothing, so it gives no order", async () => {
+  const clock = new VirtualClock();
+  const memory = new MemoryRecordStore(clock);
+  const former = await holder(clock, memory);
+  await clock.advance(4000);
+  await holder(clock, memory);
+  assert.is(await onClock(clock, former.orders.announce(["a"])), false);
+});
+
+test.run();
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -135,6 +135,12 @@
     this.#registry.changed(id);
   }
 
+  /** A backend server announces that it is about to leave. */
+  drain(id: string): void {
+    this.#registry.draining.add(id);
+    this.#registry.changed(id);
+  }
+
   boot(id: string): void {
     this.servers.get(id)?.boot();
     this.#registry.changed(id);
@@ -183,6 +189,7 @@
 }
 
 class FakeRegistry extends ServerRegistry {
+  readonly draining = new Set<string>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
   readonly #listeners = new Set<ServerListener>();
 
@@ -192,7 +199,8 @@
   }
 
   follow(listener: ServerListener, signal: AbortSignal): Promise<void> {
-    listener.reset([...this.#servers.values()].filter(({ up }) => up).map(registration));
+    const up = [...this.#servers.values()].filter((server) => server.up);
+    listener.reset(up.map((server) => this.#registration(server)));
     this.#listeners.add(listener);
     return new Promise((resolve) => {
       signal.addEventListener("abort", () => {
@@ -205,18 +213,19 @@
   changed(id: string): void {
     const server = this.#servers.get(id);
     for (const listener of this.#listeners) {
-      if (server?.up === true) listener.registered(registration(server));
+      if (server?.up === true) listener.registered(this.#registration(server));
       else listener.removed(id);
     }
   }
-}
 
-function registration({ id, capacity, bootedAt }: SimulatedJobServer): RegisteredServer {
-  return {
-    ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: "z", draining: false },
-    labels: ["kind", "rack"],
-    rack: "rack",
-  };
+  #registration({ id, capacity, bootedAt }: SimulatedJobServer): RegisteredServer {
+    return {
+      ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: "z" },
+      draining: this.draining.has(id),
+      labels: ["kind", "rack"],
+      rack: "rack",
+    };
+  }
 }
 
 class FakeOperators extends OperatorFeed {
