feat(jobs): strong instances schedule, peers announce records, readiness follows the store

In a cut zone clients stayed at entries that answered 503, because readiness only followed the age of the configuration (4.5 s). Ruled out: a full store (no 429 in the logs), processor time of strong instances (0.24 of a core). Change: the session carries the strength; weaker instances leave a vacant lock half a second to stronger ones and hand it over later. Entries send accepted jobs and cancel marks to the scheduler; the watch still shows them. Not ready after 1.8 s without an answer of the store. Lock lives 1.5 s instead of 2.5 s, sessions 3 s instead of 8 s. A line 'scheduler load' every 2 s.

--- a/src/coordination/entry-incarnation.ts
+++ b/src/coordination/entry-incarnation.ts
@@ -260,7 +260,8 @@
     if (req.type === "config-offer") return this.#configGossip.offered(req);
     if (req.type === "reboot") return this.#plannerSupport.handleReboot(req.server);
     // Calls to the store are passed on by entry instances of jobs only.
-    if (req.type === "store-call") return { type: "ack", accepted: false };
+    if (req.type === "store-call" || req.type === "record-notice")
+      return { type: "ack", accepted: false };
     const reply = await this.#limitsHandler.handlePeer(from, req);
     return reply ?? this.path.peerRequests.handlePeer(from, req as RequestMessage);
   }
--- a/src/coordination/jobs/entry-view.ts
+++ b/src/coordination/jobs/entry-view.ts
@@ -1,6 +1,7 @@
 import type { Log } from "../../ports/log.ts";
 import type { RecordEvent, StoredRecord } from "../../ports/record-store.ts";
 import {
+  decodeLock,
   decodeSession,
   SCHEDULER_KEY,
   SESSIONS_PREFIX,
@@ -14,6 +15,8 @@
   readonly #onChange: () => void;
   #sessions = new Map<string, SessionRecord>();
   #locked = false;
+  /** Name of the scheduler, as its lock gives it. */
+  #holder: string | undefined;
   #loaded = false;
 
   constructor(log: Log, onChange: () => void) {
@@ -31,6 +34,12 @@
     return [...this.#sessions.values()];
   }
 
+  /** Session of the scheduler; undefined if none is known. */
+  get scheduler(): SessionRecord | undefined {
+    if (!this.#locked) return undefined;
+    return this.sessions.find(({ name }) => name === this.#holder);
+  }
+
   reset(records: readonly StoredRecord[]): void {
     this.#sessions = new Map();
     this.#locked = false;
@@ -47,7 +56,10 @@
   }
 
   #written({ key, value }: StoredRecord): void {
-    if (key === SCHEDULER_KEY) this.#locked = true;
+    if (key === SCHEDULER_KEY) {
+      this.#locked = true;
+      this.#holder = decodeLock(value)?.holder;
+    }
     if (!key.startsWith(SESSIONS_PREFIX)) return;
     const session = decodeSession(value);
     if (session === undefined) this.#log.error({ key }, "session record is unreadable");
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -7,7 +7,7 @@
 import type { RecordStore } from "../../ports/record-store.ts";
 import { ENTRIES_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
 import type { Counters } from "../ports.ts";
-import { Deferred, waitAtMost } from "../wait.ts";
+import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import { InstanceOrders } from "./instance-orders.ts";
 import { InstanceView } from "./instance-view.ts";
 import { FleetConfigView } from "./config-view.ts";
@@ -20,14 +20,16 @@
 import { PoolSizer } from "./pool-sizer.ts";
 import { RecordCollector } from "./record-collector.ts";
 import { RecordFollower } from "./record-follower.ts";
+import type { RecordNotifier } from "./record-notifier.ts";
 import { Scheduler } from "./scheduler.ts";
+import { SchedulerElection } from "./scheduler-election.ts";
 import { SessionRegistration } from "./session-registration.ts";
 import { SchedulerLock, type LockTenure } from "./scheduler-lock.ts";
 
-/** Pause in ms after the lock was found taken, or the store failed. */
-const CANDIDACY_PAUSE_MS = 150;
 /** A configuration whose confirmation is older may have been replaced, in milliseconds. */
 const MAX_CONFIG_AGE_MS = 4500;
+/** Without an answer of the store for this time in ms, callers are better served elsewhere. */
+const MAX_STORE_SILENCE_MS = 1800;
 
 /** What an entry instance is connected to. */
 export interface JobEntryPorts {
@@ -37,6 +39,9 @@
   readonly connector: JobBackendConnector;
   readonly instances: InstanceControl;
   readonly advisor: PlacementAdvisor;
+  readonly notifier: RecordNotifier;
+  /** Time in ms since the store last answered. */
+  readonly storeSilenceMs: () => number;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -65,23 +70,33 @@
   readonly #view: EntryView;
   readonly #stopped = new AbortController();
   readonly #lock: SchedulerLock;
-  #changed = new Deferred<void>();
-  #tenure: LockTenure | undefined;
+  readonly #election: SchedulerElection;
+  /** Set while this entry instance is the scheduler. */
+  #scheduler: Scheduler | undefined;
   #running: Promise<unknown> = Promise.resolve();
 
   constructor(options: JobEntryOptions) {
     this.#options = options;
     this.config = new FleetConfigView(options.clock, options.log);
-    this.service = new JobService({ ...options, submitter: new JobSubmitter(options) });
+    const stored = (records: readonly WrittenRecord[]): void => {
+      this.#notify(records);
+    };
+    const submitter = new JobSubmitter({ ...options, stored });
+    this.service = new JobService({ ...options, submitter, stored });
     this.#lock = new SchedulerLock({ ...options, holder: options.name });
     this.#view = new EntryView(options.log, () => {
-      this.#changed.resolve();
+      this.#election.viewChanged();
+    });
+    this.#election = new SchedulerElection({
+      ...{ ...options, lock: this.#lock, view: this.#view },
+      serve: (tenure) => this.#serve(tenure),
     });
   }
 
   /** True if callers may be sent here. */
   get ready(): boolean {
-    return this.configured && !this.#stopped.signal.aborted;
+    if (this.#stopped.signal.aborted || !this.configured) return false;
+    return this.#options.storeSilenceMs() <= MAX_STORE_SILENCE_MS;
   }
 
   /** True if the configuration is known, and known to be in force. */
@@ -96,7 +111,7 @@
 
   /** True while this entry instance is the scheduler. */
   get scheduling(): boolean {
-    return this.#tenure?.valid === true;
+    return this.#election.scheduling;
   }
 
   /** Begins to follow the store and to stand for the scheduler's lock. */
@@ -108,15 +123,14 @@
       operators.follow(this.config, signal),
       new RecordFollower(entries).run(signal),
       new SessionRegistration(this.#options).run(signal),
-      this.#stand(signal),
+      this.#election.run(signal),
     ]);
   }
 
   /** Gives up the lock, so that another instance can take over at once. */
   async resign(): Promise<void> {
     this.#stopped.abort();
-    this.#changed.resolve();
-    if (this.#tenure !== undefined) await this.#lock.release(this.#tenure);
+    await this.#election.resign();
   }
 
   /** Resolves once everything has ended after {@link resign}. */
@@ -124,25 +138,24 @@
     await this.#running;
   }
 
-  async #stand(signal: AbortSignal): Promise<void> {
-    const { clock } = this.#options;
-    while (!signal.aborted) {
-      if (!this.#view.vacant) {
-        const changed = this.#changed.promise;
-        await waitAtMost(clock, changed, CANDIDACY_PAUSE_MS);
-        this.#changed = new Deferred();
-        continue;
-      }
-      const tenure = await this.#lock.acquire();
-      if (tenure === undefined) await clock.sleep(CANDIDACY_PAUSE_MS, signal);
-      else if (this.#stopped.signal.aborted) await this.#lock.release(tenure);
-      else await this.#serve(tenure);
+  /** Takes note of records that a peer has just stored. */
+  noticed(records: readonly WrittenRecord[]): void {
+    this.#scheduler?.noticed(records);
+  }
+
+  #notify(records: readonly WrittenRecord[]): void {
+    if (this.#scheduler !== undefined) {
+      this.#scheduler.noticed(records);
+      return;
     }
+    const { scheduler } = this.#view;
+    if (scheduler === undefined) return;
+    void this.#options.notifier.notify(scheduler.peerAddress, records);
   }
 
   async #serve(tenure: LockTenure): Promise<void> {
-    this.#tenure = tenure;
     const scheduler = new Scheduler({ ...this.#options, config: this.config, tenure });
+    this.#scheduler = scheduler;
     const { board } = scheduler;
     const openJobs = () => board.open;
     const planned = {
@@ -160,6 +173,6 @@
       new MaintenanceRunner(planned).run(),
       new PoolSizer(planned).run(),
     ]);
-    this.#tenure = undefined;
+    this.#scheduler = undefined;
   }
 }
--- a/src/coordination/jobs/job-service.ts
+++ b/src/coordination/jobs/job-service.ts
@@ -17,6 +17,7 @@
   type JobSpec,
   type JobState,
 } from "../../protocol/job-spec.ts";
+import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import type { QueueConfig } from "../../protocol/fleet-config.ts";
 import type { Counters } from "../ports.ts";
 import type { JobSubmitter, SubmitOutcome } from "./job-submitter.ts";
@@ -47,6 +48,8 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly submitter: JobSubmitter;
+  /** Called with cancel marks that were written, once they are stored. */
+  readonly stored: (records: readonly WrittenRecord[]) => void;
 }
 
 /** What an entry instance does for callers of jobs. Every answer comes from the store. */
@@ -135,11 +138,13 @@
   /** True once the mark is stored. A repeated write has the same effect. */
   async #mark(id: string, records: readonly StoredRecord[]): Promise<boolean> {
     const revision = records.find(({ key }) => key === jobKey(id))?.revision ?? 0;
+    const put = { key: cancelKey(id), value: new Uint8Array() };
     const result = await this.#options.store.commit({
       conditions: [{ key: jobKey(id), revision }],
-      puts: [{ key: cancelKey(id), value: new Uint8Array() }],
+      puts: [put],
     });
     if (result.err) this.#logFailure(id, result.val);
+    else this.#options.stored([{ ...put, revision: result.val }]);
     return result.ok;
   }
 
--- a/src/coordination/jobs/job-submitter.ts
+++ b/src/coordination/jobs/job-submitter.ts
@@ -3,6 +3,7 @@
 import type { Random } from "../../ports/random.ts";
 import { type RecordStore, type StoreError } from "../../ports/record-store.ts";
 import { encodeJob, jobKey } from "../../protocol/job-records.ts";
+import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import type { JobSpec } from "../../protocol/job-spec.ts";
 import { fullJitterMs } from "../backoff.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
@@ -37,6 +38,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
+  /** Called with the jobs that were written, once they are stored. */
+  readonly stored: (records: readonly WrittenRecord[]) => void;
 }
 
 /**
@@ -89,11 +92,12 @@
   }
 
   async #commit(batch: readonly Submission[]): Promise<StoreError | undefined> {
-    const result = await this.#options.store.commit({
-      conditions: batch.map(({ job }) => ({ key: jobKey(job.id), revision: 0 })),
-      puts: batch.map(({ job }) => ({ key: jobKey(job.id), value: encodeJob(job) })),
-    });
+    const puts = batch.map(({ job }) => ({ key: jobKey(job.id), value: encodeJob(job) }));
+    const conditions = puts.map(({ key }) => ({ key, revision: 0 }));
+    const result = await this.#options.store.commit({ conditions, puts });
     if (result.ok) {
+      const revision = result.val;
+      this.#options.stored(puts.map((put) => ({ ...put, revision })));
       for (const { outcome } of batch) outcome.resolve("accepted");
       return undefined;
     }
--- /dev/null
+++ b/src/coordination/jobs/peer-connections.ts
@@ -0,0 +1,46 @@
+import type { Log } from "../../ports/log.ts";
+import type { PeerConnection, PeerTransport } from "../../ports/peer-transport.ts";
+import type { Hello } from "../../protocol/peer-messages.ts";
+
+/** Options of {@link PeerConnections}. */
+export interface PeerConnectionsOptions {
+  readonly transport: PeerTransport;
+  readonly log: Log;
+  readonly self: Hello;
+}
+
+/** Connections to other entry instances, opened when they are first needed and kept. */
+export class PeerConnections {
+  readonly #options: PeerConnectionsOptions;
+  readonly #open = new Map<string, PeerConnection>();
+
+  constructor(options: PeerConnectionsOptions) {
+    this.#options = options;
+  }
+
+  /** Address of this instance. */
+  get ownAddress(): string {
+    return this.#options.self.address;
+  }
+
+  /** The connection to a peer; undefined if it is not reached. */
+  async get(address: string): Promise<PeerConnection | undefined> {
+    const known = this.#open.get(address);
+    if (known?.open === true) return known;
+    const { transport, self, log } = this.#options;
+    const opened = await transport.connect(address, self);
+    if (opened.err) {
+      log.info({ peer: address, err: opened.val }, "peer not reached");
+      this.drop(address);
+      return undefined;
+    }
+    this.#open.set(address, opened.val);
+    return opened.val;
+  }
+
+  /** Closes a connection on which a call failed. */
+  drop(address: string): void {
+    this.#open.get(address)?.close();
+    this.#open.delete(address);
+  }
+}
--- a/src/coordination/jobs/progress-writer.ts
+++ b/src/coordination/jobs/progress-writer.ts
@@ -24,6 +24,8 @@
   readonly random: Random;
   readonly log: Log;
   readonly tenure: LockTenure;
+  /** Called with the time at which an answered transaction was begun. */
+  readonly written: (begunAt: number) => void;
 }
 
 interface Pending {
@@ -58,6 +60,11 @@
   /** True while a transaction waits for the store longer than its first attempt. */
   stalled = false;
 
+  /** Jobs whose progress waits for a transaction. */
+  get waiting(): number {
+    return this.#pending.size;
+  }
+
   /** Resolves true once progress at least as new as now is stored; false if the lock is lost. */
   save(job: Job): Promise<boolean> {
     if (this.#options.tenure.signal.aborted) return Promise.resolve(false);
@@ -102,7 +109,9 @@
     const { store, clock, random, log, tenure } = this.#options;
     const txn = this.#transaction(snapshots);
     for (let attempt = 0; !tenure.signal.aborted; attempt++) {
+      const begunAt = clock.now();
       const result = await store.commit(txn);
+      this.#options.written(begunAt);
       if (result.ok) {
         this.stalled = false;
         return result.val;
--- a/src/coordination/jobs/relayed-store.ts
+++ b/src/coordination/jobs/relayed-store.ts
@@ -42,12 +42,19 @@
   #failing = false;
   #probeAt = 0;
   #relayAt = 0;
+  #reachedAt: number;
   /** Resolves when direct calls begin to fail, so that waiting watches go through a peer. */
   #failed = new Deferred<void>();
 
   constructor(options: RelayedStoreOptions) {
     super();
     this.#options = options;
+    this.#reachedAt = options.clock.now();
+  }
+
+  /** Time in ms since a call was last answered, directly or through a peer. */
+  get silenceMs(): number {
+    return this.#options.clock.now() - this.#reachedAt;
   }
 
   async get(key: string): StoreResult<StoredRecord | undefined> {
@@ -110,11 +117,13 @@
     const waitMs = call.kind === "watch" ? call.waitMs : 0;
     const result = await peers.call(call, waitMs + RELAY_TIMEOUT_MS);
     if (lost(result)) this.#relayAt = clock.now() + RELAY_PAUSE_MS;
+    else this.#reachedAt = clock.now();
     return result;
   }
 
   #note(reached: boolean): void {
     const { clock, log } = this.#options;
+    if (reached) this.#reachedAt = clock.now();
     if (reached === !this.#failing) return;
     this.#failing = !reached;
     if (reached) {
--- a/src/coordination/jobs/scheduler-lock.ts
+++ b/src/coordination/jobs/scheduler-lock.ts
@@ -1,15 +1,14 @@
 import { setMaxListeners } from "node:events";
-import { decode, encode } from "cbor-x";
 import type { Clock } from "../../ports/clock.ts";
 import type { Log } from "../../ports/log.ts";
 import type { Random } from "../../ports/random.ts";
 import type { RecordCondition, RecordStore } from "../../ports/record-store.ts";
-import { SCHEDULER_KEY } from "../../protocol/job-records.ts";
+import { decodeLock, encodeLock, SCHEDULER_KEY } from "../../protocol/job-records.ts";
 import { fullJitterMs } from "../backoff.ts";
 
 /** Time to live of the lock. A scheduler that is gone is replaced after this time. */
-export const LOCK_TTL_MS = 2500;
-const RENEW_INTERVAL_MS = 500;
+export const LOCK_TTL_MS = 1500;
+const RENEW_INTERVAL_MS = 300;
 /** Covers clock drift between this process and the store over one time to live. */
 const SAFETY_MARGIN_MS = 150;
 const RETRY = { baseMs: 50, maxMs: 400 } as const;
@@ -103,7 +102,7 @@
     const lease = await store.grantLease(LOCK_TTL_MS);
     if (lease.err) return undefined;
     const nonce = random.hex(8);
-    const value = encode({ holder, nonce });
+    const value = encodeLock({ holder, nonce });
     const condition = { key: SCHEDULER_KEY, revision: 0 };
     const put = { key: SCHEDULER_KEY, value, lease: lease.val.id };
     const written = await store.commit({ conditions: [condition], puts: [put] });
@@ -149,8 +148,7 @@
   async #readBack(nonce: string): Promise<number | undefined> {
     const record = await this.#options.store.get(SCHEDULER_KEY);
     if (record.err || record.val === undefined) return undefined;
-    const lock = decode(record.val.value) as { readonly nonce?: unknown } | null;
-    return lock?.nonce === nonce ? record.val.revision : undefined;
+    return decodeLock(record.val.value)?.nonce === nonce ? record.val.revision : undefined;
   }
 
   #time(): LockTime {
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -5,6 +5,7 @@
 import type { Random } from "../../ports/random.ts";
 import type { RecordStore } from "../../ports/record-store.ts";
 import type { RegisteredServer } from "../../protocol/fleet-config.ts";
+import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import { JOBS_PREFIX, PROGRESS_PREFIX } from "../../protocol/job-records.ts";
 import type { Job } from "../../state/jobs/job.ts";
 import type { Counters } from "../ports.ts";
@@ -18,6 +19,7 @@
 import { RecordFollower } from "./record-follower.ts";
 import { RunTracker } from "./run-tracker.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import { SchedulerLoad } from "./scheduler-load.ts";
 import { ServerDriver } from "./server-driver.ts";
 
 /** Changes within this time in ms share a round of placements. */
@@ -54,6 +56,7 @@
   readonly #options: SchedulerOptions;
   readonly #advice: AdviceBook;
   readonly #takenOverAt: number;
+  readonly #load: SchedulerLoad;
   #roundDue = false;
 
   constructor(options: SchedulerOptions) {
@@ -64,7 +67,13 @@
       this.#wake();
     };
     this.#advice = new AdviceBook({ clock, log, advisor: options.advisor, wake });
-    this.writer = new ProgressWriter(options);
+    this.#load = new SchedulerLoad(clock, log);
+    this.writer = new ProgressWriter({
+      ...options,
+      written: (begunAt) => {
+        this.#load.written(begunAt);
+      },
+    });
     this.board = new JobBoard(log, {
       added: (job) => {
         this.#added(job);
@@ -91,6 +100,13 @@
     return this.board.loaded && this.drivers.loaded && config.current !== undefined;
   }
 
+  /** Takes note of records of jobs that were just stored, ahead of the watch. */
+  noticed(records: readonly WrittenRecord[]): void {
+    // Before all jobs are read, the progress of a job that is not new could be missed.
+    if (!this.board.loaded) return;
+    for (const record of records) this.board.change({ kind: "written", record });
+  }
+
   /** Schedules until the lock is lost or given up. */
   async run(): Promise<void> {
     const { clock, registry, tenure, log, config, store, random } = this.#options;
@@ -110,6 +126,7 @@
       this.tracker.evacuateLeaving(this.drivers.all());
       this.tracker.releaseUnreachable(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
+      this.#reviewLoad();
       this.#wake();
     }
     stopListening();
@@ -168,6 +185,20 @@
       advice: this.#advice,
       place: (task, driver) => this.tracker.place(task, driver),
     });
-    for (const [job, runs] of round.run(this.board.open)) void this.tracker.launch(job, runs);
+    const begunAt = clock.now();
+    let placed = 0;
+    for (const [job, runs] of round.run(this.board.open)) {
+      placed += runs.length;
+      void this.tracker.launch(job, runs);
+    }
+    this.#load.round(begunAt, placed);
+  }
+
+  #reviewLoad(): void {
+    this.#load.review({
+      openJobs: this.board.open.size,
+      runs: this.tracker.book.size,
+      unwritten: this.writer.waiting,
+    });
   }
 }
--- a/src/coordination/jobs/session-registration.ts
+++ b/src/coordination/jobs/session-registration.ts
@@ -4,9 +4,10 @@
 import { encodeSession, SESSIONS_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
 
 /** Time to live of a session; peers of an instance that is gone are asked in vain for that long. */
-const SESSION_TTL_MS = 8000;
+const SESSION_TTL_MS = 3000;
 /** Renewals also tell soon whether the store is within reach. */
 const RENEW_INTERVAL_MS = 1000;
+const RENEW_RETRY_MS = 300;
 
 /** Options of {@link SessionRegistration}. */
 export interface SessionRegistrationOptions {
@@ -28,11 +29,13 @@
   async run(signal: AbortSignal): Promise<void> {
     const { store, clock, log } = this.#options;
     let lease: number | undefined;
+    let pauseMs = RENEW_INTERVAL_MS;
     while (!signal.aborted) {
       lease ??= await this.#register();
-      await clock.sleep(RENEW_INTERVAL_MS, signal);
+      await clock.sleep(pauseMs, signal);
       if (lease === undefined) continue;
       const kept = await store.keepLease(lease);
+      pauseMs = kept.ok ? RENEW_INTERVAL_MS : RENEW_RETRY_MS;
       if (kept.ok || kept.val.kind !== "lease-ended") continue;
       log.info({ lease }, "session ended, registers again");
       lease = undefined;
--- a/src/coordination/jobs/store-peers.ts
+++ b/src/coordination/jobs/store-peers.ts
@@ -1,10 +1,8 @@
 import { Err, type Result } from "ts-results";
-import type { Log } from "../../ports/log.ts";
-import type { PeerConnection, PeerTransport } from "../../ports/peer-transport.ts";
 import type { Random } from "../../ports/random.ts";
 import type { RecordStore, StoreError } from "../../ports/record-store.ts";
 import type { SessionRecord } from "../../protocol/job-records.ts";
-import type { Hello, PeerReply, PeerRequest } from "../../protocol/peer-messages.ts";
+import type { PeerReply, StoreCallRequest } from "../../protocol/peer-messages.ts";
 import {
   decodeStoreCall,
   decodeStoreResult,
@@ -12,6 +10,7 @@
   encodeStoreResult,
   type StoreCall,
 } from "../../protocol/store-calls.ts";
+import type { PeerConnections } from "./peer-connections.ts";
 import { executeStoreCall } from "./store-call-execution.ts";
 
 /** Peers that are asked for one call; more than are usually turned away together. */
@@ -19,12 +18,10 @@
 
 /** Options of {@link StorePeers}. */
 export interface StorePeersOptions {
-  readonly transport: PeerTransport;
+  readonly connections: PeerConnections;
   readonly random: Random;
-  readonly log: Log;
   /** The store as this instance reaches it itself. */
   readonly direct: RecordStore;
-  readonly self: Hello;
   /** Live entry instances. */
   readonly sessions: () => readonly SessionRecord[];
 }
@@ -32,7 +29,6 @@
 /** Passes calls to the store on to peers that reach it, and answers such calls of peers. */
 export class StorePeers {
   readonly #options: StorePeersOptions;
-  readonly #connections = new Map<string, PeerConnection>();
   /** Peer that answered last. */
   #preferred: string | undefined;
 
@@ -40,16 +36,6 @@
     this.#options = options;
   }
 
-  /** Accepts calls of peers. */
-  listen(): Promise<Result<void, string>> {
-    const { transport, self } = this.#options;
-    return transport.listen(self, (_from, req) => this.#answer(req));
-  }
-
-  close(): Promise<void> {
-    return this.#options.transport.close();
-  }
-
   /** Makes a call through the peers, one after the other, until one reaches the store. */
   async call(call: StoreCall, timeoutMs: number): Promise<Result<unknown, StoreError>> {
     let last: Result<unknown, StoreError> = Err({
@@ -68,7 +54,7 @@
     call: StoreCall,
     timeoutMs: number,
   ): Promise<Result<unknown, StoreError>> {
-    const connection = await this.#connect(address);
+    const connection = await this.#options.connections.get(address);
     if (connection === undefined) return Err({ kind: "unavailable", detail: "no peer connection" });
     const request = { type: "store-call" as const, call: encodeStoreCall(call) };
     const reply = await connection.call(request, timeoutMs);
@@ -90,10 +76,10 @@
 
   /** The peer that reached the store last, then others in random order. */
   #candidates(): readonly string[] {
-    const { sessions, self, random } = this.#options;
+    const { sessions, connections, random } = this.#options;
     const others = sessions()
       .map(({ peerAddress }) => peerAddress)
-      .filter((address) => address !== self.address && address !== this.#preferred)
+      .filter((address) => address !== connections.ownAddress && address !== this.#preferred)
       .map((address) => ({ address, rank: random.next() }))
       .sort((a, b) => a.rank - b.rank)
       .map(({ address }) => address);
@@ -101,28 +87,13 @@
     return all.slice(0, MAX_PEERS_ASKED);
   }
 
-  async #connect(address: string): Promise<PeerConnection | undefined> {
-    const known = this.#connections.get(address);
-    if (known?.open === true) return known;
-    const { transport, self, log } = this.#options;
-    const opened = await transport.connect(address, self);
-    if (opened.err) {
-      log.info({ peer: address, err: opened.val }, "peer not reached");
-      this.#forget(address);
-      return undefined;
-    }
-    this.#connections.set(address, opened.val);
-    return opened.val;
-  }
-
   #forget(address: string): void {
-    this.#connections.get(address)?.close();
-    this.#connections.delete(address);
+    this.#options.connections.drop(address);
     if (this.#preferred === address) this.#preferred = undefined;
   }
 
-  async #answer(req: PeerRequest): Promise<PeerReply> {
-    if (req.type !== "store-call") return { type: "ack", accepted: false };
+  /** Makes a peer's call. */
+  async answer(req: StoreCallRequest): Promise<PeerReply> {
     const call = decodeStoreCall(req.call);
     const result =
       call === undefined
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -96,6 +96,16 @@
   /** Address for peers, `IP:PORT`. */
   readonly peerAddress: string;
   readonly zone: string;
+  /** Processor time that it may use, in cores. */
+  readonly strength: number;
+}
+
+/** The scheduler's lock. */
+export interface LockRecord {
+  /** Name of the entry instance that has it. */
+  readonly holder: string;
+  /** Tells one attempt to write the lock from another. */
+  readonly nonce: string;
 }
 
 /** Jobs without a started task, per queue. */
@@ -136,7 +146,11 @@
     ]),
   ),
 });
-const SessionSchema = v.object({ name: v.string(), peerAddress: v.string(), zone: v.string() });
+const SessionSchema = v.object({
+  ...{ name: v.string(), peerAddress: v.string(), zone: v.string() },
+  strength: v.optional(v.number(), 1),
+});
+const LockSchema = v.object({ holder: v.string(), nonce: v.string() });
 const PendingSchema = v.object({ pending: v.record(v.string(), v.number()) });
 const WaveSchema = v.object({ maintained: v.array(v.string()), completed: v.boolean() });
 
@@ -150,6 +164,16 @@
   return decodeWith(JobSpecSchema, bytes);
 }
 
+/** Encodes the scheduler's lock. */
+export function encodeLock(record: LockRecord): Uint8Array {
+  return encode(record);
+}
+
+/** Decodes the scheduler's lock; undefined if the bytes are none. */
+export function decodeLock(bytes: Uint8Array): LockRecord | undefined {
+  return decodeWith(LockSchema, bytes);
+}
+
 /** Encodes a job's progress. Tasks are rows, because wide jobs have hundreds of them. */
 export function encodeProgress({ state, endedAtMs, tasks }: ProgressRecord): Uint8Array {
   const rows = tasks.map((task) => [
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -201,6 +201,19 @@
   readonly call: Uint8Array;
 }
 
+/** A record that was written to the store, with its content. */
+export interface WrittenRecord {
+  readonly key: string;
+  readonly value: Uint8Array;
+  readonly revision: number;
+}
+
+/** Tells the scheduler of records that were just stored, ahead of its watch. */
+export interface RecordNotice {
+  readonly type: "record-notice";
+  readonly records: readonly WrittenRecord[];
+}
+
 /** Every request between peers. */
 export type PeerRequest =
   | GossipRequest
@@ -218,7 +231,8 @@
   | LeaseReportRequest
   | SlotTransferRequest
   | RebootRequest
-  | StoreCallRequest;
+  | StoreCallRequest
+  | RecordNotice;
 
 /** State of a request as its home knows it. */
 export type RequestState =
@@ -321,6 +335,7 @@
   readonly "slot-transfer": AckReply;
   readonly reboot: AckReply;
   readonly "store-call": StoreCallReply;
+  readonly "record-notice": AckReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -144,6 +144,10 @@
   }),
   v.strictObject({ type: v.literal("reboot"), server: v.string() }),
   v.strictObject({ type: v.literal("store-call"), call: bytes }),
+  v.strictObject({
+    type: v.literal("record-notice"),
+    records: v.array(v.strictObject({ key: v.string(), value: bytes, revision: v.number() })),
+  }),
 ]);
 
 const state = v.strictObject({ type: v.literal("state"), state: v.undefinedable(requestState) });
@@ -199,6 +203,7 @@
   "slot-transfer": ack,
   reboot: ack,
   "store-call": v.strictObject({ type: v.literal("store-call-reply"), result: bytes }),
+  "record-notice": ack,
 };
 
 /** One frame after the hello. */
--- a/src/stand-ins/memory-record-store.ts
+++ b/src/stand-ins/memory-record-store.ts
@@ -40,6 +40,8 @@
   lostAnswers: number;
   /** Delay in ms after which a commit that got no answer takes effect. @default 0 */
   lateMs: number;
+  /** Watches report no change until this is over. */
+  muteWatches: boolean;
 }
 
 /** Time after which a client gives up a call, in milliseconds. */
@@ -186,7 +188,10 @@
 
 /** A client of {@link MemoryRecordStore} behind a way that may fail. */
 export class MemoryRecordClient extends RecordStore {
-  readonly faults: StoreFaults = { silent: false, refusing: false, lostAnswers: 0, lateMs: 0 };
+  readonly faults: StoreFaults = {
+    ...{ silent: false, refusing: false, lostAnswers: 0, lateMs: 0 },
+    muteWatches: false,
+  };
   readonly #store: MemoryRecordStore;
   readonly #clock: Clock;
   readonly #latencyMs: number;
@@ -209,6 +214,10 @@
   async watch(prefix: string, after: number, waitMs: number): StoreResult<RecordChanges> {
     if ((this.#store.events(prefix, after)?.length ?? 1) === 0)
       await this.#store.changed(prefix, after, waitMs);
+    if (this.faults.muteWatches) {
+      await this.#clock.sleep(waitMs);
+      return this.#call(() => Ok({ events: [], revision: after }), "unavailable");
+    }
     return this.#call(() => {
       const events = this.#store.events(prefix, after);
       if (events === undefined) return Err({ kind: "compacted" });
--- a/test/coordination/jobs/job-submitter.test.ts
+++ b/test/coordination/jobs/job-submitter.test.ts
@@ -20,7 +20,10 @@
   const clock = new VirtualClock();
   const memory = new MemoryRecordStore(clock);
   const store = memory.client();
-  const submitter = new JobSubmitter({ store, clock, log: LOG, random: new SeededRandom(1) });
+  const submitter = new JobSubmitter({
+    ...{ store, clock, log: LOG, random: new SeededRandom(1) },
+    stored: none,
+  });
   const submit = (id: string) =>
     submitter.submit(jobSpec(jobRequest(step()), { id }), clock.now() + WAIT_MS);
   return { clock, memory, store, submit };
--- /dev/null
+++ b/test/coordination/jobs/record-notices.test.ts
@@ -0,0 +1,58 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { JobCluster } from "../../fakes/jobs/job-cluster.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { onClock } from "../../fakes/virtual-clock.ts";
+
+/** A cluster whose scheduler hears nothing from its watches, and an entry that is not scheduler. */
+async function muted() {
+  const cluster = new JobCluster({ random: new SeededRandom(1) });
+  const scheduler = await cluster.elect();
+  await cluster.clock.advance(500);
+  scheduler.store.faults.muteWatches = true;
+  const other = cluster.alive.find((entry) => entry !== scheduler)!;
+  return { cluster, clock: cluster.clock, scheduler, other };
+}
+
+function running(cluster: JobCluster): number {
+  return [...cluster.servers.values()].flatMap((server) => server.running).length;
+}
+
+test("a job starts at once although the scheduler's watch reports nothing", async () => {
+  const { cluster, clock, other } = await muted();
+  const submitted = cluster.submit(other, "a", jobRequest(step({ longRunning: true })));
+  assert.is(await onClock(clock, submitted), "accepted");
+  await clock.advance(100);
+  assert.is(running(cluster), 1);
+});
+
+test("a cancelled job stops at once although the scheduler's watch reports nothing", async () => {
+  const { cluster, clock, other } = await muted();
+  const request = jobRequest(step({ longRunning: true, tasks: 2 }));
+  await onClock(clock, cluster.submit(other, "a", request));
+  await clock.advance(500);
+  const question = { id: "a", organisation: undefined, deadline: clock.now() + 3000 };
+  await onClock(clock, other.entry.service.cancel(question));
+  await clock.advance(300);
+  cluster.settle();
+  assert.is(running(cluster), 0);
+});
+
+test("a notice that arrives before the stored jobs are read starts nothing twice", async () => {
+  const { cluster, clock, other } = await muted();
+  await onClock(clock, cluster.submit(other, "a", jobRequest(step({ longRunning: true }))));
+  await clock.advance(500);
+  const record = cluster.store.range("teaselspool/job/").records[0]!;
+  cluster.kill(cluster.scheduler!);
+  await clock.until(() => cluster.scheduler !== undefined);
+  cluster.scheduler!.entry.noticed([record]);
+  await clock.advance(5000);
+  const starts = [...cluster.servers.values()].reduce(
+    (sum, { history }) => sum + history.length,
+    0,
+  );
+  assert.is(starts, 1);
+});
+
+test.run();
--- a/test/coordination/jobs/relayed-store.test.ts
+++ b/test/coordination/jobs/relayed-store.test.ts
@@ -3,6 +3,7 @@
 import { Err, Ok } from "ts-results";
 import { MetricCounters } from "../../../src/coordination/counters.ts";
 import { RelayedStore } from "../../../src/coordination/jobs/relayed-store.ts";
+import { PeerConnections } from "../../../src/coordination/jobs/peer-connections.ts";
 import { StorePeers } from "../../../src/coordination/jobs/store-peers.ts";
 import {
   PeerConnection,
@@ -80,15 +81,18 @@
   const memory = new MemoryRecordStore(clock);
   const network = new Map<string, PeerHandler>();
   const names = Array.from({ length: count }, (_, index) => `10.0.0.${index}:1`);
-  const sessions = names.map((name) => ({ name, peerAddress: name, zone: "z" }));
+  const sessions = names.map((name) => ({ name, peerAddress: name, zone: "z", strength: 1 }));
   const created = names.map(async (address): Promise<Member> => {
     const direct = memory.client();
-    const peers = new StorePeers({
-      ...{ direct, log: LOG, random: new SeededRandom(1), sessions: () => sessions },
-      transport: new FakeTransport(network),
-      self: { version: 2, incarnation: address, address, zone: "z", group: "" },
+    const transport = new FakeTransport(network);
+    const self = { version: 2, incarnation: address, address, zone: "z", group: "" };
+    const connections = new PeerConnections({ transport, log: LOG, self });
+    const random = new SeededRandom(1);
+    const peers = new StorePeers({ direct, random, connections, sessions: () => sessions });
+    await transport.listen(self, (_from, req) => {
+      if (req.type !== "store-call") throw new Error(`unexpected ${req.type}`);
+      return peers.answer(req);
     });
-    await peers.listen();
     const counters = new MetricCounters();
     return { direct, store: new RelayedStore({ direct, peers, clock, log: LOG, counters }) };
   });
@@ -147,4 +151,18 @@
   await onClock(clock, kept);
 });
 
+test("the silence of the store is counted until an answer comes, also through a peer", async () => {
+  const { clock, members: all } = await members(2);
+  const { store, direct } = all[0]!;
+  await onClock(clock, store.get("a"));
+  for (const member of all) member.direct.faults.silent = true;
+  await onClock(clock, store.get("a"));
+  await clock.advance(3000);
+  assert.ok(store.silenceMs >= 3000);
+  all[1]!.direct.faults.silent = false;
+  await onClock(clock, store.get("a"));
+  assert.ok(store.silenceMs < 1000);
+  direct.faults.silent = false;
+});
+
 test.run();
--- /dev/null
+++ b/test/coordination/jobs/scheduler-election.test.ts
@@ -0,0 +1,34 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { hasStronger, headStartMs } from "../../../src/state/jobs/candidacy.ts";
+import { JobCluster } from "../../fakes/jobs/job-cluster.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+
+test("an instance leaves a vacant lock only to others that are stronger by far", () => {
+  assert.is(headStartMs(1, [0.3, 1, 1.2]), 0);
+  assert.ok(headStartMs(0.3, [0.3, 1.3]) > 0);
+  assert.not(hasStronger(1, []));
+});
+
+test("a weak scheduler hands the lock over to a strong instance that comes later", async () => {
+  const cluster = new JobCluster({ random: new SeededRandom(1) });
+  await cluster.elect();
+  const strong = cluster.addEntry(4);
+  await cluster.clock.advance(7000);
+  assert.is(cluster.scheduler, strong);
+});
+
+test("a strong instance takes over from a killed scheduler, and a weak one if there is no other", async () => {
+  const cluster = new JobCluster({ random: new SeededRandom(2), entries: 4 });
+  const strong = [cluster.addEntry(4), cluster.addEntry(4)];
+  await cluster.clock.advance(8000);
+  assert.ok(strong.includes(cluster.scheduler!));
+  cluster.kill(cluster.scheduler!);
+  await cluster.clock.advance(3000);
+  assert.ok(strong.includes(cluster.scheduler!));
+  cluster.kill(cluster.scheduler!);
+  await cluster.clock.advance(4000);
+  assert.ok(cluster.scheduler);
+});
+
+test.run();
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -7,11 +7,13 @@
   type OperatorListener,
   type ServerListener,
 } from "../../../src/coordination/jobs/job-feeds.ts";
+import { RecordNotifier } from "../../../src/coordination/jobs/record-notifier.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/job-submitter.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import { InstanceControl } from "../../../src/ports/instance-control.ts";
 import type { Log } from "../../../src/ports/log.ts";
 import type { Random } from "../../../src/ports/random.ts";
+import type { WrittenRecord } from "../../../src/protocol/peer-messages.ts";
 import type { FleetConfig, RegisteredServer } from "../../../src/protocol/fleet-config.ts";
 import type { JobRequest, JobState, Resources } from "../../../src/protocol/job-spec.ts";
 import {
@@ -87,11 +89,12 @@
     return server;
   }
 
-  addEntry(): ClusterEntry {
+  addEntry(strength = 1): ClusterEntry {
     const way = new EntryWay(this.clock);
     const store = this.store.client();
     const clock = way.clock();
     const { random, log } = this.#options;
+    const name = `e${this.entries.length}`;
     const entry = new JobEntry({
       ...{ clock, random, log, counters: new MetricCounters() },
       store: new EntryStore(store, way),
@@ -100,8 +103,9 @@
       connector: new EntryConnector(this.clock, way, this.servers),
       instances: new NoInstances(),
       advisor: new NoAdvisor(),
-      name: `e${this.entries.length}`,
-      session: { name: `e${this.entries.length}`, peerAddress: "", zone: "z" },
+      ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
+      notifier: new ClusterNotifier(this.entries, way),
+      storeSilenceMs: () => 0,
       leaseTtlMs: LEASE_TTL_MS,
       takeoverPauseMs: 0,
       keepEndedMs: 120_000,
@@ -188,6 +192,26 @@
   }
 }
 
+/** Passes notices on at once, unless a process on the way is dead or frozen. */
+class ClusterNotifier extends RecordNotifier {
+  readonly #entries: readonly ClusterEntry[];
+  readonly #way: EntryWay;
+
+  constructor(entries: readonly ClusterEntry[], way: EntryWay) {
+    super();
+    this.#entries = entries;
+    this.#way = way;
+  }
+
+  async notify(schedulerAddress: string, records: readonly WrittenRecord[]): Promise<void> {
+    const target = this.#entries[Number(schedulerAddress.slice(1))];
+    await this.#way.running();
+    if (target?.alive !== true) return;
+    await target.way.running();
+    target.entry.noticed(records);
+  }
+}
+
 class FakeRegistry extends ServerRegistry {
   readonly draining = new Set<string>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
