feat(pools): share instances by work that can be on time, replace those out of reach

Ruled out: processor time (rounds take 1% of it), refusals by the store. Change: claims of pools are split into base, on time and all; a fleet that is too small is shared in that order. Instances out of reach, or that leave for maintenance with long-running tasks, do not count as there. A held-up progress transaction no longer holds up those of other jobs. Jobs count as reachable up to a quarter of the remaining estimate beyond the latest start.

--- /dev/null
+++ b/src/coordination/jobs/pool-demand.ts
@@ -0,0 +1,115 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { QueueConfig } from "../../protocol/fleet-config.ts";
+import type { Resources } from "../../protocol/job-spec.ts";
+import type { Job, StepRun } from "../../state/jobs/job.ts";
+import { rankStep } from "../../state/jobs/job-order.ts";
+import { instancesNeeded, type PoolClaim } from "../../state/jobs/pool-sizing.ts";
+import { add, NO_RESOURCES, occupied, times } from "../../state/jobs/resources.ts";
+import type { FleetConfigView } from "./config-view.ts";
+
+/** Age in ms of the demand that a rise is measured against. */
+const RISE_WINDOW_MS = 1000;
+/** Demand that has passed keeps its instances for this time in ms, since work comes in bursts. */
+const MEMORY_MS = 1500;
+/** Used for jobs whose queue is no longer configured. */
+const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
+
+/** Demand of one pool at one time. */
+class PoolSample {
+  /** Demand of long-running tasks. */
+  long = NO_RESOURCES;
+  /** Demand of other tasks that run or could start now, and can be on time. */
+  onTime = NO_RESOURCES;
+  /** The same with those that are late. */
+  all = NO_RESOURCES;
+  /** Backend servers that a step needs because few of its tasks may share one. */
+  distinctServers = 0;
+
+  add({ spec, tasks }: StepRun, onTime: boolean): void {
+    const open = tasks.filter((task) => !task.done).length;
+    const demand = times(occupied(spec), open);
+    if (spec.longRunning) this.long = add(this.long, demand);
+    else {
+      this.all = add(this.all, demand);
+      if (onTime) this.onTime = add(this.onTime, demand);
+    }
+    const servers = spec.maxPerServer > 0 ? Math.ceil(open / spec.maxPerServer) : 0;
+    this.distinctServers = Math.max(this.distinctServers, servers);
+  }
+}
+
+interface Sample {
+  readonly at: number;
+  readonly pools: ReadonlyMap<string, PoolSample>;
+}
+
+/** Follows the demand of each pool, and says how many instances it asks for. */
+export class PoolDemand {
+  readonly #clock: Clock;
+  readonly #config: FleetConfigView;
+  readonly #samples: Sample[] = [];
+
+  constructor(clock: Clock, config: FleetConfigView) {
+    this.#clock = clock;
+    this.#config = config;
+  }
+
+  /** Takes a sample of the open jobs. */
+  sample(jobs: Iterable<Job>): void {
+    const now = this.#clock.now();
+    const wallTime = this.#clock.wallTime();
+    const pools = new Map<string, PoolSample>();
+    for (const job of jobs) {
+      const queue = this.#config.queue(job.spec.queue);
+      const name = queue?.pool ?? job.spec.pool;
+      let pool = pools.get(name);
+      if (pool === undefined) pools.set(name, (pool = new PoolSample()));
+      for (const step of job.activeSteps()) pool.add(step, canBeOnTime(step, queue, wallTime));
+    }
+    this.#samples.push({ at: now, pools });
+    while ((this.#samples[0]?.at ?? now) < now - RISE_WINDOW_MS - MEMORY_MS) this.#samples.shift();
+  }
+
+  /** Instances of the given capacity that each pool asks for. */
+  claims(pools: readonly string[], capacity: Resources): readonly PoolClaim[] {
+    const before = this.#before();
+    return pools.map((pool) => {
+      const latest = this.#samples.at(-1)?.pools.get(pool);
+      const fixed = {
+        ...{ pool, capacity, long: latest?.long ?? NO_RESOURCES },
+        distinctServers: latest?.distinctServers ?? 0,
+      };
+      const needed = (kind: "onTime" | "all"): number =>
+        instancesNeeded({
+          ...fixed,
+          short: this.#recentPeak(pool, kind),
+          shortBefore: before?.pools.get(pool)?.[kind] ?? NO_RESOURCES,
+        });
+      const idle = { ...fixed, short: NO_RESOURCES, shortBefore: NO_RESOURCES };
+      const onTime = needed("onTime");
+      return { pool, base: instancesNeeded(idle), onTime, all: Math.max(onTime, needed("all")) };
+    });
+  }
+
+  #before(): Sample | undefined {
+    const limit = this.#clock.now() - RISE_WINDOW_MS;
+    return this.#samples.findLast(({ at }) => at <= limit);
+  }
+
+  /** Largest demand of the last moments, by processor time. */
+  #recentPeak(pool: string, kind: "onTime" | "all"): Resources {
+    const since = this.#clock.now() - MEMORY_MS;
+    let peak = NO_RESOURCES;
+    for (const { at, pools } of this.#samples) {
+      const demand = pools.get(pool)?.[kind] ?? NO_RESOURCES;
+      if (at >= since && demand.cpuMillis > peak.cpuMillis) peak = demand;
+    }
+    return peak;
+  }
+}
+
+function canBeOnTime(step: StepRun, queue: QueueConfig | undefined, wallTime: number): boolean {
+  const occurrence = step.job.occurrences[step.occurrence];
+  if (occurrence === undefined) return false;
+  return rankStep(step, occurrence, queue ?? REMOVED_QUEUE, wallTime).reachable;
+}
--- a/src/coordination/jobs/pool-sizer.ts
+++ b/src/coordination/jobs/pool-sizer.ts
@@ -4,24 +4,21 @@
 import type { Resources } from "../../protocol/job-spec.ts";
 import {
   chooseDraining,
-  instancesNeeded,
   planMoves,
+  shareInstances,
   type MovableInstance,
   type PlannedMove,
-  type PoolLoad,
 } from "../../state/jobs/pool-sizing.ts";
-import { add, NO_RESOURCES, occupied, times } from "../../state/jobs/resources.ts";
+import { NO_RESOURCES } from "../../state/jobs/resources.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import type { InstanceOrders } from "./instance-orders.ts";
 import type { InstanceView } from "./instance-view.ts";
+import { PoolDemand } from "./pool-demand.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import type { ServerDriver } from "./server-driver.ts";
 
 const INTERVAL_MS = 250;
-/** Age in ms of the demand that a rise is measured against. */
-const RISE_WINDOW_MS = 1000;
-/** Demand that has passed keeps its instances for this time in ms, since work comes in bursts. */
-const MEMORY_MS = 1500;
 /** Lists lag, so a moved instance counts to its new pool for this time in ms. */
 const MOVE_SETTLE_MS = 4000;
 
@@ -41,11 +38,6 @@
   readonly orders: InstanceOrders;
 }
 
-interface Sample {
-  readonly at: number;
-  readonly short: ReadonlyMap<string, Resources>;
-}
-
 interface RecentMove {
   readonly pool: string;
   readonly at: number;
@@ -54,13 +46,14 @@
 /** Moves instances between pools and the spare pool as demand comes and goes. */
 export class PoolSizer {
   readonly #options: PoolSizerOptions;
-  readonly #samples: Sample[] = [];
+  readonly #demand: PoolDemand;
   #loggedAt = -Infinity;
   readonly #idleSince = new Map<string, number>();
   readonly #moves = new Map<string, RecentMove>();
 
   constructor(options: PoolSizerOptions) {
     this.#options = options;
+    this.#demand = new PoolDemand(options.clock, options.config);
   }
 
   /** Sizes pools until the tenure ends. */
@@ -91,9 +84,9 @@
   }
 
   #drain(chosen: ReadonlySet<string>, instances: readonly ControlledInstance[]): void {
-    for (const { name, server } of instances) {
-      const driver = server === undefined ? undefined : this.#options.scheduler.drivers.get(server);
-      if (chosen.has(name)) driver?.reserve("surplus");
+    for (const instance of instances) {
+      const driver = this.#driver(instance);
+      if (chosen.has(instance.name)) driver?.reserve("surplus");
       else driver?.release("surplus");
     }
   }
@@ -108,66 +101,50 @@
     );
   }
 
+  /** Instances that each pool is to have; together at most those that can be used. */
   #needed(
     instances: readonly ControlledInstance[],
     sparePool: string,
   ): ReadonlyMap<string, number> {
-    const { clock, config } = this.#options;
-    const now = clock.now();
-    const { long, short, distinct } = this.#demand();
-    this.#samples.push({ at: now, short });
-    while ((this.#samples[0]?.at ?? now) < now - RISE_WINDOW_MS - MEMORY_MS) this.#samples.shift();
-    const before = this.#samples.findLast(({ at }) => at <= now - RISE_WINDOW_MS);
-    const needed = new Map<string, number>();
-    for (const { name: pool, spare } of config.current?.pools ?? []) {
-      if (spare || pool === sparePool) continue;
-      const load: PoolLoad = {
-        pool,
-        long: long.get(pool) ?? NO_RESOURCES,
-        short: this.#recentPeak(pool, now),
-        shortBefore: before?.short.get(pool) ?? NO_RESOURCES,
-        distinctServers: distinct.get(pool) ?? 0,
-        capacity: typicalCapacity(instances),
-      };
-      needed.set(pool, instancesNeeded(load));
-    }
-    return needed;
+    const { config, scheduler } = this.#options;
+    this.#demand.sample(scheduler.board.open);
+    const pools = (config.current?.pools ?? [])
+      .filter(({ name, spare }) => !spare && name !== sparePool)
+      .map(({ name }) => name);
+    const claims = this.#demand.claims(pools, typicalCapacity(instances));
+    return shareInstances(claims, instances.filter((found) => this.#usable(found)).length);
   }
 
-  /** Largest demand of the last moments, by processor time. */
-  #recentPeak(pool: string, now: number): Resources {
-    let peak = NO_RESOURCES;
-    for (const { at, short } of this.#samples) {
-      const demand = short.get(pool) ?? NO_RESOURCES;
-      if (at >= now - MEMORY_MS && demand.cpuMillis > peak.cpuMillis) peak = demand;
-    }
-    return peak;
+  /** False for instances that take no tasks, whatever their pool needs. */
+  #usable(instance: ControlledInstance): boolean {
+    if (instance.state === "down") return false;
+    const driver = this.#driver(instance);
+    if (driver === undefined) return !this.#cutOff(instance.zone);
+    // What leaves for maintenance needs a substitute while its long-running tasks move there.
+    return driver.reachable && !(driver.busyWith("maintenance") && this.#hasLongTasks(driver));
   }
 
-  /** Demand of what runs and of what could start now, by pool. */
-  #demand() {
-    const long = new Map<string, Resources>();
-    const short = new Map<string, Resources>();
-    const distinct = new Map<string, number>();
-    const { scheduler, config } = this.#options;
-    for (const job of scheduler.board.open) {
-      const pool = config.queue(job.spec.queue)?.pool ?? job.spec.pool;
-      for (const step of job.activeSteps()) {
-        const open = step.tasks.filter((task) => !task.done).length;
-        const sums = step.spec.longRunning ? long : short;
-        const demand = times(occupied(step.spec), open);
-        sums.set(pool, add(sums.get(pool) ?? NO_RESOURCES, demand));
-        const servers = step.spec.maxPerServer > 0 ? Math.ceil(open / step.spec.maxPerServer) : 0;
-        distinct.set(pool, Math.max(distinct.get(pool) ?? 0, servers));
-      }
-    }
-    return { long, short, distinct };
+  #hasLongTasks({ id }: ServerDriver): boolean {
+    const runs = this.#options.scheduler.tracker.book.onServer(id);
+    return runs.some((run) => run.task.step.spec.longRunning);
+  }
+
+  /** True if no backend server of an availability zone answers. */
+  #cutOff(zone: string): boolean {
+    const drivers = [...this.#options.scheduler.drivers.all()].filter(
+      ({ registration, absent }) => registration.zone === zone && !absent,
+    );
+    return drivers.length > 0 && drivers.every(({ reachable }) => !reachable);
+  }
+
+  #driver({ server }: ControlledInstance): ServerDriver | undefined {
+    return server === undefined ? undefined : this.#options.scheduler.drivers.get(server);
   }
 
   #sizes(instances: readonly ControlledInstance[]): ReadonlyMap<string, number> {
     const sizes = new Map<string, number>();
     for (const instance of instances) {
-      if (instance.state === "down") continue;
+      if (!this.#usable(instance)) continue;
       const pool = this.#poolOf(instance);
       sizes.set(pool, (sizes.get(pool) ?? 0) + 1);
     }
@@ -191,9 +168,9 @@
     return instances.flatMap((instance): readonly MovableInstance[] => {
       const { name, pool, server, state } = instance;
       const spare = pool === sparePool;
-      if (state !== "up" || this.#moves.has(name)) return [];
+      if (state !== "up" || this.#moves.has(name) || !this.#usable(instance)) return [];
       if (!this.#options.orders.allowed(name)) return [];
-      const driver = server === undefined ? undefined : scheduler.drivers.get(server);
+      const driver = this.#driver(instance);
       if (!spare && (driver?.adopted !== true || driver.reserved)) return [];
       const runs = server === undefined ? [] : scheduler.tracker.book.onServer(server);
       if (runs.length > 0) this.#idleSince.delete(name);
@@ -214,7 +191,7 @@
   ): Promise<void> {
     const { clock, log, tenure, holder, scheduler } = this.#options;
     const listed = instances.find(({ name }) => name === instance);
-    const driver = listed?.server === undefined ? undefined : scheduler.drivers.get(listed.server);
+    const driver = listed === undefined ? undefined : this.#driver(listed);
     if (driver !== undefined) {
       // A task may have been placed since the plan was made.
       if (scheduler.tracker.hasRuns(driver.id)) return;
--- a/src/coordination/jobs/progress-writer.ts
+++ b/src/coordination/jobs/progress-writer.ts
@@ -17,6 +17,8 @@
 const JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
 /** Transactions under way at a time. */
 const MAX_TRANSACTIONS = 4;
+/** A single lost answer must not hold up the others; several mean that the store does not answer. */
+const MAX_STALLED_TRANSACTIONS = 2;
 const RETRY = { baseMs: 30, maxMs: 400 } as const;
 
 /** Options of {@link ProgressWriter}. */
@@ -63,9 +65,9 @@
     });
   }
 
-  /** True while a transaction waits for the store longer than its first attempt. */
+  /** True while the store answers too few transactions for further ones to make sense. */
   get stalled(): boolean {
-    return this.#stalled.size > 0;
+    return this.#stalled.size >= MAX_STALLED_TRANSACTIONS;
   }
 
   /** Jobs whose progress waits for a transaction. */
@@ -80,7 +82,7 @@
     const pending = this.#pending.get(job.spec.id);
     if (pending === undefined) this.#pending.set(job.spec.id, { job, waiters: [waiter] });
     else pending.waiters.push(waiter);
-    if (this.#mayBegin()) void this.#write();
+    this.#beginIfDue();
     return waiter.promise;
   }
 
@@ -94,10 +96,11 @@
     return waiter.promise;
   }
 
-  #mayBegin(): boolean {
-    if (this.#transactions === 0) return true;
-    // A further transaction is worth its call only if it is full.
-    return this.#transactions < MAX_TRANSACTIONS && this.#pending.size >= JOBS_PER_TRANSACTION;
+  #beginIfDue(): void {
+    if (this.#pending.size === 0 || this.#transactions >= MAX_TRANSACTIONS) return;
+    // A further transaction is worth its call only if it is full, or if the others are held up.
+    const heldUp = this.#transactions === this.#stalled.size;
+    if (heldUp || this.#pending.size >= JOBS_PER_TRANSACTION) void this.#write();
   }
 
   async #write(): Promise<void> {
@@ -159,8 +162,10 @@
       }
       if (attempt === 0) log.warn({ err, jobs: snapshots.length }, "progress not written");
       this.#stalled.add(txn);
+      this.#beginIfDue();
       await clock.sleep(fullJitterMs(random, attempt, RETRY), tenure.signal);
     }
+    this.#stalled.delete(txn);
     return undefined;
   }
 
--- a/src/state/jobs/job-order.ts
+++ b/src/state/jobs/job-order.ts
@@ -9,6 +9,9 @@
   readonly targetLatencyMs: number;
 }
 
+/** Part of the remaining chain by which estimates are often too high. */
+const ESTIMATE_TOLERANCE = 0.25;
+
 /** Rank of a step that has waiting tasks; lower ranks are placed first. */
 export interface StepRank {
   readonly longRunning: boolean;
@@ -32,11 +35,12 @@
 ): StepRank {
   const { stretch, targetLatencyMs, priority } = urgency;
   const dueAt = occurrence.releasedAtMs + stretch * chainMs(occurrence) + targetLatencyMs;
-  const latestStartMs = dueAt - remainingChainMs(occurrence, step.position);
+  const remainingMs = remainingChainMs(occurrence, step.position);
+  const latestStartMs = dueAt - remainingMs;
   return {
     longRunning: step.spec.longRunning,
     priority,
-    reachable: latestStartMs >= wallTimeMs,
+    reachable: latestStartMs + remainingMs * ESTIMATE_TOLERANCE >= wallTimeMs,
     latestStartMs,
   };
 }
--- a/src/state/jobs/pool-sizing.ts
+++ b/src/state/jobs/pool-sizing.ts
@@ -66,6 +66,58 @@
   return Math.max(least, distinctServers, ...needed);
 }
 
+/** Instances that a pool asks for, by what they are for. */
+export interface PoolClaim {
+  readonly pool: string;
+  /** For long-running tasks, and the least that a pool keeps. */
+  readonly base: number;
+  /** With work that can still be on time. */
+  readonly onTime: number;
+  /** With work that is late in any case. */
+  readonly all: number;
+}
+
+/**
+ * Shares the instances that can be used among pools that together ask for more. Answers turns that
+ * follow on each other: the backlog of the last turn, which is late in any case, must not keep the
+ * instances that the work of the next one needs to be on time.
+ */
+export function shareInstances(
+  claims: readonly PoolClaim[],
+  available: number,
+): ReadonlyMap<string, number> {
+  const granted = new Map(claims.map(({ pool, base }) => [pool, base]));
+  for (const level of ["onTime", "all"] as const) {
+    const wanted = claims.map((claim) => claim[level] - (granted.get(claim.pool) ?? 0));
+    const left = available - [...granted.values()].reduce((sum, count) => sum + count, 0);
+    for (const [index, more] of divide(wanted, left).entries()) {
+      const { pool } = claims[index] ?? { pool: "" };
+      granted.set(pool, (granted.get(pool) ?? 0) + more);
+    }
+  }
+  return granted;
+}
+
+/** Divides a number of instances in proportion to what is wanted, and never more than that. */
+function divide(wanted: readonly number[], available: number): readonly number[] {
+  const asked = wanted.map((count) => Math.max(0, count));
+  const sum = asked.reduce((total, count) => total + count, 0);
+  if (sum <= available) return asked;
+  if (available <= 0) return asked.map(() => 0);
+  const exact = asked.map((count) => (count * available) / sum);
+  const shares = exact.map(Math.floor);
+  let left = available - shares.reduce((total, count) => total + count, 0);
+  const byRemainder = [...exact.keys()].sort(
+    (a, b) => (exact[b] ?? 0) - (shares[b] ?? 0) - ((exact[a] ?? 0) - (shares[a] ?? 0)),
+  );
+  for (const index of byRemainder) {
+    if (left <= 0) break;
+    shares[index] = (shares[index] ?? 0) + 1;
+    left--;
+  }
+  return shares;
+}
+
 /** State of all pools. */
 export interface PoolPlan {
   /** Instances that each pool needs; the spare pool is left out. */
--- a/test/coordination/jobs/progress-writer.test.ts
+++ b/test/coordination/jobs/progress-writer.test.ts
@@ -78,6 +78,19 @@
     assert.is(memory.read(progressKey(spec.id))?.revision, revision);
 });
 
+test("a lost answer does not hold up the progress of other jobs", async () => {
+  const { clock, memory, writer, store } = await setUp();
+  const [first, second] = jobs(2);
+  Object.assign(store.faults, { lostAnswers: 1, lateMs: 5000 });
+  const saved = [writer.save(first!)];
+  await clock.advance(100);
+  saved.push(writer.save(second!));
+  await clock.advance(950);
+  assert.ok(memory.read(progressKey(second!.spec.id)), "written although the first is in doubt");
+  assert.not(writer.stalled);
+  assert.equal(await onClock(clock, Promise.all(saved)), [true, true]);
+});
+
 test("writes are stalled until every transaction of an outage is answered", async () => {
   const { clock, writer, store } = await setUp();
   store.faults.silent = true;
--- /dev/null
+++ b/test/state/jobs/pool-sharing.test.ts
@@ -0,0 +1,37 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { shareInstances } from "../../../src/state/jobs/pool-sizing.ts";
+
+function claim(pool: string, base: number, onTime: number, all = onTime) {
+  return { pool, base, onTime, all };
+}
+
+function shares(claims: readonly ReturnType<typeof claim>[], available: number) {
+  return Object.fromEntries(shareInstances(claims, available));
+}
+
+test("pools get what they ask for while the fleet has it", () => {
+  assert.equal(shares([claim("a", 1, 4, 6), claim("b", 1, 2)], 10), { a: 6, b: 2 });
+});
+
+test("the late backlog of one turn does not keep the instances that the next one needs", () => {
+  const lastTurn = claim("a", 2, 2, 20);
+  const nextTurn = claim("b", 2, 12);
+  assert.equal(shares([lastTurn, nextTurn], 20), { a: 8, b: 12 });
+});
+
+test("two turns at once share the fleet in proportion to what can be on time", () => {
+  assert.equal(shares([claim("a", 1, 31), claim("b", 1, 11)], 22), { a: 16, b: 6 });
+});
+
+test("long-running tasks keep their instances, also if the fleet is too small for them", () => {
+  assert.equal(shares([claim("a", 3, 9), claim("b", 3, 9)], 5), { a: 3, b: 3 });
+});
+
+test("no instance is left unused while a pool asks for one", () => {
+  const claims = [claim("a", 1, 6), claim("b", 1, 6), claim("c", 1, 6)];
+  const granted = Object.values(shares(claims, 11)).reduce((sum, count) => sum + count, 0);
+  assert.is(granted, 11);
+});
+
+test.run();
