--- a/src/coordination/jobs/config-view.ts
+++ b/src/coordination/jobs/config-view.ts
@@ -7,6 +7,7 @@
   QueueConfig,
   WaveRequest,
 } from "../../protocol/fleet-config.ts";
+import { Deferred, waitAtMost } from "../wait.ts";
 import { OperatorListener } from "./job-feeds.ts";
 
 /** The newest configuration that this entry instance knows, indexed. Versions only go up. */
@@ -21,6 +22,8 @@
   #organisations = new Map<string, OrganisationConfig>();
   #keys = new Map<string, OrganisationConfig>();
   #confirmedAt: number | undefined;
+  /** Resolves with the next confirmation. */
+  #confirmation = new Deferred<void>();
 
   constructor(clock: Clock, log: Log) {
     super();
@@ -91,8 +94,25 @@
     this.#changed();
   }
 
-  confirmed(): void {
-    this.#confirmedAt = this.#clock.now();
+  confirmed(askedAt: number): void {
+    this.#confirmedAt = Math.max(askedAt, this.#confirmedAt ?? askedAt);
+    const waiting = this.#confirmation;
+    this.#confirmation = new Deferred();
+    waiting.resolve();
+  }
+
+  /**
+   * True if the configuration was known to be the newest not longer than `maxAgeMs` ago. Waits at
+   * most `waitMs` for that, both in milliseconds.
+   */
+  async fresh(maxAgeMs: number, waitMs: number): Promise<boolean> {
+    const until = this.#clock.now() + waitMs;
+    while (this.#config === undefined || this.ageMs > maxAgeMs) {
+      const leftMs = until - this.#clock.now();
+      if (leftMs <= 0) return false;
+      await waitAtMost(this.#clock, this.#confirmation.promise, leftMs);
+    }
+    return true;
   }
 
   #changed(): void {
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -26,8 +26,8 @@
 import { SessionRegistration } from "./session-registration.ts";
 import { SchedulerLock, type LockTenure } from "./scheduler-lock.ts";
 
-/** A configuration whose confirmation is older may have been replaced, in milliseconds. */
-const MAX_CONFIG_AGE_MS = 4500;
+/** Time in ms for which an answer waits for the configuration to be confirmed. */
+const CONFIRMATION_WAIT_MS = 500;
 /** Without an answer of the store for this time in ms, callers are better served elsewhere. */
 const MAX_STORE_SILENCE_MS = 1800;
 
@@ -37,7 +37,8 @@
   readonly registry: ServerRegistry;
   readonly operators: OperatorFeed;
   readonly connector: JobBackendConnector;
-  readonly instances: InstanceControl;
+  /** Undefined where instances can't be controlled. */
+  readonly instances: InstanceControl | undefined;
   readonly advisor: PlacementAdvisor;
   readonly notifier: RecordNotifier;
   /** Time in ms since the store last answered. */
@@ -54,6 +55,8 @@
   readonly name: string;
   /** What peers need to know of this entry instance. */
   readonly session: SessionRecord;
+  /** Time in ms within which a change of the configuration has to be in force. */
+  readonly maxConfigAgeMs: number;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
   /** Time in ms in which two schedulers must not give orders to one instance. */
@@ -95,13 +98,15 @@
 
   /** True if callers may be sent here. */
   get ready(): boolean {
-    if (this.#stopped.signal.aborted || !this.configured) return false;
-    return this.#options.storeSilenceMs() <= MAX_STORE_SILENCE_MS;
+    if (this.#stopped.signal.aborted || this.config.current === undefined) return false;
+    // Answers wait a little for a late confirmation, so readiness does not change with each.
+    const maxAgeMs = 2 * this.#options.maxConfigAgeMs;
+    return this.config.ageMs <= maxAgeMs && this.#options.storeSilenceMs() <= MAX_STORE_SILENCE_MS;
   }
 
-  /** True if the configuration is known, and known to be in force. */
-  get configured(): boolean {
-    return this.config.current !== undefined && this.config.ageMs <= MAX_CONFIG_AGE_MS;
+  /** Resolves true once the configuration is certainly the one in force; false if it may not be. */
+  configured(): Promise<boolean> {
+    return this.config.fresh(this.#options.maxConfigAgeMs, CONFIRMATION_WAIT_MS);
   }
 
   /** Live entry instances, as last read. */
@@ -158,11 +163,6 @@
     this.#scheduler = scheduler;
     const { board } = scheduler;
     const openJobs = () => board.open;
-    const planned = {
-      ...{ ...this.#options, holder: this.#options.name, config: this.config },
-      ...{ tenure, scheduler, view: new InstanceView(this.#options) },
-      orders: new InstanceOrders({ ...this.#options, tenure }),
-    };
     await Promise.all([
       this.#lock.keep(tenure),
       scheduler.run(),
@@ -170,9 +170,20 @@
       new RecordCollector({
         ...{ ...this.#options, tenure, board, keepMs: this.#options.keepEndedMs },
       }).run(),
-      new MaintenanceRunner(planned).run(),
-      new PoolSizer(planned).run(),
+      this.#runInstances(tenure, scheduler),
     ]);
     this.#scheduler = undefined;
   }
+
+  /** Maintains instances and moves them between pools during a tenure. */
+  async #runInstances(tenure: LockTenure, scheduler: Scheduler): Promise<void> {
+    const { instances } = this.#options;
+    if (instances === undefined) return;
+    const planned = {
+      ...{ ...this.#options, holder: this.#options.name, config: this.config },
+      ...{ instances, tenure, scheduler, view: new InstanceView({ ...this.#options, instances }) },
+      orders: new InstanceOrders({ ...this.#options, tenure }),
+    };
+    await Promise.all([new MaintenanceRunner(planned).run(), new PoolSizer(planned).run()]);
+  }
 }
--- a/src/coordination/jobs/job-feeds.ts
+++ b/src/coordination/jobs/job-feeds.ts
@@ -20,8 +20,8 @@
   /** Called with every newer version of the configuration. */
   abstract configured(config: FleetConfig): void;
   abstract waveRequested(wave: WaveRequest): void;
-  /** The store has confirmed that nothing newer exists. */
-  abstract confirmed(): void;
+  /** Everything that operators wrote before `askedAt`, a monotonic time in ms, is known. */
+  abstract confirmed(askedAt: number): void;
 }
 
 /** The operators' configuration and maintenance requests. */
--- a/src/coordination/jobs/record-follower.ts
+++ b/src/coordination/jobs/record-follower.ts
@@ -10,16 +10,28 @@
 import { fullJitterMs } from "../backoff.ts";
 
 /** Longest wait of a watch in ms; short, so that a silent connection is noticed soon. */
-const WATCH_WAIT_MS = 2500;
+const DEFAULT_WATCH_WAIT_MS = 2500;
 const RETRY = { baseMs: 100, maxMs: 600 } as const;
 
+/** Longer than watches are mute, and shorter than the store keeps its history. */
+const QUIET_LAG_MS = 6000;
+
+interface QuietAnswer {
+  /** Monotonic time in ms. */
+  readonly at: number;
+  readonly revision: number;
+}
+
 /** Receives the records under a prefix and their changes. */
 export abstract class RecordListener {
   /** All records under the prefix; those that are missing were deleted. */
   abstract reset(records: readonly StoredRecord[]): void;
   abstract change(event: RecordEvent): void;
-  /** Called after a reset, and after the events of each watch, also if there were none. */
-  confirmed(): void {
+  /**
+   * Called after a reset, and after the events of each watch, also if there were none. Everything
+   * that was written before `askedAt`, a monotonic time in ms, has been reported.
+   */
+  confirmed(_askedAt: number): void {
     // Most listeners need no confirmation.
   }
 }
@@ -32,6 +44,8 @@
   readonly log: Log;
   readonly prefix: string;
   readonly listener: RecordListener;
+  /** Longest wait of a watch in ms. @default 2500 */
+  readonly watchWaitMs?: number;
 }
 
 /**
@@ -41,6 +55,8 @@
 export class RecordFollower {
   readonly #options: RecordFollowerOptions;
   #failures = 0;
+  /** Answers of watches without events. */
+  #quiet: readonly QuietAnswer[] = [];
 
   constructor(options: RecordFollowerOptions) {
     this.#options = options;
@@ -62,21 +78,38 @@
   }
 
   async #read(): Promise<number | StoreError> {
-    const { store, prefix, listener } = this.#options;
+    const { store, clock, prefix, listener } = this.#options;
+    const askedAt = clock.now();
     const range = await store.range(prefix);
     if (range.err) return range.val;
     listener.reset(range.val.records);
-    listener.confirmed();
+    listener.confirmed(askedAt);
     return range.val.revision;
   }
 
   async #watch(after: number): Promise<number | StoreError> {
-    const { store, prefix, listener } = this.#options;
-    const changes = await store.watch(prefix, after, WATCH_WAIT_MS);
+    const { store, clock, prefix, listener, watchWaitMs = DEFAULT_WATCH_WAIT_MS } = this.#options;
+    const askedAt = clock.now();
+    const changes = await store.watch(prefix, after, watchWaitMs);
     if (changes.err) return changes.val;
-    for (const event of changes.val.events) listener.change(event);
-    listener.confirmed();
-    return changes.val.revision;
+    const { events, revision } = changes.val;
+    for (const event of events) listener.change(event);
+    listener.confirmed(askedAt);
+    return events.length > 0 ? revision : this.#afterQuiet(after, revision);
+  }
+
+  /**
+   * Where to go on after a watch without events. The answer of a mute watch is ahead of what it
+   * reported, so a quiet stretch is asked for again until it is some seconds old.
+   */
+  #afterQuiet(after: number, revision: number): number {
+    const now = this.#options.clock.now();
+    const settled = this.#quiet.findLast(({ at }) => now - at >= QUIET_LAG_MS);
+    this.#quiet = [
+      ...this.#quiet.filter(({ at }) => now - at < QUIET_LAG_MS),
+      { at: now, revision },
+    ];
+    return Math.max(after, settled?.revision ?? 0);
   }
 
   #succeeded(): void {
--- a/src/stand-ins/memory-record-store.ts
+++ b/src/stand-ins/memory-record-store.ts
@@ -40,7 +40,7 @@
   lostAnswers: number;
   /** Delay in ms after which a commit that got no answer takes effect. @default 0 */
   lateMs: number;
-  /** Watches report no change until this is over. */
+  /** Watches answer after their wait without the changes that there were. */
   muteWatches: boolean;
 }
 
@@ -222,7 +222,7 @@
       await this.#store.changed(prefix, after, waitMs);
     if (this.faults.muteWatches) {
       await this.#clock.sleep(waitMs);
-      return this.#call(() => Ok({ events: [], revision: after }), "unavailable");
+      return this.#call(() => Ok({ events: [], revision: this.#store.revision }), "unavailable");
     }
     return this.#call(() => {
       const events = this.#store.events(prefix, after);
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -44,6 +44,8 @@
   lateStarts: number;
   /** Delay of late starts in milliseconds. */
   lateMs: number;
+  /** Late starts end with the boot that received them, as those on a TCP connection do. */
+  lateStartsEndWithBoot: boolean;
 }
 
 /** Options of {@link SimulatedJobServer}. */
@@ -71,7 +73,10 @@
 export class SimulatedJobServer {
   readonly id: string;
   readonly capacity: Resources;
-  readonly faults: ServerFaults = { silent: false, lateStarts: 0, lateMs: 0 };
+  readonly faults: ServerFaults = {
+    ...{ silent: false, lateStarts: 0, lateMs: 0 },
+    lateStartsEndWithBoot: false,
+  };
   /** Every start that was carried out, in order. */
   readonly history: ObservedRun[] = [];
   bootedAt: number;
@@ -226,7 +231,11 @@
     const { faults } = this.#server;
     if (faults.lateStarts > 0 && !this.#unreachable()) {
       faults.lateStarts--;
-      this.#clock.schedule(faults.lateMs, () => this.#server.start(order));
+      const { bootedAt } = this.#server;
+      this.#clock.schedule(faults.lateMs, () => {
+        const sameBoot = this.#server.up && this.#server.bootedAt === bootedAt;
+        if (sameBoot || !faults.lateStartsEndWithBoot) this.#server.start(order);
+      });
       return this.#unanswered();
     }
     return this.#order(() => this.#server.start(order));
--- /dev/null
+++ b/test/coordination/jobs/record-follower.test.ts
@@ -0,0 +1,79 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FleetConfigView } from "../../../src/coordination/jobs/config-view.ts";
+import { RecordFollower, RecordListener } from "../../../src/coordination/jobs/record-follower.ts";
+import type { RecordEvent, StoredRecord } from "../../../src/ports/record-store.ts";
+import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
+import { fleetConfig } from "../../fakes/jobs/job-builders.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { onClock, VirtualClock } from "../../fakes/virtual-clock.ts";
+
+const LOG = { debug: none, info: none, warn: none, error: none };
+
+function none(): void {
+  // Lines are not looked at here.
+}
+
+/** Remembers the keys that were reported and when the last confirmed answer was asked for. */
+class Seen extends RecordListener {
+  readonly keys = new Set<string>();
+  askedAt = -1;
+
+  reset(records: readonly StoredRecord[]): void {
+    for (const { key } of records) this.keys.add(key);
+  }
+
+  change(event: RecordEvent): void {
+    if (event.kind === "written") this.keys.add(event.record.key);
+  }
+
+  override confirmed(askedAt: number): void {
+    this.askedAt = askedAt;
+  }
+}
+
+function follow(latencyMs: number, watchWaitMs: number) {
+  const clock = new VirtualClock();
+  const memory = new MemoryRecordStore(clock, { latencyMs });
+  const store = memory.client();
+  const listener = new Seen();
+  const options = { store, clock, log: LOG, random: new SeededRandom(1), prefix: "p/" };
+  void new RecordFollower({ ...options, listener, watchWaitMs }).run(new AbortController().signal);
+  return { clock, memory, store, listener };
+}
+
+test("a change that a mute watch passed over is reported by a later one", async () => {
+  const { clock, memory, store, listener } = follow(4, 500);
+  await clock.advance(100);
+  store.faults.muteWatches = true;
+  await clock.advance(600);
+  memory.write("p/a", Uint8Array.of(1));
+  await clock.advance(600);
+  assert.not(listener.keys.has("p/a"), "the watch answered without it");
+  store.faults.muteWatches = false;
+  await clock.advance(1200);
+  assert.ok(listener.keys.has("p/a"));
+});
+
+test("an answer that takes long confirms only what was written before it was asked for", async () => {
+  const { clock, listener } = follow(1500, 500);
+  await clock.advance(1600);
+  assert.ok(listener.askedAt <= 100, "counted from the question, not from the answer");
+});
+
+test("a configuration that may be out of date is not used, unless it is confirmed soon", async () => {
+  const clock = new VirtualClock();
+  const view = new FleetConfigView(clock, LOG);
+  view.configured(fleetConfig());
+  view.confirmed(clock.now());
+  assert.ok(await onClock(clock, view.fresh(2000, 500)));
+  await clock.advance(2100);
+  assert.not(await onClock(clock, view.fresh(2000, 500)));
+  const waiting = view.fresh(2000, 500);
+  clock.schedule(200, () => {
+    view.confirmed(clock.now());
+  });
+  assert.ok(await onClock(clock, waiting));
+});
+
+test.run();
--- a/test/fakes/jobs/http-front.ts
+++ b/test/fakes/jobs/http-front.ts
@@ -16,13 +16,18 @@
   readonly body: unknown;
 }
 
+/** Calls that a front remembers; a soak makes many more than any test looks at. */
+const MAX_REMEMBERED_CALLS = 10_000;
+
+type Answer = (call: FrontCall) => FrontAnswer | Promise<FrontAnswer>;
+
 /** A small HTTP server whose answers a test decides, in place of the platform. */
 export class HttpFront {
   readonly calls: FrontCall[] = [];
-  answer: (call: FrontCall) => FrontAnswer;
+  answer: Answer;
   readonly #server = createServer((req, res) => void this.#serve(req, res));
 
-  constructor(answer: (call: FrontCall) => FrontAnswer) {
+  constructor(answer: Answer) {
     this.answer = answer;
   }
 
@@ -49,8 +54,8 @@
       ...{ method: req.method ?? "", path: pathname, query: searchParams, headers: req.headers },
       body: text === "" ? undefined : (JSON.parse(text) as unknown),
     };
-    this.calls.push(call);
-    const { status, body } = this.answer(call);
+    if (this.calls.length < MAX_REMEMBERED_CALLS) this.calls.push(call);
+    const { status, body } = await this.answer(call);
     if (status === undefined) req.socket.destroy();
     else {
       const bytes = Buffer.from(JSON.stringify(body ?? {}));
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -108,6 +108,7 @@
       storeSilenceMs: () => 0,
       leaseTtlMs: LEASE_TTL_MS,
       takeoverPauseMs: 0,
+      maxConfigAgeMs: 2000,
       keepEndedMs: 120_000,
     });
     entry.start();
@@ -272,7 +273,7 @@
     listener.configured(this.#config);
     this.#listeners.add(listener);
     while (!signal.aborted) {
-      listener.confirmed();
+      listener.confirmed(this.#clock.now());
       await this.#clock.sleep(CONFIRM_INTERVAL_MS, signal);
     }
     this.#listeners.delete(listener);
