fix(store): no detour after a cut watch; the scheduler gives way while the store turns it away; waves begin with long-running tasks

Ruled out: the lock's time to live, processor time. Change: a scheduler without direct reach for 0.6 s gives way, and such instances stand later. A watch alone is no sign of a lost store. Only complete answers confirm the configuration; an answer with several versions of a record has the newest one read. Waves begin with long-running tasks.

--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -43,6 +43,8 @@
   readonly notifier: RecordNotifier;
   /** Time in ms since the store last answered. */
   readonly storeSilenceMs: () => number;
+  /** Time in ms for which the store has been out of direct reach; 0 while it is reached. */
+  readonly storeOutOfReachMs: () => number;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
--- a/src/coordination/jobs/record-follower.ts
+++ b/src/coordination/jobs/record-follower.ts
@@ -27,10 +27,10 @@
   /** All records under the prefix; those that are missing were deleted. */
   abstract reset(records: readonly StoredRecord[]): void;
   abstract change(event: RecordEvent): void;
-  /**
-   * Called after a reset, and after the events of each watch, also if there were none. Everything
-   * that was written before `askedAt`, a monotonic time in ms, has been reported.
-   */
+  /** True if {@link confirmed} has to follow each change soon. @default false */
+  readonly needsConfirmation: boolean = false;
+
+  /** Everything that was written before `askedAt`, a monotonic time in ms, has been reported. */
   confirmed(_askedAt: number): void {
     // Most listeners need no confirmation.
   }
@@ -55,6 +55,8 @@
 export class RecordFollower {
   readonly #options: RecordFollowerOptions;
   #failures = 0;
+  /** The last watch had events, so there may be more. */
+  #mayBeBehind = false;
   /** Answers of watches without events. */
   #quiet: readonly QuietAnswer[] = [];
 
@@ -67,7 +69,7 @@
     let revision: number | undefined;
     while (!signal.aborted) {
       const next = revision === undefined ? await this.#read() : await this.#watch(revision);
-      if (typeof next === "number") {
+      if (typeof next === "number" || next === undefined) {
         revision = next;
         this.#succeeded();
       } else if (next.kind === "compacted") {
@@ -87,15 +89,22 @@
     return range.val.revision;
   }
 
-  async #watch(after: number): Promise<number | StoreError> {
+  /** Revision to go on from; undefined if the records are better read afresh. */
+  async #watch(after: number): Promise<number | undefined | StoreError> {
     const { store, clock, prefix, listener, watchWaitMs = DEFAULT_WATCH_WAIT_MS } = this.#options;
     const askedAt = clock.now();
-    const changes = await store.watch(prefix, after, watchWaitMs);
+    const waitMs = this.#mayBeBehind && listener.needsConfirmation ? 0 : watchWaitMs;
+    const changes = await store.watch(prefix, after, waitMs);
     if (changes.err) return changes.val;
     const { events, revision } = changes.val;
     for (const event of events) listener.change(event);
-    listener.confirmed(askedAt);
-    return events.length > 0 ? revision : this.#afterQuiet(after, revision);
+    this.#mayBeBehind = events.length > 0;
+    if (events.length === 0) {
+      listener.confirmed(askedAt);
+      return this.#afterQuiet(after, revision);
+    }
+    // An answer holds a limited number of bytes, so several versions of a record may be old ones.
+    return listener.needsConfirmation && hasRepeatedKey(events) ? undefined : revision;
   }
 
   /**
@@ -125,3 +134,8 @@
     await clock.sleep(fullJitterMs(random, this.#failures++, RETRY), signal);
   }
 }
+
+function hasRepeatedKey(events: readonly RecordEvent[]): boolean {
+  const keys = events.map((event) => (event.kind === "written" ? event.record.key : event.key));
+  return new Set(keys).size < keys.length;
+}
--- a/src/coordination/jobs/relayed-store.ts
+++ b/src/coordination/jobs/relayed-store.ts
@@ -39,7 +39,8 @@
  */
 export class RelayedStore extends RecordStore {
   readonly #options: RelayedStoreOptions;
-  #failing = false;
+  /** Monotonic time in ms at which direct calls began to fail; undefined while they are answered. */
+  #failingSince: number | undefined;
   #probeAt = 0;
   #relayAt = 0;
   #reachedAt: number;
@@ -52,6 +53,11 @@
     this.#reachedAt = options.clock.now();
   }
 
+  /** Time in ms for which the store has been out of direct reach; 0 while it is reached. */
+  get outOfReachMs(): number {
+    return this.#failingSince === undefined ? 0 : this.#options.clock.now() - this.#failingSince;
+  }
+
   /** Time in ms since a call was last answered, directly or through a peer. */
   get silenceMs(): number {
     return this.#options.clock.now() - this.#reachedAt;
@@ -88,13 +94,16 @@
 
   async #call(call: StoreCall): Promise<Result<unknown, StoreError>> {
     const now = this.#options.clock.now();
-    if (this.#failing && now < this.#probeAt && now >= this.#relayAt) return this.#relay(call);
-    if (this.#failing) this.#probeAt = now + PROBE_INTERVAL_MS;
+    const failing = this.#failingSince !== undefined;
+    if (failing && now < this.#probeAt && now >= this.#relayAt) return this.#relay(call);
+    if (failing) this.#probeAt = now + PROBE_INTERVAL_MS;
     const result = await this.#direct(call);
     if (!lost(result)) {
       this.#note(true);
       return result;
     }
+    // A watch is also cut while the store serves all other calls, so it proves nothing.
+    if (call.kind === "watch" && this.#failingSince === undefined) return result;
     this.#note(false);
     // What may have been executed is repeated by the caller, who knows how.
     const repeatable = result.val.kind === "unavailable" || call.kind === "keep";
@@ -104,7 +113,7 @@
   /** A direct call; a watch is given up once other calls find the store out of reach. */
   #direct(call: StoreCall): Promise<Result<unknown, StoreError>> {
     const made = executeStoreCall(this.#options.direct, call);
-    if (call.kind !== "watch" || this.#failing) return made;
+    if (call.kind !== "watch" || this.#failingSince !== undefined) return made;
     const failed = this.#failed.promise.then(() =>
       Err<StoreError>({ kind: "unavailable", detail: "the store is out of reach" }),
     );
@@ -124,8 +133,8 @@
   #note(reached: boolean): void {
     const { clock, log } = this.#options;
     if (reached) this.#reachedAt = clock.now();
-    if (reached === !this.#failing) return;
-    this.#failing = !reached;
+    if (reached === (this.#failingSince === undefined)) return;
+    this.#failingSince = reached ? undefined : clock.now();
     if (reached) {
       this.#failed = new Deferred();
       log.info({}, "store is reached directly again");
--- a/src/coordination/jobs/scheduler-election.ts
+++ b/src/coordination/jobs/scheduler-election.ts
@@ -1,17 +1,24 @@
 import type { Clock } from "../../ports/clock.ts";
 import type { Log } from "../../ports/log.ts";
 import type { SessionRecord } from "../../protocol/job-records.ts";
-import { hasStronger, headStartMs } from "../../state/jobs/candidacy.ts";
+import {
+  detourHeadStartMs,
+  hasStronger,
+  headStartMs,
+  shouldGiveWay,
+} from "../../state/jobs/candidacy.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
 import type { EntryView } from "./entry-view.ts";
 import type { LockTenure, SchedulerLock } from "./scheduler-lock.ts";
 
 /** Pause in ms after the lock was found taken, or the store failed. */
 const CANDIDACY_PAUSE_MS = 150;
-const HANDOVER_CHECK_MS = 1000;
+const HANDOVER_CHECK_MS = 200;
 /** First tenure of a weak scheduler in ms; longer than the sessions of instances that are gone. */
 const FIRST_WEAK_TENURE_MS = 4000;
-/** A stronger instance that does not take or keep the lock is tried again less and less often. */
+/** The same for one without direct reach of the store, while no instance may have it. */
+const FIRST_DETOUR_TENURE_MS = 800;
+/** A better instance that does not take or keep the lock is tried again less and less often. */
 const LONGEST_WEAK_TENURE_MS = 60_000;
 
 /** Options of {@link SchedulerElection}. */
@@ -22,16 +29,19 @@
   readonly view: EntryView;
   /** This entry instance. */
   readonly session: SessionRecord;
+  /** Time in ms for which the store has been out of direct reach; 0 while it is reached. */
+  readonly storeOutOfReachMs: () => number;
   /** Schedules until the tenure ends. */
   readonly serve: (tenure: LockTenure) => Promise<void>;
 }
 
-/** Stands for the scheduler's lock, and hands it over to an instance that is stronger by far. */
+/** Stands for the scheduler's lock, and gives way to instances that are better placed. */
 export class SchedulerElection {
   readonly #options: SchedulerElectionOptions;
   #changed = new Deferred<void>();
   #tenure: LockTenure | undefined;
   #weakTenureMs = FIRST_WEAK_TENURE_MS;
+  #detourTenureMs = FIRST_DETOUR_TENURE_MS;
 
   constructor(options: SchedulerElectionOptions) {
     this.#options = options;
@@ -78,25 +88,42 @@
   /** Leaves stronger instances their head start; false if one of them has taken the lock. */
   async #ownTurn(signal: AbortSignal): Promise<boolean> {
     const { clock, view, session } = this.#options;
-    const waitMs = headStartMs(session.strength, this.#otherStrengths());
+    const waitMs = Math.max(
+      headStartMs(session.strength, this.#otherStrengths()),
+      detourHeadStartMs(this.#options.storeOutOfReachMs()),
+    );
     if (waitMs === 0) return true;
     await clock.sleep(waitMs, signal);
     return view.vacant && !signal.aborted;
   }
 
   async #handOver(tenure: LockTenure): Promise<void> {
-    const { clock, log, lock, session } = this.#options;
+    const { clock, log, lock } = this.#options;
     const begunAt = clock.now();
     while (!ended(tenure.signal)) {
       await clock.sleep(HANDOVER_CHECK_MS, tenure.signal);
-      if (ended(tenure.signal) || clock.now() - begunAt < this.#weakTenureMs) continue;
-      if (!hasStronger(session.strength, this.#otherStrengths())) continue;
-      this.#weakTenureMs = Math.min(LONGEST_WEAK_TENURE_MS, this.#weakTenureMs * 2);
-      log.info({ token: tenure.token }, "scheduler lock is left to a stronger instance");
+      if (ended(tenure.signal)) return;
+      const reason = this.#reasonToGiveWay(clock.now() - begunAt);
+      if (reason === undefined) continue;
+      log.info({ token: tenure.token, reason }, "scheduler lock is left to another instance");
       await lock.release(tenure);
     }
   }
 
+  #reasonToGiveWay(tenureMs: number): "detour" | "weak" | undefined {
+    const others = this.#otherStrengths();
+    const outOfReachMs = this.#options.storeOutOfReachMs();
+    if (outOfReachMs === 0) this.#detourTenureMs = FIRST_DETOUR_TENURE_MS;
+    if (tenureMs >= this.#detourTenureMs && shouldGiveWay(outOfReachMs, others.length)) {
+      this.#detourTenureMs = Math.min(LONGEST_WEAK_TENURE_MS, this.#detourTenureMs * 2);
+      return "detour";
+    }
+    if (tenureMs < this.#weakTenureMs) return undefined;
+    if (!hasStronger(this.#options.session.strength, others)) return undefined;
+    this.#weakTenureMs = Math.min(LONGEST_WEAK_TENURE_MS, this.#weakTenureMs * 2);
+    return "weak";
+  }
+
   #otherStrengths(): readonly number[] {
     const { view, session } = this.#options;
     return view.sessions.filter(({ name }) => name !== session.name).map((s) => s.strength);
--- a/src/state/jobs/candidacy.ts
+++ b/src/state/jobs/candidacy.ts
@@ -2,6 +2,10 @@
 
 /** Head start in ms for instances that are stronger; longer than an election among them takes. */
 const HEAD_START_MS = 500;
+/** The same for one that reaches the store only through peers; others are sooner with any strength. */
+const DETOUR_HEAD_START_MS = 1200;
+/** A scheduler without direct reach for this time in ms gives way; most losses are shorter. */
+const MAX_DETOUR_MS = 600;
 /** Strength over strength from which an instance counts as stronger. */
 const STRONGER_RATIO = 1.5;
 
@@ -18,3 +22,17 @@
   for (const other of others) if (other >= strength * STRONGER_RATIO) return true;
   return false;
 }
+
+/** Head start in ms that an instance without direct reach of the store leaves to all others. */
+export function detourHeadStartMs(outOfReachMs: number): number {
+  return outOfReachMs > 0 ? DETOUR_HEAD_START_MS : 0;
+}
+
+/**
+ * True if a scheduler should give way because it reaches the store only through peers. Answers a
+ * store that turns the scheduler away for seconds: each of its writes would take several times as
+ * long, at the expense of a weak peer.
+ */
+export function shouldGiveWay(outOfReachMs: number, others: number): boolean {
+  return outOfReachMs > MAX_DETOUR_MS && others > 0;
+}
--- a/src/state/jobs/wave-plan.ts
+++ b/src/state/jobs/wave-plan.ts
@@ -29,8 +29,9 @@
 
 /**
  * Chooses the instances to reserve, in addition to those that are. Spreads a wave over the pools, so
- * that each pool loses a small part of its capacity at a time, and takes the instances first that
- * are empty soonest.
+ * that each pool loses a small part of its capacity at a time. Instances with long-running tasks come
+ * first, because availability budgets let those leave only one after the other, which takes most of
+ * a wave's time; then come those that are empty soonest.
  */
 export function chooseReservations(state: WaveState): readonly ControlledInstance[] {
   const { request, open, underway } = state;
@@ -59,5 +60,9 @@
 }
 
 function byWork(a: WaveInstance, b: WaveInstance): number {
-  return a.shortTasks - b.shortTasks || a.longTasks - b.longTasks;
+  return (
+    Number(b.longTasks > 0) - Number(a.longTasks > 0) ||
+    a.shortTasks - b.shortTasks ||
+    b.longTasks - a.longTasks
+  );
 }
--- a/test/coordination/jobs/record-follower.test.ts
+++ b/test/coordination/jobs/record-follower.test.ts
@@ -16,10 +16,18 @@
 
 /** Remembers the keys that were reported and when the last confirmed answer was asked for. */
 class Seen extends RecordListener {
+  override readonly needsConfirmation: boolean;
+  resets = 0;
   readonly keys = new Set<string>();
   askedAt = -1;
 
+  constructor(needsConfirmation: boolean) {
+    super();
+    this.needsConfirmation = needsConfirmation;
+  }
+
   reset(records: readonly StoredRecord[]): void {
+    this.resets++;
     for (const { key } of records) this.keys.add(key);
   }
 
@@ -32,11 +40,11 @@
   }
 }
 
-function follow(latencyMs: number, watchWaitMs: number) {
+function follow(latencyMs: number, watchWaitMs: number, needsConfirmation = false) {
   const clock = new VirtualClock();
   const memory = new MemoryRecordStore(clock, { latencyMs });
   const store = memory.client();
-  const listener = new Seen();
+  const listener = new Seen(needsConfirmation);
   const options = { store, clock, log: LOG, random: new SeededRandom(1), prefix: "p/" };
   void new RecordFollower({ ...options, listener, watchWaitMs }).run(new AbortController().signal);
   return { clock, memory, store, listener };
@@ -61,6 +69,26 @@
   assert.ok(listener.askedAt <= 100, "counted from the question, not from the answer");
 });
 
+test("an answer with several versions of a record confirms nothing, and the newest is read", async () => {
+  const { clock, memory, listener } = follow(4, 500, true);
+  await clock.advance(100);
+  const before = listener.askedAt;
+  for (let version = 0; version < 5; version++) memory.write("p/a", Uint8Array.of(version));
+  memory.write("p/b", Uint8Array.of(1));
+  await clock.advance(40);
+  assert.ok(listener.resets > 1, "read afresh");
+  assert.ok(listener.keys.has("p/b"));
+  assert.ok(listener.askedAt > before);
+});
+
+test("a single change is confirmed at once, without waiting for the next watch to end", async () => {
+  const { clock, memory, listener } = follow(4, 5000, true);
+  await clock.advance(1000);
+  memory.write("p/a", Uint8Array.of(1));
+  await clock.advance(40);
+  assert.ok(listener.askedAt >= 1000);
+});
+
 test("a configuration that may be out of date is not used, unless it is confirmed soon", async () => {
   const clock = new VirtualClock();
   const view = new FleetConfigView(clock, LOG);
--- a/test/coordination/jobs/relayed-store.test.ts
+++ b/test/coordination/jobs/relayed-store.test.ts
@@ -151,6 +151,15 @@
   await onClock(clock, kept);
 });
 
+test("a cut watch alone does not make other calls go through a peer", async () => {
+  const { clock, members: all } = await members(2);
+  const { store, direct } = all[0]!;
+  direct.faults.refusing = true;
+  await onClock(clock, store.watch("a", 1, 10));
+  direct.faults.refusing = false;
+  assert.is(store.outOfReachMs, 0);
+});
+
 test("the silence of the store is counted until an answer comes, also through a peer", async () => {
   const { clock, members: all } = await members(2);
   const { store, direct } = all[0]!;
--- a/test/fakes/jobs/entry-way.ts
+++ b/test/fakes/jobs/entry-way.ts
@@ -24,6 +24,8 @@
 export class EntryWay {
   /** The way to backend servers loses everything. */
   cutFromServers = false;
+  /** Time in ms for which the store is reported to be out of direct reach. */
+  storeDetourMs = 0;
   readonly #clock: Clock;
   #frozen = false;
   #thawed: (() => void)[] = [];
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -106,6 +106,7 @@
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, way),
       storeSilenceMs: () => 0,
+      storeOutOfReachMs: () => way.storeDetourMs,
       leaseTtlMs: LEASE_TTL_MS,
       takeoverPauseMs: 0,
       maxConfigAgeMs: 2000,
--- a/test/process/platform/platform-site.ts
+++ b/test/process/platform/platform-site.ts
@@ -89,8 +89,10 @@
   }
 
   /** A worker loses everything; its registration lapses if it stays away. */
-  crash({ server }: SiteWorker): void {
+  crash({ server, proxy }: SiteWorker): void {
     server.crash();
+    // Connections end with the process, so what is on its way never reaches the next boot.
+    proxy.reset();
     this.clock.schedule(REGISTRATION_LAPSE_MS, () => {
       if (!server.up) this.store.delete(`servers/${server.id}`);
     });
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -175,4 +175,22 @@
   assert.equal(chosen.map(({ name }) => name).sort(), ["idle", "other"]);
 });
 
+test("a wave begins with instances whose long-running tasks may leave only one by one", () => {
+  const request = { wave: 1, instances: [], durationMs: 1000, maxAtOnce: 2 };
+  const open = [
+    waveInstance("idle", "p"),
+    waveInstance("long", "q", { longTasks: 2 }),
+    waveInstance("longer", "q", { longTasks: 3 }),
+  ];
+  const poolSizes = new Map([
+    ["p", 4],
+    ["q", 4],
+  ]);
+  const chosen = chooseReservations({ request, open, underway: [], poolSizes });
+  assert.equal(
+    chosen.map(({ name }) => name),
+    ["longer", "idle"],
+  );
+});
+
 test.run();
