--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -6,6 +6,7 @@
 import type { Random } from "../../ports/random.ts";
 import type { RecordStore } from "../../ports/record-store.ts";
 import { ENTRIES_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
+import type { StoreReach } from "../../state/jobs/candidacy.ts";
 import type { Counters } from "../ports.ts";
 import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import { InstanceOrders } from "./instance-orders.ts";
@@ -41,10 +42,8 @@
   readonly instances: InstanceControl | undefined;
   readonly advisor: PlacementAdvisor;
   readonly notifier: RecordNotifier;
-  /** Time in ms since the store last answered. */
-  readonly storeSilenceMs: () => number;
-  /** Time in ms for which the store has been out of direct reach; 0 while it is reached. */
-  readonly storeOutOfReachMs: () => number;
+  /** How the store is reached now. */
+  readonly storeReach: () => StoreReach;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Log;
@@ -103,7 +102,9 @@
     if (this.#stopped.signal.aborted || this.config.current === undefined) return false;
     // Answers wait a little for a late confirmation, so readiness does not change with each.
     const maxAgeMs = 2 * this.#options.maxConfigAgeMs;
-    return this.config.ageMs <= maxAgeMs && this.#options.storeSilenceMs() <= MAX_STORE_SILENCE_MS;
+    return (
+      this.config.ageMs <= maxAgeMs && this.#options.storeReach().silenceMs <= MAX_STORE_SILENCE_MS
+    );
   }
 
   /** Resolves true once the configuration is certainly the one in force; false if it may not be. */
--- a/src/coordination/jobs/relayed-store.ts
+++ b/src/coordination/jobs/relayed-store.ts
@@ -11,6 +11,7 @@
   type StoreError,
   type StoreResult,
 } from "../../ports/record-store.ts";
+import type { StoreReach } from "../../state/jobs/candidacy.ts";
 import type { StoreCall } from "../../protocol/store-calls.ts";
 import type { Counters } from "../ports.ts";
 import { Deferred } from "../wait.ts";
@@ -53,14 +54,11 @@
     this.#reachedAt = options.clock.now();
   }
 
-  /** Time in ms for which the store has been out of direct reach; 0 while it is reached. */
-  get outOfReachMs(): number {
-    return this.#failingSince === undefined ? 0 : this.#options.clock.now() - this.#failingSince;
-  }
-
-  /** Time in ms since a call was last answered, directly or through a peer. */
-  get silenceMs(): number {
-    return this.#options.clock.now() - this.#reachedAt;
+  /** How the store is reached now. */
+  get reach(): StoreReach {
+    const now = this.#options.clock.now();
+    const outOfReachMs = this.#failingSince === undefined ? 0 : now - this.#failingSince;
+    return { outOfReachMs, silenceMs: now - this.#reachedAt };
   }
 
   async get(key: string): StoreResult<StoredRecord | undefined> {
--- a/src/coordination/jobs/scheduler-election.ts
+++ b/src/coordination/jobs/scheduler-election.ts
@@ -6,6 +6,7 @@
   hasStronger,
   headStartMs,
   shouldGiveWay,
+  type StoreReach,
 } from "../../state/jobs/candidacy.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
 import type { EntryView } from "./entry-view.ts";
@@ -29,8 +30,7 @@
   readonly view: EntryView;
   /** This entry instance. */
   readonly session: SessionRecord;
-  /** Time in ms for which the store has been out of direct reach; 0 while it is reached. */
-  readonly storeOutOfReachMs: () => number;
+  readonly storeReach: () => StoreReach;
   /** Schedules until the tenure ends. */
   readonly serve: (tenure: LockTenure) => Promise<void>;
 }
@@ -90,7 +90,7 @@
     const { clock, view, session } = this.#options;
     const waitMs = Math.max(
       headStartMs(session.strength, this.#otherStrengths()),
-      detourHeadStartMs(this.#options.storeOutOfReachMs()),
+      detourHeadStartMs(this.#options.storeReach().outOfReachMs),
     );
     if (waitMs === 0) return true;
     await clock.sleep(waitMs, signal);
@@ -112,9 +112,9 @@
 
   #reasonToGiveWay(tenureMs: number): "detour" | "weak" | undefined {
     const others = this.#otherStrengths();
-    const outOfReachMs = this.#options.storeOutOfReachMs();
-    if (outOfReachMs === 0) this.#detourTenureMs = FIRST_DETOUR_TENURE_MS;
-    if (tenureMs >= this.#detourTenureMs && shouldGiveWay(outOfReachMs, others.length)) {
+    const reach = this.#options.storeReach();
+    if (reach.outOfReachMs === 0) this.#detourTenureMs = FIRST_DETOUR_TENURE_MS;
+    if (tenureMs >= this.#detourTenureMs && shouldGiveWay(reach, others.length)) {
       this.#detourTenureMs = Math.min(LONGEST_WEAK_TENURE_MS, this.#detourTenureMs * 2);
       return "detour";
     }
--- a/src/state/jobs/candidacy.ts
+++ b/src/state/jobs/candidacy.ts
@@ -6,6 +6,8 @@
 const DETOUR_HEAD_START_MS = 1200;
 /** A scheduler without direct reach for this time in ms gives way; most losses are shorter. */
 const MAX_DETOUR_MS = 600;
+/** With a longer silence in ms peers do not reach the store either. */
+const MAX_DETOUR_SILENCE_MS = 400;
 /** Strength over strength from which an instance counts as stronger. */
 const STRONGER_RATIO = 1.5;
 
@@ -28,11 +30,20 @@
   return outOfReachMs > 0 ? DETOUR_HEAD_START_MS : 0;
 }
 
+/** How an instance reaches the store. */
+export interface StoreReach {
+  /** Time in ms for which it has been out of direct reach; 0 while it is reached. */
+  readonly outOfReachMs: number;
+  /** Time in ms since a call was last answered, directly or through a peer. */
+  readonly silenceMs: number;
+}
+
 /**
  * True if a scheduler should give way because it reaches the store only through peers. Answers a
  * store that turns the scheduler away for seconds: each of its writes would take several times as
- * long, at the expense of a weak peer.
+ * long, at the expense of a weak peer. While the store answers nobody the lock is better kept, since
+ * its holder goes on at once when the store is back.
  */
-export function shouldGiveWay(outOfReachMs: number, others: number): boolean {
-  return outOfReachMs > MAX_DETOUR_MS && others > 0;
+export function shouldGiveWay({ outOfReachMs, silenceMs }: StoreReach, others: number): boolean {
+  return outOfReachMs > MAX_DETOUR_MS && silenceMs < MAX_DETOUR_SILENCE_MS && others > 0;
 }
--- a/test/coordination/jobs/scheduler-election.test.ts
+++ b/test/coordination/jobs/scheduler-election.test.ts
@@ -34,19 +34,27 @@
 test("a scheduler that the store turns away gives way to one that reaches it directly", async () => {
   const cluster = new JobCluster({ random: new SeededRandom(3) });
   const first = await cluster.elect();
-  first.way.storeDetourMs = 300;
+  first.way.storeReach = { outOfReachMs: 300, silenceMs: 0 };
   await cluster.clock.advance(500);
   assert.is(cluster.scheduler, first, "a short loss of reach changes nothing");
-  first.way.storeDetourMs = 5000;
+  first.way.storeReach = { outOfReachMs: 5000, silenceMs: 0 };
   await cluster.clock.advance(1000);
   assert.ok(cluster.scheduler);
   assert.is.not(cluster.scheduler, first);
 });
 
+test("a scheduler keeps its lock while the store answers nobody", async () => {
+  const cluster = new JobCluster({ random: new SeededRandom(3) });
+  const first = await cluster.elect();
+  for (const { way } of cluster.alive) way.storeReach = { outOfReachMs: 5000, silenceMs: 5000 };
+  await cluster.clock.advance(3000);
+  assert.is(cluster.scheduler, first);
+});
+
 test("without direct reach anywhere somebody schedules all the same", async () => {
   const cluster = new JobCluster({ random: new SeededRandom(4) });
   await cluster.elect();
-  for (const { way } of cluster.alive) way.storeDetourMs = 5000;
+  for (const { way } of cluster.alive) way.storeReach = { outOfReachMs: 5000, silenceMs: 0 };
   await cluster.clock.advance(3000);
   let scheduled = 0;
   for (let round = 0; round < 20; round++) {
--- a/test/fakes/jobs/entry-way.ts
+++ b/test/fakes/jobs/entry-way.ts
@@ -10,6 +10,7 @@
   type StopOrder,
 } from "../../../src/ports/job-backend.ts";
 import { Err } from "ts-results";
+import type { StoreReach } from "../../../src/state/jobs/candidacy.ts";
 import {
   RecordStore,
   type RecordTransaction,
@@ -24,8 +25,8 @@
 export class EntryWay {
   /** The way to backend servers loses everything. */
   cutFromServers = false;
-  /** Time in ms for which the store is reported to be out of direct reach. */
-  storeDetourMs = 0;
+  /** How the store is reported to be reached. */
+  storeReach: StoreReach = { outOfReachMs: 0, silenceMs: 0 };
   readonly #clock: Clock;
   #frozen = false;
   #thawed: (() => void)[] = [];
