--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -10,7 +10,11 @@
 import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../protocol/job-records.ts";
 import { mayInterrupt } from "../../state/jobs/availability.ts";
 import type { ActiveRun } from "../../state/jobs/run-book.ts";
-import { chooseReservations, type WaveInstance } from "../../state/jobs/wave-plan.ts";
+import {
+  chooseReservations,
+  effectOfOrder,
+  type WaveInstance,
+} from "../../state/jobs/wave-plan.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import type { InstanceOrders } from "./instance-orders.ts";
 import type { InstanceView } from "./instance-view.ts";
@@ -44,6 +48,10 @@
 interface Underway {
   /** Server that ran on the instance when its maintenance was ordered. */
   readonly server: string | undefined;
+  /** Monotonic time in ms at which the order was accepted; undefined before. */
+  acceptedAt: number | undefined;
+  /** The list has shown that the server is gone. */
+  taken: boolean;
 }
 
 interface WaveProgress {
@@ -118,21 +126,47 @@
   /** An instance is back when it is up with another server than before. */
   #noteReturns(wave: WaveProgress, instances: readonly ControlledInstance[]): void {
     const listed = new Map(instances.map((instance) => [instance.name, instance]));
-    for (const [name, { server }] of wave.underway) {
+    for (const [name, order] of wave.underway) {
+      this.#noteEffect(wave, name, order, listed.get(name));
       const instance = listed.get(name);
-      if (instance?.state === "up" && instance.server !== server) wave.underway.delete(name);
+      if (instance?.state === "up" && instance.server !== order.server) wave.underway.delete(name);
     }
     for (const name of wave.request.instances) {
       const absent = listed.has(name) ? 0 : (wave.missing.get(name) ?? 0) + 1;
       wave.missing.set(name, absent);
+      // It was removed for good while it was in maintenance.
+      if (absent >= LISTS_WITHOUT_INSTANCE) wave.underway.delete(name);
     }
     // Orders of a former scheduler: an instance that is down for maintenance takes a place.
     for (const { name, state } of instances) {
       if (state !== "upkeep" || wave.underway.has(name)) continue;
-      if (wave.request.instances.includes(name)) wave.underway.set(name, { server: undefined });
+      if (!wave.request.instances.includes(name)) continue;
+      wave.underway.set(name, { server: undefined, acceptedAt: undefined, taken: true });
     }
   }
 
+  /** What runs on an instance is gone once the list shows that the accepted order took it. */
+  #noteEffect(
+    wave: WaveProgress,
+    name: string,
+    order: Underway,
+    listed: ControlledInstance | undefined,
+  ): void {
+    const { clock, log, scheduler } = this.#options;
+    if (order.acceptedAt === undefined || order.taken) return;
+    const effect = effectOfOrder(listed, order.server, clock.now() - order.acceptedAt);
+    if (effect === "awaited") return;
+    const driver = order.server === undefined ? undefined : scheduler.drivers.get(order.server);
+    if (effect === "taken") {
+      order.taken = true;
+      if (driver !== undefined) scheduler.tracker.runsGone(driver, "gone");
+      return;
+    }
+    log.info({ wave: wave.request.wave, instance: name }, "instance had been maintained before");
+    wave.underway.delete(name);
+    driver?.release("maintenance");
+  }
+
   #open(wave: WaveProgress, instances: readonly ControlledInstance[]): readonly WaveInstance[] {
     const wanted = new Set(wave.request.instances);
     return instances
@@ -182,8 +216,8 @@
       this.#evacuate(instance);
       return;
     }
-    wave.underway.set(instance.name, { server: instance.server });
-    const driver = this.#driver(instance);
+    const underway: Underway = { server: instance.server, acceptedAt: undefined, taken: false };
+    wave.underway.set(instance.name, underway);
     // The budget is checked for all instances in turn, so what ends here counts as away at once.
     const runs = this.#runs(instance);
     for (const run of runs) run.percent = 0;
@@ -199,7 +233,10 @@
       "maintenance ordered",
     );
     if (result.err) this.#refused(wave, instance, result.val);
-    else await this.#accepted(wave, instance, driver);
+    else {
+      underway.acceptedAt = clock.now();
+      await this.#accepted(wave, instance);
+    }
   }
 
   /** Moves long-running tasks away one after the other where their budget forbids all at once. */
@@ -222,15 +259,10 @@
     if (err.kind === "not-in-wave" || err.kind === "invalid") wave.done.add(name);
   }
 
-  async #accepted(
-    wave: WaveProgress,
-    { name }: ControlledInstance,
-    driver: ServerDriver | undefined,
-  ): Promise<void> {
-    const { store, tenure, scheduler } = this.#options;
+  async #accepted(wave: WaveProgress, { name }: ControlledInstance): Promise<void> {
+    const { store, tenure } = this.#options;
     wave.done.add(name);
     wave.reservedSince.delete(name);
-    if (driver !== undefined) scheduler.tracker.runsGone(driver, "gone");
     await this.#record(wave, false, store, tenure);
   }
 
--- a/src/state/jobs/wave-plan.ts
+++ b/src/state/jobs/wave-plan.ts
@@ -55,6 +55,33 @@
   return chosen;
 }
 
+/** An instance that is still up with the same server after this time in ms was maintained before. */
+const REPEATED_ORDER_MS = 3000;
+
+/** What became of an accepted maintenance order. */
+export type OrderEffect =
+  /** The server that ran on the instance is gone, and everything that ran on it. */
+  | "taken"
+  /** The list does not show it yet. */
+  | "awaited"
+  /** The platform accepted a repetition of an order that had been carried out before. */
+  | "none";
+
+/**
+ * Tells what an accepted order did, from a list that was read after its answer. The platform also
+ * accepts orders that were carried out before, whose answer was lost or went to a former scheduler;
+ * the instance then runs on, and so does the work on it.
+ */
+export function effectOfOrder(
+  listed: ControlledInstance | undefined,
+  server: string | undefined,
+  sinceMs: number,
+): OrderEffect {
+  if (listed === undefined) return "awaited";
+  if (listed.state !== "up" || listed.server !== server) return "taken";
+  return sinceMs >= REPEATED_ORDER_MS ? "none" : "awaited";
+}
+
 function allowedInPool(size: number): number {
   return Math.max(1, Math.floor(size * MAX_SHARE_OF_POOL));
 }
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -9,7 +9,11 @@
 } from "../../../src/state/jobs/pool-sizing.ts";
 import { RunBook } from "../../../src/state/jobs/run-book.ts";
 import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
-import { chooseReservations, type WaveInstance } from "../../../src/state/jobs/wave-plan.ts";
+import {
+  chooseReservations,
+  effectOfOrder,
+  type WaveInstance,
+} from "../../../src/state/jobs/wave-plan.ts";
 import { cpu, jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
 
@@ -175,6 +179,16 @@
   assert.equal(chosen.map(({ name }) => name).sort(), ["idle", "other"]);
 });
 
+test("an accepted repetition of an order does not count as the end of what runs there", () => {
+  const { instance: up } = waveInstance("i", "p");
+  const server = up.server;
+  assert.is(effectOfOrder(up, server, 0), "awaited");
+  assert.is(effectOfOrder({ ...up, state: "upkeep", server: undefined }, server, 300), "taken");
+  assert.is(effectOfOrder({ ...up, server: "next" }, server, 2500), "taken");
+  assert.is(effectOfOrder(up, server, 5000), "none");
+  assert.is(effectOfOrder(undefined, server, 300), "awaited");
+});
+
 test("a wave begins with instances whose long-running tasks may leave only one by one", () => {
   const request = { wave: 1, instances: [], durationMs: 1000, maxAtOnce: 2 };
   const open = [
