--- a/test/fuzz/jobs/main.ts
+++ b/test/fuzz/jobs/main.ts
@@ -1,11 +1,24 @@
-/** Plays campaigns of job histories from the command line: `npm run fuzz:jobs -- SEED RUNS`. */
+/** Plays campaigns of job histories: `npm run fuzz:jobs -- --seed N --runs N`. */
+import sade from "sade";
 import { runJobCampaign } from "./job-campaign.ts";
 
-const seed = Number(process.argv[2] ?? 1);
-const runs = Number(process.argv[3] ?? 50);
-const failure = await runJobCampaign(seed, runs);
-if (failure === undefined) console.log(`seed ${seed}: ${runs} runs passed`);
-else {
-  console.log(JSON.stringify(failure, undefined, 2));
-  process.exitCode = 1;
+interface CliOptions {
+  readonly seed: number;
+  readonly runs: number;
 }
+
+async function play({ seed, runs }: CliOptions): Promise<void> {
+  const failure = await runJobCampaign(seed, runs);
+  if (failure === undefined) console.log(`seed ${seed}: ${runs} runs passed`);
+  else {
+    console.log(JSON.stringify(failure, undefined, 2));
+    process.exitCode = 1;
+  }
+}
+
+sade("fuzz:jobs", true)
+  .describe("Play random histories of jobs and faults on virtual time.")
+  .option("--seed", "Seed of the campaign", 1)
+  .option("--runs", "Number of histories", 50)
+  .action((options: CliOptions) => play(options))
+  .parse(process.argv);
