--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -8,7 +8,7 @@
 import type { AdviceBook } from "./advice-book.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import type { ServerDriver } from "./server-driver.ts";
-import { ServerRooms } from "./server-room.ts";
+import { ServerRooms } from "./server-rooms.ts";
 
 /** Used for jobs whose queue is no longer configured. */
 const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
--- a/src/coordination/jobs/scheduler-election.ts
+++ b/src/coordination/jobs/scheduler-election.ts
@@ -2,7 +2,7 @@
 import type { Log } from "../../ports/log.ts";
 import type { SessionRecord } from "../../protocol/job-records.ts";
 import {
-  detourHeadStartMs,
+  relayedHeadStartMs,
   hasStronger,
   headStartMs,
   shouldGiveWay,
@@ -18,7 +18,7 @@
 /** First tenure of a weak scheduler in ms; longer than the sessions of instances that are gone. */
 const FIRST_WEAK_TENURE_MS = 4000;
 /** The same for one without direct reach of the store, while no instance may have it. */
-const FIRST_DETOUR_TENURE_MS = 800;
+const FIRST_RELAYED_TENURE_MS = 800;
 /** A better instance that does not take or keep the lock is tried again less and less often. */
 const LONGEST_WEAK_TENURE_MS = 60_000;
 
@@ -41,7 +41,7 @@
   #changed = new Deferred<void>();
   #tenure: LockTenure | undefined;
   #weakTenureMs = FIRST_WEAK_TENURE_MS;
-  #detourTenureMs = FIRST_DETOUR_TENURE_MS;
+  #relayedTenureMs = FIRST_RELAYED_TENURE_MS;
 
   constructor(options: SchedulerElectionOptions) {
     this.#options = options;
@@ -90,7 +90,7 @@
     const { clock, view, session } = this.#options;
     const waitMs = Math.max(
       headStartMs(session.strength, this.#otherStrengths()),
-      detourHeadStartMs(this.#options.storeReach().outOfReachMs),
+      relayedHeadStartMs(this.#options.storeReach().outOfReachMs),
     );
     if (waitMs === 0) return true;
     await clock.sleep(waitMs, signal);
@@ -110,13 +110,13 @@
     }
   }
 
-  #reasonToGiveWay(tenureMs: number): "detour" | "weak" | undefined {
+  #reasonToGiveWay(tenureMs: number): "relayed" | "weak" | undefined {
     const others = this.#otherStrengths();
     const reach = this.#options.storeReach();
-    if (reach.outOfReachMs === 0) this.#detourTenureMs = FIRST_DETOUR_TENURE_MS;
-    if (tenureMs >= this.#detourTenureMs && shouldGiveWay(reach, others.length)) {
-      this.#detourTenureMs = Math.min(LONGEST_WEAK_TENURE_MS, this.#detourTenureMs * 2);
-      return "detour";
+    if (reach.outOfReachMs === 0) this.#relayedTenureMs = FIRST_RELAYED_TENURE_MS;
+    if (tenureMs >= this.#relayedTenureMs && shouldGiveWay(reach, others.length)) {
+      this.#relayedTenureMs = Math.min(LONGEST_WEAK_TENURE_MS, this.#relayedTenureMs * 2);
+      return "relayed";
     }
     if (tenureMs < this.#weakTenureMs) return undefined;
     if (!hasStronger(this.#options.session.strength, others)) return undefined;
--- a/src/state/jobs/candidacy.ts
+++ b/src/state/jobs/candidacy.ts
@@ -3,11 +3,11 @@
 /** Head start in ms for instances that are stronger; longer than an election among them takes. */
 const HEAD_START_MS = 500;
 /** The same for one that reaches the store only through peers; others are sooner with any strength. */
-const DETOUR_HEAD_START_MS = 1200;
+const RELAYED_HEAD_START_MS = 1200;
 /** A scheduler without direct reach for this time in ms gives way; most losses are shorter. */
-const MAX_DETOUR_MS = 600;
+const MAX_RELAYED_MS = 600;
 /** With a longer silence in ms peers do not reach the store either. */
-const MAX_DETOUR_SILENCE_MS = 400;
+const MAX_RELAY_SILENCE_MS = 400;
 /** Strength over strength from which an instance counts as stronger. */
 const STRONGER_RATIO = 1.5;
 
@@ -26,8 +26,8 @@
 }
 
 /** Head start in ms that an instance without direct reach of the store leaves to all others. */
-export function detourHeadStartMs(outOfReachMs: number): number {
-  return outOfReachMs > 0 ? DETOUR_HEAD_START_MS : 0;
+export function relayedHeadStartMs(outOfReachMs: number): number {
+  return outOfReachMs > 0 ? RELAYED_HEAD_START_MS : 0;
 }
 
 /** How an instance reaches the store. */
@@ -45,5 +45,5 @@
  * its holder goes on at once when the store is back.
  */
 export function shouldGiveWay({ outOfReachMs, silenceMs }: StoreReach, others: number): boolean {
-  return outOfReachMs > MAX_DETOUR_MS && silenceMs < MAX_DETOUR_SILENCE_MS && others > 0;
+  return outOfReachMs > MAX_RELAYED_MS && silenceMs < MAX_RELAY_SILENCE_MS && others > 0;
 }
