fix(jobs): a run that failed while its server was silent uses an attempt

By reading: an end 'failed' of a run that was given up when its server's lease lapsed was acknowledged, but not counted. Change: runs that are given up at a lapse are remembered; their failed ends count once.

--- a/src/coordination/jobs/run-ends.ts
+++ b/src/coordination/jobs/run-ends.ts
@@ -38,6 +38,7 @@
     if (run?.run === ended.run && run.server === driver.id)
       this.#known(driver, run, ended, touched);
     else if (ended.end === "done") this.#givenUp(ended, touched);
+    else if (ended.end === "failed") this.#failedUnheard(driver, ended, touched);
   }
 
   /** Jobs that a list of ends speaks of. */
@@ -92,6 +93,19 @@
     this.#done(task);
   }
 
+  /** A run that was given up had failed while its server was silent; it has used an attempt. */
+  #failedUnheard(driver: ServerDriver, ended: EndedRun, touched: Set<Job>): void {
+    const task = this.#task(ended.task);
+    // Each end is listed until it is acknowledged, and counts once.
+    if (task?.givenUpRuns.delete(ended.run) !== true) return;
+    this.#options.log.info(
+      { task: task.name, run: ended.run },
+      "a run that was given up has failed",
+    );
+    touched.add(task.job);
+    this.#failed(task, driver.id);
+  }
+
   #done(task: Task): void {
     const { clock, board } = this.#options;
     const { job } = task;
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -327,6 +327,7 @@
     const { task, phase } = run;
     if (reason === "rebooted" && (phase === "starting" || phase === "unconfirmed"))
       this.#orphans.set(run.server, [...(this.#orphans.get(run.server) ?? []), run]);
+    if (reason === "lapsed") task.givenUpRuns.add(run.run);
     log.debug({ task: task.name, run: run.run, server: run.server, reason }, "run released");
     this.#drop(run);
     this.#ends.endGang(task);
--- a/src/state/jobs/job.ts
+++ b/src/state/jobs/job.ts
@@ -25,6 +25,8 @@
   slowRestarts = 0;
   /** Monotonic time in ms at which its last run was over. */
   releasedAt = -Infinity;
+  /** Runs that were given up when the lease of their silent backend server had lapsed. */
+  readonly givenUpRuns = new Set<number>();
   /** Backend servers on which a run of this task failed or crawled. */
   readonly failedOn = new Set<string>();
 
--- a/test/coordination/jobs/lost-server.test.ts
+++ b/test/coordination/jobs/lost-server.test.ts
@@ -59,4 +59,24 @@
   assert.is(tasks.length, 1);
 });
 
+test("a run that failed while its server was silent uses an attempt", async () => {
+  const cluster = new JobCluster({
+    random: new SeededRandom(1),
+    behaviour: () => ({ durationMs: 300, fails: true }),
+  });
+  const scheduler = await cluster.elect();
+  await onClock(cluster.clock, cluster.submit(scheduler, "a", jobRequest(step())));
+  await cluster.clock.advance(60);
+  scheduler.way.cutFromServers = true;
+  await cluster.clock.advance(8000);
+  scheduler.way.cutFromServers = false;
+  await cluster.clock.advance(6000);
+  const starts = [...cluster.servers.values()].reduce(
+    (sum, { history }) => sum + history.length,
+    0,
+  );
+  assert.is(starts, 3, "the queue allows three attempts");
+  assert.is(await cluster.state("a"), "failed");
+});
+
 test.run();
