fix(stragglers): compare runs with siblings and with what a queue really takes

Declared durations are off by a lognormal factor (half of the queues within 2.5 times), and run-speed took them as facts.

Change: a weighted regression per queue between declared and actual durations (DurationModel); a run is compared with the median of its siblings on other servers, else with its queue's model and its spread. Progress is measured on the server's clock, from the start reply or, after a takeover, from the first list. The order of jobs and the demand of pools use the learnt durations. A counter, slow_run_stopped.

Tests of run-speed are replaced by ones with declarations off by ten either way, which the former code fails; what they protected stays: a hung run restarts, a server that is slow for several jobs is to blame.

--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../ports/clock.ts";
 import type { AdviceCost, QueueConfig } from "../../protocol/fleet-config.ts";
 import type { Resources } from "../../protocol/job-spec.ts";
+import type { DurationBook } from "../../state/jobs/duration-model.ts";
 import type { Job, Occurrence, StepRun, Task } from "../../state/jobs/job.ts";
 import { compareRanks, rankStep, type StepRank } from "../../state/jobs/job-order.ts";
 import { occupied, withinCap } from "../../state/jobs/resources.ts";
@@ -21,6 +22,7 @@
   readonly clock: Clock;
   readonly config: FleetConfigView;
   readonly book: RunBook;
+  readonly durations: DurationBook;
   readonly drivers: Iterable<ServerDriver>;
   readonly advice: AdviceBook;
   readonly place: (task: Task, driver: ServerDriver) => ActiveRun;
@@ -78,7 +80,13 @@
   }
 
   #rank(step: StepRun, occurrence: Occurrence, queue: QueueConfig | undefined, wallTime: number) {
-    const rank = rankStep(step, occurrence, queue ?? REMOVED_QUEUE, wallTime);
+    const rank = rankStep(
+      step,
+      occurrence,
+      queue ?? REMOVED_QUEUE,
+      wallTime,
+      this.#options.durations,
+    );
     return { rank, pool: queue?.pool ?? step.job.spec.pool };
   }
 
--- a/src/coordination/jobs/pool-demand.ts
+++ b/src/coordination/jobs/pool-demand.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../ports/clock.ts";
 import type { QueueConfig } from "../../protocol/fleet-config.ts";
 import type { Resources } from "../../protocol/job-spec.ts";
+import type { DurationBook } from "../../state/jobs/duration-model.ts";
 import type { Job, StepRun } from "../../state/jobs/job.ts";
 import { rankStep } from "../../state/jobs/job-order.ts";
 import { instancesNeeded, type PoolClaim } from "../../state/jobs/pool-sizing.ts";
@@ -55,7 +56,7 @@
   }
 
   /** Takes a sample of the open jobs. */
-  sample(jobs: Iterable<Job>): void {
+  sample(jobs: Iterable<Job>, durations: DurationBook): void {
     const now = this.#clock.now();
     const wallTime = this.#clock.wallTime();
     const pools = new Map<string, PoolSample>();
@@ -64,7 +65,8 @@
       const name = queue?.pool ?? job.spec.pool;
       let pool = pools.get(name);
       if (pool === undefined) pools.set(name, (pool = new PoolSample()));
-      for (const step of job.activeSteps()) pool.add(step, canBeOnTime(step, queue, wallTime));
+      for (const step of job.activeSteps())
+        pool.add(step, canBeOnTime(step, queue, wallTime, durations));
     }
     this.#samples.push({ at: now, pools });
     while ((this.#samples[0]?.at ?? now) < now - RISE_WINDOW_MS - MEMORY_MS) this.#samples.shift();
@@ -108,8 +110,13 @@
   }
 }
 
-function canBeOnTime(step: StepRun, queue: QueueConfig | undefined, wallTime: number): boolean {
+function canBeOnTime(
+  step: StepRun,
+  queue: QueueConfig | undefined,
+  wallTime: number,
+  durations: DurationBook,
+): boolean {
   const occurrence = step.job.occurrences[step.occurrence];
   if (occurrence === undefined) return false;
-  return rankStep(step, occurrence, queue ?? REMOVED_QUEUE, wallTime).reachable;
+  return rankStep(step, occurrence, queue ?? REMOVED_QUEUE, wallTime, durations).reachable;
 }
--- a/src/coordination/jobs/pool-sizer.ts
+++ b/src/coordination/jobs/pool-sizer.ts
@@ -107,7 +107,7 @@
     sparePool: string,
   ): ReadonlyMap<string, number> {
     const { config, scheduler } = this.#options;
-    this.#demand.sample(scheduler.board.open);
+    this.#demand.sample(scheduler.board.open, scheduler.durations);
     const pools = (config.current?.pools ?? [])
       .filter(({ name, spare }) => !spare && name !== sparePool)
       .map(({ name }) => name);
--- a/src/coordination/jobs/run-ends.ts
+++ b/src/coordination/jobs/run-ends.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "../../ports/clock.ts";
-import type { EndedRun } from "../../ports/job-backend.ts";
+import type { BackendClock, EndedRun } from "../../ports/job-backend.ts";
 import type { Log } from "../../ports/log.ts";
 import { parseTaskName } from "../../protocol/job-spec.ts";
 import type { Job, Task } from "../../state/jobs/job.ts";
+import type { DurationBook } from "../../state/jobs/duration-model.ts";
 import type { ActiveRun, RunBook } from "../../state/jobs/run-book.ts";
+import { endedRatio } from "../../state/jobs/run-speed.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import type { JobBoard } from "./job-board.ts";
 import type { ServerDriver } from "./server-driver.ts";
@@ -16,6 +18,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly book: RunBook;
+  readonly durations: DurationBook;
   readonly board: JobBoard;
   readonly config: FleetConfigView;
   /** Removes a run that is over. */
@@ -32,11 +35,11 @@
     this.#options = options;
   }
 
-  /** Takes note of an end; adds the job whose progress it changes. */
-  note(driver: ServerDriver, ended: EndedRun, touched: Set<Job>): void {
+  /** Takes note of an end that was listed at a time; adds the job whose progress it changes. */
+  note(driver: ServerDriver, ended: EndedRun, at: BackendClock, touched: Set<Job>): void {
     const run = this.#options.book.ofTask(ended.task);
     if (run?.run === ended.run && run.server === driver.id)
-      this.#known(driver, run, ended, touched);
+      this.#known(driver, run, ended, at, touched);
     else if (ended.end === "done") this.#givenUp(ended, touched);
     else if (ended.end === "failed") this.#failedUnheard(driver, ended, touched);
   }
@@ -60,7 +63,13 @@
     }
   }
 
-  #known(driver: ServerDriver, run: ActiveRun, ended: EndedRun, touched: Set<Job>): void {
+  #known(
+    driver: ServerDriver,
+    run: ActiveRun,
+    ended: EndedRun,
+    at: BackendClock,
+    touched: Set<Job>,
+  ): void {
     const { log, clock, drop } = this.#options;
     const { task } = run;
     const { job } = task;
@@ -72,7 +81,7 @@
     drop(run);
     if (ended.end === "done") {
       driver.health.succeeded();
-      observeSpeed(driver, run, now);
+      this.#measure(driver, run, at);
       this.#done(task);
     } else if (ended.end === "failed") {
       driver.health.failed(job.spec.id, now);
@@ -136,10 +145,19 @@
     const { job, occurrence, step, index } = address;
     return this.#options.board.job(job)?.task(occurrence, step, index);
   }
-}
 
-function observeSpeed(driver: ServerDriver, run: ActiveRun, now: number): void {
-  const { estimateMs, longRunning } = run.task.step.spec;
-  if (run.phase !== "running" || longRunning || estimateMs <= 0) return;
-  driver.speed.observe((now - run.since) / estimateMs, now);
+  /** Learns from the duration of a run that was followed from its start. */
+  #measure(driver: ServerDriver, run: ActiveRun, { clockMs }: BackendClock): void {
+    const { step } = run.task;
+    const { estimateMs, longRunning, filler, gang } = step.spec;
+    if (longRunning || filler || gang || estimateMs <= 0) return;
+    // A run that resumed from a checkpoint, or began under another scheduler, was not seen whole.
+    if (run.phase !== "running" || run.firstProgress?.percent !== 0) return;
+    const tookMs = clockMs - run.firstProgress.clockMs;
+    if (tookMs <= 0) return;
+    const { clock, book, durations } = this.#options;
+    driver.speed.observe(endedRatio(run, tookMs, book, durations), clock.now());
+    step.durations.push({ server: run.server, tookMs, nearData: run.nearData });
+    if (run.nearData) durations.of(step.job.spec.queue).observe(estimateMs, tookMs);
+  }
 }
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -6,12 +6,15 @@
 import { mayInterrupt } from "../../state/jobs/availability.ts";
 import { pollWaitMs } from "../../state/jobs/poll-wait.ts";
 import { reconcile } from "../../state/jobs/reconciliation.ts";
+import type { DurationBook } from "../../state/jobs/duration-model.ts";
 import { RunBook, type ActiveRun, type RunPhase } from "../../state/jobs/run-book.ts";
+import type { Counters } from "../ports.ts";
 import type { AdviceBook } from "./advice-book.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import { FillerPacer } from "./filler-pacer.ts";
 import type { JobBoard } from "./job-board.ts";
 import { MAX_LISTED_ENDS } from "./order-timing.ts";
+import { newRun, noteListed, noteStarted } from "../../state/jobs/run-progress.ts";
 import type { ProgressWriter } from "./progress-writer.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
 import { RunEnds } from "./run-ends.ts";
@@ -34,6 +37,8 @@
   readonly board: JobBoard;
   readonly writer: ProgressWriter;
   readonly config: FleetConfigView;
+  readonly counters: Counters;
+  readonly durations: DurationBook;
   readonly advice: AdviceBook;
   readonly driver: (server: string) => ServerDriver | undefined;
   /** Called when work may be placed. */
@@ -127,12 +132,13 @@
   }
 
   pollWait(server: string): number {
-    return pollWaitMs(this.book.onServer(server), this.#options.clock.now());
+    const { clock, durations } = this.#options;
+    return pollWaitMs(this.book.onServer(server), clock.now(), durations);
   }
 
   async listed(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean> {
     const touched = new Set<Job>();
-    for (const ended of lists.ended) this.#ends.note(driver, ended, touched);
+    for (const ended of lists.ended) this.#ends.note(driver, ended, lists, touched);
     this.#compare(driver, lists, askedAt, touched);
     this.#pacer.review(driver);
     await this.#settleOrphans(driver);
@@ -196,11 +202,9 @@
   }
 
   #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
-    const since = this.#options.clock.now();
-    const run: ActiveRun = {
-      ...{ task, run: task.run, server, bootedAt, phase, since },
-      ...{ percent: 0, pace: 100, load: 0, listedAt: since },
-    };
+    const { clock, driver } = this.#options;
+    const rack = driver(server)?.registration.rack;
+    const run = newRun(task, { server, bootedAt, rack, phase, since: clock.now() });
     this.book.add(run);
     return run;
   }
@@ -225,8 +229,10 @@
     });
     if (this.book.ofTask(task.name) !== run) return;
     if (result.err) this.#startFailed(run, server, result.val);
-    else if (run.phase === "starting") this.#enter(run, "running");
-    else this.#enter(run, run.phase);
+    else {
+      this.#enter(run, run.phase === "starting" ? "running" : run.phase);
+      noteStarted(run, result.val);
+    }
     server.wake();
   }
 
@@ -255,10 +261,7 @@
     const runs = this.book.onServer(driver.id);
     const found = reconcile(runs, lists, askedAt);
     for (const [run, listed] of found.present) {
-      run.percent = listed.percent;
-      run.load = listed.load;
-      run.listedAt = askedAt;
-      if (listed.checkpoint !== "") run.task.checkpoint = listed.checkpoint;
+      noteListed(run, listed, lists, askedAt);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#enter(run, "running");
       // The stop had no effect, or its server was not known yet when it was due.
       else if (run.phase === "stopping" && run.since < askedAt) this.#repeatStop(run);
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -8,6 +8,7 @@
 import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import { JOBS_PREFIX, PROGRESS_PREFIX } from "../../protocol/job-records.ts";
 import type { Job } from "../../state/jobs/job.ts";
+import { DurationBook } from "../../state/jobs/duration-model.ts";
 import type { Counters } from "../ports.ts";
 import type { FleetConfigView } from "./config-view.ts";
 import { AdviceBook } from "./advice-book.ts";
@@ -53,6 +54,8 @@
   readonly drivers: FleetDrivers;
   readonly tracker: RunTracker;
   readonly writer: ProgressWriter;
+  /** What was learnt of durations during this tenure. */
+  readonly durations = new DurationBook();
   readonly #options: SchedulerOptions;
   readonly #advice: AdviceBook;
   readonly #takenOverAt: number;
@@ -61,7 +64,7 @@
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
-    const { log, clock, leaseTtlMs, config, tenure } = options;
+    const { log, clock, leaseTtlMs, config, tenure, counters } = options;
     this.#takenOverAt = clock.now();
     const wake = (): void => {
       this.#wake();
@@ -82,6 +85,7 @@
     });
     this.tracker = new RunTracker({
       ...{ clock, log, tenure, board: this.board, writer: this.writer, config, wake, leaseTtlMs },
+      ...{ counters, durations: this.durations },
       advice: this.#advice,
       driver: (server) => this.drivers.get(server),
     });
@@ -182,6 +186,7 @@
     if (!this.ready) return;
     const round = new PlacementRound({
       ...{ clock, config, book: this.tracker.book, drivers: this.drivers.all() },
+      durations: this.durations,
       advice: this.#advice,
       place: (task, driver) => this.tracker.place(task, driver),
     });
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -11,7 +11,7 @@
 import type { Log } from "../../ports/log.ts";
 import type { RegisteredServer } from "../../protocol/fleet-config.ts";
 import { inheritedLapse, ServerClock } from "../../state/jobs/server-clock.ts";
-import { ServerSpeed } from "../../state/jobs/run-speed.ts";
+import { ServerSpeed } from "../../state/jobs/server-speed.ts";
 import { ServerHealth } from "../../state/jobs/server-health.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
 import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
--- a/src/coordination/jobs/straggler-watch.ts
+++ b/src/coordination/jobs/straggler-watch.ts
@@ -1,12 +1,17 @@
 import type { Clock } from "../../ports/clock.ts";
 import type { Log } from "../../ports/log.ts";
 import type { ActiveRun, RunBook } from "../../state/jobs/run-book.ts";
+import type { DurationBook } from "../../state/jobs/duration-model.ts";
 import {
+  countSlowJobs,
+  expectation,
   overdue,
-  projectedRatio,
+  projectedMs,
   serverToBlame,
   worthRestarting,
+  type Expectation,
 } from "../../state/jobs/run-speed.ts";
+import type { Counters } from "../ports.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Age in ms of a progress that is too old to judge a run by. */
@@ -19,7 +24,9 @@
 export interface StragglerWatchOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly counters: Counters;
   readonly book: RunBook;
+  readonly durations: DurationBook;
   readonly driver: (server: string) => ServerDriver | undefined;
   readonly stop: (run: ActiveRun) => void;
 }
@@ -34,10 +41,10 @@
 
   /** Looks at every overdue run. */
   review(): void {
-    const { clock, book, driver } = this.#options;
+    const { clock, book, driver, durations } = this.#options;
     const now = clock.now();
     for (const run of [...book.all()]) {
-      if (!overdue(run, now)) continue;
+      if (!overdue(run, now, durations)) continue;
       const server = driver(run.server);
       const fresh = now - run.listedAt <= MAX_PROGRESS_AGE_MS && run.listedAt > run.since;
       if (!fresh) server?.wake();
@@ -49,16 +56,25 @@
     const { task, percent } = run;
     const resumable = task.checkpoint === "" ? 0 : percent / 100;
     if (task.step.spec.gang || task.slowRestarts >= MAX_SLOW_RESTARTS) return;
-    if (!worthRestarting(run, resumable)) return;
-    if (!serverToBlame(run, this.#options.book.onServer(run.server), server.speed)) return;
-    const ratio = projectedRatio(run);
-    server.speed.observeSlowRun(ratio, now);
-    this.#options.log.info(
-      { task: task.name, server: server.id, ratio, percent },
+    const { log, counters, book } = this.#options;
+    const expected = this.#expectation(run);
+    if (!worthRestarting(run, expected, resumable)) return;
+    const slowJobs = countSlowJobs(book.onServer(run.server), (other) => this.#expectation(other));
+    if (!serverToBlame(run, expected, server.speed.ratio, slowJobs)) return;
+    const expectedMs = Math.round(expected.ms);
+    const projected = Math.round(projectedMs(run) ?? 0);
+    server.speed.observeSlowRun(projected / expected.ms, now);
+    log.info(
+      { task: task.name, server: server.id, projectedMs: projected, expectedMs, percent },
       "slow run stops",
     );
+    counters.event("slow_run_stopped");
     task.failedOn.add(server.id);
     task.slowRestarts++;
     this.#options.stop(run);
   }
+
+  #expectation(run: ActiveRun): Expectation {
+    return expectation(run, this.#options.book, this.#options.durations);
+  }
 }
--- a/src/state/jobs/job-order.ts
+++ b/src/state/jobs/job-order.ts
@@ -1,4 +1,5 @@
-import type { StepSpec } from "../../protocol/job-spec.ts";
+import type { JobSpec, StepSpec } from "../../protocol/job-spec.ts";
+import type { DurationBook, DurationModel } from "./duration-model.ts";
 import type { Occurrence, StepRun } from "./job.ts";
 
 /** What the order of steps depends on. */
@@ -32,10 +33,12 @@
   occurrence: Occurrence,
   urgency: QueueUrgency,
   wallTimeMs: number,
+  durations: DurationBook,
 ): StepRank {
   const { stretch, targetLatencyMs, priority } = urgency;
-  const dueAt = occurrence.releasedAtMs + stretch * chainMs(occurrence) + targetLatencyMs;
-  const remainingMs = remainingChainMs(occurrence, step.position);
+  const dueAt =
+    occurrence.releasedAtMs + stretch * chainMs(occurrence, durations) + targetLatencyMs;
+  const remainingMs = remainingChainMs(occurrence, step.position, durations);
   const latestStartMs = dueAt - remainingMs;
   return {
     longRunning: step.spec.longRunning,
@@ -55,54 +58,59 @@
   );
 }
 
-/** Times of a job's chains in milliseconds; they depend on its declared steps only. */
+/** Times of a job's chains in milliseconds, by what was known of its queue at one time. */
 interface ChainTimes {
+  readonly model: DurationModel;
+  readonly epoch: number;
   readonly longest: number;
   /** Longest chain that begins with each step. */
   readonly remaining: readonly number[];
 }
 
-const chainTimes = new WeakMap<readonly StepSpec[], ChainTimes>();
+const chainTimes = new WeakMap<JobSpec, ChainTimes>();
 
 /** Times of the chains of an occurrence. Ranking asks for them in every round. */
-function timesOf({ steps }: Occurrence): ChainTimes {
+function timesOf({ steps }: Occurrence, durations: DurationBook): ChainTimes | undefined {
   const [first] = steps;
-  if (first === undefined) return { longest: 0, remaining: [] };
-  const declared = first.job.spec.steps;
-  const known = chainTimes.get(declared);
-  if (known !== undefined) return known;
-  const remaining = remainingChains(declared);
-  const times = { longest: longestChain(declared), remaining };
-  chainTimes.set(declared, times);
+  if (first === undefined) return undefined;
+  const { spec } = first.job;
+  const model = durations.of(spec.queue);
+  const known = chainTimes.get(spec);
+  if (known?.model === model && known.epoch === model.epoch) return known;
+  const expected = spec.steps.map(({ estimateMs }) =>
+    estimateMs > 0 ? model.expectedMs(estimateMs) : 0,
+  );
+  const remaining = remainingChains(spec.steps, expected);
+  // A chain that begins with a later step is part of a longer one or has no earlier steps.
+  const times = { model, epoch: model.epoch, longest: Math.max(0, ...remaining), remaining };
+  chainTimes.set(spec, times);
   return times;
 }
 
-/** Estimated time of the longest chain of steps, in milliseconds. */
-export function chainMs(occurrence: Occurrence): number {
-  return timesOf(occurrence).longest;
-}
-
-/** Estimated time of the longest chain that begins with a step, in milliseconds. */
-export function remainingChainMs(occurrence: Occurrence, position: number): number {
-  return timesOf(occurrence).remaining[position] ?? 0;
+/** Expected time of the longest chain of steps, in milliseconds. */
+export function chainMs(occurrence: Occurrence, durations: DurationBook): number {
+  return timesOf(occurrence, durations)?.longest ?? 0;
 }
 
-function longestChain(steps: readonly StepSpec[]): number {
-  const ends: number[] = [];
-  for (const { after, estimateMs } of steps) {
-    const begin = Math.max(0, ...after.map((position) => ends[position] ?? 0));
-    ends.push(begin + estimateMs);
-  }
-  return Math.max(0, ...ends);
+/** Expected time of the longest chain that begins with a step, in milliseconds. */
+export function remainingChainMs(
+  occurrence: Occurrence,
+  position: number,
+  durations: DurationBook,
+): number {
+  return timesOf(occurrence, durations)?.remaining[position] ?? 0;
 }
 
-function remainingChains(steps: readonly StepSpec[]): readonly number[] {
+function remainingChains(
+  steps: readonly StepSpec[],
+  expectedMs: readonly number[],
+): readonly number[] {
   const remaining = new Array<number>(steps.length).fill(0);
-  for (const [index, { estimateMs }] of [...steps.entries()].reverse()) {
+  for (const index of [...steps.keys()].reverse()) {
     let next = 0;
     for (const [position, { after }] of steps.entries())
       if (after.includes(index)) next = Math.max(next, remaining[position] ?? 0);
-    remaining[index] = estimateMs + next;
+    remaining[index] = (expectedMs[index] ?? 0) + next;
   }
   return remaining;
 }
--- a/src/state/jobs/job.ts
+++ b/src/state/jobs/job.ts
@@ -47,6 +47,15 @@
   }
 }
 
+/** How long a task took. */
+export interface TaskDuration {
+  /** Id of the backend server it ran on. */
+  readonly server: string;
+  readonly tookMs: number;
+  /** It ran on the rack of its data. */
+  readonly nearData: boolean;
+}
+
 /** One occurrence of a step. */
 export class StepRun {
   readonly job: Job;
@@ -56,6 +65,8 @@
   readonly tasks: readonly Task[];
   /** Monotonic time in ms at which it was first seen ready; undefined before. */
   readyAt: number | undefined;
+  /** Durations of its tasks that were measured from their start to their end. */
+  readonly durations: TaskDuration[] = [];
 
   constructor(job: Job, occurrence: number, position: number, spec: StepSpec) {
     this.job = job;
--- a/src/state/jobs/poll-wait.ts
+++ b/src/state/jobs/poll-wait.ts
@@ -1,4 +1,5 @@
 import { atWork } from "./availability.ts";
+import type { DurationBook } from "./duration-model.ts";
 import type { ActiveRun } from "./run-book.ts";
 import { timeUntilOverdue } from "./run-speed.ts";
 
@@ -13,13 +14,17 @@
  * Longest wait in ms of the next look at a backend server with the given runs. Only ends are
  * announced while a look waits, so other changes that matter have to be looked for.
  */
-export function pollWaitMs(runs: readonly ActiveRun[], now: number): number {
+export function pollWaitMs(
+  runs: readonly ActiveRun[],
+  now: number,
+  durations: DurationBook,
+): number {
   const paced = runs.some((run) => run.task.step.spec.filler);
   let wait = paced ? PACING_POLL_WAIT_MS : POLL_WAIT_MS;
   for (const run of runs) {
     const { longRunning, filler } = run.task.step.spec;
     if (longRunning && !filler && !atWork(run, now)) wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
-    const overdueIn = timeUntilOverdue(run, now);
+    const overdueIn = timeUntilOverdue(run, now, durations);
     if (overdueIn !== undefined) wait = Math.min(wait, Math.max(PROGRESS_POLL_WAIT_MS, overdueIn));
   }
   return wait;
--- a/src/state/jobs/run-book.ts
+++ b/src/state/jobs/run-book.ts
@@ -16,6 +16,12 @@
   /** A stop was ordered. It occupies its backend server until its end is listed. */
   | "stopping";
 
+/** Progress of a run at one time on the clock of its backend server. */
+export interface ProgressPoint {
+  readonly clockMs: number;
+  readonly percent: number;
+}
+
 /** A run that is, or may be, under way. */
 export interface ActiveRun {
   readonly task: Task;
@@ -23,6 +29,8 @@
   /** Id of the backend server. */
   readonly server: string;
   readonly bootedAt: number;
+  /** It runs on the rack of its data, or its data lie nowhere in particular. */
+  readonly nearData: boolean;
   phase: RunPhase;
   /** Monotonic time in ms of the last change of the phase. */
   since: number;
@@ -30,6 +38,10 @@
   percent: number;
   /** Monotonic time in ms at which percent and load were asked for. */
   listedAt: number;
+  /** First known progress: the start, or the first list that a new scheduler read. */
+  firstProgress: ProgressPoint | undefined;
+  /** Progress as last listed. */
+  lastProgress: ProgressPoint | undefined;
   /** Share of its speed in percent that it was ordered to work at. */
   pace: number;
   /** Tail latency in ms or thousandths of a core, as last listed. */
--- a/src/state/jobs/run-speed.ts
+++ b/src/state/jobs/run-speed.ts
@@ -1,118 +1,167 @@
-import type { ActiveRun } from "./run-book.ts";
+/** Whether a run is slow, and whether that is its backend server's fault. */
+import type { DurationBook, DurationModel } from "./duration-model.ts";
+import type { StepRun } from "./job.ts";
+import type { ActiveRun, RunBook } from "./run-book.ts";
 
-/** Part of a new reading in a server's average. */
-const AVERAGE_WEIGHT = 0.3;
-/** The same for a server that was slow, so that few good readings clear it. */
-const RECOVERY_WEIGHT = 0.6;
-/** Time in ms after which a slow server gets a single task as a trial. */
-const TRIAL_AFTER_MS = 3000;
-/** Duration over estimate from which a backend server counts as slow; estimates are rough. */
-const SLOW_RATIO = 2.2;
-/** Duration over estimate of what ended on a server that makes a slow run there its fault. */
-const SUSPICIOUS_RATIO = 1.6;
-/** Projected duration over estimate beyond any error of an estimate. */
-const STUCK_RATIO = 5;
-/** A run may be looked at when it has taken this multiple of its estimate. */
+/** A run may be looked at when it has taken this multiple of its expected duration. */
 const OVERDUE_RATIO = 1.4;
-/** Estimates below this time in ms are too short to judge by. */
-const MIN_ESTIMATE_MS = 200;
-/** A restart has to save this part of the estimate, since it throws work away. */
+/** Durations below this time in ms are too short to judge by. */
+const MIN_EXPECTED_MS = 200;
+/** A restart has to save this part of the expected duration, since it throws work away. */
 const MIN_GAIN = 0.5;
+/** Duration over that of its siblings from which a run counts as slow; siblings differ a little. */
+const SLOW_RATIO = 2.2;
+/** The same beyond any difference between siblings. */
+const STUCK_RATIO = 5;
+/** Standard deviations of a queue's durations beyond which a run counts as slow, and as stuck. */
+const SLOW_DEVIATIONS = 2;
+const STUCK_DEVIATIONS = 3;
+/** A server is compared by what most runs of a queue do not exceed, in standard deviations. */
+const USUAL_DEVIATIONS = 1;
+/** Average from which a run that is slow on a server is the server's fault. */
+const SUSPICIOUS_RATIO = 1.6;
+/** Siblings that have to be known before a run is compared with them. */
+const MIN_SIBLINGS = 2;
+/** Progress in percent from which the duration of a sibling that still runs is projected. */
+const MIN_SIBLING_PERCENT = 10;
 
-/**
- * Speed of a backend server, from the durations of what ended there over their estimates. Answers
- * servers that become several times slower while they look healthy.
- */
-export class ServerSpeed {
-  #ratio = 1;
-  /** Monotonic time in ms of the last reading that found it slow. */
-  #slowSince: number | undefined;
+/** What a run's duration is compared with. */
+export interface Expectation {
+  /** Expected duration in milliseconds. */
+  readonly ms: number;
+  /** Duration over the expected one from which the run counts as slow. */
+  readonly slowRatio: number;
+  /** The same beyond any doubt. */
+  readonly stuckRatio: number;
+}
 
-  /** Average of duration over estimate. */
-  get ratio(): number {
-    return this.#ratio;
-  }
+/** Duration in ms that a run's progress points to; undefined before there is any measurement. */
+export function projectedMs({ firstProgress, lastProgress }: ActiveRun): number | undefined {
+  if (firstProgress === undefined || lastProgress === undefined) return undefined;
+  const elapsedMs = lastProgress.clockMs - firstProgress.clockMs;
+  if (elapsedMs <= 0) return undefined;
+  // Without any progress the run hangs, or its work has not begun.
+  const percent = Math.max(lastProgress.percent - firstProgress.percent, 1);
+  return (elapsedMs * 100) / percent;
+}
 
-  /** True while tasks should rather go elsewhere. */
-  get slow(): boolean {
-    return this.#ratio >= SLOW_RATIO;
-  }
+/**
+ * What a run is compared with: its siblings on other backend servers, or else the usual durations of
+ * its queue. Answers declarations that are off by any factor, while a server that becomes slow still
+ * stands out against the others.
+ */
+export function expectation(run: ActiveRun, book: RunBook, durations: DurationBook): Expectation {
+  const siblings = siblingMedianMs(run, book);
+  if (siblings !== undefined)
+    return { ms: siblings, slowRatio: SLOW_RATIO, stuckRatio: STUCK_RATIO };
+  const { spec, job } = run.task.step;
+  const model = durations.of(job.spec.queue);
+  return {
+    ms: model.expectedMs(spec.estimateMs),
+    slowRatio: Math.max(SLOW_RATIO, Math.exp(SLOW_DEVIATIONS * model.spread)),
+    stuckRatio: Math.max(STUCK_RATIO, Math.exp(STUCK_DEVIATIONS * model.spread)),
+  };
+}
 
-  /** Takes note of a duration over its estimate. */
-  observe(ratio: number, now: number): void {
-    const weight = this.slow ? RECOVERY_WEIGHT : AVERAGE_WEIGHT;
-    this.#ratio += (ratio - this.#ratio) * weight;
-    this.#mark(now);
-  }
+/** Duration over what can be expected of a sound server, for a run that has ended as done. */
+export function endedRatio(run: ActiveRun, tookMs: number, book: RunBook, durations: DurationBook) {
+  const siblings = siblingMedianMs(run, book);
+  if (siblings !== undefined) return tookMs / siblings;
+  const { spec, job } = run.task.step;
+  return tookMs / usualMs(durations.of(job.spec.queue), spec.estimateMs);
+}
 
-  /** A run there is found to be far slower than estimated. */
-  observeSlowRun(ratio: number, now: number): void {
-    this.#ratio = Math.max(this.#ratio, Math.min(ratio, SLOW_RATIO * 2));
-    this.#mark(now);
-  }
+function usualMs(model: DurationModel, estimateMs: number): number {
+  return model.expectedMs(estimateMs) * Math.exp(USUAL_DEVIATIONS * model.spread);
+}
 
-  /** True if a slow server may be given a single task as a trial. */
-  trialDue(now: number): boolean {
-    return this.#slowSince !== undefined && now - this.#slowSince >= TRIAL_AFTER_MS;
+/** Median duration of a run's siblings on other servers that are as near to their data. */
+function siblingMedianMs(run: ActiveRun, book: RunBook): number | undefined {
+  const { step } = run.task;
+  const known = step.durations
+    .filter(({ server, nearData }) => server !== run.server && nearData === run.nearData)
+    .map(({ tookMs }) => tookMs);
+  for (const task of step.tasks) {
+    const sibling = book.ofTask(task.name);
+    if (sibling?.phase !== "running" || sibling.server === run.server) continue;
+    if (sibling.nearData !== run.nearData || sibling.percent < MIN_SIBLING_PERCENT) continue;
+    const projected = projectedMs(sibling);
+    if (projected !== undefined) known.push(projected);
   }
+  return known.length < MIN_SIBLINGS ? undefined : median(known);
+}
 
-  #mark(now: number): void {
-    this.#slowSince = this.slow ? now : undefined;
-  }
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
 }
 
 /** Time in ms until {@link overdue}; undefined for runs that never are. */
-export function timeUntilOverdue(run: ActiveRun, now: number): number | undefined {
-  const { estimateMs, longRunning, filler } = run.task.step.spec;
-  if (longRunning || filler || estimateMs < MIN_ESTIMATE_MS) return undefined;
-  return run.since + estimateMs * OVERDUE_RATIO - now;
+export function timeUntilOverdue(
+  run: ActiveRun,
+  now: number,
+  durations: DurationBook,
+): number | undefined {
+  const { longRunning, filler } = run.task.step.spec;
+  const ms = expectedStepMs(run.task.step, durations);
+  if (longRunning || filler || ms < MIN_EXPECTED_MS) return undefined;
+  return run.since + ms * OVERDUE_RATIO - now;
 }
 
 /** True if the run has taken so long that its progress should be looked at. */
-export function overdue(run: ActiveRun, now: number): boolean {
-  const { estimateMs, longRunning, filler } = run.task.step.spec;
-  if (longRunning || filler || run.phase !== "running" || estimateMs < MIN_ESTIMATE_MS)
-    return false;
-  return now - run.since > estimateMs * OVERDUE_RATIO;
+export function overdue(run: ActiveRun, now: number, durations: DurationBook): boolean {
+  if (run.phase !== "running") return false;
+  const left = timeUntilOverdue(run, now, durations);
+  return left !== undefined && left < 0;
 }
 
-/** Duration over estimate that a run's progress points to; undefined before there is any. */
-export function projectedRatio(run: ActiveRun): number {
-  const elapsedMs = run.listedAt - run.since;
-  const { estimateMs } = run.task.step.spec;
-  if (estimateMs <= 0) return 1;
-  // Without any progress the run hangs, or its work has not begun.
-  const share = Math.max(run.percent, 1) / 100;
-  return elapsedMs / share / estimateMs;
+/** Expected duration of a step's tasks in milliseconds; 0 if nothing was declared. */
+function expectedStepMs({ spec, job, durations: ended }: StepRun, durations: DurationBook): number {
+  if (spec.estimateMs <= 0) return 0;
+  const expected = durations.of(job.spec.queue).expectedMs(spec.estimateMs);
+  const [first] = ended;
+  // The first sibling to end is the fastest, so the step may only be slower than that.
+  return first === undefined ? expected : Math.min(expected, first.tookMs * SUSPICIOUS_RATIO);
 }
 
 /**
  * True if a run would end sooner if it were started anew on another backend server. `resumable`
  * is the share of its work that a checkpoint keeps.
  */
-export function worthRestarting(run: ActiveRun, resumable: number): boolean {
-  const ratio = projectedRatio(run);
-  if (ratio < SLOW_RATIO) return false;
-  const elapsed = (run.listedAt - run.since) / run.task.step.spec.estimateMs;
-  const remaining = ratio - elapsed;
-  return remaining - (1 - resumable) > MIN_GAIN;
+export function worthRestarting(run: ActiveRun, expected: Expectation, resumable: number): boolean {
+  const projected = projectedMs(run);
+  if (projected === undefined || projected < expected.ms * expected.slowRatio) return false;
+  const remainingMs = projected * (1 - run.percent / 100);
+  return remainingMs - expected.ms * (1 - resumable) > expected.ms * MIN_GAIN;
 }
 
 /**
  * True if slowness is the server's and not the task's: runs of several jobs crawl there, what ended
- * there took long, or the run hardly moves. Estimates of single tasks may be far too low.
+ * there took long, or the run hardly moves. Single tasks may take far longer than their siblings.
  */
 export function serverToBlame(
   run: ActiveRun,
-  onServer: readonly ActiveRun[],
-  speed: ServerSpeed,
+  expected: Expectation,
+  averageRatio: number,
+  slowJobs: number,
 ): boolean {
-  if (speed.ratio >= SUSPICIOUS_RATIO || projectedRatio(run) >= STUCK_RATIO) return true;
+  if (averageRatio >= SUSPICIOUS_RATIO || slowJobs > 1) return true;
+  return (projectedMs(run) ?? 0) >= expected.ms * expected.stuckRatio;
+}
+
+/** Number of jobs of which a run crawls among the given ones. */
+export function countSlowJobs(
+  runs: readonly ActiveRun[],
+  expected: (run: ActiveRun) => Expectation,
+): number {
   const jobs = new Set<string>();
-  for (const other of onServer) {
-    const { estimateMs, longRunning } = other.task.step.spec;
-    if (longRunning || other.phase !== "running" || estimateMs < MIN_ESTIMATE_MS) continue;
-    if (projectedRatio(other) >= SLOW_RATIO) jobs.add(other.task.job.spec.id);
+  for (const run of runs) {
+    const { longRunning, filler, estimateMs } = run.task.step.spec;
+    if (longRunning || filler || estimateMs <= 0 || run.phase !== "running") continue;
+    const projected = projectedMs(run);
+    if (projected === undefined) continue;
+    const { ms, slowRatio } = expected(run);
+    if (projected >= ms * slowRatio) jobs.add(run.task.job.spec.id);
   }
-  return jobs.size > 1;
+  return jobs.size;
 }
--- /dev/null
+++ b/test/state/jobs/duration-model.test.ts
@@ -0,0 +1,54 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DurationModel } from "../../../src/state/jobs/duration-model.ts";
+import { SeededRandom } from "../../fakes/seeded-random.ts";
+
+/** A normally distributed number with mean 0 and deviation 1. */
+function normal(random: SeededRandom): number {
+  return Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next());
+}
+
+function taught(durationOf: (declaredMs: number) => number, ended = 100): DurationModel {
+  const random = new SeededRandom(4);
+  const model = new DurationModel();
+  for (let index = 0; index < ended; index++) {
+    const declaredMs = 1000 * Math.exp(normal(random));
+    model.observe(declaredMs, durationOf(declaredMs));
+  }
+  return model;
+}
+
+test("declarations are believed as long as nothing has ended", () => {
+  assert.is(new DurationModel().expectedMs(700), 700);
+});
+
+test("declarations that are off by a factor of ten are corrected either way", () => {
+  for (const factor of [0.1, 10]) {
+    const model = taught((declaredMs) => declaredMs * factor);
+    for (const declaredMs of [300, 3000]) {
+      const ratio = model.expectedMs(declaredMs) / (declaredMs * factor);
+      assert.ok(ratio > 0.8 && ratio < 1.25, `${factor}: ${ratio}`);
+    }
+  }
+});
+
+test("declarations that say nothing give way to the queue's usual duration", () => {
+  const model = taught(() => 1000);
+  const far = model.expectedMs(8000) / model.expectedMs(125);
+  assert.ok(far < 2, `declared durations differ 64 times, expected ones ${far} times`);
+});
+
+test("a few ends do not overturn declarations", () => {
+  const model = taught((declaredMs) => declaredMs * 10, 2);
+  assert.ok(model.expectedMs(1000) < 3000);
+  assert.ok(model.spread > 1);
+});
+
+test("the spread falls with good declarations and stays wide with noisy ones", () => {
+  const random = new SeededRandom(9);
+  const noisy = taught((declaredMs) => declaredMs * Math.exp(0.9 * normal(random)));
+  assert.ok(taught((declaredMs) => declaredMs).spread < 0.4);
+  assert.ok(noisy.spread > 0.6, `${noisy.spread}`);
+});
+
+test.run();
--- /dev/null
+++ b/test/state/jobs/run-speed.test.ts
@@ -0,0 +1,112 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { DurationBook } from "../../../src/state/jobs/duration-model.ts";
+import { RunBook, type ActiveRun } from "../../../src/state/jobs/run-book.ts";
+import {
+  countSlowJobs,
+  endedRatio,
+  expectation,
+  overdue,
+  serverToBlame,
+  worthRestarting,
+} from "../../../src/state/jobs/run-speed.ts";
+import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
+import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
+
+/** Time in ms since the runs of a step were started. */
+const ELAPSED_MS = 1500;
+const SOUND = 1;
+
+/** Runs of one step on a server each, with their progress in percent. */
+function runsOfStep(percents: readonly number[], estimateMs: number) {
+  const ofStep = stepRun(jobRequest(step({ tasks: percents.length, estimateMs })));
+  const book = new RunBook();
+  const runs = percents.map((percent, index) => {
+    const run = activeRun(ofStep.tasks[index]!, progress(percent, `s${index}`));
+    book.add(run);
+    return run;
+  });
+  return { book, runs, durations: new DurationBook() };
+}
+
+function progress(percent: number, server: string): Partial<ActiveRun> {
+  const lastProgress = { clockMs: 9000 + ELAPSED_MS, percent };
+  const firstProgress = { clockMs: 9000, percent: 0 };
+  return { server, percent, lastProgress, firstProgress, listedAt: ELAPSED_MS };
+}
+
+/** True if the watch would stop the first run. */
+function restarted({ book, runs, durations }: ReturnType<typeof runsOfStep>): boolean {
+  const [run] = runs;
+  const expected = expectation(run!, book, durations);
+  if (!worthRestarting(run!, expected, 0)) return false;
+  return serverToBlame(run!, expected, SOUND, 1);
+}
+
+for (const estimateMs of [150, 1500, 15_000]) {
+  test(`runs as fast as their siblings go on, whatever was declared (${estimateMs} ms)`, () => {
+    // Each takes 3.3 s.
+    assert.is(restarted(runsOfStep([45, 45, 46, 44], estimateMs)), false);
+  });
+
+  test(`a run that hardly moves beside its siblings restarts (declared ${estimateMs} ms)`, () => {
+    assert.is(restarted(runsOfStep([4, 45, 46, 44], estimateMs)), true);
+  });
+}
+
+test("a lone run is compared with the durations of its queue", () => {
+  const slow = runsOfStep([45], 100);
+  for (let ended = 0; ended < 50; ended++) slow.durations.of("queue").observe(100, 1000);
+  assert.is(restarted(slow), false, "3.3 s where 1 s is usual may be the task itself");
+  const hung = runsOfStep([1], 100);
+  for (let ended = 0; ended < 50; ended++) hung.durations.of("queue").observe(100, 1000);
+  assert.is(restarted(hung), true, "without progress it hangs");
+});
+
+test("before anything has ended, a lone run is restarted only if it certainly hangs", () => {
+  // 15 s are expected from its progress, ten times the declaration.
+  assert.is(restarted(runsOfStep([10], 1500)), false);
+  assert.is(restarted(runsOfStep([0], 1500)), true);
+});
+
+test("a run twice as slow as its siblings restarts where its server is slow for others", () => {
+  const { book, runs, durations } = runsOfStep([18, 45, 46, 44], 1000);
+  const [run] = runs;
+  const expected = expectation(run!, book, durations);
+  assert.is(worthRestarting(run!, expected, 0), true);
+  assert.is(serverToBlame(run!, expected, SOUND, 1), false);
+  assert.is(serverToBlame(run!, expected, SOUND, 2), true);
+  assert.is(serverToBlame(run!, expected, 4, 1), true);
+  assert.is(
+    countSlowJobs(runs, (other) => expectation(other, book, durations)),
+    1,
+  );
+});
+
+test("a run away from its data is not compared with siblings beside theirs", () => {
+  const { book, runs, durations } = runsOfStep([15, 45, 46, 44], 1500);
+  const far = { ...runs[0]!, nearData: false };
+  assert.is(worthRestarting(far, expectation(far, book, durations), 0), false);
+});
+
+test("a run that a new scheduler took over is judged by its progress since then", () => {
+  const { book, runs, durations } = runsOfStep([50, 45, 46, 44], 1500);
+  const [run] = runs;
+  run!.firstProgress = { clockMs: 9000 + ELAPSED_MS - 300, percent: 40 };
+  assert.is(worthRestarting(run!, expectation(run!, book, durations), 0), false);
+});
+
+test("progress is looked at once a run exceeds what its queue usually takes", () => {
+  const { runs, durations } = runsOfStep([10], 10_000);
+  assert.is(overdue(runs[0]!, 3000, durations), false);
+  for (let ended = 0; ended < 50; ended++) durations.of("queue").observe(10_000, 1000);
+  assert.is(overdue(runs[0]!, 3000, durations), true);
+});
+
+test("what ended is compared with siblings on other servers", () => {
+  const { book, runs, durations } = runsOfStep([90, 45, 46, 44], 100);
+  const ratio = endedRatio(runs[0]!, 3300, book, durations);
+  assert.ok(ratio > 0.9 && ratio < 1.1, `${ratio}`);
+});
+
+test.run();
