feat(metrics): bytes by purpose in logs and metrics

Cause: the order of events of the collapse on small links could only be guessed, because nobody counted what an entry instance sends for what.

--- a/src/coordination/counters.ts
+++ b/src/coordination/counters.ts
@@ -34,6 +34,12 @@
     labelNames: ["event"],
     registers: [this.#registry],
   });
+  readonly #bytes = new Counter({
+    name: "teaselspool_bytes_total",
+    help: "Bytes of calls to outside systems by purpose",
+    labelNames: ["purpose", "direction"],
+    registers: [this.#registry],
+  });
 
   constructor() {
     super();
@@ -54,6 +60,12 @@
     this.#events.inc({ event: name });
   }
 
+  /** Adds the bytes of calls to outside systems. */
+  traffic(purpose: string, sentBytes: number, receivedBytes: number): void {
+    this.#bytes.inc({ purpose, direction: "sent" }, sentBytes);
+    this.#bytes.inc({ purpose, direction: "received" }, receivedBytes);
+  }
+
   duration(name: string, ms: number): void {
     let histogram = this.#histograms.get(name);
     if (histogram === undefined) {
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -1,7 +1,10 @@
 import { Err, Ok, type Result } from "ts-results";
 import { Agent, type Dispatcher } from "undici";
 import type { Clock, Timer } from "../ports/clock.ts";
+import type { TrafficMeter } from "./traffic-meter.ts";
 
+/** Rough size in bytes of the headers of a request or a reply. */
+const HEADER_BYTES = 180;
 const CONNECT_TIMEOUT_MS = 1000;
 /** Shorter than the 5 s after which common servers close an idle connection. */
 const KEEP_ALIVE_MS = 4000;
@@ -37,6 +40,8 @@
   readonly ifNoneMatch?: string | undefined;
   /** Time for everything, including the wait for a free connection, in milliseconds. */
   readonly timeoutMs: number;
+  /** What the call is for, in the traffic counts. @default the path without its query */
+  readonly purpose?: string;
 }
 
 /** Options of {@link HttpClient}. */
@@ -46,15 +51,19 @@
   readonly connections: number;
   /** Time for which an idle connection is kept, in milliseconds. @default 4000 */
   readonly keepAliveMs?: number;
+  /** Counts bytes by purpose. */
+  readonly meter?: TrafficMeter | undefined;
 }
 
 /** JSON over HTTP with kept connections, which tells whether a failed request was sent. */
 export class HttpClient {
   readonly #clock: Clock;
   readonly #agent: Agent;
+  readonly #meter: TrafficMeter | undefined;
 
-  constructor({ clock, connections, keepAliveMs = KEEP_ALIVE_MS }: HttpClientOptions) {
+  constructor({ clock, connections, keepAliveMs = KEEP_ALIVE_MS, meter }: HttpClientOptions) {
     this.#clock = clock;
+    this.#meter = meter;
     this.#agent = new Agent({
       connections,
       pipelining: 1,
@@ -76,10 +85,15 @@
     headers: further = {},
     ifNoneMatch,
     timeoutMs,
+    purpose = path.split("?", 1)[0] ?? path,
   }: HttpCall): Promise<Result<HttpReply, HttpFailure>> {
     return new Promise((resolve) => {
-      const exchange = new Exchange(this.#clock, timeoutMs, resolve);
       const body = json === undefined ? null : JSON.stringify(json);
+      const sentBytes = HEADER_BYTES + path.length + (body?.length ?? 0);
+      const exchange = new Exchange(this.#clock, timeoutMs, (result, receivedBytes) => {
+        this.#meter?.count(purpose, sentBytes, receivedBytes);
+        resolve(result);
+      });
       const headers = {
         ...further,
         ...(body === null ? {} : { "content-type": "application/json" }),
@@ -102,7 +116,7 @@
 
 /** Follows one request from the wait for a connection to the end of its reply. */
 class Exchange implements Dispatcher.DispatchHandler {
-  readonly #resolve: (result: Result<HttpReply, HttpFailure>) => void;
+  readonly #resolve: (result: Result<HttpReply, HttpFailure>, receivedBytes: number) => void;
   readonly #timer: Timer;
   readonly #chunks: Buffer[] = [];
   #bytes = 0;
@@ -115,7 +129,7 @@
   constructor(
     clock: Clock,
     timeoutMs: number,
-    resolve: (result: Result<HttpReply, HttpFailure>) => void,
+    resolve: (result: Result<HttpReply, HttpFailure>, receivedBytes: number) => void,
   ) {
     this.#resolve = resolve;
     this.#timer = clock.schedule(timeoutMs, () => {
@@ -182,6 +196,6 @@
     if (this.#settled) return;
     this.#settled = true;
     this.#timer.cancel();
-    this.#resolve(result);
+    this.#resolve(result, result.ok ? HEADER_BYTES + this.#bytes : this.#bytes);
   }
 }
