fix(orders): pace starts by measured round trips; time-outs allow for the link

Cause: on 2 Mbit/s links a scheduler sent hundreds of starts of 1.7 to 2.5 KB in one moment. The queue on its own link outlasted the time-outs of 150 to 900 ms, so starts were given up and asked for again, the lock was not renewed, and every successor did the same. A start that waited for a connection of the sender was held against the backend server.

Change: SendWindow limits the bytes of start orders under way by the median of recent round trips, so one silent server does not look like congestion; placements wait in the product. Each call's time-out has the time added that its body and a burst of other traffic take on the own link. An order that did not leave the instance is no fault of its server.

--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -60,6 +60,8 @@
   readonly maxConfigAgeMs: number;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
+  /** Capacity of this instance's link. */
+  readonly linkBytesPerMs: number;
   /** Time in ms in which two schedulers must not give orders to one instance. */
   readonly takeoverPauseMs: number;
   /** Time in ms for which callers may ask for the state of a job that has ended. */
--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -25,7 +25,11 @@
   readonly durations: DurationBook;
   readonly drivers: Iterable<ServerDriver>;
   readonly advice: AdviceBook;
+  /** False while no further start may be sent. */
+  readonly mayStart: () => boolean;
   readonly place: (task: Task, driver: ServerDriver) => ActiveRun;
+  /** Takes back an assignment. */
+  readonly unplace: (run: ActiveRun) => void;
 }
 
 interface RankedStep {
@@ -56,6 +60,7 @@
   run(jobs: Iterable<Job>): ReadonlyMap<Job, readonly ActiveRun[]> {
     const placed = new Map<Job, ActiveRun[]>();
     for (const { step, pool } of this.#ranked(jobs)) {
+      if (!this.#options.mayStart()) break;
       const runs = step.spec.gang ? this.#placeGang(step, pool) : this.#placeTasks(step, pool);
       if (runs.length > 0) placed.set(step.job, [...(placed.get(step.job) ?? []), ...runs]);
     }
@@ -94,6 +99,7 @@
     const runs: ActiveRun[] = [];
     for (const task of step.tasks) {
       if (!task.waiting || task.notBefore > this.#now) continue;
+      if (!this.#options.mayStart()) break;
       const run = this.#placeTask(task, pool);
       if (run !== undefined) runs.push(run);
     }
@@ -121,11 +127,9 @@
   #undo({ task, server }: ActiveRun): void {
     const run = this.#options.book.ofTask(task.name);
     if (run === undefined) return;
-    this.#options.book.remove(run);
+    this.#options.unplace(run);
     for (const rooms of [...this.#trusted.values(), ...this.#doubtful.values()])
       rooms.undone(server, task.step);
-    task.run--;
-    task.placement = undefined;
   }
 
   #placeTask(task: Task, pool: string): ActiveRun | undefined {
--- /dev/null
+++ b/src/coordination/jobs/run-starter.ts
@@ -0,0 +1,122 @@
+import type { Clock } from "../../ports/clock.ts";
+import type { OrderError } from "../../ports/job-backend.ts";
+import type { Log } from "../../ports/log.ts";
+import type { ActiveRun, RunBook, RunPhase } from "../../state/jobs/run-book.ts";
+import { noteStarted } from "../../state/jobs/run-progress.ts";
+import { SendWindow } from "../../state/jobs/send-window.ts";
+import type { Counters } from "../ports.ts";
+import type { AdviceBook } from "./advice-book.ts";
+import type { LockTenure } from "./scheduler-lock.ts";
+import type { ServerDriver } from "./server-driver.ts";
+
+/** Pause before a task is started again after its start was refused, in milliseconds. */
+const REFUSED_START_PAUSE_MS = 250;
+/** Pause before a backend server that refused a start is asked again, in milliseconds. */
+const REFUSING_SERVER_PAUSE_MS = 1000;
+/** Bytes of a start order beside the text of its job. */
+const ORDER_BYTES = 500;
+
+/** Options of {@link RunStarter}. */
+export interface RunStarterOptions {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly tenure: LockTenure;
+  readonly advice: AdviceBook;
+  readonly book: RunBook;
+  readonly driver: (server: string) => ServerDriver | undefined;
+  /** Capacity of this instance's link. */
+  readonly linkBytesPerMs: number;
+  readonly enter: (run: ActiveRun, phase: RunPhase) => void;
+  /** Called with runs that were certainly not started. */
+  readonly notStarted: (run: ActiveRun) => void;
+  /** Called when work may be placed. */
+  readonly wake: () => void;
+}
+
+/** Orders the starts of recorded placements, at the pace at which they are answered. */
+export class RunStarter {
+  readonly #options: RunStarterOptions;
+  readonly #window: SendWindow;
+
+  constructor(options: RunStarterOptions) {
+    this.#options = options;
+    this.#window = new SendWindow(options.linkBytesPerMs);
+  }
+
+  /** True if a further start may be placed. */
+  get open(): boolean {
+    return this.#window.open;
+  }
+
+  /** Bytes of start orders that may be under way at a time. */
+  get windowBytes(): number {
+    return this.#window.bytes;
+  }
+
+  /** Counts a placement whose start will be ordered once it is recorded. */
+  reserve(run: ActiveRun): void {
+    this.#window.reserve(run, ORDER_BYTES + run.task.job.spec.spec.length);
+  }
+
+  /** The start of a placement won't be ordered. */
+  cancel(run: ActiveRun): void {
+    this.#window.release(run);
+  }
+
+  /** Orders the start of a recorded placement. */
+  async start(run: ActiveRun): Promise<void> {
+    const { driver, tenure, clock, log, enter, notStarted, book, wake } = this.#options;
+    const server = driver(run.server);
+    const { task } = run;
+    if (server === undefined || server.closed || !tenure.valid) {
+      // Nothing was ordered, so the task may go elsewhere at once.
+      notStarted(run);
+      return;
+    }
+    enter(run, "starting");
+    log.debug({ task: task.name, run: run.run, server: run.server }, "run ordered");
+    const sentAt = clock.now();
+    const result = await server.start({
+      task: task.name,
+      run: run.run,
+      spec: task.job.spec.spec,
+      ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
+      ...this.#ticket(run),
+    });
+    this.#window.release(run);
+    this.#window.observe(clock.now() - sentAt);
+    wake();
+    if (book.ofTask(task.name) !== run) return;
+    if (result.err) this.#failed(run, server, result.val);
+    else {
+      enter(run, run.phase === "starting" ? "running" : run.phase);
+      noteStarted(run, result.val);
+    }
+    server.wake();
+  }
+
+  #ticket({ task, server }: ActiveRun): { readonly ticket?: string } {
+    const ticket = this.#options.advice.ticket(task.step, server);
+    return ticket === undefined ? {} : { ticket };
+  }
+
+  #failed(run: ActiveRun, server: ServerDriver, err: OrderError): void {
+    const { clock, log, counters, advice, enter, notStarted } = this.#options;
+    const { task } = run;
+    log.warn({ task: task.name, run: run.run, server: server.id, err }, "start failed");
+    counters.event(`start_failed_${err.kind}`);
+    if (err.kind === "unknown") {
+      enter(run, run.phase === "stopping" ? "stopping" : "unconfirmed");
+      return;
+    }
+    if (err.kind === "not-done") server.health.failed(task.job.spec.id, clock.now());
+    if (err.kind === "not-done" || err.kind === "no-room")
+      server.notBefore = clock.now() + REFUSING_SERVER_PAUSE_MS;
+    // A start that waited for a connection of this instance says nothing of the server.
+    if (err.kind === "not-sent") server.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
+    if (err.kind === "ticket") advice.refused(task.step, server.id);
+    task.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
+    notStarted(run);
+  }
+}
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../ports/clock.ts";
-import type { OrderError, RunLists } from "../../ports/job-backend.ts";
+import type { RunLists } from "../../ports/job-backend.ts";
 import type { Log } from "../../ports/log.ts";
 import { inheritedLapse } from "../../state/jobs/server-clock.ts";
 import type { Job, Task } from "../../state/jobs/job.ts";
@@ -14,18 +14,14 @@
 import { FillerPacer } from "./filler-pacer.ts";
 import type { JobBoard } from "./job-board.ts";
 import { MAX_LISTED_ENDS } from "./order-timing.ts";
-import { newRun, noteListed, noteStarted } from "../../state/jobs/run-progress.ts";
+import { newRun, noteListed } from "../../state/jobs/run-progress.ts";
 import type { ProgressWriter } from "./progress-writer.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import { RunStarter } from "./run-starter.ts";
 import { RunEnds } from "./run-ends.ts";
 import { StragglerWatch } from "./straggler-watch.ts";
 import { DriverListener, type ServerDriver } from "./server-driver.ts";
 
-/** Pause before a task is started again after its start was refused, in milliseconds. */
-const REFUSED_START_PAUSE_MS = 250;
-/** Pause before a backend server that refused a start is asked again, in milliseconds. */
-const REFUSING_SERVER_PAUSE_MS = 1000;
-
 /** Time in ms for which tasks leave a draining server one after the other. */
 const GENTLE_EVACUATION_MS = 1200;
 
@@ -44,11 +40,14 @@
   /** Called when work may be placed. */
   readonly wake: () => void;
   readonly leaseTtlMs: number;
+  /** Capacity of this instance's link. */
+  readonly linkBytesPerMs: number;
 }
 
 /** Follows every run from its recorded placement to its recorded end. */
 export class RunTracker extends DriverListener {
   readonly book = new RunBook();
+  readonly starter: RunStarter;
   readonly #pacer: FillerPacer;
   readonly #ends: RunEnds;
   readonly #stragglers: StragglerWatch;
@@ -60,6 +59,15 @@
     super();
     this.#options = options;
     const { book } = this;
+    this.starter = new RunStarter({
+      ...{ ...options, book },
+      enter: (run, phase) => {
+        this.#enter(run, phase);
+      },
+      notStarted: (run) => {
+        this.#release(run, "not-started");
+      },
+    });
     const stop = (run: ActiveRun): void => {
       this.#stop(run);
     };
@@ -90,7 +98,17 @@
   place(task: Task, driver: ServerDriver): ActiveRun {
     task.run++;
     task.placement = { server: driver.id, bootedAt: driver.bootedAt };
-    return this.#add(task, driver.id, driver.bootedAt, "recording");
+    const run = this.#add(task, driver.id, driver.bootedAt, "recording");
+    this.starter.reserve(run);
+    return run;
+  }
+
+  /** Takes back an assignment before {@link launch}. */
+  unplace(run: ActiveRun): void {
+    this.book.remove(run);
+    this.starter.cancel(run);
+    run.task.run--;
+    run.task.placement = undefined;
   }
 
   /** Records the placements of a job, then orders the starts. */
@@ -102,7 +120,7 @@
     for (const run of runs) {
       // The job may have been cancelled while its placements were written.
       const due = run.phase === "recording" && this.book.ofTask(run.task.name) === run;
-      if (due) void this.#start(run);
+      if (due) void this.starter.start(run);
     }
   }
 
@@ -209,54 +227,6 @@
     return run;
   }
 
-  async #start(run: ActiveRun): Promise<void> {
-    const { driver, tenure } = this.#options;
-    const server = driver(run.server);
-    if (server === undefined || server.closed || !tenure.valid) {
-      // Nothing was ordered, so the task may go elsewhere at once.
-      this.#release(run, "not-started");
-      return;
-    }
-    this.#enter(run, "starting");
-    const { task } = run;
-    this.#options.log.debug({ task: task.name, run: run.run, server: run.server }, "run ordered");
-    const result = await server.start({
-      task: task.name,
-      run: run.run,
-      spec: task.job.spec.spec,
-      ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
-      ...this.#ticket(run),
-    });
-    if (this.book.ofTask(task.name) !== run) return;
-    if (result.err) this.#startFailed(run, server, result.val);
-    else {
-      this.#enter(run, run.phase === "starting" ? "running" : run.phase);
-      noteStarted(run, result.val);
-    }
-    server.wake();
-  }
-
-  #ticket({ task, server }: ActiveRun): { readonly ticket?: string } {
-    const ticket = this.#options.advice.ticket(task.step, server);
-    return ticket === undefined ? {} : { ticket };
-  }
-
-  #startFailed(run: ActiveRun, server: ServerDriver, err: OrderError): void {
-    const { clock, log } = this.#options;
-    const { task } = run;
-    log.warn({ task: task.name, run: run.run, server: server.id, err }, "start failed");
-    if (err.kind === "unknown") {
-      this.#enter(run, run.phase === "stopping" ? "stopping" : "unconfirmed");
-      return;
-    }
-    if (err.kind === "not-done") server.health.failed(task.job.spec.id, clock.now());
-    if (err.kind === "not-done" || err.kind === "no-room")
-      server.notBefore = clock.now() + REFUSING_SERVER_PAUSE_MS;
-    if (err.kind === "ticket") this.#options.advice.refused(task.step, server.id);
-    task.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
-    this.#release(run, "not-started");
-  }
-
   #compare(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const runs = this.book.onServer(driver.id);
     const found = reconcile(runs, lists, askedAt);
@@ -340,6 +310,7 @@
 
   #drop(run: ActiveRun): void {
     this.book.remove(run);
+    if (run.phase === "recording") this.starter.cancel(run);
     if (run.task.run === run.run) run.task.placement = undefined;
     run.task.releasedAt = this.#options.clock.now();
     this.#options.driver(run.server)?.wake();
--- a/src/coordination/jobs/scheduler-load.ts
+++ b/src/coordination/jobs/scheduler-load.ts
@@ -11,6 +11,8 @@
   readonly runs: number;
   /** Jobs whose progress waits to be written. */
   readonly unwritten: number;
+  /** Bytes of start orders that may be under way at a time. */
+  readonly windowBytes: number;
 }
 
 /** Counts the scheduler's work and logs it every other second, so that a slow one is noticed. */
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -43,6 +43,8 @@
   readonly advisor: PlacementAdvisor;
   /** Time to live of the lease given to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
+  /** Capacity of this instance's link. */
+  readonly linkBytesPerMs: number;
 }
 
 /**
@@ -85,7 +87,7 @@
     });
     this.tracker = new RunTracker({
       ...{ clock, log, tenure, board: this.board, writer: this.writer, config, wake, leaseTtlMs },
-      ...{ counters, durations: this.durations },
+      ...{ counters, durations: this.durations, linkBytesPerMs: options.linkBytesPerMs },
       advice: this.#advice,
       driver: (server) => this.drivers.get(server),
     });
@@ -183,12 +185,16 @@
     const { clock, config, tenure } = this.#options;
     // Placements that can't be recorded must not be made.
     if (!tenure.valid || this.writer.stalled) return;
-    if (!this.ready) return;
+    if (!this.ready || !this.tracker.starter.open) return;
     const round = new PlacementRound({
       ...{ clock, config, book: this.tracker.book, drivers: this.drivers.all() },
       durations: this.durations,
       advice: this.#advice,
+      mayStart: () => this.tracker.starter.open,
       place: (task, driver) => this.tracker.place(task, driver),
+      unplace: (run) => {
+        this.tracker.unplace(run);
+      },
     });
     const begunAt = clock.now();
     let placed = 0;
@@ -204,6 +210,7 @@
       openJobs: this.board.open.size,
       runs: this.tracker.book.size,
       unwritten: this.writer.waiting,
+      windowBytes: Math.round(this.tracker.starter.windowBytes),
     });
   }
 }
--- a/src/ports/job-backend.ts
+++ b/src/ports/job-backend.ts
@@ -107,8 +107,10 @@
   | { readonly kind: "ticket" }
   /** Another incarnation answers at this address; the intended one is gone. */
   | { readonly kind: "gone" }
-  /** The backend server refused the order or was not reached; nothing was done. */
+  /** The backend server refused the order; nothing was done. */
   | { readonly kind: "not-done"; readonly detail: string }
+  /** The order did not leave this instance; nothing was done. */
+  | { readonly kind: "not-sent"; readonly detail: string }
   /** No whole reply; the order may have been carried out, or may still be. */
   | { readonly kind: "unknown"; readonly detail: string };
 
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -5,6 +5,8 @@
 
 /** Rough size in bytes of the headers of a request or a reply. */
 const HEADER_BYTES = 180;
+/** Other traffic of this instance that a call may have to wait for. */
+const BURST_BYTES = 100_000;
 const CONNECT_TIMEOUT_MS = 1000;
 /** Shorter than the 5 s after which common servers close an idle connection. */
 const KEEP_ALIVE_MS = 4000;
@@ -38,21 +40,30 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Version of a body that the caller has; the reply then is 304 if it is the newest. */
   readonly ifNoneMatch?: string | undefined;
-  /** Time for everything, including the wait for a free connection, in milliseconds. */
+  /**
+   * Time for everything, including the wait for a free connection, in milliseconds, on a link that
+   * is fast. On a slow one the time that the body and a burst of other traffic take is added.
+   */
   readonly timeoutMs: number;
   /** What the call is for, in the traffic counts. @default the path without its query */
   readonly purpose?: string;
 }
 
+/** The link of this instance. */
+export interface OwnLink {
+  /** Capacity in each direction. @default unlimited */
+  readonly linkBytesPerMs?: number | undefined;
+  /** Counts bytes by purpose. */
+  readonly meter?: TrafficMeter | undefined;
+}
+
 /** Options of {@link HttpClient}. */
-export interface HttpClientOptions {
+export interface HttpClientOptions extends OwnLink {
   readonly clock: Clock;
   /** Most connections to one origin. */
   readonly connections: number;
   /** Time for which an idle connection is kept, in milliseconds. @default 4000 */
   readonly keepAliveMs?: number;
-  /** Counts bytes by purpose. */
-  readonly meter?: TrafficMeter | undefined;
 }
 
 /** JSON over HTTP with kept connections, which tells whether a failed request was sent. */
@@ -60,8 +71,16 @@
   readonly #clock: Clock;
   readonly #agent: Agent;
   readonly #meter: TrafficMeter | undefined;
-
-  constructor({ clock, connections, keepAliveMs = KEEP_ALIVE_MS, meter }: HttpClientOptions) {
+  readonly #linkBytesPerMs: number;
+
+  constructor({
+    clock,
+    connections,
+    keepAliveMs = KEEP_ALIVE_MS,
+    linkBytesPerMs = Infinity,
+    meter,
+  }: HttpClientOptions) {
+    this.#linkBytesPerMs = linkBytesPerMs;
     this.#clock = clock;
     this.#meter = meter;
     this.#agent = new Agent({
@@ -90,7 +109,8 @@
     return new Promise((resolve) => {
       const body = json === undefined ? null : JSON.stringify(json);
       const sentBytes = HEADER_BYTES + path.length + (body?.length ?? 0);
-      const exchange = new Exchange(this.#clock, timeoutMs, (result, receivedBytes) => {
+      const linkMs = Math.round((BURST_BYTES + sentBytes) / this.#linkBytesPerMs);
+      const exchange = new Exchange(this.#clock, timeoutMs + linkMs, (result, receivedBytes) => {
         this.#meter?.count(purpose, sentBytes, receivedBytes);
         resolve(result);
       });
--- a/test/fakes/jobs/entry-way.ts
+++ b/test/fakes/jobs/entry-way.ts
@@ -21,10 +21,34 @@
 
 const ORDER_TIMEOUT_MS = 900;
 
+/** Bytes of a call beside what it carries. */
+const CALL_BYTES = 400;
+
+/** A link that carries calls one after the other. */
+export class SlowLink {
+  readonly #clock: Clock;
+  readonly #bytesPerMs: number;
+  #busyUntil = 0;
+
+  constructor(clock: Clock, bytesPerMs: number) {
+    this.#clock = clock;
+    this.#bytesPerMs = bytesPerMs;
+  }
+
+  /** Resolves once a call of the given size has passed. */
+  async carry(bytes: number): Promise<void> {
+    const now = this.#clock.now();
+    this.#busyUntil = Math.max(now, this.#busyUntil) + (CALL_BYTES + bytes) / this.#bytesPerMs;
+    await this.#clock.sleep(this.#busyUntil - now);
+  }
+}
+
 /** The state of one entry's process and of its ways out, switched by tests. */
 export class EntryWay {
   /** The way to backend servers loses everything. */
   cutFromServers = false;
+  /** The link that calls to the store and to backend servers share. */
+  link: SlowLink | undefined;
   /** How the store is reported to be reached. */
   storeReach: StoreReach = { outOfReachMs: 0, silenceMs: 0 };
   readonly #clock: Clock;
@@ -125,7 +149,11 @@
   }
 
   commit(txn: RecordTransaction): StoreResult<number> {
-    return this.#way.pass(() => this.#client.commit(txn));
+    const bytes = txn.puts.reduce((sum, { value }) => sum + value.length, 0);
+    return this.#way.pass(async () => {
+      await this.#way.link?.carry(bytes);
+      return this.#client.commit(txn);
+    });
   }
 
   grantLease(ttlMs: number) {
@@ -133,7 +161,10 @@
   }
 
   keepLease(id: number) {
-    return this.#way.pass(() => this.#client.keepLease(id));
+    return this.#way.pass(async () => {
+      await this.#way.link?.carry(0);
+      return this.#client.keepLease(id);
+    });
   }
 
   endLease(id: number) {
@@ -174,7 +205,7 @@
   }
 
   start(order: StartOrder) {
-    return this.#order(() => this.#backend.start(order));
+    return this.#order(() => this.#backend.start(order), order.spec.length);
   }
 
   stop(order: StopOrder) {
@@ -194,7 +225,9 @@
     return this.#way.cutFromServers;
   }
 
-  #order<T>(call: () => OrderResult<T>): OrderResult<T> {
+  #order<T>(call: () => OrderResult<T>, bytes = 0): OrderResult<T> {
+    const { link } = this.#way;
+    if (link !== undefined) return this.#carried(link, call, bytes);
     return this.#way.pass(async () => {
       const reached = !this.#way.cutFromServers;
       const result = reached ? await call() : undefined;
@@ -203,4 +236,12 @@
       return Err({ kind: "unknown", detail: "no answer" });
     });
   }
+
+  /** A call that waits too long for the link is given up, and carried out all the same. */
+  #carried<T>(link: SlowLink, call: () => OrderResult<T>, bytes: number): OrderResult<T> {
+    const given: OrderResult<T> = this.#clock
+      .sleep(ORDER_TIMEOUT_MS)
+      .then(() => Err({ kind: "unknown", detail: "no answer" }));
+    return Promise.race([link.carry(bytes).then(call), given]);
+  }
 }
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -25,10 +25,11 @@
   type TaskBehaviour,
 } from "../../../src/stand-ins/simulated-job-server.ts";
 import { onClock, VirtualClock } from "../virtual-clock.ts";
-import { EntryConnector, EntryStore, EntryWay } from "./entry-way.ts";
+import { EntryConnector, EntryStore, EntryWay, SlowLink } from "./entry-way.ts";
 import { fleetConfig } from "./job-builders.ts";
 
 const LEASE_TTL_MS = 6000;
+const FAST_LINK_BYTES_PER_MS = 125_000;
 const CALLER_WAIT_MS = 3000;
 const CONFIRM_INTERVAL_MS = 500;
 
@@ -55,6 +56,8 @@
   readonly capacity?: Resources;
   readonly behaviour?: (task: string) => TaskBehaviour;
   readonly config?: FleetConfig;
+  /** Capacity of each entry's link. @default unlimited */
+  readonly linkBytesPerMs?: number;
   readonly log?: Log;
 }
 
@@ -75,6 +78,7 @@
       capacity: options.capacity ?? { cpuMillis: 8000, memoryMb: 8000, accelerators: 0 },
       behaviour: options.behaviour ?? (() => ({ durationMs: 400 })),
       log: options.log ?? SILENT,
+      linkBytesPerMs: options.linkBytesPerMs ?? FAST_LINK_BYTES_PER_MS,
     };
     this.#operators = new FakeOperators(this.clock, config);
     for (let index = 0; index < servers; index++) this.addServer(`s${index}`);
@@ -91,6 +95,9 @@
 
   addEntry(strength = 1): ClusterEntry {
     const way = new EntryWay(this.clock);
+    const { linkBytesPerMs } = this.#options;
+    if (linkBytesPerMs < FAST_LINK_BYTES_PER_MS)
+      way.link = new SlowLink(this.clock, linkBytesPerMs);
     const store = this.store.client();
     const clock = way.clock();
     const { random, log } = this.#options;
@@ -107,6 +114,7 @@
       notifier: new ClusterNotifier(this.entries, way),
       storeReach: () => way.storeReach,
       leaseTtlMs: LEASE_TTL_MS,
+      linkBytesPerMs,
       takeoverPauseMs: 0,
       maxConfigAgeMs: 2000,
       keepEndedMs: 120_000,
