fix(robustness): malformed jobs and records end no process; late orders are not sent

Cause (looked for after reports of other operators): a job of 10^9 tasks, or a record under a job's key that decodes to something else, threw in the scheduler and ended it, and every successor that read the same record. Orders to instances are given by the dozen over four connections; the lock was checked when they were handed over, so while the platform was slow the last of them were sent up to 2 s later, after another instance could have taken over.

--- a/src/coordination/jobs/job-board.ts
+++ b/src/coordination/jobs/job-board.ts
@@ -76,7 +76,7 @@
   }
 
   reset(records: readonly StoredRecord[]): void {
-    for (const record of records) this.#written(record);
+    for (const record of records) this.#tryWritten(record);
     this.#loaded = true;
     this.#whenLoaded.resolve();
   }
@@ -97,6 +97,15 @@
     this.#cancelled.delete(job.spec.id);
   }
 
+  /** One record that can't be taken over must not hide all others. */
+  #tryWritten(record: StoredRecord): void {
+    try {
+      this.#written(record);
+    } catch (err) {
+      this.#log.error({ err, key: record.key }, "job record could not be taken over");
+    }
+  }
+
   #written({ key, value }: StoredRecord): void {
     const { id, kind } = parseJobKey(key);
     if (kind === "cancel") this.#cancel(id);
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -9,6 +9,7 @@
 import type { StoreReach } from "../../state/jobs/candidacy.ts";
 import type { Counters } from "../ports.ts";
 import type { WrittenRecord } from "../../protocol/peer-messages.ts";
+import { GuardedInstanceControl } from "./guarded-instance-control.ts";
 import { InstanceOrders } from "./instance-orders.ts";
 import { InstanceView } from "./instance-view.ts";
 import { FleetConfigView } from "./config-view.ts";
@@ -182,8 +183,11 @@
 
   /** Maintains instances and moves them between pools during a tenure. */
   async #runInstances(tenure: LockTenure, scheduler: Scheduler): Promise<void> {
-    const { instances } = this.#options;
-    if (instances === undefined) return;
+    if (this.#options.instances === undefined) return;
+    const { counters } = this.#options;
+    const instances = new GuardedInstanceControl({
+      ...{ instances: this.#options.instances, tenure, counters },
+    });
     const planned = {
       ...{ ...this.#options, holder: this.#options.name, config: this.config },
       ...{ instances, tenure, scheduler, view: new InstanceView({ ...this.#options, instances }) },
--- a/src/coordination/jobs/record-follower.ts
+++ b/src/coordination/jobs/record-follower.ts
@@ -97,7 +97,7 @@
     const changes = await store.watch(prefix, after, waitMs);
     if (changes.err) return changes.val;
     const { events, revision } = changes.val;
-    for (const event of events) listener.change(event);
+    for (const event of events) this.#report(event);
     this.#mayBeBehind = events.length > 0;
     if (events.length === 0) {
       listener.confirmed(askedAt);
@@ -107,6 +107,17 @@
     return listener.needsConfirmation && hasRepeatedKey(events) ? undefined : revision;
   }
 
+  /** One record that a listener can't take must not keep it from all that follow. */
+  #report(event: RecordEvent): void {
+    const { listener, log } = this.#options;
+    try {
+      listener.change(event);
+    } catch (err) {
+      const key = event.kind === "written" ? event.record.key : event.key;
+      log.error({ err, key }, "a changed record could not be taken over");
+    }
+  }
+
   /**
    * Where to go on after a watch without events. The answer of a mute watch is ahead of what it
    * reported, so a quiet stretch is asked for again until it is some seconds old.
--- a/src/coordination/jobs/scheduler-election.ts
+++ b/src/coordination/jobs/scheduler-election.ts
@@ -19,6 +19,8 @@
 const FIRST_WEAK_TENURE_MS = 4000;
 /** The same for one without direct reach of the store, while no instance may have it. */
 const FIRST_RELAYED_TENURE_MS = 800;
+/** Time in ms for another instance to take the lock after an unexpected error. */
+const FAILED_TENURE_PAUSE_MS = 1000;
 /** A better instance that does not take or keep the lock is tried again less and less often. */
 const LONGEST_WEAK_TENURE_MS = 60_000;
 
@@ -59,7 +61,7 @@
 
   /** Stands until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, lock, serve, view } = this.#options;
+    const { clock, lock, view } = this.#options;
     while (!ended(signal)) {
       if (!view.vacant) {
         await waitAtMost(clock, this.#changed.promise, CANDIDACY_PAUSE_MS);
@@ -74,7 +76,7 @@
       }
       this.#tenure = tenure;
       if (ended(signal)) await lock.release(tenure);
-      else await Promise.all([serve(tenure), this.#handOver(tenure)]);
+      else await Promise.all([this.#serve(tenure), this.#handOver(tenure)]);
       this.#tenure = undefined;
     }
   }
@@ -85,6 +87,18 @@
     if (this.#tenure !== undefined) await this.#options.lock.release(this.#tenure);
   }
 
+  /** Schedules; an unexpected error ends the tenure and not the process. */
+  async #serve(tenure: LockTenure): Promise<void> {
+    const { clock, lock, log, serve } = this.#options;
+    try {
+      await serve(tenure);
+    } catch (err) {
+      log.error({ err, token: tenure.token }, "scheduling failed, the lock is given up");
+      await lock.release(tenure);
+      await clock.sleep(FAILED_TENURE_PAUSE_MS);
+    }
+  }
+
   /** Leaves stronger instances their head start; false if one of them has taken the lock. */
   async #ownTurn(signal: AbortSignal): Promise<boolean> {
     const { clock, view, session } = this.#options;
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -1,7 +1,7 @@
 /** Records of jobs in the store: keys, contents and their encoding. */
 import { decode, encode } from "cbor-x";
 import * as v from "valibot";
-import { FINAL_STATES, type JobSpec, type JobState } from "./job-spec.ts";
+import { FINAL_STATES, MAX_TASKS_PER_JOB, type JobSpec, type JobState } from "./job-spec.ts";
 
 /** Every key of the product lies under this prefix. */
 const ROOT = "teaselspool/";
@@ -126,9 +126,23 @@
 }
 
 const OrdersSchema = v.object({ orders: v.record(v.string(), v.number()) });
-const JobSpecSchema = v.custom<JobSpec>(
-  (value) => isRecord(value) && typeof value.id === "string" && Array.isArray(value.steps),
-);
+const amount = v.pipe(v.number(), v.minValue(0));
+const StepSpecSchema = v.looseObject({
+  tasks: v.pipe(amount, v.integer(), v.maxValue(MAX_TASKS_PER_JOB)),
+  demand: v.object({ cpuMillis: amount, memoryMb: amount, accelerators: amount }),
+  estimateMs: amount,
+  after: v.array(v.pipe(amount, v.integer())),
+});
+const ScheduleSchema = v.object({
+  ...{ occurrences: amount, firstAtMs: v.number(), intervalMs: amount },
+});
+/** Checks what the scheduler's state is built from; the other fields are only passed on. */
+const JobSpecSchema = v.looseObject({
+  ...{ id: v.string(), queue: v.string(), pool: v.string(), spec: v.string() },
+  acceptedAtMs: v.number(),
+  steps: v.array(StepSpecSchema),
+  schedule: v.optional(v.nullable(ScheduleSchema)),
+});
 const ProgressSchema = v.object({
   state: v.picklist(["queued", "running", ...FINAL_STATES] as const),
   endedAtMs: v.number(),
@@ -161,7 +175,8 @@
 
 /** Decodes a job; undefined if the bytes are none. */
 export function decodeJob(bytes: Uint8Array): JobSpec | undefined {
-  return decodeWith(JobSpecSchema, bytes);
+  const decoded = decodeWith(JobSpecSchema, bytes);
+  return decoded === undefined ? undefined : (decoded as unknown as JobSpec);
 }
 
 /** Encodes the scheduler's lock. */
@@ -258,7 +273,3 @@
     return undefined;
   }
 }
-
-function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
-  return typeof value === "object" && value !== null;
-}
--- a/src/protocol/job-spec.ts
+++ b/src/protocol/job-spec.ts
@@ -1,5 +1,8 @@
 /** Jobs as callers hand them in, in the product's terms. */
 
+/** Most tasks of one job, all occurrences counted: a scheduler keeps state for each of them. */
+export const MAX_TASKS_PER_JOB = 100_000;
+
 /** An amount of the capacity of a backend server. */
 export interface Resources {
   /** Thousandths of a core. */
--- /dev/null
+++ b/test/coordination/jobs/guarded-instance-control.test.ts
@@ -0,0 +1,79 @@
+import { Ok } from "ts-results";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { MetricCounters } from "../../../src/coordination/counters.ts";
+import { GuardedInstanceControl } from "../../../src/coordination/jobs/guarded-instance-control.ts";
+import { LockTenure } from "../../../src/coordination/jobs/scheduler-lock.ts";
+import { InstanceControl, type ControlOrder } from "../../../src/ports/instance-control.ts";
+import { VirtualClock } from "../../fakes/virtual-clock.ts";
+
+/** A slow platform's time for one order, in milliseconds. */
+const ANSWER_MS = 600;
+
+/** Answers each order after a while and keeps when it was sent. */
+class SlowControl extends InstanceControl {
+  readonly sentAt: number[] = [];
+  readonly #clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    super();
+    this.#clock = clock;
+  }
+
+  list() {
+    return Promise.resolve(Ok([]));
+  }
+
+  async move(_order: ControlOrder, _pool: string) {
+    this.sentAt.push(this.#clock.now());
+    await this.#clock.sleep(ANSWER_MS);
+    return Ok(undefined);
+  }
+
+  maintain(order: ControlOrder, wave: number) {
+    return this.move(order, String(wave));
+  }
+}
+
+function guarded() {
+  const clock = new VirtualClock();
+  const grantedAt = { now: clock.now(), wallTime: clock.wallTime() };
+  const tenure = new LockTenure(clock, 1, 1, grantedAt);
+  const control = new SlowControl(clock);
+  const counters = new MetricCounters();
+  return {
+    ...{ clock, tenure, control },
+    instances: new GuardedInstanceControl({ instances: control, tenure, counters }),
+  };
+}
+
+test("orders that wait behind a slow platform are not sent once the lock may have ended", async () => {
+  const { clock, tenure, control, instances } = guarded();
+  const orders = Array.from({ length: 40 }, (_, index) =>
+    instances.maintain({ instance: `m${index}`, holder: "e", token: 1 }, 1),
+  );
+  let validUntil = 0;
+  for (let waited = 0; waited < 10_000; waited += 50) {
+    if (tenure.valid) validUntil = clock.now();
+    await clock.advance(50);
+  }
+  const results = await Promise.all(orders);
+  assert.ok(control.sentAt.length > 0);
+  assert.ok(Math.max(...control.sentAt) <= validUntil + 50);
+  assert.is(results.filter((result) => result.ok).length, control.sentAt.length);
+  assert.ok(control.sentAt.length < 40, "the rest was certainly not ordered");
+});
+
+test("a process that was paused while an order waited does not send it afterwards", async () => {
+  const { clock, tenure, control, instances } = guarded();
+  const order = { instance: "m", holder: "e", token: 1 };
+  for (let index = 0; index < 4; index++) void instances.move(order, "a");
+  const waiting = instances.move(order, "b");
+  tenure.end();
+  await clock.advance(5000);
+  const result = await waiting;
+  assert.is(result.err && result.val.kind, "unavailable");
+  assert.is(control.sentAt.length, 4);
+});
+
+test.run();
