feat(orders): entries carry out starts of jobs they accepted; rounds cost what waits

Cause: (1) one link of 2 Mbit/s can't carry the starts of a fleet, whatever their pace: each carries its job's text.

Weighed: an executor for each server under a fenced assignment (state of its own, a takeover for each executor) against carriers without state: the entry that accepted a job has its text, gets token, deadline and run from the scheduler and decides nothing, so an order that it sends late or twice is refused like one of the scheduler's own. Carriers are used where the window is below 64 KB, since each opens connections to servers.

Change: peer message start-order; jobs name the entry that accepted them; a peer that did not carry out a start is left out for 2 s and the start is sent directly. Rounds read the servers of pools with waiting work only, and pause for three times their length, at most 60 ms.

--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -22,6 +22,8 @@
 import { PoolSizer } from "./pool-sizer.ts";
 import { RecordCollector } from "./record-collector.ts";
 import { RecordFollower } from "./record-follower.ts";
+import type { AcceptedTexts } from "../../state/jobs/accepted-texts.ts";
+import type { StartCarrier } from "./start-carriers.ts";
 import type { RecordNotifier } from "./record-notifier.ts";
 import { Scheduler } from "./scheduler.ts";
 import { SchedulerElection } from "./scheduler-election.ts";
@@ -43,6 +45,9 @@
   readonly instances: InstanceControl | undefined;
   readonly advisor: PlacementAdvisor;
   readonly notifier: RecordNotifier;
+  readonly carrier: StartCarrier;
+  /** Texts of the jobs accepted here. */
+  readonly texts: AcceptedTexts;
   /** How the store is reached now. */
   readonly storeReach: () => StoreReach;
   readonly clock: Clock;
--- a/src/coordination/jobs/job-service.ts
+++ b/src/coordination/jobs/job-service.ts
@@ -10,6 +10,7 @@
   PENDING_KEY,
   parseJobKey,
   progressKey,
+  type SessionRecord,
 } from "../../protocol/job-records.ts";
 import {
   FINAL_STATES,
@@ -19,6 +20,7 @@
 } from "../../protocol/job-spec.ts";
 import type { WrittenRecord } from "../../protocol/peer-messages.ts";
 import type { QueueConfig } from "../../protocol/fleet-config.ts";
+import type { AcceptedTexts } from "../../state/jobs/accepted-texts.ts";
 import type { Counters } from "../ports.ts";
 import type { JobSubmitter, SubmitOutcome } from "./job-submitter.ts";
 
@@ -48,6 +50,9 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly submitter: JobSubmitter;
+  /** This entry instance. */
+  readonly session: SessionRecord;
+  readonly texts: AcceptedTexts;
   /** Called with cancel marks that were written, once they are stored. */
   readonly stored: (records: readonly WrittenRecord[]) => void;
 }
@@ -72,7 +77,9 @@
     const job: JobSpec = {
       ...req,
       ...{ id, queue: queue.name, pool: queue.pool, organisation, acceptedAtMs },
+      acceptedBy: this.#options.session.peerAddress,
     };
+    this.#options.texts.keep(id, job.spec);
     return this.#options.submitter.submit(job, deadline);
   }
 
--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/placement-round.ts
@@ -38,22 +38,26 @@
   readonly pool: string;
 }
 
+/** Backend servers of a pool that take tasks. */
+interface PoolRooms {
+  readonly trusted: ServerRooms;
+  /** Those that are slow or fail, for tasks that have found no other place for some time. */
+  readonly doubtful: ServerRooms;
+}
+
 /** One pass over everything that waits: assigns tasks to backend servers by rank. */
 export class PlacementRound {
   readonly #options: PlacementRoundOptions;
   readonly #now: number;
-  readonly #trusted: ReadonlyMap<string, ServerRooms>;
-  /** Servers that are slow or fail, for tasks that have found no other place for some time. */
-  readonly #doubtful: ReadonlyMap<string, ServerRooms>;
+  /** Servers by pool, read when the first task of a pool is placed. */
+  readonly #pools = new Map<string, PoolRooms>();
+  #driversByPool: ReadonlyMap<string, readonly ServerDriver[]> | undefined;
   /** Demands that did not fit; equal tasks after them need not be tried. */
   readonly #refused = new Set<string>();
 
   constructor(options: PlacementRoundOptions) {
     this.#options = options;
     this.#now = options.clock.now();
-    const open = [...options.drivers].filter((driver) => this.#open(driver));
-    this.#trusted = this.#rooms(open.filter((driver) => this.#isTrusted(driver)));
-    this.#doubtful = this.#rooms(open.filter((driver) => !this.#isTrusted(driver)));
   }
 
   /** Assigns what fits and returns the new runs of each job. */
@@ -128,27 +132,23 @@
     const run = this.#options.book.ofTask(task.name);
     if (run === undefined) return;
     this.#options.unplace(run);
-    for (const rooms of [...this.#trusted.values(), ...this.#doubtful.values()])
-      rooms.undone(server, task.step);
+    for (const { trusted, doubtful } of this.#pools.values()) {
+      trusted.undone(server, task.step);
+      doubtful.undone(server, task.step);
+    }
   }
 
   #placeTask(task: Task, pool: string): ActiveRun | undefined {
     const { spec, job } = task.step;
     const { organisation } = job.spec;
     if (organisation !== undefined && !this.#withinCap(organisation, spec.demand)) return undefined;
-    const trusted = this.#placeAmong(task, pool, this.#trusted, "trusted");
+    const trusted = this.#placeAmong(task, pool, "trusted");
     if (trusted !== undefined || this.#patient(task)) return trusted;
-    return this.#placeAmong(task, pool, this.#doubtful, "doubtful");
+    return this.#placeAmong(task, pool, "doubtful");
   }
 
-  #placeAmong(
-    task: Task,
-    pool: string,
-    group: ReadonlyMap<string, ServerRooms>,
-    kind: string,
-  ): ActiveRun | undefined {
-    const rooms = group.get(pool);
-    if (rooms === undefined) return undefined;
+  #placeAmong(task: Task, pool: string, kind: keyof PoolRooms): ActiveRun | undefined {
+    const rooms = this.#roomsOf(pool)[kind];
     const { step } = task;
     const advised = this.#options.config.queue(step.job.spec.queue)?.advice;
     const demand = occupied(step.spec);
@@ -188,16 +188,24 @@
     return withinCap(book.usedByOrganisation(organisation), demand, settings.cap);
   }
 
-  #rooms(drivers: readonly ServerDriver[]): ReadonlyMap<string, ServerRooms> {
-    const byPool = new Map<string, ServerDriver[]>();
-    for (const driver of drivers) {
-      const { pool } = driver.registration;
-      const group = byPool.get(pool);
-      if (group === undefined) byPool.set(pool, [driver]);
-      else group.push(driver);
-    }
-    const { book } = this.#options;
-    return new Map([...byPool].map(([pool, group]) => [pool, new ServerRooms(group, book)]));
+  #roomsOf(pool: string): PoolRooms {
+    const known = this.#pools.get(pool);
+    if (known !== undefined) return known;
+    const { book, drivers } = this.#options;
+    this.#driversByPool ??= byPool(drivers);
+    const open = (this.#driversByPool.get(pool) ?? []).filter((driver) => this.#open(driver));
+    const rooms = {
+      trusted: new ServerRooms(
+        open.filter((driver) => this.#isTrusted(driver)),
+        book,
+      ),
+      doubtful: new ServerRooms(
+        open.filter((driver) => !this.#isTrusted(driver)),
+        book,
+      ),
+    };
+    this.#pools.set(pool, rooms);
+    return rooms;
   }
 
   #open(driver: ServerDriver): boolean {
@@ -215,6 +223,17 @@
   }
 }
 
+function byPool(drivers: Iterable<ServerDriver>): ReadonlyMap<string, readonly ServerDriver[]> {
+  const pools = new Map<string, ServerDriver[]>();
+  for (const driver of drivers) {
+    const { pool } = driver.registration;
+    const group = pools.get(pool);
+    if (group === undefined) pools.set(pool, [driver]);
+    else group.push(driver);
+  }
+  return pools;
+}
+
 function refusalKey({ step }: Task, pool: string, demand: Resources, advised: boolean): string {
   const { spec, job, position, occurrence } = step;
   // Rules that depend on the step's other tasks can't be shared between steps.
--- a/src/coordination/jobs/run-starter.ts
+++ b/src/coordination/jobs/run-starter.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../ports/clock.ts";
-import type { OrderError } from "../../ports/job-backend.ts";
+import type { BackendClock, OrderError, OrderResult } from "../../ports/job-backend.ts";
 import type { Log } from "../../ports/log.ts";
 import type { ActiveRun, RunBook, RunPhase } from "../../state/jobs/run-book.ts";
 import { noteStarted } from "../../state/jobs/run-progress.ts";
@@ -7,6 +7,7 @@
 import type { Counters } from "../ports.ts";
 import type { AdviceBook } from "./advice-book.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import type { StartCarrier } from "./start-carriers.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Pause before a task is started again after its start was refused, in milliseconds. */
@@ -15,6 +16,10 @@
 const REFUSING_SERVER_PAUSE_MS = 1000;
 /** Bytes of a start order beside the text of its job. */
 const ORDER_BYTES = 500;
+/** With a smaller window starts go through the peers that accepted the jobs. */
+const CARRY_BELOW_BYTES = 64_000;
+/** Time in ms for which a peer that did not carry out a start is not asked again. */
+const AVOIDED_PEER_MS = 2000;
 
 /** Options of {@link RunStarter}. */
 export interface RunStarterOptions {
@@ -27,6 +32,9 @@
   readonly driver: (server: string) => ServerDriver | undefined;
   /** Capacity of this instance's link. */
   readonly linkBytesPerMs: number;
+  readonly carrier: StartCarrier;
+  /** Peer address of this entry instance. */
+  readonly ownAddress: string;
   readonly enter: (run: ActiveRun, phase: RunPhase) => void;
   /** Called with runs that were certainly not started. */
   readonly notStarted: (run: ActiveRun) => void;
@@ -38,6 +46,8 @@
 export class RunStarter {
   readonly #options: RunStarterOptions;
   readonly #window: SendWindow;
+  /** Peers that did not carry out a start, with the monotonic time in ms until which it lasts. */
+  readonly #avoided = new Map<string, number>();
 
   constructor(options: RunStarterOptions) {
     this.#options = options;
@@ -56,7 +66,8 @@
 
   /** Counts a placement whose start will be ordered once it is recorded. */
   reserve(run: ActiveRun): void {
-    this.#window.reserve(run, ORDER_BYTES + run.task.job.spec.spec.length);
+    const text = this.#carrierOf(run) === undefined ? run.task.job.spec.spec.length : 0;
+    this.#window.reserve(run, ORDER_BYTES + text);
   }
 
   /** The start of a placement won't be ordered. */
@@ -77,13 +88,7 @@
     enter(run, "starting");
     log.debug({ task: task.name, run: run.run, server: run.server }, "run ordered");
     const sentAt = clock.now();
-    const result = await server.start({
-      task: task.name,
-      run: run.run,
-      spec: task.job.spec.spec,
-      ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
-      ...this.#ticket(run),
-    });
+    const result = await this.#order(run, server);
     this.#window.release(run);
     this.#window.observe(clock.now() - sentAt);
     wake();
@@ -96,6 +101,35 @@
     server.wake();
   }
 
+  async #order(run: ActiveRun, server: ServerDriver): OrderResult<BackendClock> {
+    const { task } = run;
+    const order = {
+      ...{ task: task.name, run: run.run, spec: task.job.spec.spec },
+      ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
+      ...this.#ticket(run),
+    };
+    const peer = this.#carrierOf(run);
+    if (peer === undefined) return server.start(order);
+    const { carrier, counters } = this.#options;
+    const { address, id } = server.registration;
+    const carried = await server.start(order, ({ spec: _text, ...start }) =>
+      carrier.start(peer, { ...start, job: task.job.spec.id, address, server: id }),
+    );
+    if (carried.ok || carried.val.kind !== "not-sent") return carried;
+    counters.event("start_not_carried");
+    this.#avoided.set(peer, this.#options.clock.now() + AVOIDED_PEER_MS);
+    return server.start(order);
+  }
+
+  /** Peer that has the text of a run's job; undefined if this instance's own link is wide enough. */
+  #carrierOf({ task }: ActiveRun): string | undefined {
+    const { acceptedBy } = task.job.spec;
+    const { ownAddress, clock } = this.#options;
+    if (acceptedBy === undefined || acceptedBy === ownAddress) return undefined;
+    if (this.#window.bytes >= CARRY_BELOW_BYTES) return undefined;
+    return (this.#avoided.get(acceptedBy) ?? 0) > clock.now() ? undefined : acceptedBy;
+  }
+
   #ticket({ task, server }: ActiveRun): { readonly ticket?: string } {
     const ticket = this.#options.advice.ticket(task.step, server);
     return ticket === undefined ? {} : { ticket };
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/run-tracker.ts
@@ -17,6 +17,7 @@
 import { newRun, noteListed } from "../../state/jobs/run-progress.ts";
 import type { ProgressWriter } from "./progress-writer.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
+import type { StartCarrier } from "./start-carriers.ts";
 import { RunStarter } from "./run-starter.ts";
 import { RunEnds } from "./run-ends.ts";
 import { StragglerWatch } from "./straggler-watch.ts";
@@ -42,6 +43,9 @@
   readonly leaseTtlMs: number;
   /** Capacity of this instance's link. */
   readonly linkBytesPerMs: number;
+  readonly carrier: StartCarrier;
+  /** Peer address of this entry instance. */
+  readonly ownAddress: string;
 }
 
 /** Follows every run from its recorded placement to its recorded end. */
--- a/src/coordination/jobs/scheduler.ts
+++ b/src/coordination/jobs/scheduler.ts
@@ -6,7 +6,7 @@
 import type { RecordStore } from "../../ports/record-store.ts";
 import type { RegisteredServer } from "../../protocol/fleet-config.ts";
 import type { WrittenRecord } from "../../protocol/peer-messages.ts";
-import { JOBS_PREFIX, PROGRESS_PREFIX } from "../../protocol/job-records.ts";
+import { JOBS_PREFIX, PROGRESS_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
 import type { Job } from "../../state/jobs/job.ts";
 import { DurationBook } from "../../state/jobs/duration-model.ts";
 import type { Counters } from "../ports.ts";
@@ -21,10 +21,14 @@
 import { RunTracker } from "./run-tracker.ts";
 import type { LockTenure } from "./scheduler-lock.ts";
 import { SchedulerLoad } from "./scheduler-load.ts";
+import type { StartCarrier } from "./start-carriers.ts";
 import { ServerDriver } from "./server-driver.ts";
 
 /** Changes within this time in ms share a round of placements. */
 const ROUND_DELAY_MS = 3;
+/** A long round is followed by a pause of this multiple, so that orders and leases get their time. */
+const ROUND_REST_FACTOR = 3;
+const MAX_ROUND_PAUSE_MS = 60;
 /** Rounds that no change asks for, in ms: pauses end and scheduled occurrences fall due. */
 const TICK_MS = 100;
 const READ_RETRY_MS = 100;
@@ -45,6 +49,9 @@
   readonly leaseTtlMs: number;
   /** Capacity of this instance's link. */
   readonly linkBytesPerMs: number;
+  readonly carrier: StartCarrier;
+  /** This entry instance. */
+  readonly session: SessionRecord;
 }
 
 /**
@@ -63,6 +70,8 @@
   readonly #takenOverAt: number;
   readonly #load: SchedulerLoad;
   #roundDue = false;
+  /** Time in ms from the next change to the round that it asks for. */
+  #roundPauseMs = ROUND_DELAY_MS;
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
@@ -88,6 +97,7 @@
     this.tracker = new RunTracker({
       ...{ clock, log, tenure, board: this.board, writer: this.writer, config, wake, leaseTtlMs },
       ...{ counters, durations: this.durations, linkBytesPerMs: options.linkBytesPerMs },
+      ...{ carrier: options.carrier, ownAddress: options.session.peerAddress },
       advice: this.#advice,
       driver: (server) => this.drivers.get(server),
     });
@@ -175,7 +185,7 @@
   #wake(): void {
     if (this.#roundDue || this.#options.tenure.signal.aborted) return;
     this.#roundDue = true;
-    this.#options.clock.schedule(ROUND_DELAY_MS, () => {
+    this.#options.clock.schedule(this.#roundPauseMs, () => {
       this.#roundDue = false;
       this.#round();
     });
@@ -203,6 +213,8 @@
       void this.tracker.launch(job, runs);
     }
     this.#load.round(begunAt, placed);
+    const restMs = (clock.now() - begunAt) * ROUND_REST_FACTOR;
+    this.#roundPauseMs = Math.min(MAX_ROUND_PAUSE_MS, Math.max(ROUND_DELAY_MS, restMs));
   }
 
   #reviewLoad(): void {
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/server-driver.ts
@@ -162,11 +162,18 @@
     }
   }
 
-  /** Orders a start. The reply is outstanding for a short time only, as its deadline is close. */
-  async start(order: Omit<StartOrder, "token" | "deadlineMs">): OrderResult<BackendClock> {
-    const { clock, backend, tenure } = this.#options;
+  /**
+   * Orders a start, by default on the own connection to the server. The reply is outstanding for a
+   * short time only, as its deadline is close.
+   */
+  async start(
+    order: Omit<StartOrder, "token" | "deadlineMs">,
+    send: (order: StartOrder) => OrderResult<BackendClock> = (whole) =>
+      this.#options.backend.start(whole),
+  ): OrderResult<BackendClock> {
+    const { clock, tenure } = this.#options;
     const deadlineMs = this.#time.deadline(clock.now(), START_VALID_MS) ?? 0;
-    const result = await backend.start({ ...order, token: tenure.token, deadlineMs });
+    const result = await send({ ...order, token: tenure.token, deadlineMs });
     if (result.ok) this.#time.read({ clockMs: result.val.clockMs, receivedAt: clock.now() });
     else this.#refused(result.val);
     return result;
--- a/src/protocol/job-spec.ts
+++ b/src/protocol/job-spec.ts
@@ -73,6 +73,8 @@
   readonly organisation: string | undefined;
   /** Unix time of acceptance in milliseconds. */
   readonly acceptedAtMs: number;
+  /** Peer address of the entry instance that accepted it. */
+  readonly acceptedBy?: string;
 }
 
 /** State of a job as its caller sees it. */
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -214,6 +214,13 @@
   readonly records: readonly WrittenRecord[];
 }
 
+/** Asks the entry instance that accepted a job to carry out a start for the scheduler. */
+export interface StartOrderRequest {
+  readonly type: "start-order";
+  /** The encoded order, see `start-orders.ts`. */
+  readonly order: Uint8Array;
+}
+
 /** Every request between peers. */
 export type PeerRequest =
   | GossipRequest
@@ -232,7 +239,8 @@
   | SlotTransferRequest
   | RebootRequest
   | StoreCallRequest
-  | RecordNotice;
+  | RecordNotice
+  | StartOrderRequest;
 
 /** State of a request as its home knows it. */
 export type RequestState =
@@ -307,6 +315,12 @@
   readonly result: Uint8Array;
 }
 
+/** Reply to `start-order`: the encoded outcome. */
+export interface StartOrderReply {
+  readonly type: "start-order-reply";
+  readonly result: Uint8Array;
+}
+
 /** Every reply between peers. `gossip` is answered with the receiver's own gossip. */
 export type PeerReply =
   | GossipReply
@@ -316,7 +330,8 @@
   | TaskStatusReply
   | LeaseReport
   | AckReply
-  | StoreCallReply;
+  | StoreCallReply
+  | StartOrderReply;
 
 interface ReplyMap {
   readonly gossip: GossipReply;
@@ -336,6 +351,7 @@
   readonly reboot: AckReply;
   readonly "store-call": StoreCallReply;
   readonly "record-notice": AckReply;
+  readonly "start-order": StartOrderReply;
 }
 
 /** The reply type that belongs to a request type. */
--- /dev/null
+++ b/src/protocol/start-orders.ts
@@ -0,0 +1,68 @@
+/** Start orders as peers carry them out for the scheduler. */
+import { decode, encode } from "cbor-x";
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { BackendClock, OrderError, StartOrder } from "../ports/job-backend.ts";
+
+/** A start without the text of its job, which the peer has. */
+export type CarriedStart = Omit<StartOrder, "spec"> & {
+  /** Id of the job. */
+  readonly job: string;
+  /** Address of the backend server, `IP:PORT`. */
+  readonly address: string;
+  /** Id of the backend server. */
+  readonly server: string;
+};
+
+const CarriedStartSchema = v.object({
+  ...{ job: v.string(), address: v.string(), server: v.string() },
+  ...{ task: v.string(), run: v.number(), deadlineMs: v.number(), token: v.number() },
+  checkpoint: v.exactOptional(v.string()),
+  ticket: v.exactOptional(v.string()),
+});
+const ResultSchema = v.variant("ok", [
+  v.object({ ok: v.literal(true), clockMs: v.number() }),
+  v.object({
+    ok: v.literal(false),
+    kind: v.picklist([
+      ...(["fenced", "old-run", "late", "no-room", "ticket", "gone"] as const),
+      ...(["not-done", "not-sent", "unknown"] as const),
+    ]),
+    detail: v.optional(v.string(), ""),
+  }),
+]);
+
+/** Encodes a start for a peer. */
+export function encodeStart(start: CarriedStart): Uint8Array {
+  return encode(start);
+}
+
+/** Decodes a peer's start; undefined if the bytes are none. */
+export function decodeStart(data: Uint8Array): CarriedStart | undefined {
+  return decodeWith(CarriedStartSchema, data);
+}
+
+/** Encodes the outcome of a start. */
+export function encodeStartResult(result: Result<BackendClock, OrderError>): Uint8Array {
+  if (result.ok) return encode({ ok: true, clockMs: result.val.clockMs });
+  return encode({ ok: false, ...result.val });
+}
+
+/** Decodes the outcome of a start. What can't be read leaves the start in doubt. */
+export function decodeStartResult(data: Uint8Array): Result<BackendClock, OrderError> {
+  const result = decodeWith(ResultSchema, data);
+  if (result === undefined) return Err({ kind: "unknown", detail: "unreadable reply of a peer" });
+  if (result.ok) return Ok({ clockMs: result.clockMs });
+  const { kind, detail } = result;
+  return Err({ kind, detail });
+}
+
+function decodeWith<T>(schema: v.GenericSchema<unknown, T>, data: Uint8Array): T | undefined {
+  try {
+    const parsed = v.safeParse(schema, decode(data));
+    return parsed.success ? parsed.output : undefined;
+  } catch {
+    // Bytes that are no CBOR are treated like any other malformed message.
+    return undefined;
+  }
+}
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -7,6 +7,10 @@
   type OperatorListener,
   type ServerListener,
 } from "../../../src/coordination/jobs/job-feeds.ts";
+import { StartCarrier } from "../../../src/coordination/jobs/start-carriers.ts";
+import type { BackendClock, OrderError, OrderResult } from "../../../src/ports/job-backend.ts";
+import type { CarriedStart } from "../../../src/protocol/start-orders.ts";
+import { AcceptedTexts } from "../../../src/state/jobs/accepted-texts.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/record-notifier.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/job-submitter.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
@@ -45,6 +49,8 @@
   readonly entry: JobEntry;
   readonly way: EntryWay;
   readonly store: MemoryRecordClient;
+  readonly texts: AcceptedTexts;
+  readonly connector: EntryConnector;
   alive: boolean;
 }
 
@@ -102,16 +108,19 @@
     const clock = way.clock();
     const { random, log } = this.#options;
     const name = `e${this.entries.length}`;
+    const texts = new AcceptedTexts();
+    const connector = new EntryConnector(this.clock, way, this.servers);
     const entry = new JobEntry({
       ...{ clock, random, log, counters: new MetricCounters() },
       store: new EntryStore(store, way),
       registry: this.#registry,
       operators: this.#operators,
-      connector: new EntryConnector(this.clock, way, this.servers),
+      connector,
       instances: new NoInstances(),
       advisor: new NoAdvisor(),
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, way),
+      ...{ texts, carrier: new ClusterCarrier(this.entries, way) },
       storeReach: () => way.storeReach,
       leaseTtlMs: LEASE_TTL_MS,
       linkBytesPerMs,
@@ -120,7 +129,7 @@
       keepEndedMs: 120_000,
     });
     entry.start();
-    const added = { entry, way, store, alive: true };
+    const added = { entry, way, store, texts, connector, alive: true };
     this.entries.push(added);
     return added;
   }
@@ -221,6 +230,31 @@
   }
 }
 
+/** Has another entry of the cluster carry out starts, over the links of both. */
+class ClusterCarrier extends StartCarrier {
+  readonly #entries: readonly ClusterEntry[];
+  readonly #way: EntryWay;
+
+  constructor(entries: readonly ClusterEntry[], way: EntryWay) {
+    super();
+    this.#entries = entries;
+    this.#way = way;
+  }
+
+  async start(peerAddress: string, start: CarriedStart): OrderResult<BackendClock> {
+    const target = this.#entries[Number(peerAddress.slice(1))];
+    await this.#way.link?.carry(0);
+    if (target?.alive !== true) return Err({ kind: "not-sent", detail: "not reached" });
+    return target.way.pass(() => {
+      const { job, address, server, ...order } = start;
+      const spec = target.texts.of(job);
+      if (spec === undefined)
+        return Promise.resolve(Err<OrderError>({ kind: "not-sent", detail: "no text" }));
+      return target.connector.connect(address, server).start({ ...order, spec });
+    });
+  }
+}
+
 class FakeRegistry extends ServerRegistry {
   readonly draining = new Set<string>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
