--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -34,6 +34,8 @@
 
 const LEASE_TTL_MS = 6000;
 const FAST_LINK_BYTES_PER_MS = 125_000;
+/** The same for a start that a peer carries out. */
+const CARRIED_TIMEOUT_MS = 1400;
 const CALLER_WAIT_MS = 3000;
 const CONFIRM_INTERVAL_MS = 500;
 
@@ -51,6 +53,7 @@
   readonly store: MemoryRecordClient;
   readonly texts: AcceptedTexts;
   readonly connector: EntryConnector;
+  readonly carrier: ClusterCarrier;
   alive: boolean;
 }
 
@@ -109,6 +112,7 @@
     const { random, log } = this.#options;
     const name = `e${this.entries.length}`;
     const texts = new AcceptedTexts();
+    const carrier = new ClusterCarrier(this.clock, this.entries, way);
     const connector = new EntryConnector(this.clock, way, this.servers);
     const entry = new JobEntry({
       ...{ clock, random, log, counters: new MetricCounters() },
@@ -120,7 +124,7 @@
       advisor: new NoAdvisor(),
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, way),
-      ...{ texts, carrier: new ClusterCarrier(this.entries, way) },
+      ...{ texts, carrier },
       storeReach: () => way.storeReach,
       leaseTtlMs: LEASE_TTL_MS,
       linkBytesPerMs,
@@ -129,7 +133,7 @@
       keepEndedMs: 120_000,
     });
     entry.start();
-    const added = { entry, way, store, texts, connector, alive: true };
+    const added = { entry, way, store, texts, connector, carrier, alive: true };
     this.entries.push(added);
     return added;
   }
@@ -232,11 +236,15 @@
 
 /** Has another entry of the cluster carry out starts, over the links of both. */
 class ClusterCarrier extends StartCarrier {
+  /** Starts that a peer took. */
+  carried = 0;
+  readonly #clock: VirtualClock;
   readonly #entries: readonly ClusterEntry[];
   readonly #way: EntryWay;
 
-  constructor(entries: readonly ClusterEntry[], way: EntryWay) {
+  constructor(clock: VirtualClock, entries: readonly ClusterEntry[], way: EntryWay) {
     super();
+    this.#clock = clock;
     this.#entries = entries;
     this.#way = way;
   }
@@ -245,12 +253,23 @@
     const target = this.#entries[Number(peerAddress.slice(1))];
     await this.#way.link?.carry(0);
     if (target?.alive !== true) return Err({ kind: "not-sent", detail: "not reached" });
-    return target.way.pass(() => {
-      const { job, address, server, ...order } = start;
-      const spec = target.texts.of(job);
+    this.carried++;
+    const given: OrderResult<BackendClock> = this.#clock
+      .sleep(CARRIED_TIMEOUT_MS)
+      .then(() => Err({ kind: "unknown", detail: "no answer of the peer" }));
+    return Promise.race([this.#carryOut(target, start), given]);
+  }
+
+  /** A frozen peer carries the order out when it goes on. */
+  #carryOut(
+    { way, texts, connector }: ClusterEntry,
+    { job, address, server, ...order }: CarriedStart,
+  ): OrderResult<BackendClock> {
+    return way.pass(() => {
+      const spec = texts.of(job);
       if (spec === undefined)
         return Promise.resolve(Err<OrderError>({ kind: "not-sent", detail: "no text" }));
-      return target.connector.connect(address, server).start({ ...order, spec });
+      return connector.connect(address, server).start({ ...order, spec });
     });
   }
 }
