--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -7,9 +7,6 @@
   type OperatorListener,
   type ServerListener,
 } from "../../../src/coordination/jobs/job-feeds.ts";
-import { StartCarrier } from "../../../src/coordination/jobs/start-carriers.ts";
-import type { BackendClock, OrderError, OrderResult } from "../../../src/ports/job-backend.ts";
-import type { CarriedStart } from "../../../src/protocol/start-orders.ts";
 import { AcceptedTexts } from "../../../src/state/jobs/accepted-texts.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/record-notifier.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/job-submitter.ts";
@@ -29,13 +26,12 @@
   type TaskBehaviour,
 } from "../../../src/stand-ins/simulated-job-server.ts";
 import { onClock, VirtualClock } from "../virtual-clock.ts";
+import { ClusterCarrier } from "./cluster-carrier.ts";
 import { EntryConnector, EntryStore, EntryWay, SlowLink } from "./entry-way.ts";
 import { fleetConfig } from "./job-builders.ts";
 
 const LEASE_TTL_MS = 6000;
 const FAST_LINK_BYTES_PER_MS = 125_000;
-/** The same for a start that a peer carries out. */
-const CARRIED_TIMEOUT_MS = 1400;
 const CALLER_WAIT_MS = 3000;
 const CONFIRM_INTERVAL_MS = 500;
 
@@ -234,46 +230,6 @@
   }
 }
 
-/** Has another entry of the cluster carry out starts, over the links of both. */
-class ClusterCarrier extends StartCarrier {
-  /** Starts that a peer took. */
-  carried = 0;
-  readonly #clock: VirtualClock;
-  readonly #entries: readonly ClusterEntry[];
-  readonly #way: EntryWay;
-
-  constructor(clock: VirtualClock, entries: readonly ClusterEntry[], way: EntryWay) {
-    super();
-    this.#clock = clock;
-    this.#entries = entries;
-    this.#way = way;
-  }
-
-  async start(peerAddress: string, start: CarriedStart): OrderResult<BackendClock> {
-    const target = this.#entries[Number(peerAddress.slice(1))];
-    await this.#way.link?.carry(0);
-    if (target?.alive !== true) return Err({ kind: "not-sent", detail: "not reached" });
-    this.carried++;
-    const given: OrderResult<BackendClock> = this.#clock
-      .sleep(CARRIED_TIMEOUT_MS)
-      .then(() => Err({ kind: "unknown", detail: "no answer of the peer" }));
-    return Promise.race([this.#carryOut(target, start), given]);
-  }
-
-  /** A frozen peer carries the order out when it goes on. */
-  #carryOut(
-    { way, texts, connector }: ClusterEntry,
-    { job, address, server, ...order }: CarriedStart,
-  ): OrderResult<BackendClock> {
-    return way.pass(() => {
-      const spec = texts.of(job);
-      if (spec === undefined)
-        return Promise.resolve(Err<OrderError>({ kind: "not-sent", detail: "no text" }));
-      return connector.connect(address, server).start({ ...order, spec });
-    });
-  }
-}
-
 class FakeRegistry extends ServerRegistry {
   readonly draining = new Set<string>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
