refactor(protocol): one place that decodes CBOR by schema, task rows read and written side by side

Cause: the same try, parse and catch stood in job-records, store-calls and start-orders; the columns of a task's row stood three times in one file. Ruled out: nothing changes on the wire or in the store.

--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -1,6 +1,7 @@
 /** Records of jobs in the store: keys, contents and their encoding. */
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
 import * as v from "valibot";
+import { decodeWith } from "./cbor.ts";
 import { FINAL_STATES, MAX_TASKS_PER_JOB, type JobSpec, type JobState } from "./job-spec.ts";
 
 /** Every key of the product lies under this prefix. */
@@ -146,23 +147,23 @@
   steps: v.array(StepSpecSchema),
   schedule: v.optional(v.nullable(ScheduleSchema)),
 });
+/** A task as it is stored: a row, because wide jobs have hundreds of them. */
+const TaskRowSchema = v.tuple([
+  v.number(),
+  v.number(),
+  v.number(),
+  v.number(),
+  v.boolean(),
+  v.number(),
+  v.string(),
+  v.nullable(v.string()),
+  v.number(),
+  v.optional(v.array(v.number()), []),
+]);
 const ProgressSchema = v.object({
   state: v.picklist(["queued", "running", ...FINAL_STATES] as const),
   endedAtMs: v.number(),
-  tasks: v.array(
-    v.tuple([
-      v.number(),
-      v.number(),
-      v.number(),
-      v.number(),
-      v.boolean(),
-      v.number(),
-      v.string(),
-      v.nullable(v.string()),
-      v.number(),
-      v.optional(v.array(v.number()), []),
-    ]),
-  ),
+  tasks: v.array(TaskRowSchema),
 });
 const SessionSchema = v.object({
   ...{ name: v.string(), peerAddress: v.string(), zone: v.string() },
@@ -193,52 +194,39 @@
   return decodeWith(LockSchema, bytes);
 }
 
-/** Encodes a job's progress. Tasks are rows, because wide jobs have hundreds of them. */
+/** Encodes a job's progress. */
 export function encodeProgress({ state, endedAtMs, tasks }: ProgressRecord): Uint8Array {
-  const rows = tasks.map((task) => [
-    task.occurrence,
-    task.step,
-    task.index,
-    task.run,
-    task.done,
-    task.failures,
-    task.checkpoint,
-    task.placement?.server ?? null,
-    task.placement?.bootedAt ?? 0,
-    ...(task.givenUpRuns.length === 0 ? [] : [task.givenUpRuns]),
-  ]);
-  return encode({ state, endedAtMs, tasks: rows });
+  return encode({ state, endedAtMs, tasks: tasks.map(toRow) });
 }
 
 /** Decodes a job's progress; undefined if the bytes are none. */
 export function decodeProgress(bytes: Uint8Array): ProgressRecord | undefined {
   const stored = decodeWith(ProgressSchema, bytes);
   if (stored === undefined) return undefined;
-  const tasks = stored.tasks.map(
-    ([
-      occurrence,
-      step,
-      index,
-      run,
-      done,
-      failures,
-      checkpoint,
-      server,
-      bootedAt,
-      givenUpRuns,
-    ]): TaskRecord => ({
-      givenUpRuns,
-      occurrence,
-      step,
-      index,
-      run,
-      done,
-      failures,
-      checkpoint,
-      placement: server === null ? undefined : { server, bootedAt },
-    }),
-  );
-  return { state: stored.state, endedAtMs: stored.endedAtMs, tasks };
+  return { ...stored, tasks: stored.tasks.map(fromRow) };
+}
+
+function toRow(task: TaskRecord): readonly unknown[] {
+  const { occurrence, step, index, run, done, failures, checkpoint, placement } = task;
+  const { server = null, bootedAt = 0 } = placement ?? {};
+  const row = [occurrence, step, index, run, done, failures, checkpoint, server, bootedAt];
+  return task.givenUpRuns.length === 0 ? row : [...row, task.givenUpRuns];
+}
+
+function fromRow(row: v.InferOutput<typeof TaskRowSchema>): TaskRecord {
+  const [occurrence, step, index, run, done, failures, checkpoint, server, bootedAt, givenUp] = row;
+  const placement = server === null ? undefined : { server, bootedAt };
+  return {
+    occurrence,
+    step,
+    index,
+    run,
+    done,
+    failures,
+    checkpoint,
+    placement,
+    givenUpRuns: givenUp,
+  };
 }
 
 /** Encodes a session. */
@@ -280,13 +268,3 @@
 export function decodeOrders(bytes: Uint8Array): OrdersRecord | undefined {
   return decodeWith(OrdersSchema, bytes);
 }
-
-function decodeWith<T>(schema: v.GenericSchema<unknown, T>, bytes: Uint8Array): T | undefined {
-  try {
-    const parsed = v.safeParse(schema, decode(bytes));
-    return parsed.success ? parsed.output : undefined;
-  } catch {
-    // Bytes that are no CBOR; the reader logs the key.
-    return undefined;
-  }
-}
--- a/src/protocol/start-orders.ts
+++ b/src/protocol/start-orders.ts
@@ -1,8 +1,9 @@
 /** Start orders as peers carry them out for the scheduler. */
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
 import type { BackendClock, OrderError, StartOrder } from "../ports/job-backend.ts";
+import { decodeWith } from "./cbor.ts";
 
 /** A start without the text of its job, which the peer has. */
 export type CarriedStart = Omit<StartOrder, "spec"> & {
@@ -56,13 +57,3 @@
   const { kind, detail } = result;
   return Err({ kind, detail });
 }
-
-function decodeWith<T>(schema: v.GenericSchema<unknown, T>, data: Uint8Array): T | undefined {
-  try {
-    const parsed = v.safeParse(schema, decode(data));
-    return parsed.success ? parsed.output : undefined;
-  } catch {
-    // Bytes that are no CBOR are treated like any other malformed message.
-    return undefined;
-  }
-}
--- a/src/protocol/store-calls.ts
+++ b/src/protocol/store-calls.ts
@@ -1,9 +1,10 @@
 /** Calls to the record store as peers pass them on for each other. */
-import { decode, encode } from "cbor-x";
+import { encode } from "cbor-x";
 import * as v from "valibot";
 import type { Result } from "ts-results";
 import { Err, Ok } from "ts-results";
 import type { RecordTransaction, StoreError } from "../ports/record-store.ts";
+import { decodeWith } from "./cbor.ts";
 
 /** A call to the record store. */
 export type StoreCall =
@@ -54,13 +55,7 @@
 
 /** Decodes a call; undefined if the bytes are none. */
 export function decodeStoreCall(data: Uint8Array): StoreCall | undefined {
-  try {
-    const parsed = v.safeParse(StoreCallSchema, decode(data));
-    return parsed.success ? parsed.output : undefined;
-  } catch {
-    // Bytes that are no CBOR; the peer's call is answered as malformed.
-    return undefined;
-  }
+  return decodeWith(StoreCallSchema, data);
 }
 
 /** Encodes the result of a call. */
@@ -70,12 +65,8 @@
 
 /** Decodes the result of a call. Peers are the product's own, so its content is not checked again. */
 export function decodeStoreResult(data: Uint8Array): Result<unknown, StoreError> {
-  try {
-    const parsed = v.safeParse(ResultSchema, decode(data));
-    if (!parsed.success) return Err({ kind: "unknown", detail: "unexpected result from a peer" });
-    const { output } = parsed;
-    return output.ok ? Ok(output.val) : Err(output.err as StoreError);
-  } catch {
-    return Err({ kind: "unknown", detail: "unreadable result from a peer" });
-  }
+  const output = decodeWith(ResultSchema, data);
+  if (output === undefined)
+    return Err({ kind: "unknown", detail: "unexpected result from a peer" });
+  return output.ok ? Ok(output.val) : Err(output.err as StoreError);
 }
