--- a/src/state/jobs/run-speed.ts
+++ b/src/state/jobs/run-speed.ts
@@ -120,7 +120,7 @@
   if (spec.estimateMs <= 0) return 0;
   const expected = durations.of(job.spec.queue).expectedMs(spec.estimateMs);
   const [first] = ended;
-  // The first sibling to end is the fastest, so the step may only be slower than that.
+  // Once a sibling has ended, the others are looked at not much later.
   return first === undefined ? expected : Math.min(expected, first.tookMs * SUSPICIOUS_RATIO);
 }
 
