revert(orders): starts of a burst are sent directly on wide links

Cause: the former change sent each burst of 24 starts and more through the entries that accepted the jobs.

Conclusion: carriers stay for windows below 64 KB. To take work off a scheduler with a wide link, an entry has to drive servers for good (looks and starts over connections that stay), not single starts.

--- a/src/coordination/jobs/run-starter.ts
+++ b/src/coordination/jobs/run-starter.ts
@@ -18,8 +18,6 @@
 const ORDER_BYTES = 500;
 /** With a smaller window starts go through the peers that accepted the jobs. */
 const CARRY_BELOW_BYTES = 64_000;
-/** The same with so many orders under way: a call to a server costs more than one to a peer. */
-const CARRY_FROM_ORDERS = 24;
 /** Time in ms for which a peer that did not carry out a start is not asked again. */
 const AVOIDED_PEER_MS = 2000;
 
@@ -128,8 +126,7 @@
     const { acceptedBy } = task.job.spec;
     const { ownAddress, clock } = this.#options;
     if (acceptedBy === undefined || acceptedBy === ownAddress) return undefined;
-    const { bytes, orders } = this.#window;
-    if (bytes >= CARRY_BELOW_BYTES && orders < CARRY_FROM_ORDERS) return undefined;
+    if (this.#window.bytes >= CARRY_BELOW_BYTES) return undefined;
     return (this.#avoided.get(acceptedBy) ?? 0) > clock.now() ? undefined : acceptedBy;
   }
 
--- a/src/state/jobs/send-window.ts
+++ b/src/state/jobs/send-window.ts
@@ -43,11 +43,6 @@
     return this.#windowBytes;
   }
 
-  /** Orders under way. */
-  get orders(): number {
-    return this.#underWay.size;
-  }
-
   /** Counts an order as under way until it is released. */
   reserve(order: object, bytes: number): void {
     this.release(order);
