--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -35,6 +35,14 @@
   assert.is(settings.instanceControlUrl, undefined);
 });
 
+test("the link's capacity is taken over; absent or 0 it holds nothing back", () => {
+  const link = (limits: string): number =>
+    readSettings(file(`${SETTINGS}[limits]\n${limits}\n`)).unwrap().linkBytesPerMs;
+  assert.is(link("linkMbps = 2.0"), 250);
+  assert.is(link("linkMbps = 0"), link(""));
+  assert.ok(link("") >= 100_000);
+});
+
 test("a wrong value is named with its file, key and what is allowed", () => {
   const path = file(SETTINGS.replace('ready = "10.0.0.1:8343"', 'ready = "nowhere"'));
   const err = readSettings(path);
