--- a/test/transport/http-client.test.ts
+++ b/test/transport/http-client.test.ts
@@ -4,6 +4,8 @@
 import * as assert from "uvu/assert";
 import { SystemClock } from "../../src/ports/system-clock.ts";
 import { HttpClient } from "../../src/transport/http-client.ts";
+import { TrafficMeter } from "../../src/transport/traffic-meter.ts";
+import { VirtualClock } from "../fakes/virtual-clock.ts";
 
 const test = suite("http-client");
 const cleanUp: (() => unknown)[] = [];
@@ -52,4 +54,36 @@
   assert.is(reply.err && reply.val.kind, "not-sent");
 });
 
+// Guards against calls that are given up, and repeated, while they wait in the queue of the own link.
+test("a slow link adds the time of the body and of other traffic to the time-out", () => {
+  const clock = new VirtualClock();
+  const client = new HttpClient({ clock, connections: 1, linkBytesPerMs: 250 });
+  cleanUp.push(() => client.close());
+  const json = "x".repeat(50_000);
+  const call = { origin: "http://127.0.0.1:1", method: "POST", path: "/", json } as const;
+  const timeouts: number[] = [];
+  clock.schedule = (delayMs, callback) => {
+    timeouts.push(delayMs);
+    return new VirtualClock().schedule(delayMs, callback);
+  };
+  void client.call({ ...call, timeoutMs: 150 });
+  const [timeoutMs = 0] = timeouts;
+  assert.ok(timeoutMs >= 150 + 50_000 / 250 && timeoutMs < 1500, `${timeoutMs}`);
+});
+
+// Guards against counts that leave out bodies, or that are reported twice.
+test("bytes are counted by purpose", async () => {
+  const meter = new TrafficMeter();
+  const client = new HttpClient({ clock: new SystemClock(), connections: 1, meter });
+  cleanUp.push(() => client.close());
+  const origin = await answering("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n12");
+  const call = { origin, method: "POST", timeoutMs: 2000 } as const;
+  await client.call({ ...call, path: "/start?x=1", json: "y".repeat(1000) });
+  const start = meter.take()["/start"]!;
+  assert.is(start.calls, 1);
+  assert.ok(start.sentBytes > 1000 && start.sentBytes < 1500);
+  assert.ok(start.receivedBytes >= 2);
+  assert.equal(meter.take(), {});
+});
+
 test.run();
