--- a/src/coordination/jobs/run-starter.ts
+++ b/src/coordination/jobs/run-starter.ts
@@ -118,7 +118,8 @@
     if (carried.ok || carried.val.kind !== "not-sent") return carried;
     counters.event("start_not_carried");
     this.#avoided.set(peer, this.#options.clock.now() + AVOIDED_PEER_MS);
-    return server.start(order);
+    // The lock may have ended while the peer was waited for.
+    return this.#options.tenure.valid ? server.start(order) : carried;
   }
 
   /** Peer that has the text of a run's job; undefined if this instance better sends it itself. */
