fix(availability): a task whose end is ordered stays away until its server is gone

Found by reading, not traced line by line: a runner marked the tasks of an order by setting their progress to 0, but the order is announced and sent some tens to hundreds of ms later, and a list of the server that is read meanwhile shows them at 100 again. The next order then takes the budget for free. The longer orders wait (a busy scheduler, a slow platform), the more likely.

Change: runs carry a mark of their own, which lists do not change; it goes when the order is certainly not carried out. The budget is looked at again after the announcement.

Test: planned-work.test.ts, a list between order and effect; with the former mark the same sequence frees the budget.

--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -165,6 +165,8 @@
     log.info({ wave: wave.request.wave, instance: name }, "instance had been maintained before");
     wave.underway.delete(name);
     driver?.release("maintenance");
+    const runs = order.server === undefined ? [] : scheduler.tracker.book.onServer(order.server);
+    for (const run of runs) run.endOrdered = false;
   }
 
   #open(wave: WaveProgress, instances: readonly ControlledInstance[]): readonly WaveInstance[] {
@@ -220,9 +222,11 @@
     wave.underway.set(instance.name, underway);
     // The budget is checked for all instances in turn, so what ends here counts as away at once.
     const runs = this.#runs(instance);
-    for (const run of runs) run.percent = 0;
-    if (!(await this.#options.orders.announce([instance.name]))) {
+    for (const run of runs) run.endOrdered = true;
+    const announced = await this.#options.orders.announce([instance.name]);
+    if (!announced || !mayInterrupt(this.#runs(instance), book, clock.now())) {
       wave.underway.delete(instance.name);
+      for (const run of runs) run.endOrdered = false;
       return;
     }
     const order = { instance: instance.name, holder, token: tenure.token };
@@ -232,8 +236,11 @@
       { wave: number, instance: instance.name, runs: runs.length, ok: result.ok },
       "maintenance ordered",
     );
-    if (result.err) this.#refused(wave, instance, result.val);
-    else {
+    if (result.err) {
+      // An order without an answer may still be carried out.
+      for (const run of runs) run.endOrdered = result.val.kind === "unknown";
+      this.#refused(wave, instance, result.val);
+    } else {
       underway.acceptedAt = clock.now();
       await this.#accepted(wave, instance);
     }
--- a/src/state/jobs/availability.ts
+++ b/src/state/jobs/availability.ts
@@ -9,9 +9,10 @@
 /** Age in ms of a list beyond which its server may be gone; a look waits 2 s for an end. */
 const MAX_LIST_AGE_MS = 3500;
 
-/** True if the task of a run is at work, as listed not long ago. */
+/** True if the task of a run is at work, as listed not long ago, and is not about to end. */
 export function atWork(run: ActiveRun | undefined, now: number): boolean {
-  if (run?.phase !== "running" || run.percent < AT_WORK_PERCENT) return false;
+  if (run?.phase !== "running" || run.endOrdered) return false;
+  if (run.percent < AT_WORK_PERCENT) return false;
   return now - run.listedAt <= MAX_LIST_AGE_MS;
 }
 
--- a/src/state/jobs/run-book.ts
+++ b/src/state/jobs/run-book.ts
@@ -32,6 +32,8 @@
   /** It runs on the rack of its data, or its data lie nowhere in particular. */
   readonly nearData: boolean;
   phase: RunPhase;
+  /** An order to its instance is under way that will end it; lists may show it at work until then. */
+  endOrdered: boolean;
   /** Monotonic time in ms of the last change of the phase. */
   since: number;
   /** Progress in percent, as last listed. */
--- a/src/state/jobs/run-progress.ts
+++ b/src/state/jobs/run-progress.ts
@@ -19,7 +19,7 @@
   const { dataRack } = task.step.spec;
   return {
     ...{ task, run: task.run, ...assigned, since, percent: 0, pace: 100, load: 0 },
-    ...{ listedAt: since, nearData: dataRack === "" || dataRack === rack },
+    ...{ endOrdered: false, listedAt: since, nearData: dataRack === "" || dataRack === rack },
     ...{ firstProgress: undefined, lastProgress: undefined },
   };
 }
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -7,6 +7,7 @@
   planMoves,
   type MovableInstance,
 } from "../../../src/state/jobs/pool-sizing.ts";
+import { noteListed } from "../../../src/state/jobs/run-progress.ts";
 import { RunBook } from "../../../src/state/jobs/run-book.ts";
 import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
 import {
@@ -42,6 +43,19 @@
   assert.is(mayInterrupt(runs.slice(0, 1), book, NOW), false);
 });
 
+// A list that was read while an order waited, or was on its way, must not free its budget.
+test("a task whose end is ordered counts as away although its server still lists it at work", () => {
+  const { book, runs } = lasting(4, 1);
+  const [first, second] = runs;
+  first!.endOrdered = true;
+  const { name: task } = first!.task;
+  const listed = { task, run: 1, checkpoint: "", percent: 100, load: 0 };
+  noteListed(first!, listed, { clockMs: 5000 }, NOW);
+  assert.is(mayInterrupt([second!], book, NOW), false);
+  first!.endOrdered = false;
+  assert.is(mayInterrupt([second!], book, NOW), true);
+});
+
 test("tasks on a server that has not answered for some seconds count as away", () => {
   const { book, runs } = lasting(4, 1);
   const now = 10_000;
