fix(maintenance): a new scheduler interrupts nothing until its predecessor's orders have shown

A successor leaves the instances of its predecessor's last orders alone, but the tasks on them may still be listed as at work, so their budgets look free for orders to other instances.

Change: no maintenance is ordered, and nothing evacuated for it, in the first 3 s (the platform's time between two holders) of a tenure.

--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/maintenance-runner.ts
@@ -43,6 +43,8 @@
   /** Name of this entry instance, given with each order. */
   readonly holder: string;
   readonly orders: InstanceOrders;
+  /** Time in ms after a takeover in which nothing is interrupted. */
+  readonly takeoverPauseMs: number;
 }
 
 interface Underway {
@@ -75,7 +77,9 @@
 
   /** Works on waves until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure, config, orders } = this.#options;
+    const { clock, tenure, config, orders, takeoverPauseMs } = this.#options;
+    // Tasks that a predecessor's last orders end may still be listed as at work.
+    await clock.sleep(takeoverPauseMs, tenure.signal);
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
       for (const request of config.waves) {
--- /dev/null
+++ b/test/coordination/jobs/maintenance-takeover.test.ts
@@ -0,0 +1,67 @@
+import { Ok } from "ts-results";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  MaintenanceRunner,
+  type MaintenanceRunnerOptions,
+} from "../../../src/coordination/jobs/maintenance-runner.ts";
+import { LockTenure } from "../../../src/coordination/jobs/scheduler-lock.ts";
+import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
+import { RunBook } from "../../../src/state/jobs/run-book.ts";
+import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
+import { VirtualClock } from "../../fakes/virtual-clock.ts";
+
+const PAUSE_MS = 3000;
+const INSTANCE = {
+  ...{ name: "m", pool: "pool", state: "up", zone: "z", labels: [] },
+  ...{ capacity: NO_RESOURCES, server: "s" },
+} as const;
+
+function none(): undefined {
+  return undefined;
+}
+
+/** A runner of a new tenure with a wave of one instance, and the times of its orders. */
+function runner() {
+  const clock = new VirtualClock();
+  const tenure = new LockTenure(clock, 1, 1, { now: clock.now(), wallTime: clock.wallTime() });
+  const orderedAt: number[] = [];
+  const options = {
+    ...{ clock, tenure, holder: "e", takeoverPauseMs: PAUSE_MS },
+    log: { debug: none, info: none, warn: none, error: none },
+    store: new MemoryRecordStore(clock).client(),
+    config: { waves: [{ wave: 1, instances: ["m"], durationMs: 20_000, maxAtOnce: 1 }] },
+    operators: { reportWave: () => Promise.resolve(true) },
+    view: { read: () => Promise.resolve([INSTANCE]) },
+    scheduler: { drivers: { get: none }, tracker: { book: new RunBook() } },
+    orders: {
+      load: () => Promise.resolve(true),
+      allowed: () => true,
+      announce: () => Promise.resolve(true),
+    },
+    instances: {
+      maintain: () => {
+        orderedAt.push(clock.now());
+        return Promise.resolve(Ok(undefined));
+      },
+    },
+  } as unknown as MaintenanceRunnerOptions;
+  return { clock, tenure, orderedAt, runner: new MaintenanceRunner(options) };
+}
+
+// Guards against budgets that are spent twice: once by a predecessor's order, once by an own one.
+test("a new scheduler orders no maintenance until its predecessor's orders have shown", async () => {
+  const { clock, tenure, orderedAt, runner: subject } = runner();
+  const begunAt = clock.now();
+  void subject.run();
+  for (let waited = 0; waited < PAUSE_MS + 1500; waited += 100) {
+    const now = { now: clock.now(), wallTime: clock.wallTime() };
+    tenure.renewed(now);
+    await clock.advance(100);
+  }
+  tenure.end();
+  assert.is(orderedAt.length, 1);
+  assert.ok(orderedAt[0]! - begunAt >= PAUSE_MS);
+});
+
+test.run();
