--- a/src/cli/explain-command.ts
+++ b/src/cli/explain-command.ts
@@ -1,5 +1,5 @@
 import type { Sade } from "sade";
-import { parseLogLine, jobTimeline, type LogLine } from "../state/jobs/job-timeline.ts";
+import { parseLogLine, jobTimeline, type LogLine } from "../state/jobs/records/job-timeline.ts";
 import {
   runCommand,
   UsageError,
--- a/src/coordination/jobs/job-service.ts
+++ b/src/coordination/jobs/admission/job-service.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RecordStore, StoredRecord, StoreError } from "../../ports/record-store.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordStore, StoredRecord, StoreError } from "../../../ports/record-store.ts";
 import {
   cancelKey,
   decodeJob,
@@ -11,17 +11,17 @@
   parseJobKey,
   progressKey,
   type SessionRecord,
-} from "../../protocol/job-records.ts";
+} from "../../../protocol/job-records.ts";
 import {
   FINAL_STATES,
   type JobRequest,
   type JobSpec,
   type JobState,
-} from "../../protocol/job-spec.ts";
-import type { WrittenRecord } from "../../protocol/peer-messages.ts";
-import type { JobQueueConfig } from "../../protocol/fleet-config.ts";
-import type { AcceptedJobSpecs } from "../../state/jobs/accepted-job-specs.ts";
-import type { Counters } from "../ports.ts";
+} from "../../../protocol/job-spec.ts";
+import type { WrittenRecord } from "../../../protocol/peer-messages.ts";
+import type { JobQueueConfig } from "../../../protocol/fleet-config.ts";
+import type { AcceptedJobSpecs } from "../../../state/jobs/admission/accepted-job-specs.ts";
+import type { Counters } from "../../ports.ts";
 import type { JobSubmitter, SubmitOutcome } from "./job-submitter.ts";
 
 /** Time in ms for which the pending counts are cached. */
--- a/src/coordination/jobs/job-submitter.ts
+++ b/src/coordination/jobs/admission/job-submitter.ts
@@ -1,12 +1,12 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { Random } from "../../ports/random.ts";
-import { type RecordStore, type StoreError } from "../../ports/record-store.ts";
-import { encodeJob, jobKey } from "../../protocol/job-records.ts";
-import type { WrittenRecord } from "../../protocol/peer-messages.ts";
-import type { JobSpec } from "../../protocol/job-spec.ts";
-import { fullJitterMs } from "../backoff.ts";
-import { Deferred, waitAtMost } from "../wait.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { Random } from "../../../ports/random.ts";
+import { type RecordStore, type StoreError } from "../../../ports/record-store.ts";
+import { encodeJob, jobKey } from "../../../protocol/job-records.ts";
+import type { WrittenRecord } from "../../../protocol/peer-messages.ts";
+import type { JobSpec } from "../../../protocol/job-spec.ts";
+import { fullJitterMs } from "../../backoff.ts";
+import { Deferred, waitAtMost } from "../../wait.ts";
 
 /** Each job takes two entries of a transaction: a condition and a put. */
 const JOBS_PER_TRANSACTION = 16;
--- a/src/coordination/jobs/pending-counts.ts
+++ b/src/coordination/jobs/admission/pending-counts.ts
@@ -1,9 +1,9 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RecordStore } from "../../ports/record-store.ts";
-import { encodePendingJobs, PENDING_JOBS_KEY } from "../../protocol/job-records.ts";
-import type { Job } from "../../state/jobs/job.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordStore } from "../../../ports/record-store.ts";
+import { encodePendingJobs, PENDING_JOBS_KEY } from "../../../protocol/job-records.ts";
+import type { Job } from "../../../state/jobs/records/job.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 
 /** Counts returned to callers must be at most 2 s old. */
 const PUBLISH_INTERVAL_MS = 900;
--- a/src/coordination/jobs/entry-view.ts
+++ b/src/coordination/jobs/election/entry-view.ts
@@ -1,13 +1,13 @@
-import type { Log } from "../../ports/log.ts";
-import type { RecordEvent, StoredRecord } from "../../ports/record-store.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordEvent, StoredRecord } from "../../../ports/record-store.ts";
 import {
   decodeLock,
   decodeSession,
   SCHEDULER_KEY,
   SESSIONS_PREFIX,
   type SessionRecord,
-} from "../../protocol/job-records.ts";
-import { RecordListener } from "./record-follower.ts";
+} from "../../../protocol/job-records.ts";
+import { RecordListener } from "../records/record-follower.ts";
 
 /** Sessions of the live entry instances and the state of the scheduler lock, read from the store. */
 export class EntryView extends RecordListener {
--- a/src/coordination/jobs/scheduler-election.ts
+++ b/src/coordination/jobs/election/scheduler-election.ts
@@ -1,14 +1,14 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { SessionRecord } from "../../protocol/job-records.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { SessionRecord } from "../../../protocol/job-records.ts";
 import {
   relayedElectionDelayMs,
   hasStronger,
   electionDelayMs,
   shouldStepDown,
   type StoreConnectivity,
-} from "../../state/jobs/election-delay.ts";
-import { Deferred, waitAtMost } from "../wait.ts";
+} from "../../../state/jobs/election/election-delay.ts";
+import { Deferred, waitAtMost } from "../../wait.ts";
 import type { EntryView } from "./entry-view.ts";
 import type { LockTenure, SchedulerLock } from "./scheduler-lock.ts";
 
--- a/src/coordination/jobs/scheduler-lock.ts
+++ b/src/coordination/jobs/election/scheduler-lock.ts
@@ -1,10 +1,10 @@
 import { setMaxListeners } from "node:events";
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { Random } from "../../ports/random.ts";
-import type { RecordCondition, RecordStore } from "../../ports/record-store.ts";
-import { decodeLock, encodeLock, SCHEDULER_KEY } from "../../protocol/job-records.ts";
-import { fullJitterMs } from "../backoff.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { Random } from "../../../ports/random.ts";
+import type { RecordCondition, RecordStore } from "../../../ports/record-store.ts";
+import { decodeLock, encodeLock, SCHEDULER_KEY } from "../../../protocol/job-records.ts";
+import { fullJitterMs } from "../../backoff.ts";
 
 /** Time to live of the lock in ms. A crashed scheduler is replaced after this time. */
 export const LOCK_TTL_MS = 1500;
--- a/src/coordination/jobs/session-registration.ts
+++ b/src/coordination/jobs/election/session-registration.ts
@@ -1,7 +1,11 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RecordStore } from "../../ports/record-store.ts";
-import { encodeSession, SESSIONS_PREFIX, type SessionRecord } from "../../protocol/job-records.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordStore } from "../../../ports/record-store.ts";
+import {
+  encodeSession,
+  SESSIONS_PREFIX,
+  type SessionRecord,
+} from "../../../protocol/job-records.ts";
 
 /** Time to live of a session in ms; peers call a failed entry instance until it expires. */
 const SESSION_TTL_MS = 3000;
--- a/src/coordination/jobs/filler-pacer.ts
+++ b/src/coordination/jobs/execution/filler-pacer.ts
@@ -1,12 +1,12 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
 import {
   FULL_PACE,
   nextPace,
   worstLatencyRatio,
   type FillerPace,
-} from "../../state/jobs/pacing.ts";
-import type { ActiveRun, RunRegistry } from "../../state/jobs/run-registry.ts";
+} from "../../../state/jobs/execution/pacing.ts";
+import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Options of {@link FillerPacer}. */
--- a/src/coordination/jobs/run-end-handler.ts
+++ b/src/coordination/jobs/execution/run-end-handler.ts
@@ -1,13 +1,13 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { BackendClock, EndedRun } from "../../ports/job-backend.ts";
-import type { Log } from "../../ports/log.ts";
-import { parseTaskName } from "../../protocol/job-spec.ts";
-import type { Job, Task } from "../../state/jobs/job.ts";
-import type { DurationModels } from "../../state/jobs/duration-model.ts";
-import type { ActiveRun, RunRegistry } from "../../state/jobs/run-registry.ts";
-import { completedDurationRatio } from "../../state/jobs/run-speed.ts";
-import type { FleetConfigView } from "./config-view.ts";
-import type { JobRegistry } from "./job-registry.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { BackendClock, EndedRun } from "../../../ports/job-backend.ts";
+import type { Log } from "../../../ports/log.ts";
+import { parseTaskName } from "../../../protocol/job-spec.ts";
+import type { Job, Task } from "../../../state/jobs/records/job.ts";
+import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
+import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
+import { completedDurationRatio } from "../../../state/jobs/execution/run-speed.ts";
+import type { FleetConfigView } from "../config-view.ts";
+import type { JobRegistry } from "../records/job-registry.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Maximum attempts for tasks whose queue is no longer configured. */
--- a/src/coordination/jobs/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -1,12 +1,16 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { BackendClock, OrderError, OrderResult } from "../../ports/job-backend.ts";
-import type { Log } from "../../ports/log.ts";
-import type { ActiveRun, RunRegistry, RunPhase } from "../../state/jobs/run-registry.ts";
-import { recordStarted } from "../../state/jobs/run-progress.ts";
-import { SendWindow } from "../../state/jobs/send-window.ts";
-import type { Counters } from "../ports.ts";
-import type { PlacementTicketCache } from "./placement-ticket-cache.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { BackendClock, OrderError, OrderResult } from "../../../ports/job-backend.ts";
+import type { Log } from "../../../ports/log.ts";
+import type {
+  ActiveRun,
+  RunRegistry,
+  RunPhase,
+} from "../../../state/jobs/execution/run-registry.ts";
+import { recordStarted } from "../../../state/jobs/execution/run-progress.ts";
+import { SendWindow } from "../../../state/jobs/execution/send-window.ts";
+import type { Counters } from "../../ports.ts";
+import type { PlacementTicketCache } from "../scheduling/placement-ticket-cache.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 import type { StartForwarder } from "./start-forwarder.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
--- a/src/coordination/jobs/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -1,22 +1,26 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { RunLists } from "../../ports/job-backend.ts";
-import type { Log } from "../../ports/log.ts";
-import { inheritedLeasesLapsedAt } from "../../state/jobs/server-clock.ts";
-import type { Job, Task } from "../../state/jobs/job.ts";
-import { mayInterrupt } from "../../state/jobs/availability.ts";
-import { pollWaitMs } from "../../state/jobs/poll-wait.ts";
-import { reconcile } from "../../state/jobs/reconciliation.ts";
-import type { DurationModels } from "../../state/jobs/duration-model.ts";
-import { RunRegistry, type ActiveRun, type RunPhase } from "../../state/jobs/run-registry.ts";
-import type { Counters } from "../ports.ts";
-import type { PlacementTicketCache } from "./placement-ticket-cache.ts";
-import type { FleetConfigView } from "./config-view.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { RunLists } from "../../../ports/job-backend.ts";
+import type { Log } from "../../../ports/log.ts";
+import { inheritedLeasesLapsedAt } from "../../../state/jobs/execution/server-clock.ts";
+import type { Job, Task } from "../../../state/jobs/records/job.ts";
+import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
+import { pollWaitMs } from "../../../state/jobs/execution/poll-wait.ts";
+import { reconcile } from "../../../state/jobs/execution/reconciliation.ts";
+import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
+import {
+  RunRegistry,
+  type ActiveRun,
+  type RunPhase,
+} from "../../../state/jobs/execution/run-registry.ts";
+import type { Counters } from "../../ports.ts";
+import type { PlacementTicketCache } from "../scheduling/placement-ticket-cache.ts";
+import type { FleetConfigView } from "../config-view.ts";
 import { FillerPacer } from "./filler-pacer.ts";
-import type { JobRegistry } from "./job-registry.ts";
+import type { JobRegistry } from "../records/job-registry.ts";
 import { MAX_LISTED_ENDS } from "./order-timing.ts";
-import { newRun, recordListed } from "../../state/jobs/run-progress.ts";
-import type { ProgressWriter } from "./progress-writer.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+import { newRun, recordListed } from "../../../state/jobs/execution/run-progress.ts";
+import type { ProgressWriter } from "../records/progress-writer.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 import type { StartForwarder } from "./start-forwarder.ts";
 import { RunStarter } from "./run-starter.ts";
 import { RunEndHandler } from "./run-end-handler.ts";
--- a/src/coordination/jobs/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../../ports/clock.ts";
+import type { Clock } from "../../../ports/clock.ts";
 import type {
   BackendClock,
   JobBackend,
@@ -7,15 +7,18 @@
   PollOrder,
   RunLists,
   StartOrder,
-} from "../../ports/job-backend.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RegisteredServer } from "../../protocol/fleet-config.ts";
-import { inheritedLeasesLapsedAt, ServerClock } from "../../state/jobs/server-clock.ts";
-import { ServerSpeed } from "../../state/jobs/server-speed.ts";
-import { ServerHealth } from "../../state/jobs/server-health.ts";
-import { Deferred, waitAtMost } from "../wait.ts";
+} from "../../../ports/job-backend.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
+import {
+  inheritedLeasesLapsedAt,
+  ServerClock,
+} from "../../../state/jobs/execution/server-clock.ts";
+import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
+import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
+import { Deferred, waitAtMost } from "../../wait.ts";
 import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 
 /** Receives events of server drivers. */
 export abstract class DriverListener {
--- a/src/coordination/jobs/start-forwarder.ts
+++ b/src/coordination/jobs/execution/start-forwarder.ts
@@ -4,17 +4,17 @@
   JobBackendConnector,
   OrderError,
   OrderResult,
-} from "../../ports/job-backend.ts";
-import type { PeerReply, StartOrderRequest } from "../../protocol/peer-messages.ts";
+} from "../../../ports/job-backend.ts";
+import type { PeerReply, StartOrderRequest } from "../../../protocol/peer-messages.ts";
 import {
   decodeForwardedStart,
   decodeStartResult,
   encodeForwardedStart,
   encodeStartResult,
   type ForwardedStart,
-} from "../../protocol/start-orders.ts";
-import type { AcceptedJobSpecs } from "../../state/jobs/accepted-job-specs.ts";
-import type { PeerConnections } from "./peer-connections.ts";
+} from "../../../protocol/start-orders.ts";
+import type { AcceptedJobSpecs } from "../../../state/jobs/admission/accepted-job-specs.ts";
+import type { PeerConnections } from "../peer-connections.ts";
 
 /** Timeout in ms of a peer's response; the peer waits up to 900 ms for the backend server. */
 const FORWARD_TIMEOUT_MS = 1400;
--- a/src/coordination/jobs/straggler-detector.ts
+++ b/src/coordination/jobs/execution/straggler-detector.ts
@@ -1,7 +1,7 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { ActiveRun, RunRegistry } from "../../state/jobs/run-registry.ts";
-import type { DurationModels } from "../../state/jobs/duration-model.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
+import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import {
   countSlowJobs,
   expectedDuration,
@@ -10,8 +10,8 @@
   isServerAtFault,
   shouldRestart,
   type ExpectedDuration,
-} from "../../state/jobs/run-speed.ts";
-import type { Counters } from "../ports.ts";
+} from "../../../state/jobs/execution/run-speed.ts";
+import type { Counters } from "../../ports.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Progress older than this time in ms is not used to assess a run. */
--- a/src/coordination/jobs/fleet-drivers.ts
+++ b/src/coordination/jobs/fleet/fleet-drivers.ts
@@ -1,6 +1,6 @@
-import type { RegisteredServer } from "../../protocol/fleet-config.ts";
-import { ServerListener } from "./job-feeds.ts";
-import type { ServerDriver } from "./server-driver.ts";
+import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
+import { ServerListener } from "../job-feeds.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
 
 /** Options of {@link FleetDrivers}. */
 export interface FleetDriversOptions {
--- a/src/coordination/jobs/guarded-instance-control.ts
+++ b/src/coordination/jobs/fleet/guarded-instance-control.ts
@@ -5,9 +5,9 @@
   type ControlError,
   type ControlledInstance,
   type ControlOrder,
-} from "../../ports/instance-control.ts";
-import type { Counters } from "../ports.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+} from "../../../ports/instance-control.ts";
+import type { Counters } from "../../ports.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 
 /**
  * At most the number of connections to the platform. A further order would wait for a connection
--- a/src/coordination/jobs/instance-list-cache.ts
+++ b/src/coordination/jobs/fleet/instance-list-cache.ts
@@ -1,6 +1,6 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { ControlledInstance, InstanceControl } from "../../ports/instance-control.ts";
-import type { Log } from "../../ports/log.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { ControlledInstance, InstanceControl } from "../../../ports/instance-control.ts";
+import type { Log } from "../../../ports/log.ts";
 
 /** Minimum time in ms that a list is cached. List calls are rate limited and billed. */
 const MIN_CACHE_MS = 250;
--- a/src/coordination/jobs/instance-order-times.ts
+++ b/src/coordination/jobs/fleet/instance-order-times.ts
@@ -1,12 +1,12 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RecordStore } from "../../ports/record-store.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordStore } from "../../../ports/record-store.ts";
 import {
   decodeInstanceOrders,
   encodeInstanceOrders,
   INSTANCE_ORDERS_KEY,
-} from "../../protocol/job-records.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+} from "../../../protocol/job-records.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 
 /** Allowance in ms for clock skew between the entry instances that write and read the orders. */
 const CLOCK_SKEW_MARGIN_MS = 1500;
--- a/src/coordination/jobs/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -1,27 +1,27 @@
-import type { Clock } from "../../ports/clock.ts";
+import type { Clock } from "../../../ports/clock.ts";
 import type {
   ControlError,
   ControlledInstance,
   InstanceControl,
-} from "../../ports/instance-control.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RecordStore } from "../../ports/record-store.ts";
-import type { WaveRequest } from "../../protocol/fleet-config.ts";
-import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../protocol/job-records.ts";
-import { mayInterrupt } from "../../state/jobs/availability.ts";
-import type { ActiveRun } from "../../state/jobs/run-registry.ts";
+} from "../../../ports/instance-control.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordStore } from "../../../ports/record-store.ts";
+import type { WaveRequest } from "../../../protocol/fleet-config.ts";
+import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../../protocol/job-records.ts";
+import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
+import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import {
   chooseReservations,
   effectOfOrder,
   type WaveInstance,
-} from "../../state/jobs/wave-plan.ts";
-import type { FleetConfigView } from "./config-view.ts";
+} from "../../../state/jobs/fleet/wave-plan.ts";
+import type { FleetConfigView } from "../config-view.ts";
 import type { InstanceOrderTimes } from "./instance-order-times.ts";
 import type { InstanceListCache } from "./instance-list-cache.ts";
-import type { OperatorFeed } from "./job-feeds.ts";
-import type { Scheduler } from "./scheduler.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
-import type { ServerDriver } from "./server-driver.ts";
+import type { OperatorFeed } from "../job-feeds.ts";
+import type { Scheduler } from "../scheduling/scheduler.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
 
 const INTERVAL_MS = 300;
 /** Time in ms that a reserved instance gets to finish its short tasks. */
--- a/src/coordination/jobs/pool-demand.ts
+++ b/src/coordination/jobs/fleet/pool-demand.ts
@@ -1,12 +1,17 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { JobQueueConfig } from "../../protocol/fleet-config.ts";
-import type { Resources } from "../../protocol/job-spec.ts";
-import type { DurationModels } from "../../state/jobs/duration-model.ts";
-import type { Job, StepRun } from "../../state/jobs/job.ts";
-import { rankStep } from "../../state/jobs/job-order.ts";
-import { instancesNeeded, type PoolClaim } from "../../state/jobs/pool-sizing.ts";
-import { add, NO_RESOURCES, resourcesOccupied, times } from "../../state/jobs/resources.ts";
-import type { FleetConfigView } from "./config-view.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { JobQueueConfig } from "../../../protocol/fleet-config.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
+import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
+import type { Job, StepRun } from "../../../state/jobs/records/job.ts";
+import { rankStep } from "../../../state/jobs/scheduling/job-order.ts";
+import { instancesNeeded, type PoolClaim } from "../../../state/jobs/fleet/pool-sizing.ts";
+import {
+  add,
+  NO_RESOURCES,
+  resourcesOccupied,
+  times,
+} from "../../../state/jobs/scheduling/resources.ts";
+import type { FleetConfigView } from "../config-view.ts";
 
 /** Age in ms of the earlier demand that the rise in demand is measured from. */
 const RISE_WINDOW_MS = 1000;
--- a/src/coordination/jobs/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -1,22 +1,22 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { ControlledInstance, InstanceControl } from "../../ports/instance-control.ts";
-import type { Log } from "../../ports/log.ts";
-import type { Resources } from "../../protocol/job-spec.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { ControlledInstance, InstanceControl } from "../../../ports/instance-control.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
 import {
   chooseDraining,
   planMoves,
   shareInstances,
   type MovableInstance,
   type PlannedMove,
-} from "../../state/jobs/pool-sizing.ts";
-import { NO_RESOURCES } from "../../state/jobs/resources.ts";
-import type { FleetConfigView } from "./config-view.ts";
+} from "../../../state/jobs/fleet/pool-sizing.ts";
+import { NO_RESOURCES } from "../../../state/jobs/scheduling/resources.ts";
+import type { FleetConfigView } from "../config-view.ts";
 import type { InstanceOrderTimes } from "./instance-order-times.ts";
 import type { InstanceListCache } from "./instance-list-cache.ts";
 import { PoolDemand } from "./pool-demand.ts";
-import type { Scheduler } from "./scheduler.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
-import type { ServerDriver } from "./server-driver.ts";
+import type { Scheduler } from "../scheduling/scheduler.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
 
 const INTERVAL_MS = 250;
 /** Instance lists lag, so a moved instance counts towards its new pool for this time in ms. */
--- a/src/coordination/jobs/job-registry.ts
+++ b/src/coordination/jobs/records/job-registry.ts
@@ -1,14 +1,14 @@
-import type { Log } from "../../ports/log.ts";
-import type { RecordEvent, StoredRecord } from "../../ports/record-store.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordEvent, StoredRecord } from "../../../ports/record-store.ts";
 import {
   decodeJob,
   decodeProgress,
   parseJobKey,
   jobIdFromProgressKey,
   type JobProgressRecord,
-} from "../../protocol/job-records.ts";
-import { Job } from "../../state/jobs/job.ts";
-import { Deferred } from "../wait.ts";
+} from "../../../protocol/job-records.ts";
+import { Job } from "../../../state/jobs/records/job.ts";
+import { Deferred } from "../../wait.ts";
 import { RecordListener } from "./record-follower.ts";
 
 /** Callbacks for changes of jobs in the store. */
--- a/src/coordination/jobs/progress-writer.ts
+++ b/src/coordination/jobs/records/progress-writer.ts
@@ -1,17 +1,17 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { Random } from "../../ports/random.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { Random } from "../../../ports/random.ts";
 import {
   MAX_TRANSACTION_ENTRIES,
   type RecordStore,
   type RecordTransaction,
   type StoredRecord,
-} from "../../ports/record-store.ts";
-import { encodeProgress, progressKey } from "../../protocol/job-records.ts";
-import type { Job } from "../../state/jobs/job.ts";
-import { fullJitterMs } from "../backoff.ts";
-import { Deferred } from "../wait.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+} from "../../../ports/record-store.ts";
+import { encodeProgress, progressKey } from "../../../protocol/job-records.ts";
+import type { Job } from "../../../state/jobs/records/job.ts";
+import { fullJitterMs } from "../../backoff.ts";
+import { Deferred } from "../../wait.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 
 /** One transaction entry is the condition on the lock; each job takes a condition and a put. */
 const JOBS_PER_TRANSACTION = Math.floor((MAX_TRANSACTION_ENTRIES - 1) / 2);
--- a/src/coordination/jobs/record-follower.ts
+++ b/src/coordination/jobs/records/record-follower.ts
@@ -1,13 +1,13 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { Random } from "../../ports/random.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { Random } from "../../../ports/random.ts";
 import type {
   RecordEvent,
   RecordStore,
   StoredRecord,
   StoreError,
-} from "../../ports/record-store.ts";
-import { fullJitterMs } from "../backoff.ts";
+} from "../../../ports/record-store.ts";
+import { fullJitterMs } from "../../backoff.ts";
 
 /** Maximum wait of a watch in ms; short, so that an unresponsive connection is detected soon. */
 const DEFAULT_WATCH_WAIT_MS = 2500;
--- a/src/coordination/jobs/record-garbage-collector.ts
+++ b/src/coordination/jobs/records/record-garbage-collector.ts
@@ -1,10 +1,10 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import type { RecordStore } from "../../ports/record-store.ts";
-import { cancelKey, jobKey, progressKey } from "../../protocol/job-records.ts";
-import type { Job } from "../../state/jobs/job.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { RecordStore } from "../../../ports/record-store.ts";
+import { cancelKey, jobKey, progressKey } from "../../../protocol/job-records.ts";
+import type { Job } from "../../../state/jobs/records/job.ts";
 import type { JobRegistry } from "./job-registry.ts";
-import type { LockTenure } from "./scheduler-lock.ts";
+import type { LockTenure } from "../election/scheduler-lock.ts";
 
 const COLLECT_INTERVAL_MS = 10_000;
 /** Each job takes three deletes; one transaction entry is the condition on the lock. */
--- a/src/coordination/jobs/record-notifier.ts
+++ b/src/coordination/jobs/records/record-notifier.ts
@@ -1,6 +1,6 @@
-import type { Log } from "../../ports/log.ts";
-import type { WrittenRecord } from "../../protocol/peer-messages.ts";
-import type { PeerConnections } from "./peer-connections.ts";
+import type { Log } from "../../../ports/log.ts";
+import type { WrittenRecord } from "../../../protocol/peer-messages.ts";
+import type { PeerConnections } from "../peer-connections.ts";
 
 /** Timeout in ms of the acknowledgement; by then the scheduler's watch has reported the records. */
 const NOTIFICATION_TIMEOUT_MS = 1000;
--- a/src/coordination/jobs/relayed-store.ts
+++ b/src/coordination/jobs/records/relayed-store.ts
@@ -1,6 +1,6 @@
 import { Err, type Result } from "ts-results";
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
 import {
   RecordStore,
   type RecordChanges,
@@ -10,11 +10,11 @@
   type StoredRecord,
   type StoreError,
   type StoreResult,
-} from "../../ports/record-store.ts";
-import type { StoreConnectivity } from "../../state/jobs/election-delay.ts";
-import type { StoreCall } from "../../protocol/store-calls.ts";
-import type { Counters } from "../ports.ts";
-import { Deferred } from "../wait.ts";
+} from "../../../ports/record-store.ts";
+import type { StoreConnectivity } from "../../../state/jobs/election/election-delay.ts";
+import type { StoreCall } from "../../../protocol/store-calls.ts";
+import type { Counters } from "../../ports.ts";
+import { Deferred } from "../../wait.ts";
 import { executeStoreCall } from "./store-call-execution.ts";
 import type { StoreCallRelay } from "./store-call-relay.ts";
 
--- a/src/coordination/jobs/store-call-execution.ts
+++ b/src/coordination/jobs/records/store-call-execution.ts
@@ -1,6 +1,6 @@
 import type { Result } from "ts-results";
-import type { RecordStore, StoreError } from "../../ports/record-store.ts";
-import type { StoreCall } from "../../protocol/store-calls.ts";
+import type { RecordStore, StoreError } from "../../../ports/record-store.ts";
+import type { StoreCall } from "../../../protocol/store-calls.ts";
 
 /** Executes a decoded store call on a store. */
 export function executeStoreCall(
--- a/src/coordination/jobs/store-call-relay.ts
+++ b/src/coordination/jobs/records/store-call-relay.ts
@@ -1,16 +1,16 @@
 import { Err, type Result } from "ts-results";
-import type { Random } from "../../ports/random.ts";
-import type { RecordStore, StoreError } from "../../ports/record-store.ts";
-import type { SessionRecord } from "../../protocol/job-records.ts";
-import type { PeerReply, StoreCallRequest } from "../../protocol/peer-messages.ts";
+import type { Random } from "../../../ports/random.ts";
+import type { RecordStore, StoreError } from "../../../ports/record-store.ts";
+import type { SessionRecord } from "../../../protocol/job-records.ts";
+import type { PeerReply, StoreCallRequest } from "../../../protocol/peer-messages.ts";
 import {
   decodeStoreCall,
   decodeStoreResult,
   encodeStoreCall,
   encodeStoreResult,
   type StoreCall,
-} from "../../protocol/store-calls.ts";
-import type { PeerConnections } from "./peer-connections.ts";
+} from "../../../protocol/store-calls.ts";
+import type { PeerConnections } from "../peer-connections.ts";
 import { executeStoreCall } from "./store-call-execution.ts";
 
 /** Limit of peers tried per call; more than the store usually refuses at the same time. */
--- a/src/coordination/jobs/candidate-servers.ts
+++ b/src/coordination/jobs/scheduling/candidate-servers.ts
@@ -1,9 +1,12 @@
-import type { StepRun, Task } from "../../state/jobs/job.ts";
-import { choosePlacement, type PlacementCandidate } from "../../state/jobs/placement.ts";
-import { add, resourcesOccupied, subtract } from "../../state/jobs/resources.ts";
-import type { RunRegistry } from "../../state/jobs/run-registry.ts";
-import type { Resources } from "../../protocol/job-spec.ts";
-import type { ServerDriver } from "./server-driver.ts";
+import type { StepRun, Task } from "../../../state/jobs/records/job.ts";
+import {
+  choosePlacement,
+  type PlacementCandidate,
+} from "../../../state/jobs/scheduling/placement.ts";
+import { add, resourcesOccupied, subtract } from "../../../state/jobs/scheduling/resources.ts";
+import type { RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
 
 /** One backend server and its free capacity during a placement round. */
 class CandidateServer implements PlacementCandidate {
--- a/src/coordination/jobs/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -1,14 +1,18 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { AdvisorTiming, JobQueueConfig } from "../../protocol/fleet-config.ts";
-import type { Resources } from "../../protocol/job-spec.ts";
-import type { DurationModels } from "../../state/jobs/duration-model.ts";
-import type { Job, Occurrence, StepRun, Task } from "../../state/jobs/job.ts";
-import { compareStepRanks, rankStep, type StepRank } from "../../state/jobs/job-order.ts";
-import { resourcesOccupied, withinCap } from "../../state/jobs/resources.ts";
-import type { ActiveRun, RunRegistry } from "../../state/jobs/run-registry.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { AdvisorTiming, JobQueueConfig } from "../../../protocol/fleet-config.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
+import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
+import type { Job, Occurrence, StepRun, Task } from "../../../state/jobs/records/job.ts";
+import {
+  compareStepRanks,
+  rankStep,
+  type StepRank,
+} from "../../../state/jobs/scheduling/job-order.ts";
+import { resourcesOccupied, withinCap } from "../../../state/jobs/scheduling/resources.ts";
+import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { PlacementTicketCache } from "./placement-ticket-cache.ts";
-import type { FleetConfigView } from "./config-view.ts";
-import type { ServerDriver } from "./server-driver.ts";
+import type { FleetConfigView } from "../config-view.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
 import { CandidateServers } from "./candidate-servers.ts";
 
 /** Queue settings for jobs whose queue is no longer configured. */
--- a/src/coordination/jobs/placement-ticket-cache.ts
+++ b/src/coordination/jobs/scheduling/placement-ticket-cache.ts
@@ -1,10 +1,10 @@
 import PQueue from "p-queue";
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
-import { MAX_ADVISED_SERVERS, type PlacementAdvisor } from "../../ports/placement-advisor.ts";
-import type { AdvisorTiming } from "../../protocol/fleet-config.ts";
-import { formatStepName } from "../../protocol/job-spec.ts";
-import type { StepRun } from "../../state/jobs/job.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
+import { MAX_ADVISED_SERVERS, type PlacementAdvisor } from "../../../ports/placement-advisor.ts";
+import type { AdvisorTiming } from "../../../protocol/fleet-config.ts";
+import { formatStepName } from "../../../protocol/job-spec.ts";
+import type { StepRun } from "../../../state/jobs/records/job.ts";
 
 /** Added to the advisor's stated decision time to get the call timeout, in milliseconds. */
 const CALL_TIMEOUT_MARGIN_MS = 1500;
--- a/src/coordination/jobs/scheduler-load.ts
+++ b/src/coordination/jobs/scheduling/scheduler-load.ts
@@ -1,5 +1,5 @@
-import type { Clock } from "../../ports/clock.ts";
-import type { Log } from "../../ports/log.ts";
+import type { Clock } from "../../../ports/clock.ts";
+import type { Log } from "../../../ports/log.ts";
 
 const LOG_INTERVAL_MS = 2000;
 
--- a/src/state/jobs/poll-wait.ts
+++ b/src/state/jobs/execution/poll-wait.ts
@@ -1,5 +1,5 @@
-import { isAvailable } from "./availability.ts";
-import type { DurationModels } from "./duration-model.ts";
+import { isAvailable } from "../fleet/availability.ts";
+import type { DurationModels } from "../scheduling/duration-model.ts";
 import type { ActiveRun } from "./run-registry.ts";
 import { timeUntilOverdue } from "./run-speed.ts";
 
--- a/src/state/jobs/reconciliation.ts
+++ b/src/state/jobs/execution/reconciliation.ts
@@ -1,4 +1,4 @@
-import type { ListedRun, RunLists } from "../../ports/job-backend.ts";
+import type { ListedRun, RunLists } from "../../../ports/job-backend.ts";
 import type { ActiveRun } from "./run-registry.ts";
 
 /** Comparison of a list of runs with the runs that are expected on a backend server. */
--- a/src/state/jobs/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -1,6 +1,6 @@
 /** Updates the progress of runs from start replies and lists of runs. */
-import type { BackendClock, ListedRun } from "../../ports/job-backend.ts";
-import type { Task } from "./job.ts";
+import type { BackendClock, ListedRun } from "../../../ports/job-backend.ts";
+import type { Task } from "../records/job.ts";
 import type { ActiveRun, RunPhase } from "./run-registry.ts";
 
 /** Backend server of a run and time of its assignment. */
--- a/src/state/jobs/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -1,6 +1,6 @@
-import type { Resources } from "../../protocol/job-spec.ts";
-import type { Task } from "./job.ts";
-import { add, NO_RESOURCES, resourcesOccupied, subtract } from "./resources.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
+import type { Task } from "../records/job.ts";
+import { add, NO_RESOURCES, resourcesOccupied, subtract } from "../scheduling/resources.ts";
 
 /** Phase of a run, as far as the scheduler knows. */
 export type RunPhase =
--- a/src/state/jobs/run-speed.ts
+++ b/src/state/jobs/execution/run-speed.ts
@@ -1,6 +1,6 @@
 /** Detects slow runs and whether their backend server is the cause. */
-import type { DurationModel, DurationModels } from "./duration-model.ts";
-import type { StepRun } from "./job.ts";
+import type { DurationModel, DurationModels } from "../scheduling/duration-model.ts";
+import type { StepRun } from "../records/job.ts";
 import type { ActiveRun, RunRegistry } from "./run-registry.ts";
 
 /** A run is overdue, and its progress is checked, after this multiple of its expected duration. */
--- a/src/state/jobs/availability.ts
+++ b/src/state/jobs/fleet/availability.ts
@@ -1,5 +1,5 @@
-import type { StepRun, Task } from "./job.ts";
-import type { ActiveRun, RunRegistry } from "./run-registry.ts";
+import type { StepRun, Task } from "../records/job.ts";
+import type { ActiveRun, RunRegistry } from "../execution/run-registry.ts";
 
 /** Availability budget of long-running steps without one: planned work ends one task at a time. */
 const DEFAULT_BUDGET = 1;
--- a/src/state/jobs/pool-sizing.ts
+++ b/src/state/jobs/fleet/pool-sizing.ts
@@ -1,5 +1,5 @@
 /** Computes how many instances each pool needs and which instances to move between pools. */
-import type { Resources } from "../../protocol/job-spec.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
 
 /** Capacity over the sum of demands; the extra is needed since tasks do not fill servers exactly. */
 const FRAGMENTATION_FACTOR = 1.15;
--- a/src/state/jobs/wave-plan.ts
+++ b/src/state/jobs/fleet/wave-plan.ts
@@ -1,6 +1,6 @@
 /** Chooses the instances of a maintenance wave to maintain next. */
-import type { ControlledInstance } from "../../ports/instance-control.ts";
-import type { WaveRequest } from "../../protocol/fleet-config.ts";
+import type { ControlledInstance } from "../../../ports/instance-control.ts";
+import type { WaveRequest } from "../../../protocol/fleet-config.ts";
 
 /** Largest share of a pool's instances that is drained or maintained at the same time. */
 const MAX_SHARE_OF_POOL = 0.25;
--- a/src/state/jobs/job.ts
+++ b/src/state/jobs/records/job.ts
@@ -2,14 +2,14 @@
   PlacementRecord,
   JobProgressRecord,
   TaskProgressRecord,
-} from "../../protocol/job-records.ts";
+} from "../../../protocol/job-records.ts";
 import {
   FINAL_STATES,
   formatTaskName,
   type JobSpec,
   type JobState,
   type StepSpec,
-} from "../../protocol/job-spec.ts";
+} from "../../../protocol/job-spec.ts";
 
 /** One task of one occurrence of a job. */
 export class Task {
--- a/src/state/jobs/job-order.ts
+++ b/src/state/jobs/scheduling/job-order.ts
@@ -1,6 +1,6 @@
-import type { JobSpec, StepSpec } from "../../protocol/job-spec.ts";
+import type { JobSpec, StepSpec } from "../../../protocol/job-spec.ts";
 import type { DurationModel, DurationModels } from "./duration-model.ts";
-import type { Occurrence, StepRun } from "./job.ts";
+import type { Occurrence, StepRun } from "../records/job.ts";
 
 /** Settings of a queue that determine the order of its steps. */
 export interface QueueUrgency {
--- a/src/state/jobs/placement.ts
+++ b/src/state/jobs/scheduling/placement.ts
@@ -1,4 +1,4 @@
-import type { Resources, StepSpec } from "../../protocol/job-spec.ts";
+import type { Resources, StepSpec } from "../../../protocol/job-spec.ts";
 import { fits } from "./resources.ts";
 
 /** Minimum number of backend servers over which the tasks of a long-running step are spread. */
--- a/src/state/jobs/resources.ts
+++ b/src/state/jobs/scheduling/resources.ts
@@ -1,4 +1,4 @@
-import type { Resources, StepSpec } from "../../protocol/job-spec.ts";
+import type { Resources, StepSpec } from "../../../protocol/job-spec.ts";
 
 /** The amount 0 of every resource. */
 export const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
--- a/test/coordination/jobs/guarded-instance-control.test.ts
+++ b/test/coordination/jobs/guarded-instance-control.test.ts
@@ -2,8 +2,8 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { MetricCounters } from "../../../src/coordination/counters.ts";
-import { GuardedInstanceControl } from "../../../src/coordination/jobs/guarded-instance-control.ts";
-import { LockTenure } from "../../../src/coordination/jobs/scheduler-lock.ts";
+import { GuardedInstanceControl } from "../../../src/coordination/jobs/fleet/guarded-instance-control.ts";
+import { LockTenure } from "../../../src/coordination/jobs/election/scheduler-lock.ts";
 import { InstanceControl, type ControlOrder } from "../../../src/ports/instance-control.ts";
 import { VirtualClock } from "../../fakes/virtual-clock.ts";
 
--- a/test/coordination/jobs/instance-order-times.test.ts
+++ b/test/coordination/jobs/instance-order-times.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { InstanceOrderTimes } from "../../../src/coordination/jobs/instance-order-times.ts";
-import { SchedulerLock } from "../../../src/coordination/jobs/scheduler-lock.ts";
+import { InstanceOrderTimes } from "../../../src/coordination/jobs/fleet/instance-order-times.ts";
+import { SchedulerLock } from "../../../src/coordination/jobs/election/scheduler-lock.ts";
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
 import { SeededRandom } from "../../fakes/seeded-random.ts";
 import { advanceUntilSettled, VirtualClock } from "../../fakes/virtual-clock.ts";
--- a/test/coordination/jobs/job-submitter.test.ts
+++ b/test/coordination/jobs/job-submitter.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { JobSubmitter } from "../../../src/coordination/jobs/job-submitter.ts";
+import { JobSubmitter } from "../../../src/coordination/jobs/admission/job-submitter.ts";
 import { jobKey } from "../../../src/protocol/job-records.ts";
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
--- a/test/coordination/jobs/maintenance-takeover.test.ts
+++ b/test/coordination/jobs/maintenance-takeover.test.ts
@@ -4,11 +4,11 @@
 import {
   MaintenanceRunner,
   type MaintenanceRunnerOptions,
-} from "../../../src/coordination/jobs/maintenance-runner.ts";
-import { LockTenure } from "../../../src/coordination/jobs/scheduler-lock.ts";
+} from "../../../src/coordination/jobs/fleet/maintenance-runner.ts";
+import { LockTenure } from "../../../src/coordination/jobs/election/scheduler-lock.ts";
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
-import { RunRegistry } from "../../../src/state/jobs/run-registry.ts";
-import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
+import { RunRegistry } from "../../../src/state/jobs/execution/run-registry.ts";
+import { NO_RESOURCES } from "../../../src/state/jobs/scheduling/resources.ts";
 import { VirtualClock } from "../../fakes/virtual-clock.ts";
 
 const PAUSE_MS = 3000;
--- a/test/coordination/jobs/progress-writer.test.ts
+++ b/test/coordination/jobs/progress-writer.test.ts
@@ -1,10 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { ProgressWriter } from "../../../src/coordination/jobs/progress-writer.ts";
-import { LockTenure } from "../../../src/coordination/jobs/scheduler-lock.ts";
+import { ProgressWriter } from "../../../src/coordination/jobs/records/progress-writer.ts";
+import { LockTenure } from "../../../src/coordination/jobs/election/scheduler-lock.ts";
 import { progressKey, SCHEDULER_KEY } from "../../../src/protocol/job-records.ts";
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
-import { Job } from "../../../src/state/jobs/job.ts";
+import { Job } from "../../../src/state/jobs/records/job.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { jobSpec } from "../../fakes/jobs/run-builders.ts";
 import { SeededRandom } from "../../fakes/seeded-random.ts";
--- a/test/coordination/jobs/record-follower.test.ts
+++ b/test/coordination/jobs/record-follower.test.ts
@@ -1,7 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { FleetConfigView } from "../../../src/coordination/jobs/config-view.ts";
-import { RecordFollower, RecordListener } from "../../../src/coordination/jobs/record-follower.ts";
+import {
+  RecordFollower,
+  RecordListener,
+} from "../../../src/coordination/jobs/records/record-follower.ts";
 import type { RecordEvent, StoredRecord } from "../../../src/ports/record-store.ts";
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
 import { fleetConfig } from "../../fakes/jobs/job-builders.ts";
--- a/test/coordination/jobs/relayed-store.test.ts
+++ b/test/coordination/jobs/relayed-store.test.ts
@@ -2,9 +2,9 @@
 import * as assert from "uvu/assert";
 import { Err, Ok } from "ts-results";
 import { MetricCounters } from "../../../src/coordination/counters.ts";
-import { RelayedStore } from "../../../src/coordination/jobs/relayed-store.ts";
+import { RelayedStore } from "../../../src/coordination/jobs/records/relayed-store.ts";
 import { PeerConnections } from "../../../src/coordination/jobs/peer-connections.ts";
-import { StoreCallRelay } from "../../../src/coordination/jobs/store-call-relay.ts";
+import { StoreCallRelay } from "../../../src/coordination/jobs/records/store-call-relay.ts";
 import {
   PeerConnection,
   PeerTransport,
--- a/test/coordination/jobs/scheduler-election.test.ts
+++ b/test/coordination/jobs/scheduler-election.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { hasStronger, electionDelayMs } from "../../../src/state/jobs/election-delay.ts";
+import { hasStronger, electionDelayMs } from "../../../src/state/jobs/election/election-delay.ts";
 import { JobCluster } from "../../fakes/jobs/job-cluster.ts";
 import { SeededRandom } from "../../fakes/seeded-random.ts";
 
--- a/test/fakes/jobs/cluster-start-forwarder.ts
+++ b/test/fakes/jobs/cluster-start-forwarder.ts
@@ -1,5 +1,5 @@
 import { Err } from "ts-results";
-import { StartForwarder } from "../../../src/coordination/jobs/start-forwarder.ts";
+import { StartForwarder } from "../../../src/coordination/jobs/execution/start-forwarder.ts";
 import type { BackendClock, OrderError, OrderResult } from "../../../src/ports/job-backend.ts";
 import type { ForwardedStart } from "../../../src/protocol/start-orders.ts";
 import type { VirtualClock } from "../virtual-clock.ts";
--- a/test/fakes/jobs/entry-faults.ts
+++ b/test/fakes/jobs/entry-faults.ts
@@ -10,7 +10,7 @@
   type StopOrder,
 } from "../../../src/ports/job-backend.ts";
 import { Err } from "ts-results";
-import type { StoreConnectivity } from "../../../src/state/jobs/election-delay.ts";
+import type { StoreConnectivity } from "../../../src/state/jobs/election/election-delay.ts";
 import {
   RecordStore,
   type RecordTransaction,
--- a/test/fakes/jobs/job-builders.ts
+++ b/test/fakes/jobs/job-builders.ts
@@ -1,6 +1,6 @@
 import type { FleetConfig, JobQueueConfig } from "../../../src/protocol/fleet-config.ts";
 import type { JobRequest, Resources, StepSpec } from "../../../src/protocol/job-spec.ts";
-import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
+import { NO_RESOURCES } from "../../../src/state/jobs/scheduling/resources.ts";
 
 /** A step with one task that needs one core. */
 export function step(changes: Partial<StepSpec> = {}): StepSpec {
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -7,9 +7,9 @@
   type OperatorListener,
   type ServerListener,
 } from "../../../src/coordination/jobs/job-feeds.ts";
-import { AcceptedJobSpecs } from "../../../src/state/jobs/accepted-job-specs.ts";
-import { RecordNotifier } from "../../../src/coordination/jobs/record-notifier.ts";
-import type { SubmitOutcome } from "../../../src/coordination/jobs/job-submitter.ts";
+import { AcceptedJobSpecs } from "../../../src/state/jobs/admission/accepted-job-specs.ts";
+import { RecordNotifier } from "../../../src/coordination/jobs/records/record-notifier.ts";
+import type { SubmitOutcome } from "../../../src/coordination/jobs/admission/job-submitter.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import { InstanceControl } from "../../../src/ports/instance-control.ts";
 import type { Log } from "../../../src/ports/log.ts";
--- a/test/fakes/jobs/run-builders.ts
+++ b/test/fakes/jobs/run-builders.ts
@@ -1,7 +1,7 @@
 import type { JobRequest, JobSpec } from "../../../src/protocol/job-spec.ts";
-import { Job, type StepRun, type Task } from "../../../src/state/jobs/job.ts";
-import type { PlacementCandidate } from "../../../src/state/jobs/placement.ts";
-import type { ActiveRun } from "../../../src/state/jobs/run-registry.ts";
+import { Job, type StepRun, type Task } from "../../../src/state/jobs/records/job.ts";
+import type { PlacementCandidate } from "../../../src/state/jobs/scheduling/placement.ts";
+import type { ActiveRun } from "../../../src/state/jobs/execution/run-registry.ts";
 
 /** An accepted job. */
 export function jobSpec(request: JobRequest, changes: Partial<JobSpec> = {}): JobSpec {
--- a/test/state/jobs/duration-model.test.ts
+++ b/test/state/jobs/duration-model.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { DurationModel } from "../../../src/state/jobs/duration-model.ts";
+import { DurationModel } from "../../../src/state/jobs/scheduling/duration-model.ts";
 import { SeededRandom } from "../../fakes/seeded-random.ts";
 
 /** Returns a normally distributed number with mean 0 and standard deviation 1. */
--- a/test/state/jobs/job-order.test.ts
+++ b/test/state/jobs/job-order.test.ts
@@ -1,13 +1,13 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { DurationModels } from "../../../src/state/jobs/duration-model.ts";
-import { Job } from "../../../src/state/jobs/job.ts";
+import { DurationModels } from "../../../src/state/jobs/scheduling/duration-model.ts";
+import { Job } from "../../../src/state/jobs/records/job.ts";
 import {
   chainMs,
   compareStepRanks,
   rankStep,
   remainingChainMs,
-} from "../../../src/state/jobs/job-order.ts";
+} from "../../../src/state/jobs/scheduling/job-order.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { jobSpec } from "../../fakes/jobs/run-builders.ts";
 
--- a/test/state/jobs/job-timeline.test.ts
+++ b/test/state/jobs/job-timeline.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { parseLogLine, jobTimeline } from "../../../src/state/jobs/job-timeline.ts";
+import { parseLogLine, jobTimeline } from "../../../src/state/jobs/records/job-timeline.ts";
 
 function line(time: number, msg: string, fields: object): string {
   return JSON.stringify({ level: 30, time, instance: "e1", msg, ...fields });
--- a/test/state/jobs/placement.test.ts
+++ b/test/state/jobs/placement.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { choosePlacement } from "../../../src/state/jobs/placement.ts";
+import { choosePlacement } from "../../../src/state/jobs/scheduling/placement.ts";
 import { cpu, step } from "../../fakes/jobs/job-builders.ts";
 import { candidate } from "../../fakes/jobs/run-builders.ts";
 
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -1,20 +1,20 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { mayInterrupt } from "../../../src/state/jobs/availability.ts";
+import { mayInterrupt } from "../../../src/state/jobs/fleet/availability.ts";
 import {
   chooseDraining,
   instancesNeeded,
   planMoves,
   type MovableInstance,
-} from "../../../src/state/jobs/pool-sizing.ts";
-import { recordListed } from "../../../src/state/jobs/run-progress.ts";
-import { RunRegistry } from "../../../src/state/jobs/run-registry.ts";
-import { NO_RESOURCES } from "../../../src/state/jobs/resources.ts";
+} from "../../../src/state/jobs/fleet/pool-sizing.ts";
+import { recordListed } from "../../../src/state/jobs/execution/run-progress.ts";
+import { RunRegistry } from "../../../src/state/jobs/execution/run-registry.ts";
+import { NO_RESOURCES } from "../../../src/state/jobs/scheduling/resources.ts";
 import {
   chooseReservations,
   effectOfOrder,
   type WaveInstance,
-} from "../../../src/state/jobs/wave-plan.ts";
+} from "../../../src/state/jobs/fleet/wave-plan.ts";
 import { cpu, jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
 
--- a/test/state/jobs/pool-sharing.test.ts
+++ b/test/state/jobs/pool-sharing.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { shareInstances } from "../../../src/state/jobs/pool-sizing.ts";
+import { shareInstances } from "../../../src/state/jobs/fleet/pool-sizing.ts";
 
 function claim(pool: string, base: number, onTime: number, all = onTime) {
   return { pool, base, onTime, all };
--- a/test/state/jobs/run-speed.test.ts
+++ b/test/state/jobs/run-speed.test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { DurationModels } from "../../../src/state/jobs/duration-model.ts";
-import { RunRegistry, type ActiveRun } from "../../../src/state/jobs/run-registry.ts";
+import { DurationModels } from "../../../src/state/jobs/scheduling/duration-model.ts";
+import { RunRegistry, type ActiveRun } from "../../../src/state/jobs/execution/run-registry.ts";
 import {
   countSlowJobs,
   completedDurationRatio,
@@ -9,7 +9,7 @@
   isOverdue,
   isServerAtFault,
   shouldRestart,
-} from "../../../src/state/jobs/run-speed.ts";
+} from "../../../src/state/jobs/execution/run-speed.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
 
--- a/test/state/jobs/send-window.test.ts
+++ b/test/state/jobs/send-window.test.ts
@@ -1,6 +1,6 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { MAX_QUEUE_MS, SendWindow } from "../../../src/state/jobs/send-window.ts";
+import { MAX_QUEUE_MS, SendWindow } from "../../../src/state/jobs/execution/send-window.ts";
 
 const FAST_BYTES_PER_MS = 125_000;
 const SLOW_BYTES_PER_MS = 250;
--- a/test/state/jobs/server-quality.test.ts
+++ b/test/state/jobs/server-quality.test.ts
@@ -1,9 +1,16 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { FULL_PACE, nextPace, worstLatencyRatio } from "../../../src/state/jobs/pacing.ts";
-import { ServerSpeed } from "../../../src/state/jobs/server-speed.ts";
-import { inheritedLeasesLapsedAt, ServerClock } from "../../../src/state/jobs/server-clock.ts";
-import { ServerHealth } from "../../../src/state/jobs/server-health.ts";
+import {
+  FULL_PACE,
+  nextPace,
+  worstLatencyRatio,
+} from "../../../src/state/jobs/execution/pacing.ts";
+import { ServerSpeed } from "../../../src/state/jobs/execution/server-speed.ts";
+import {
+  inheritedLeasesLapsedAt,
+  ServerClock,
+} from "../../../src/state/jobs/execution/server-clock.ts";
+import { ServerHealth } from "../../../src/state/jobs/execution/server-health.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
 
