fix(transport,cli): answer requests that arrived during a pause of a graceful stop; keep entry processes running after unhandled errors

Cause: a timer that fell due while the process was paused closed connections before their requests were read, so they were reset; an entry process had no handler for unhandled rejections, and an error while a retired incarnation stops ended its restart.

--- a/src/cli/entry-command.ts
+++ b/src/cli/entry-command.ts
@@ -9,6 +9,7 @@
 import { HttpKeyValueService } from "../transport/http-key-value.ts";
 import type { CliContext, CliOptions, ExitCode } from "./context.ts";
 import { runCommand, textOption, UsageError } from "./context.ts";
+import { handleUnexpectedErrors } from "./unexpected-errors.ts";
 import { EntryProcess, openLog, stopOnSignal, type PlatformClients } from "./entry-process.ts";
 
 const EXIT_INVALID_INPUT = 2;
@@ -47,6 +48,9 @@
     random: ctx.random,
     platform: (counters) => platformClients(ctx, settings, counters),
   });
+  handleUnexpectedErrors(log, (event) => {
+    entry.count(event);
+  });
   try {
     await entry.start();
   } catch (err) {
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -36,12 +36,13 @@
   readonly #instance: EntryInstance;
   readonly #callers: CallerServer;
   readonly #admin: AdminServer;
+  readonly #counters = new MetricCounters();
   #stopping = false;
 
   constructor(options: EntryProcessOptions) {
     this.#options = options;
     const { clock, log } = options;
-    const counters = new MetricCounters();
+    const counters = this.#counters;
     const peerTransport = new TcpPeerTransport({ clock, log, counter: counters });
     const platform = options.platform(counters);
     this.#instance = new EntryInstance({ ...options, ...platform, counters, peerTransport });
@@ -54,6 +55,11 @@
     });
   }
 
+  /** Counts an event in the metrics of this process. */
+  count(event: string): void {
+    this.#counters.event(event);
+  }
+
   /** Starts all servers. Rejects with a message that names the setting and address that failed. */
   async start(): Promise<void> {
     const { adminAddress, callerAddress } = this.#options.settings;
--- a/src/coordination/entry-instance.ts
+++ b/src/coordination/entry-instance.ts
@@ -74,7 +74,11 @@
       { incarnation: this.#incarnation.hello.incarnation },
       "incarnation was retired, restarting",
     );
-    await this.#incarnation.stop();
+    try {
+      await this.#incarnation.stop();
+    } catch (err) {
+      log.error({ err }, "retired incarnation did not stop cleanly");
+    }
     while (!this.#isStopped()) {
       await clock.sleep(RESTART_DELAY_MS);
       if (this.#isStopped()) return;
--- a/src/transport/caller-server.ts
+++ b/src/transport/caller-server.ts
@@ -6,6 +6,7 @@
 import type { CallerReply, Counters, RequestService } from "../coordination/ports.ts";
 import type { RanState, Refusal, RefusalReason } from "../protocol/refusal.ts";
 import { parseRequestLookup, parseSubmitHeaders, type SubmitHeaders } from "./caller-request.ts";
+import { closeGracefully } from "./graceful-close.ts";
 import { rawProblemResponse, writeProblem } from "./problem-response.ts";
 import { BodyReader } from "./request-body.ts";
 
@@ -73,13 +74,7 @@
   /** Stops accepting connections and resolves once all open requests have their response. */
   async close(): Promise<void> {
     this.#closing = true;
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => {
-        resolve();
-      });
-    });
-    this.#server.closeIdleConnections();
-    await closed;
+    await closeGracefully(this.#server);
   }
 
   #route(): void {
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,5 +1,5 @@
 import { request as httpRequest } from "node:http";
-import { createServer, type AddressInfo } from "node:net";
+import { connect, createServer, type AddressInfo, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { Ingress } from "../../platform/ingress.ts";
@@ -40,7 +40,11 @@
 
 /** Runs an ingress for a cluster whose virtual clock advances along with the real one. */
 async function withIngress(
-  check: (call: (call: ClientCall) => Promise<ClientReply>, cluster: JobCluster) => Promise<void>,
+  check: (
+    call: (call: ClientCall) => Promise<ClientReply>,
+    cluster: JobCluster,
+    ingress: { readonly port: number; readonly close: () => Promise<void> },
+  ) => Promise<void>,
 ): Promise<void> {
   const keyed = queueConfig({ name: "keyed", prefix: "/keyed/", openToAll: false });
   const config = fleetConfig({ queues: [queueConfig(), keyed] });
@@ -56,7 +60,8 @@
     { host: "127.0.0.1", port: readiness },
   );
   try {
-    await check((call) => send(callers, call), cluster);
+    const close = () => ingress.close();
+    await check((call) => send(callers, call), cluster, { port: callers, close });
   } finally {
     running.stop();
     await ingress.close();
@@ -85,6 +90,19 @@
   };
 }
 
+/** Resolves with the next data on a connection; rejects if it is reset or closed first. */
+function nextData(socket: Socket): Promise<string> {
+  return new Promise((resolve, reject) => {
+    socket.once("data", (data) => {
+      resolve(data.toString());
+    });
+    socket.once("error", reject);
+    socket.once("close", () => {
+      reject(new Error("the connection was closed without a reply"));
+    });
+  });
+}
+
 function send(port: number, { method, path, key, json }: ClientCall): Promise<ClientReply> {
   return new Promise((resolve, reject) => {
     const headers = { host: "host", ...(key === undefined ? {} : { "api-key": key }) };
@@ -145,6 +163,22 @@
   });
 });
 
+// Guards against a request that is reset although it arrived before the instance closed: after a pause
+// of the process the close can run before the request is read.
+test("a request that arrived but was not read yet is answered before the instance closes", async () => {
+  await withIngress(async (_call, _cluster, ingress) => {
+    const socket = connect(ingress.port, "127.0.0.1");
+    const head = `GET /queue/ HTTP/1.1\r\nHost: host\r\n\r\n`;
+    socket.write(head);
+    assert.match(await nextData(socket), /^HTTP\/1.1 200/);
+    socket.write(head);
+    const closed = ingress.close();
+    assert.match(await nextData(socket), /^HTTP\/1.1 200/);
+    socket.destroy();
+    await closed;
+  });
+});
+
 // Guards against steps that wait for each other for ever, and against errors thrown by bad input.
 test("a step that depends on a later step or a body that is not JSON is malformed", () => {
   const steps = [{ count: 1, after: [1] }, { count: 1 }];
