--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run bench -- NAME [--site S] [--seed N] [--rounds N] [--json]` and
- * `npm run bench -- report [--input FILE,FILE] [--out FILE]`
+ * `npm run bench -- report [--input FILE,FILE] [--out FILE]` and
+ * `npm run bench -- scheduler-cost [--seed N]`
  */
 import { readFileSync, writeFileSync } from "node:fs";
 import sade from "sade";
@@ -9,11 +10,14 @@
 import { MeasurementSchema, type Measurement } from "./measurement-schema.ts";
 import { printMeasurement } from "./print.ts";
 import { reportPage } from "./report.ts";
+import { runSchedulerCost } from "./scheduler-cost.ts";
 import { SCENARIOS } from "./scenarios.ts";
 import { SITES } from "./site.ts";
 
 const MAX_ROUNDS = 100;
 const NAMES = Object.keys(SCENARIOS);
+/** Names that run no scenario. */
+const OTHER_NAMES: readonly string[] = ["report", "scheduler-cost"];
 const OptionsSchema = v.object({
   site: v.picklist([...SITES.keys()]),
   seed: v.pipe(v.number(), v.integer(), v.minValue(0)),
@@ -41,23 +45,28 @@
 }
 
 async function main(name: string, raw: unknown): Promise<void> {
-  const known = name === "report" || Object.hasOwn(SCENARIOS, name);
+  const known = OTHER_NAMES.includes(name) || Object.hasOwn(SCENARIOS, name);
   const parsed = v.safeParse(OptionsSchema, raw);
   if (!known || !parsed.success) {
     if (!known)
-      console.error(`unknown name "${name}"; expected one of ${[...NAMES, "report"].join(", ")}`);
+      console.error(
+        `unknown name "${name}"; expected one of ${[...NAMES, ...OTHER_NAMES].join(", ")}`,
+      );
     if (!parsed.success) console.error(v.summarize(parsed.issues));
     process.exitCode = 2;
     return;
   }
   if (name === "report") return writeReport(parsed.output);
+  if (name === "scheduler-cost") return runSchedulerCost(parsed.output.seed);
   const measurement = await run(name, parsed.output);
   if (parsed.output.json) console.log(JSON.stringify(measurement));
   else printMeasurement(measurement);
 }
 
 sade("bench <name>", true)
-  .describe(`Measures entry instances on virtual time. Names: ${NAMES.join(", ")}, report`)
+  .describe(
+    `Measures entry instances on virtual time. Names: ${[...NAMES, ...OTHER_NAMES].join(", ")}`,
+  )
   .option("--site", `One of ${[...SITES.keys()].join(", ")}`, "piedra-viva")
   .option("--seed", "Seed of the first round", 1)
   .option("--rounds", "Number of seeds", 1)
