perf(jobs): counts of open and waiting tasks, encoded rows of tasks are reused

Change: tasks report changes to their step, jobs keep their ready steps, rows of unchanged tasks are not encoded again.

--- a/src/coordination/jobs/fleet/pool-demand.ts
+++ b/src/coordination/jobs/fleet/pool-demand.ts
@@ -31,8 +31,7 @@
   /** Largest number of servers that one step needs because of its limit on tasks per server. */
   distinctServers = 0;
 
-  add({ spec, tasks }: StepRun, onTime: boolean): void {
-    const open = tasks.filter((task) => !task.done).length;
+  add({ spec, openTasks: open }: StepRun, onTime: boolean): void {
     const demand = times(resourcesOccupied(spec), open);
     if (spec.longRunning) this.long = add(this.long, demand);
     else {
--- a/src/coordination/jobs/records/progress-writer.ts
+++ b/src/coordination/jobs/records/progress-writer.ts
@@ -7,7 +7,7 @@
   type RecordTransaction,
   type StoredRecord,
 } from "../../../ports/record-store.ts";
-import { encodeProgress, progressKey } from "../../../protocol/job-records.ts";
+import { progressKey } from "../../../protocol/job-records.ts";
 import type { Job } from "../../../state/jobs/records/job.ts";
 import { fullJitterMs } from "../../backoff.ts";
 import { Deferred } from "../../wait.ts";
@@ -192,7 +192,7 @@
 
 function snapshot(pending: Pending): Snapshot {
   const { job } = pending;
-  return { pending, key: progressKey(job.spec.id), value: encodeProgress(job.toRecord()) };
+  return { pending, key: progressKey(job.spec.id), value: job.encodeProgress() };
 }
 
 /** Revision written by an earlier attempt whose response was lost; undefined if there is none. */
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -21,6 +21,8 @@
 /** Sessions under {@link ENTRIES_PREFIX}. */
 export const SESSIONS_PREFIX = `${ENTRIES_PREFIX}session/`;
 
+/** Major type of arrays in the first byte of a CBOR item. */
+const CBOR_ARRAY = 0x80;
 const CANCEL_SUFFIX = "/cancel";
 
 /** Key of an accepted job. */
@@ -205,6 +207,42 @@
   return encode({ state, endedAtMs, tasks: tasks.map(toRow) });
 }
 
+/** Encodes the row of one task for {@link encodeProgressRows}. */
+export function encodeTaskRow(task: TaskProgressRecord): Uint8Array {
+  // The copy is of the right size; the encoder returns a part of a larger buffer.
+  return Uint8Array.from(encode(toRow(task)));
+}
+
+/** Like {@link encodeProgress}, from rows that were encoded before. */
+export function encodeProgressRows(
+  state: JobState,
+  endedAtMs: number,
+  rows: readonly Uint8Array[],
+): Uint8Array {
+  const head = encode({ state, endedAtMs, tasks: rows.length });
+  // The head ends with the number of rows as an unsigned integer, major type 0 of CBOR. With major
+  // type 4 the same bytes begin an array of that length.
+  const lengthAt = head.length - uintBytes(rows.length);
+  let size = head.length;
+  for (const row of rows) size += row.length;
+  const encoded = new Uint8Array(size);
+  encoded.set(head);
+  encoded[lengthAt]! |= CBOR_ARRAY;
+  let offset = head.length;
+  for (const row of rows) {
+    encoded.set(row, offset);
+    offset += row.length;
+  }
+  return encoded;
+}
+
+/** Bytes of an unsigned integer in CBOR. */
+function uintBytes(value: number): number {
+  if (value < 24) return 1;
+  if (value < 0x1_00) return 2;
+  return value < 0x1_00_00 ? 3 : 5;
+}
+
 /** Decodes a job's progress; undefined if the bytes are malformed. */
 export function decodeProgress(bytes: Uint8Array): JobProgressRecord | undefined {
   const stored = decodeCbor(ProgressSchema, bytes);
--- a/src/state/jobs/records/job.ts
+++ b/src/state/jobs/records/job.ts
@@ -1,7 +1,9 @@
-import type {
-  PlacementRecord,
-  JobProgressRecord,
-  TaskProgressRecord,
+import {
+  encodeProgressRows,
+  encodeTaskRow,
+  type JobProgressRecord,
+  type PlacementRecord,
+  type TaskProgressRecord,
 } from "../../../protocol/job-records.ts";
 import {
   FINAL_STATES,
@@ -16,13 +18,6 @@
   readonly step: StepRun;
   readonly index: number;
   readonly name: string;
-  /** Highest run number that was ordered. */
-  run = 0;
-  done = false;
-  failures = 0;
-  checkpoint = "";
-  /** Placement of a run that may be active; undefined if none can be. */
-  placement: PlacementRecord | undefined;
   /** Monotonic time in ms before which the task is not started again. */
   notBefore = 0;
   /** Number of runs that were stopped as stragglers. */
@@ -33,6 +28,12 @@
   readonly givenUpRuns = new Set<number>();
   /** Backend servers on which a run of this task failed or was a straggler. */
   readonly failedOn = new Set<string>();
+  #run = 0;
+  #done = false;
+  #failures = 0;
+  #checkpoint = "";
+  #placement: PlacementRecord | undefined;
+  #encodedRow: Uint8Array | undefined;
 
   constructor(step: StepRun, index: number) {
     this.step = step;
@@ -45,9 +46,90 @@
     return this.step.job;
   }
 
+  /** Highest run number that was ordered. */
+  get run(): number {
+    return this.#run;
+  }
+
+  set run(run: number) {
+    if (run > 0 !== this.#run > 0) this.step.job.countStarted(run > 0 ? 1 : -1);
+    this.#run = run;
+    this.#encodedRow = undefined;
+  }
+
+  get done(): boolean {
+    return this.#done;
+  }
+
+  set done(done: boolean) {
+    if (done === this.#done) return;
+    const before = this.waiting;
+    this.#done = done;
+    this.#encodedRow = undefined;
+    this.step.taskChanged(done ? -1 : 1, Number(this.waiting) - Number(before));
+  }
+
+  get failures(): number {
+    return this.#failures;
+  }
+
+  set failures(failures: number) {
+    this.#failures = failures;
+    this.#encodedRow = undefined;
+  }
+
+  get checkpoint(): string {
+    return this.#checkpoint;
+  }
+
+  set checkpoint(checkpoint: string) {
+    if (checkpoint === this.#checkpoint) return;
+    this.#checkpoint = checkpoint;
+    this.#encodedRow = undefined;
+  }
+
+  /** Placement of a run that may be active; undefined if none can be. */
+  get placement(): PlacementRecord | undefined {
+    return this.#placement;
+  }
+
+  set placement(placement: PlacementRecord | undefined) {
+    const before = this.waiting;
+    this.#placement = placement;
+    this.#encodedRow = undefined;
+    this.step.taskChanged(0, Number(this.waiting) - Number(before));
+  }
+
   /** True if the task should be started once its step is ready. */
   get waiting(): boolean {
-    return !this.done && this.placement === undefined;
+    return !this.#done && this.#placement === undefined;
+  }
+
+  /** Stored progress of the task; undefined if it never started. */
+  toRecord(): TaskProgressRecord | undefined {
+    if (this.#run === 0 && !this.#done) return undefined;
+    return {
+      occurrence: this.step.occurrence,
+      step: this.step.position,
+      index: this.index,
+      run: this.#run,
+      done: this.#done,
+      failures: this.#failures,
+      checkpoint: this.#checkpoint,
+      placement: this.#placement,
+      givenUpRuns: [...this.givenUpRuns],
+    };
+  }
+
+  /** Encoded progress of the task, kept until it changes; undefined if the task never started. */
+  encodedProgress(): Uint8Array | undefined {
+    // The set of abandoned runs can change without notice, so rows with such runs are not kept.
+    if (this.#encodedRow !== undefined && this.givenUpRuns.size === 0) return this.#encodedRow;
+    const record = this.toRecord();
+    if (record === undefined) return undefined;
+    const encoded = encodeTaskRow(record);
+    this.#encodedRow = this.givenUpRuns.size === 0 ? encoded : undefined;
+    return encoded;
   }
 }
 
@@ -71,6 +153,8 @@
   readyAt: number | undefined;
   /** Durations of the step's tasks that were measured from start to end. */
   readonly durations: TaskDuration[] = [];
+  #openTasks: number;
+  #waitingTasks: number;
 
   constructor(job: Job, occurrence: number, position: number, spec: StepSpec) {
     this.job = job;
@@ -78,10 +162,31 @@
     this.position = position;
     this.spec = spec;
     this.tasks = Array.from({ length: spec.tasks }, (_, index) => new Task(this, index));
+    this.#openTasks = spec.tasks;
+    this.#waitingTasks = spec.tasks;
   }
 
   get done(): boolean {
-    return this.tasks.every((task) => task.done);
+    return this.#openTasks === 0;
+  }
+
+  /** Number of tasks that are not done. */
+  get openTasks(): number {
+    return this.#openTasks;
+  }
+
+  /** True if a task waits for its start. */
+  get hasWaitingTasks(): boolean {
+    return this.#waitingTasks > 0;
+  }
+
+  /** Updates the counts after a task changed. */
+  taskChanged(openChange: number, waitingChange: number): void {
+    const { done, hasWaitingTasks } = this;
+    this.#openTasks += openChange;
+    this.#waitingTasks += waitingChange;
+    if (done !== this.done) this.job.stepsChanged();
+    else if (hasWaitingTasks !== this.hasWaitingTasks) this.job.waitingChanged();
   }
 }
 
@@ -101,6 +206,11 @@
   /** Revision of the stored progress; 0 if there is none. */
   revision = 0;
   readonly occurrences: Occurrence[] = [];
+  /** Number of tasks that were ever started. */
+  #startedTasks = 0;
+  /** Steps as returned by {@link activeSteps} and {@link readySteps}; undefined after a change. */
+  #activeSteps: readonly StepRun[] | undefined;
+  #readySteps: readonly StepRun[] | undefined;
 
   constructor(spec: JobSpec) {
     this.spec = spec;
@@ -108,7 +218,7 @@
   }
 
   get final(): boolean {
-    return FINAL_STATES.includes(this.state);
+    return this.state !== "queued" && this.state !== "running" && FINAL_STATES.includes(this.state);
   }
 
   /** Adds the occurrences that are due at the given Unix time in ms. */
@@ -130,19 +240,34 @@
   }
 
   /** Steps that have waiting tasks and whose earlier steps are all done. */
-  *readySteps(): Iterable<StepRun> {
-    if (this.final) return;
-    for (const step of this.activeSteps()) if (step.tasks.some((task) => task.waiting)) yield step;
+  readySteps(): readonly StepRun[] {
+    if (this.final) return [];
+    return (this.#readySteps ??= this.activeSteps().filter((step) => step.hasWaitingTasks));
   }
 
   /** Steps that are not done and whose earlier steps are all done. */
-  *activeSteps(): Iterable<StepRun> {
-    for (const { steps } of this.occurrences) {
-      for (const step of steps) {
-        if (step.done) continue;
-        if (step.spec.after.every((position) => steps[position]?.done === true)) yield step;
-      }
-    }
+  activeSteps(): readonly StepRun[] {
+    return (this.#activeSteps ??= this.occurrences.flatMap(({ steps }) =>
+      steps.filter(
+        (step) => !step.done && step.spec.after.every((position) => steps[position]?.done === true),
+      ),
+    ));
+  }
+
+  /** Notes that a step has become done, or is no longer done. */
+  stepsChanged(): void {
+    this.#activeSteps = undefined;
+    this.#readySteps = undefined;
+  }
+
+  /** Notes that a step got its first waiting task or has none any more. */
+  waitingChanged(): void {
+    this.#readySteps = undefined;
+  }
+
+  /** Notes that a task was started for the first time (1), or that this was undone (-1). */
+  countStarted(change: 1 | -1): void {
+    this.#startedTasks += change;
   }
 
   /** Every task of the occurrences that are due. */
@@ -158,8 +283,7 @@
 
   /** True if no task was ever started. */
   get neverStarted(): boolean {
-    for (const task of this.tasks()) if (task.run > 0) return false;
-    return true;
+    return this.#startedTasks === 0;
   }
 
   /** Derives the state of the job from its tasks, unless the state is final. */
@@ -182,18 +306,26 @@
   toRecord(): JobProgressRecord {
     const tasks: TaskProgressRecord[] = [];
     for (const task of this.tasks()) {
-      if (task.run === 0 && !task.done) continue;
-      const { run, done, failures, checkpoint, placement, index, step } = task;
-      const { occurrence, position } = step;
-      const givenUpRuns = [...task.givenUpRuns];
-      tasks.push({
-        ...{ occurrence, step: position, index, run, done, failures, checkpoint },
-        ...{ placement, givenUpRuns },
-      });
+      const record = task.toRecord();
+      if (record !== undefined) tasks.push(record);
     }
     return { state: this.state, tasks, endedAtMs: this.endedAtMs };
   }
 
+  /** Returns the encoded progress. Only tasks that changed since the last call are encoded again. */
+  encodeProgress(): Uint8Array {
+    const rows: Uint8Array[] = [];
+    for (const { steps } of this.occurrences) {
+      for (const { tasks } of steps) {
+        for (const task of tasks) {
+          const row = task.encodedProgress();
+          if (row !== undefined) rows.push(row);
+        }
+      }
+    }
+    return encodeProgressRows(this.state, this.endedAtMs, rows);
+  }
+
   /** Restores stored progress. `revision` is the revision of the record. */
   restore(record: JobProgressRecord, revision: number): void {
     this.revision = revision;
@@ -217,5 +349,6 @@
   #addOccurrence(number: number, releasedAtMs: number): void {
     const steps = this.spec.steps.map((spec, index) => new StepRun(this, number, index, spec));
     this.occurrences.push({ number, releasedAtMs, steps });
+    this.stepsChanged();
   }
 }
