perf(jobs): polls and straggler checks without copies of runs

Cause: each poll copied the runs of its server several times; runs were built by object spreads, which gave them slow layouts; expected durations were computed for each run anew. Change: runs are read in place, runs share one layout, expected durations are kept until the next observation, waits with a limit need no abort controller.

--- a/bench/cpu-parts.ts
+++ b/bench/cpu-parts.ts
@@ -75,7 +75,8 @@
 }
 
 function attribute({ nodes, samples = [], timeDeltas = [] }: Profiler.Profile): CpuParts {
-  const frames = new Map(nodes.map((node) => [node.id, { node, parent: undefined }]));
+  const frames = new Map<number, Frame>();
+  for (const node of nodes) frames.set(node.id, { node, parent: undefined });
   for (const frame of frames.values())
     for (const child of frame.node.children ?? []) frames.get(child)!.parent = frame;
   const parts = new Map<Part, number>(PARTS.map((part) => [part, 0]));
--- a/src/coordination/jobs/execution/filler-pacer.ts
+++ b/src/coordination/jobs/execution/filler-pacer.ts
@@ -31,12 +31,12 @@
   /** Recomputes the pace of a backend server's fillers after a poll, and sends it to the server. */
   adjustPace(driver: ServerDriver): void {
     const { clock, log, runRegistry } = this.#options;
-    const runs = runRegistry.onServer(driver.id);
-    const fillers = runs.filter(({ task, phase }) => task.step.spec.filler && phase === "running");
+    const fillers = runningFillers(runRegistry.runsOn(driver.id));
     if (fillers.length === 0) {
       this.#paces.delete(driver.id);
       return;
     }
+    const runs = runRegistry.onServer(driver.id);
     const ratio = worstLatencyRatio(runs);
     const before = this.#paces.get(driver.id) ?? FULL_PACE;
     const pace = nextPace(before, ratio, clock.now());
@@ -54,3 +54,10 @@
     if (!(await driver.setPace(run.task.name, run.run, percent))) run.pace = before;
   }
 }
+
+function runningFillers(runs: Iterable<ActiveRun>): readonly ActiveRun[] {
+  const fillers: ActiveRun[] = [];
+  for (const run of runs)
+    if (run.task.step.spec.filler && run.phase === "running") fillers.push(run);
+  return fillers;
+}
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -154,12 +154,12 @@
   }
 
   hasRuns(server: string): boolean {
-    return this.runRegistry.onServer(server).length > 0;
+    return this.runRegistry.countOn(server) > 0;
   }
 
   pollWait(server: string): number {
     const { clock, durations } = this.#options;
-    return pollWaitMs(this.runRegistry.onServer(server), clock.now(), durations);
+    return pollWaitMs(this.runRegistry.runsOn(server), clock.now(), durations);
   }
 
   async listsRead(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean> {
@@ -167,9 +167,10 @@
     for (const ended of lists.ended) this.#ends.handle(driver, ended, lists, touched);
     this.#reconcile(driver, lists, askedAt, touched);
     this.#pacer.adjustPace(driver);
-    await this.#stopUnansweredStarts(driver);
+    if (this.#unansweredStarts.has(driver.id)) await this.#stopUnansweredStarts(driver);
     if (touched.size > 0) this.#options.requestRound();
     const { writer } = this.#options;
+    if (lists.ended.length === 0 && touched.size === 0) return true;
     const stored = [...touched].map((job) => writer.save(job));
     for (const job of this.#ends.jobsOf(lists.ended))
       if (!touched.has(job)) stored.push(writer.waitForPendingWrite(job));
@@ -239,8 +240,7 @@
   }
 
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
-    const runs = this.runRegistry.onServer(driver.id);
-    const found = reconcile(runs, lists, askedAt);
+    const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -78,6 +78,8 @@
   readonly #options: ServerDriverOptions;
   readonly #serverClock = new ServerClock();
   readonly #closed = new AbortController();
+  /** Kept beside the signal, because it is read for each server in each placement round. */
+  #isClosed = false;
   #pollSignal = new Deferred<void>();
   #pollRequested = true;
   /** Sequence number up to which the effects of ended runs are stored. */
@@ -125,7 +127,7 @@
   }
 
   get closed(): boolean {
-    return this.#closed.signal.aborted;
+    return this.#isClosed;
   }
 
   /** True unless the last poll failed. */
@@ -150,6 +152,7 @@
 
   /** Stops polling and repeating orders. */
   close(): void {
+    this.#isClosed = true;
     this.#closed.abort();
     this.requestPoll();
   }
--- a/src/coordination/jobs/execution/straggler-detector.ts
+++ b/src/coordination/jobs/execution/straggler-detector.ts
@@ -46,8 +46,9 @@
   stopStragglers(): void {
     const { clock, runRegistry, driver, durations } = this.#options;
     const now = clock.now();
-    for (const run of [...runRegistry.all()]) {
-      if (!isOverdue(run, now, durations)) continue;
+    const overdue: ActiveRun[] = [];
+    for (const run of runRegistry.all()) if (isOverdue(run, now, durations)) overdue.push(run);
+    for (const run of overdue) {
       const server = driver(run.server);
       const fresh = now - run.listedAt <= MAX_PROGRESS_AGE_MS && run.listedAt > run.since;
       if (!fresh) server?.requestPoll();
--- a/src/coordination/wait.ts
+++ b/src/coordination/wait.ts
@@ -4,16 +4,26 @@
 export const WAIT_ENDED = "wait ended";
 
 /** Waits at most `ms` for a promise; undefined if it has not settled by then. */
-export async function waitAtMost<T>(
+export function waitAtMost<T>(
   clock: Clock,
   promise: Promise<T>,
   ms: number,
 ): Promise<T | undefined> {
-  const abort = new AbortController();
-  const timeout = clock.sleep(ms, abort.signal).then(() => undefined);
-  const first = await Promise.race([promise, timeout]);
-  abort.abort(WAIT_ENDED);
-  return first;
+  return new Promise((resolve, reject) => {
+    const timer = clock.schedule(ms, () => {
+      resolve(undefined);
+    });
+    promise.then(
+      (value) => {
+        timer.cancel();
+        resolve(value);
+      },
+      (err: unknown) => {
+        timer.cancel();
+        reject(err instanceof Error ? err : new Error(String(err)));
+      },
+    );
+  });
 }
 
 /** A promise that its holder resolves. */
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -227,7 +227,7 @@
   for (const row of rows) size += row.length;
   const encoded = new Uint8Array(size);
   encoded.set(head);
-  encoded[lengthAt]! |= CBOR_ARRAY;
+  encoded[lengthAt] = (head[lengthAt] ?? 0) | CBOR_ARRAY;
   let offset = head.length;
   for (const row of rows) {
     encoded.set(row, offset);
--- a/src/state/jobs/execution/poll-wait.ts
+++ b/src/state/jobs/execution/poll-wait.ts
@@ -15,14 +15,14 @@
  * early only when a run ends, so the wait is shorter while other changes matter.
  */
 export function pollWaitMs(
-  runs: readonly ActiveRun[],
+  runs: Iterable<ActiveRun>,
   now: number,
   durations: DurationModels,
 ): number {
-  const paced = runs.some((run) => run.task.step.spec.filler);
-  let wait = paced ? PACING_POLL_WAIT_MS : POLL_WAIT_MS;
+  let wait = POLL_WAIT_MS;
   for (const run of runs) {
     const { longRunning, filler } = run.task.step.spec;
+    if (filler) wait = Math.min(wait, PACING_POLL_WAIT_MS);
     if (longRunning && !filler && !isAvailable(run, now))
       wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
     const overdueIn = timeUntilOverdue(run, now, durations);
--- a/src/state/jobs/execution/reconciliation.ts
+++ b/src/state/jobs/execution/reconciliation.ts
@@ -18,25 +18,24 @@
  * last changed before the lists were requested (`askedAt`), because an order may overtake the request.
  */
 export function reconcile(
-  runs: readonly ActiveRun[],
+  runs: Iterable<ActiveRun>,
   lists: RunLists,
   askedAt: number,
 ): Reconciliation {
-  const listed = new Map(lists.running.map((run) => [run.task, run]));
+  const listed = new Map<string, ListedRun>();
+  for (const run of lists.running) listed.set(run.task, run);
   const present: (readonly [ActiveRun, ListedRun])[] = [];
   const vanished: ActiveRun[] = [];
   const missing: ActiveRun[] = [];
-  const matched = new Set<ListedRun>();
   for (const run of runs) {
     const found = listed.get(run.task.name);
     if (found?.run === run.run) {
-      matched.add(found);
+      listed.delete(found.task);
       present.push([run, found]);
     } else if (run.since < askedAt) {
       if (run.phase === "unconfirmed") missing.push(run);
       else if (run.phase !== "recording" && run.phase !== "starting") vanished.push(run);
     }
   }
-  const unknown = lists.running.filter((run) => !matched.has(run));
-  return { present, vanished, missing, unknown };
+  return { present, vanished, missing, unknown: [...listed.values()] };
 }
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -15,12 +15,25 @@
 }
 
 /** Creates the run of a task before its backend server has reported any progress. */
-export function newRun(task: Task, { rack, since, ...assigned }: Assignment): ActiveRun {
+export function newRun(task: Task, assigned: Assignment): ActiveRun {
+  const { server, bootedAt, rack, phase, since } = assigned;
   const { dataRack } = task.step.spec;
+  // A plain literal without spreads: all runs share one layout, which keeps access to them fast.
   return {
-    ...{ task, run: task.run, ...assigned, since, percent: 0, pace: 100, load: 0 },
-    ...{ endOrdered: false, listedAt: since, nearData: dataRack === "" || dataRack === rack },
-    ...{ firstProgress: undefined, lastProgress: undefined },
+    task,
+    run: task.run,
+    server,
+    bootedAt,
+    nearData: dataRack === "" || dataRack === rack,
+    phase,
+    endOrdered: false,
+    since,
+    percent: 0,
+    listedAt: since,
+    firstProgress: undefined,
+    lastProgress: undefined,
+    pace: 100,
+    load: 0,
   };
 }
 
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -54,11 +54,17 @@
   load: number;
 }
 
+/** Runs on one backend server and what they occupy there. */
+class ServerRuns {
+  readonly runs = new Map<string, ActiveRun>();
+  used = NO_RESOURCES;
+  longTasks = 0;
+}
+
 /** All active runs, with the resource totals that limits are checked against. */
 export class RunRegistry {
   readonly #byTask = new Map<string, ActiveRun>();
-  readonly #byServer = new Map<string, Map<string, ActiveRun>>();
-  readonly #usedByServer = new Map<string, Resources>();
+  readonly #byServer = new Map<string, ServerRuns>();
   readonly #usedByOrganisation = new Map<string, Resources>();
 
   get size(): number {
@@ -68,26 +74,46 @@
   /** Adds a run. Its task must not have another run here. */
   add(run: ActiveRun): void {
     this.#byTask.set(run.task.name, run);
-    const onServer = this.#byServer.get(run.server) ?? new Map<string, ActiveRun>();
-    onServer.set(run.task.name, run);
-    this.#byServer.set(run.server, onServer);
-    this.#updateUsage(run, add);
+    let onServer = this.#byServer.get(run.server);
+    if (onServer === undefined) this.#byServer.set(run.server, (onServer = new ServerRuns()));
+    onServer.runs.set(run.task.name, run);
+    if (run.task.step.spec.longRunning) onServer.longTasks++;
+    this.#updateUsage(run, onServer, add);
   }
 
   /** Removes a run that is certainly not active any more. */
   remove(run: ActiveRun): void {
     if (this.#byTask.get(run.task.name) !== run) return;
     this.#byTask.delete(run.task.name);
-    this.#byServer.get(run.server)?.delete(run.task.name);
-    this.#updateUsage(run, subtract);
+    const onServer = this.#byServer.get(run.server);
+    if (onServer === undefined) return;
+    onServer.runs.delete(run.task.name);
+    if (run.task.step.spec.longRunning) onServer.longTasks--;
+    this.#updateUsage(run, onServer, subtract);
   }
 
   forTask(name: string): ActiveRun | undefined {
     return this.#byTask.get(name);
   }
 
+  /** Runs on a backend server, as a copy that later changes don't affect. */
   onServer(server: string): readonly ActiveRun[] {
-    return [...(this.#byServer.get(server)?.values() ?? [])];
+    return [...this.runsOn(server)];
+  }
+
+  /** Runs on a backend server, without a copy: no run may be added or removed while it is read. */
+  runsOn(server: string): Iterable<ActiveRun> {
+    return this.#byServer.get(server)?.runs.values() ?? [];
+  }
+
+  /** Number of runs on a backend server. */
+  countOn(server: string): number {
+    return this.#byServer.get(server)?.runs.size ?? 0;
+  }
+
+  /** Number of runs of long-running tasks on a backend server. */
+  longTasksOn(server: string): number {
+    return this.#byServer.get(server)?.longTasks ?? 0;
   }
 
   all(): Iterable<ActiveRun> {
@@ -95,7 +121,7 @@
   }
 
   usedOnServer(server: string): Resources {
-    return this.#usedByServer.get(server) ?? NO_RESOURCES;
+    return this.#byServer.get(server)?.used ?? NO_RESOURCES;
   }
 
   /** Declared demand of an organisation's runs on all backend servers. */
@@ -103,13 +129,14 @@
     return this.#usedByOrganisation.get(organisation) ?? NO_RESOURCES;
   }
 
-  #updateUsage(run: ActiveRun, combine: (a: Resources, b: Resources) => Resources): void {
+  #updateUsage(
+    run: ActiveRun,
+    onServer: ServerRuns,
+    combine: (a: Resources, b: Resources) => Resources,
+  ): void {
     const { spec } = run.task.step;
     const { organisation } = run.task.job.spec;
-    this.#usedByServer.set(
-      run.server,
-      combine(this.usedOnServer(run.server), resourcesOccupied(spec)),
-    );
+    onServer.used = combine(onServer.used, resourcesOccupied(spec));
     if (organisation === undefined) return;
     const used = combine(this.usedByOrganisation(organisation), spec.demand);
     this.#usedByOrganisation.set(organisation, used);
--- a/src/state/jobs/scheduling/duration-model.ts
+++ b/src/state/jobs/scheduling/duration-model.ts
@@ -12,6 +12,8 @@
 const PRIOR_DECLARED_VARIANCE = 2;
 /** Number of new durations after which values derived from the model are recomputed. */
 const DURATIONS_PER_EPOCH = 8;
+/** Maximum number of expected durations kept between two observations. */
+const MAX_KNOWN_DURATIONS = 500;
 
 /**
  * Expected duration of the tasks of one queue as a function of the declared one. A weighted
@@ -26,6 +28,8 @@
   #declaredSquares = 0;
   #products = 0;
   #errorSquares = 0;
+  /** Expected durations by declared duration, kept until the next observation. */
+  readonly #expected = new Map<number, number>();
 
   /** Changes when estimates may have changed noticeably. */
   get epoch(): number {
@@ -35,6 +39,7 @@
   /** Records the duration of a task that ran undisturbed; both times in milliseconds, above 0. */
   observe(declaredMs: number, actualMs: number): void {
     this.#observed++;
+    this.#expected.clear();
     const declared = Math.log(declaredMs);
     const error = Math.log(actualMs) - declared;
     const before = this.#weight * DECAY;
@@ -52,9 +57,13 @@
   /** Expected duration in milliseconds of a task with the given declared duration. */
   expectedMs(declaredMs: number): number {
     if (this.#weight === 0) return declaredMs;
+    const known = this.#expected.get(declaredMs);
+    if (known !== undefined) return known;
     const declared = Math.log(declaredMs);
     const shift = (this.#meanError * this.#weight) / (this.#weight + PRIOR_DURATIONS);
-    return Math.exp(declared + shift + this.#slope() * (declared - this.#meanDeclared));
+    const expected = Math.exp(declared + shift + this.#slope() * (declared - this.#meanDeclared));
+    if (this.#expected.size < MAX_KNOWN_DURATIONS) this.#expected.set(declaredMs, expected);
+    return expected;
   }
 
   /** Standard deviation of the natural logarithm of actual over expected durations. */
