perf(jobs): rounds read only jobs with work and find servers through an index

Cause: each round walked over all open jobs, grouped all servers by pool and scanned a pool for each task. Change: rounds get the jobs with ready steps; pools are grouped when registrations change; from the ninth choice in a pool on, servers are found through an index on free capacity.

--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -231,7 +231,8 @@
       : undefined;
     const acknowledged = this.#acknowledged;
     const waitMs = this.#pollWait();
-    const order: PollOrder = { ...this.#orderToken(), deadlineMs, acknowledged, waitMs };
+    const { token } = this.#options.tenure;
+    const order: PollOrder = { token, deadlineMs, acknowledged, waitMs };
     const result = await backend.poll(order);
     if (this.closed) return;
     if (result.err) {
@@ -247,10 +248,6 @@
     return this.#options.listener.pollWait(this.id);
   }
 
-  #orderToken(): { readonly token: number } {
-    return { token: this.#options.tenure.token };
-  }
-
   async #handleLists(lists: RunLists, askedAt: number): Promise<void> {
     const { clock, log, listener } = this.#options;
     if (this.#failures > 0) log.info({ server: this.id }, "backend server responds again");
--- a/src/coordination/jobs/fleet/fleet-drivers.ts
+++ b/src/coordination/jobs/fleet/fleet-drivers.ts
@@ -15,6 +15,8 @@
 export class FleetDrivers extends ServerListener {
   readonly #options: FleetDriversOptions;
   readonly #drivers = new Map<string, ServerDriver>();
+  /** Drivers by pool; undefined after a change. */
+  #byPool: ReadonlyMap<string, readonly ServerDriver[]> | undefined;
   #loaded = false;
 
   constructor(options: FleetDriversOptions) {
@@ -35,6 +37,12 @@
     return this.#drivers.values();
   }
 
+  /** Drivers of the backend servers that are registered in a pool. */
+  inPool(pool: string): readonly ServerDriver[] {
+    this.#byPool ??= groupByPool(this.#drivers.values());
+    return this.#byPool.get(pool) ?? [];
+  }
+
   reset(servers: readonly RegisteredServer[]): void {
     const present = new Set(servers.map(({ id }) => id));
     for (const id of this.#drivers.keys()) if (!present.has(id)) this.removed(id);
@@ -53,6 +61,7 @@
       this.#drivers.set(server.id, opened);
       void opened.run();
     }
+    this.#byPool = undefined;
     this.#options.onChange();
   }
 
@@ -69,6 +78,7 @@
       if (!driver.absent || hasRuns(id)) continue;
       driver.close();
       this.#drivers.delete(id);
+      this.#byPool = undefined;
     }
   }
 
@@ -76,3 +86,16 @@
     for (const driver of this.#drivers.values()) driver.close();
   }
 }
+
+function groupByPool(
+  drivers: Iterable<ServerDriver>,
+): ReadonlyMap<string, readonly ServerDriver[]> {
+  const pools = new Map<string, ServerDriver[]>();
+  for (const driver of drivers) {
+    const { pool } = driver.registration;
+    const group = pools.get(pool);
+    if (group === undefined) pools.set(pool, [driver]);
+    else group.push(driver);
+  }
+  return pools;
+}
--- a/src/coordination/jobs/scheduling/candidate-servers.ts
+++ b/src/coordination/jobs/scheduling/candidate-servers.ts
@@ -3,11 +3,18 @@
   choosePlacement,
   type PlacementCandidate,
 } from "../../../state/jobs/scheduling/placement.ts";
+import { FreeCapacityIndex } from "../../../state/jobs/scheduling/free-capacity-index.ts";
 import { add, resourcesOccupied, subtract } from "../../../state/jobs/scheduling/resources.ts";
 import type { RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { Resources } from "../../../protocol/job-spec.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
 
+/**
+ * Choices in one round after which the servers are indexed. Sorting costs as much as some scans, and
+ * most rounds place only a few tasks in each pool.
+ */
+const INDEX_AFTER_CHOICES = 8;
+
 /** One backend server and its free capacity during a placement round. */
 class CandidateServer implements PlacementCandidate {
   readonly driver: ServerDriver;
@@ -35,9 +42,7 @@
     this.maintenancePending = driver.maintenancePending;
     this.consecutiveFailures = driver.health.consecutiveFailures;
     this.free = subtract(capacity, runRegistry.usedOnServer(id));
-    this.longTasks = 0;
-    for (const run of runRegistry.onServer(id))
-      if (run.task.step.spec.longRunning) this.longTasks++;
+    this.longTasks = runRegistry.longTasksOn(id);
   }
 
   allocate({ spec }: StepRun): void {
@@ -58,13 +63,20 @@
 export class CandidateServers {
   readonly #runRegistry: RunRegistry;
   readonly #servers: readonly CandidateServer[];
-  readonly #byId: ReadonlyMap<string, CandidateServer>;
+  readonly #indexAfterChoices: number;
   #countedStep: StepRun | undefined;
+  /** Number of choices so far. */
+  #choices = 0;
+  #index: FreeCapacityIndex<CandidateServer> | undefined;
 
-  constructor(drivers: readonly ServerDriver[], runRegistry: RunRegistry) {
+  constructor(
+    drivers: readonly ServerDriver[],
+    runRegistry: RunRegistry,
+    indexAfterChoices = INDEX_AFTER_CHOICES,
+  ) {
     this.#runRegistry = runRegistry;
+    this.#indexAfterChoices = indexAfterChoices;
     this.#servers = drivers.map((driver) => new CandidateServer(driver, runRegistry));
-    this.#byId = new Map(this.#servers.map((server) => [server.id, server]));
   }
 
   /** Ids of the backend servers. */
@@ -79,6 +91,11 @@
     allowed?: (server: string) => boolean,
   ): ServerDriver | undefined {
     this.#countTasksOf(task.step);
+    const usesIndex = allowed === undefined && task.failedOn.size === 0;
+    if (usesIndex && FreeCapacityIndex.supports(task.step.spec)) {
+      const index = this.#indexIfWorthwhile();
+      if (index !== undefined) return index.choose(task.step.spec, demand)?.driver;
+    }
     if (task.failedOn.size > 0)
       for (const server of this.#servers) server.failedHere = task.failedOn.has(server.id);
     const candidates =
@@ -90,16 +107,35 @@
 
   /** Subtracts the demand of a task that was placed on a backend server. */
   allocate(server: string, step: StepRun): void {
-    this.#byId.get(server)?.allocate(step);
+    this.#change(server, (candidate) => {
+      candidate.allocate(step);
+    });
     this.#countedStep = undefined;
   }
 
   /** Adds the demand of a task back after its placement was undone. */
   release(server: string, step: StepRun): void {
-    this.#byId.get(server)?.release(step);
+    this.#change(server, (candidate) => {
+      candidate.release(step);
+    });
     this.#countedStep = undefined;
   }
 
+  #indexIfWorthwhile(): FreeCapacityIndex<CandidateServer> | undefined {
+    if (this.#choices++ < this.#indexAfterChoices) return undefined;
+    return (this.#index ??= new FreeCapacityIndex(this.#servers));
+  }
+
+  #change(server: string, change: (candidate: CandidateServer) => void): void {
+    const candidate = this.#servers.find(({ id }) => id === server);
+    if (candidate === undefined) return;
+    if (this.#index === undefined) change(candidate);
+    else
+      this.#index.update(candidate, () => {
+        change(candidate);
+      });
+  }
+
   /** Counts the tasks of a step on each backend server and rack. */
   #countTasksOf(step: StepRun): void {
     if (this.#countedStep === step) return;
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -27,7 +27,10 @@
   readonly config: FleetConfigView;
   readonly runRegistry: RunRegistry;
   readonly durations: DurationModels;
-  readonly drivers: Iterable<ServerDriver>;
+  /** Returns the backend servers of a pool. */
+  readonly driversOf: (pool: string) => readonly ServerDriver[];
+  /** Choices in a pool after which its servers are indexed; see {@link CandidateServers}. */
+  readonly indexAfterChoices?: number;
   readonly ticketCache: PlacementTicketCache;
   /** Returns false while no more start orders may be sent. */
   readonly mayStart: () => boolean;
@@ -55,7 +58,6 @@
   readonly #now: number;
   /** Servers by pool, collected when the first task of the pool is placed. */
   readonly #pools = new Map<string, PoolServers>();
-  #driversByPool: ReadonlyMap<string, readonly ServerDriver[]> | undefined;
   /** Keys of demands that did not fit. Later tasks with the same key are skipped. */
   readonly #refused = new Set<string>();
 
@@ -70,7 +72,10 @@
     for (const { step, pool } of this.#rankedSteps(jobs)) {
       if (!this.#options.mayStart()) break;
       const runs = step.spec.gang ? this.#placeGang(step, pool) : this.#placeTasks(step, pool);
-      if (runs.length > 0) placed.set(step.job, [...(placed.get(step.job) ?? []), ...runs]);
+      if (runs.length === 0) continue;
+      const earlier = placed.get(step.job);
+      if (earlier === undefined) placed.set(step.job, runs);
+      else earlier.push(...runs);
     }
     return placed;
   }
@@ -108,7 +113,7 @@
     return { rank, pool: queue?.pool ?? step.job.spec.pool };
   }
 
-  #placeTasks(step: StepRun, pool: string): readonly ActiveRun[] {
+  #placeTasks(step: StepRun, pool: string): ActiveRun[] {
     const runs: ActiveRun[] = [];
     for (const task of step.tasks) {
       if (!task.waiting || task.notBefore > this.#now) continue;
@@ -120,7 +125,7 @@
   }
 
   /** Places all members of a gang or none: a member that waits for others wastes its capacity. */
-  #placeGang(step: StepRun, pool: string): readonly ActiveRun[] {
+  #placeGang(step: StepRun, pool: string): ActiveRun[] {
     const ready = step.tasks.every((task) => task.waiting && task.notBefore <= this.#now);
     if (!ready) return [];
     const run = Math.max(...step.tasks.map((task) => task.run));
@@ -203,20 +208,14 @@
   #serversOf(pool: string): PoolServers {
     const known = this.#pools.get(pool);
     if (known !== undefined) return known;
-    const { runRegistry, drivers } = this.#options;
-    this.#driversByPool ??= groupByPool(drivers);
-    const accepting = (this.#driversByPool.get(pool) ?? []).filter((driver) =>
-      this.#acceptsTasks(driver),
-    );
+    const { runRegistry, driversOf, indexAfterChoices } = this.#options;
+    const healthy: ServerDriver[] = [];
+    const degraded: ServerDriver[] = [];
+    for (const driver of driversOf(pool))
+      if (this.#acceptsTasks(driver)) (this.#isHealthy(driver) ? healthy : degraded).push(driver);
     const servers = {
-      healthy: new CandidateServers(
-        accepting.filter((driver) => this.#isHealthy(driver)),
-        runRegistry,
-      ),
-      degraded: new CandidateServers(
-        accepting.filter((driver) => !this.#isHealthy(driver)),
-        runRegistry,
-      ),
+      healthy: new CandidateServers(healthy, runRegistry, indexAfterChoices),
+      degraded: new CandidateServers(degraded, runRegistry, indexAfterChoices),
     };
     this.#pools.set(pool, servers);
     return servers;
@@ -235,22 +234,9 @@
   #isHealthy({ id, health, speed }: ServerDriver): boolean {
     if (!speed.slow && !health.onProbation) return true;
     if (health.quarantined(this.#now) || (speed.slow && !speed.isTrialDue(this.#now))) return false;
-    const runs = this.#options.runRegistry.onServer(id);
-    return runs.every((run) => run.task.step.spec.longRunning);
-  }
-}
-
-function groupByPool(
-  drivers: Iterable<ServerDriver>,
-): ReadonlyMap<string, readonly ServerDriver[]> {
-  const pools = new Map<string, ServerDriver[]>();
-  for (const driver of drivers) {
-    const { pool } = driver.registration;
-    const group = pools.get(pool);
-    if (group === undefined) pools.set(pool, [driver]);
-    else group.push(driver);
+    const { runRegistry } = this.#options;
+    return runRegistry.countOn(id) === runRegistry.longTasksOn(id);
   }
-  return pools;
 }
 
 function refusalKey({ step }: Task, pool: string, demand: Resources, advised: boolean): string {
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -213,8 +213,10 @@
     // Tasks must not be placed while their placements cannot be recorded.
     if (!tenure.valid || this.writer.stalled) return;
     if (!this.ready || !this.tracker.starter.canStartMore) return;
+    const jobs = this.#jobsToPlace();
     const round = new PlacementRound({
-      ...{ clock, config, runRegistry: this.tracker.runRegistry, drivers: this.drivers.all() },
+      ...{ clock, config, runRegistry: this.tracker.runRegistry },
+      driversOf: (pool) => this.drivers.inPool(pool),
       durations: this.durations,
       ticketCache: this.#ticketCache,
       mayStart: () => this.tracker.starter.canStartMore,
@@ -225,7 +227,7 @@
     });
     const begunAt = clock.now();
     let placed = 0;
-    for (const [job, runs] of round.run(this.jobRegistry.openJobs)) {
+    for (const [job, runs] of round.run(jobs)) {
       placed += runs.length;
       void this.tracker.launch(job, runs);
     }
@@ -234,6 +236,14 @@
     this.#roundPauseMs = Math.min(MAX_ROUND_PAUSE_MS, Math.max(ROUND_DELAY_MS, pauseMs));
   }
 
+  /** Open jobs that have, or may get, tasks that can start now. */
+  #jobsToPlace(): readonly Job[] {
+    const jobs: Job[] = [];
+    for (const job of this.jobRegistry.openJobs)
+      if (job.readySteps().length > 0 || job.spec.schedule !== undefined) jobs.push(job);
+    return jobs;
+  }
+
   #logLoad(): void {
     this.#load.logIfDue({
       openJobs: this.jobRegistry.openJobs.size,
--- a/src/coordination/wait.ts
+++ b/src/coordination/wait.ts
@@ -29,7 +29,7 @@
 /** A promise that its holder resolves. */
 export class Deferred<T> {
   readonly promise: Promise<T>;
-  #resolve: (value: T) => void = () => undefined;
+  #resolve: (value: T) => void = ignore;
 
   constructor() {
     this.promise = new Promise((resolve) => (this.#resolve = resolve));
@@ -39,3 +39,7 @@
     this.#resolve(value);
   }
 }
+
+function ignore(): void {
+  // Replaced before the constructor of a promise returns.
+}
--- a/src/state/jobs/execution/poll-wait.ts
+++ b/src/state/jobs/execution/poll-wait.ts
@@ -21,6 +21,8 @@
 ): number {
   let wait = POLL_WAIT_MS;
   for (const run of runs) {
+    // No run shortens the wait further.
+    if (wait <= PROGRESS_POLL_WAIT_MS) break;
     const { longRunning, filler } = run.task.step.spec;
     if (filler) wait = Math.min(wait, PACING_POLL_WAIT_MS);
     if (longRunning && !filler && !isAvailable(run, now))
--- a/src/state/jobs/execution/run-speed.ts
+++ b/src/state/jobs/execution/run-speed.ts
@@ -138,7 +138,7 @@
 ): number {
   if (spec.estimateMs <= 0) return 0;
   const expected = durations.forQueue(job.spec.queue).expectedMs(spec.estimateMs);
-  const [first] = ended;
+  const first = ended[0];
   // Once a sibling has ended, the other runs are checked soon afterwards.
   return first === undefined ? expected : Math.min(expected, first.tookMs * SUSPICIOUS_RATIO);
 }
--- a/src/state/jobs/scheduling/placement.ts
+++ b/src/state/jobs/scheduling/placement.ts
@@ -62,6 +62,15 @@
 
 /** Negative if `a` is the better candidate. */
 function compareCandidates(step: StepSpec, a: PlacementCandidate, b: PlacementCandidate): number {
+  return compareSuitability(step, a, b) || freeCpuRank(step, a) - freeCpuRank(step, b);
+}
+
+/** Negative if `a` is the better candidate whatever processor time is free. */
+export function compareSuitability(
+  step: StepSpec,
+  a: PlacementCandidate,
+  b: PlacementCandidate,
+): number {
   return (
     Number(a.failedHere) - Number(b.failedHere) ||
     Number(a.slow) - Number(b.slow) ||
@@ -69,8 +78,7 @@
     a.consecutiveFailures - b.consecutiveFailures ||
     interruptedSoon(step, a) - interruptedSoon(step, b) ||
     exceedsShare(step, a) - exceedsShare(step, b) ||
-    joinsLongTasks(step, b) - joinsLongTasks(step, a) ||
-    freeCpuRank(step, a) - freeCpuRank(step, b)
+    joinsLongTasks(step, b) - joinsLongTasks(step, a)
   );
 }
 
