--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -21,15 +21,16 @@
 
 const servers = fc.array(
   fc.record({
-    cpuMillis: fc.integer({ min: 1, max: 8 }).map((cores) => cores * 1000),
-    memoryMb: fc.integer({ min: 1, max: 8 }).map((amount) => amount * 1000),
+    // Few values, so that many servers are equally good and the order among them decides.
+    cpuMillis: fc.constantFrom(2000, 4000, 4000, 8000),
+    memoryMb: fc.constantFrom(3000, 8000, 8000),
     ...{ label: fc.constantFrom(...LABELS), rack: fc.constantFrom("r0", "r1") },
     failures: fc.oneof({ weight: 3, arbitrary: fc.constant(0) }, fc.nat({ max: 4 })),
     ratio: fc.constantFrom(1, 1, 1, 12),
     maintenancePending: fc.boolean(),
     draining: fc.integer({ min: 0, max: 9 }).map((value) => value === 0),
   }),
-  { minLength: 1, maxLength: 12 },
+  { minLength: 1, maxLength: 20 },
 );
 const oneIn = (count: number) => fc.nat({ max: count - 1 }).map((value) => value === 0);
 const steps = fc.array(
@@ -38,11 +39,11 @@
     ...{ longRunning: oneIn(5), filler: oneIn(5), requiredLabel: fc.constantFrom(...LABELS) },
     ...{ dataRack: fc.constantFrom("", "", ...RACKS), maxPerServer: fc.nat({ max: 2 }) },
     demand: fc.record({
-      cpuMillis: fc.integer({ min: 1, max: 6 }).map((halves) => halves * 500),
-      memoryMb: fc.integer({ min: 1, max: 6 }).map((amount) => amount * 400),
+      cpuMillis: fc.constantFrom(500, 1000, 1000, 2000),
+      memoryMb: fc.constantFrom(400, 1000, 2000),
       accelerators: fc.constant(0),
     }),
-    ...{ failedOn: fc.option(fc.nat({ max: 11 }), { nil: undefined }), organisation: oneIn(2) },
+    ...{ failedOn: fc.option(fc.nat({ max: 19 }), { nil: undefined }), organisation: oneIn(2) },
   }),
   { minLength: 1, maxLength: 15 },
 );
