feat(jobs): start nothing in evacuated availability zones

Operators evacuate a zone by a record. The operator feed passes the set of zones, a full read replaces it, placement and start skip these zones, and the deadline of each start order ends before an evacuation that is not known yet can be in force.

--- a/src/coordination/jobs/config-view.ts
+++ b/src/coordination/jobs/config-view.ts
@@ -19,6 +19,8 @@
   readonly #log: Log;
   readonly #waves = new Map<number, WaveRequest>();
   readonly #listeners = new Set<() => void>();
+  readonly #count: (event: string) => void;
+  readonly #evacuatedZones = new Set<string>();
   #config: FleetConfig | undefined;
   #queues = new Map<string, JobQueueConfig>();
   #pools = new Map<string, JobPoolConfig>();
@@ -28,8 +30,10 @@
   /** Resolves when the configuration is next confirmed to be the newest. */
   #confirmation = new Deferred<void>();
 
-  constructor(clock: Clock, log: Log) {
+  /** `count` counts events by name. */
+  constructor(clock: Clock, log: Log, count: (event: string) => void = () => undefined) {
     super();
+    this.#count = count;
     this.#clock = clock;
     this.#log = log;
   }
@@ -50,6 +54,15 @@
     return [...this.#waves.values()];
   }
 
+  /** Availability zones in which no task may be started. */
+  get evacuatedZones(): ReadonlySet<string> {
+    return this.#evacuatedZones;
+  }
+
+  isEvacuated(zone: string): boolean {
+    return this.#evacuatedZones.has(zone);
+  }
+
   queue(name: string): JobQueueConfig | undefined {
     return this.#queues.get(name);
   }
@@ -102,6 +115,27 @@
     this.#notifyListeners();
   }
 
+  evacuatedZonesRead(zones: readonly string[]): void {
+    const present = new Set(zones);
+    for (const zone of [...this.#evacuatedZones]) if (!present.has(zone)) this.zoneRestored(zone);
+    for (const zone of present) this.zoneEvacuated(zone);
+  }
+
+  zoneEvacuated(zone: string): void {
+    if (this.#evacuatedZones.has(zone)) return;
+    this.#evacuatedZones.add(zone);
+    this.#log.info({ evacuatedZone: zone }, "zone is evacuated");
+    this.#count("zone_evacuated");
+    this.#notifyListeners();
+  }
+
+  zoneRestored(zone: string): void {
+    if (!this.#evacuatedZones.delete(zone)) return;
+    this.#log.info({ evacuatedZone: zone }, "evacuation of the zone has ended");
+    this.#count("zone_restored");
+    this.#notifyListeners();
+  }
+
   confirmed(askedAt: number): void {
     this.#confirmedAt = Math.max(askedAt, this.#confirmedAt ?? askedAt);
     const waiting = this.#confirmation;
--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -81,8 +81,8 @@
 
   /** Sends the start order of a recorded placement and handles its result. */
   async start(run: ActiveRun): Promise<void> {
-    const { driver, tenure, clock, log, setPhase, notStarted, runRegistry, requestRound } =
-      this.#options;
+    const { driver, tenure, clock, log, counters, setPhase, notStarted } = this.#options;
+    const { runRegistry, requestRound } = this.#options;
     const server = driver(run.server);
     const { task } = run;
     if (server === undefined || server.closed || !tenure.valid) {
@@ -90,6 +90,12 @@
       notStarted(run);
       return;
     }
+    // The zone may have been evacuated while the placement was being recorded.
+    if (server.startValidMs <= 0) {
+      counters.event("start_withheld_evacuation");
+      notStarted(run);
+      return;
+    }
     setPhase(run, "starting");
     log.debug({ task: task.name, run: run.run, server: run.server }, "start order sent");
     const sentAt = clock.now();
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -1,3 +1,4 @@
+import { Err } from "ts-results";
 import type { Clock } from "../../../ports/clock.ts";
 import type {
   BackendClock,
@@ -18,6 +19,7 @@
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
 import { Deferred, waitAtMost } from "../../wait.ts";
 import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
+import type { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
 
 /** Receives events of server drivers. */
@@ -49,6 +51,7 @@
   readonly tenure: LockTenure;
   readonly listener: DriverListener;
   readonly registration: RegisteredServer;
+  readonly evacuations: EvacuationGuard;
   /** Time to live in ms of the lease granted to the server. */
   readonly leaseTtlMs: number;
   /** Monotonic time in ms at which this scheduler took over. */
@@ -135,6 +138,16 @@
     return this.#failures === 0;
   }
 
+  /** Time in ms for which a start may be valid because of evacuations; 0 if none may be sent. */
+  get startValidMs(): number {
+    return this.#options.evacuations.startValidMs(this.#registration.zone);
+  }
+
+  /** True if operators have evacuated the server's availability zone. */
+  get evacuated(): boolean {
+    return this.#options.evacuations.evacuated(this.#registration.zone);
+  }
+
   /** Applies a newer registration of the same boot. */
   updateRegistration(registration: RegisteredServer): void {
     this.#registration = registration;
@@ -175,7 +188,8 @@
 
   /**
    * Sends a start order, by default over this driver's own connection. The deadline is only
-   * {@link START_VALID_MS} ahead, so the response can't be outstanding for long.
+   * {@link START_VALID_MS} ahead, so the response can't be outstanding for long. It is earlier if the
+   * server's availability zone may be evacuated by then without being known here.
    */
   async start(
     order: Omit<StartOrder, "token" | "deadlineMs">,
@@ -183,7 +197,9 @@
       this.#options.backend.start(startOrder),
   ): OrderResult<BackendClock> {
     const { clock, tenure } = this.#options;
-    const deadlineMs = this.#serverClock.issueDeadline(clock.now(), START_VALID_MS) ?? 0;
+    const validMs = Math.min(START_VALID_MS, this.startValidMs);
+    if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
+    const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
     const result = await send({ ...order, token: tenure.token, deadlineMs });
     if (result.ok)
       this.#serverClock.addReading({ clockMs: result.val.clockMs, receivedAt: clock.now() });
--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -117,7 +117,8 @@
 
   /** False for instances that cannot accept tasks in any pool. */
   #usable(instance: ControlledInstance): boolean {
-    if (instance.state === "down") return false;
+    // Tasks can't be started in an evacuated zone, so pools get instances of other zones.
+    if (instance.state === "down" || this.#options.config.isEvacuated(instance.zone)) return false;
     const driver = this.#driver(instance);
     if (driver === undefined) return !this.#zoneUnreachable(instance.zone);
     // While an instance drains for maintenance, its long-running tasks need a substitute to move to.
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -67,6 +67,8 @@
   readonly session: SessionRecord;
   /** Maximum time in ms until a configuration change takes effect. */
   readonly maxConfigAgeMs: number;
+  /** Maximum time in ms until no task starts in an evacuated availability zone. */
+  readonly evacuateMs: number;
   /** Time to live in ms of the leases granted to backend servers. */
   readonly leaseTtlMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
@@ -93,7 +95,9 @@
 
   constructor(options: JobEntryOptions) {
     this.#options = options;
-    this.config = new FleetConfigView(options.clock, options.log);
+    this.config = new FleetConfigView(options.clock, options.log, (event) => {
+      options.counters.event(event);
+    });
     const stored = (records: readonly WrittenRecord[]): void => {
       this.#notifyScheduler(records);
     };
--- a/src/coordination/jobs/job-feeds.ts
+++ b/src/coordination/jobs/job-feeds.ts
@@ -18,11 +18,15 @@
   abstract follow(listener: ServerListener, signal: AbortSignal): Promise<void>;
 }
 
-/** Receives configurations and maintenance requests from operators. */
+/** Receives configurations, maintenance requests and evacuations from operators. */
 export abstract class OperatorListener {
   /** Called with every newer version of the configuration. */
   abstract configured(config: FleetConfig): void;
   abstract waveRequested(wave: WaveRequest): void;
+  /** Called after a full read; zones that are missing are not, or no longer, evacuated. */
+  abstract evacuatedZonesRead(zones: readonly string[]): void;
+  abstract zoneEvacuated(zone: string): void;
+  abstract zoneRestored(zone: string): void;
   /** Everything that operators wrote before `askedAt` (monotonic time in ms) has been received. */
   abstract confirmed(askedAt: number): void;
 }
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -224,7 +224,7 @@
   #acceptsTasks(driver: ServerDriver): boolean {
     const { adopted, absent, reserved, reachable, closed, notBefore } = driver;
     if (!adopted || absent || reserved || !reachable || closed) return false;
-    return !driver.registration.draining && notBefore <= this.#now;
+    return !driver.registration.draining && !driver.evacuated && notBefore <= this.#now;
   }
 
   /**
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -12,6 +12,7 @@
 import type { Counters } from "../../ports.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import { PlacementTicketCache } from "./placement-ticket-cache.ts";
+import { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import { FleetDrivers } from "../fleet/fleet-drivers.ts";
 import { JobRegistry } from "../records/job-registry.ts";
 import type { ServerRegistry } from "../job-feeds.ts";
@@ -50,6 +51,8 @@
   readonly advisor: PlacementAdvisor;
   /** Time to live of the leases granted to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
+  /** Maximum time in ms until no task starts in an evacuated availability zone. */
+  readonly evacuateMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
   readonly forwarder: StartForwarder;
@@ -72,6 +75,7 @@
   readonly #ticketCache: PlacementTicketCache;
   readonly #takenOverAt: number;
   readonly #load: SchedulerLoad;
+  readonly #evacuations: EvacuationGuard;
   #roundScheduled = false;
   /** Delay in ms between the next change and its placement round. */
   #roundPauseMs = ROUND_DELAY_MS;
@@ -90,6 +94,7 @@
       onTicketsAdded: requestRound,
     });
     this.#load = new SchedulerLoad(clock, log);
+    this.#evacuations = new EvacuationGuard(options);
     this.writer = new ProgressWriter({
       ...options,
       onAttemptEnded: (begunAt) => {
@@ -196,6 +201,7 @@
       ...{ clock, log, tenure, registration, leaseTtlMs, listener: this.tracker },
       backend: connector.connect(registration.address, registration.id),
       takenOverAt: this.#takenOverAt,
+      evacuations: this.#evacuations,
     });
   }
 
@@ -211,7 +217,7 @@
   #round(): void {
     const { clock, config, tenure } = this.#options;
     // Tasks must not be placed while their placements cannot be recorded.
-    if (!tenure.valid || this.writer.stalled) return;
+    if (!tenure.valid || this.writer.stalled || !this.#evacuations.upToDate) return;
     if (!this.ready || !this.tracker.starter.canStartMore) return;
     const jobs = this.#jobsToPlace();
     const round = new PlacementRound({
--- a/src/protocol/fleet-config.ts
+++ b/src/protocol/fleet-config.ts
@@ -71,6 +71,8 @@
   readonly rack: string;
   /** Unix time in ms of the boot. A server that boots again keeps its id. */
   readonly bootedAt: number;
+  /** Time in ms for which the server is slow after its boot, as of its registration; 0 if it is not. */
+  readonly coldRemainingMs: number;
 }
 
 /** A maintenance wave requested by operators. */
