feat(jobs): limit and excuse backend servers that have just started

Servers that come back in large numbers are empty and cold, so they would attract all work and run it slowly. Their registration's cold time now limits their part of the work, warm servers come first, and runs on cold servers are neither judged slow nor learnt from.

--- a/src/coordination/jobs/execution/run-end-handler.ts
+++ b/src/coordination/jobs/execution/run-end-handler.ts
@@ -154,7 +154,8 @@
     // Runs from a checkpoint, or begun under another scheduler, were only observed in part.
     if (run.phase !== "running" || run.firstProgress?.percent !== 0) return;
     const tookMs = clockMs - run.firstProgress.clockMs;
-    if (tookMs <= 0) return;
+    // On a cold server the duration says nothing about the queue or the speed of the warm server.
+    if (tookMs <= 0 || run.slowdown > 1) return;
     const { clock, runRegistry, durations } = this.#options;
     driver.speed.observe(completedDurationRatio(run, tookMs, runRegistry, durations), clock.now());
     step.durations.push({ server: run.server, tookMs, nearData: run.nearData });
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -18,6 +18,7 @@
 import { FillerPacer } from "./filler-pacer.ts";
 import type { JobRegistry } from "../records/job-registry.ts";
 import { MAX_LISTED_ENDS } from "./order-timing.ts";
+import { coldSlowdown } from "../../../state/jobs/execution/cold-start.ts";
 import { newRun, recordListed } from "../../../state/jobs/execution/run-progress.ts";
 import type { ProgressWriter } from "../records/progress-writer.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
@@ -233,8 +234,11 @@
 
   #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
     const { clock, driver } = this.#options;
-    const rack = driver(server)?.registration.rack;
-    const run = newRun(task, { server, bootedAt, rack, phase, since: clock.now() });
+    const { registration, coldness } = driver(server) ?? {};
+    const since = clock.now();
+    const run = newRun(task, {
+      ...{ server, bootedAt, phase, since, coldness, rack: registration?.rack },
+    });
     this.runRegistry.add(run);
     return run;
   }
@@ -243,6 +247,8 @@
     const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
+      // An inherited run may have been added before its server's registration was read.
+      if (run.phase === "inherited") run.slowdown = coldSlowdown(driver.coldness);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
       // The stop had no effect, or the server was not yet registered when it was ordered.
       else if (run.phase === "stopping" && run.since < askedAt) this.#repeatStop(run);
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -15,6 +15,7 @@
   inheritedLeasesLapsedAt,
   ServerClock,
 } from "../../../state/jobs/execution/server-clock.ts";
+import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
 import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
 import { Deferred, waitAtMost } from "../../wait.ts";
@@ -80,6 +81,7 @@
   #registration: RegisteredServer;
   readonly #options: ServerDriverOptions;
   readonly #serverClock = new ServerClock();
+  readonly #coldStart = new ColdStart();
   readonly #closed = new AbortController();
   /** Kept beside the signal, because it is read for each server in each placement round. */
   #isClosed = false;
@@ -95,6 +97,7 @@
     this.#options = options;
     this.#registration = options.registration;
     if (options.registration.draining) this.drainingSince = options.clock.now();
+    this.#observeColdStart();
   }
 
   get id(): string {
@@ -148,9 +151,22 @@
     return this.#options.evacuations.evacuated(this.#registration.zone);
   }
 
+  /** True if new tasks may be placed on the server. */
+  acceptsTasks(now: number): boolean {
+    if (!this.adopted || this.absent || this.reserved || !this.reachable || this.closed)
+      return false;
+    return !this.#registration.draining && !this.evacuated && this.notBefore <= now;
+  }
+
+  /** 1 if the server has just started and is slow, falling to 0 while it becomes warm. */
+  get coldness(): number {
+    return this.#coldStart.coldness(this.#options.clock.now());
+  }
+
   /** Applies a newer registration of the same boot. */
   updateRegistration(registration: RegisteredServer): void {
     this.#registration = registration;
+    this.#observeColdStart();
     if (registration.draining) this.drainingSince ??= this.#options.clock.now();
     else this.drainingSince = undefined;
     this.absent = false;
@@ -231,6 +247,13 @@
     return result.ok;
   }
 
+  #observeColdStart(): void {
+    const { clock } = this.#options;
+    const { bootedAt, coldRemainingMs } = this.#registration;
+    const bootAgeMs = bootedAt > 0 ? clock.wallTime() - bootedAt : undefined;
+    this.#coldStart.observe(coldRemainingMs, bootAgeMs, clock.now());
+  }
+
   #idle(): boolean {
     // An unresponsive server is polled until it responds, even if nothing runs on it any more.
     if (!this.adopted || !this.reachable) return false;
--- a/src/coordination/jobs/scheduling/candidate-servers.ts
+++ b/src/coordination/jobs/scheduling/candidate-servers.ts
@@ -5,6 +5,7 @@
 } from "../../../state/jobs/scheduling/placement.ts";
 import { FreeCapacityIndex } from "../../../state/jobs/scheduling/free-capacity-index.ts";
 import { add, resourcesOccupied, subtract } from "../../../state/jobs/scheduling/resources.ts";
+import { keptFreeWhileCold } from "../../../state/jobs/execution/cold-start.ts";
 import type { RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { Resources } from "../../../protocol/job-spec.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
@@ -23,6 +24,7 @@
   readonly zone: string;
   readonly labels: readonly string[];
   readonly slow: boolean;
+  readonly coldness: number;
   readonly maintenancePending: boolean;
   readonly consecutiveFailures: number;
   free: Resources;
@@ -30,6 +32,7 @@
   tasksOfStep = 0;
   tasksOfStepOnRack = 0;
   failedHere = false;
+  #limited = false;
 
   constructor(driver: ServerDriver, runRegistry: RunRegistry) {
     const { id, rack, zone, labels, capacity } = driver.registration;
@@ -39,15 +42,26 @@
     this.zone = zone;
     this.labels = labels;
     this.slow = driver.speed.slow;
+    this.coldness = driver.coldness;
     this.maintenancePending = driver.maintenancePending;
     this.consecutiveFailures = driver.health.consecutiveFailures;
     this.free = subtract(capacity, runRegistry.usedOnServer(id));
     this.longTasks = runRegistry.longTasksOn(id);
+    if (this.coldness > 0 && runRegistry.countOn(id) > 0) this.#limitWhileCold();
   }
 
   allocate({ spec }: StepRun): void {
     this.free = subtract(this.free, resourcesOccupied(spec));
     if (spec.longRunning) this.longTasks++;
+    if (this.coldness > 0) this.#limitWhileCold();
+  }
+
+  /** An empty cold server takes any task that fits, so that large tasks need not wait for its end. */
+  #limitWhileCold(): void {
+    if (this.#limited) return;
+    this.#limited = true;
+    const cpuMillis = keptFreeWhileCold(this.driver.registration.capacity.cpuMillis, this.coldness);
+    this.free = subtract(this.free, { cpuMillis, memoryMb: 0, accelerators: 0 });
   }
 
   release({ spec }: StepRun): void {
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -212,7 +212,8 @@
     const healthy: ServerDriver[] = [];
     const degraded: ServerDriver[] = [];
     for (const driver of driversOf(pool))
-      if (this.#acceptsTasks(driver)) (this.#isHealthy(driver) ? healthy : degraded).push(driver);
+      if (driver.acceptsTasks(this.#now))
+        (this.#isHealthy(driver) ? healthy : degraded).push(driver);
     const servers = {
       healthy: new CandidateServers(healthy, runRegistry, indexAfterChoices),
       degraded: new CandidateServers(degraded, runRegistry, indexAfterChoices),
@@ -221,12 +222,6 @@
     return servers;
   }
 
-  #acceptsTasks(driver: ServerDriver): boolean {
-    const { adopted, absent, reserved, reachable, closed, notBefore } = driver;
-    if (!adopted || absent || reserved || !reachable || closed) return false;
-    return !driver.registration.draining && !driver.evacuated && notBefore <= this.#now;
-  }
-
   /**
    * False for slow or failing servers. From time to time such a server counts as healthy while it
    * has no short task, so that it gets a single one as a trial.
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -1,6 +1,7 @@
 /** Updates the progress of runs from start replies and lists of runs. */
 import type { BackendClock, ListedRun } from "../../../ports/job-backend.ts";
 import type { Task } from "../records/job.ts";
+import { coldSlowdown } from "./cold-start.ts";
 import type { ActiveRun, RunPhase } from "./run-registry.ts";
 
 /** Backend server of a run and time of its assignment. */
@@ -10,13 +11,15 @@
   /** Rack of the backend server; undefined if it is not known. */
   readonly rack: string | undefined;
   readonly phase: RunPhase;
+  /** Coldness of the backend server, from 0 to 1. @default 0 */
+  readonly coldness?: number | undefined;
   /** Monotonic time in ms of the assignment. */
   readonly since: number;
 }
 
 /** Creates the run of a task before its backend server has reported any progress. */
 export function newRun(task: Task, assigned: Assignment): ActiveRun {
-  const { server, bootedAt, rack, phase, since } = assigned;
+  const { server, bootedAt, rack, phase, since, coldness = 0 } = assigned;
   const { dataRack } = task.step.spec;
   // A plain literal without spreads: all runs share one layout, which keeps access to them fast.
   return {
@@ -34,6 +37,7 @@
     lastProgress: undefined,
     pace: 100,
     load: 0,
+    slowdown: coldSlowdown(coldness),
   };
 }
 
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -48,6 +48,8 @@
   firstProgress: ProgressPoint | undefined;
   /** Progress as last listed. */
   lastProgress: ProgressPoint | undefined;
+  /** Multiple of its usual duration that the run takes because its server was cold; 1 if it was not. */
+  slowdown: number;
   /** Speed in percent of full speed at which the run was ordered to work. */
   pace: number;
   /** Tail latency in ms, or thousandths of a core, as last listed. */
--- a/src/state/jobs/execution/run-speed.ts
+++ b/src/state/jobs/execution/run-speed.ts
@@ -57,11 +57,11 @@
 ): ExpectedDuration {
   const siblings = siblingMedianMs(run, registry);
   if (siblings !== undefined)
-    return { ms: siblings, slowRatio: SLOW_RATIO, stuckRatio: STUCK_RATIO };
+    return { ms: siblings * run.slowdown, slowRatio: SLOW_RATIO, stuckRatio: STUCK_RATIO };
   const { spec, job } = run.task.step;
   const model = durations.forQueue(job.spec.queue);
   return {
-    ms: model.expectedMs(spec.estimateMs),
+    ms: model.expectedMs(spec.estimateMs) * run.slowdown,
     slowRatio: Math.max(SLOW_RATIO, Math.exp(SLOW_DEVIATIONS * model.spread)),
     stuckRatio: Math.max(STUCK_RATIO, Math.exp(STUCK_DEVIATIONS * model.spread)),
   };
@@ -100,6 +100,8 @@
   for (const task of step.tasks) {
     const sibling = registry.forTask(task.name);
     if (sibling?.phase !== "running" || sibling.server === run.server) continue;
+    // Its duration says how cold its server is.
+    if (sibling.slowdown > 1) continue;
     if (sibling.nearData !== run.nearData || sibling.percent < MIN_SIBLING_PERCENT) continue;
     const projected = projectedMs(sibling);
     if (projected !== undefined) known.push(projected);
@@ -121,7 +123,7 @@
   const { longRunning, filler } = run.task.step.spec;
   const ms = expectedStepMs(run.task.step, durations);
   if (longRunning || filler || ms < MIN_EXPECTED_MS) return undefined;
-  return run.since + ms * OVERDUE_RATIO - now;
+  return run.since + ms * run.slowdown * OVERDUE_RATIO - now;
 }
 
 /** True if the run has taken so long that its progress should be checked. */
--- a/src/state/jobs/scheduling/placement.ts
+++ b/src/state/jobs/scheduling/placement.ts
@@ -20,6 +20,8 @@
   readonly longTasks: number;
   /** True if tasks on this backend server took far longer than estimated. */
   readonly slow: boolean;
+  /** 1 if the backend server has just started and is slow, 0 if it is warm. */
+  readonly coldness: number;
   /** True if maintenance will end the tasks on this backend server. */
   readonly maintenancePending: boolean;
   /** Number of consecutive failures on this backend server; lower is better. */
@@ -74,6 +76,7 @@
   return (
     Number(a.failedHere) - Number(b.failedHere) ||
     Number(a.slow) - Number(b.slow) ||
+    a.coldness - b.coldness ||
     rackMismatch(step, a) - rackMismatch(step, b) ||
     a.consecutiveFailures - b.consecutiveFailures ||
     interruptedSoon(step, a) - interruptedSoon(step, b) ||
--- a/test/platform/operator-records.test.ts
+++ b/test/platform/operator-records.test.ts
@@ -47,6 +47,13 @@
   assert.is(server?.draining, false);
 });
 
+// Guards against a server that is left out, or counts as cold for ever, because of an odd cold time.
+test("a worker's cold time is 0 if it is absent, negative or unreadable", () => {
+  const coldRemainingMs = (value?: unknown) =>
+    decodeServer("i-1", bytes({ ...WORKER, coldRemainingMs: value }))?.coldRemainingMs;
+  assert.equal([700, -1, "long", undefined].map(coldRemainingMs), [700, 0, 0, 0]);
+});
+
 // Guards against errors thrown by, or tasks placed on, a server from a malformed record.
 test("malformed records of other writers are not decoded as servers", () => {
   const malformed = [
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -33,6 +33,7 @@
   assert.is(settings.storeUrl, "http://10.0.0.2:8344");
   assert.is(settings.maxServerLeaseMs, 10_000);
   assert.is(settings.keepEndedMs, 120_000);
+  assert.is(settings.evacuateMs, 5000);
   assert.is(settings.instanceControlUrl, undefined);
 });
 
