--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -14,6 +14,7 @@
 import { PlacementTicketCache } from "./placement-ticket-cache.ts";
 import { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import { FleetDrivers } from "../fleet/fleet-drivers.ts";
+import { ZoneEvacuator } from "../fleet/zone-evacuator.ts";
 import { JobRegistry } from "../records/job-registry.ts";
 import type { ServerRegistry } from "../job-feeds.ts";
 import { PlacementRound } from "./placement-round.ts";
@@ -158,10 +159,12 @@
     const stopListening = config.onChange(() => {
       this.#requestRound();
     });
+    const zoneEvacuator = this.#createZoneEvacuator();
     while (!signal.aborted) {
       await clock.sleep(IDLE_ROUND_INTERVAL_MS, signal);
       this.tracker.restartStragglers();
       this.tracker.evacuateDraining(this.drivers.all());
+      zoneEvacuator.run();
       this.tracker.releaseUnregistered(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
       this.#logLoad();
@@ -195,6 +198,17 @@
     this.#requestRound();
   }
 
+  #createZoneEvacuator(): ZoneEvacuator {
+    return new ZoneEvacuator({
+      ...{ ...this.#options, runRegistry: this.tracker.runRegistry },
+      drivers: () => this.drivers.all(),
+      openJobs: () => this.jobRegistry.openJobs,
+      stop: (run) => {
+        this.tracker.stop(run);
+      },
+    });
+  }
+
   #createDriver(registration: RegisteredServer): ServerDriver {
     const { clock, log, tenure, connector, leaseTtlMs } = this.#options;
     return new ServerDriver({
