test(jobs): evacuations in the cluster and in the job fuzz

The simulated cluster reads evacuations from the store through the platform's feed, so lost history, hanging watches and paused processes act on them. The fuzz evacuates and restores zones; with the mutant ignores-evacuations it reports starts in the zone.

--- a/test/fakes/jobs/entry-faults.ts
+++ b/test/fakes/jobs/entry-faults.ts
@@ -20,6 +20,7 @@
 import type { SimulatedJobServer } from "../../../src/stand-ins/simulated-job-server.ts";
 
 const ORDER_TIMEOUT_MS = 900;
+const WATCH_STALL_STEP_MS = 20;
 
 /** Bytes of a call in addition to its payload. */
 const CALL_OVERHEAD_BYTES = 400;
@@ -48,6 +49,8 @@
 export class EntryFaults {
   /** Whether orders to backend servers and their replies are lost. */
   cutFromServers = false;
+  /** Whether watches of operator records get no reply until this is switched off. */
+  stallOperatorWatches = false;
   /** The link shared by calls to the store and to backend servers. */
   link: SlowLink | undefined;
   /** The store connectivity reported to the entry. */
@@ -72,6 +75,11 @@
     for (const resume of waiting) resume();
   }
 
+  /** Resolves once watches of operator records get replies. */
+  async untilWatchesReply(): Promise<void> {
+    while (this.stallOperatorWatches) await this.#clock.sleep(WATCH_STALL_STEP_MS);
+  }
+
   /** Resolves once the process is not frozen. */
   untilRunning(): Promise<void> {
     if (!this.#frozen) return Promise.resolve();
@@ -146,7 +154,11 @@
   }
 
   watch(prefix: string, after: number, waitMs: number) {
-    return this.#faults.runInProcess(() => this.#client.watch(prefix, after, waitMs));
+    return this.#faults.runInProcess(async () => {
+      const changes = await this.#client.watch(prefix, after, waitMs);
+      if (prefix === "op/") await this.#faults.untilWatchesReply();
+      return changes;
+    });
   }
 
   commit(txn: RecordTransaction): StoreResult<number> {
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -1,12 +1,7 @@
 import { Err, Ok } from "ts-results";
 import { MetricCounters } from "../../../src/coordination/counters.ts";
 import { JobEntry } from "../../../src/coordination/jobs/job-entry.ts";
-import {
-  OperatorFeed,
-  ServerRegistry,
-  type OperatorListener,
-  type ServerListener,
-} from "../../../src/coordination/jobs/job-feeds.ts";
+import { ServerRegistry, type ServerListener } from "../../../src/coordination/jobs/job-feeds.ts";
 import { AcceptedJobSpecs } from "../../../src/state/jobs/admission/accepted-job-specs.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/records/record-notifier.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/admission/job-submitter.ts";
@@ -25,15 +20,18 @@
   SimulatedJobServer,
   type TaskBehaviour,
 } from "../../../src/stand-ins/simulated-job-server.ts";
+import { EventCounts } from "../event-counts.ts";
 import { advanceUntilSettled, VirtualClock } from "../virtual-clock.ts";
 import { ClusterStartForwarder } from "./cluster-start-forwarder.ts";
 import { EntryConnector, EntryStore, EntryFaults, SlowLink } from "./entry-faults.ts";
+import { FakeOperators } from "./fake-operators.ts";
+import { zoneOfServer } from "./zones.ts";
 import { fleetConfig } from "./job-builders.ts";
 
 const LEASE_TTL_MS = 6000;
 const FAST_LINK_BYTES_PER_MS = 125_000;
 const CALLER_WAIT_MS = 3000;
-const CONFIRM_INTERVAL_MS = 500;
+const EVACUATIONS_PREFIX = "op/evacuate/";
 
 const NOOP_LOG: Log = {
   debug: () => undefined,
@@ -46,6 +44,7 @@
 export interface ClusterEntry {
   readonly entry: JobEntry;
   readonly faults: EntryFaults;
+  readonly counts: EventCounts;
   readonly store: MemoryRecordClient;
   readonly jobSpecs: AcceptedJobSpecs;
   readonly connector: EntryConnector;
@@ -64,6 +63,10 @@
   /** Bandwidth of each entry's link in bytes per ms. @default unlimited */
   readonly linkBytesPerMs?: number;
   readonly log?: Log;
+  /** Time in ms within which evacuations must take effect. @default 5000 */
+  readonly evacuateMs?: number;
+  /** Makes entries ignore evacuations, to show that checks notice it. @default false */
+  readonly ignoreEvacuations?: boolean;
 }
 
 /** Entry instances that share a store and backend servers, in virtual time. */
@@ -84,8 +87,10 @@
       behaviour: options.behaviour ?? (() => ({ durationMs: 400 })),
       log: options.log ?? NOOP_LOG,
       linkBytesPerMs: options.linkBytesPerMs ?? FAST_LINK_BYTES_PER_MS,
+      evacuateMs: options.evacuateMs ?? 5000,
+      ignoreEvacuations: options.ignoreEvacuations ?? false,
     };
-    this.#operators = new FakeOperators(this.clock, config);
+    this.#operators = new FakeOperators(config, this.#options.ignoreEvacuations);
     for (let index = 0; index < servers; index++) this.addServer(`s${index}`);
     for (let index = 0; index < entries; index++) this.addEntry();
   }
@@ -108,13 +113,20 @@
     const { random, log } = this.#options;
     const name = `e${this.entries.length}`;
     const jobSpecs = new AcceptedJobSpecs();
+    const counters = new ObservedCounters();
     const forwarder = new ClusterStartForwarder(this.clock, this.entries, faults);
     const connector = new EntryConnector(this.clock, faults, this.servers);
     const entry = new JobEntry({
-      ...{ clock, random, log, counters: new MetricCounters() },
+      ...{ clock, random, log, counters },
       store: new EntryStore(store, faults),
       registry: this.#registry,
-      operators: this.#operators,
+      operators: this.#operators.forEntry({
+        ...{ store: new EntryStore(store, faults), clock, random, log },
+        ...{ configApplyMs: 2000, evacuateMs: this.#options.evacuateMs },
+        count: (event) => {
+          counters.event(event);
+        },
+      }),
       connector,
       instances: new NoInstances(),
       advisor: new NoAdvisor(),
@@ -126,10 +138,20 @@
       linkBytesPerMs,
       takeoverPauseMs: 0,
       maxConfigAgeMs: 2000,
+      evacuateMs: this.#options.evacuateMs,
       keepEndedMs: 120_000,
     });
     entry.start();
-    const added = { entry, faults, store, jobSpecs, connector, forwarder, alive: true };
+    const added = {
+      entry,
+      counts: counters.counts,
+      faults,
+      store,
+      jobSpecs,
+      connector,
+      forwarder,
+      alive: true,
+    };
     this.entries.push(added);
     return added;
   }
@@ -168,6 +190,22 @@
     this.#registry.changed(id);
   }
 
+  /** Sets the cold time in ms that a server registers with. */
+  setColdTime(id: string, ms: number): void {
+    this.#registry.coldMs.set(id, ms);
+    this.#registry.changed(id);
+  }
+
+  /** Evacuates an availability zone, as operators do. */
+  evacuate(zone: string, value = "{}"): void {
+    this.store.write(`${EVACUATIONS_PREFIX}${zone}`, Buffer.from(value));
+  }
+
+  /** Ends the evacuation of an availability zone. */
+  restore(zone: string): void {
+    this.store.delete(`${EVACUATIONS_PREFIX}${zone}`);
+  }
+
   configure(config: FleetConfig): void {
     this.#operators.configure(config);
   }
@@ -235,8 +273,20 @@
   }
 }
 
+/** Counters whose events tests can read. */
+class ObservedCounters extends MetricCounters {
+  readonly counts = new EventCounts();
+
+  override event(name: string): void {
+    super.event(name);
+    this.counts.event(name);
+  }
+}
+
 class FakeRegistry extends ServerRegistry {
   readonly draining = new Set<string>();
+  /** Cold time of servers in ms, by server id. */
+  readonly coldMs = new Map<string, number>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
   readonly #listeners = new Set<ServerListener>();
 
@@ -267,7 +317,8 @@
 
   #registration({ id, capacity, bootedAt }: SimulatedJobServer): RegisteredServer {
     return {
-      ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: "z" },
+      ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: zoneOfServer(id) },
+      coldRemainingMs: this.coldMs.get(id) ?? 0,
       draining: this.draining.has(id),
       labels: ["kind", "rack"],
       rack: "rack",
@@ -275,37 +326,6 @@
   }
 }
 
-class FakeOperators extends OperatorFeed {
-  readonly #clock: VirtualClock;
-  readonly #listeners = new Set<OperatorListener>();
-  #config: FleetConfig;
-
-  constructor(clock: VirtualClock, config: FleetConfig) {
-    super();
-    this.#clock = clock;
-    this.#config = config;
-  }
-
-  configure(config: FleetConfig): void {
-    this.#config = config;
-    for (const listener of this.#listeners) listener.configured(config);
-  }
-
-  async follow(listener: OperatorListener, signal: AbortSignal): Promise<void> {
-    listener.configured(this.#config);
-    this.#listeners.add(listener);
-    while (!signal.aborted) {
-      listener.confirmed(this.#clock.now());
-      await this.#clock.sleep(CONFIRM_INTERVAL_MS, signal);
-    }
-    this.#listeners.delete(listener);
-  }
-
-  reportWave(): Promise<boolean> {
-    return Promise.resolve(true);
-  }
-}
-
 class NoInstances extends InstanceControl {
   list() {
     return Promise.resolve(Ok([]));
--- a/test/fuzz/jobs/job-campaign.ts
+++ b/test/fuzz/jobs/job-campaign.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { jobHistories } from "./job-commands.ts";
-import { JobWorld } from "./job-world.ts";
+import { JobWorld, type JobMutant } from "./job-world.ts";
 
 /** The first history that violated a guarantee. */
 export interface JobCampaignFailure {
@@ -13,11 +13,12 @@
 export async function runJobCampaign(
   seed: number,
   runs: number,
+  mutant?: JobMutant,
 ): Promise<JobCampaignFailure | undefined> {
   let violations: readonly string[] = [];
   const property = fc.asyncProperty(jobHistories(), async (history) => {
     violations = [];
-    const world = new JobWorld(seed);
+    const world = new JobWorld(seed, { mutant });
     await world.cluster.electScheduler();
     for (const command of history) await command.run(world);
     violations = await world.finish();
--- a/test/fuzz/jobs/job-commands.ts
+++ b/test/fuzz/jobs/job-commands.ts
@@ -75,6 +75,13 @@
       world.delayStarts(number, ms);
     }),
   );
+  const evacuate = fc
+    .tuple(fc.nat({ max: 1 }), fc.integer({ min: 1000, max: 14_000 }))
+    .map(([zone, ms]) =>
+      command(`evacuate z${zone} ${ms}`, (world) => {
+        world.evacuate(`z${zone}`, ms);
+      }),
+    );
   const anyCommand = fc.oneof(
     { weight: 8, arbitrary: submit },
     { weight: 2, arbitrary: cancel },
@@ -87,6 +94,7 @@
     { weight: 2, arbitrary: crash },
     { weight: 2, arbitrary: cut },
     { weight: 2, arbitrary: lateStarts },
+    { weight: 2, arbitrary: evacuate },
   );
   return fc.array(anyCommand, { minLength: 5, maxLength: 30 });
 }
--- a/test/fuzz/jobs/job-fuzz.test.ts
+++ b/test/fuzz/jobs/job-fuzz.test.ts
@@ -19,6 +19,11 @@
   assert.is(await runJobCampaign(1, RUNS), undefined);
 });
 
+test("a scheduler that ignores evacuations is reported", async () => {
+  const failure = await runJobCampaign(1, RUNS, "ignores-evacuations");
+  assert.match(failure?.violations.join() ?? "", "in the evacuated zone");
+});
+
 for (const [seed, cause] of REGRESSIONS) {
   test(`seed ${seed} keeps every guarantee; it failed before because ${cause}`, async () => {
     assert.is(await runJobCampaign(seed, RUNS), undefined);
--- a/test/fuzz/jobs/job-oracle.ts
+++ b/test/fuzz/jobs/job-oracle.ts
@@ -2,6 +2,7 @@
   ObservedRun,
   SimulatedJobServer,
 } from "../../../src/stand-ins/simulated-job-server.ts";
+import { zoneOfServer } from "../../fakes/jobs/zones.ts";
 import { parseTaskName, type JobRequest, type Resources } from "../../../src/protocol/job-spec.ts";
 
 /** A job as its callers know it from the replies. */
@@ -14,10 +15,22 @@
   cancelledAt: number | undefined;
 }
 
+/** The evacuation of an availability zone. */
+export interface Evacuation {
+  readonly zone: string;
+  readonly beganAt: number;
+  /** Time at which its record was deleted, in milliseconds; undefined before. */
+  endedAt: number | undefined;
+}
+
+/** Time from the write of an evacuation until nothing starts in its zone, in milliseconds. */
+const EVACUATION_BOUND_MS = 5000;
+
 /** Checks the guarantees for jobs from what callers and backend servers observed. */
 export class JobOracle {
   readonly #jobs = new Map<string, KnownJob>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
+  readonly #evacuations: Evacuation[] = [];
 
   constructor(servers: ReadonlyMap<string, SimulatedJobServer>) {
     this.#servers = servers;
@@ -37,6 +50,12 @@
     return job;
   }
 
+  zoneEvacuated(zone: string, beganAt: number): Evacuation {
+    const evacuation: Evacuation = { zone, beganAt, endedAt: undefined };
+    this.#evacuations.push(evacuation);
+    return evacuation;
+  }
+
   /** Descriptions of all violations; empty if every guarantee held. */
   violations(): readonly string[] {
     const runs = [...this.#servers.values()].flatMap(({ history }) => history);
@@ -48,6 +67,7 @@
       ...[...byTask.values()].flatMap((group) => this.#startsAfterLastAttempt(group)),
       ...runs.flatMap((run) => this.#prerequisiteViolations(run, byTask)),
       ...[...this.#servers.values()].flatMap((server) => this.#overloads(server)),
+      ...runs.flatMap((run) => this.#evacuationViolations(run)),
     ];
   }
 
@@ -93,6 +113,16 @@
     });
   }
 
+  /** Starts in an evacuated zone after the bound. */
+  #evacuationViolations({ task, server, startedAt }: ObservedRun): readonly string[] {
+    const zone = zoneOfServer(server);
+    return this.#evacuations
+      .filter((evacuation) => evacuation.zone === zone)
+      .filter(({ beganAt }) => startedAt > beganAt + EVACUATION_BOUND_MS)
+      .filter(({ endedAt = Infinity }) => startedAt < endedAt)
+      .map(() => `${task} was started in the evacuated zone ${zone}`);
+  }
+
   #demand(task: string): Resources {
     const address = parseTaskName(task);
     const job = address === undefined ? undefined : this.#jobs.get(address.job);
--- a/test/fuzz/jobs/job-world.ts
+++ b/test/fuzz/jobs/job-world.ts
@@ -20,18 +20,28 @@
   jobRequest(step({ tasks: 3, longRunning: true, maxPerServer: 1 })),
 ];
 
+/** A deviation of the product that a campaign must report. */
+export type JobMutant = "ignores-evacuations";
+
+/** Options of {@link JobWorld}. */
+export interface JobWorldOptions {
+  readonly log?: Log;
+  readonly mutant?: JobMutant | undefined;
+}
+
 /** A simulated cluster with fault injection and the oracle that checks it. */
 export class JobWorld {
   readonly cluster: JobCluster;
   readonly oracle: JobOracle;
   readonly #pending: Promise<unknown>[] = [];
 
-  constructor(seed: number, log?: Log) {
+  constructor(seed: number, { log, mutant }: JobWorldOptions = {}) {
     const random = new SeededRandom(seed);
     const longRunningIds = new Set<string>();
     this.cluster = new JobCluster({
       random,
       ...(log === undefined ? {} : { log }),
+      ignoreEvacuations: mutant === "ignores-evacuations",
       behaviour: (task) => {
         const id = task.split(".")[0] ?? "";
         if (longRunningIds.has(id)) return { durationMs: undefined };
@@ -43,6 +53,7 @@
   }
 
   readonly #longRunningIds: Set<string>;
+  readonly #evacuated = new Set<string>();
 
   /** Submits a job; the same number always means the same job. */
   submit(number: number, shape: number, at: number): void {
@@ -149,6 +160,20 @@
       Object.assign(server.faults, { lateStarts: 2, lateStartDelayMs: lateMs });
   }
 
+  /** Evacuates a zone for the given time, unless it is already evacuated. */
+  evacuate(zone: string, ms: number): void {
+    const { clock } = this.cluster;
+    if (this.#evacuated.has(zone)) return;
+    this.#evacuated.add(zone);
+    this.cluster.evacuate(zone);
+    const evacuation = this.oracle.zoneEvacuated(zone, clock.now());
+    clock.schedule(ms, () => {
+      this.cluster.restore(zone);
+      evacuation.endedAt = clock.now();
+      this.#evacuated.delete(zone);
+    });
+  }
+
   async advance(ms: number): Promise<void> {
     const { clock } = this.cluster;
     for (let passed = 0; passed < ms; passed += 10) {
