--- a/bench/scheduler-cost.ts
+++ b/bench/scheduler-cost.ts
@@ -174,7 +174,7 @@
     ...{ notifier: new NoNotifier(), jobSpecs: new AcceptedJobSpecs() },
     ...{ forwarder: new NoForwarder(), storeConnectivity: connected },
     ...{ leaseTtlMs: 6000, linkBytesPerMs: 125_000, takeoverPauseMs: 0, maxConfigAgeMs: 2000 },
-    keepEndedMs: 120_000,
+    ...{ keepEndedMs: 120_000, evacuateMs: 5000 },
   });
 }
 
@@ -212,6 +212,7 @@
       this.#servers.map(({ id, capacity, bootedAt }, index) => ({
         ...{ id, capacity, bootedAt, pool: `p${index % POOLS}`, address: id, zone: "z" },
         ...{ draining: false, labels: index % 4 < 2 ? ["big"] : [], rack: `r${index % 10}` },
+        coldRemainingMs: 0,
       })),
     );
     return new Promise((resolve) => {
