--- a/bench/scheduler-cost.ts
+++ b/bench/scheduler-cost.ts
@@ -174,7 +174,7 @@
     ...{ notifier: new NoNotifier(), jobSpecs: new AcceptedJobSpecs() },
     ...{ forwarder: new NoForwarder(), storeConnectivity: connected },
     ...{ leaseTtlMs: 6000, linkBytesPerMs: 125_000, takeoverPauseMs: 0, maxConfigAgeMs: 2000 },
-    keepEndedMs: 120_000,
+    ...{ keepEndedMs: 120_000, evacuateMs: 5000 },
   });
 }
 
@@ -211,7 +211,12 @@
     listener.reset(
       this.#servers.map(({ id, capacity, bootedAt }, index) => ({
         ...{ id, capacity, bootedAt, pool: `p${index % POOLS}`, address: id, zone: "z" },
-        ...{ draining: false, labels: index % 4 < 2 ? ["big"] : [], rack: `r${index % 10}` },
+        ...{
+          draining: false,
+          coldRemainingMs: 0,
+          labels: index % 4 < 2 ? ["big"] : [],
+          rack: `r${index % 10}`,
+        },
       })),
     );
     return new Promise((resolve) => {
--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -27,7 +27,7 @@
     ...{ label: fc.constantFrom(...LABELS), rack: fc.constantFrom("r0", "r1") },
     failures: fc.oneof({ weight: 3, arbitrary: fc.constant(0) }, fc.nat({ max: 4 })),
     ratio: fc.constantFrom(1, 1, 1, 12),
-    maintenancePending: fc.boolean(),
+    ...{ maintenancePending: fc.boolean(), coldness: fc.constantFrom(0, 0, 0, 0.5, 1) },
     draining: fc.integer({ min: 0, max: 9 }).map((value) => value === 0),
   }),
   { minLength: 1, maxLength: 20 },
@@ -62,7 +62,8 @@
   return {
     ...{ id: registration.id, registration, health, speed, adopted: true, absent: false },
     ...{ reserved: false, reachable: true, closed: false, notBefore: 0, bootedAt: 1 },
-    maintenancePending: server.maintenancePending,
+    ...{ maintenancePending: server.maintenancePending, coldness: server.coldness },
+    acceptsTasks: () => !draining,
   } as unknown as ServerDriver;
 }
 
