feat(jobs): learn the tails of task durations by queue

Tasks that take several times as long as the others of their queue, wherever they run, were stopped as stuck and made their servers count as slow. A decayed histogram of logarithms by queue now explains such runs, unless too many runs of a server are long at once, two in a row ended so, or the run makes no progress.

--- a/src/coordination/jobs/execution/run-end-handler.ts
+++ b/src/coordination/jobs/execution/run-end-handler.ts
@@ -5,7 +5,7 @@
 import type { Job, Task } from "../../../state/jobs/records/job.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
-import { completedDurationRatio } from "../../../state/jobs/execution/run-speed.ts";
+import { TailAssessment } from "../../../state/jobs/execution/tail-assessment.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { JobRegistry } from "../records/job-registry.ts";
 import type { ServerDriver } from "./server-driver.ts";
@@ -30,9 +30,11 @@
 /** Updates tasks, jobs and server statistics when a backend server reports that runs have ended. */
 export class RunEndHandler {
   readonly #options: RunEndHandlerOptions;
+  readonly #tails: TailAssessment;
 
   constructor(options: RunEndHandlerOptions) {
     this.#options = options;
+    this.#tails = new TailAssessment(options.runRegistry, options.durations);
   }
 
   /**
@@ -156,8 +158,9 @@
     const tookMs = clockMs - run.firstProgress.clockMs;
     // On a cold server the duration says nothing about the queue or the speed of the warm server.
     if (tookMs <= 0 || run.slowdown > 1) return;
-    const { clock, runRegistry, durations } = this.#options;
-    driver.speed.observe(completedDurationRatio(run, tookMs, runRegistry, durations), clock.now());
+    const { clock, durations } = this.#options;
+    const ratio = this.#tails.runEnded(run, tookMs, driver);
+    if (ratio !== undefined) driver.speed.observe(ratio, clock.now());
     step.durations.push({ server: run.server, tookMs, nearData: run.nearData });
     if (run.nearData) durations.forQueue(step.job.spec.queue).observe(estimateMs, tookMs);
   }
--- a/src/coordination/jobs/execution/straggler-detector.ts
+++ b/src/coordination/jobs/execution/straggler-detector.ts
@@ -11,6 +11,7 @@
   shouldRestart,
   type ExpectedDuration,
 } from "../../../state/jobs/execution/run-speed.ts";
+import { TailAssessment } from "../../../state/jobs/execution/tail-assessment.ts";
 import type { Counters } from "../../ports.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
@@ -37,9 +38,11 @@
 /** Detects runs that take too long, and stops those that would end sooner on another server. */
 export class StragglerDetector {
   readonly #options: StragglerDetectorOptions;
+  readonly #tails: TailAssessment;
 
   constructor(options: StragglerDetectorOptions) {
     this.#options = options;
+    this.#tails = new TailAssessment(options.runRegistry, options.durations);
   }
 
   /** Checks every overdue run. If its last progress is too old, its server is polled first. */
@@ -67,6 +70,9 @@
       this.#expectationOf(other),
     );
     if (!isServerAtFault(run, expected, server.speed.ratio, slowJobs)) return;
+    if (this.#tails.explains(run, expected, server)) return;
+    if (!isServerAtFault(run, { ...expected, stuckRatio: Infinity }, server.speed.ratio, slowJobs))
+      this.#tails.runStopped(run, expected);
     const expectedMs = Math.round(expected.ms);
     const projected = Math.round(projectedMs(run) ?? 0);
     server.speed.observeSlowRun(projected / expected.ms, now);
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -54,6 +54,8 @@
   { clockMs }: BackendClock,
   askedAt: number,
 ): void {
+  if (run.lastProgress === undefined || percent > run.lastProgress.percent)
+    run.advancedAt = clockMs;
   run.percent = percent;
   run.load = load;
   run.listedAt = askedAt;
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -50,6 +50,8 @@
   lastProgress: ProgressPoint | undefined;
   /** Multiple of its usual duration that the run takes because its server was cold; 1 if it was not. */
   slowdown: number;
+  /** Time on the server's clock of the last list with more progress than before. */
+  advancedAt?: number;
   /** Speed in percent of full speed at which the run was ordered to work. */
   pace: number;
   /** Tail latency in ms, or thousandths of a core, as last listed. */
--- a/src/state/jobs/execution/run-speed.ts
+++ b/src/state/jobs/execution/run-speed.ts
@@ -1,5 +1,6 @@
 /** Detects slow runs and whether their backend server is the cause. */
 import type { DurationModel, DurationModels } from "../scheduling/duration-model.ts";
+import type { DurationTail } from "../scheduling/duration-tail.ts";
 import type { StepRun } from "../records/job.ts";
 import type { ActiveRun, RunRegistry } from "./run-registry.ts";
 
@@ -19,7 +20,7 @@
 /** Standard deviations within which most runs of a queue stay; a server is compared with this. */
 const USUAL_DEVIATIONS = 1;
 /** Average duration ratio of a server from which it is the cause of a slow run. */
-const SUSPICIOUS_RATIO = 1.6;
+export const SUSPICIOUS_RATIO = 1.6;
 /** Number of siblings with a known duration that a comparison needs. */
 const MIN_SIBLINGS = 2;
 /** Progress in percent from which the duration of a running sibling is projected. */
@@ -29,10 +30,14 @@
 export interface ExpectedDuration {
   /** Expected duration in milliseconds. */
   readonly ms: number;
+  /** Duration in milliseconds that most runs do not exceed; the speed of a server is relative to it. */
+  readonly usualMaxMs: number;
   /** Ratio to the expected duration from which the run counts as slow. */
   readonly slowRatio: number;
   /** Ratio to the expected duration from which the run counts as stuck. */
   readonly stuckRatio: number;
+  /** Ratios to such an expectation that runs of the queue ended with. */
+  readonly tail: DurationTail;
 }
 
 /** Duration in ms projected from a run's progress; undefined before progress was measured. */
@@ -56,33 +61,23 @@
   durations: DurationModels,
 ): ExpectedDuration {
   const siblings = siblingMedianMs(run, registry);
-  if (siblings !== undefined)
-    return { ms: siblings * run.slowdown, slowRatio: SLOW_RATIO, stuckRatio: STUCK_RATIO };
   const { spec, job } = run.task.step;
   const model = durations.forQueue(job.spec.queue);
+  if (siblings !== undefined)
+    return {
+      ...{ ms: siblings * run.slowdown, usualMaxMs: siblings },
+      ...{ slowRatio: SLOW_RATIO, stuckRatio: STUCK_RATIO },
+      tail: model.siblingTail,
+    };
   return {
+    tail: model.tail,
     ms: model.expectedMs(spec.estimateMs) * run.slowdown,
+    usualMaxMs: usualMaxMs(model, spec.estimateMs),
     slowRatio: Math.max(SLOW_RATIO, Math.exp(SLOW_DEVIATIONS * model.spread)),
     stuckRatio: Math.max(STUCK_RATIO, Math.exp(STUCK_DEVIATIONS * model.spread)),
   };
 }
 
-/**
- * Ratio of the duration of a completed run to the median of its siblings, or else to the duration that
- * most runs of its queue do not exceed.
- */
-export function completedDurationRatio(
-  run: ActiveRun,
-  tookMs: number,
-  registry: RunRegistry,
-  durations: DurationModels,
-) {
-  const siblings = siblingMedianMs(run, registry);
-  if (siblings !== undefined) return tookMs / siblings;
-  const { spec, job } = run.task.step;
-  return tookMs / usualMaxMs(durations.forQueue(job.spec.queue), spec.estimateMs);
-}
-
 /** Duration in ms that most runs of a queue with this declared duration do not exceed. */
 function usualMaxMs(model: DurationModel, estimateMs: number): number {
   return model.expectedMs(estimateMs) * Math.exp(USUAL_DEVIATIONS * model.spread);
--- a/src/state/jobs/execution/server-speed.ts
+++ b/src/state/jobs/execution/server-speed.ts
@@ -14,6 +14,8 @@
  */
 export class ServerSpeed {
   #ratio = 1;
+  /** True if the last ended run was excused by {@link excuseLongRun}. */
+  #excused = false;
   /** Monotonic time in ms of the last measurement; undefined unless the server counts as slow. */
   #lastSlowAt: number | undefined;
 
@@ -29,11 +31,22 @@
 
   /** Records the ratio of a completed run's duration to the expected one. */
   observe(ratio: number, now: number): void {
+    this.#excused = false;
     const weight = this.slow ? RECOVERY_WEIGHT : AVERAGE_WEIGHT;
     this.#ratio += (ratio - this.#ratio) * weight;
     this.#updateLastSlowAt(now);
   }
 
+  /**
+   * Decides whether an ended run that belongs to the tail of its queue's durations is left out of the
+   * speed. Of two in a row only the first is, because a server that slows down makes every run long.
+   */
+  excuseLongRun(): boolean {
+    if (this.slow || this.#excused) return false;
+    this.#excused = true;
+    return true;
+  }
+
   /** Records a run that is far slower than expected. */
   observeSlowRun(ratio: number, now: number): void {
     this.#ratio = Math.max(this.#ratio, Math.min(ratio, SLOW_RATIO * 2));
--- a/src/state/jobs/scheduling/duration-model.ts
+++ b/src/state/jobs/scheduling/duration-model.ts
@@ -1,4 +1,5 @@
 /** Learns actual task durations from completed tasks, because declared durations are very inaccurate. */
+import { DurationTail } from "./duration-tail.ts";
 
 /** Decay of earlier observations per new duration; about the last 100 durations count. */
 const DECAY = 0.99;
@@ -14,6 +15,8 @@
 const DURATIONS_PER_EPOCH = 8;
 /** Maximum number of expected durations kept between two observations. */
 const MAX_KNOWN_DURATIONS = 500;
+/** Weight of a model from which its expectations are a basis for ratios; before, declarations count. */
+const MIN_TAIL_BASIS = 30;
 
 /**
  * Expected duration of the tasks of one queue as a function of the declared one. A weighted
@@ -21,6 +24,10 @@
  * those that are mostly noise, where the queue's usual duration is the better estimate.
  */
 export class DurationModel {
+  /** Ratios of actual durations to those expected by this model. */
+  readonly tail = new DurationTail();
+  /** Ratios of actual durations to those of other tasks of the same step. */
+  readonly siblingTail = new DurationTail();
   #observed = 0;
   #weight = 0;
   #meanDeclared = 0;
@@ -66,6 +73,22 @@
     return expected;
   }
 
+  /**
+   * Expected duration in milliseconds of a step with the given number of equal tasks, which lasts as
+   * long as the longest of them: that of one task until the tail of the queue is known.
+   */
+  expectedStepMs(declaredMs: number, tasks: number): number {
+    const tail = this.siblingTail.known ? this.siblingTail : this.tail;
+    // The expected maximum of n values lies near the quantile n / (n + 1).
+    const longest = tasks <= 1 ? 1 : Math.max(1, tail.quantile(tasks / (tasks + 1)));
+    return this.expectedMs(declaredMs) * longest;
+  }
+
+  /** Records by how much a run's duration differed from what this model expects. */
+  observeTail(declaredMs: number, actualMs: number): void {
+    if (this.#weight >= MIN_TAIL_BASIS) this.tail.observe(actualMs / this.expectedMs(declaredMs));
+  }
+
   /** Standard deviation of the natural logarithm of actual over expected durations. */
   get spread(): number {
     const unexplained = Math.max(0, this.#errorSquares - this.#slope() * this.#products);
