--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -19,6 +19,7 @@
 import type { ServerRegistry } from "../job-feeds.ts";
 import { PlacementRound } from "./placement-round.ts";
 import { ProgressWriter } from "../records/progress-writer.ts";
+import { LearntRecordKeeper } from "../records/learnt-record-keeper.ts";
 import { RecordFollower } from "../records/record-follower.ts";
 import { RunTracker } from "../execution/run-tracker.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
@@ -70,10 +71,11 @@
   readonly drivers: FleetDrivers;
   readonly tracker: RunTracker;
   readonly writer: ProgressWriter;
-  /** Run durations measured during this tenure. */
+  /** Run durations of this tenure, after those that the former scheduler stored. */
   readonly durations = new DurationModels();
   readonly #options: SchedulerOptions;
   readonly #ticketCache: PlacementTicketCache;
+  readonly #learnt: LearntRecordKeeper;
   readonly #takenOverAt: number;
   readonly #load: SchedulerLoad;
   readonly #evacuations: EvacuationGuard;
@@ -124,6 +126,8 @@
       ticketCache: this.#ticketCache,
       driver: (server) => this.drivers.get(server),
     });
+    const servers = (): Iterable<ServerDriver> => this.drivers.all();
+    this.#learnt = new LearntRecordKeeper({ ...options, durations: this.durations, servers });
     this.drivers = new FleetDrivers({
       open: (registration) => this.#createDriver(registration),
       onNewBoot: (server, bootedAt) => {
@@ -150,7 +154,12 @@
   async run(): Promise<void> {
     const { clock, registry, tenure, log, config, store, random } = this.#options;
     const { signal } = tenure;
-    if (!(await this.#readProgress())) return;
+    // Runs beside the other reads, because a takeover does not wait for what only improves decisions.
+    const keepingLearnt = this.#learnt.run();
+    if (!(await this.#readProgress())) {
+      await keepingLearnt;
+      return;
+    }
     const jobs = { store, clock, random, log, prefix: JOBS_PREFIX, listener: this.jobRegistry };
     const followingJobs = new RecordFollower(jobs).run(signal);
     // Unknown runs on backend servers can be recognised only once all jobs are loaded.
@@ -172,7 +181,7 @@
     }
     stopListening();
     this.drivers.close();
-    await Promise.all([followingJobs, followingServers]);
+    await Promise.all([followingJobs, followingServers, keepingLearnt]);
     log.info({ token: tenure.token }, "scheduling ended");
   }
 
@@ -211,12 +220,14 @@
 
   #createDriver(registration: RegisteredServer): ServerDriver {
     const { clock, log, tenure, connector, leaseTtlMs } = this.#options;
-    return new ServerDriver({
+    const driver = new ServerDriver({
       ...{ clock, log, tenure, registration, leaseTtlMs, listener: this.tracker },
       backend: connector.connect(registration.address, registration.id),
       takenOverAt: this.#takenOverAt,
       evacuations: this.#evacuations,
     });
+    this.#learnt.serverOpened(driver);
+    return driver;
   }
 
   #requestRound(): void {
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -16,6 +16,8 @@
 export const PENDING_JOBS_KEY = `${KEY_PREFIX}pending`;
 /** Recent orders to instances. */
 export const INSTANCE_ORDERS_KEY = `${KEY_PREFIX}instance-orders`;
+/** What the scheduler has learnt about durations and servers; content in `learnt-record.ts`. */
+export const LEARNT_KEY = `${KEY_PREFIX}learnt`;
 /** Scheduler lock. Its creation revision is the fencing token. */
 export const SCHEDULER_KEY = `${ENTRIES_PREFIX}scheduler`;
 /** Sessions under {@link ENTRIES_PREFIX}. */
--- a/src/state/jobs/execution/server-health.ts
+++ b/src/state/jobs/execution/server-health.ts
@@ -4,6 +4,8 @@
 /** First quarantine time in ms; it doubles with each further failure. */
 const QUARANTINE_MS = 2000;
 const MAX_QUARANTINE_MS = 16_000;
+/** Bound of failures from the store; more make no difference to the quarantine. */
+const MAX_RESTORED_FAILURES = 10;
 
 /**
  * Distinguishes faulty backend servers from jobs that fail on every server. A server that fails fast
@@ -14,6 +16,8 @@
   #failures = 0;
   #quarantinedUntil = 0;
   readonly #jobs = new Set<string>();
+  /** True if an earlier scheduler found failures of several jobs. */
+  #inheritedProbation = false;
 
   get consecutiveFailures(): number {
     return this.#failures;
@@ -21,7 +25,20 @@
 
   /** True while the server may take only one task at a time. */
   get onProbation(): boolean {
-    return this.#failures >= FAULTY_AFTER_FAILURES && this.#jobs.size >= FAULTY_AFTER_JOBS;
+    if (this.#failures < FAULTY_AFTER_FAILURES) return false;
+    return this.#inheritedProbation || this.#jobs.size >= FAULTY_AFTER_JOBS;
+  }
+
+  /** Monotonic time in ms at which the last quarantine ends. */
+  get quarantinedUntil(): number {
+    return this.#quarantinedUntil;
+  }
+
+  /** Continues a probation that an earlier scheduler began for the same boot of the server. */
+  restoreProbation(failures: number, quarantineMs: number, now: number): void {
+    this.#failures = Math.min(MAX_RESTORED_FAILURES, Math.max(FAULTY_AFTER_FAILURES, failures));
+    this.#inheritedProbation = true;
+    this.#quarantinedUntil = now + Math.max(0, Math.min(MAX_QUARANTINE_MS, quarantineMs));
   }
 
   /** True while the server takes no new tasks. */
@@ -33,6 +50,7 @@
   succeeded(): void {
     this.#failures = 0;
     this.#jobs.clear();
+    this.#inheritedProbation = false;
     this.#quarantinedUntil = 0;
   }
 
--- a/src/state/jobs/execution/server-speed.ts
+++ b/src/state/jobs/execution/server-speed.ts
@@ -6,6 +6,8 @@
 const TRIAL_AFTER_MS = 3000;
 /** Average ratio to the expected duration from which a backend server counts as slow. */
 const SLOW_RATIO = 2.2;
+/** Bound of ratios from the store, so that a server recovers after a few good measurements. */
+const MAX_RESTORED_RATIO = SLOW_RATIO * 2;
 
 /**
  * Speed of a backend server, measured by the ratio of actual to expected durations of runs that were
@@ -53,6 +55,12 @@
     this.#updateLastSlowAt(now);
   }
 
+  /** Sets the ratio that an earlier scheduler measured for the same boot of the server. */
+  restore(ratio: number, now: number): void {
+    this.#ratio = Math.max(1 / MAX_RESTORED_RATIO, Math.min(ratio, MAX_RESTORED_RATIO));
+    this.#updateLastSlowAt(now);
+  }
+
   /** True if a slow server may get a single trial task. */
   isTrialDue(now: number): boolean {
     return this.#lastSlowAt !== undefined && now - this.#lastSlowAt >= TRIAL_AFTER_MS;
--- a/src/state/jobs/scheduling/duration-model.ts
+++ b/src/state/jobs/scheduling/duration-model.ts
@@ -18,6 +18,11 @@
 /** Weight of a model from which its expectations are a basis for ratios; before, declarations count. */
 const MIN_TAIL_BASIS = 30;
 
+/** Stored sums are rounded to this part of 1. */
+const ROUNDING = 10_000;
+/** Largest plausible logarithm of a duration in ms or of a ratio. */
+const MAX_LOG = 40;
+
 /**
  * Expected duration of the tasks of one queue as a function of the declared one. A weighted
  * regression between logarithms handles declarations that are off by a constant factor as well as
@@ -96,6 +101,34 @@
     return Math.sqrt((unexplained + prior) / (this.#weight + PRIOR_SPREAD_DURATIONS));
   }
 
+  /** True if no duration was recorded or restored. */
+  get empty(): boolean {
+    return this.#weight === 0;
+  }
+
+  /** Sums of the regression, for {@link restore}. */
+  toNumbers(): readonly number[] {
+    return [
+      ...[this.#weight, this.#meanDeclared, this.#meanError],
+      ...[this.#declaredSquares, this.#products, this.#errorSquares],
+    ].map((value) => Math.round(value * ROUNDING) / ROUNDING);
+  }
+
+  /** Replaces the sums by those that {@link toNumbers} returned; impossible ones are ignored. */
+  restore(numbers: readonly number[]): void {
+    const [weight = 0, meanDeclared = 0, meanError = 0, declared = -1, products = 0, errors = -1] =
+      numbers;
+    const possible = weight > 0 && weight <= 1 / (1 - DECAY) && declared >= 0 && errors >= 0;
+    if (!possible || Math.max(Math.abs(meanDeclared), Math.abs(meanError)) > MAX_LOG) return;
+    this.#observed += DURATIONS_PER_EPOCH;
+    this.#weight = weight;
+    this.#meanDeclared = meanDeclared;
+    this.#meanError = meanError;
+    this.#declaredSquares = declared;
+    this.#products = products;
+    this.#errorSquares = errors;
+  }
+
   /** Change of the error with the declared duration; -1 means that declared durations predict nothing. */
   #slope(): number {
     const slope = this.#products / (this.#declaredSquares + PRIOR_DECLARED_VARIANCE);
@@ -107,6 +140,11 @@
 export class DurationModels {
   readonly #models = new Map<string, DurationModel>();
 
+  /** Models by name of the queue. */
+  all(): ReadonlyMap<string, DurationModel> {
+    return this.#models;
+  }
+
   /** Returns the model of a queue and creates it on first use. */
   forQueue(queue: string): DurationModel {
     let model = this.#models.get(queue);
