--- a/src/state/jobs/records/learnt-state.ts
+++ b/src/state/jobs/records/learnt-state.ts
@@ -68,9 +68,7 @@
 /** Restores the model of a queue unless this scheduler has already recorded durations in it. */
 export function restoreQueue(entry: LearntQueue, durations: DurationModels): void {
   const model = durations.forQueue(entry.name);
-  if (!model.empty) return;
-  model.restore(entry.model);
-  if (model.empty) return;
+  if (!model.empty || !model.restore(entry.model)) return;
   model.tail.restore(entry.tail);
   model.siblingTail.restore(entry.siblingTail);
 }
--- a/src/state/jobs/scheduling/duration-model.ts
+++ b/src/state/jobs/scheduling/duration-model.ts
@@ -114,12 +114,12 @@
     ].map((value) => Math.round(value * ROUNDING) / ROUNDING);
   }
 
-  /** Replaces the sums by those that {@link toNumbers} returned; impossible ones are ignored. */
-  restore(numbers: readonly number[]): void {
+  /** Takes the sums that {@link toNumbers} returned. Returns false if they are impossible. */
+  restore(numbers: readonly number[]): boolean {
     const [weight = 0, meanDeclared = 0, meanError = 0, declared = -1, products = 0, errors = -1] =
       numbers;
     const possible = weight > 0 && weight <= 1 / (1 - DECAY) && declared >= 0 && errors >= 0;
-    if (!possible || Math.max(Math.abs(meanDeclared), Math.abs(meanError)) > MAX_LOG) return;
+    if (!possible || Math.max(Math.abs(meanDeclared), Math.abs(meanError)) > MAX_LOG) return false;
     this.#observed += DURATIONS_PER_EPOCH;
     this.#weight = weight;
     this.#meanDeclared = meanDeclared;
@@ -127,6 +127,7 @@
     this.#declaredSquares = declared;
     this.#products = products;
     this.#errorSquares = errors;
+    return true;
   }
 
   /** Change of the error with the declared duration; -1 means that declared durations predict nothing. */
