--- a/src/state/jobs/execution/server-speed.ts
+++ b/src/state/jobs/execution/server-speed.ts
@@ -6,6 +6,8 @@
 const TRIAL_AFTER_MS = 3000;
 /** Average ratio to the expected duration from which a backend server counts as slow. */
 const SLOW_RATIO = 2.2;
+/** Bound of ratios from the store, so that a server recovers after a few good measurements. */
+const MAX_RESTORED_RATIO = SLOW_RATIO * 2;
 
 /**
  * Speed of a backend server, measured by the ratio of actual to expected durations of runs that were
@@ -14,6 +16,8 @@
  */
 export class ServerSpeed {
   #ratio = 1;
+  /** True if the last ended run was excused by {@link excuseLongRun}. */
+  #excused = false;
   /** Monotonic time in ms of the last measurement; undefined unless the server counts as slow. */
   #lastSlowAt: number | undefined;
 
@@ -29,17 +33,34 @@
 
   /** Records the ratio of a completed run's duration to the expected one. */
   observe(ratio: number, now: number): void {
+    this.#excused = false;
     const weight = this.slow ? RECOVERY_WEIGHT : AVERAGE_WEIGHT;
     this.#ratio += (ratio - this.#ratio) * weight;
     this.#updateLastSlowAt(now);
   }
 
+  /**
+   * Decides whether an ended run that belongs to the tail of its queue's durations is left out of the
+   * speed. Of two in a row only the first is, because a server that slows down makes every run long.
+   */
+  excuseLongRun(): boolean {
+    if (this.slow || this.#excused) return false;
+    this.#excused = true;
+    return true;
+  }
+
   /** Records a run that is far slower than expected. */
   observeSlowRun(ratio: number, now: number): void {
     this.#ratio = Math.max(this.#ratio, Math.min(ratio, SLOW_RATIO * 2));
     this.#updateLastSlowAt(now);
   }
 
+  /** Sets the ratio that an earlier scheduler measured for the same boot of the server. */
+  restore(ratio: number, now: number): void {
+    this.#ratio = Math.max(1 / MAX_RESTORED_RATIO, Math.min(ratio, MAX_RESTORED_RATIO));
+    this.#updateLastSlowAt(now);
+  }
+
   /** True if a slow server may get a single trial task. */
   isTrialDue(now: number): boolean {
     return this.#lastSlowAt !== undefined && now - this.#lastSlowAt >= TRIAL_AFTER_MS;
