feat(jobs): queue plan, fair shares, retry policy and wait reasons

Cause: each step was judged alone, so under overload all jobs became just late; one organisation could delay all others; a failing task was retried at once and as often as capacity allowed. Change: while a pool is short of capacity its waiting jobs are planned against the pool's capacity and the shares of organisations; the order is unchanged otherwise. Each waiting step has a reason.

--- a/src/coordination/jobs/execution/run-end-handler.ts
+++ b/src/coordination/jobs/execution/run-end-handler.ts
@@ -3,6 +3,7 @@
 import type { Log } from "../../../ports/log.ts";
 import { parseTaskName } from "../../../protocol/job-spec.ts";
 import type { Job, Task } from "../../../state/jobs/records/job.ts";
+import { retryPauseMs } from "../../../state/jobs/scheduling/retry-policy.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import { completedDurationRatio } from "../../../state/jobs/execution/run-speed.ts";
@@ -128,10 +129,14 @@
   }
 
   #recordFailure(task: Task, server: string): void {
-    const { config, log, failJob } = this.#options;
+    const { clock, config, log, failJob } = this.#options;
     const { job, step } = task;
     const tasks = step.spec.gang ? step.tasks : [task];
-    for (const member of tasks) member.failures++;
+    for (const member of tasks) {
+      member.failures++;
+      // Long-running tasks restart at once, since every second that they do not run is lost.
+      if (!step.spec.longRunning) member.notBefore = clock.now() + retryPauseMs(member.failures);
+    }
     task.failedOn.add(server);
     const allowed = config.queue(job.spec.queue)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
     if (step.spec.longRunning || task.failures < allowed || job.final) return;
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -3,17 +3,17 @@
 import type { Resources } from "../../../protocol/job-spec.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import type { Job, Occurrence, StepRun, Task } from "../../../state/jobs/records/job.ts";
-import {
-  compareStepRanks,
-  rankStep,
-  type StepRank,
-} from "../../../state/jobs/scheduling/job-order.ts";
+import { rankStep } from "../../../state/jobs/scheduling/job-order.ts";
+import type { RetryBudgets } from "../../../state/jobs/scheduling/retry-policy.ts";
+import type { RankedStep, StepPlanner } from "../../../state/jobs/scheduling/step-planner.ts";
+import type { WaitReason, WaitReasons } from "../../../state/jobs/scheduling/wait-reasons.ts";
 import { resourcesOccupied, withinCap } from "../../../state/jobs/scheduling/resources.ts";
 import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { PlacementTicketCache } from "./placement-ticket-cache.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
 import { CandidateServers } from "./candidate-servers.ts";
+import { RoundFleet } from "./round-fleet.ts";
 
 /** Queue settings for jobs whose queue is no longer configured. */
 const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
@@ -27,6 +27,9 @@
   readonly config: FleetConfigView;
   readonly runRegistry: RunRegistry;
   readonly durations: DurationModels;
+  readonly planner: StepPlanner;
+  readonly retries: RetryBudgets;
+  readonly reasons: WaitReasons;
   /** Returns the backend servers of a pool. */
   readonly driversOf: (pool: string) => readonly ServerDriver[];
   /** Choices in a pool after which its servers are indexed; see {@link CandidateServers}. */
@@ -39,12 +42,6 @@
   readonly undoPlacement: (run: ActiveRun) => void;
 }
 
-interface RankedStep {
-  readonly step: StepRun;
-  readonly rank: StepRank;
-  readonly pool: string;
-}
-
 /** Backend servers of a pool that accept tasks. */
 interface PoolServers {
   readonly healthy: CandidateServers;
@@ -60,6 +57,8 @@
   readonly #pools = new Map<string, PoolServers>();
   /** Keys of demands that did not fit. Later tasks with the same key are skipped. */
   readonly #refused = new Set<string>();
+  /** Retries beyond the budgets of their queues, which are placed after all first attempts. */
+  readonly #deferredRetries: { readonly task: Task; readonly pool: string }[] = [];
 
   constructor(options: PlacementRoundOptions) {
     this.#options = options;
@@ -69,19 +68,48 @@
   /** Assigns the tasks that fit and returns the new runs of each job. */
   run(jobs: Iterable<Job>): ReadonlyMap<Job, readonly ActiveRun[]> {
     const placed = new Map<Job, ActiveRun[]>();
-    for (const { step, pool } of this.#rankedSteps(jobs)) {
-      if (!this.#options.mayStart()) break;
-      const runs = step.spec.gang ? this.#placeGang(step, pool) : this.#placeTasks(step, pool);
-      if (runs.length === 0) continue;
+    const add = (step: StepRun, runs: ActiveRun[]): void => {
+      if (runs.length === 0) return;
       const earlier = placed.get(step.job);
       if (earlier === undefined) placed.set(step.job, runs);
       else earlier.push(...runs);
+    };
+    const steps = this.#rankedSteps(jobs);
+    for (const { step, pool } of steps) {
+      if (!this.#options.mayStart()) break;
+      add(step, step.spec.gang ? this.#placeGang(step, pool) : this.#placeTasks(step, pool));
+    }
+    for (const { task, pool } of this.#deferredRetries) {
+      if (!this.#options.mayStart()) break;
+      const run = this.#placeTask(task, pool);
+      if (run !== undefined) add(task.step, [run]);
     }
+    this.#recordReasons(steps);
     return placed;
   }
 
+  #recordReasons(steps: readonly RankedStep[]): void {
+    const { reasons } = this.#options;
+    for (const { step, pool } of steps) {
+      if (step.hasWaitingTasks) reasons.waits(step, this.#waitReason(step, pool));
+      else reasons.placed(step);
+    }
+  }
+
+  #waitReason(step: StepRun, pool: string): WaitReason {
+    const { planner, mayStart } = this.#options;
+    const { organisation } = step.job.spec;
+    if (!step.tasks.some((task) => task.waiting && task.notBefore <= this.#now))
+      return "retry-pause";
+    if (!mayStart()) return "no-starts";
+    if (organisation !== undefined && !this.#withinCap(organisation, step.spec.demand))
+      return "cap";
+    const beyondShare = planner.isShort(pool) && planner.planned(step)?.withinShare === false;
+    return beyondShare ? "share" : "no-room";
+  }
+
   #rankedSteps(jobs: Iterable<Job>): readonly RankedStep[] {
-    const { clock, config } = this.#options;
+    const { clock, config, planner, runRegistry } = this.#options;
     const wallTime = clock.wallTime();
     const steps: RankedStep[] = [];
     for (const job of jobs) {
@@ -94,7 +122,12 @@
         steps.push({ step, ...this.#rank(step, occurrence, queue, wallTime) });
       }
     }
-    return steps.sort((a, b) => compareStepRanks(a.rank, b.rank));
+    const fleet = new RoundFleet({
+      ...{ config, runRegistry, wallTimeMs: wallTime },
+      servers: this.#options.driversOf,
+      acceptsTasks: (driver) => driver.acceptsTasks(this.#now),
+    });
+    return planner.sort(steps, fleet, this.#now);
   }
 
   #rank(
@@ -103,23 +136,28 @@
     queue: JobQueueConfig | undefined,
     wallTime: number,
   ) {
-    const rank = rankStep(
-      step,
-      occurrence,
-      queue ?? REMOVED_QUEUE,
-      wallTime,
-      this.#options.durations,
-    );
-    return { rank, pool: queue?.pool ?? step.job.spec.pool };
+    const urgency = queue ?? REMOVED_QUEUE;
+    const rank = rankStep(step, occurrence, urgency, wallTime, this.#options.durations);
+    return { rank, urgency, pool: queue?.pool ?? step.job.spec.pool };
   }
 
   #placeTasks(step: StepRun, pool: string): ActiveRun[] {
     const runs: ActiveRun[] = [];
+    const { retries } = this.#options;
+    const { queue } = step.job.spec;
     for (const task of step.tasks) {
       if (!task.waiting || task.notBefore > this.#now) continue;
       if (!this.#options.mayStart()) break;
+      const retry = task.failures > 0 && !step.spec.longRunning;
+      if (retry && !retries.mayRetry(queue)) {
+        this.#deferredRetries.push({ task, pool });
+        continue;
+      }
       const run = this.#placeTask(task, pool);
-      if (run !== undefined) runs.push(run);
+      if (run === undefined) continue;
+      runs.push(run);
+      if (retry) retries.retryStarted(queue);
+      else retries.firstAttemptStarted(queue);
     }
     return runs;
   }
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -9,6 +9,9 @@
 import { JOBS_PREFIX, PROGRESS_PREFIX, type SessionRecord } from "../../../protocol/job-records.ts";
 import type { Job } from "../../../state/jobs/records/job.ts";
 import { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
+import { StepPlanner } from "../../../state/jobs/scheduling/step-planner.ts";
+import { RetryBudgets } from "../../../state/jobs/scheduling/retry-policy.ts";
+import { WaitReasons } from "../../../state/jobs/scheduling/wait-reasons.ts";
 import type { Counters } from "../../ports.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import { PlacementTicketCache } from "./placement-ticket-cache.ts";
@@ -72,6 +75,10 @@
   readonly writer: ProgressWriter;
   /** Run durations measured during this tenure. */
   readonly durations = new DurationModels();
+  /** Order of the waiting steps, whose classes are kept between rounds. */
+  readonly planner = new StepPlanner(this.durations);
+  readonly reasons: WaitReasons;
+  readonly #retries = new RetryBudgets();
   readonly #options: SchedulerOptions;
   readonly #ticketCache: PlacementTicketCache;
   readonly #takenOverAt: number;
@@ -85,6 +92,9 @@
     this.#options = options;
     const { log, clock, leaseTtlMs, config, tenure, counters } = options;
     this.#takenOverAt = clock.now();
+    this.reasons = new WaitReasons((reason) => {
+      counters.event(`wait_${reason}`);
+    });
     const requestRound = (): void => {
       this.#requestRound();
     };
@@ -238,6 +248,7 @@
       ...{ clock, config, runRegistry: this.tracker.runRegistry },
       driversOf: (pool) => this.drivers.inPool(pool),
       durations: this.durations,
+      ...{ planner: this.planner, retries: this.#retries, reasons: this.reasons },
       ticketCache: this.#ticketCache,
       mayStart: () => this.tracker.starter.canStartMore,
       place: (task, driver) => this.tracker.place(task, driver),
--- a/src/state/jobs/scheduling/job-order.ts
+++ b/src/state/jobs/scheduling/job-order.ts
@@ -22,6 +22,8 @@
   readonly canBeOnTime: boolean;
   /** Latest Unix time in ms at which the step can begin for the job to be on time. */
   readonly latestStartMs: number;
+  /** Expected time in ms of the longest chain that begins with the step. */
+  readonly remainingMs: number;
 }
 
 /**
@@ -47,6 +49,7 @@
     priority,
     canBeOnTime: latestStartMs + remainingMs * ESTIMATE_TOLERANCE >= wallTimeMs,
     latestStartMs,
+    remainingMs,
   };
 }
 
--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -11,6 +11,9 @@
 import { ServerSpeed } from "../../../src/state/jobs/execution/server-speed.ts";
 import { Job } from "../../../src/state/jobs/records/job.ts";
 import { DurationModels } from "../../../src/state/jobs/scheduling/duration-model.ts";
+import { RetryBudgets } from "../../../src/state/jobs/scheduling/retry-policy.ts";
+import { StepPlanner } from "../../../src/state/jobs/scheduling/step-planner.ts";
+import { WaitReasons } from "../../../src/state/jobs/scheduling/wait-reasons.ts";
 import { fleetConfig, jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { VirtualClock } from "../../fakes/virtual-clock.ts";
 
@@ -95,8 +98,11 @@
   const runRegistry = new RunRegistry();
   const placed: string[] = [];
   for (let count = 0; count < 2; count++) {
+    const durations = new DurationModels();
     const round = new PlacementRound({
-      ...{ clock, config, runRegistry, durations: new DurationModels(), indexAfterChoices },
+      ...{ clock, config, runRegistry, durations, indexAfterChoices },
+      ...{ planner: new StepPlanner(durations), retries: new RetryBudgets() },
+      reasons: new WaitReasons(noop),
       ...{ driversOf: () => drivers, ticketCache: NO_TICKETS },
       mayStart: () => true,
       place: (task, { id, bootedAt }) => {
