--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,13 @@
 /**
  * `npm run bench -- NAME [--site S] [--seed N] [--rounds N] [--json]` and
  * `npm run bench -- report [--input FILE,FILE] [--out FILE]` and
- * `npm run bench -- scheduler-cost [--seed N]`
+ * `npm run bench -- scheduler-cost [--seed N]` and
+ * `npm run bench -- decisions [--seed N] [--rounds N]`
  */
 import { readFileSync, writeFileSync } from "node:fs";
 import sade from "sade";
 import * as v from "valibot";
+import { printDecisions } from "./decisions/decisions.ts";
 import { measure } from "./measure.ts";
 import { MeasurementSchema, type Measurement } from "./measurement-schema.ts";
 import { printMeasurement } from "./print.ts";
@@ -17,7 +19,7 @@
 const MAX_ROUNDS = 100;
 const NAMES = Object.keys(SCENARIOS);
 /** Names that run no scenario. */
-const OTHER_NAMES: readonly string[] = ["report", "scheduler-cost"];
+const OTHER_NAMES: readonly string[] = ["report", "scheduler-cost", "decisions"];
 const OptionsSchema = v.object({
   site: v.picklist([...SITES.keys()]),
   seed: v.pipe(v.number(), v.integer(), v.minValue(0)),
@@ -56,6 +58,10 @@
     process.exitCode = 2;
     return;
   }
+  if (name === "decisions") {
+    printDecisions(parsed.output.seed, parsed.output.rounds);
+    return;
+  }
   if (name === "report") return writeReport(parsed.output);
   if (name === "scheduler-cost") return runSchedulerCost(parsed.output.seed);
   const measurement = await run(name, parsed.output);
