--- a/src/state/jobs/scheduling/duration-model.ts
+++ b/src/state/jobs/scheduling/duration-model.ts
@@ -121,6 +121,7 @@
     const possible = weight > 0 && weight <= 1 / (1 - DECAY) && declared >= 0 && errors >= 0;
     if (!possible || Math.max(Math.abs(meanDeclared), Math.abs(meanError)) > MAX_LOG) return false;
     this.#observed += DURATIONS_PER_EPOCH;
+    this.#expected.clear();
     this.#weight = weight;
     this.#meanDeclared = meanDeclared;
     this.#meanError = meanError;
