feat(jobs): relay orders to backend servers through executors

Cause: the scheduler's process pays an HTTP call for each start, stop and poll. Executors are computed from the sessions and have no authority. Starts are no longer forwarded through the entry instance that accepted the job.

--- a/src/coordination/counters.ts
+++ b/src/coordination/counters.ts
@@ -56,8 +56,8 @@
     this.#retries.inc({ reason });
   }
 
-  event(name: string): void {
-    this.#events.inc({ event: name });
+  event(name: string, count = 1): void {
+    this.#events.inc({ event: name }, count);
   }
 
   /** Adds the bytes of calls to external systems. */
--- a/src/coordination/jobs/admission/job-service.ts
+++ b/src/coordination/jobs/admission/job-service.ts
@@ -10,7 +10,6 @@
   PENDING_JOBS_KEY,
   parseJobKey,
   progressKey,
-  type SessionRecord,
 } from "../../../protocol/job-records.ts";
 import {
   FINAL_STATES,
@@ -20,7 +19,6 @@
 } from "../../../protocol/job-spec.ts";
 import type { WrittenRecord } from "../../../protocol/peer-messages.ts";
 import type { JobQueueConfig } from "../../../protocol/fleet-config.ts";
-import type { AcceptedJobSpecs } from "../../../state/jobs/admission/accepted-job-specs.ts";
 import type { Counters } from "../../ports.ts";
 import type { JobSubmitter, SubmitOutcome } from "./job-submitter.ts";
 
@@ -50,9 +48,6 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly submitter: JobSubmitter;
-  /** This entry instance. */
-  readonly session: SessionRecord;
-  readonly jobSpecs: AcceptedJobSpecs;
   /** Called with cancel markers once they are stored. */
   readonly stored: (records: readonly WrittenRecord[]) => void;
 }
@@ -77,9 +72,7 @@
     const job: JobSpec = {
       ...req,
       ...{ id, queue: queue.name, pool: queue.pool, organisation, acceptedAtMs },
-      acceptedBy: this.#options.session.peerAddress,
     };
-    this.#options.jobSpecs.add(id, job.spec);
     return this.#options.submitter.submit(job, deadline);
   }
 
--- a/src/coordination/jobs/election/entry-view.ts
+++ b/src/coordination/jobs/election/entry-view.ts
@@ -14,6 +14,7 @@
   readonly #log: Log;
   readonly #onChange: () => void;
   #sessions = new Map<string, SessionRecord>();
+  #list: readonly SessionRecord[] | undefined;
   #locked = false;
   /** Name of the entry instance that holds the scheduler lock. */
   #holder: string | undefined;
@@ -30,8 +31,9 @@
     return this.#loaded && !this.#locked;
   }
 
+  /** Sessions of the live entry instances; another array after each change. */
   get sessions(): readonly SessionRecord[] {
-    return [...this.#sessions.values()];
+    return (this.#list ??= [...this.#sessions.values()]);
   }
 
   /** Session of the lock holder; undefined if the lock is free or the holder has no session. */
@@ -42,6 +44,7 @@
 
   reset(records: readonly StoredRecord[]): void {
     this.#sessions = new Map();
+    this.#list = undefined;
     this.#locked = false;
     this.#loaded = true;
     for (const record of records) this.#applyWritten(record);
@@ -51,10 +54,15 @@
   change(event: RecordEvent): void {
     if (event.kind === "written") this.#applyWritten(event.record);
     else if (event.key === SCHEDULER_KEY) this.#locked = false;
-    else this.#sessions.delete(event.key);
+    else this.#remove(event.key);
     this.#onChange();
   }
 
+  #remove(key: string): void {
+    this.#sessions.delete(key);
+    this.#list = undefined;
+  }
+
   #applyWritten({ key, value }: StoredRecord): void {
     if (key === SCHEDULER_KEY) {
       this.#locked = true;
@@ -63,6 +71,9 @@
     if (!key.startsWith(SESSIONS_PREFIX)) return;
     const session = decodeSession(value);
     if (session === undefined) this.#log.error({ key }, "session record is unreadable");
-    else this.#sessions.set(key, session);
+    else {
+      this.#sessions.set(key, session);
+      this.#list = undefined;
+    }
   }
 }
--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -11,7 +11,6 @@
 import type { Counters } from "../../ports.ts";
 import type { PlacementTicketCache } from "../scheduling/placement-ticket-cache.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
-import type { StartForwarder } from "./start-forwarder.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Pause in ms before a task is started again after its start failed. */
@@ -20,10 +19,6 @@
 const REFUSING_SERVER_PAUSE_MS = 1000;
 /** Estimated bytes of a start order without its job spec. */
 const ORDER_OVERHEAD_BYTES = 500;
-/** Below this window size, starts are forwarded through the peers that accepted the jobs. */
-const FORWARD_BELOW_WINDOW_BYTES = 64_000;
-/** Time in ms for which no starts are forwarded to a peer that did not send one. */
-const PEER_BACKOFF_MS = 2000;
 
 /** Options of {@link RunStarter}. */
 export interface RunStarterOptions {
@@ -36,9 +31,6 @@
   readonly driver: (server: string) => ServerDriver | undefined;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
-  readonly forwarder: StartForwarder;
-  /** Peer address of this entry instance. */
-  readonly ownAddress: string;
   readonly setPhase: (run: ActiveRun, phase: RunPhase) => void;
   /** Called with runs that have certainly not been started. */
   readonly notStarted: (run: ActiveRun) => void;
@@ -50,8 +42,6 @@
 export class RunStarter {
   readonly #options: RunStarterOptions;
   readonly #window: SendWindow;
-  /** Peers that failed to send a start, with the monotonic time in ms at which the backoff ends. */
-  readonly #peerBackoff = new Map<string, number>();
 
   constructor(options: RunStarterOptions) {
     this.#options = options;
@@ -70,8 +60,7 @@
 
   /** Reserves window space for a placement that will be started once it is recorded. */
   reserve(run: ActiveRun): void {
-    const specBytes = this.#forwardingPeer(run) === undefined ? run.task.job.spec.spec.length : 0;
-    this.#window.reserve(run, ORDER_OVERHEAD_BYTES + specBytes);
+    this.#window.reserve(run, ORDER_OVERHEAD_BYTES + run.task.job.spec.spec.length);
   }
 
   /** Releases the window space of a placement that will not be started. */
@@ -112,34 +101,13 @@
     server.requestPoll();
   }
 
-  async #sendOrder(run: ActiveRun, server: ServerDriver): OrderResult<BackendClock> {
+  #sendOrder(run: ActiveRun, server: ServerDriver): OrderResult<BackendClock> {
     const { task } = run;
-    const order = {
+    return server.start({
       ...{ task: task.name, run: run.run, spec: task.job.spec.spec },
       ...(task.checkpoint === "" ? {} : { checkpoint: task.checkpoint }),
       ...this.#ticket(run),
-    };
-    const peer = this.#forwardingPeer(run);
-    if (peer === undefined) return server.start(order);
-    const { forwarder, counters } = this.#options;
-    const { address, id } = server.registration;
-    const forwarded = await server.start(order, ({ spec: _spec, ...start }) =>
-      forwarder.start(peer, { ...start, job: task.job.spec.id, address, server: id }),
-    );
-    if (forwarded.ok || forwarded.val.kind !== "not-sent") return forwarded;
-    counters.event("start_not_carried");
-    this.#peerBackoff.set(peer, this.#options.clock.now() + PEER_BACKOFF_MS);
-    // The lock may have expired while waiting for the peer.
-    return this.#options.tenure.valid ? server.start(order) : forwarded;
-  }
-
-  /** Peer that holds the spec of the run's job; undefined if the start must be sent directly. */
-  #forwardingPeer({ task }: ActiveRun): string | undefined {
-    const { acceptedBy } = task.job.spec;
-    const { ownAddress, clock } = this.#options;
-    if (acceptedBy === undefined || acceptedBy === ownAddress) return undefined;
-    if (this.#window.bytes >= FORWARD_BELOW_WINDOW_BYTES) return undefined;
-    return (this.#peerBackoff.get(acceptedBy) ?? 0) > clock.now() ? undefined : acceptedBy;
+    });
   }
 
   #ticket({ task, server }: ActiveRun): { readonly ticket?: string } {
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -22,7 +22,6 @@
 import { newRun, recordListed } from "../../../state/jobs/execution/run-progress.ts";
 import type { ProgressWriter } from "../records/progress-writer.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
-import type { StartForwarder } from "./start-forwarder.ts";
 import { RunStarter } from "./run-starter.ts";
 import { RunEndHandler } from "./run-end-handler.ts";
 import { StragglerDetector } from "./straggler-detector.ts";
@@ -48,9 +47,6 @@
   readonly leaseTtlMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
-  readonly forwarder: StartForwarder;
-  /** Peer address of this entry instance. */
-  readonly ownAddress: string;
 }
 
 /** Tracks every run from its recorded placement to its recorded end. */
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -183,6 +183,7 @@
   close(): void {
     this.#isClosed = true;
     this.#closed.abort();
+    this.#options.backend.close();
     this.requestPoll();
   }
 
@@ -203,20 +204,16 @@
   }
 
   /**
-   * Sends a start order, by default over this driver's own connection. The deadline is only
-   * {@link START_VALID_MS} ahead, so the response can't be outstanding for long. It is earlier if the
-   * server's availability zone may be evacuated by then without being known here.
+   * Sends a start order. The deadline is only {@link START_VALID_MS} ahead, so the response can't
+   * be outstanding for long. It is earlier if the server's availability zone may be evacuated by then
+   * without being known here.
    */
-  async start(
-    order: Omit<StartOrder, "token" | "deadlineMs">,
-    send: (order: StartOrder) => OrderResult<BackendClock> = (startOrder) =>
-      this.#options.backend.start(startOrder),
-  ): OrderResult<BackendClock> {
-    const { clock, tenure } = this.#options;
+  async start(order: Omit<StartOrder, "token" | "deadlineMs">): OrderResult<BackendClock> {
+    const { clock, tenure, backend } = this.#options;
     const validMs = Math.min(START_VALID_MS, this.startValidMs);
     if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
     const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
-    const result = await send({ ...order, token: tenure.token, deadlineMs });
+    const result = await backend.start({ ...order, token: tenure.token, deadlineMs });
     if (result.ok)
       this.#serverClock.addReading({ clockMs: result.val.clockMs, receivedAt: clock.now() });
     else this.#handleRefusal(result.val);
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -22,8 +22,9 @@
 import { PoolSizer } from "./fleet/pool-sizer.ts";
 import { RecordGarbageCollector } from "./records/record-garbage-collector.ts";
 import { RecordFollower } from "./records/record-follower.ts";
-import type { AcceptedJobSpecs } from "../../state/jobs/admission/accepted-job-specs.ts";
-import type { StartForwarder } from "./execution/start-forwarder.ts";
+import type { PeerConnections } from "./peer-connections.ts";
+import { OrderExecutor } from "./execution/order-executor.ts";
+import { RelayedBackendConnector } from "./execution/relayed-backend.ts";
 import type { RecordNotifier } from "./records/record-notifier.ts";
 import { Scheduler } from "./scheduling/scheduler.ts";
 import { SchedulerElection } from "./election/scheduler-election.ts";
@@ -48,9 +49,8 @@
   readonly instances: InstanceControl | undefined;
   readonly advisor: PlacementAdvisor;
   readonly notifier: RecordNotifier;
-  readonly forwarder: StartForwarder;
-  /** Specs of the jobs that this entry instance accepted. */
-  readonly jobSpecs: AcceptedJobSpecs;
+  /** Connections for orders that executors send, separate so that other calls don't wait. */
+  readonly executorConnections: PeerConnections;
   /** Current connectivity to the store. */
   readonly storeConnectivity: () => StoreConnectivity;
   readonly clock: Clock;
@@ -84,6 +84,8 @@
   /** Fleet configuration as last read. */
   readonly config: FleetConfigView;
   readonly service: JobService;
+  /** Sends orders to backend servers for the scheduler. */
+  readonly executor: OrderExecutor;
   readonly #options: JobEntryOptions;
   readonly #view: EntryView;
   readonly #stopped = new AbortController();
@@ -98,6 +100,7 @@
     this.config = new FleetConfigView(options.clock, options.log, (event) => {
       options.counters.event(event);
     });
+    this.executor = new OrderExecutor(options);
     const stored = (records: readonly WrittenRecord[]): void => {
       this.#notifyScheduler(records);
     };
@@ -155,6 +158,7 @@
   /** Releases the scheduler lock, so that another entry instance can take over at once. */
   async stepDown(): Promise<void> {
     this.#stopped.abort();
+    this.executor.stop();
     await this.#election.stepDown();
   }
 
@@ -179,7 +183,12 @@
   }
 
   async #runScheduler(tenure: LockTenure): Promise<void> {
-    const scheduler = new Scheduler({ ...this.#options, config: this.config, tenure });
+    const connector = new RelayedBackendConnector({
+      ...{ ...this.#options, direct: this.#options.connector, tenure },
+      connections: this.#options.executorConnections,
+      sessions: () => this.sessions,
+    });
+    const scheduler = new Scheduler({ ...this.#options, config: this.config, tenure, connector });
     this.#scheduler = scheduler;
     const { jobRegistry } = scheduler;
     const openJobs = () => jobRegistry.openJobs;
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -6,7 +6,7 @@
 import type { RecordStore } from "../../../ports/record-store.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
 import type { WrittenRecord } from "../../../protocol/peer-messages.ts";
-import { JOBS_PREFIX, PROGRESS_PREFIX, type SessionRecord } from "../../../protocol/job-records.ts";
+import { JOBS_PREFIX, PROGRESS_PREFIX } from "../../../protocol/job-records.ts";
 import type { Job } from "../../../state/jobs/records/job.ts";
 import { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import { StepPlanner } from "../../../state/jobs/scheduling/step-planner.ts";
@@ -27,7 +27,6 @@
 import { RunTracker } from "../execution/run-tracker.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
 import { SchedulerLoad } from "./scheduler-load.ts";
-import type { StartForwarder } from "../execution/start-forwarder.ts";
 import { ServerDriver } from "../execution/server-driver.ts";
 
 /** Changes within this time in ms are handled by the same placement round. */
@@ -60,9 +59,6 @@
   readonly evacuateMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
-  readonly forwarder: StartForwarder;
-  /** This entry instance. */
-  readonly session: SessionRecord;
 }
 
 /**
@@ -132,7 +128,6 @@
         leaseTtlMs,
       },
       ...{ counters, durations: this.durations, linkBytesPerMs: options.linkBytesPerMs },
-      ...{ forwarder: options.forwarder, ownAddress: options.session.peerAddress },
       ticketCache: this.#ticketCache,
       driver: (server) => this.drivers.get(server),
     });
@@ -232,7 +227,7 @@
     const { clock, log, tenure, connector, leaseTtlMs } = this.#options;
     const driver = new ServerDriver({
       ...{ clock, log, tenure, registration, leaseTtlMs, listener: this.tracker },
-      backend: connector.connect(registration.address, registration.id),
+      backend: connector.connect(registration.address, registration.id, registration),
       takenOverAt: this.#takenOverAt,
       evacuations: this.#evacuations,
     });
--- a/src/coordination/ports.ts
+++ b/src/coordination/ports.ts
@@ -27,8 +27,8 @@
 export abstract class Counters {
   abstract refusal(reason: RefusalReason): void;
   abstract retry(reason: RetryReason): void;
-  /** Counts any other event under a snake_case name. */
-  abstract event(name: string): void;
+  /** Counts any other event under a snake_case name, `count` times. @default 1 */
+  abstract event(name: string, count?: number): void;
   /** Records a duration in milliseconds in the named histogram. */
   abstract duration(name: string, ms: number): void;
 }
--- a/src/ports/job-backend.ts
+++ b/src/ports/job-backend.ts
@@ -123,10 +123,20 @@
   abstract stop(order: StopOrder): OrderResult<BackendClock>;
   abstract poll(order: PollOrder): OrderResult<RunLists>;
   abstract pace(order: PaceOrder): OrderResult<BackendClock>;
+  /** Called when no further orders follow. */
+  close(): void {
+    return;
+  }
+}
+
+/** Options of {@link JobBackendConnector.connect}. */
+export interface ConnectOptions {
+  /** Availability zone of the backend server; without it, orders are always sent directly. */
+  readonly zone?: string;
 }
 
 /** Creates clients of backend servers. */
 export abstract class JobBackendConnector {
   /** `id` identifies the intended incarnation. */
-  abstract connect(address: string, id: string): JobBackend;
+  abstract connect(address: string, id: string, options?: ConnectOptions): JobBackend;
 }
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -150,7 +150,6 @@
 const JobSpecSchema = v.looseObject({
   ...{ id: v.string(), queue: v.string(), pool: v.string(), spec: v.string() },
   acceptedAtMs: v.number(),
-  acceptedBy: v.optional(v.string()),
   steps: v.array(StepSpecSchema),
   schedule: v.optional(v.nullable(ScheduleSchema)),
 });
--- a/src/protocol/job-spec.ts
+++ b/src/protocol/job-spec.ts
@@ -76,8 +76,6 @@
   readonly organisation: string | undefined;
   /** Unix time of acceptance in milliseconds. */
   readonly acceptedAtMs: number;
-  /** Peer address of the entry instance that accepted the job. */
-  readonly acceptedBy?: string;
 }
 
 /** State of a job as reported to its caller. */
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -220,11 +220,11 @@
   readonly records: readonly WrittenRecord[];
 }
 
-/** Asks the entry instance that accepted a job to send a start order for the scheduler. */
-export interface StartOrderRequest {
-  readonly type: "start-order";
-  /** The encoded order, see `start-orders.ts`. */
-  readonly order: Uint8Array;
+/** Orders of the scheduler that the receiver sends to backend servers as their executor. */
+export interface OrderBatchRequest {
+  readonly type: "order-batch";
+  /** The encoded orders, see `order-batch.ts`. */
+  readonly batch: Uint8Array;
 }
 
 /** Any request between peers. */
@@ -246,7 +246,7 @@
   | RebootRequest
   | StoreCallRequest
   | RecordNotification
-  | StartOrderRequest;
+  | OrderBatchRequest;
 
 /** State of a request as known to its owner. */
 export type RequestState =
@@ -321,10 +321,11 @@
   readonly result: Uint8Array;
 }
 
-/** Reply to `start-order`: the encoded outcome. */
-export interface StartOrderReply {
-  readonly type: "start-order-reply";
-  readonly result: Uint8Array;
+/** Reply to `order-batch`: results of this and earlier batches, as they are complete. */
+export interface OrderResultsReply {
+  readonly type: "order-results";
+  /** The encoded results, see `order-batch.ts`. */
+  readonly results: Uint8Array;
 }
 
 /** Any reply between peers. The reply to `gossip` is the receiver's own gossip. */
@@ -337,7 +338,7 @@
   | LeaseReport
   | AckReply
   | StoreCallReply
-  | StartOrderReply;
+  | OrderResultsReply;
 
 interface ReplyMap {
   readonly gossip: GossipReply;
@@ -357,7 +358,7 @@
   readonly reboot: AckReply;
   readonly "store-call": StoreCallReply;
   readonly "record-notice": AckReply;
-  readonly "start-order": StartOrderReply;
+  readonly "order-batch": OrderResultsReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -144,7 +144,7 @@
   }),
   v.strictObject({ type: v.literal("reboot"), server: v.string() }),
   v.strictObject({ type: v.literal("store-call"), call: bytes }),
-  v.strictObject({ type: v.literal("start-order"), order: bytes }),
+  v.strictObject({ type: v.literal("order-batch"), batch: bytes }),
   v.strictObject({
     type: v.literal("record-notice"),
     records: v.array(v.strictObject({ key: v.string(), value: bytes, revision: v.number() })),
@@ -205,7 +205,7 @@
   reboot: ack,
   "store-call": v.strictObject({ type: v.literal("store-call-reply"), result: bytes }),
   "record-notice": ack,
-  "start-order": v.strictObject({ type: v.literal("start-order-reply"), result: bytes }),
+  "order-batch": v.strictObject({ type: v.literal("order-results"), results: bytes }),
 };
 
 /** A frame that follows the hello. */
