perf(jobs): plan only pools whose waiting tasks do not all fit

Cause: a plan cost several microseconds a step even while the pool had room for everything. Change: a sum of the waiting cores of each pool decides first whether a plan is needed.

--- a/src/state/jobs/scheduling/step-planner.ts
+++ b/src/state/jobs/scheduling/step-planner.ts
@@ -98,10 +98,13 @@
       plan.jobs.length = 0;
       plan.short = false;
     }
-    for (const ranked of steps) this.#addStep(ranked);
+    const crowded = crowdedPools(steps, fleet);
+    if (crowded.size > 0)
+      for (const ranked of steps) if (crowded.has(ranked.pool)) this.#addStep(ranked);
     let anyShort = false;
-    for (const [name, plan] of this.#pools) {
-      this.#plan(plan, fleet, fleet.pool(name), now);
+    for (const [name, pool] of crowded) {
+      const plan = this.#poolPlan(name);
+      this.#plan(plan, fleet, pool, now);
       anyShort ||= plan.short;
     }
     if (!anyShort) return steps.sort((a, b) => compareStepRanks(a.rank, b.rank));
@@ -253,6 +256,25 @@
   }
 }
 
+/** Pools whose waiting tasks do not all fit now. Only these need a plan. */
+function crowdedPools(
+  steps: readonly RankedStep[],
+  fleet: PlannedFleet,
+): ReadonlyMap<string, PlannedPool> {
+  const waiting = new Map<string, number>();
+  for (const { step, pool } of steps) {
+    if (step.spec.longRunning) continue;
+    const cores = taskCores(step.spec) * step.waitingTasks;
+    waiting.set(pool, (waiting.get(pool) ?? 0) + cores);
+  }
+  const crowded = new Map<string, PlannedPool>();
+  for (const [name, cores] of waiting) {
+    const pool = fleet.pool(name);
+    if (cores > pool.capacity().freeCores) crowded.set(name, pool);
+  }
+  return crowded;
+}
+
 function addReadyStep(
   planned: PlannedJob,
   { spec, openTasks, waitingTasks }: StepRun,
