feat(jobs): reject jobs at arrival that would end after their callers give up

The scheduler measures the load of queues every 500 ms and reports those near their limit to all entry instances. These reject a job only by a report of at most 1.5 s, and only if neither the store nor this instance knows its id.

--- a/src/coordination/jobs/admission/job-service.ts
+++ b/src/coordination/jobs/admission/job-service.ts
@@ -22,6 +22,7 @@
 import type { JobQueueConfig } from "../../../protocol/fleet-config.ts";
 import type { AcceptedJobSpecs } from "../../../state/jobs/admission/accepted-job-specs.ts";
 import type { Counters } from "../../ports.ts";
+import type { JobAdmission, JobRejection } from "./job-admission.ts";
 import type { JobSubmitter, SubmitOutcome } from "./job-submitter.ts";
 
 /** Time in ms for which the pending counts are cached. */
@@ -50,6 +51,7 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly submitter: JobSubmitter;
+  readonly admission: JobAdmission;
   /** This entry instance. */
   readonly session: SessionRecord;
   readonly jobSpecs: AcceptedJobSpecs;
@@ -67,12 +69,14 @@
     this.#options = options;
   }
 
-  /** Stores a job. Idempotent for the same id. */
-  submit(
+  /** Stores a job unless it is rejected because of overload. Idempotent for the same id. */
+  async submit(
     req: JobRequest,
     queue: JobQueueConfig,
     { id, organisation, deadline }: JobCall,
-  ): Promise<SubmitOutcome> {
+  ): Promise<SubmitOutcome | JobRejection> {
+    const rejection = await this.#options.admission.admit(id, { req, queue, organisation });
+    if (rejection !== undefined) return rejection;
     const acceptedAtMs = this.#options.clock.wallTime();
     const job: JobSpec = {
       ...req,
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -15,8 +15,12 @@
 import { FleetConfigView } from "./config-view.ts";
 import { EntryView } from "./election/entry-view.ts";
 import type { OperatorFeed, ServerRegistry } from "./job-feeds.ts";
+import { JobAdmission } from "./admission/job-admission.ts";
 import { JobService } from "./admission/job-service.ts";
 import { JobSubmitter } from "./admission/job-submitter.ts";
+import type { LoadNotifier } from "./admission/load-notifier.ts";
+import { LoadPublisher } from "./admission/load-publisher.ts";
+import { LoadView } from "./admission/load-view.ts";
 import { MaintenanceRunner } from "./fleet/maintenance-runner.ts";
 import { PendingPublisher } from "./admission/pending-counts.ts";
 import { PoolSizer } from "./fleet/pool-sizer.ts";
@@ -48,6 +52,7 @@
   readonly instances: InstanceControl | undefined;
   readonly advisor: PlacementAdvisor;
   readonly notifier: RecordNotifier;
+  readonly loadNotifier: LoadNotifier;
   readonly forwarder: StartForwarder;
   /** Specs of the jobs that this entry instance accepted. */
   readonly jobSpecs: AcceptedJobSpecs;
@@ -84,6 +89,8 @@
   /** Fleet configuration as last read. */
   readonly config: FleetConfigView;
   readonly service: JobService;
+  /** Load of queues near their limit, as last reported. */
+  readonly loadView: LoadView;
   readonly #options: JobEntryOptions;
   readonly #view: EntryView;
   readonly #stopped = new AbortController();
@@ -102,7 +109,9 @@
       this.#notifyScheduler(records);
     };
     const submitter = new JobSubmitter({ ...options, stored });
-    this.service = new JobService({ ...options, submitter, stored });
+    this.loadView = new LoadView(options);
+    const admission = new JobAdmission({ ...options, loadView: this.loadView });
+    this.service = new JobService({ ...options, submitter, admission, stored });
     this.#lock = new SchedulerLock({ ...options, holder: options.name });
     this.#view = new EntryView(options.log, () => {
       this.#election.viewChanged();
@@ -183,21 +192,40 @@
     this.#scheduler = scheduler;
     const { jobRegistry } = scheduler;
     const openJobs = () => jobRegistry.openJobs;
+    const instanceList = this.#createInstanceList();
     await Promise.all([
       this.#lock.renewUntilLost(tenure),
       scheduler.run(),
       new PendingPublisher({ ...this.#options, tenure, openJobs }).run(),
+      new LoadPublisher({
+        ...{ ...this.#options, config: this.config, tenure, scheduler },
+        instances: instanceList === undefined ? undefined : () => instanceList.read(),
+        notifier: this.#options.loadNotifier,
+        peers: () => this.sessions.filter(({ name }) => name !== this.#options.name),
+        receive: (report) => this.loadView.receive(report),
+      }).run(),
       new RecordGarbageCollector({
         ...{ ...this.#options, tenure, jobRegistry, retentionMs: this.#options.keepEndedMs },
       }).run(),
-      this.#runInstanceControl(tenure, scheduler),
+      this.#runInstanceControl(tenure, scheduler, instanceList),
     ]);
     this.#scheduler = undefined;
   }
 
+  #createInstanceList(): InstanceListCache | undefined {
+    const { instances } = this.#options;
+    return instances === undefined
+      ? undefined
+      : new InstanceListCache({ ...this.#options, instances });
+  }
+
   /** Maintains instances and moves them between pools while the tenure lasts. */
-  async #runInstanceControl(tenure: LockTenure, scheduler: Scheduler): Promise<void> {
-    if (this.#options.instances === undefined) return;
+  async #runInstanceControl(
+    tenure: LockTenure,
+    scheduler: Scheduler,
+    view: InstanceListCache | undefined,
+  ): Promise<void> {
+    if (this.#options.instances === undefined || view === undefined) return;
     const { counters } = this.#options;
     const instances = new GuardedInstanceControl({
       ...{ instances: this.#options.instances, tenure, counters },
@@ -208,7 +236,7 @@
         instances,
         tenure,
         scheduler,
-        view: new InstanceListCache({ ...this.#options, instances }),
+        view,
       },
       orders: new InstanceOrderTimes({ ...this.#options, tenure }),
     };
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -227,6 +227,13 @@
   readonly order: Uint8Array;
 }
 
+/** Reports the load of queues near their limit to an entry instance. */
+export interface QueueLoadRequest {
+  readonly type: "queue-load";
+  /** The encoded report, see `queue-loads.ts`. */
+  readonly report: Uint8Array;
+}
+
 /** Any request between peers. */
 export type PeerRequest =
   | GossipRequest
@@ -246,7 +253,8 @@
   | RebootRequest
   | StoreCallRequest
   | RecordNotification
-  | StartOrderRequest;
+  | StartOrderRequest
+  | QueueLoadRequest;
 
 /** State of a request as known to its owner. */
 export type RequestState =
@@ -358,6 +366,7 @@
   readonly "store-call": StoreCallReply;
   readonly "record-notice": AckReply;
   readonly "start-order": StartOrderReply;
+  readonly "queue-load": AckReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -145,6 +145,7 @@
   v.strictObject({ type: v.literal("reboot"), server: v.string() }),
   v.strictObject({ type: v.literal("store-call"), call: bytes }),
   v.strictObject({ type: v.literal("start-order"), order: bytes }),
+  v.strictObject({ type: v.literal("queue-load"), report: bytes }),
   v.strictObject({
     type: v.literal("record-notice"),
     records: v.array(v.strictObject({ key: v.string(), value: bytes, revision: v.number() })),
@@ -206,6 +207,7 @@
   "store-call": v.strictObject({ type: v.literal("store-call-reply"), result: bytes }),
   "record-notice": ack,
   "start-order": v.strictObject({ type: v.literal("start-order-reply"), result: bytes }),
+  "queue-load": ack,
 };
 
 /** A frame that follows the hello. */
--- /dev/null
+++ b/src/state/jobs/admission/full-size.ts
@@ -0,0 +1,50 @@
+import type { Resources } from "../../../protocol/job-spec.ts";
+import { add, NO_RESOURCES, subtract, times } from "../scheduling/resources.ts";
+import type { OutstandingWork } from "./outstanding-work.ts";
+
+/** One instance, or one backend server where instances do not move. */
+export interface FleetMember {
+  readonly pool: string;
+  readonly capacity: Resources;
+}
+
+/** Capacity and outstanding work of all pools. */
+export interface FleetWork {
+  readonly members: readonly FleetMember[];
+  /** True if instances move between pools as demand requires. */
+  readonly instancesMove: boolean;
+  readonly workByPool: ReadonlyMap<string, readonly OutstandingWork[]>;
+}
+
+/**
+ * Capacity of a pool at its full size over the next `horizonMs`. Where instances move, it is the
+ * capacity of the fleet less what the other pools need for the work that they have, at most their
+ * present size: a pool that is idle soon gives its instances away.
+ */
+export function fullSize(pool: string, fleet: FleetWork, horizonMs: number): Resources {
+  const { members, instancesMove, workByPool } = fleet;
+  const own = total(members.filter((member) => member.pool === pool));
+  if (!instancesMove) return own;
+  let size = total(members);
+  for (const [other, items] of workByPool) {
+    if (other === pool) continue;
+    const work = items.reduce((sum, item) => add(sum, item.work), NO_RESOURCES);
+    const held = items.reduce((sum, item) => add(sum, item.held), NO_RESOURCES);
+    const needed = add(held, times(work, horizonMs > 0 ? 1 / horizonMs : 0));
+    const present = total(members.filter((member) => member.pool === other));
+    size = subtract(size, smaller(needed, present));
+  }
+  return size;
+}
+
+function total(members: readonly FleetMember[]): Resources {
+  return members.reduce((sum, { capacity }) => add(sum, capacity), NO_RESOURCES);
+}
+
+function smaller(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: Math.min(a.cpuMillis, b.cpuMillis),
+    memoryMb: Math.min(a.memoryMb, b.memoryMb),
+    accelerators: Math.min(a.accelerators, b.accelerators),
+  };
+}
--- a/src/state/jobs/scheduling/duration-model.ts
+++ b/src/state/jobs/scheduling/duration-model.ts
@@ -11,6 +11,8 @@
 const PRIOR_VARIANCE = 1.3;
 /** Damps the slope while it is derived from declarations that hardly differ. */
 const PRIOR_DECLARED_VARIANCE = 2;
+/** Standard errors of the mean logarithm by which {@link DurationModel.leastMs} is lower. */
+const LEAST_STANDARD_ERRORS = 2;
 /** Number of new durations after which values derived from the model are recomputed. */
 const DURATIONS_PER_EPOCH = 8;
 /** Maximum number of expected durations kept between two observations. */
@@ -94,6 +96,16 @@
     if (this.#weight >= MIN_TAIL_BASIS) this.tail.observe(actualMs / this.expectedMs(declaredMs));
   }
 
+  /**
+   * Lower estimate of the duration in milliseconds, for decisions that must not rest on declarations
+   * that are too high. A tenth of the declared duration before the first observation; it approaches
+   * the expected duration with each one.
+   */
+  leastMs(declaredMs: number): number {
+    const error = (LEAST_STANDARD_ERRORS * this.spread) / Math.sqrt(this.#weight + 1);
+    return this.expectedMs(declaredMs) * Math.exp(-error);
+  }
+
   /** Standard deviation of the natural logarithm of actual over expected durations. */
   get spread(): number {
     const unexplained = Math.max(0, this.#errorSquares - this.#slope() * this.#products);
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -4,6 +4,8 @@
 import { ServerRegistry, type ServerListener } from "../../../src/coordination/jobs/job-feeds.ts";
 import { AcceptedJobSpecs } from "../../../src/state/jobs/admission/accepted-job-specs.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/records/record-notifier.ts";
+import type { JobRejection } from "../../../src/coordination/jobs/admission/job-admission.ts";
+import { LoadNotifier } from "../../../src/coordination/jobs/admission/load-notifier.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/admission/job-submitter.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import { InstanceControl } from "../../../src/ports/instance-control.ts";
@@ -132,6 +134,7 @@
       advisor: new NoAdvisor(),
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, faults),
+      loadNotifier: new ClusterLoadNotifier(this.entries, faults),
       ...{ jobSpecs, forwarder },
       storeConnectivity: () => faults.storeConnectivity,
       leaseTtlMs: LEASE_TTL_MS,
@@ -221,7 +224,7 @@
     id: string,
     job: JobRequest,
     organisation?: string,
-  ): Promise<SubmitOutcome> {
+  ): Promise<SubmitOutcome | JobRejection> {
     const { entry } = target;
     const [queue] = entry.config.current?.queues ?? [];
     if (queue === undefined) return Promise.resolve("refused");
@@ -283,6 +286,26 @@
   }
 }
 
+/** Delivers reports like {@link ClusterNotifier}. */
+class ClusterLoadNotifier extends LoadNotifier {
+  readonly #entries: readonly ClusterEntry[];
+  readonly #faults: EntryFaults;
+
+  constructor(entries: readonly ClusterEntry[], faults: EntryFaults) {
+    super();
+    this.#entries = entries;
+    this.#faults = faults;
+  }
+
+  async send(peerAddress: string, report: Uint8Array): Promise<void> {
+    const target = this.#entries[Number(peerAddress.slice(1))];
+    await this.#faults.untilRunning();
+    if (target?.alive !== true) return;
+    await target.faults.untilRunning();
+    target.entry.loadView.receive(report);
+  }
+}
+
 class FakeRegistry extends ServerRegistry {
   readonly draining = new Set<string>();
   /** Cold time of servers in ms, by server id. */
