--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -6,6 +6,7 @@
 import { parseJob } from "../../platform/job-request.ts";
 import { MetricCounters } from "../../src/coordination/counters.ts";
 import { SystemClock } from "../../src/ports/system-clock.ts";
+import { encodeLoadReport } from "../../src/protocol/queue-loads.ts";
 import { fleetConfig, queueConfig } from "../fakes/jobs/job-builders.ts";
 import { JobCluster } from "../fakes/jobs/job-cluster.ts";
 import { SeededRandom } from "../fakes/seeded-random.ts";
@@ -179,6 +180,33 @@
   });
 });
 
+// Guards against rejections without a time to retry, and against a rejection of a stored job.
+test("a job that would end too late gets 503 or 429 with a retry time, a stored one 200", async () => {
+  await withIngress(async (call, cluster) => {
+    const path = `/keyed/${ID}`;
+    const own = { name: "org", backlogMs: 90_000, share: 0.5, beyondShare: true };
+    const load = { onTimeMs: 90_000, backlogMs: 90_000, endMs: 90_000, limitMs: 2000 };
+    const receive = (queue: string) => {
+      const fields = { queue, rejecting: true, durationFactor: 1, typicalCoreMs: 5 };
+      const queues = [{ ...fields, ...load, organisations: [own] }];
+      const report = { token: 1e9, atMs: cluster.clock.wallTime(), queues };
+      for (const { entry } of cluster.entries) entry.loadView.receive(encodeLoadReport(report));
+    };
+    receive("queue");
+    const refused = await call({ method: "POST", path: `/queue/${ID}`, json: JOB });
+    assert.is(refused.status, 503);
+    assert.ok(Number(refused.retryAfter) > 1);
+    assert.is((await call({ method: "POST", path, key: "key", json: JOB })).status, 200);
+    await cluster.clock.advance(5);
+    receive("keyed");
+    assert.is((await call({ method: "POST", path, key: "key", json: JOB })).status, 200);
+    const other = path.replace(/.$/, "0");
+    const shared = await call({ method: "POST", path: other, key: "key", json: JOB });
+    assert.is(shared.status, 429);
+    assert.ok(Number(shared.retryAfter) > 1);
+  });
+});
+
 // Guards against steps that wait for each other for ever, and against errors thrown by bad input.
 test("a step that depends on a later step or a body that is not JSON is malformed", () => {
   const steps = [{ count: 1, after: [1] }, { count: 1 }];
