--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { HttpKeyValueService } from "../transport/http-key-value.ts";
 import { findUsageProblem } from "./command-line.ts";
 import { addPlatformCommand } from "../../platform/command.ts";
+import { addWhereCommand } from "../../platform/where-command.ts";
 import { addConfigCommands } from "./config-commands.ts";
 import { addDevCommand } from "./dev-command.ts";
 import { addEntryCommand } from "./entry-command.ts";
@@ -36,6 +37,7 @@
 addStandInCommands(program);
 addPlatformCommand(program, ctx);
 addExplainCommand(program, ctx);
+addWhereCommand(program, ctx);
 const problem = findUsageProblem(program, process.argv.slice(2));
 if (problem === undefined) program.parse(process.argv);
 else {
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -29,6 +29,8 @@
 import type { AcceptedJobSpecs } from "../../state/jobs/admission/accepted-job-specs.ts";
 import type { StartForwarder } from "./execution/start-forwarder.ts";
 import type { RecordNotifier } from "./records/record-notifier.ts";
+import { PlacementAnswers } from "./scheduling/placement-answers.ts";
+import type { PlacementQuestions } from "./scheduling/placement-questions.ts";
 import { Scheduler } from "./scheduling/scheduler.ts";
 import { SchedulerElection } from "./election/scheduler-election.ts";
 import { SessionRegistration } from "./election/session-registration.ts";
@@ -53,6 +55,7 @@
   readonly advisor: PlacementAdvisor;
   readonly notifier: RecordNotifier;
   readonly loadNotifier: LoadNotifier;
+  readonly placementQuestions: PlacementQuestions;
   readonly forwarder: StartForwarder;
   /** Specs of the jobs that this entry instance accepted. */
   readonly jobSpecs: AcceptedJobSpecs;
@@ -91,6 +94,8 @@
   readonly service: JobService;
   /** Load of queues near their limit, as last reported. */
   readonly loadView: LoadView;
+  /** Answers operators' questions about the placement of jobs. */
+  readonly placementAnswers: PlacementAnswers;
   readonly #options: JobEntryOptions;
   readonly #view: EntryView;
   readonly #stopped = new AbortController();
@@ -116,6 +121,12 @@
     this.#view = new EntryView(options.log, () => {
       this.#election.viewChanged();
     });
+    this.placementAnswers = new PlacementAnswers({
+      ...{ ...options, config: this.config, loadView: this.loadView, admission },
+      questions: options.placementQuestions,
+      scheduler: () => this.#scheduler,
+      schedulerSession: () => this.#view.schedulerSession,
+    });
     this.#election = new SchedulerElection({
       ...{ ...options, lock: this.#lock, view: this.#view },
       runScheduler: (tenure) => this.#runScheduler(tenure),
--- /dev/null
+++ b/src/coordination/jobs/scheduling/placement-explainer.ts
@@ -0,0 +1,108 @@
+import type { Clock } from "../../../ports/clock.ts";
+import type { JobSpec } from "../../../protocol/job-spec.ts";
+import type { PlacementExplanation, StepPlacement } from "../../../protocol/placement-answers.ts";
+import { Job, type StepRun } from "../../../state/jobs/records/job.ts";
+import {
+  compareStepRanks,
+  rankStep,
+  type StepRank,
+} from "../../../state/jobs/scheduling/job-order.ts";
+import {
+  explainCandidates,
+  type ExplainedServer,
+  type UnavailableReason,
+} from "../../../state/jobs/scheduling/placement-explanation.ts";
+import { subtract, withinCap } from "../../../state/jobs/scheduling/resources.ts";
+import type { FleetConfigView } from "../config-view.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** Queue settings for jobs whose queue is no longer configured. */
+const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
+
+/** Options of {@link explainPlacement}. */
+export interface PlacementExplainerOptions {
+  readonly clock: Clock;
+  readonly config: FleetConfigView;
+  readonly scheduler: Pick<Scheduler, "jobRegistry" | "drivers" | "durations" | "tracker">;
+  /** Name of this entry instance. */
+  readonly name: string;
+}
+
+/** Explains where the scheduler would place a job now. The job itself is not added to anything. */
+export function explainPlacement(
+  spec: JobSpec,
+  options: PlacementExplainerOptions,
+): PlacementExplanation {
+  const { config, scheduler, name } = options;
+  const job = new Job({ ...spec, schedule: undefined });
+  const ready = new Set(job.readySteps());
+  const waiting = waitingRanks(spec.pool, options);
+  const servers = explainedServers(spec.pool, options);
+  const settings =
+    spec.organisation === undefined ? undefined : config.organisation(spec.organisation);
+  const used = scheduler.tracker.runRegistry.usedByOrganisation(spec.organisation ?? "");
+  const steps = (job.occurrences[0]?.steps ?? []).map((step): StepPlacement => {
+    const rank = rankOf(step, options);
+    const ahead = waiting.filter((other) => compareStepRanks(other, rank) <= 0);
+    return {
+      ...{ step: step.position, tasks: step.tasks.length, class: classOf(rank, ready.has(step)) },
+      stepsAhead: ahead.length,
+      latestStartInMs: Math.round(rank.latestStartMs - options.clock.wallTime()),
+      withinCap: settings === undefined || withinCap(used, step.spec.demand, settings.cap),
+      groups: explainCandidates(step.spec, servers),
+    };
+  });
+  const cap = settings === undefined ? {} : { cap: { used, cap: settings.cap } };
+  return { scheduler: name, steps, ...cap };
+}
+
+function classOf(rank: StepRank, ready: boolean): StepPlacement["class"] {
+  if (!ready) return "after-others";
+  if (rank.longRunning) return "long-running";
+  return rank.canBeOnTime ? "on-time" : "late";
+}
+
+function rankOf(step: StepRun, options: PlacementExplainerOptions): StepRank {
+  const { clock, config, scheduler } = options;
+  const { job } = step;
+  const queue = config.queue(job.spec.queue) ?? REMOVED_QUEUE;
+  const releasedAtMs = job.occurrences[step.occurrence]?.releasedAtMs ?? clock.wallTime();
+  const { steps } = job.occurrences[step.occurrence] ?? { steps: [step] };
+  const occurrence = { number: step.occurrence, releasedAtMs, steps };
+  return rankStep(step, occurrence, queue, clock.wallTime(), scheduler.durations);
+}
+
+function waitingRanks(pool: string, options: PlacementExplainerOptions): readonly StepRank[] {
+  const { config, scheduler } = options;
+  const ranks: StepRank[] = [];
+  for (const job of scheduler.jobRegistry.openJobs) {
+    if ((config.queue(job.spec.queue)?.pool ?? job.spec.pool) !== pool) continue;
+    for (const step of job.readySteps()) ranks.push(rankOf(step, options));
+  }
+  return ranks;
+}
+
+function explainedServers(
+  pool: string,
+  { clock, scheduler }: PlacementExplainerOptions,
+): readonly ExplainedServer[] {
+  const { runRegistry } = scheduler.tracker;
+  return [...scheduler.drivers.all()]
+    .filter(({ registration }) => registration.pool === pool)
+    .map((driver) => {
+      const { id, zone, labels, capacity } = driver.registration;
+      const free = subtract(capacity, runRegistry.usedOnServer(id));
+      return { zone, labels, free, unavailable: unavailableReason(driver, clock.now()) };
+    });
+}
+
+function unavailableReason(driver: ServerDriver, now: number): UnavailableReason | undefined {
+  if (driver.absent || driver.closed) return "absent";
+  if (driver.registration.draining) return "draining";
+  if (driver.reserved) return "planned-work";
+  if (!driver.reachable) return "unreachable";
+  if (!driver.adopted) return "not-adopted";
+  if (driver.notBefore > now) return "start-failed";
+  return driver.speed.slow || driver.health.onProbation ? "slow-or-failing" : undefined;
+}
--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -234,6 +234,13 @@
   readonly report: Uint8Array;
 }
 
+/** Asks the scheduler where it would place a job that is not submitted. */
+export interface WhereRequest {
+  readonly type: "where";
+  /** The encoded job, see `job-records.ts`. */
+  readonly job: Uint8Array;
+}
+
 /** Any request between peers. */
 export type PeerRequest =
   | GossipRequest
@@ -254,7 +261,8 @@
   | StoreCallRequest
   | RecordNotification
   | StartOrderRequest
-  | QueueLoadRequest;
+  | QueueLoadRequest
+  | WhereRequest;
 
 /** State of a request as known to its owner. */
 export type RequestState =
@@ -335,6 +343,12 @@
   readonly result: Uint8Array;
 }
 
+/** Reply to `where`: the encoded explanation; empty if the receiver does not schedule. */
+export interface WhereReply {
+  readonly type: "where-reply";
+  readonly explanation: Uint8Array;
+}
+
 /** Any reply between peers. The reply to `gossip` is the receiver's own gossip. */
 export type PeerReply =
   | GossipReply
@@ -345,7 +359,8 @@
   | LeaseReport
   | AckReply
   | StoreCallReply
-  | StartOrderReply;
+  | StartOrderReply
+  | WhereReply;
 
 interface ReplyMap {
   readonly gossip: GossipReply;
@@ -367,6 +382,7 @@
   readonly "record-notice": AckReply;
   readonly "start-order": StartOrderReply;
   readonly "queue-load": AckReply;
+  readonly where: WhereReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -146,6 +146,7 @@
   v.strictObject({ type: v.literal("store-call"), call: bytes }),
   v.strictObject({ type: v.literal("start-order"), order: bytes }),
   v.strictObject({ type: v.literal("queue-load"), report: bytes }),
+  v.strictObject({ type: v.literal("where"), job: bytes }),
   v.strictObject({
     type: v.literal("record-notice"),
     records: v.array(v.strictObject({ key: v.string(), value: bytes, revision: v.number() })),
@@ -208,6 +209,7 @@
   "record-notice": ack,
   "start-order": v.strictObject({ type: v.literal("start-order-reply"), result: bytes }),
   "queue-load": ack,
+  where: v.strictObject({ type: v.literal("where-reply"), explanation: bytes }),
 };
 
 /** A frame that follows the hello. */
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -5,7 +5,6 @@
 import { AcceptedJobSpecs } from "../../../src/state/jobs/admission/accepted-job-specs.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/records/record-notifier.ts";
 import type { JobRejection } from "../../../src/coordination/jobs/admission/job-admission.ts";
-import { LoadNotifier } from "../../../src/coordination/jobs/admission/load-notifier.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/admission/job-submitter.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import { InstanceControl } from "../../../src/ports/instance-control.ts";
@@ -24,6 +23,7 @@
 } from "../../../src/stand-ins/simulated-job-server.ts";
 import { EventCounts } from "../event-counts.ts";
 import { advanceUntilSettled, VirtualClock } from "../virtual-clock.ts";
+import { ClusterLoadNotifier, ClusterQuestions } from "./cluster-peers.ts";
 import { ClusterStartForwarder } from "./cluster-start-forwarder.ts";
 import { EntryConnector, EntryStore, EntryFaults, SlowLink } from "./entry-faults.ts";
 import { FakeOperators } from "./fake-operators.ts";
@@ -134,6 +134,7 @@
       advisor: new NoAdvisor(),
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, faults),
+      placementQuestions: new ClusterQuestions(this.entries),
       loadNotifier: new ClusterLoadNotifier(this.entries, faults),
       ...{ jobSpecs, forwarder },
       storeConnectivity: () => faults.storeConnectivity,
@@ -286,26 +287,6 @@
   }
 }
 
-/** Delivers reports like {@link ClusterNotifier}. */
-class ClusterLoadNotifier extends LoadNotifier {
-  readonly #entries: readonly ClusterEntry[];
-  readonly #faults: EntryFaults;
-
-  constructor(entries: readonly ClusterEntry[], faults: EntryFaults) {
-    super();
-    this.#entries = entries;
-    this.#faults = faults;
-  }
-
-  async send(peerAddress: string, report: Uint8Array): Promise<void> {
-    const target = this.#entries[Number(peerAddress.slice(1))];
-    await this.#faults.untilRunning();
-    if (target?.alive !== true) return;
-    await target.faults.untilRunning();
-    target.entry.loadView.receive(report);
-  }
-}
-
 class FakeRegistry extends ServerRegistry {
   readonly draining = new Set<string>();
   /** Cold time of servers in ms, by server id. */
