--- a/src/state/jobs/admission/full-size.ts
+++ b/src/state/jobs/admission/full-size.ts
@@ -28,8 +28,7 @@
   let size = total(members);
   for (const [other, items] of workByPool) {
     if (other === pool) continue;
-    const work = items.reduce((sum, item) => add(sum, item.work), NO_RESOURCES);
-    const held = items.reduce((sum, item) => add(sum, item.held), NO_RESOURCES);
+    const { work, held } = totalWork(items);
     const needed = add(held, times(work, horizonMs > 0 ? 1 / horizonMs : 0));
     const present = total(members.filter((member) => member.pool === other));
     size = subtract(size, smaller(needed, present));
@@ -37,6 +36,24 @@
   return size;
 }
 
+/** Sums of a pool's work, cached because every other pool's size depends on them. */
+const totals = new WeakMap<readonly OutstandingWork[], TotalWork>();
+
+interface TotalWork {
+  readonly work: Resources;
+  readonly held: Resources;
+}
+
+function totalWork(items: readonly OutstandingWork[]): TotalWork {
+  let sum = totals.get(items);
+  if (sum === undefined) {
+    const work = items.reduce((all, item) => add(all, item.work), NO_RESOURCES);
+    const held = items.reduce((all, item) => add(all, item.held), NO_RESOURCES);
+    totals.set(items, (sum = { work, held }));
+  }
+  return sum;
+}
+
 function total(members: readonly FleetMember[]): Resources {
   return members.reduce((sum, { capacity }) => add(sum, capacity), NO_RESOURCES);
 }
--- a/src/state/jobs/admission/outstanding-work.ts
+++ b/src/state/jobs/admission/outstanding-work.ts
@@ -2,7 +2,7 @@
 import type { Job, StepRun } from "../records/job.ts";
 import type { DurationModel, DurationModels } from "../scheduling/duration-model.ts";
 import { rankStep, type QueueUrgency } from "../scheduling/job-order.ts";
-import { add, NO_RESOURCES, resourcesOccupied, times } from "../scheduling/resources.ts";
+import { NO_RESOURCES, resourcesOccupied } from "../scheduling/resources.ts";
 
 /** Part of a running task that is counted as left; the mean over tasks begun at different times. */
 const RUNNING_PART_LEFT = 0.5;
@@ -48,12 +48,12 @@
     ...([active, occurrence, urgency, wallTimeMs, durations] as const),
   );
   const model = durations.forQueue(queue);
-  let work = NO_RESOURCES;
-  let held = NO_RESOURCES;
+  const work = { ...NO_RESOURCES };
+  const held = { ...NO_RESOURCES };
   for (const { steps: runs } of job.occurrences) {
     for (const step of runs) {
-      if (step.spec.longRunning) held = add(held, heldBy(step));
-      else work = add(work, workLeft(step, model));
+      if (step.spec.longRunning) addTimes(held, step, tasksRunning(step));
+      else addTimes(work, step, tasksLeft(step) * leastMs(step, model));
     }
   }
   return {
@@ -67,6 +67,16 @@
  * duration, since nothing can be said about the end of such a job.
  */
 export function declaredSize(steps: readonly StepSpec[]): DeclaredSize | undefined {
+  if (declaredSizes.has(steps)) return declaredSizes.get(steps);
+  const size = computeDeclaredSize(steps);
+  declaredSizes.set(steps, size);
+  return size;
+}
+
+/** Sizes by the steps of a job, cached because every measurement needs those of all open jobs. */
+const declaredSizes = new WeakMap<readonly StepSpec[], DeclaredSize | undefined>();
+
+function computeDeclaredSize(steps: readonly StepSpec[]): DeclaredSize | undefined {
   const ends: number[] = [];
   let coreMs = 0;
   for (const { after, estimateMs, tasks, demand, longRunning } of steps) {
@@ -77,17 +87,29 @@
   return { chainMs: Math.max(0, ...ends), coreMs };
 }
 
-function workLeft({ spec, tasks }: StepRun, model: DurationModel): Resources {
-  if (spec.estimateMs <= 0) return NO_RESOURCES;
+function leastMs({ spec }: StepRun, model: DurationModel): number {
+  return spec.estimateMs > 0 ? model.leastMs(spec.estimateMs) : 0;
+}
+
+function tasksLeft({ tasks }: StepRun): number {
   let left = 0;
-  for (const task of tasks) {
-    if (task.done) continue;
-    left += task.placement === undefined ? 1 : RUNNING_PART_LEFT;
-  }
-  return times(resourcesOccupied(spec), left * model.leastMs(spec.estimateMs));
+  for (const { done, placement } of tasks)
+    if (!done) left += placement === undefined ? 1 : RUNNING_PART_LEFT;
+  return left;
+}
+
+function tasksRunning({ tasks }: StepRun): number {
+  return tasks.filter(({ done, placement }) => !done && placement !== undefined).length;
 }
 
-function heldBy({ spec, tasks }: StepRun): Resources {
-  const running = tasks.filter(({ done, placement }) => !done && placement !== undefined).length;
-  return times(resourcesOccupied(spec), running);
+/** Adds a multiple of what a task of the step occupies. Changes the sum, since it is called often. */
+function addTimes(
+  sum: { -readonly [K in keyof Resources]: number },
+  step: StepRun,
+  n: number,
+): void {
+  const { cpuMillis, memoryMb, accelerators } = resourcesOccupied(step.spec);
+  sum.cpuMillis += cpuMillis * n;
+  sum.memoryMb += memoryMb * n;
+  sum.accelerators += accelerators * n;
 }
