--- a/bench/scheduler-cost.ts
+++ b/bench/scheduler-cost.ts
@@ -14,6 +14,8 @@
   type OperatorListener,
   type ServerListener,
 } from "../src/coordination/jobs/job-feeds.ts";
+import { LoadNotifier } from "../src/coordination/jobs/admission/load-notifier.ts";
+import { PlacementQuestions } from "../src/coordination/jobs/scheduling/placement-questions.ts";
 import { RecordNotifier } from "../src/coordination/jobs/records/record-notifier.ts";
 import { JobBackendConnector, type JobBackend } from "../src/ports/job-backend.ts";
 import { PlacementAdvisor } from "../src/ports/placement-advisor.ts";
@@ -175,6 +177,7 @@
     ...{ forwarder: new NoForwarder(), storeConnectivity: connected },
     ...{ leaseTtlMs: 6000, linkBytesPerMs: 125_000, takeoverPauseMs: 0, maxConfigAgeMs: 2000 },
     ...{ keepEndedMs: 120_000, evacuateMs: 5000 },
+    ...{ loadNotifier: new NoLoadNotifier(), placementQuestions: new NoPlacementQuestions() },
   });
 }
 
@@ -269,6 +272,18 @@
   }
 }
 
+class NoLoadNotifier extends LoadNotifier {
+  send(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+class NoPlacementQuestions extends PlacementQuestions {
+  ask() {
+    return Promise.resolve(undefined);
+  }
+}
+
 class NoForwarder extends StartForwarder {
   start() {
     return Promise.resolve(Err({ kind: "not-sent" as const, detail: "none" }));
--- a/test/platform/where.test.ts
+++ b/test/platform/where.test.ts
@@ -88,13 +88,18 @@
     assert.is(nameOf(answer.placement?.scheduler), "scheduler");
     assert.is(nameOf(answer.answeredBy), "asked");
     const [first, second] = answer.placement?.steps ?? [];
-    const zone = { zone: "z", servers: 4 };
-    assert.equal(first?.groups, [{ ...zone, fitting: 0, reasons: { draining: 1, "no-cpu": 3 } }]);
-    assert.equal(second?.groups, [{ ...zone, fitting: 3, reasons: { draining: 1 } }]);
+    assert.equal(first?.groups, [
+      { zone: "z0", servers: 2, fitting: 0, reasons: { draining: 1, "no-cpu": 1 } },
+      { zone: "z1", servers: 2, fitting: 0, reasons: { "no-cpu": 2 } },
+    ]);
+    assert.equal(second?.groups, [
+      { zone: "z0", servers: 2, fitting: 1, reasons: { draining: 1 } },
+      { zone: "z1", servers: 2, fitting: 2, reasons: {} },
+    ]);
     assert.equal([first?.class, second?.class], ["on-time", "after-others"]);
     await where("job.json --queue keyed --organisation org");
     assert.is(cli.code, 0);
-    assert.match(cli.out.join("\n"), "zone z: 0 of 4 servers fit, draining 1, no-cpu 3");
+    assert.match(cli.out.join("\n"), "zone z0: 0 of 2 servers fit, draining 1, no-cpu 1");
     await cluster.clock.advance(1000);
     for (const prefix of [JOBS_PREFIX, PROGRESS_PREFIX])
       assert.is(cluster.store.range(prefix).records.length, 0);
