--- a/src/coordination/jobs/admission/load-publisher.ts
+++ b/src/coordination/jobs/admission/load-publisher.ts
@@ -4,6 +4,7 @@
 import type { SessionRecord } from "../../../protocol/job-records.ts";
 import { encodeLoadReport } from "../../../protocol/queue-loads.ts";
 import type { FleetMember, FleetWork } from "../../../state/jobs/admission/full-size.ts";
+import { worthMeasuring } from "../../../state/jobs/admission/load-gate.ts";
 import {
   outstandingWork,
   type OutstandingWork,
@@ -35,7 +36,7 @@
 
 /**
  * Reports the load of queues near their limit to all entry instances while the tenure lasts. Nothing
- * is sent while no queue is near its limit.
+ * is sent while no queue is near its limit, and nothing is measured while no step waits for long.
  */
 export class LoadPublisher {
   readonly #options: LoadPublisherOptions;
@@ -66,10 +67,10 @@
     for (const { peerAddress } of peers()) void notifier.send(peerAddress, report);
   }
 
-  /** Loads of all queues with work; empty if the size of the fleet is not known. */
+  /** Loads of all queues with work; empty if no step waits for long or the size of the fleet is unknown. */
   async #measure(wallTimeMs: number): Promise<readonly MeasuredLoad[]> {
     const { config, scheduler } = this.#options;
-    if (scheduler.jobRegistry.openJobs.size === 0) return [];
+    if (!this.#hysteresis.reported && !this.#stepsWait()) return [];
     const workByPool = this.#workByPool(wallTimeMs);
     const instancesMove =
       this.#options.instances !== undefined &&
@@ -84,6 +85,12 @@
     );
   }
 
+  #stepsWait(): boolean {
+    const { clock, config, scheduler } = this.#options;
+    const { openJobs } = scheduler.jobRegistry;
+    return worthMeasuring(openJobs, ({ spec }) => config.queue(spec.queue), clock.now());
+  }
+
   #workByPool(wallTimeMs: number): ReadonlyMap<string, readonly OutstandingWork[]> {
     const { config, scheduler } = this.#options;
     const pools = new Map<string, OutstandingWork[]>();
--- a/src/coordination/jobs/scheduling/placement-explainer.ts
+++ b/src/coordination/jobs/scheduling/placement-explainer.ts
@@ -100,6 +100,7 @@
 function unavailableReason(driver: ServerDriver, now: number): UnavailableReason | undefined {
   if (driver.absent || driver.closed) return "absent";
   if (driver.registration.draining) return "draining";
+  if (driver.evacuated) return "evacuated";
   if (driver.reserved) return "planned-work";
   if (!driver.reachable) return "unreachable";
   if (!driver.adopted) return "not-adopted";
--- a/src/state/jobs/admission/full-size.ts
+++ b/src/state/jobs/admission/full-size.ts
@@ -1,5 +1,5 @@
 import type { Resources } from "../../../protocol/job-spec.ts";
-import { add, NO_RESOURCES, subtract, times } from "../scheduling/resources.ts";
+import { accumulate, add, NO_RESOURCES, subtract, times } from "../scheduling/resources.ts";
 import type { OutstandingWork } from "./outstanding-work.ts";
 
 /** One instance, or one backend server where instances do not move. */
@@ -23,14 +23,14 @@
  */
 export function fullSize(pool: string, fleet: FleetWork, horizonMs: number): Resources {
   const { members, instancesMove, workByPool } = fleet;
-  const own = total(members.filter((member) => member.pool === pool));
+  const own = total(members, pool);
   if (!instancesMove) return own;
   let size = total(members);
   for (const [other, items] of workByPool) {
     if (other === pool) continue;
     const { work, held } = totalWork(items);
     const needed = add(held, times(work, horizonMs > 0 ? 1 / horizonMs : 0));
-    const present = total(members.filter((member) => member.pool === other));
+    const present = total(members, other);
     size = subtract(size, smaller(needed, present));
   }
   return size;
@@ -44,18 +44,27 @@
   readonly held: Resources;
 }
 
-function totalWork(items: readonly OutstandingWork[]): TotalWork {
+/** Work left and resources held of all jobs of a pool. */
+export function totalWork(items: readonly OutstandingWork[]): TotalWork {
   let sum = totals.get(items);
   if (sum === undefined) {
-    const work = items.reduce((all, item) => add(all, item.work), NO_RESOURCES);
-    const held = items.reduce((all, item) => add(all, item.held), NO_RESOURCES);
+    const work = { ...NO_RESOURCES };
+    const held = { ...NO_RESOURCES };
+    for (const item of items) {
+      accumulate(work, item.work);
+      accumulate(held, item.held);
+    }
     totals.set(items, (sum = { work, held }));
   }
   return sum;
 }
 
-function total(members: readonly FleetMember[]): Resources {
-  return members.reduce((sum, { capacity }) => add(sum, capacity), NO_RESOURCES);
+/** Capacity of the members of a pool, or of all members. */
+function total(members: readonly FleetMember[], pool?: string): Resources {
+  const sum = { ...NO_RESOURCES };
+  for (const member of members)
+    if (pool === undefined || member.pool === pool) accumulate(sum, member.capacity);
+  return sum;
 }
 
 function smaller(a: Resources, b: Resources): Resources {
--- a/src/state/jobs/admission/outstanding-work.ts
+++ b/src/state/jobs/admission/outstanding-work.ts
@@ -2,7 +2,7 @@
 import type { Job, StepRun } from "../records/job.ts";
 import type { DurationModel, DurationModels } from "../scheduling/duration-model.ts";
 import { rankStep, type QueueUrgency } from "../scheduling/job-order.ts";
-import { NO_RESOURCES, resourcesOccupied } from "../scheduling/resources.ts";
+import { accumulate, NO_RESOURCES, resourcesOccupied } from "../scheduling/resources.ts";
 
 /** Part of a running task that is counted as left; the mean over tasks begun at different times. */
 const RUNNING_PART_LEFT = 0.5;
@@ -52,8 +52,10 @@
   const held = { ...NO_RESOURCES };
   for (const { steps: runs } of job.occurrences) {
     for (const step of runs) {
-      if (step.spec.longRunning) addTimes(held, step, tasksRunning(step));
-      else addTimes(work, step, tasksLeft(step) * leastMs(step, model));
+      if (step.done) continue;
+      const occupied = resourcesOccupied(step.spec);
+      if (step.spec.longRunning) accumulate(held, occupied, tasksRunning(step));
+      else accumulate(work, occupied, tasksLeft(step) * leastMs(step, model));
     }
   }
   return {
@@ -91,25 +93,11 @@
   return spec.estimateMs > 0 ? model.leastMs(spec.estimateMs) : 0;
 }
 
-function tasksLeft({ tasks }: StepRun): number {
-  let left = 0;
-  for (const { done, placement } of tasks)
-    if (!done) left += placement === undefined ? 1 : RUNNING_PART_LEFT;
-  return left;
+/** Computed from the counts of the step, since walking over tasks is too slow for thousands of jobs. */
+function tasksLeft(step: StepRun): number {
+  return step.waitingTasks + RUNNING_PART_LEFT * tasksRunning(step);
 }
 
-function tasksRunning({ tasks }: StepRun): number {
-  return tasks.filter(({ done, placement }) => !done && placement !== undefined).length;
-}
-
-/** Adds a multiple of what a task of the step occupies. Changes the sum, since it is called often. */
-function addTimes(
-  sum: { -readonly [K in keyof Resources]: number },
-  step: StepRun,
-  n: number,
-): void {
-  const { cpuMillis, memoryMb, accelerators } = resourcesOccupied(step.spec);
-  sum.cpuMillis += cpuMillis * n;
-  sum.memoryMb += memoryMb * n;
-  sum.accelerators += accelerators * n;
+function tasksRunning({ openTasks, waitingTasks }: StepRun): number {
+  return openTasks - waitingTasks;
 }
--- a/src/state/jobs/admission/queue-load.ts
+++ b/src/state/jobs/admission/queue-load.ts
@@ -1,16 +1,17 @@
 /**
  * Estimates when a job that arrives now would end. The estimate is a lower bound: tasks fill the pool
  * without gaps, the pool has its full size, durations are the least that observations support, and
- * work of higher priority that arrives later is not counted. So what is rejected by it is certainly
- * too late, while a queue somewhat above its capacity still takes every job.
+ * work of higher priority that arrives later is not counted. It is a lower bound only for the work as
+ * it is known now: work that is cancelled or rejected elsewhere later can make a job end earlier. A
+ * queue somewhat above its capacity still takes every job.
  */
 import type { JobQueueConfig } from "../../../protocol/fleet-config.ts";
 import type { Resources } from "../../../protocol/job-spec.ts";
 import type { OrganisationLoad, QueueLoad } from "../../../protocol/queue-loads.ts";
-import { add, NO_RESOURCES, subtract } from "../scheduling/resources.ts";
+import { accumulate, NO_RESOURCES, subtract, type ResourceSum } from "../scheduling/resources.ts";
 import type { DurationModels } from "../scheduling/duration-model.ts";
-import { fullSize, type FleetWork } from "./full-size.ts";
-import type { OutstandingWork } from "./outstanding-work.ts";
+import { fullSize, totalWork, type FleetWork } from "./full-size.ts";
+import type { DeclaredSize, OutstandingWork } from "./outstanding-work.ts";
 
 /** Callers give up after this number of objectives. */
 export const GIVE_UP_OBJECTIVES = 3;
@@ -34,33 +35,70 @@
 export function measureQueueLoad(options: QueueLoadOptions): MeasuredLoad | undefined {
   const { queue, fleet, durations, weight, wallTimeMs } = options;
   const work = fleet.workByPool.get(queue.pool) ?? [];
-  const own = work.filter((item) => item.queue === queue.name);
-  const sizes = own.flatMap(({ declared }) => declared ?? []);
-  if (sizes.length === 0) return undefined;
-  const chainMs = mean(sizes.map((size) => size.chainMs));
+  const size = typicalSize(queue.name, work);
+  if (size === undefined) return undefined;
+  const { chainMs, coreMs } = size;
   const expectedMs = durations.forQueue(queue.name).expectedMs(chainMs);
   const durationFactor = Math.max(1, expectedMs / chainMs);
   const typical = objectives(queue, chainMs * durationFactor);
-  const size = fullSize(queue.pool, fleet, typical.limitMs);
-  const capacity = subtract(size, sum(work.map(({ held }) => held)));
-  const latestStartMs = wallTimeMs + typical.latestStartMs;
-  const first = work.filter(
-    (item) =>
-      item.priority < queue.priority ||
-      (item.priority === queue.priority && item.latestStartMs <= latestStartMs),
-  );
-  const onTime = first.filter((item) => item.onTime || item.priority < queue.priority);
-  const onTimeMs = drainMs(sum(onTime.map((item) => item.work)), capacity);
-  const backlogMs = drainMs(sum(first.map((item) => item.work)), capacity);
+  const capacity = subtract(fullSize(queue.pool, fleet, typical.limitMs), totalWork(work).held);
+  const ahead = sumWork(work, queue, wallTimeMs + typical.latestStartMs);
+  const onTimeMs = drainMs(ahead.onTime, capacity);
+  const backlogMs = drainMs(ahead.all, capacity);
   const startMs = onTimeMs <= typical.latestStartMs ? onTimeMs : backlogMs;
   return {
     ...{ queue: queue.name, onTimeMs, backlogMs, durationFactor },
-    ...{ endMs: startMs + typical.chainMs, limitMs: typical.limitMs },
-    typicalCoreMs: mean(sizes.map(({ coreMs }) => coreMs)),
-    organisations: organisationLoads(own, capacity, weight),
+    ...{ endMs: startMs + typical.chainMs, limitMs: typical.limitMs, typicalCoreMs: coreMs },
+    organisations: organisationLoads(ahead.byOrganisation, capacity, weight),
   };
 }
 
+/** Mean size of a queue's jobs; undefined if the size of none is known. */
+function typicalSize(queue: string, work: readonly OutstandingWork[]): DeclaredSize | undefined {
+  let count = 0;
+  let chainMs = 0;
+  let coreMs = 0;
+  for (const item of work) {
+    if (item.queue !== queue || item.declared === undefined) continue;
+    count++;
+    chainMs += item.declared.chainMs;
+    coreMs += item.declared.coreMs;
+  }
+  return count === 0 ? undefined : { chainMs: chainMs / count, coreMs: coreMs / count };
+}
+
+interface WorkSums {
+  /** Work that goes before a job that can start until the given time. */
+  readonly all: Resources;
+  /** Its part that goes first also while that job can be on time. */
+  readonly onTime: Resources;
+  /** All work of the queue itself. */
+  readonly byOrganisation: ReadonlyMap<string, Resources>;
+}
+
+/** Sums the work of a pool in one pass, as seen from a job that has to start until `latestStartMs`. */
+function sumWork(
+  work: readonly OutstandingWork[],
+  { name, priority }: JobQueueConfig,
+  latestStartMs: number,
+): WorkSums {
+  const all = { ...NO_RESOURCES };
+  const onTime = { ...NO_RESOURCES };
+  const byOrganisation = new Map<string, ResourceSum>();
+  for (const item of work) {
+    const higher = item.priority < priority;
+    if (higher || (item.priority === priority && item.latestStartMs <= latestStartMs)) {
+      accumulate(all, item.work);
+      if (higher || item.onTime) accumulate(onTime, item.work);
+    }
+    if (item.queue !== name || item.organisation === undefined) continue;
+    let own = byOrganisation.get(item.organisation);
+    if (own === undefined) byOrganisation.set(item.organisation, (own = { ...NO_RESOURCES }));
+    accumulate(own, item.work);
+  }
+  return { all, onTime, byOrganisation };
+}
+
 /** Objectives of a job, in ms after its arrival. */
 export interface JobObjectives {
   /** Expected duration of the longest chain. */
@@ -90,15 +128,10 @@
 }
 
 function organisationLoads(
-  own: readonly OutstandingWork[],
+  byName: ReadonlyMap<string, Resources>,
   capacity: Resources,
   weight: (organisation: string) => number,
 ): OrganisationLoad[] {
-  const byName = new Map<string, Resources>();
-  for (const { organisation, work } of own) {
-    if (organisation === undefined) continue;
-    byName.set(organisation, add(byName.get(organisation) ?? NO_RESOURCES, work));
-  }
   const weights = [...byName.keys()].reduce((total, name) => total + weight(name), 0);
   const backlogs = [...byName].map(([name, work]) => ({ name, ms: drainMs(work, capacity) }));
   const totalMs = backlogs.reduce((total, { ms }) => total + ms, 0);
@@ -110,11 +143,3 @@
       return { name, backlogMs: ms, share, beyondShare: ms > share * totalMs };
     });
 }
-
-function sum(amounts: readonly Resources[]): Resources {
-  return amounts.reduce(add, NO_RESOURCES);
-}
-
-function mean(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0) / values.length;
-}
--- a/src/state/jobs/admission/rejection-hysteresis.ts
+++ b/src/state/jobs/admission/rejection-hysteresis.ts
@@ -16,6 +16,11 @@
   #rejecting: ReadonlySet<string> = new Set();
   #reported = false;
 
+  /** True if the last report named a queue, so that its end has to be reported. */
+  get reported(): boolean {
+    return this.#reported;
+  }
+
   /** Returns the queues to report; undefined if no report is needed. */
   update(loads: readonly MeasuredLoad[]): LoadReport["queues"] | undefined {
     const near = loads.flatMap((load) => {
--- a/src/state/jobs/records/job.ts
+++ b/src/state/jobs/records/job.ts
@@ -46,6 +46,11 @@
     return this.#openTasks;
   }
 
+  /** Number of tasks that wait for their start. */
+  get waitingTasks(): number {
+    return this.#waitingTasks;
+  }
+
   /** True if a task waits for its start. */
   get hasWaitingTasks(): boolean {
     return this.#waitingTasks > 0;
--- a/src/state/jobs/scheduling/placement-explanation.ts
+++ b/src/state/jobs/scheduling/placement-explanation.ts
@@ -6,6 +6,7 @@
 export type UnavailableReason =
   | "absent"
   | "draining"
+  | "evacuated"
   | "planned-work"
   | "unreachable"
   | "not-adopted"
--- a/src/state/jobs/scheduling/resources.ts
+++ b/src/state/jobs/scheduling/resources.ts
@@ -3,6 +3,16 @@
 /** The amount 0 of every resource. */
 export const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
 
+/** A sum that is changed in place, for sums over thousands of amounts. */
+export type ResourceSum = { -readonly [K in keyof Resources]: number };
+
+/** Adds `factor` times an amount to a sum. */
+export function accumulate(sum: ResourceSum, amount: Resources, factor = 1): void {
+  sum.cpuMillis += amount.cpuMillis * factor;
+  sum.memoryMb += amount.memoryMb * factor;
+  sum.accelerators += amount.accelerators * factor;
+}
+
 /** Sum of two amounts. */
 export function add(a: Resources, b: Resources): Resources {
   return {
