--- a/test/platform/where.test.ts
+++ b/test/platform/where.test.ts
@@ -116,7 +116,7 @@
     await cluster.clock.advance(1000);
     const small = jobRequest(step({ estimateMs: 60_000 }));
     void cluster.submit(scheduler, "small", small);
-    await cluster.clock.advance(2000);
+    await cluster.clock.advance(300);
     await where("half.json --queue queue --json");
     const answer = JSON.parse(cli.out.join("")) as PlacementAnswer;
     assert.equal(answer.placement?.steps[0]?.groups, [
