--- a/src/protocol/peer-messages.ts
+++ b/src/protocol/peer-messages.ts
@@ -227,6 +227,20 @@
   readonly batch: Uint8Array;
 }
 
+/** Reports the load of queues near their limit to an entry instance. */
+export interface QueueLoadRequest {
+  readonly type: "queue-load";
+  /** The encoded report, see `queue-loads.ts`. */
+  readonly report: Uint8Array;
+}
+
+/** Asks the scheduler where it would place a job that is not submitted. */
+export interface WhereRequest {
+  readonly type: "where";
+  /** The encoded job, see `job-records.ts`. */
+  readonly job: Uint8Array;
+}
+
 /** Any request between peers. */
 export type PeerRequest =
   | GossipRequest
@@ -246,7 +260,9 @@
   | RebootRequest
   | StoreCallRequest
   | RecordNotification
-  | OrderBatchRequest;
+  | OrderBatchRequest
+  | QueueLoadRequest
+  | WhereRequest;
 
 /** State of a request as known to its owner. */
 export type RequestState =
@@ -328,6 +344,12 @@
   readonly results: Uint8Array;
 }
 
+/** Reply to `where`: the encoded explanation; empty if the receiver does not schedule. */
+export interface WhereReply {
+  readonly type: "where-reply";
+  readonly explanation: Uint8Array;
+}
+
 /** Any reply between peers. The reply to `gossip` is the receiver's own gossip. */
 export type PeerReply =
   | GossipReply
@@ -338,7 +360,8 @@
   | LeaseReport
   | AckReply
   | StoreCallReply
-  | OrderResultsReply;
+  | OrderResultsReply
+  | WhereReply;
 
 interface ReplyMap {
   readonly gossip: GossipReply;
@@ -359,6 +382,8 @@
   readonly "store-call": StoreCallReply;
   readonly "record-notice": AckReply;
   readonly "order-batch": OrderResultsReply;
+  readonly "queue-load": AckReply;
+  readonly where: WhereReply;
 }
 
 /** The reply type that belongs to a request type. */
--- a/src/protocol/peer-schemas.ts
+++ b/src/protocol/peer-schemas.ts
@@ -145,6 +145,8 @@
   v.strictObject({ type: v.literal("reboot"), server: v.string() }),
   v.strictObject({ type: v.literal("store-call"), call: bytes }),
   v.strictObject({ type: v.literal("order-batch"), batch: bytes }),
+  v.strictObject({ type: v.literal("queue-load"), report: bytes }),
+  v.strictObject({ type: v.literal("where"), job: bytes }),
   v.strictObject({
     type: v.literal("record-notice"),
     records: v.array(v.strictObject({ key: v.string(), value: bytes, revision: v.number() })),
@@ -206,6 +208,8 @@
   "store-call": v.strictObject({ type: v.literal("store-call-reply"), result: bytes }),
   "record-notice": ack,
   "order-batch": v.strictObject({ type: v.literal("order-results"), results: bytes }),
+  "queue-load": ack,
+  where: v.strictObject({ type: v.literal("where-reply"), explanation: bytes }),
 };
 
 /** A frame that follows the hello. */
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -3,6 +3,7 @@
 import { JobEntry } from "../../../src/coordination/jobs/job-entry.ts";
 import { ServerRegistry, type ServerListener } from "../../../src/coordination/jobs/job-feeds.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/records/record-notifier.ts";
+import type { JobRejection } from "../../../src/coordination/jobs/admission/job-admission.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/admission/job-submitter.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import { InstanceControl } from "../../../src/ports/instance-control.ts";
@@ -23,6 +24,7 @@
 import { advanceUntilSettled, VirtualClock } from "../virtual-clock.ts";
 import { PeerConnections } from "../../../src/coordination/jobs/peer-connections.ts";
 import { ClusterPeers, peerHello } from "./cluster-peers.ts";
+import { ClusterLoadNotifier, ClusterQuestions } from "./cluster-load.ts";
 import { EntryConnector, EntryStore, EntryFaults, SlowLink } from "./entry-faults.ts";
 import { FakeOperators } from "./fake-operators.ts";
 import { zoneOfServer } from "./zones.ts";
@@ -137,6 +139,8 @@
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, faults),
       executorConnections: new PeerConnections({ transport: peers, log, self: peerHello(name) }),
+      placementQuestions: new ClusterQuestions(this.entries),
+      loadNotifier: new ClusterLoadNotifier(this.entries, faults),
       storeConnectivity: () => faults.storeConnectivity,
       leaseTtlMs: LEASE_TTL_MS,
       linkBytesPerMs,
@@ -224,7 +228,7 @@
     id: string,
     job: JobRequest,
     organisation?: string,
-  ): Promise<SubmitOutcome> {
+  ): Promise<SubmitOutcome | JobRejection> {
     const { entry } = target;
     const [queue] = entry.config.current?.queues ?? [];
     if (queue === undefined) return Promise.resolve("refused");
