fix(jobs): keep a fast link's window of start orders open when replies are slow

Cause: round trips through executors at the beginning of a peak exceed 150 ms because processes are busy, and the window shrank to 13 KB on a link of 200 Mbit/s, so starts waited in the scheduler. Change: the window never falls below what the link sends in 10 ms, at most 256 KB, and begins with up to 1 MB.

--- a/src/state/jobs/execution/send-window.ts
+++ b/src/state/jobs/execution/send-window.ts
@@ -3,9 +3,12 @@
 /** Queueing delay in ms that start orders may cause on the link; other calls wait behind them. */
 export const MAX_QUEUE_MS = 150;
 const MIN_WINDOW_BYTES = 8000;
+/** Time in ms within which the link sends the smallest window. */
+const MIN_QUEUE_MS = 10;
+/** Largest window, and initial window of a fast link: the orders of a whole fleet. */
 const MAX_WINDOW_BYTES = 1_000_000;
-/** Initial window of a fast link, large enough for a fleet's orders despite long round trips. */
-const INITIAL_WINDOW_BYTES = 256_000;
+/** Upper limit of the smallest window of a fast link. */
+const MAX_MIN_WINDOW_BYTES = 256_000;
 /** Factor by which congestion shrinks the window. */
 const DECREASE_FACTOR = 0.7;
 /** Relative growth of the window for each window of orders that is answered in time. */
@@ -23,6 +26,11 @@
  */
 export class SendWindow {
   readonly #inFlight = new Map<object, number>();
+  /**
+   * Orders that the link sends within a few milliseconds don't congest it. Long round trips of such a
+   * window are due to busy processes, and a smaller one would leave backend servers idle.
+   */
+  readonly #minWindowBytes: number;
   #bytesInFlight = 0;
   #windowBytes: number;
   readonly #recentMs: number[] = [];
@@ -30,8 +38,8 @@
 
   /** `linkBytesPerMs` is the capacity of this instance's link. */
   constructor(linkBytesPerMs: number) {
-    const linkWindowBytes = linkBytesPerMs * MAX_QUEUE_MS;
-    this.#windowBytes = clamp(Math.min(INITIAL_WINDOW_BYTES, linkWindowBytes));
+    this.#minWindowBytes = clamp(Math.min(MAX_MIN_WINDOW_BYTES, linkBytesPerMs * MIN_QUEUE_MS));
+    this.#windowBytes = clamp(linkBytesPerMs * MAX_QUEUE_MS);
   }
 
   /** True if a further order may be sent. */
@@ -78,7 +86,7 @@
   }
 
   #decrease(): void {
-    this.#windowBytes = clamp(this.#windowBytes * DECREASE_FACTOR);
+    this.#windowBytes = Math.max(this.#minWindowBytes, this.#windowBytes * DECREASE_FACTOR);
     this.#settling = SETTLING_REPLIES;
   }
 
--- a/test/state/jobs/send-window.test.ts
+++ b/test/state/jobs/send-window.test.ts
@@ -48,6 +48,13 @@
   assert.ok(window.bytes > 2 * shrunk);
 });
 
+// Guards against a fast link that stays idle because executors or backend servers reply slowly.
+test("round trips that the link can't cause do not shrink the window below what it sends at once", () => {
+  const window = new SendWindow(FAST_BYTES_PER_MS);
+  for (let index = 0; index < 400; index++) window.observe(2 * MAX_QUEUE_MS);
+  assert.ok(fill(window).length > 100);
+});
+
 test("an order that is never sent releases its part of the window", () => {
   const window = new SendWindow(SLOW_BYTES_PER_MS);
   const orders = fill(window);
