--- a/src/coordination/jobs/admission/job-admission.ts
+++ b/src/coordination/jobs/admission/job-admission.ts
@@ -15,7 +15,10 @@
 /** Longest time in ms that a job waits for the store to say whether it is stored already. */
 const LOOKUP_TIMEOUT_MS = 250;
 
-/** A job that is not stored because it would end too late. No submission of its id is in doubt. */
+/**
+ * A job that is not stored because it would end too late. No job is stored under its id, and this
+ * instance has not submitted it lately.
+ */
 export interface JobRejection {
   readonly kind: "rejected";
   readonly reason: RejectionReason;
@@ -42,8 +45,9 @@
 
   /**
    * Returns a rejection, or undefined if the job must be stored. From then on its id is known as
-   * submitted. A job that may be stored already, here or by another entry instance, is not rejected;
-   * neither is any job while the store does not answer.
+   * submitted. A job that is stored, or that this instance has submitted lately, is not rejected;
+   * neither is any job while the store does not answer. A write under way at another instance is not
+   * seen.
    */
   async admit(id: string, job: ArrivingJob): Promise<JobRejection | undefined> {
     const rejection = this.decide(job);
--- a/src/coordination/jobs/admission/load-publisher.ts
+++ b/src/coordination/jobs/admission/load-publisher.ts
@@ -41,6 +41,7 @@
 export class LoadPublisher {
   readonly #options: LoadPublisherOptions;
   readonly #hysteresis = new RejectionHysteresis();
+  #rejecting: readonly string[] = [];
 
   constructor(options: LoadPublisherOptions) {
     this.#options = options;
@@ -61,7 +62,9 @@
     const queues = this.#hysteresis.update(await this.#measure(atMs));
     if (queues === undefined || !tenure.valid) return;
     const rejecting = queues.filter((load) => load.rejecting).map(({ queue }) => queue);
-    if (rejecting.length > 0) log.info({ rejecting }, "queues reject jobs that would be too late");
+    if (rejecting.join() !== this.#rejecting.join())
+      log.info({ rejecting }, "queues reject jobs that would be too late");
+    this.#rejecting = rejecting;
     const report = encodeLoadReport({ token: tenure.token, atMs, queues });
     receive(report);
     for (const { peerAddress } of peers()) void notifier.send(peerAddress, report);
--- a/src/coordination/jobs/execution/executor-link.ts
+++ b/src/coordination/jobs/execution/executor-link.ts
@@ -6,7 +6,7 @@
 import {
   decodeOrderResults,
   encodeOrderBatch,
-  type RelayedOrder,
+  matchesKind,
   type RelayedResult,
 } from "../../../protocol/order-batch.ts";
 import type { SessionRecord } from "../../../protocol/job-records.ts";
@@ -190,7 +190,10 @@
     const { counters, tenure } = this.#options;
     const channel = this.#channel;
     const connection = this.#connection;
-    if (connection === undefined) return;
+    if (connection === undefined) {
+      this.#settleBatch(batch, "no connection to the executor");
+      return;
+    }
     this.#unanswered++;
     counters.event("relay_batches");
     counters.event(`relay_orders_${this.#executor.name}`, batch.orders.length);
@@ -299,8 +302,8 @@
       { executor: this.#executor.name, reason, orders: this.#pending.size },
       "executor failed, its servers get their orders directly",
     );
-    if (this.#state === "probing") this.#backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.#backoffMs);
     this.#probeAt = clock.now() + this.#backoffMs;
+    if (this.#state === "probing") this.#backoffMs = Math.min(MAX_BACKOFF_MS, 2 * this.#backoffMs);
     connections.drop(this.#executor.peerAddress);
     this.#giveUp(`executor: ${reason}`);
   }
@@ -351,10 +354,3 @@
 function answered(result: Result<BackendClock | RunLists, OrderError>): RelayOutcome {
   return { kind: "answered", result };
 }
-
-function matchesKind(
-  kind: RelayedOrder["kind"],
-  result: Result<BackendClock | RunLists, OrderError>,
-): boolean {
-  return result.err || "running" in result.val === (kind === "poll");
-}
--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -14,7 +14,7 @@
 import type { ServerDriver } from "./server-driver.ts";
 
 /** Pause in ms before a task is started again after its start failed. */
-const REFUSED_START_PAUSE_MS = 250;
+const RETRY_START_PAUSE_MS = 250;
 /** Pause in ms before a backend server that refused a start receives another one. */
 const REFUSING_SERVER_PAUSE_MS = 1000;
 /** Estimated bytes of a start order without its job spec. */
@@ -127,10 +127,10 @@
     if (err.kind === "not-done") server.health.failed(task.job.spec.id, clock.now());
     if (err.kind === "not-done" || err.kind === "no-room")
       server.notBefore = clock.now() + REFUSING_SERVER_PAUSE_MS;
-    // The order waited for a connection of this entry instance; the server did not refuse it.
-    if (err.kind === "not-sent") server.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
+    // The order did not reach the server.
+    if (err.kind === "not-sent") server.notBefore = clock.now() + RETRY_START_PAUSE_MS;
     if (err.kind === "ticket") ticketCache.discardTicket(task.step, server.id);
-    task.notBefore = clock.now() + REFUSED_START_PAUSE_MS;
+    task.notBefore = clock.now() + RETRY_START_PAUSE_MS;
     notStarted(run);
   }
 }
--- a/src/coordination/jobs/records/learnt-record-keeper.ts
+++ b/src/coordination/jobs/records/learnt-record-keeper.ts
@@ -27,6 +27,8 @@
   readonly tenure: LockTenure;
   readonly durations: DurationModels;
   readonly servers: () => Iterable<LearntAboutServer>;
+  /** True once the registered servers are known. Before that, a write would lose what is stored. */
+  readonly serversLoaded: () => boolean;
 }
 
 /**
@@ -43,13 +45,13 @@
 
   /** Reads the former scheduler's record, then writes changes until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure } = this.#options;
+    const { clock, tenure, serversLoaded } = this.#options;
     // The first write comes after the read, so that it does not replace what is still to be read.
     await this.#read();
     let unwritten = false;
     while (!tenure.signal.aborted) {
       await clock.sleep(WRITE_INTERVAL_MS, tenure.signal);
-      if (tenure.valid) unwritten = await this.#writeIfChanged(unwritten);
+      if (tenure.valid && serversLoaded()) unwritten = await this.#writeIfChanged(unwritten);
     }
   }
 
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -132,7 +132,10 @@
       driver: (server) => this.drivers.get(server),
     });
     const servers = (): Iterable<ServerDriver> => this.drivers.all();
-    this.#learnt = new LearntRecordKeeper({ ...options, durations: this.durations, servers });
+    this.#learnt = new LearntRecordKeeper({
+      ...{ ...options, durations: this.durations, servers },
+      serversLoaded: () => this.drivers.loaded,
+    });
     this.drivers = new FleetDrivers({
       open: (registration) => this.#createDriver(registration),
       onNewBoot: (server, bootedAt) => {
@@ -178,7 +181,7 @@
       await clock.sleep(IDLE_ROUND_INTERVAL_MS, signal);
       this.tracker.restartStragglers();
       this.tracker.evacuateDraining(this.drivers.all());
-      zoneEvacuator.run();
+      if (this.drivers.loaded) zoneEvacuator.run();
       this.tracker.releaseUnregistered(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
       this.#logLoad();
--- a/src/protocol/order-batch.ts
+++ b/src/protocol/order-batch.ts
@@ -22,11 +22,15 @@
 const BATCH_VERSION = 1;
 
 const KINDS = ["start", "stop", "poll", "pace"] as const;
-const RUN_ENDS: readonly RunEnd[] = ["done", "failed", "stopped", "lapsed", "broken", "alone"];
-const ERROR_KINDS: readonly OrderError["kind"][] = [
-  ...(["fenced", "old-run", "late", "no-room", "ticket", "gone"] as const),
-  ...(["not-done", "not-sent", "unknown"] as const),
-];
+const RUN_END_CODES = {
+  ...{ done: 0, failed: 1, stopped: 2, lapsed: 3, broken: 4, alone: 5 },
+} as const satisfies Readonly<Record<RunEnd, number>>;
+const RUN_ENDS = Object.keys(RUN_END_CODES) as readonly RunEnd[];
+const ERROR_CODES = {
+  ...{ fenced: 0, "old-run": 1, late: 2, "no-room": 3, ticket: 4, gone: 5 },
+  ...{ "not-done": 6, "not-sent": 7, unknown: 8 },
+} as const satisfies Readonly<Record<OrderError["kind"], number>>;
+const ERROR_KINDS = Object.keys(ERROR_CODES) as readonly OrderError["kind"][];
 const [CLOCK_RESULT, LISTS_RESULT, ERROR_RESULT, NO_SPEC_RESULT] = [0, 1, 2, 3];
 /** Columns of a run in a list. */
 const RUN_COLUMNS = 5;
@@ -108,7 +112,7 @@
   if (result.err) {
     const { kind } = result.val;
     const detail = "detail" in result.val ? result.val.detail : "";
-    return [id, ERROR_RESULT, ERROR_KINDS.indexOf(kind), detail];
+    return [id, ERROR_RESULT, ERROR_CODES[kind], detail];
   }
   const { val } = result;
   if (!("running" in val)) return [id, CLOCK_RESULT, val.clockMs];
@@ -117,7 +121,7 @@
     running.push(run.task, run.run, run.checkpoint, run.percent, run.load);
   const ended: unknown[] = [];
   for (const run of val.ended)
-    ended.push(run.sequence, run.task, run.run, RUN_ENDS.indexOf(run.end), run.checkpoint);
+    ended.push(run.sequence, run.task, run.run, RUN_END_CODES[run.end], run.checkpoint);
   return [id, LISTS_RESULT, val.clockMs, val.bootedAt ?? null, running, ended];
 }
 
@@ -284,3 +288,11 @@
 function isSpec(value: unknown): value is readonly [number, string] {
   return Array.isArray(value) && isNumber(value[0]) && typeof value[1] === "string";
 }
+
+/** True if a result is of the kind that orders of the given kind have. */
+export function matchesKind(
+  kind: RelayedOrder["kind"],
+  result: Result<BackendClock | RunLists, OrderError>,
+): boolean {
+  return result.err || "running" in result.val === (kind === "poll");
+}
--- a/src/state/jobs/execution/server-speed.ts
+++ b/src/state/jobs/execution/server-speed.ts
@@ -16,8 +16,8 @@
  */
 export class ServerSpeed {
   #ratio = 1;
-  /** True if the last ended run was excused by {@link excuseLongRun}. */
-  #excused = false;
+  /** True if the last ended run was left out by {@link ignoreLongRun}. */
+  #lastIgnored = false;
   /** Monotonic time in ms of the last measurement; undefined unless the server counts as slow. */
   #lastSlowAt: number | undefined;
 
@@ -33,7 +33,7 @@
 
   /** Records the ratio of a completed run's duration to the expected one. */
   observe(ratio: number, now: number): void {
-    this.#excused = false;
+    this.#lastIgnored = false;
     const weight = this.slow ? RECOVERY_WEIGHT : AVERAGE_WEIGHT;
     this.#ratio += (ratio - this.#ratio) * weight;
     this.#updateLastSlowAt(now);
@@ -43,9 +43,9 @@
    * Decides whether an ended run that belongs to the tail of its queue's durations is left out of the
    * speed. Of two in a row only the first is, because a server that slows down makes every run long.
    */
-  excuseLongRun(): boolean {
-    if (this.slow || this.#excused) return false;
-    this.#excused = true;
+  ignoreLongRun(): boolean {
+    if (this.slow || this.#lastIgnored) return false;
+    this.#lastIgnored = true;
     return true;
   }
 
--- a/src/state/jobs/execution/tail-assessment.ts
+++ b/src/state/jobs/execution/tail-assessment.ts
@@ -45,7 +45,7 @@
     const slow = ratio >= expected.slowRatio;
     const speedRatio = tookMs / expected.usualMaxMs;
     if (slow && this.#serverSuspicious(server, expected)) return speedRatio;
-    const explained = slow && isWithinTail(ratio, expected) && server.speed.excuseLongRun();
+    const explained = slow && isWithinTail(ratio, expected) && server.speed.ignoreLongRun();
     if (run.nearData && !server.speed.slow) this.#learn(run, tookMs, expected);
     return explained ? undefined : speedRatio;
   }
--- a/src/state/jobs/scheduling/duration-tail.ts
+++ b/src/state/jobs/scheduling/duration-tail.ts
@@ -22,11 +22,6 @@
   readonly #weights = new Array<number>(BINS).fill(0);
   #weight = 0;
 
-  /** Sum of the weights of all ratios. */
-  get weight(): number {
-    return this.#weight;
-  }
-
   /** True once enough ratios were recorded for statements about rare durations. */
   get known(): boolean {
     return this.#weight >= MIN_WEIGHT;
@@ -61,11 +56,6 @@
     return Math.min(MAX_TAIL_RATIO, this.quantile(TAIL_QUANTILE) * Math.exp(BIN_WIDTH));
   }
 
-  /** Part of the runs that end with at least this ratio. */
-  shareFrom(ratio: number): number {
-    return this.known ? this.#sumFrom(ratio).weight / this.#weight : 0;
-  }
-
   /**
    * Probability that a run that is observed at a random time while it runs has at least this ratio.
    * It is higher than the part of all runs, because long runs are observed for longer.
--- a/src/state/jobs/scheduling/job-value.ts
+++ b/src/state/jobs/scheduling/job-value.ts
@@ -26,7 +26,7 @@
   readonly #queues = new Map<string, { weight: number; mean: number }>();
 
   /** Records a job of a queue with the given work in core milliseconds and returns its value. */
-  valueOf(queue: string, work: number): number {
+  recordJob(queue: string, work: number): number {
     let known = this.#queues.get(queue);
     if (known === undefined) this.#queues.set(queue, (known = { weight: 0, mean: 0 }));
     known.weight = known.weight * DECAY + 1;
--- a/src/state/jobs/scheduling/queue-plan.ts
+++ b/src/state/jobs/scheduling/queue-plan.ts
@@ -53,10 +53,11 @@
   planClass: PlanClass = "late";
   /** True if the share of its organisation is enough for the job. */
   withinShare = true;
-  expectedStartMs = 0;
   expectedEndMs = 0;
   /** Place among the late or hopeless jobs of its priority. */
   position = 0;
+  /** Unix time in ms that orders the job among those of other pools; set where it is not on time. */
+  orderMs = 0;
   heapKey = 0;
 
   get work(): number {
@@ -120,12 +121,9 @@
     this.readyCores -= job.readyCores;
   }
 
-  /** Sets when a job is expected to start and to end. */
-  expect(job: PlannedJob): void {
-    const lastStart = this.lastStart(job);
-    const atOnce = this.readyCores + job.readyCores <= this.freeCores;
-    job.expectedStartMs = atOnce || this.cores <= 0 ? this.now : this.now + this.work / this.cores;
-    job.expectedEndMs = lastStart + job.remainingMs;
+  /** Sets when a job is expected to end. */
+  setExpectedEnd(job: PlannedJob): void {
+    job.expectedEndMs = this.lastStart(job) + job.remainingMs;
   }
 }
 
@@ -160,11 +158,12 @@
 
 /**
  * Plans the jobs of a pool that is short of capacity, sorted by {@link compareByDeadline}, and sets
- * the class, the expected times and the position of each. Within a priority:
+ * the class, the share and the position of each. `StepPlanner` places jobs within shares first, on time
+ * and then late, then jobs beyond shares in the same way, then hopeless ones. Within a priority:
  *
  * 1. Jobs that would be on time if each organisation had only its share of the pool, then jobs that
  *    are on time with what these leave. Where the work up to a deadline does not fit, the job with
- *    the least value for its remaining work gives way (Moore-Hodgson).
+ *    the least value for its remaining work is moved to the late ones (Moore-Hodgson).
  * 2. Late jobs, those with the most value for their remaining work first, in turns by the shares of
  *    the organisations.
  * 3. Jobs that would end after their callers have given up, in the order of their release.
@@ -231,7 +230,7 @@
   }
   for (const job of onTime) {
     if (!job.withinShare) continue;
-    pool.expect(job);
+    pool.setExpectedEnd(job);
     pool.add(job);
     job.planClass = "on-time";
   }
@@ -290,7 +289,7 @@
 
 function setOnTime(job: PlannedJob, admitted: boolean, pool: WorkAhead): void {
   job.planClass = admitted ? "on-time" : "late";
-  if (admitted) pool.expect(job);
+  if (admitted) pool.setExpectedEnd(job);
 }
 
 function planLate(
@@ -317,7 +316,7 @@
   let position = 0;
   const hopeless: PlannedJob[] = [];
   for (const job of late) {
-    pool.expect(job);
+    pool.setExpectedEnd(job);
     job.planClass = job.expectedEndMs <= job.giveUpAtMs ? "late" : "hopeless";
     job.position = position++;
     if (job.planClass === "hopeless") hopeless.push(job);
@@ -325,7 +324,7 @@
   }
   hopeless.sort((a, b) => a.releasedAtMs - b.releasedAtMs);
   for (const job of hopeless) {
-    pool.expect(job);
+    pool.setExpectedEnd(job);
     job.position = position++;
     pool.add(job);
   }
--- a/src/state/jobs/scheduling/step-planner.ts
+++ b/src/state/jobs/scheduling/step-planner.ts
@@ -150,7 +150,7 @@
     if (known?.model !== model) {
       const planned = new PlannedJob();
       planned.organisation = shareholder(job);
-      planned.value = this.#values.valueOf(job.spec.queue, expectedWork(job.spec, model));
+      planned.value = this.#values.recordJob(job.spec.queue, expectedWork(job.spec, model));
       known = { planned, model, epoch: -1, taskWork: [], objectiveMs: 0, plan: 0 };
       this.#known.set(occurrence, known);
     }
@@ -183,6 +183,7 @@
     const occupied = pool.occupied();
     usage.update(occupied, now);
     planJobs(jobs, capacity, new PoolOrganisations(jobs, fleet, usage, occupied));
+    setOrderTimes(jobs);
   }
 
   #sortByPlan(steps: RankedStep[]): readonly RankedStep[] {
@@ -197,13 +198,24 @@
     const planned = step.spec.longRunning ? undefined : this.planned(step);
     if (planned === undefined || !this.isShort(pool))
       return { ranked, level: canBeOnTime ? 0 : 3, order: latestStartMs };
-    const { planClass, withinShare, position } = planned;
-    if (planClass === "hopeless") return { ranked, level: 4, order: position };
-    if (planClass === "late") return { ranked, level: withinShare ? 1 : 3, order: position };
+    const { planClass, withinShare, orderMs } = planned;
+    if (planClass === "hopeless") return { ranked, level: 4, order: orderMs };
+    if (planClass === "late") return { ranked, level: withinShare ? 1 : 3, order: orderMs };
     return { ranked, level: withinShare ? 0 : 2, order: latestStartMs };
   }
 }
 
+/**
+ * Gives the jobs that are not on time their latest starts in the order of their positions, so that they
+ * compare with the steps of other pools.
+ */
+function setOrderTimes(jobs: readonly PlannedJob[]): void {
+  const delayed = jobs.filter(({ planClass }) => planClass !== "on-time");
+  delayed.sort((a, b) => a.position - b.position);
+  const times = delayed.map(({ latestStartMs }) => latestStartMs).sort((a, b) => a - b);
+  for (const [index, job] of delayed.entries()) job.orderMs = times[index] ?? job.latestStartMs;
+}
+
 /** Keys of a step in the order of a plan. */
 interface PlanKeys {
   readonly ranked: RankedStep;
--- a/test/coordination/jobs/learnt-record.test.ts
+++ b/test/coordination/jobs/learnt-record.test.ts
@@ -30,7 +30,7 @@
   readonly lines: string[] = [];
 
   /** Starts the keeper of a new scheduler with the given servers. */
-  async takeOver(servers: readonly ReturnType<typeof server>[]) {
+  async takeOver(servers: readonly ReturnType<typeof server>[], serversLoaded = () => true) {
     const note = (_fields: unknown, line?: string): void => void this.lines.push(line ?? "");
     const log = { debug: note, info: note, warn: note, error: note };
     const { clock } = this;
@@ -39,7 +39,7 @@
     const lock = new SchedulerLock({ store, clock, random, log, holder: "e" });
     const tenure = (await advanceUntilSettled(clock, lock.acquire()))!;
     const durations = new DurationModels();
-    const options = { store, clock, log, tenure, durations, servers: () => servers };
+    const options = { store, clock, log, tenure, durations, servers: () => servers, serversLoaded };
     const running = new LearntRecordKeeper(options).run();
     await clock.advance(50);
     const end = async (): Promise<void> => {
@@ -130,6 +130,16 @@
   await end();
 });
 
+// Guards against a takeover that takes longer than a write interval and loses the state of all servers.
+test("nothing is written before the registered servers are known", async () => {
+  const store = new Store();
+  const { durations, end } = await store.takeOver([], () => false);
+  train(durations);
+  await store.clock.advance(3000);
+  assert.is(await store.stored(), undefined);
+  await end();
+});
+
 test("a record that would exceed its limit keeps the entries that changed most recently", () => {
   const entries = Array.from({ length: 4000 }, (_, index): LearntServer => {
     const changed = { changedAt: 1_700_000_000_000 + index, quarantinedUntil: 0, failures: 0 };
