fix(scheduling): plan a pool with the instances that are on their way

Cause: an idle pool keeps few instances and grows when demand rises; the plan counted only the servers that accept tasks, so at the beginning of a surge it took jobs for late that are on time once the pool has grown. Change: the pool sizer gives the scheduler the cores of each pool at its target size, and the plan takes the larger of these and the present ones.

--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -23,6 +23,7 @@
 const MOVE_SETTLE_MS = 4000;
 
 const LOG_INTERVAL_MS = 2000;
+const MILLIS_PER_CORE = 1000;
 
 /** Options of {@link PoolSizer}. */
 export interface PoolSizerOptions {
@@ -111,8 +112,12 @@
     const pools = (config.current?.pools ?? [])
       .filter(({ name, spare }) => !spare && name !== sparePool)
       .map(({ name }) => name);
-    const claims = this.#demand.claims(pools, typicalCapacity(instances));
-    return shareInstances(claims, instances.filter((found) => this.#usable(found)).length);
+    const capacity = typicalCapacity(instances);
+    const claims = this.#demand.claims(pools, capacity);
+    const sizes = shareInstances(claims, instances.filter((found) => this.#usable(found)).length);
+    const cores = capacity.cpuMillis / MILLIS_PER_CORE;
+    scheduler.expectedPoolCores = new Map([...sizes].map(([pool, size]) => [pool, size * cores]));
+    return sizes;
   }
 
   /** False for instances that cannot accept tasks in any pool. */
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -32,6 +32,8 @@
   readonly reasons: WaitReasons;
   /** Returns the backend servers of a pool. */
   readonly driversOf: (pool: string) => readonly ServerDriver[];
+  /** Cores of a pool once it has the size that its demand requires; 0 if unknown. */
+  readonly expectedCores: (pool: string) => number;
   /** Choices in a pool after which its servers are indexed; see {@link CandidateServers}. */
   readonly indexAfterChoices?: number;
   readonly ticketCache: PlacementTicketCache;
@@ -125,6 +127,7 @@
     const fleet = new RoundFleet({
       ...{ config, runRegistry, wallTimeMs: wallTime },
       servers: this.#options.driversOf,
+      expectedCores: this.#options.expectedCores,
       acceptsTasks: (driver) => driver.acceptsTasks(this.#now),
     });
     return planner.sort(steps, fleet, this.#now);
--- a/src/coordination/jobs/scheduling/round-fleet.ts
+++ b/src/coordination/jobs/scheduling/round-fleet.ts
@@ -18,6 +18,8 @@
   /** All backend servers of a pool. */
   readonly servers: (pool: string) => readonly ServerDriver[];
   readonly acceptsTasks: (driver: ServerDriver) => boolean;
+  /** Cores of a pool once it has the size that its demand requires; 0 if instances do not move. */
+  readonly expectedCores: (pool: string) => number;
   /** Unix time in ms. */
   readonly wallTimeMs: number;
 }
@@ -32,7 +34,8 @@
   }
 
   pool(name: string): PlannedPool {
-    return new RoundPool(this.#options.servers(name), this.#options);
+    const { servers, expectedCores } = this.#options;
+    return new RoundPool(servers(name), expectedCores(name), this.#options);
   }
 
   weight(organisation: string): number | undefined {
@@ -52,11 +55,13 @@
   readonly #servers: readonly ServerDriver[];
   readonly #options: RoundFleetOptions;
   readonly #acceptingCores: number;
+  readonly #expectedCores: number;
   #use: PoolUse | undefined;
 
-  constructor(servers: readonly ServerDriver[], options: RoundFleetOptions) {
+  constructor(servers: readonly ServerDriver[], expectedCores: number, options: RoundFleetOptions) {
     super();
     this.#servers = servers;
+    this.#expectedCores = expectedCores;
     this.#options = options;
     this.wallTimeMs = options.wallTimeMs;
     let freeMillis = 0;
@@ -71,8 +76,10 @@
     this.#acceptingCores = acceptingMillis / MILLIS_PER_CORE;
   }
 
+  /** Instances on their way count, since a pool grows within the time that most jobs have. */
   get cores(): number {
-    return Math.max(0, this.#acceptingCores - this.#readUse().longRunningCores);
+    const cores = Math.max(this.#acceptingCores, this.#expectedCores);
+    return Math.max(0, cores - this.#readUse().longRunningCores);
   }
 
   capacity(): PlanCapacity {
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -70,6 +70,8 @@
   readonly drivers: FleetDrivers;
   readonly tracker: RunTracker;
   readonly writer: ProgressWriter;
+  /** Cores of each pool once it has the size that its demand requires. Empty if instances don't move. */
+  expectedPoolCores: ReadonlyMap<string, number> = new Map();
   /** Run durations of this tenure, after those that the former scheduler stored. */
   readonly durations = new DurationModels();
   /** Order of the waiting steps, whose classes are kept between rounds. */
@@ -256,6 +258,7 @@
     const round = new PlacementRound({
       ...{ clock, config, runRegistry: this.tracker.runRegistry },
       driversOf: (pool) => this.drivers.inPool(pool),
+      expectedCores: (pool) => this.expectedPoolCores.get(pool) ?? 0,
       durations: this.durations,
       ...{ planner: this.planner, retries: this.#retries, reasons: this.reasons },
       ticketCache: this.#ticketCache,
--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -105,7 +105,7 @@
       ...{ clock, config, runRegistry, durations, indexAfterChoices },
       ...{ planner: new StepPlanner(durations), retries: new RetryBudgets() },
       reasons: new WaitReasons(noop),
-      ...{ driversOf: () => drivers, ticketCache: NO_TICKETS },
+      ...{ driversOf: () => drivers, ticketCache: NO_TICKETS, expectedCores: () => 0 },
       mayStart: () => true,
       place: (task, { id, bootedAt }) => {
         task.run++;
