--- a/src/state/jobs/scheduling/queue-plan.ts
+++ b/src/state/jobs/scheduling/queue-plan.ts
@@ -137,8 +137,9 @@
 }
 
 /**
- * True if the pool cannot start all jobs now and some job would be late if the one with the earliest
- * deadline always came first. `jobs` must be sorted by {@link compareByDeadline}.
+ * True if the pool cannot start all jobs now and a job that can still be on time would be late if the
+ * one with the earliest deadline always came first. Jobs that are late already, after a failure for
+ * instance, don't make a pool short. `jobs` must be sorted by {@link compareByDeadline}.
  */
 export function isShort(jobs: readonly PlannedJob[], capacity: PlanCapacity): boolean {
   const { freeCores, wallTimeMs } = capacity;
@@ -150,7 +151,7 @@
   const ahead = new WorkAhead(cores, freeCores, wallTimeMs);
   for (const job of jobs) {
     const startsNow = ahead.readyCores + job.readyCores <= freeCores;
-    if (!startsNow && (!job.canBeOnTime || !ahead.fits(job, 0))) return true;
+    if (!startsNow && job.canBeOnTime && !ahead.fits(job, 0)) return true;
     ahead.add(job);
   }
   return false;
