fix(fleet): a move without a reply ends, and its instance is used again

Callers saw accepted jobs stay queued for good beside idle instances (LOST), once the control of instances had given no reply to moves out of a pool.

Cause: two accounts of one move. The reservation that withholds the instance from tasks had no end after an order without a reply, while the table of recent moves forgot the move after 4 s, so that the instance counted towards its old pool again. The pool then gave up sound instances in place of those that took no tasks.

InstanceMoves is now the only account; a move counts while its order has no outcome (it may wait in the queue of orders), then 4 s if accepted and 2 s if unanswered, and reservation and count end in one step.

--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -9,7 +9,9 @@
   type MovableInstance,
   type PlannedMove,
 } from "../../../state/jobs/fleet/pool-sizing.ts";
+import { InstanceMoves } from "../../../state/jobs/fleet/instance-moves.ts";
 import { NO_RESOURCES } from "../../../state/jobs/scheduling/resources.ts";
+import type { Counters } from "../../ports.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { InstanceOrderTimes } from "./instance-order-times.ts";
 import type { InstanceListCache } from "./instance-list-cache.ts";
@@ -19,9 +21,6 @@
 import type { ServerDriver } from "../execution/server-driver.ts";
 
 const INTERVAL_MS = 250;
-/** Instance lists lag, so a moved instance counts towards its new pool for this time in ms. */
-const MOVE_SETTLE_MS = 4000;
-
 const LOG_INTERVAL_MS = 2000;
 const MILLIS_PER_CORE = 1000;
 
@@ -29,6 +28,7 @@
 export interface PoolSizerOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly counters: Counters;
   readonly tenure: LockTenure;
   readonly config: FleetConfigView;
   readonly instances: InstanceControl;
@@ -39,18 +39,13 @@
   readonly orders: InstanceOrderTimes;
 }
 
-interface RecentMove {
-  readonly pool: string;
-  readonly at: number;
-}
-
 /** Moves instances between pools and the spare pool as demand rises and falls. */
 export class PoolSizer {
   readonly #options: PoolSizerOptions;
   readonly #demand: PoolDemand;
   #loggedAt = -Infinity;
   readonly #idleSince = new Map<string, number>();
-  readonly #moves = new Map<string, RecentMove>();
+  readonly #moves = new InstanceMoves();
 
   constructor(options: PoolSizerOptions) {
     this.#options = options;
@@ -62,12 +57,23 @@
     const { clock, tenure, scheduler, orders } = this.#options;
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
+      this.#releaseEndedMoves();
       if (!tenure.valid || !scheduler.ready || !(await orders.load())) continue;
       const instances = await this.#options.view.read();
       if (instances !== undefined) await this.#resize(instances);
     }
   }
 
+  /** Lets instances take tasks again once their moves no longer count, if they did not leave. */
+  #releaseEndedMoves(): void {
+    const { clock, log, scheduler } = this.#options;
+    for (const { instance, pool, server, outcome } of this.#moves.takeEnded(clock.now())) {
+      if (server !== undefined) scheduler.drivers.get(server)?.release("move");
+      if (outcome === "unanswered")
+        log.info({ instance, pool }, "unanswered move no longer counts");
+    }
+  }
+
   async #resize(instances: readonly ControlledInstance[]): Promise<void> {
     const { config } = this.#options;
     const pools = config.current?.pools ?? [];
@@ -76,7 +82,7 @@
     const needed = this.#targetSizes(instances, sparePool);
     const sizes = this.#sizes(instances);
     const movable = this.#movable(instances, sparePool);
-    this.#logSizes(needed, sizes);
+    this.#logSizes(needed, sizes, this.#withheld(instances));
     const plan = { needed, sizes, instances: movable, sparePool };
     this.#drain(chooseDraining(plan), instances);
     const moves = planMoves(plan);
@@ -92,16 +98,35 @@
     }
   }
 
-  #logSizes(needed: ReadonlyMap<string, number>, sizes: ReadonlyMap<string, number>): void {
+  #logSizes(
+    needed: ReadonlyMap<string, number>,
+    sizes: ReadonlyMap<string, number>,
+    withheld: ReadonlyMap<string, number>,
+  ): void {
     const { clock, log } = this.#options;
     if (clock.now() - this.#loggedAt < LOG_INTERVAL_MS) return;
     this.#loggedAt = clock.now();
     log.info(
-      { needed: Object.fromEntries(needed), sizes: Object.fromEntries(sizes) },
+      {
+        needed: Object.fromEntries(needed),
+        sizes: Object.fromEntries(sizes),
+        withheld: Object.fromEntries(withheld),
+      },
       "pool sizes",
     );
   }
 
+  /** Number of instances of each pool that are up but get no tasks because a move was ordered. */
+  #withheld(instances: readonly ControlledInstance[]): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const instance of instances) {
+      if (instance.state !== "up" || this.#driver(instance)?.hasReservation("move") !== true)
+        continue;
+      counts.set(instance.pool, (counts.get(instance.pool) ?? 0) + 1);
+    }
+    return counts;
+  }
+
   /** Target size of each pool. The sum is at most the number of usable instances. */
   #targetSizes(
     instances: readonly ControlledInstance[],
@@ -158,11 +183,7 @@
   }
 
   #poolOf({ name, pool }: ControlledInstance): string {
-    const recent = this.#moves.get(name);
-    if (recent === undefined) return pool;
-    if (this.#options.clock.now() - recent.at < MOVE_SETTLE_MS) return recent.pool;
-    this.#moves.delete(name);
-    return pool;
+    return this.#moves.targetPool(name) ?? pool;
   }
 
   #movable(
@@ -195,7 +216,7 @@
     { instance, pool }: PlannedMove,
     instances: readonly ControlledInstance[],
   ): Promise<void> {
-    const { clock, log, tenure, holder, scheduler } = this.#options;
+    const { clock, log, counters, tenure, holder, scheduler } = this.#options;
     const listed = instances.find(({ name }) => name === instance);
     const driver = listed === undefined ? undefined : this.#driver(listed);
     if (driver !== undefined) {
@@ -203,20 +224,25 @@
       if (scheduler.tracker.hasRuns(driver.id)) return;
       driver.reserve("move");
     }
-    this.#moves.set(instance, { pool, at: clock.now() });
+    this.#moves.planned(instance, pool, driver?.id);
     this.#idleSince.delete(instance);
     const order = { instance, holder, token: tenure.token };
     const result = await this.#options.instances.move(order, pool);
     log.info({ instance, from: listed?.pool, to: pool, ok: result.ok }, "instance moved");
     if (result.ok) {
+      this.#moves.accepted(instance, clock.now());
       if (driver !== undefined) scheduler.tracker.runsLost(driver, "gone");
       return;
     }
     log.warn({ instance, pool, err: result.val }, "move refused");
     if (result.val.kind === "fenced") tenure.end();
-    // An order that got no reply may still be carried out, so the instance stays reserved for now.
-    if (result.val.kind === "unknown") return;
-    this.#moves.delete(instance);
+    if (result.val.kind === "unknown") {
+      // The order may still be carried out, so the instance stays reserved for a limited time.
+      this.#moves.unanswered(instance, clock.now());
+      counters.event("instance_move_unanswered");
+      return;
+    }
+    this.#moves.refused(instance);
     driver?.release("move");
   }
 }
