fix(fleet): drained instances take tasks while instances can't be listed

While the list call failed, or after a version of the configuration without a spare pool, a pool that had drained to the work of a calm moment stayed so, whatever work came: found by reading, shown by a test that failed before (1 of 4 instances takes tasks one second into such an outage; now 4).

--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -60,7 +60,8 @@
       this.#releaseEndedMoves();
       if (!tenure.valid || !scheduler.ready || !(await orders.load())) continue;
       const instances = await this.#options.view.read();
-      if (instances !== undefined) await this.#resize(instances);
+      if (instances === undefined) this.#releaseSurplus();
+      else await this.#resize(instances);
     }
   }
 
@@ -74,11 +75,19 @@
     }
   }
 
+  /** Lets drained instances take tasks, because they can't be moved now. */
+  #releaseSurplus(): void {
+    for (const driver of this.#options.scheduler.drivers.all()) driver.release("surplus");
+  }
+
   async #resize(instances: readonly ControlledInstance[]): Promise<void> {
     const { config } = this.#options;
     const pools = config.current?.pools ?? [];
     const sparePool = pools.find(({ spare }) => spare)?.name;
-    if (sparePool === undefined) return;
+    if (sparePool === undefined) {
+      this.#releaseSurplus();
+      return;
+    }
     const needed = this.#targetSizes(instances, sparePool);
     const sizes = this.#sizes(instances);
     const movable = this.#movable(instances, sparePool);
--- a/test/coordination/jobs/unanswered-move.test.ts
+++ b/test/coordination/jobs/unanswered-move.test.ts
@@ -150,4 +150,16 @@
   tenure.end();
 });
 
+// Guards against a pool that drained down to the work of a calm moment, and stayed drained while no
+// instance could be moved because the instances could not be listed.
+test("drained instances accept tasks again while the instances can't be listed", async () => {
+  const { tenure, platform, usable, advance } = poolOfFour();
+  await advance(STEP_MS * 3);
+  assert.is(usable().length, 1, "the surplus drains");
+  platform.listsFail = true;
+  await advance(1000);
+  assert.is(usable().length, 4);
+  tenure.end();
+});
+
 test.run();
