fix(fleet): drain no instances in place of those that move in the same step

Found while testing outages of the control of instances: the instances that drain were chosen for the whole surplus, and those that move, by idle time, for the whole surplus again. A pool of four that needed one drained three and moved the fourth, so that none took tasks until the next plan 250 ms later. Moves are now planned first, and only the surplus that they leave drains. The test failed before: no instance takes tasks at 5.8 s of an outage.

--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -3,6 +3,7 @@
 import type { Log } from "../../../ports/log.ts";
 import type { Resources } from "../../../protocol/job-spec.ts";
 import {
+  afterMoves,
   chooseDraining,
   planMoves,
   shareInstances,
@@ -93,9 +94,11 @@
     const movable = this.#movable(instances, sparePool);
     this.#logSizes(needed, sizes, this.#withheld(instances));
     const plan = { needed, sizes, instances: movable, sparePool };
-    this.#drain(chooseDraining(plan), instances);
     const moves = planMoves(plan);
-    if (!(await this.#options.orders.persist(moves.map((move) => move.instance)))) return;
+    const moving = moves.map((move) => move.instance);
+    // An instance that is about to move takes no tasks, but is no part of the remaining surplus.
+    this.#drain(new Set([...chooseDraining(afterMoves(plan, moves)), ...moving]), instances);
+    if (!(await this.#options.orders.persist(moving))) return;
     await Promise.all(moves.map((move) => this.#move(move, instances)));
   }
 
--- a/src/state/jobs/fleet/pool-sizing.ts
+++ b/src/state/jobs/fleet/pool-sizing.ts
@@ -182,6 +182,20 @@
   return chosen;
 }
 
+/** The pools as they are once the planned moves are carried out, without the moving instances. */
+export function afterMoves(plan: PoolsSnapshot, moves: readonly PlannedMove[]): PoolsSnapshot {
+  const targets = new Map(moves.map(({ instance, pool }) => [instance, pool]));
+  const sizes = new Map(plan.sizes);
+  for (const { name, pool } of plan.instances) {
+    const target = targets.get(name);
+    if (target === undefined) continue;
+    sizes.set(pool, (sizes.get(pool) ?? 0) - 1);
+    sizes.set(target, (sizes.get(target) ?? 0) + 1);
+  }
+  const instances = plan.instances.filter(({ name }) => !targets.has(name));
+  return { ...plan, sizes, instances };
+}
+
 function compareSpareFirst(a: MovableInstance, b: MovableInstance): number {
   return Number(b.spare) - Number(a.spare) || b.idleMs - a.idleMs;
 }
--- a/test/coordination/jobs/unanswered-move.test.ts
+++ b/test/coordination/jobs/unanswered-move.test.ts
@@ -141,6 +141,19 @@
   tenure.end();
 });
 
+// Guards against a pool that is short of instances between two plans: instances were chosen to drain
+// and others to move, each for the whole surplus.
+test("a pool keeps an instance that accepts tasks at every time of an outage", async () => {
+  const { clock, tenure, platform, usable, advance } = poolOfFour();
+  platform.silent = true;
+  const end = clock.now() + 20_000;
+  while (clock.now() < end) {
+    await advance(STEP_MS);
+    assert.ok(usable().length >= 1, `at ${clock.now()}`);
+  }
+  tenure.end();
+});
+
 test("moves that got no reply are counted", async () => {
   const { tenure, platform, ordered, counts, advance } = poolOfFour();
   platform.silent = true;
--- a/test/state/jobs/planned-work.test.ts
+++ b/test/state/jobs/planned-work.test.ts
@@ -2,6 +2,7 @@
 import * as assert from "uvu/assert";
 import { mayInterrupt } from "../../../src/state/jobs/fleet/availability.ts";
 import {
+  afterMoves,
   chooseDraining,
   instancesNeeded,
   planMoves,
@@ -221,4 +222,32 @@
   );
 });
 
+// Guards against draining further instances in place of those that leave the pool in the same step.
+test("instances that are about to move are no part of the surplus that drains", () => {
+  const idle = {
+    pool: "a",
+    spare: false,
+    idle: true,
+    draining: false,
+    shortTasks: 0,
+    longTasks: 0,
+  };
+  const plan = {
+    needed: new Map([["a", 1]]),
+    sizes: new Map([["a", 3]]),
+    instances: [
+      { ...idle, name: "m0", idleMs: 0 },
+      { ...idle, name: "m1", idleMs: 0 },
+      { ...idle, name: "m2", idleMs: 5000 },
+    ],
+    sparePool: "rest",
+  };
+  const moves = planMoves(plan);
+  assert.equal(
+    moves.map(({ instance }) => instance),
+    ["m2"],
+  );
+  assert.equal([...chooseDraining(afterMoves(plan, moves))], ["m0"]);
+});
+
 test.run();
