fix(fleet): a maintenance that is refused for good ends its reservation

Same cause on a related path, found by reading: an instance that was not of its wave, or that the control of instances did not know, was reserved before the order and took no tasks for the rest of the tenure. The reservation now ends with the refusal, and with the wave for instances that left the lists before. The test failed before for both refusals; an order without a reply keeps its reservation and is repeated, as before.

--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -57,13 +57,21 @@
   tookEffect: boolean;
 }
 
+/** A reservation of an instance for its maintenance. */
+interface MaintenanceReservation {
+  /** Monotonic time in ms. */
+  readonly since: number;
+  /** Backend server that ran on the instance; undefined if none did. */
+  readonly server: string | undefined;
+}
+
 interface WaveProgress {
   readonly request: WaveRequest;
   /** Instances that need no further order: it was accepted, or rejected for good. */
   readonly done: Set<string>;
   readonly ongoing: Map<string, OngoingMaintenance>;
-  /** Monotonic time in ms at which each reserved instance was reserved. */
-  readonly reservedSince: Map<string, number>;
+  /** Reservations by instance. */
+  readonly reservations: Map<string, MaintenanceReservation>;
   /** Number of consecutive lists without each instance. */
   readonly missing: Map<string, number>;
   reported: "nothing" | "running" | "completed";
@@ -107,7 +115,7 @@
       request,
       done: new Set(stored?.maintained),
       ongoing: new Map(),
-      reservedSince: new Map(),
+      reservations: new Map(),
       missing: new Map(),
       reported: stored?.completed === true ? "completed" : "nothing",
     };
@@ -181,6 +189,7 @@
     log.info({ wave: wave.request.wave, instance: name }, "instance had been maintained before");
     wave.ongoing.delete(name);
     driver?.release("maintenance");
+    if (driver !== undefined) driver.maintenancePending = false;
     const runs =
       order.server === undefined ? [] : scheduler.tracker.runRegistry.onServer(order.server);
     for (const run of runs) run.endOrdered = false;
@@ -196,7 +205,7 @@
       .map((instance) => {
         const runs = this.#runsOn(instance);
         const longTasks = runs.filter((run) => run.task.step.spec.longRunning).length;
-        const reserved = wave.reservedSince.has(instance.name);
+        const reserved = wave.reservations.has(instance.name);
         return { instance, reserved, longTasks, shortTasks: runs.length - longTasks };
       });
   }
@@ -222,22 +231,23 @@
         { wave: request.wave, instance: instance.name, pool: instance.pool },
         "drains for maintenance",
       );
-      wave.reservedSince.set(instance.name, clock.now());
+      const { name, server } = instance;
+      wave.reservations.set(name, { since: clock.now(), server });
     }
     for (const { instance } of open) {
       const driver = this.#driverOf(instance);
       if (driver !== undefined) driver.maintenancePending = true;
-      if (wave.reservedSince.has(instance.name)) driver?.reserve("maintenance");
+      if (wave.reservations.has(instance.name)) driver?.reserve("maintenance");
     }
   }
 
   async #maintain(wave: WaveProgress, { instance, shortTasks }: WaveInstance): Promise<void> {
     const { clock, log, instances, tenure, holder } = this.#options;
-    const since = wave.reservedSince.get(instance.name);
-    if (since === undefined || instance.state !== "up") return;
+    const reservation = wave.reservations.get(instance.name);
+    if (reservation === undefined || instance.state !== "up") return;
     if (wave.ongoing.size >= wave.request.maxAtOnce) return;
     if (!this.#options.orders.allowed(instance.name)) return;
-    if (shortTasks > 0 && clock.now() - since < SHORT_TASK_GRACE_MS) return;
+    if (shortTasks > 0 && clock.now() - reservation.since < SHORT_TASK_GRACE_MS) return;
     const { runRegistry } = this.#options.scheduler.tracker;
     if (!mayInterrupt(this.#runsOn(instance), runRegistry, clock.now())) {
       this.#evacuate(instance);
@@ -293,13 +303,25 @@
     if (err.kind === "fenced") tenure.end();
     // An order that got no reply is repeated. Orders are idempotent, so this is safe.
     wave.ongoing.delete(name);
-    if (err.kind === "not-in-wave" || err.kind === "invalid") wave.done.add(name);
+    if (err.kind !== "not-in-wave" && err.kind !== "invalid") return;
+    wave.done.add(name);
+    this.#endReservation(wave, name);
+  }
+
+  /** Lets an instance take tasks again that stays as it is. */
+  #endReservation(wave: WaveProgress, name: string): void {
+    const { server } = wave.reservations.get(name) ?? {};
+    wave.reservations.delete(name);
+    const driver = server === undefined ? undefined : this.#options.scheduler.drivers.get(server);
+    if (driver === undefined) return;
+    driver.release("maintenance");
+    driver.maintenancePending = false;
   }
 
   async #markAccepted(wave: WaveProgress, { name }: ControlledInstance): Promise<void> {
     const { store, tenure } = this.#options;
     wave.done.add(name);
-    wave.reservedSince.delete(name);
+    wave.reservations.delete(name);
     await this.#storeProgress(wave, false, store, tenure);
   }
 
@@ -307,6 +329,8 @@
     const { operators, store, tenure, log } = this.#options;
     if (!(await operators.reportWave(wave.request.wave, "completed"))) return;
     wave.reported = "completed";
+    // Instances that the lists no longer show may come back with the same server.
+    for (const name of [...wave.reservations.keys()]) this.#endReservation(wave, name);
     log.info({ wave: wave.request.wave, instances: wave.done.size }, "wave completed");
     await this.#storeProgress(wave, true, store, tenure);
   }
