fix(execution): a start that a later boot of its server accepts is not repeated

Callers saw tasks at work on two servers at once (TWICE), after a server lost power and came back under its id within a second.

Cause: a start names a server, not a boot, so the new boot accepted starts placed on the former one; the scheduler counted them as runs of the former boot, and placed their tasks elsewhere when it learned of the new boot.

A run is confirmed on a boot by a list, or by a reply whose clock no later boot can show. On a reboot, confirmed runs are released as before; others are kept as runs on the new boot until its lists tell, or until the longest lease that a server accepts has passed. This replaces the stops that were sent after the fact for unanswered starts only.

--- a/bench/scheduler-cost.ts
+++ b/bench/scheduler-cost.ts
@@ -176,7 +176,13 @@
     session: { name: "e0", peerAddress: "e0", zone: "z", strength: 1 },
     ...{ notifier: new NoNotifier(), storeConnectivity: connected, evacuateMs: 5000 },
     executorConnections: noPeers(clock),
-    ...{ leaseTtlMs: 6000, linkBytesPerMs: 125_000, takeoverPauseMs: 0, maxConfigAgeMs: 2000 },
+    ...{
+      leaseTtlMs: 6000,
+      maxServerLeaseMs: 6250,
+      linkBytesPerMs: 125_000,
+      takeoverPauseMs: 0,
+      maxConfigAgeMs: 2000,
+    },
     ...{ keepEndedMs: 120_000, evacuateMs: 5000 },
     ...{ loadNotifier: new NoLoadNotifier(), placementQuestions: new NoPlacementQuestions() },
   });
--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../../../ports/clock.ts";
-import type { BackendClock, OrderError, OrderResult } from "../../../ports/job-backend.ts";
+import type { OrderError, OrderResult } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type {
   ActiveRun,
@@ -11,7 +11,7 @@
 import type { Counters } from "../../ports.ts";
 import type { PlacementTicketCache } from "../scheduling/placement-ticket-cache.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
-import type { ServerDriver } from "./server-driver.ts";
+import type { ServerDriver, StartReply } from "./server-driver.ts";
 
 /** Pause in ms before a task is started again after its start failed. */
 const RETRY_START_PAUSE_MS = 250;
@@ -34,6 +34,8 @@
   readonly setPhase: (run: ActiveRun, phase: RunPhase) => void;
   /** Called with runs that have certainly not been started. */
   readonly notStarted: (run: ActiveRun) => void;
+  /** Called with runs that ended with a former boot of their backend server. */
+  readonly lost: (run: ActiveRun) => void;
   /** Called when further tasks may be placed. */
   readonly requestRound: () => void;
 }
@@ -94,14 +96,29 @@
     requestRound();
     if (runRegistry.forTask(task.name) !== run) return;
     if (result.err) this.#handleFailure(run, server, result.val);
-    else {
-      setPhase(run, run.phase === "starting" ? "running" : run.phase);
-      recordStarted(run, result.val);
-    }
+    else this.#handleReply(run, server, result.val);
     server.requestPoll();
   }
 
-  #sendOrder(run: ActiveRun, server: ServerDriver): OrderResult<BackendClock> {
+  #handleReply(run: ActiveRun, server: ServerDriver, reply: StartReply): void {
+    const { log, counters, setPhase, lost } = this.#options;
+    const { task, phase } = run;
+    if (!reply.fromThisBoot) {
+      log.info({ task: task.name, run: run.run, server: server.id }, "start reply of unknown boot");
+      counters.event("start_reply_of_unknown_boot");
+      setPhase(run, phase === "starting" ? "unconfirmed" : phase);
+      return;
+    }
+    // The server has rebooted since, and what the former boot started has ended with it.
+    if (run.bootedAt !== server.bootedAt) {
+      lost(run);
+      return;
+    }
+    setPhase(run, phase === "starting" ? "running" : phase);
+    recordStarted(run, reply);
+  }
+
+  #sendOrder(run: ActiveRun, server: ServerDriver): OrderResult<StartReply> {
     const { task } = run;
     return server.start({
       ...{ task: task.name, run: run.run, spec: task.job.spec.spec },
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -1,7 +1,8 @@
 import type { Clock } from "../../../ports/clock.ts";
 import type { RunLists } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
-import { inheritedLeasesLapsedAt } from "../../../state/jobs/execution/server-clock.ts";
+import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
+import { leasesLapsedAt } from "../../../state/jobs/execution/server-clock.ts";
 import type { Job, Task } from "../../../state/jobs/records/job.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import { pollWaitMs } from "../../../state/jobs/execution/poll-wait.ts";
@@ -23,6 +24,7 @@
 import type { ProgressWriter } from "../records/progress-writer.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
 import { RunStarter } from "./run-starter.ts";
+import { RunStopper } from "./run-stopper.ts";
 import { RunEndHandler } from "./run-end-handler.ts";
 import { StragglerDetector } from "./straggler-detector.ts";
 import { DriverListener, type ServerDriver } from "./server-driver.ts";
@@ -42,9 +44,13 @@
   readonly durations: DurationModels;
   readonly ticketCache: PlacementTicketCache;
   readonly driver: (server: string) => ServerDriver | undefined;
+  /** Called with the registration of a backend server, changed to a boot that was not registered yet. */
+  readonly serverRebooted: (registration: RegisteredServer) => void;
   /** Called when further tasks may be placed. */
   readonly requestRound: () => void;
   readonly leaseTtlMs: number;
+  /** Longest lease in ms that a backend server accepts, whatever deadline an order carries. */
+  readonly maxServerLeaseMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
 }
@@ -53,28 +59,32 @@
 export class RunTracker extends DriverListener {
   readonly runRegistry = new RunRegistry();
   readonly starter: RunStarter;
+  readonly #stopper: RunStopper;
   readonly #pacer: FillerPacer;
   readonly #ends: RunEndHandler;
   readonly #stragglers: StragglerDetector;
   readonly #options: RunTrackerOptions;
-  /** Runs whose start had no response before their backend server rebooted, by server id. */
-  readonly #unansweredStarts = new Map<string, ActiveRun[]>();
 
   constructor(options: RunTrackerOptions) {
     super();
     this.#options = options;
     const { runRegistry } = this;
+    const notStarted = (run: ActiveRun): void => {
+      this.#release(run, "not-started");
+    };
     this.starter = new RunStarter({
       ...{ ...options, runRegistry },
       setPhase: (run, phase) => {
         this.#setPhase(run, phase);
       },
-      notStarted: (run) => {
-        this.#release(run, "not-started");
+      notStarted,
+      lost: (run) => {
+        this.#release(run, "rebooted");
       },
     });
+    this.#stopper = new RunStopper({ ...options, notStarted });
     const stop = (run: ActiveRun): void => {
-      this.#stop(run);
+      this.#stopper.stop(run);
     };
     this.#pacer = new FillerPacer({ ...options, runRegistry });
     this.#stragglers = new StragglerDetector({ ...options, runRegistry, stop });
@@ -95,7 +105,7 @@
       const run = this.#add(task, server, bootedAt, "inherited");
       const driver = this.#options.driver(server);
       if (driver !== undefined && driver.bootedAt !== bootedAt) this.#release(run, "rebooted");
-      else if (job.final) this.#stop(run);
+      else if (job.final) this.#stopper.stop(run);
     }
   }
 
@@ -147,7 +157,7 @@
 
   /** Stops a running run for a reason other than the end of its job. */
   stop(run: ActiveRun): void {
-    if (run.phase === "running") this.#stop(run);
+    if (run.phase === "running") this.#stopper.stop(run);
   }
 
   hasRuns(server: string): boolean {
@@ -164,7 +174,6 @@
     for (const ended of lists.ended) this.#ends.handle(driver, ended, lists, touched);
     this.#reconcile(driver, lists, askedAt, touched);
     this.#pacer.adjustPace(driver);
-    if (this.#unansweredStarts.has(driver.id)) await this.#stopUnansweredStarts(driver);
     if (touched.size > 0) this.#options.requestRound();
     const { writer } = this.#options;
     if (lists.ended.length === 0 && touched.size === 0) return true;
@@ -174,18 +183,32 @@
     return (await Promise.all(stored)).every(Boolean);
   }
 
-  runsLost(driver: ServerDriver, reason: "rebooted" | "gone" | "lapsed"): void {
+  rebooted(driver: ServerDriver, bootedAt: number): void {
+    this.#options.serverRebooted({ ...driver.registration, bootedAt });
+  }
+
+  runsLost(driver: ServerDriver, reason: "gone" | "lapsed"): void {
     if (reason !== "lapsed") driver.close();
-    const runs = this.runRegistry.onServer(driver.id);
+    const now = this.#options.clock.now();
+    const runs = this.runRegistry
+      .onServer(driver.id)
+      .filter((run) => reason !== "lapsed" || run.leaseInDoubtUntil <= now);
     if (runs.length === 0) return;
     this.#options.log.warn({ server: driver.id, reason, runs: runs.length }, "runs are gone");
     this.#releaseAll(runs, reason);
   }
 
-  /** Releases runs on earlier boots of a backend server that registered with a later boot. */
-  releaseRunsOfEarlierBoots(server: string, bootedAt: number): void {
-    const runs = this.runRegistry.onServer(server).filter((run) => run.bootedAt !== bootedAt);
-    this.#releaseAll(runs, "rebooted");
+  /**
+   * Releases runs that ended with an earlier boot of a backend server. A run that the later boot may
+   * have started in its place is kept as a run on that boot, until the boot's lists tell.
+   */
+  earlierBootsEnded(server: string, bootedAt: number): void {
+    for (const run of this.runRegistry.onServer(server)) {
+      if (run.bootedAt >= bootedAt) continue;
+      // The order of a run whose placement is being recorded was not sent.
+      if (run.confirmed || run.phase === "recording") this.#release(run, "rebooted");
+      else this.#moveToBoot(run, bootedAt);
+    }
   }
 
   /** Restarts runs that hang or are stragglers. */
@@ -213,7 +236,7 @@
   /** Releases inherited runs on unregistered backend servers once their leases have lapsed. */
   releaseUnregistered(takenOverAt: number): void {
     const { clock, leaseTtlMs, driver } = this.#options;
-    if (clock.now() <= inheritedLeasesLapsedAt(takenOverAt, leaseTtlMs)) return;
+    if (clock.now() <= leasesLapsedAt(takenOverAt, leaseTtlMs)) return;
     const runs = [...this.runRegistry.all()].filter(
       (run) => run.phase === "inherited" && driver(run.server) === undefined,
     );
@@ -228,6 +251,22 @@
     this.#options.tenure.end();
   }
 
+  /** Continues a run on a later boot of its backend server, which may have started it. */
+  #moveToBoot(run: ActiveRun, bootedAt: number): void {
+    const { clock, log, counters, writer, maxServerLeaseMs } = this.#options;
+    const { task, server, phase } = run;
+    const fields = { task: task.name, run: run.run, server, phase };
+    log.info(fields, "run may have been started by a later boot");
+    counters.event("run_in_doubt_after_reboot");
+    run.bootedAt = bootedAt;
+    run.since = clock.now();
+    // The deadline of an order for the former boot lies far ahead on the clock of the later boot.
+    run.leaseInDoubtUntil = leasesLapsedAt(run.since, maxServerLeaseMs);
+    task.placement = { server, bootedAt };
+    if (phase === "stopping") this.#stopper.repeat(run);
+    void writer.save(task.job);
+  }
+
   #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
     const { clock, driver } = this.#options;
     const { registration, coldness } = driver(server) ?? {};
@@ -247,9 +286,9 @@
       if (run.phase === "inherited") run.slowdown = coldSlowdown(driver.coldness);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
       // The stop had no effect, or the server was not yet registered when it was ordered.
-      else if (run.phase === "stopping" && run.since < askedAt) this.#repeatStop(run);
+      else if (run.phase === "stopping" && run.since < askedAt) this.#stopper.repeat(run);
     }
-    for (const run of found.missing) this.#stop(run);
+    for (const run of found.missing) this.#stopper.stop(run);
     for (const { task, run } of found.unknown) this.#stopUnknown(driver, task, run);
     // A truncated list may lack the ends of runs that are not listed as running.
     if (lists.ended.length >= MAX_LISTED_ENDS) return;
@@ -259,6 +298,7 @@
         "run is over",
       );
       this.#removeRun(run);
+      this.#ends.stopGang(run.task);
       touched.add(run.task.job);
     }
   }
@@ -273,33 +313,10 @@
   #stopAll(job: Job): void {
     for (const task of job.tasks()) {
       const run = this.runRegistry.forTask(task.name);
-      if (run !== undefined) this.#stop(run);
+      if (run !== undefined) this.#stopper.stop(run);
     }
   }
 
-  #stop(run: ActiveRun): void {
-    if (run.phase === "recording") {
-      this.#release(run, "not-started");
-      return;
-    }
-    if (run.phase === "stopping") return;
-    run.phase = "stopping";
-    run.since = Infinity;
-    void this.#orderStop(run);
-  }
-
-  #repeatStop(run: ActiveRun): void {
-    run.since = Infinity;
-    void this.#orderStop(run);
-  }
-
-  async #orderStop(run: ActiveRun): Promise<void> {
-    const { driver, clock } = this.#options;
-    await driver(run.server)?.stop(run.task.name, run.run);
-    // Only lists requested from now on prove that the run has ended.
-    run.since = clock.now();
-  }
-
   #releaseAll(runs: readonly ActiveRun[], reason: ReleaseReason): void {
     for (const run of runs) this.#release(run, reason);
   }
@@ -307,12 +324,7 @@
   /** Removes a run that is certainly not running; its task is queued again. */
   #release(run: ActiveRun, reason: ReleaseReason): void {
     const { log, writer, requestRound } = this.#options;
-    const { task, phase } = run;
-    if (reason === "rebooted" && (phase === "starting" || phase === "unconfirmed"))
-      this.#unansweredStarts.set(run.server, [
-        ...(this.#unansweredStarts.get(run.server) ?? []),
-        run,
-      ]);
+    const { task } = run;
     if (reason === "lapsed") task.givenUpRuns.add(run.run);
     log.debug({ task: task.name, run: run.run, server: run.server, reason }, "run released");
     this.#removeRun(run);
@@ -329,14 +341,6 @@
     this.#options.driver(run.server)?.requestPoll();
   }
 
-  /** Sends stops, because an unanswered start could still take effect on the server's next boot. */
-  async #stopUnansweredStarts(driver: ServerDriver): Promise<void> {
-    const unanswered = this.#unansweredStarts.get(driver.id);
-    if (unanswered === undefined) return;
-    this.#unansweredStarts.delete(driver.id);
-    await Promise.all(unanswered.map(({ task, run }) => driver.stop(task.name, run)));
-  }
-
   #setPhase(run: ActiveRun, phase: RunPhase): void {
     run.phase = phase;
     run.since = this.#options.clock.now();
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -1,4 +1,4 @@
-import { Err } from "ts-results";
+import { Err, Ok } from "ts-results";
 import type { Clock } from "../../../ports/clock.ts";
 import type {
   BackendClock,
@@ -11,10 +11,7 @@
 } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
-import {
-  inheritedLeasesLapsedAt,
-  ServerClock,
-} from "../../../state/jobs/execution/server-clock.ts";
+import { leasesLapsedAt, ServerClock } from "../../../state/jobs/execution/server-clock.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
 import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
@@ -35,12 +32,20 @@
    * acknowledged.
    */
   abstract listsRead(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean>;
-  /** All runs on the server have ended: it rebooted, was replaced, or its lease lapsed. */
-  abstract runsLost(driver: ServerDriver, reason: "rebooted" | "gone" | "lapsed"): void;
+  /** All runs on the server have ended: it was replaced, or its lease lapsed. */
+  abstract runsLost(driver: ServerDriver, reason: "gone" | "lapsed"): void;
+  /** A list came from a later boot, at Unix time `bootedAt` in ms. The driver is closed. */
+  abstract rebooted(driver: ServerDriver, bootedAt: number): void;
   /** An order was refused because the server has seen a higher fencing token. */
   abstract fenced(): void;
 }
 
+/** Reply to a start order. */
+export interface StartReply extends BackendClock {
+  /** False if the reply may come from a later boot than the driver's. */
+  readonly fromThisBoot: boolean;
+}
+
 /** Planned work during which a backend server receives no new tasks. */
 export type ReservationReason = "maintenance" | "move" | "surplus";
 
@@ -206,18 +211,22 @@
   /**
    * Sends a start order. The deadline is only {@link START_VALID_MS} ahead, so the response can't
    * be outstanding for long. It is earlier if the server's availability zone may be evacuated by then
-   * without being known here.
+   * without being known here. The order names no boot, so a later boot may accept it.
    */
-  async start(order: Omit<StartOrder, "token" | "deadlineMs">): OrderResult<BackendClock> {
+  async start(order: Omit<StartOrder, "token" | "deadlineMs">): OrderResult<StartReply> {
     const { clock, tenure, backend } = this.#options;
     const validMs = Math.min(START_VALID_MS, this.startValidMs);
     if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
     const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
     const result = await backend.start({ ...order, token: tenure.token, deadlineMs });
-    if (result.ok)
-      this.#serverClock.addReading({ clockMs: result.val.clockMs, receivedAt: clock.now() });
-    else this.#handleRefusal(result.val);
-    return result;
+    if (result.err) {
+      this.#handleRefusal(result.val);
+      return result;
+    }
+    const reading = { clockMs: result.val.clockMs, receivedAt: clock.now() };
+    const fromThisBoot = this.#serverClock.provesBoot(reading);
+    if (fromThisBoot) this.#serverClock.addReading(reading);
+    return Ok({ clockMs: reading.clockMs, fromThisBoot });
   }
 
   /** Sends a stop order until it is acknowledged or the driver is closed. */
@@ -259,7 +268,7 @@
   }
 
   async #poll(): Promise<void> {
-    const { backend, clock, leaseTtlMs } = this.#options;
+    const { backend, clock, log, listener, leaseTtlMs } = this.#options;
     const askedAt = clock.now();
     // The lease of an unresponsive server is not extended, so that it certainly lapses.
     const deadlineMs = this.reachable
@@ -275,6 +284,17 @@
       await this.#pollFailed(result.val);
       return;
     }
+    const { bootedAt = this.bootedAt } = result.val;
+    if (bootedAt > this.bootedAt) {
+      log.warn({ server: this.id, bootedAt, before: this.bootedAt }, "backend server rebooted");
+      this.close();
+      listener.rebooted(this, bootedAt);
+      return;
+    }
+    if (bootedAt < this.bootedAt) {
+      await this.#pollFailed({ kind: "unknown", detail: "list of an earlier boot" });
+      return;
+    }
     this.#acknowledgedByServer = acknowledged;
     await this.#handleLists(result.val, askedAt);
   }
@@ -288,10 +308,7 @@
     const { clock, log, listener } = this.#options;
     if (this.#failures > 0) log.info({ server: this.id }, "backend server responds again");
     this.#failures = 0;
-    if (lists.bootedAt !== undefined && lists.bootedAt !== this.bootedAt) {
-      listener.runsLost(this, "rebooted");
-      return;
-    }
+    this.#serverClock.listRead(askedAt);
     this.#serverClock.addReading({ clockMs: lists.clockMs, receivedAt: clock.now() });
     this.adopted = true;
     const last = lists.ended.at(-1)?.sequence;
@@ -319,7 +336,7 @@
   #leaseLapsed(): boolean {
     if (this.reachable || this.closed) return false;
     const { clock, takenOverAt, leaseTtlMs } = this.#options;
-    const inherited = inheritedLeasesLapsedAt(takenOverAt, leaseTtlMs);
+    const inherited = leasesLapsedAt(takenOverAt, leaseTtlMs);
     return clock.now() > Math.max(inherited, this.#serverClock.lapsedAt() ?? 0);
   }
 }
--- a/src/coordination/jobs/fleet/fleet-drivers.ts
+++ b/src/coordination/jobs/fleet/fleet-drivers.ts
@@ -5,7 +5,10 @@
 /** Options of {@link FleetDrivers}. */
 export interface FleetDriversOptions {
   readonly open: (registration: RegisteredServer) => ServerDriver;
-  /** Called when a server id registers for the first time, or with a later boot time. */
+  /**
+   * Called when a server id registers for the first time, or a later boot becomes known. Its driver
+   * is open but has sent nothing yet.
+   */
   readonly onNewBoot: (server: string, bootedAt: number) => void;
   /** Called after each registration. */
   readonly onChange: () => void;
@@ -55,16 +58,32 @@
     if (driver?.bootedAt === server.bootedAt) {
       if (!driver.closed) driver.updateRegistration(server);
     } else if (driver === undefined || driver.bootedAt < server.bootedAt) {
-      driver?.close();
-      this.#options.onNewBoot(server.id, server.bootedAt);
-      const opened = this.#options.open(server);
-      this.#drivers.set(server.id, opened);
-      void opened.run();
+      this.#openBoot(server, { registered: true });
     }
     this.#byPool = undefined;
     this.#options.onChange();
   }
 
+  /**
+   * Opens a driver for a later boot that was found before its registration. The boot gets no new tasks
+   * until it registers, because its pool and capacity may differ from the former boot's.
+   */
+  rebooted(server: RegisteredServer): void {
+    const driver = this.#drivers.get(server.id);
+    if (driver !== undefined && driver.bootedAt >= server.bootedAt) return;
+    this.#openBoot(server, { registered: false });
+    this.#byPool = undefined;
+  }
+
+  #openBoot(server: RegisteredServer, { registered }: { readonly registered: boolean }): void {
+    this.#drivers.get(server.id)?.close();
+    const driver = this.#options.open(server);
+    driver.absent = !registered;
+    this.#drivers.set(server.id, driver);
+    this.#options.onNewBoot(server.id, server.bootedAt);
+    void driver.run();
+  }
+
   removed(id: string): void {
     const driver = this.#drivers.get(id);
     if (driver === undefined) return;
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -79,6 +79,8 @@
   readonly evacuateMs: number;
   /** Time to live in ms of the leases granted to backend servers. */
   readonly leaseTtlMs: number;
+  /** Longest lease in ms that a backend server accepts, whatever deadline an order carries. */
+  readonly maxServerLeaseMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
   /** Minimum time in ms between orders of two successive schedulers to the same instance. */
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -55,6 +55,8 @@
   readonly advisor: PlacementAdvisor;
   /** Time to live of the leases granted to backend servers, in milliseconds. */
   readonly leaseTtlMs: number;
+  /** Longest lease in ms that a backend server accepts, whatever deadline an order carries. */
+  readonly maxServerLeaseMs: number;
   /** Maximum time in ms until no task starts in an evacuated availability zone. */
   readonly evacuateMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
@@ -128,10 +130,14 @@
         config,
         requestRound,
         leaseTtlMs,
+        maxServerLeaseMs: options.maxServerLeaseMs,
       },
       ...{ counters, durations: this.durations, linkBytesPerMs: options.linkBytesPerMs },
       ticketCache: this.#ticketCache,
       driver: (server) => this.drivers.get(server),
+      serverRebooted: (registration) => {
+        this.drivers.rebooted(registration);
+      },
     });
     const servers = (): Iterable<ServerDriver> => this.drivers.all();
     this.#learnt = new LearntRecordKeeper({
@@ -141,7 +147,7 @@
     this.drivers = new FleetDrivers({
       open: (registration) => this.#createDriver(registration),
       onNewBoot: (server, bootedAt) => {
-        this.tracker.releaseRunsOfEarlierBoots(server, bootedAt);
+        this.tracker.earlierBootsEnded(server, bootedAt);
       },
       onChange: requestRound,
     });
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -58,6 +58,8 @@
   readonly behaviour: (task: string) => TaskBehaviour;
   /** Rate of the server's clock relative to `clock`. @default 1 */
   readonly clockRate?: number;
+  /** Longest lease in ms that the server accepts; a longer one is shortened. @default unlimited */
+  readonly maxLeaseMs?: number;
 }
 
 interface RunningTask {
@@ -93,8 +95,8 @@
   #deadlineMs = 0;
   #bootedAtMonotonic: number;
 
-  constructor({ clockRate = 1, ...options }: SimulatedJobServerOptions) {
-    this.#options = { clockRate, ...options };
+  constructor({ clockRate = 1, maxLeaseMs = Infinity, ...options }: SimulatedJobServerOptions) {
+    this.#options = { clockRate, maxLeaseMs, ...options };
     this.id = options.id;
     this.capacity = options.capacity;
     this.bootedAt = options.clock.wallTime();
@@ -148,7 +150,7 @@
     if (token < this.#token) return { kind: "fenced" };
     this.#token = token;
     if (deadlineMs < this.#clockMs()) return { kind: "late" };
-    this.#deadlineMs = Math.max(this.#deadlineMs, deadlineMs);
+    this.#extendLease(deadlineMs);
     if (run <= (this.#lastEndedRun.get(task) ?? 0)) return { kind: "old-run" };
     if (this.#running.get(task)?.observed.run === run) return this.#clockReading();
     const startedAt = this.#options.clock.now();
@@ -174,7 +176,7 @@
     this.applyElapsedTime();
     if (token < this.#token) return { kind: "fenced" };
     this.#token = token;
-    this.#deadlineMs = Math.max(this.#deadlineMs, deadlineMs ?? 0);
+    this.#extendLease(deadlineMs ?? 0);
     for (const { sequence, task, run } of this.#ended) {
       const observed = this.history.findLast((entry) => entry.task === task && entry.run === run);
       if (sequence <= acknowledged && observed !== undefined) observed.acknowledged = true;
@@ -194,6 +196,11 @@
     };
   }
 
+  #extendLease(deadlineMs: number): void {
+    const latest = this.#clockMs() + this.#options.maxLeaseMs;
+    this.#deadlineMs = Math.max(this.#deadlineMs, Math.min(deadlineMs, latest));
+  }
+
   #end(task: string, end: RunEnd): void {
     const running = this.#running.get(task);
     if (running === undefined) return;
--- a/src/state/jobs/execution/poll-wait.ts
+++ b/src/state/jobs/execution/poll-wait.ts
@@ -5,7 +5,7 @@
 
 /** Longest time in ms that a poll waits for a run to end; a shorter wait means more calls. */
 export const POLL_WAIT_MS = 2000;
-/** Longest wait in ms while a long-running task starts up or a run is overdue. */
+/** Longest wait in ms while a run is in doubt or overdue, or a long-running task starts up. */
 const PROGRESS_POLL_WAIT_MS = 400;
 /** Longest wait in ms while fillers may slow down serving tasks. */
 const PACING_POLL_WAIT_MS = 700;
@@ -24,6 +24,8 @@
     // No run shortens the wait further.
     if (wait <= PROGRESS_POLL_WAIT_MS) break;
     const { longRunning, filler } = run.task.step.spec;
+    // A run that the server never started has no end that a poll could wait for.
+    if (run.phase === "unconfirmed" || run.phase === "stopping") wait = PROGRESS_POLL_WAIT_MS;
     if (filler) wait = Math.min(wait, PACING_POLL_WAIT_MS);
     if (longRunning && !filler && !isAvailable(run, now))
       wait = Math.min(wait, PROGRESS_POLL_WAIT_MS);
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -27,6 +27,8 @@
     run: task.run,
     server,
     bootedAt,
+    confirmed: false,
+    leaseInDoubtUntil: 0,
     nearData: dataRack === "" || dataRack === rack,
     phase,
     endOrdered: false,
@@ -41,8 +43,9 @@
   };
 }
 
-/** Records that the start of a run was confirmed. */
+/** Records that the boot which a run was placed on has started it. */
 export function recordStarted(run: ActiveRun, { clockMs }: BackendClock): void {
+  run.confirmed = true;
   // The progress at which a run resumes from a checkpoint is known only once the run is listed.
   if (run.task.checkpoint === "") run.firstProgress ??= { clockMs, percent: 0 };
 }
@@ -56,6 +59,8 @@
 ): void {
   if (run.lastProgress === undefined || percent > run.lastProgress.percent)
     run.advancedAt = clockMs;
+  run.confirmed = true;
+  run.leaseInDoubtUntil = 0;
   run.percent = percent;
   run.load = load;
   run.listedAt = askedAt;
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -28,8 +28,15 @@
   readonly run: number;
   /** Id of the backend server. */
   readonly server: string;
-  /** Boot of the backend server, as Unix time in ms. */
-  readonly bootedAt: number;
+  /** Boot of the backend server that the run is on, if it was started, as Unix time in ms. */
+  bootedAt: number;
+  /** True once it is known that the boot `bootedAt` has started the run, and not a later boot. */
+  confirmed: boolean;
+  /**
+   * Monotonic time in ms before which the boot may be running it on a lease that this scheduler did not
+   * grant to the boot; 0 once the boot is known to run it.
+   */
+  leaseInDoubtUntil: number;
   /** True if it runs on the rack of its data, or its data are not tied to a rack. */
   readonly nearData: boolean;
   phase: RunPhase;
--- a/src/state/jobs/execution/server-clock.ts
+++ b/src/state/jobs/execution/server-clock.ts
@@ -1,6 +1,9 @@
 /** Slowest assumed rate of a backend server's clock, relative to the local monotonic clock. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
+/** Allowance in ms for the resolution of the clocks when a reading is compared with elapsed time. */
+const CLOCK_TOLERANCE_MS = 50;
+
 /** One reading of a backend server's clock. */
 export interface ClockReading {
   /** Time on the backend server's clock, in milliseconds since its boot. */
@@ -16,6 +19,8 @@
 export class ServerClock {
   #reading: ClockReading | undefined;
   #latestDeadlineMs = 0;
+  /** Monotonic time in ms at which the newest list of this boot was requested. */
+  #listedAt: number | undefined;
 
   /** True once the clock of the backend server was read. */
   get hasReading(): boolean {
@@ -28,6 +33,20 @@
     if (previous === undefined || reading.clockMs >= previous.clockMs) this.#reading = reading;
   }
 
+  /** Records that a list requested at `askedAt`, a monotonic time in ms, came from this boot. */
+  listRead(askedAt: number): void {
+    this.#listedAt = askedAt;
+  }
+
+  /**
+   * True if a reading certainly comes from this boot. A later boot began after the last list of this
+   * boot was requested, so its clock shows less than the time since then.
+   */
+  provesBoot({ clockMs, receivedAt }: ClockReading): boolean {
+    if (this.#listedAt === undefined) return false;
+    return clockMs > (receivedAt - this.#listedAt) / SLOWEST_CLOCK_RATE + CLOCK_TOLERANCE_MS;
+  }
+
   /**
    * Returns a deadline on the backend server's clock, about `ttlMs` ahead, and records it as sent.
    * Undefined before the clock was read.
@@ -52,9 +71,9 @@
 }
 
 /**
- * Monotonic time in ms from which every lease granted by a previous scheduler has lapsed, provided
- * that it granted none after `takenOverAt`.
+ * Monotonic time in ms from which leases of at most `ttlMs` have lapsed even on the slowest clock, if
+ * none was granted after `grantedUntil`, a monotonic time in ms.
  */
-export function inheritedLeasesLapsedAt(takenOverAt: number, leaseTtlMs: number): number {
-  return takenOverAt + leaseTtlMs / SLOWEST_CLOCK_RATE;
+export function leasesLapsedAt(grantedUntil: number, ttlMs: number): number {
+  return grantedUntil + ttlMs / SLOWEST_CLOCK_RATE;
 }
--- /dev/null
+++ b/test/fakes/jobs/fake-registry.ts
@@ -0,0 +1,49 @@
+import { ServerRegistry, type ServerListener } from "../../../src/coordination/jobs/job-feeds.ts";
+import type { RegisteredServer } from "../../../src/protocol/fleet-config.ts";
+import type { SimulatedJobServer } from "../../../src/stand-ins/simulated-job-server.ts";
+import { zoneOfServer } from "./zones.ts";
+
+/** Registrations of the simulated servers, delivered when a test says that one has changed. */
+export class FakeRegistry extends ServerRegistry {
+  zone = zoneOfServer;
+  readonly draining = new Set<string>();
+  /** Cold time of servers in ms, by server id. */
+  readonly coldMs = new Map<string, number>();
+  readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
+  readonly #listeners = new Set<ServerListener>();
+
+  constructor(servers: ReadonlyMap<string, SimulatedJobServer>) {
+    super();
+    this.#servers = servers;
+  }
+
+  follow(listener: ServerListener, signal: AbortSignal): Promise<void> {
+    const up = [...this.#servers.values()].filter((server) => server.up);
+    listener.reset(up.map((server) => this.#registration(server)));
+    this.#listeners.add(listener);
+    return new Promise((resolve) => {
+      signal.addEventListener("abort", () => {
+        this.#listeners.delete(listener);
+        resolve();
+      });
+    });
+  }
+
+  changed(id: string): void {
+    const server = this.#servers.get(id);
+    for (const listener of this.#listeners) {
+      if (server?.up === true) listener.registered(this.#registration(server));
+      else listener.removed(id);
+    }
+  }
+
+  #registration({ id, capacity, bootedAt }: SimulatedJobServer): RegisteredServer {
+    return {
+      ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: this.zone(id) },
+      coldRemainingMs: this.coldMs.get(id) ?? 0,
+      draining: this.draining.has(id),
+      labels: ["kind", "rack"],
+      rack: "rack",
+    };
+  }
+}
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -1,7 +1,6 @@
 import { Err, Ok } from "ts-results";
 import { MetricCounters } from "../../../src/coordination/counters.ts";
 import { JobEntry } from "../../../src/coordination/jobs/job-entry.ts";
-import { ServerRegistry, type ServerListener } from "../../../src/coordination/jobs/job-feeds.ts";
 import { RecordNotifier } from "../../../src/coordination/jobs/records/record-notifier.ts";
 import type { JobRejection } from "../../../src/coordination/jobs/admission/job-admission.ts";
 import type { SubmitOutcome } from "../../../src/coordination/jobs/admission/job-submitter.ts";
@@ -10,7 +9,7 @@
 import type { Log } from "../../../src/ports/log.ts";
 import type { Random } from "../../../src/ports/random.ts";
 import type { WrittenRecord } from "../../../src/protocol/peer-messages.ts";
-import type { FleetConfig, RegisteredServer } from "../../../src/protocol/fleet-config.ts";
+import type { FleetConfig } from "../../../src/protocol/fleet-config.ts";
 import type { JobRequest, JobState, Resources } from "../../../src/protocol/job-spec.ts";
 import {
   MemoryRecordStore,
@@ -27,10 +26,11 @@
 import { ClusterLoadNotifier, ClusterQuestions } from "./cluster-load.ts";
 import { EntryConnector, EntryStore, EntryFaults, SlowLink } from "./entry-faults.ts";
 import { FakeOperators } from "./fake-operators.ts";
-import { zoneOfServer } from "./zones.ts";
+import { FakeRegistry } from "./fake-registry.ts";
 import { fleetConfig } from "./job-builders.ts";
 
 const LEASE_TTL_MS = 6000;
+const MAX_SERVER_LEASE_MS = 6250;
 const FAST_LINK_BYTES_PER_MS = 125_000;
 const CALLER_WAIT_MS = 3000;
 const EVACUATIONS_PREFIX = "op/evacuate/";
@@ -104,7 +104,10 @@
 
   addServer(id: string): SimulatedJobServer {
     const { capacity, behaviour } = this.#options;
-    const server = new SimulatedJobServer({ clock: this.clock, id, capacity, behaviour });
+    const server = new SimulatedJobServer({
+      ...{ clock: this.clock, id, capacity, behaviour },
+      maxLeaseMs: MAX_SERVER_LEASE_MS,
+    });
     this.servers.set(id, server);
     this.#registry.changed(id);
     return server;
@@ -143,6 +146,7 @@
       loadNotifier: new ClusterLoadNotifier(this.entries, faults),
       storeConnectivity: () => faults.storeConnectivity,
       leaseTtlMs: LEASE_TTL_MS,
+      maxServerLeaseMs: MAX_SERVER_LEASE_MS,
       linkBytesPerMs,
       takeoverPauseMs: 0,
       maxConfigAgeMs: 2000,
@@ -197,6 +201,17 @@
     this.#registry.changed(id);
   }
 
+  /** Reboots a backend server under its id, without a registration. */
+  rebootUnnoticed(id: string): void {
+    this.servers.get(id)?.crash();
+    this.servers.get(id)?.boot();
+  }
+
+  /** Delivers the current registration of a backend server. */
+  announce(id: string): void {
+    this.#registry.changed(id);
+  }
+
   /** Sets the cold time in ms that a server registers with. */
   setColdTime(id: string, ms: number): void {
     this.#registry.coldMs.set(id, ms);
@@ -290,50 +305,6 @@
   }
 }
 
-class FakeRegistry extends ServerRegistry {
-  zone = zoneOfServer;
-  readonly draining = new Set<string>();
-  /** Cold time of servers in ms, by server id. */
-  readonly coldMs = new Map<string, number>();
-  readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
-  readonly #listeners = new Set<ServerListener>();
-
-  constructor(servers: ReadonlyMap<string, SimulatedJobServer>) {
-    super();
-    this.#servers = servers;
-  }
-
-  follow(listener: ServerListener, signal: AbortSignal): Promise<void> {
-    const up = [...this.#servers.values()].filter((server) => server.up);
-    listener.reset(up.map((server) => this.#registration(server)));
-    this.#listeners.add(listener);
-    return new Promise((resolve) => {
-      signal.addEventListener("abort", () => {
-        this.#listeners.delete(listener);
-        resolve();
-      });
-    });
-  }
-
-  changed(id: string): void {
-    const server = this.#servers.get(id);
-    for (const listener of this.#listeners) {
-      if (server?.up === true) listener.registered(this.#registration(server));
-      else listener.removed(id);
-    }
-  }
-
-  #registration({ id, capacity, bootedAt }: SimulatedJobServer): RegisteredServer {
-    return {
-      ...{ id, capacity, bootedAt, pool: "pool", address: id, zone: this.zone(id) },
-      coldRemainingMs: this.coldMs.get(id) ?? 0,
-      draining: this.draining.has(id),
-      labels: ["kind", "rack"],
-      rack: "rack",
-    };
-  }
-}
-
 class NoInstances extends InstanceControl {
   list() {
     return Promise.resolve(Ok([]));
--- a/test/state/jobs/server-quality.test.ts
+++ b/test/state/jobs/server-quality.test.ts
@@ -6,10 +6,7 @@
   worstLatencyRatio,
 } from "../../../src/state/jobs/execution/pacing.ts";
 import { ServerSpeed } from "../../../src/state/jobs/execution/server-speed.ts";
-import {
-  inheritedLeasesLapsedAt,
-  ServerClock,
-} from "../../../src/state/jobs/execution/server-clock.ts";
+import { leasesLapsedAt, ServerClock } from "../../../src/state/jobs/execution/server-clock.ts";
 import { ServerHealth } from "../../../src/state/jobs/execution/server-health.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
@@ -50,7 +47,7 @@
   assert.ok(time.lapsedAt()! >= 500 + (deadline - 10_000) / 0.98);
   time.addReading({ clockMs: 9000, receivedAt: 600 });
   assert.ok(time.lapsedAt()! > 6500, "an older reading that arrives late is ignored");
-  assert.ok(inheritedLeasesLapsedAt(0, 6000) > 6000);
+  assert.ok(leasesLapsedAt(0, 6000) > 6000);
 });
 
 function serving(load: number) {
@@ -58,6 +55,19 @@
   return activeRun(stepRun(jobRequest(spec)).tasks[0]!, { load });
 }
 
+// Guards against a reply of a new boot that is taken for one of the boot before (TWICE).
+test("a reading of a later boot does not prove the former boot", () => {
+  const time = new ServerClock();
+  assert.is(time.provesBoot({ clockMs: 10_000, receivedAt: 500 }), false, "no list was read");
+  time.listRead(500);
+  const sameBoot = { clockMs: 10_900, receivedAt: 1500 };
+  assert.is(time.provesBoot(sameBoot), true);
+  const bootedRightAfterTheList = { clockMs: 999, receivedAt: 1500 };
+  assert.is(time.provesBoot(bootedRightAfterTheList), false);
+  time.addReading(sameBoot);
+  assert.is(time.provesBoot({ clockMs: 2000, receivedAt: 3000 }), false);
+});
+
 test("fillers stop at once when a serving task exceeds its target and speed up again in steps", () => {
   const over = nextPace(FULL_PACE, worstLatencyRatio([serving(130)]), 0);
   assert.is(over.percent, 0);
