test(takeover): runs on a later boot are found by a new scheduler

Runs that a new scheduler inherits after the servers are read take the same path now, in place of a release that presumed the boot.

Related path: found by reading, no failing order of events found for that last line.

--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -104,8 +104,9 @@
       const { server, bootedAt } = task.placement;
       const run = this.#add(task, server, bootedAt, "inherited");
       const driver = this.#options.driver(server);
-      if (driver !== undefined && driver.bootedAt !== bootedAt) this.#release(run, "rebooted");
-      else if (job.final) this.#stopper.stop(run);
+      if (driver !== undefined && driver.bootedAt > bootedAt)
+        this.#moveToBoot(run, driver.bootedAt);
+      if (job.final) this.#stopper.stop(run);
     }
   }
 
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -60,6 +60,8 @@
   readonly clockRate?: number;
   /** Longest lease in ms that the server accepts; a longer one is shortened. @default unlimited */
   readonly maxLeaseMs?: number;
+  /** Time in ms that a stop takes. @default 0 */
+  readonly stopMs?: number;
 }
 
 interface RunningTask {
@@ -95,8 +97,9 @@
   #deadlineMs = 0;
   #bootedAtMonotonic: number;
 
-  constructor({ clockRate = 1, maxLeaseMs = Infinity, ...options }: SimulatedJobServerOptions) {
-    this.#options = { clockRate, maxLeaseMs, ...options };
+  constructor(options: SimulatedJobServerOptions) {
+    const { clockRate = 1, maxLeaseMs = Infinity, stopMs = 0 } = options;
+    this.#options = { ...options, clockRate, maxLeaseMs, stopMs };
     this.id = options.id;
     this.capacity = options.capacity;
     this.bootedAt = options.clock.wallTime();
@@ -168,7 +171,8 @@
     if (token < this.#token) return { kind: "fenced" };
     this.#token = token;
     this.#lastEndedRun.set(task, Math.max(run, this.#lastEndedRun.get(task) ?? 0));
-    if ((this.#running.get(task)?.observed.run ?? Infinity) <= run) this.#end(task, "stopped");
+    const running = this.#running.get(task);
+    if (running !== undefined && running.observed.run <= run) this.#stopRun(task, running);
     return this.#clockReading();
   }
 
@@ -196,6 +200,15 @@
     };
   }
 
+  #stopRun(task: string, running: RunningTask): void {
+    const { clock, stopMs } = this.#options;
+    if (stopMs === 0) this.#end(task, "stopped");
+    else
+      clock.schedule(stopMs, () => {
+        if (this.#running.get(task) === running) this.#end(task, "stopped");
+      });
+  }
+
   #extendLease(deadlineMs: number): void {
     const latest = this.#clockMs() + this.#options.maxLeaseMs;
     this.#deadlineMs = Math.max(this.#deadlineMs, Math.min(deadlineMs, latest));
--- a/test/coordination/jobs/unnoticed-reboot.test.ts
+++ b/test/coordination/jobs/unnoticed-reboot.test.ts
@@ -8,6 +8,9 @@
 
 const TASK_MS = 1000;
 const SUBMIT_INTERVAL_MS = 200;
+/** A job whose tasks outlast a takeover. */
+const LONG_JOB = "long";
+const LONG_MS = 6000;
 /** Longer than the leases that a new scheduler allows for its predecessor's. */
 const WARM_UP_MS = 8000;
 /** Time in ms after which the registration of the new boot is read. */
@@ -18,7 +21,8 @@
   const cluster = new JobCluster({
     random: new SeededRandom(1),
     servers: 5,
-    behaviour: () => ({ durationMs }),
+    stopMs: 150,
+    behaviour: (task) => ({ durationMs: task.startsWith(LONG_JOB) ? LONG_MS : durationMs }),
   });
   const { clock } = cluster;
   const scheduler = await cluster.electScheduler();
@@ -67,4 +71,21 @@
   assert.equal(repeatedStarts(cluster.servers.values()), []);
 });
 
+// Guards against the same at a takeover: the successor knew only that the placement was on a former boot.
+test("a start that a server's new boot accepts is not repeated elsewhere by a new scheduler", async () => {
+  const { cluster, clock, scheduler } = await loadedCluster({ durationMs: 150 });
+  cluster.rebootUnnoticed("s0");
+  const request = jobRequest(step({ tasks: 4, maxPerServer: 1 }));
+  void cluster.submit(scheduler, LONG_JOB, request);
+  await clock.advance(SUBMIT_INTERVAL_MS / 4);
+  const started = cluster.servers.get("s0")!.running.some((task) => task.startsWith(LONG_JOB));
+  assert.ok(started, "the new boot accepts a start");
+  cluster.kill(scheduler);
+  cluster.announce("s0");
+  await clock.advance(LONG_MS * 3);
+  cluster.updateServers();
+  assert.equal(repeatedStarts(cluster.servers.values()), []);
+  assert.is(await cluster.state(LONG_JOB), "completed");
+});
+
 test.run();
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -66,6 +66,8 @@
   readonly log?: Log;
   /** Time in ms within which evacuations must take effect. @default 5000 */
   readonly evacuateMs?: number;
+  /** Time in ms that a server takes to stop a run. @default 0 */
+  readonly stopMs?: number;
   /** Zone of every backend server. @default two zones without entry instances */
   readonly serverZone?: string;
   /** Makes entries ignore evacuations, to show that checks notice it. @default false */
@@ -94,6 +96,7 @@
       linkBytesPerMs: options.linkBytesPerMs ?? FAST_LINK_BYTES_PER_MS,
       evacuateMs: options.evacuateMs ?? 5000,
       ignoreEvacuations: options.ignoreEvacuations ?? false,
+      stopMs: options.stopMs ?? 0,
     };
     this.#operators = new FakeOperators(config, this.#options.ignoreEvacuations);
     const { serverZone } = options;
@@ -103,10 +106,10 @@
   }
 
   addServer(id: string): SimulatedJobServer {
-    const { capacity, behaviour } = this.#options;
+    const { capacity, behaviour, stopMs } = this.#options;
     const server = new SimulatedJobServer({
       ...{ clock: this.clock, id, capacity, behaviour },
-      maxLeaseMs: MAX_SERVER_LEASE_MS,
+      ...{ maxLeaseMs: MAX_SERVER_LEASE_MS, stopMs },
     });
     this.servers.set(id, server);
     this.#registry.changed(id);
