fix(execution): no end on a later boot is acknowledged before it was read

A server that was back under its id numbers its ends anew, so the first poll that reached it dropped the ends of the starts that it had accepted, and the tasks were started again after they were done (TWICE).

An acknowledgement is now sent once, right after the list that it answers, and not after a failed poll.

--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -274,7 +274,7 @@
     const deadlineMs = this.reachable
       ? this.#serverClock.issueDeadline(askedAt, leaseTtlMs)
       : undefined;
-    const acknowledged = this.#acknowledged;
+    const acknowledged = this.#endsToAcknowledge();
     const waitMs = this.#pollWait();
     const { token } = this.#options.tenure;
     const order: PollOrder = { token, deadlineMs, acknowledged, waitMs };
@@ -295,10 +295,19 @@
       await this.#pollFailed({ kind: "unknown", detail: "list of an earlier boot" });
       return;
     }
-    this.#acknowledgedByServer = acknowledged;
+    this.#acknowledgedByServer = Math.max(this.#acknowledgedByServer, acknowledged);
     await this.#handleLists(result.val, askedAt);
   }
 
+  /**
+   * Position of the next acknowledgement; 0 if there is none. Sent once and only right after a list,
+   * because a later boot numbers its ends anew and would drop ends that were never read.
+   */
+  #endsToAcknowledge(): number {
+    const pending = this.#acknowledged > this.#acknowledgedByServer;
+    return pending && this.reachable ? this.#acknowledged : 0;
+  }
+
   #pollWait(): number {
     if (!this.adopted || this.#failures > 0) return 0;
     return this.#options.listener.pollWait(this.id);
--- a/test/coordination/jobs/unnoticed-reboot.test.ts
+++ b/test/coordination/jobs/unnoticed-reboot.test.ts
@@ -88,4 +88,17 @@
   assert.is(await cluster.state(LONG_JOB), "completed");
 });
 
+// Guards against a task that is repeated after it was done, because the end was acknowledged unread: a
+// poll acknowledged ends of the former boot, whose numbers the new boot uses again.
+test("an end on a server's new boot is not acknowledged before it was read", async () => {
+  const { cluster, clock, load } = await loadedCluster({ durationMs: 150 });
+  cluster.servers.get("s0")!.crash();
+  await load(SUBMIT_INTERVAL_MS);
+  cluster.servers.get("s0")!.boot();
+  await load(3000);
+  cluster.announce("s0");
+  await clock.advance(5000);
+  assert.equal(repeatedStarts(cluster.servers.values()), []);
+});
+
 test.run();
