--- a/test/platform/operator-records.test.ts
+++ b/test/platform/operator-records.test.ts
@@ -67,4 +67,34 @@
   for (const value of malformed) assert.is(decodeServer("i-1", value), undefined);
 });
 
+/** The record of a worker with one field replaced by JSON text. */
+function withField(name: string, json: string): Uint8Array {
+  return Buffer.from(JSON.stringify({ ...WORKER, [name]: "?" }).replace('"?"', json));
+}
+
+// Guards against a server that is polled for ever at an address that can't exist, or whose real
+// registrations are ignored because a record of another writer has a boot time in the infinite future.
+test("records with numbers out of range are not decoded as servers", () => {
+  const odd = [
+    withField("address", '"10.0.0.1:99999"'),
+    withField("address", '"10.0.0.1:0"'),
+    withField("address", '"10.0.0.1 :80"'),
+    withField("born", "1e999"),
+    withField("born", "17.5"),
+    withField("born", "-1"),
+    withField("capacity", '{"cpu":1e999}'),
+    withField("capacity", '{"cpu":-1}'),
+    withField("capacity", "[]"),
+  ];
+  for (const value of odd)
+    assert.is(decodeServer("i-1", value), undefined, Buffer.from(value).toString());
+});
+
+test("very deeply nested records are decoded or refused without an error", () => {
+  const nested = "[".repeat(100_000) + "]".repeat(100_000);
+  assert.is(decodeServer("i-1", withField("capacity", nested)), undefined);
+  assert.is(decodeServer("i-1", withField("other", nested))?.id, "i-1");
+  assert.is(decodeServer("i-1", Buffer.from("[".repeat(100_000))), undefined);
+});
+
 test.run();
