fix(execution): runs of young servers are at work once their start is accepted

The fix of starts on later boots left runs unconfirmed when the clock of the start's reply could be that of a later boot, which is so for every server in its first moments. Their durations were not learnt and their progress not followed.

A reply now tells the same boot, certainly a later one, or neither. An accepted start counts as running in each case, as before; only whether the run is confirmed on its boot depends on it, which matters once a reboot is known.

--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -103,19 +103,18 @@
   #handleReply(run: ActiveRun, server: ServerDriver, reply: StartReply): void {
     const { log, counters, setPhase, lost } = this.#options;
     const { task, phase } = run;
-    if (!reply.fromThisBoot) {
-      log.info({ task: task.name, run: run.run, server: server.id }, "start reply of unknown boot");
-      counters.event("start_reply_of_unknown_boot");
-      setPhase(run, phase === "starting" ? "unconfirmed" : phase);
-      return;
+    if (reply.boot === "later") {
+      log.info({ task: task.name, run: run.run, server: server.id }, "start reply of a later boot");
+      counters.event("start_reply_of_later_boot");
     }
     // The server has rebooted since, and what the former boot started has ended with it.
-    if (run.bootedAt !== server.bootedAt) {
+    if (reply.boot === "same" && run.bootedAt !== server.bootedAt) {
       lost(run);
       return;
     }
     setPhase(run, phase === "starting" ? "running" : phase);
     recordStarted(run, reply);
+    if (reply.boot === "same") run.confirmed = true;
   }
 
   #sendOrder(run: ActiveRun, server: ServerDriver): OrderResult<StartReply> {
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -11,7 +11,11 @@
 } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
-import { leasesLapsedAt, ServerClock } from "../../../state/jobs/execution/server-clock.ts";
+import {
+  leasesLapsedAt,
+  ServerClock,
+  type ReadingBoot,
+} from "../../../state/jobs/execution/server-clock.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
 import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
@@ -42,8 +46,8 @@
 
 /** Reply to a start order. */
 export interface StartReply extends BackendClock {
-  /** False if the reply may come from a later boot than the driver's. */
-  readonly fromThisBoot: boolean;
+  /** The boot that accepted the start, compared with the driver's. */
+  readonly boot: ReadingBoot;
 }
 
 /** Planned work during which a backend server receives no new tasks. */
@@ -218,15 +222,16 @@
     const validMs = Math.min(START_VALID_MS, this.startValidMs);
     if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
     const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
+    const before = this.#serverClock.reading;
     const result = await backend.start({ ...order, token: tenure.token, deadlineMs });
     if (result.err) {
       this.#handleRefusal(result.val);
       return result;
     }
     const reading = { clockMs: result.val.clockMs, receivedAt: clock.now() };
-    const fromThisBoot = this.#serverClock.provesBoot(reading);
-    if (fromThisBoot) this.#serverClock.addReading(reading);
-    return Ok({ clockMs: reading.clockMs, fromThisBoot });
+    const boot = this.#serverClock.bootOf(reading, before);
+    if (boot !== "later") this.#serverClock.addReading(reading);
+    return Ok({ clockMs: reading.clockMs, boot });
   }
 
   /** Sends a stop order until it is acknowledged or the driver is closed. */
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -43,9 +43,8 @@
   };
 }
 
-/** Records that the boot which a run was placed on has started it. */
+/** Records that the start of a run was accepted. */
 export function recordStarted(run: ActiveRun, { clockMs }: BackendClock): void {
-  run.confirmed = true;
   // The progress at which a run resumes from a checkpoint is known only once the run is listed.
   if (run.task.checkpoint === "") run.firstProgress ??= { clockMs, percent: 0 };
 }
--- a/src/state/jobs/execution/server-clock.ts
+++ b/src/state/jobs/execution/server-clock.ts
@@ -12,6 +12,9 @@
   readonly receivedAt: number;
 }
 
+/** The boot that a reading comes from: the clock's own, certainly a later one, or one of both. */
+export type ReadingBoot = "same" | "later" | "unknown";
+
 /**
  * Relates the clock of one boot of a backend server to the monotonic clock of this process, and
  * computes the time from which the server's lease has certainly lapsed.
@@ -22,9 +25,9 @@
   /** Monotonic time in ms at which the newest list of this boot was requested. */
   #listedAt: number | undefined;
 
-  /** True once the clock of the backend server was read. */
-  get hasReading(): boolean {
-    return this.#reading !== undefined;
+  /** The newest reading; undefined before the first one. */
+  get reading(): ClockReading | undefined {
+    return this.#reading;
   }
 
   /** Records a reading. A reading older than the recorded one is ignored. */
@@ -39,12 +42,14 @@
   }
 
   /**
-   * True if a reading certainly comes from this boot. A later boot began after the last list of this
-   * boot was requested, so its clock shows less than the time since then.
+   * Tells the boot of a reading that was requested when `before` was the newest one. A later boot began
+   * after the last list of this boot was requested, so its clock shows less than the time since then.
    */
-  provesBoot({ clockMs, receivedAt }: ClockReading): boolean {
-    if (this.#listedAt === undefined) return false;
-    return clockMs > (receivedAt - this.#listedAt) / SLOWEST_CLOCK_RATE + CLOCK_TOLERANCE_MS;
+  bootOf({ clockMs, receivedAt }: ClockReading, before: ClockReading | undefined): ReadingBoot {
+    if (before !== undefined && clockMs < before.clockMs) return "later";
+    if (this.#listedAt === undefined) return "unknown";
+    const longestAgeMs = (receivedAt - this.#listedAt) / SLOWEST_CLOCK_RATE + CLOCK_TOLERANCE_MS;
+    return clockMs > longestAgeMs ? "same" : "unknown";
   }
 
   /**
