--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -201,7 +201,7 @@
 
   /**
    * Releases runs that ended with an earlier boot of a backend server. A run that the later boot may
-   * have started in its place is kept as a run on that boot, until the boot's lists tell.
+   * have started in its place is kept as a run on that boot, until a list of that boot shows whether it did.
    */
   earlierBootsEnded(server: string, bootedAt: number): void {
     for (const run of this.runRegistry.onServer(server)) {
--- a/src/state/jobs/execution/server-clock.ts
+++ b/src/state/jobs/execution/server-clock.ts
@@ -42,7 +42,7 @@
   }
 
   /**
-   * Tells the boot of a reading that was requested when `before` was the newest one. A later boot began
+   * Returns the boot of a reading that was requested when `before` was the newest one. A later boot began
    * after the last list of this boot was requested, so its clock shows less than the time since then.
    */
   bootOf({ clockMs, receivedAt }: ClockReading, before: ClockReading | undefined): ReadingBoot {
--- a/test/coordination/jobs/maintenance-takeover.test.ts
+++ b/test/coordination/jobs/maintenance-takeover.test.ts
@@ -9,6 +9,7 @@
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
 import { RunRegistry } from "../../../src/state/jobs/execution/run-registry.ts";
 import { NO_RESOURCES } from "../../../src/state/jobs/scheduling/resources.ts";
+import { advanceWithLock, silentLog, unrestrictedOrders } from "../../fakes/jobs/control-fakes.ts";
 import { VirtualClock } from "../../fakes/virtual-clock.ts";
 
 const PAUSE_MS = 3000;
@@ -28,17 +29,13 @@
   const orderedAt: number[] = [];
   const options = {
     ...{ clock, tenure, holder: "e", takeoverPauseMs: PAUSE_MS },
-    log: { debug: noop, info: noop, warn: noop, error: noop },
+    log: silentLog(),
     store: new MemoryRecordStore(clock).client(),
     config: { waves: [{ wave: 1, instances: ["m"], durationMs: 20_000, maxAtOnce: 1 }] },
     operators: { reportWave: () => Promise.resolve(true) },
     view: { read: () => Promise.resolve([INSTANCE]) },
     scheduler: { drivers: { get: noop }, tracker: { runRegistry: new RunRegistry() } },
-    orders: {
-      load: () => Promise.resolve(true),
-      allowed: () => true,
-      persist: () => Promise.resolve(true),
-    },
+    orders: unrestrictedOrders(),
     instances: {
       maintain: () => {
         orderedAt.push(clock.now());
@@ -55,11 +52,7 @@
   const { clock, tenure, orderedAt, runner: subject } = createRunner();
   const begunAt = clock.now();
   void subject.run();
-  for (let waited = 0; waited < PAUSE_MS + 1500; waited += 100) {
-    const now = { now: clock.now(), wallTime: clock.wallTime() };
-    tenure.renewed(now);
-    await clock.advance(100);
-  }
+  await advanceWithLock(clock, tenure, PAUSE_MS + 1500);
   tenure.end();
   assert.is(orderedAt.length, 1);
   assert.ok(orderedAt[0]! - begunAt >= PAUSE_MS);
--- a/test/coordination/jobs/refused-maintenance.test.ts
+++ b/test/coordination/jobs/refused-maintenance.test.ts
@@ -10,14 +10,9 @@
 import { MemoryRecordStore } from "../../../src/stand-ins/memory-record-store.ts";
 import { RunRegistry } from "../../../src/state/jobs/execution/run-registry.ts";
 import { NO_RESOURCES } from "../../../src/state/jobs/scheduling/resources.ts";
+import { advanceWithLock, silentLog, unrestrictedOrders } from "../../fakes/jobs/control-fakes.ts";
 import { VirtualClock } from "../../fakes/virtual-clock.ts";
 
-const STEP_MS = 100;
-
-function noop(): undefined {
-  return undefined;
-}
-
 /** A runner with a wave of one instance, whose maintenance is answered with the given error. */
 function runnerWithRefusal(error: ControlError) {
   const clock = new VirtualClock();
@@ -35,17 +30,13 @@
   let orders = 0;
   const options = {
     ...{ clock, tenure, holder: "e", takeoverPauseMs: 0 },
-    log: { debug: noop, info: noop, warn: noop, error: noop },
+    log: silentLog(),
     store: new MemoryRecordStore(clock).client(),
     config: { waves: [{ wave: 1, instances: ["m"], durationMs: 20_000, maxAtOnce: 1 }] },
     operators: { reportWave: () => Promise.resolve(true) },
     view: { read: () => Promise.resolve([instance]) },
     scheduler: { drivers: { get: () => driver }, tracker: { runRegistry: new RunRegistry() } },
-    orders: {
-      load: () => Promise.resolve(true),
-      allowed: () => true,
-      persist: () => Promise.resolve(true),
-    },
+    orders: unrestrictedOrders(),
     instances: {
       maintain: () => {
         orders++;
@@ -53,12 +44,7 @@
       },
     },
   } as unknown as MaintenanceRunnerOptions;
-  const advance = async (ms: number): Promise<void> => {
-    for (let waited = 0; waited < ms; waited += STEP_MS) {
-      tenure.renewed({ now: clock.now(), wallTime: clock.wallTime() });
-      await clock.advance(STEP_MS);
-    }
-  };
+  const advance = (ms: number): Promise<void> => advanceWithLock(clock, tenure, ms);
   void new MaintenanceRunner(options).run();
   return { tenure, reservations, driver, advance, orders: () => orders };
 }
--- a/test/coordination/jobs/unanswered-move.test.ts
+++ b/test/coordination/jobs/unanswered-move.test.ts
@@ -14,6 +14,7 @@
 import { RunRegistry } from "../../../src/state/jobs/execution/run-registry.ts";
 import { DurationModels } from "../../../src/state/jobs/scheduling/duration-model.ts";
 import { EventCounts } from "../../fakes/event-counts.ts";
+import { advanceWithLock, silentLog, unrestrictedOrders } from "../../fakes/jobs/control-fakes.ts";
 import { cpu, fleetConfig } from "../../fakes/jobs/job-builders.ts";
 import { VirtualClock } from "../../fakes/virtual-clock.ts";
 
@@ -22,10 +23,6 @@
 const CALL_TIMEOUT_MS = 2000;
 const STEP_MS = 100;
 
-function noop(): undefined {
-  return undefined;
-}
-
 /** A pool sizer for a pool of four idle instances, of which one is needed. */
 function poolOfFour() {
   const clock = new VirtualClock();
@@ -52,7 +49,7 @@
   };
   const options = {
     ...{ clock, tenure, holder: "e", counters: counts },
-    log: { debug: noop, info: noop, warn: noop, error: noop },
+    log: silentLog(),
     config: {
       current: fleetConfig({
         pools: [
@@ -80,18 +77,9 @@
         runsLost: (driver: ServerDriver) => drivers.delete(driver.id),
       },
     },
-    orders: {
-      load: () => Promise.resolve(true),
-      allowed: () => true,
-      persist: () => Promise.resolve(true),
-    },
+    orders: unrestrictedOrders(),
   } as unknown as PoolSizerOptions;
-  const advance = async (ms: number): Promise<void> => {
-    for (let waited = 0; waited < ms; waited += STEP_MS) {
-      tenure.renewed({ now: clock.now(), wallTime: clock.wallTime() });
-      await clock.advance(STEP_MS);
-    }
-  };
+  const advance = (ms: number): Promise<void> => advanceWithLock(clock, tenure, ms);
   void new PoolSizer(options).run();
   const usable = (): readonly string[] =>
     [...instances.values()].flatMap(({ name, pool, server = "" }) =>
