--- a/review/lib-2/config.ts
+++ b/review/lib-2/config.ts
@@ -34,11 +34,15 @@
   version: number,
   routes: readonly RouteOptions[],
   tenants: readonly object[] = [],
+  spare: readonly string[] = [],
 ): object {
   const services = [...new Set(routes.map(({ service }) => service))];
   return {
     ...{ version, routes: routes.map(route), tenants },
-    services: services.map((name) => ({ name, admissionCheck: false, spare: false })),
+    services: [
+      ...services.map((name) => ({ name, admissionCheck: false, spare: false })),
+      ...spare.map((name) => ({ name, admissionCheck: false, spare: true })),
+    ],
     limits: { maxBodyBytes: 262_144 },
   };
 }
--- a/review/lib-2/main.ts
+++ b/review/lib-2/main.ts
@@ -25,8 +25,9 @@
   const record = new CaseRecord(join(process.argv[2] ?? ".", "record.txt"));
   const sites: Site[] = [];
   const end = async (code: number): Promise<never> => {
-    for (const site of sites) await site.close();
+    // What the end of the stand-ins does to runs is no part of the case.
     record.save();
+    for (const site of sites) await site.close();
     process.exit(code);
   };
   const giveUp = (reason: string): void => {
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -48,8 +48,10 @@
 
 /** A worker and its place. */
 export interface SiteWorker {
-  readonly worker: Worker;
-  readonly service: string;
+  /** Replaced when the machine moves to another pool. */
+  worker: Worker;
+  service: string;
+  readonly kind: string;
   readonly rack: string;
   readonly capacity: { readonly cpu: number; readonly memMb: number };
 }
@@ -63,6 +65,10 @@
   /** Number of workers of each service. */
   readonly workers: Readonly<Record<string, number>>;
   readonly capacity: { readonly cpu: number; readonly memMb: number };
+  /** Kind of a worker, its first label. @default "a" for all */
+  readonly kindOf?: (service: string, index: number) => string;
+  /** Service whose machines are off. */
+  readonly spare?: string;
 }
 
 /** Starts and ends all processes and stand-ins of a case. */
@@ -87,20 +93,18 @@
 
   /** Starts everything and resolves once all entries are ready. */
   async start(config: object): Promise<void> {
-    const { entries, workers, capacity, record, behaviourOf } = this.#options;
+    const { entries, workers, capacity, record, kindOf = () => "a", spare } = this.#options;
     this.configure(config);
     const addresses = { store: await this.store.listen(), cloud: await this.#cloud.listen() };
     for (const [service, count] of Object.entries(workers)) {
       for (let index = 0; index < count; index++) {
-        const worker = new Worker({
-          ...{ id: `i-${service}-${index}`, record, bounds: BOUNDS, behaviourOf },
-          ...{ gangs: this.#gangs, runs: this.runs },
-        });
-        await worker.boot();
-        this.#addWorker({ worker, service, rack: `r1-${index % 2}`, capacity });
+        const worker = this.#newWorker(`i-${service}-${index}`);
+        if (service !== spare) await worker.boot();
+        const kind = kindOf(service, index);
+        this.#addWorker({ worker, service, kind, rack: `r1-${index % 2}`, capacity });
       }
     }
-    for (const each of this.workers) this.#register(each);
+    for (const each of this.workers) if (each.worker.up) this.#register(each);
     this.#timers.push(
       setInterval(() => {
         for (const each of this.workers) if (each.worker.up) this.#register(each);
@@ -111,17 +115,40 @@
     record.say("all entries are ready");
   }
 
+  #newWorker(id: string): Worker {
+    const { record, behaviourOf } = this.#options;
+    return new Worker({
+      ...{ id, record, bounds: BOUNDS, behaviourOf, gangs: this.#gangs, runs: this.runs },
+    });
+  }
+
   #addWorker(each: SiteWorker): void {
     this.workers.push(each);
-    const { worker, service, rack, capacity } = each;
-    const name = `m-${worker.id.slice(2)}`;
+    const { kind, rack, capacity } = each;
+    const name = `m-${each.worker.id.slice(2)}`;
     this.#cloud.machines.set(name, {
-      ...{ name, pool: service, zone: ZONE, labels: ["a", rack], capacity },
-      workerId: () => (worker.up ? worker.id : undefined),
+      ...{ name, zone: ZONE, labels: [kind, rack], capacity, pool: () => each.service },
+      workerId: () => (each.worker.up ? each.worker.id : undefined),
       restart: (downMs) => this.crashAndBoot(each, downMs),
+      move: (pool, downMs) => this.#move(each, pool, downMs),
     });
   }
 
+  /** Ends the worker of a machine; a new one joins the other pool, unless that is the spare one. */
+  async #move(each: SiteWorker, pool: string, downMs: number): Promise<void> {
+    const { record, spare } = this.#options;
+    const { id } = each.worker;
+    record.say(`the machine of ${id}, kind ${each.kind}, moves from ${each.service} to ${pool}`);
+    if (each.worker.up) each.worker.crash();
+    this.store.remove(`servers/${id}`);
+    each.service = pool;
+    each.worker = this.#newWorker(`${id}+`);
+    await pause(downMs);
+    if (pool === spare || this.#closing) return;
+    await each.worker.boot();
+    this.#register(each);
+  }
+
   /** Asks for the upkeep of machines as the operator does. */
   requestWave(wave: number, machines: readonly string[], durationS: number, cap: number): void {
     this.#options.record.say(`the operator asks for wave ${wave}: ${machines.join(" ")}`);
@@ -159,18 +186,18 @@
       child.kill("SIGKILL");
       await exit;
     }
-    for (const { worker } of this.workers) worker.crash();
+    for (const { worker } of this.workers) if (worker.up) worker.crash();
     this.store.close();
     this.#cloud.close();
     if (process.env.KEEP_LOGS === undefined) rmSync(this.folder, { recursive: true, force: true });
     else process.stdout.write(`logs in ${this.folder}\n`);
   }
 
-  #register({ worker, service, rack, capacity }: SiteWorker): void {
+  #register({ worker, service, kind, rack, capacity }: SiteWorker): void {
     this.store.write(`servers/${worker.id}`, {
       ...{ service, address: worker.address, zone: ZONE, version: "v1", slots: 8 },
       ...{ state: "ready", coldRemainingMs: 0, capacity: { ...capacity, gpu: 0 } },
-      ...{ labels: ["a", rack], born: worker.born, sequence: ++this.#beats },
+      ...{ labels: [kind, rack], born: worker.born, sequence: ++this.#beats },
     });
   }
 
