--- a/review/lib-2/main.ts
+++ b/review/lib-2/main.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Plays a case and writes `record.txt` into the folder that the command line names. `play` resolves
- * with what broke the rule; empty if it held.
+ * Plays a case. The command line names the folder for `record.txt`, then `TROUBLE`: 0 plays the case
+ * without its disruption. `play` resolves with what broke the rule; empty if it held.
  */
 export async function runCase(
   play: (context: CasePlay) => Promise<readonly string[]>,
@@ -48,7 +48,7 @@
     return site;
   };
   try {
-    const broken = await play({ record, trouble: process.env.TROUBLE !== "0", use });
+    const broken = await play({ record, trouble: process.argv[3] !== "0", use });
     for (const line of broken) record.say(`broken: ${line}`);
     record.say(broken.length > 0 ? "the rule was broken" : "the rule held");
     await end(broken.length > 0 ? 1 : 0);
