--- /dev/null
+++ b/review/lib-2/site.ts
@@ -0,0 +1,321 @@
+/** A small deployment on loopback: entry processes, workers, the store and the operator. */
+import { spawn, type ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Cloud } from "./cloud.ts";
+import type { CaseRecord } from "./record.ts";
+import { Store } from "./store.ts";
+import { Gangs, type BehaviourOf } from "./tasks.ts";
+import { Worker, type ObservedRun, type WorkerBounds } from "./worker.ts";
+
+const HEARTBEAT_MS = 1500;
+/** Silent heartbeat intervals after which the entry of a worker is removed. */
+const MISSED_HEARTBEATS = 3;
+const READY_TIMEOUT_MS = 15_000;
+/** Time after which the platform starts a process again that has ended. */
+const RESTART_DELAY_MS = 500;
+
+/** Bounds as in the settings that `fleetbench wire` shows. */
+const BOUNDS: WorkerBounds = {
+  holdMaxMs: 10_000,
+  stopTimeoutMs: 200,
+  gangTimeoutMs: 3000,
+  checkpointMs: 500,
+  restoreMs: 250,
+};
+
+const ZONE = "zone-a";
+
+/** Addresses of the platform's services. */
+interface Addresses {
+  readonly store: string;
+  readonly cloud: string;
+}
+
+/** An entry process, one machine of the system. */
+export interface Entry {
+  readonly name: string;
+  readonly front: string;
+  readonly ready: string;
+  process: ChildProcess;
+  readonly settings: string;
+  /** Number of times that its process has ended by itself. */
+  ownEnds: number;
+}
+
+/** A worker and its place. */
+export interface SiteWorker {
+  readonly worker: Worker;
+  readonly service: string;
+  readonly rack: string;
+  readonly capacity: { readonly cpu: number; readonly memMb: number };
+}
+
+/** Options of {@link Site}. */
+export interface SiteOptions {
+  readonly record: CaseRecord;
+  readonly behaviourOf: BehaviourOf;
+  /** Number of entry processes. */
+  readonly entries: number;
+  /** Number of workers of each service. */
+  readonly workers: Readonly<Record<string, number>>;
+  readonly capacity: { readonly cpu: number; readonly memMb: number };
+}
+
+/** Starts and ends all processes and stand-ins of a case. */
+export class Site {
+  readonly store = new Store({ valueBytes: 1_048_576, ttlMinMs: 1000 });
+  readonly runs: ObservedRun[] = [];
+  readonly workers: SiteWorker[] = [];
+  readonly entries: Entry[] = [];
+  /** Folder for settings and logs. */
+  readonly folder = mkdtempSync(join(tmpdir(), "teaselspool-review-"));
+  readonly #options: SiteOptions;
+  readonly #cloud: Cloud;
+  readonly #gangs = new Gangs();
+  readonly #timers: NodeJS.Timeout[] = [];
+  #beats = 0;
+  #closing = false;
+
+  constructor(options: SiteOptions) {
+    this.#options = options;
+    this.#cloud = new Cloud(options.record);
+  }
+
+  /** Starts everything and resolves once all entries are ready. */
+  async start(config: object): Promise<void> {
+    const { entries, workers, capacity, record, behaviourOf } = this.#options;
+    this.configure(config);
+    const addresses = { store: await this.store.listen(), cloud: await this.#cloud.listen() };
+    for (const [service, count] of Object.entries(workers)) {
+      for (let index = 0; index < count; index++) {
+        const worker = new Worker({
+          ...{ id: `i-${service}-${index}`, record, bounds: BOUNDS, behaviourOf },
+          ...{ gangs: this.#gangs, runs: this.runs },
+        });
+        await worker.boot();
+        this.#addWorker({ worker, service, rack: `r1-${index % 2}`, capacity });
+      }
+    }
+    for (const each of this.workers) this.#register(each);
+    this.#timers.push(
+      setInterval(() => {
+        for (const each of this.workers) if (each.worker.up) this.#register(each);
+      }, HEARTBEAT_MS),
+    );
+    for (let index = 0; index < entries; index++) await this.#startEntry(index, addresses);
+    await this.#waitUntilReady();
+    record.say("all entries are ready");
+  }
+
+  #addWorker(each: SiteWorker): void {
+    this.workers.push(each);
+    const { worker, service, rack, capacity } = each;
+    const name = `m-${worker.id.slice(2)}`;
+    this.#cloud.machines.set(name, {
+      ...{ name, pool: service, zone: ZONE, labels: ["a", rack], capacity },
+      workerId: () => (worker.up ? worker.id : undefined),
+      restart: (downMs) => this.crashAndBoot(each, downMs),
+    });
+  }
+
+  /** Asks for the upkeep of machines as the operator does. */
+  requestWave(wave: number, machines: readonly string[], durationS: number, cap: number): void {
+    this.#options.record.say(`the operator asks for wave ${wave}: ${machines.join(" ")}`);
+    this.store.write(`op/wave/${wave}`, { wave, machines, durationS, cap });
+  }
+
+  /** Writes a configuration as the operator does. */
+  configure(config: object): void {
+    this.#options.record.add(`the operator writes op/config: ${JSON.stringify(config)}`);
+    this.store.write("op/config", config);
+  }
+
+  /** Crashes a worker and boots it again, under the same id, after a time. */
+  async crashAndBoot(each: SiteWorker, downMs: number): Promise<void> {
+    const { record } = this.#options;
+    record.say(`${each.worker.id} crashes`);
+    each.worker.crash();
+    const removal = setTimeout(() => {
+      this.store.remove(`servers/${each.worker.id}`);
+    }, MISSED_HEARTBEATS * HEARTBEAT_MS);
+    await pause(downMs);
+    clearTimeout(removal);
+    await each.worker.boot();
+    this.#register(each);
+    record.say(`${each.worker.id} is back after ${downMs} ms`);
+  }
+
+  /** Ends all processes and stand-ins that this site started. */
+  async close(): Promise<void> {
+    this.#closing = true;
+    for (const timer of this.#timers) clearInterval(timer);
+    for (const { process: child } of this.entries) {
+      if (child.exitCode !== null || child.signalCode !== null) continue;
+      const exit = once(child, "exit");
+      child.kill("SIGKILL");
+      await exit;
+    }
+    for (const { worker } of this.workers) worker.crash();
+    this.store.close();
+    this.#cloud.close();
+    if (process.env.KEEP_LOGS === undefined) rmSync(this.folder, { recursive: true, force: true });
+    else process.stdout.write(`logs in ${this.folder}\n`);
+  }
+
+  #register({ worker, service, rack, capacity }: SiteWorker): void {
+    this.store.write(`servers/${worker.id}`, {
+      ...{ service, address: worker.address, zone: ZONE, version: "v1", slots: 8 },
+      ...{ state: "ready", coldRemainingMs: 0, capacity: { ...capacity, gpu: 0 } },
+      ...{ labels: ["a", rack], born: worker.born, sequence: ++this.#beats },
+    });
+  }
+
+  async #startEntry(index: number, addresses: Addresses): Promise<void> {
+    const name = `front-zone-a-${index + 1}`;
+    const [front = 0, ready = 0, first = 0] = await freePorts();
+    const file = join(this.folder, `${name}.toml`);
+    writeFileSync(file, settingsText(name, { front, ready, first }, addresses));
+    this.entries.push({
+      ...{ name, settings: file, ownEnds: 0, process: this.#spawn(name, file) },
+      ...{ front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}` },
+    });
+  }
+
+  /** Starts a process with the command of the deploy file. */
+  #spawn(name: string, settings: string): ChildProcess {
+    const child = spawn(
+      process.execPath,
+      ["--max-old-space-size=200", "target/teaselspool.cjs", "platform"],
+      {
+        stdio: ["ignore", "pipe", "pipe"],
+        env: { PATH: process.env.PATH, HOME: process.env.HOME, TEASELSPOOL_NODE_FILE: settings },
+      },
+    );
+    const log = createWriteStream(join(this.folder, `${name}.log`), { flags: "a" });
+    child.stdout.pipe(log);
+    child.stderr.pipe(log);
+    child.on("exit", (code, signal) => {
+      if (!this.#closing) this.#ended(name, `code ${code ?? "none"}, signal ${signal ?? "none"}`);
+    });
+    return child;
+  }
+
+  /** Starts a process that has ended by itself again, as the platform does. */
+  #ended(name: string, how: string): void {
+    this.#options.record.add(`${name} has ended by itself: ${how}`);
+    const entry = this.entries.find((each) => each.name === name);
+    if (entry === undefined) return;
+    entry.ownEnds++;
+    setTimeout(() => {
+      if (!this.#closing) entry.process = this.#spawn(name, entry.settings);
+    }, RESTART_DELAY_MS);
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    const until = performance.now() + READY_TIMEOUT_MS;
+    for (const { ready, name } of this.entries) {
+      for (;;) {
+        const ok = await fetch(`http://${ready}/v1/ready`).then(
+          ({ status }) => status === 200,
+          () => false,
+        );
+        if (ok) break;
+        if (performance.now() > until) throw new Error(`${name} does not become ready`);
+        await pause(100);
+      }
+    }
+  }
+}
+
+/** Waits for a time in ms. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Port below those that the system gives to outgoing connections. */
+const LOWEST_PORT = 20_000;
+const PORT_RANGE = 10_000;
+/** Ports of one entry: callers, readiness, peers and metrics. */
+const PORTS_PER_ENTRY = 4;
+
+/** Four successive free ports. */
+async function freePorts(): Promise<readonly number[]> {
+  for (;;) {
+    const first = LOWEST_PORT + Math.floor(Math.random() * PORT_RANGE);
+    const ports = Array.from({ length: PORTS_PER_ENTRY }, (_, index) => first + index);
+    const free = await Promise.all(ports.map(isFree));
+    if (free.every(Boolean)) return ports;
+  }
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => {
+      resolve(false);
+    });
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
+}
+
+/** Settings of an entry process, with the figures that `fleetbench wire` shows. */
+function settingsText(
+  name: string,
+  ports: { readonly front: number; readonly ready: number; readonly first: number },
+  { store, cloud }: Addresses,
+): string {
+  return `nodeName = "${name}"
+role = "entry"
+machineClass = "front"
+serves = ["front"]
+ip = "127.0.0.1"
+zone = "${ZONE}"
+region = "region"
+portRange = [${ports.first}, ${ports.first + 1}]
+heartbeatMs = ${HEARTBEAT_MS}
+orders = "request"
+[listenAddrs]
+front = "127.0.0.1:${ports.front}"
+ready = "127.0.0.1:${ports.ready}"
+[limits]
+cpuShare = 0.675
+cores = 1
+memoryMb = 350
+linkMbps = 1000.0
+[bounds]
+contactMs = 3000
+ackMs = 4000
+graceS = 6
+configApplyMs = 2000
+holdMaxMs = ${BOUNDS.holdMaxMs}
+stopTimeoutMs = ${BOUNDS.stopTimeoutMs}
+gangTimeoutMs = ${BOUNDS.gangTimeoutMs}
+cancel_ms = 3000
+visible_ms = 3000
+finish_s = 14
+status_s = 120
+checkpointS = ${BOUNDS.checkpointMs / 1000}
+restoreMs = ${BOUNDS.restoreMs}
+leaseMs = 3000
+[platform]
+address = "${store}"
+form = "kv"
+writesPerS = 400
+readsPerS = 2000
+historyS = 20
+valueBytes = 1048576
+ttlMinMs = 1000
+[cloud]
+address = "${cloud}"
+ratePerS = 64.0
+dutyPerS = 64.0
+`;
+}
