--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -2,39 +2,22 @@
 import { spawn, type ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Cloud } from "./cloud.ts";
 import type { CaseRecord } from "./record.ts";
+import { BOUNDS, freePorts, HEARTBEAT_MS, settingsText, ZONE, type Addresses } from "./settings.ts";
 import { Store } from "./store.ts";
 import { Gangs, type BehaviourOf } from "./tasks.ts";
-import { Worker, type ObservedRun, type WorkerBounds } from "./worker.ts";
+import type { ObservedRun } from "./runs.ts";
+import { Worker } from "./worker.ts";
 
-const HEARTBEAT_MS = 1500;
 /** Silent heartbeat intervals after which the entry of a worker is removed. */
 const MISSED_HEARTBEATS = 3;
 const READY_TIMEOUT_MS = 15_000;
 /** Time after which the platform starts a process again that has ended. */
 const RESTART_DELAY_MS = 500;
 
-/** Bounds as in the settings that `fleetbench wire` shows. */
-const BOUNDS: WorkerBounds = {
-  holdMaxMs: 10_000,
-  stopTimeoutMs: 200,
-  gangTimeoutMs: 3000,
-  checkpointMs: 500,
-  restoreMs: 250,
-};
-
-const ZONE = "zone-a";
-
-/** Addresses of the platform's services. */
-interface Addresses {
-  readonly store: string;
-  readonly cloud: string;
-}
-
 /** An entry process, one machine of the system. */
 export interface Entry {
   readonly name: string;
@@ -262,87 +245,3 @@
 export function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
-
-/** Port below those that the system gives to outgoing connections. */
-const LOWEST_PORT = 20_000;
-const PORT_RANGE = 10_000;
-/** Ports of one entry: callers, readiness, peers and metrics. */
-const PORTS_PER_ENTRY = 4;
-
-/** Four successive free ports. */
-async function freePorts(): Promise<readonly number[]> {
-  for (;;) {
-    const first = LOWEST_PORT + Math.floor(Math.random() * PORT_RANGE);
-    const ports = Array.from({ length: PORTS_PER_ENTRY }, (_, index) => first + index);
-    const free = await Promise.all(ports.map(isFree));
-    if (free.every(Boolean)) return ports;
-  }
-}
-
-function isFree(port: number): Promise<boolean> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once("error", () => {
-      resolve(false);
-    });
-    server.listen(port, "127.0.0.1", () => {
-      server.close(() => {
-        resolve(true);
-      });
-    });
-  });
-}
-
-/** Settings of an entry process, with the figures that `fleetbench wire` shows. */
-function settingsText(
-  name: string,
-  ports: { readonly front: number; readonly ready: number; readonly first: number },
-  { store, cloud }: Addresses,
-): string {
-  return `nodeName = "${name}"
-role = "entry"
-machineClass = "front"
-serves = ["front"]
-ip = "127.0.0.1"
-zone = "${ZONE}"
-region = "region"
-portRange = [${ports.first}, ${ports.first + 1}]
-heartbeatMs = ${HEARTBEAT_MS}
-orders = "request"
-[listenAddrs]
-front = "127.0.0.1:${ports.front}"
-ready = "127.0.0.1:${ports.ready}"
-[limits]
-cpuShare = 0.675
-cores = 1
-memoryMb = 350
-linkMbps = 1000.0
-[bounds]
-contactMs = 3000
-ackMs = 4000
-graceS = 6
-configApplyMs = 2000
-holdMaxMs = ${BOUNDS.holdMaxMs}
-stopTimeoutMs = ${BOUNDS.stopTimeoutMs}
-gangTimeoutMs = ${BOUNDS.gangTimeoutMs}
-cancel_ms = 3000
-visible_ms = 3000
-finish_s = 14
-status_s = 120
-checkpointS = ${BOUNDS.checkpointMs / 1000}
-restoreMs = ${BOUNDS.restoreMs}
-leaseMs = 3000
-[platform]
-address = "${store}"
-form = "kv"
-writesPerS = 400
-readsPerS = 2000
-historyS = 20
-valueBytes = 1048576
-ttlMinMs = 1000
-[cloud]
-address = "${cloud}"
-ratePerS = 64.0
-dutyPerS = 64.0
-`;
-}
--- a/review/lib-2/worker.ts
+++ b/review/lib-2/worker.ts
@@ -1,6 +1,7 @@
 /** Stand-in for one worker, by PROTOCOL.md: runs tasks, keeps leases, fencing tokens and ends. */
 import { JsonServer, type Answer, type Call } from "./http.ts";
 import type { CaseRecord } from "./record.ts";
+import type { ObservedRun, OrderFate, RunEnd, WorkerBounds } from "./runs.ts";
 import { Gangs, type BehaviourOf, type TaskBehaviour } from "./tasks.ts";
 
 const MAX_LISTED_ENDS = 500;
@@ -9,39 +10,6 @@
 /** Time after which the connection of an unanswered order ends; longer than any caller waits. */
 const UNANSWERED_MS = 12_000;
 
-/** How a run ended, as a worker lists it; `crashed` if the worker ended with it. */
-export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "broken" | "alone" | "crashed";
-
-/** One run of a task, kept for the judgement of the case. Times are `performance.now()`. */
-export interface ObservedRun {
-  readonly task: string;
-  readonly run: number;
-  readonly worker: string;
-  readonly checkpoint: string;
-  readonly startedAt: number;
-  endedAt: number | undefined;
-  end: RunEnd | undefined;
-  /** Time at which `lastSeen` reached the end. */
-  notedAt: number | undefined;
-  /** True if the worker's lease lapsed after the end and before it was noted. */
-  lapsedUnnoted: boolean;
-}
-
-/** Bounds of the settings that a worker applies. */
-export interface WorkerBounds {
-  readonly holdMaxMs: number;
-  readonly stopTimeoutMs: number;
-  readonly gangTimeoutMs: number;
-  readonly checkpointMs: number;
-  readonly restoreMs: number;
-}
-
-/**
- * What becomes of an order: it is carried out and answered, carried out without an answer, carried
- * out without an answer after a time in ms, lost, or refused by an unhealthy worker.
- */
-export type OrderFate = "answered" | "unanswered" | "lost" | "refused" | number;
-
 /** Options of {@link Worker}. */
 export interface WorkerOptions {
   readonly id: string;
