feat(execution): log what the end of a server's lease rests on

Change: "later boot is known" gives the former boot's pending orders with a deadline, "runs are gone" the number of confirmed runs, the age of the boot, whether it was adopted and when the last order with a deadline ended; a run that is listed although it was given up is logged and counted (abandoned_run_active). No decision changes. Measured: the tests of takeovers, lost servers, relays and unnoticed reboots pass as before.

--- a/src/coordination/jobs/execution/run-end-handler.ts
+++ b/src/coordination/jobs/execution/run-end-handler.ts
@@ -60,6 +60,11 @@
     return jobs;
   }
 
+  /** True if the run was abandoned because the lease of its server was taken to have lapsed. */
+  wasGivenUp(task: string, run: number): boolean {
+    return this.#findTask(task)?.givenUpRuns.has(run) === true;
+  }
+
   /** Stops the other members of a gang, because all members have to restart together. */
   stopGang(task: Task): void {
     if (!task.step.spec.gang || task.done) return;
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -195,7 +195,9 @@
       .onServer(driver.id)
       .filter((run) => reason !== "lapsed" || run.leaseInDoubtUntil <= now);
     if (runs.length === 0) return;
-    this.#options.log.warn({ server: driver.id, reason, runs: runs.length }, "runs are gone");
+    const confirmed = runs.filter((run) => run.confirmed).length;
+    const fields = { server: driver.id, reason, runs: runs.length, confirmed };
+    this.#options.log.warn({ ...fields, ...driver.leaseFields }, "runs are gone");
     this.#releaseAll(runs, reason);
   }
 
@@ -307,7 +309,12 @@
   #stopUnknown(driver: ServerDriver, task: string, run: number): void {
     const own = this.runRegistry.forTask(task);
     if (own?.server === driver.id && own.run >= run) return;
-    this.#options.log.warn({ server: driver.id, task, run }, "stopping an unknown run");
+    const { log, counters } = this.#options;
+    log.warn({ server: driver.id, task, run }, "stopping an unknown run");
+    if (this.#ends.wasGivenUp(task, run)) {
+      log.warn({ server: driver.id, task, run }, "abandoned run is still active");
+      counters.event("abandoned_run_active");
+    }
     void driver.stop(task, run);
   }
 
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -16,6 +16,7 @@
   ServerClock,
   type ReadingBoot,
 } from "../../../state/jobs/execution/server-clock.ts";
+import { LeaseGrants } from "../../../state/jobs/execution/lease-grants.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
 import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
@@ -50,6 +51,18 @@
   readonly boot: ReadingBoot;
 }
 
+/** What a log line says about the lease of a server; times in ms. */
+export interface LeaseFields {
+  readonly bootedAt: number;
+  readonly adopted: boolean;
+  /** Time since the boot by the server's clock; undefined if the clock was not read. */
+  readonly bootAgeMs: number | undefined;
+  /** Orders with a deadline that have no result yet. */
+  readonly pendingOrders: number;
+  /** Time since the last order with a deadline had a result or was given up; undefined if none was sent. */
+  readonly lastOrderAgoMs: number | undefined;
+}
+
 /** Planned work during which a backend server receives no new tasks. */
 export type ReservationReason = "maintenance" | "move" | "surplus";
 
@@ -90,6 +103,7 @@
   #registration: RegisteredServer;
   readonly #options: ServerDriverOptions;
   readonly #serverClock = new ServerClock();
+  readonly #grants = new LeaseGrants();
   readonly #coldStart = new ColdStart();
   readonly #closed = new AbortController();
   /** Kept beside the signal, because it is read for each server in each placement round. */
@@ -172,6 +186,19 @@
     return this.#coldStart.coldness(this.#options.clock.now());
   }
 
+  /** Fields for log lines about the server's lease and boot, with times in ms. */
+  get leaseFields(): LeaseFields {
+    const now = this.#options.clock.now();
+    const { reading } = this.#serverClock;
+    const bootAgeMs = reading && Math.round(reading.clockMs + now - reading.receivedAt);
+    const endedAt = this.#grants.lastCarriedOutBy(now);
+    return {
+      ...{ bootedAt: this.bootedAt, adopted: this.adopted, bootAgeMs },
+      pendingOrders: this.#grants.pending,
+      lastOrderAgoMs: endedAt === undefined ? undefined : Math.round(now - endedAt),
+    };
+  }
+
   /** Applies a newer registration of the same boot. */
   updateRegistration(registration: RegisteredServer): void {
     this.#registration = registration;
@@ -223,7 +250,9 @@
     if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
     const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
     const before = this.#serverClock.reading;
+    this.#grants.begin();
     const result = await backend.start({ ...order, token: tenure.token, deadlineMs });
+    this.#grants.end(clock.now());
     if (result.err) {
       this.#handleRefusal(result.val);
       return result;
@@ -283,7 +312,9 @@
     const waitMs = this.#pollWait();
     const { token } = this.#options.tenure;
     const order: PollOrder = { token, deadlineMs, acknowledged, waitMs };
+    if (deadlineMs !== undefined) this.#grants.begin();
     const result = await backend.poll(order);
+    if (deadlineMs !== undefined) this.#grants.end(clock.now());
     if (this.closed) return;
     if (result.err) {
       await this.#pollFailed(result.val);
--- a/src/coordination/jobs/fleet/fleet-drivers.ts
+++ b/src/coordination/jobs/fleet/fleet-drivers.ts
@@ -4,7 +4,8 @@
 
 /** Options of {@link FleetDrivers}. */
 export interface FleetDriversOptions {
-  readonly open: (registration: RegisteredServer) => ServerDriver;
+  /** Opens a driver. `former` is the closed driver of an earlier boot. */
+  readonly open: (registration: RegisteredServer, former: ServerDriver | undefined) => ServerDriver;
   /**
    * Called when a server id registers for the first time, or a later boot becomes known. Its driver
    * is open but has sent nothing yet.
@@ -76,8 +77,9 @@
   }
 
   #openBoot(server: RegisteredServer, { registered }: { readonly registered: boolean }): void {
-    this.#drivers.get(server.id)?.close();
-    const driver = this.#options.open(server);
+    const former = this.#drivers.get(server.id);
+    former?.close();
+    const driver = this.#options.open(server, former);
     driver.absent = !registered;
     this.#drivers.set(server.id, driver);
     this.#options.onNewBoot(server.id, server.bootedAt);
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -145,7 +145,7 @@
       serversLoaded: () => this.drivers.loaded,
     });
     this.drivers = new FleetDrivers({
-      open: (registration) => this.#createDriver(registration),
+      open: (registration, former) => this.#createDriver(registration, former),
       onNewBoot: (server, bootedAt) => {
         this.tracker.earlierBootsEnded(server, bootedAt);
       },
@@ -234,8 +234,11 @@
     });
   }
 
-  #createDriver(registration: RegisteredServer): ServerDriver {
+  #createDriver(registration: RegisteredServer, former: ServerDriver | undefined): ServerDriver {
     const { clock, log, tenure, connector, leaseTtlMs } = this.#options;
+    const { id, bootedAt } = registration;
+    if (former !== undefined)
+      log.info({ server: id, bootedAt, former: former.leaseFields }, "later boot is known");
     const driver = new ServerDriver({
       ...{ clock, log, tenure, registration, leaseTtlMs, listener: this.tracker },
       backend: connector.connect(registration.address, registration.id, registration),
