fix(execution): the log fields of leases name the clock, not an age

Cause: the new line "later boot is known" showed 3,344,304 ms for a boot that was 15 s old: a server's clock does not begin at zero at its boot, so the field bootAgeMs was no age.

--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -55,8 +55,8 @@
 export interface LeaseFields {
   readonly bootedAt: number;
   readonly adopted: boolean;
-  /** Time since the boot by the server's clock; undefined if the clock was not read. */
-  readonly bootAgeMs: number | undefined;
+  /** Time on the server's clock; undefined if the clock was not read. */
+  readonly clockMs: number | undefined;
   /** Orders with a deadline that have no result yet. */
   readonly pendingOrders: number;
   /** Time since the last order with a deadline had a result or was given up; undefined if none was sent. */
@@ -190,10 +190,10 @@
   get leaseFields(): LeaseFields {
     const now = this.#options.clock.now();
     const { reading } = this.#serverClock;
-    const bootAgeMs = reading && Math.round(reading.clockMs + now - reading.receivedAt);
+    const clockMs = reading && Math.round(reading.clockMs + now - reading.receivedAt);
     const endedAt = this.#grants.lastCarriedOutBy(now);
     return {
-      ...{ bootedAt: this.bootedAt, adopted: this.adopted, bootAgeMs },
+      ...{ bootedAt: this.bootedAt, adopted: this.adopted, clockMs },
       pendingOrders: this.#grants.pending,
       lastOrderAgoMs: endedAt === undefined ? undefined : Math.round(now - endedAt),
     };
