--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -58,6 +58,8 @@
   readonly behaviour: (task: string) => TaskBehaviour;
   /** Rate of the server's clock relative to `clock`. @default 1 */
   readonly clockRate?: number;
+  /** Reading of the server's clock in ms at its boots, which are counted from 0. @default always 0 */
+  readonly clockStartMs?: (boot: number) => number;
   /** Longest lease in ms that the server accepts; a longer one is shortened. @default unlimited */
   readonly maxLeaseMs?: number;
   /** Time in ms that a stop takes. @default 0 */
@@ -96,10 +98,11 @@
   #token = 0;
   #deadlineMs = 0;
   #bootedAtMonotonic: number;
+  #boots = 0;
 
   constructor(options: SimulatedJobServerOptions) {
-    const { clockRate = 1, maxLeaseMs = Infinity, stopMs = 0 } = options;
-    this.#options = { ...options, clockRate, maxLeaseMs, stopMs };
+    const { clockRate = 1, clockStartMs = () => 0, maxLeaseMs = Infinity, stopMs = 0 } = options;
+    this.#options = { ...options, clockRate, clockStartMs, maxLeaseMs, stopMs };
     this.id = options.id;
     this.capacity = options.capacity;
     this.bootedAt = options.clock.wallTime();
@@ -132,6 +135,7 @@
     this.#token = 0;
     this.#deadlineMs = 0;
     this.#bootedAtMonotonic = clock.now();
+    this.#boots++;
     this.bootedAt = clock.wallTime();
     this.up = true;
   }
@@ -234,8 +238,9 @@
   }
 
   #clockMs(): number {
-    const { clock, clockRate } = this.#options;
-    return Math.floor((clock.now() - this.#bootedAtMonotonic) * clockRate);
+    const { clock, clockRate, clockStartMs } = this.#options;
+    const sinceBootMs = Math.floor((clock.now() - this.#bootedAtMonotonic) * clockRate);
+    return clockStartMs(this.#boots) + sinceBootMs;
   }
 }
 
--- a/test/fakes/jobs/fake-registry.ts
+++ b/test/fakes/jobs/fake-registry.ts
@@ -10,6 +10,8 @@
   /** Cold time of servers in ms, by server id. */
   readonly coldMs = new Map<string, number>();
   readonly #servers: ReadonlyMap<string, SimulatedJobServer>;
+  /** Registrations as last delivered, which may be of a former boot. */
+  readonly #delivered = new Map<string, RegisteredServer>();
   readonly #listeners = new Set<ServerListener>();
 
   constructor(servers: ReadonlyMap<string, SimulatedJobServer>) {
@@ -18,8 +20,7 @@
   }
 
   follow(listener: ServerListener, signal: AbortSignal): Promise<void> {
-    const up = [...this.#servers.values()].filter((server) => server.up);
-    listener.reset(up.map((server) => this.#registration(server)));
+    listener.reset([...this.#delivered.values()]);
     this.#listeners.add(listener);
     return new Promise((resolve) => {
       signal.addEventListener("abort", () => {
@@ -31,9 +32,12 @@
 
   changed(id: string): void {
     const server = this.#servers.get(id);
+    const registration = server?.up === true ? this.#registration(server) : undefined;
+    if (registration === undefined) this.#delivered.delete(id);
+    else this.#delivered.set(id, registration);
     for (const listener of this.#listeners) {
-      if (server?.up === true) listener.registered(this.#registration(server));
-      else listener.removed(id);
+      if (registration === undefined) listener.removed(id);
+      else listener.registered(registration);
     }
   }
 
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -68,6 +68,10 @@
   readonly evacuateMs?: number;
   /** Time in ms that a server takes to stop a run. @default 0 */
   readonly stopMs?: number;
+  /** Longest lease in ms that a server accepts. @default 6250, little more than schedulers grant */
+  readonly maxServerLeaseMs?: number;
+  /** Reading in ms of the clock of every server at its boots, counted from 0. @default always 0 */
+  readonly clockStartMs?: (boot: number) => number;
   /** Zone of every backend server. @default two zones without entry instances */
   readonly serverZone?: string;
   /** Makes entries ignore evacuations, to show that checks notice it. @default false */
@@ -97,6 +101,8 @@
       evacuateMs: options.evacuateMs ?? 5000,
       ignoreEvacuations: options.ignoreEvacuations ?? false,
       stopMs: options.stopMs ?? 0,
+      maxServerLeaseMs: options.maxServerLeaseMs ?? MAX_SERVER_LEASE_MS,
+      clockStartMs: options.clockStartMs ?? (() => 0),
     };
     this.#operators = new FakeOperators(config, this.#options.ignoreEvacuations);
     const { serverZone } = options;
@@ -106,10 +112,10 @@
   }
 
   addServer(id: string): SimulatedJobServer {
-    const { capacity, behaviour, stopMs } = this.#options;
+    const { capacity, behaviour, stopMs, maxServerLeaseMs, clockStartMs } = this.#options;
     const server = new SimulatedJobServer({
-      ...{ clock: this.clock, id, capacity, behaviour },
-      ...{ maxLeaseMs: MAX_SERVER_LEASE_MS, stopMs },
+      ...{ clock: this.clock, id, capacity, behaviour, clockStartMs },
+      ...{ maxLeaseMs: maxServerLeaseMs, stopMs },
     });
     this.servers.set(id, server);
     this.#registry.changed(id);
@@ -149,7 +155,7 @@
       loadNotifier: new ClusterLoadNotifier(this.entries, faults),
       storeConnectivity: () => faults.storeConnectivity,
       leaseTtlMs: LEASE_TTL_MS,
-      maxServerLeaseMs: MAX_SERVER_LEASE_MS,
+      maxServerLeaseMs: this.#options.maxServerLeaseMs,
       linkBytesPerMs,
       takeoverPauseMs: 0,
       maxConfigAgeMs: 2000,
