fix(execution): only a list confirms which boot of a server has started a run

Cause: a start reply names no boot, and ServerClock.bootOf took a clock above the age of the last list as proof of the former boot. Change: a start reply confirms nothing and releases nothing, and its clock is no reading of the driver's boot; a list, which names its boot, does both. A reading below the one known at its request still shows a later boot, for the log and the counter. Why it works: what the driver concludes about a boot now rests only on messages that name it.

--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -34,8 +34,6 @@
   readonly setPhase: (run: ActiveRun, phase: RunPhase) => void;
   /** Called with runs that have certainly not been started. */
   readonly notStarted: (run: ActiveRun) => void;
-  /** Called with runs that ended with a former boot of their backend server. */
-  readonly lost: (run: ActiveRun) => void;
   /** Called when further tasks may be placed. */
   readonly requestRound: () => void;
 }
@@ -100,21 +98,16 @@
     server.requestPoll();
   }
 
+  /** Records that a start was accepted. The reply does not tell which boot has accepted it. */
   #handleReply(run: ActiveRun, server: ServerDriver, reply: StartReply): void {
-    const { log, counters, setPhase, lost } = this.#options;
+    const { log, counters, setPhase } = this.#options;
     const { task, phase } = run;
-    if (reply.boot === "later") {
+    if (reply.fromLaterBoot) {
       log.info({ task: task.name, run: run.run, server: server.id }, "start reply of a later boot");
       counters.event("start_reply_of_later_boot");
     }
-    // The server has rebooted since, and what the former boot started has ended with it.
-    if (reply.boot === "same" && run.bootedAt !== server.bootedAt) {
-      lost(run);
-      return;
-    }
     setPhase(run, phase === "starting" ? "running" : phase);
     recordStarted(run, reply);
-    if (reply.boot === "same") run.confirmed = true;
   }
 
   #sendOrder(run: ActiveRun, server: ServerDriver): OrderResult<StartReply> {
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -78,9 +78,6 @@
         this.#setPhase(run, phase);
       },
       notStarted,
-      lost: (run) => {
-        this.#release(run, "rebooted");
-      },
     });
     this.#stopper = new RunStopper({ ...options, notStarted });
     const stop = (run: ActiveRun): void => {
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -12,9 +12,9 @@
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
 import {
+  isOfLaterBoot,
   leasesLapsedAt,
   ServerClock,
-  type ReadingBoot,
 } from "../../../state/jobs/execution/server-clock.ts";
 import { LeaseGrants } from "../../../state/jobs/execution/lease-grants.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
@@ -47,8 +47,8 @@
 
 /** Reply to a start order. */
 export interface StartReply extends BackendClock {
-  /** The boot that accepted the start, compared with the driver's. */
-  readonly boot: ReadingBoot;
+  /** True if a later boot than the driver's has certainly accepted the start. */
+  readonly fromLaterBoot: boolean;
 }
 
 /** What a log line says about the lease of a server; times in ms. */
@@ -257,10 +257,8 @@
       this.#handleRefusal(result.val);
       return result;
     }
-    const reading = { clockMs: result.val.clockMs, receivedAt: clock.now() };
-    const boot = this.#serverClock.bootOf(reading, before);
-    if (boot !== "later") this.#serverClock.addReading(reading);
-    return Ok({ clockMs: reading.clockMs, boot });
+    const fromLaterBoot = isOfLaterBoot(result.val, before);
+    return Ok({ clockMs: result.val.clockMs, fromLaterBoot });
   }
 
   /** Sends a stop order until it is acknowledged or the driver is closed. */
@@ -353,7 +351,6 @@
     const { clock, log, listener } = this.#options;
     if (this.#failures > 0) log.info({ server: this.id }, "backend server responds again");
     this.#failures = 0;
-    this.#serverClock.listRead(askedAt);
     this.#serverClock.addReading({ clockMs: lists.clockMs, receivedAt: clock.now() });
     this.adopted = true;
     const last = lists.ended.at(-1)?.sequence;
--- a/src/ports/job-backend.ts
+++ b/src/ports/job-backend.ts
@@ -37,8 +37,9 @@
   readonly checkpoint: string;
 }
 
-/** A reading of the backend server's clock, in milliseconds since its boot. */
+/** A reading of the backend server's clock. */
 export interface BackendClock {
+  /** Time in ms on a steady clock. Each boot begins at a reading of its own, not at zero. */
   readonly clockMs: number;
 }
 
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -30,7 +30,7 @@
   readonly server: string;
   /** Boot of the backend server that the run is on, if it was started, as Unix time in ms. */
   bootedAt: number;
-  /** True once it is known that the boot `bootedAt` has started the run, and not a later boot. */
+  /** True once a list of the boot `bootedAt` has shown the run; a later boot may have started it before. */
   confirmed: boolean;
   /**
    * Monotonic time in ms before which the boot may be running it on a lease that this scheduler did not
--- a/src/state/jobs/execution/server-clock.ts
+++ b/src/state/jobs/execution/server-clock.ts
@@ -1,19 +1,26 @@
+import type { BackendClock } from "../../../ports/job-backend.ts";
+
 /** Slowest assumed rate of a backend server's clock, relative to the local monotonic clock. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
-/** Allowance in ms for the resolution of the clocks when a reading is compared with elapsed time. */
-const CLOCK_TOLERANCE_MS = 50;
-
 /** One reading of a backend server's clock. */
 export interface ClockReading {
-  /** Time on the backend server's clock, in milliseconds since its boot. */
+  /** Time on the backend server's clock in ms. Each boot begins at a reading of its own. */
   readonly clockMs: number;
   /** Monotonic time in ms at which the reply with the reading arrived here. */
   readonly receivedAt: number;
 }
 
-/** The boot that a reading comes from: the clock's own, certainly a later one, or one of both. */
-export type ReadingBoot = "same" | "later" | "unknown";
+/**
+ * True if a reading is certainly of a later boot: it is below `before`, the newest one at the time of its
+ * request. A reading that is not below may be of either boot.
+ */
+export function isOfLaterBoot(
+  { clockMs }: BackendClock,
+  before: ClockReading | undefined,
+): boolean {
+  return before !== undefined && clockMs < before.clockMs;
+}
 
 /**
  * Relates the clock of one boot of a backend server to the monotonic clock of this process, and
@@ -22,8 +29,6 @@
 export class ServerClock {
   #reading: ClockReading | undefined;
   #latestDeadlineMs = 0;
-  /** Monotonic time in ms at which the newest list of this boot was requested. */
-  #listedAt: number | undefined;
 
   /** The newest reading; undefined before the first one. */
   get reading(): ClockReading | undefined {
@@ -36,22 +41,6 @@
     if (previous === undefined || reading.clockMs >= previous.clockMs) this.#reading = reading;
   }
 
-  /** Records that a list requested at `askedAt`, a monotonic time in ms, came from this boot. */
-  listRead(askedAt: number): void {
-    this.#listedAt = askedAt;
-  }
-
-  /**
-   * Returns the boot of a reading that was requested when `before` was the newest one. A later boot began
-   * after the last list of this boot was requested, so its clock shows less than the time since then.
-   */
-  bootOf({ clockMs, receivedAt }: ClockReading, before: ClockReading | undefined): ReadingBoot {
-    if (before !== undefined && clockMs < before.clockMs) return "later";
-    if (this.#listedAt === undefined) return "unknown";
-    const longestAgeMs = (receivedAt - this.#listedAt) / SLOWEST_CLOCK_RATE + CLOCK_TOLERANCE_MS;
-    return clockMs > longestAgeMs ? "same" : "unknown";
-  }
-
   /**
    * Returns a deadline on the backend server's clock, about `ttlMs` ahead, and records it as sent.
    * Undefined before the clock was read.
--- a/test/state/jobs/server-quality.test.ts
+++ b/test/state/jobs/server-quality.test.ts
@@ -6,7 +6,11 @@
   worstLatencyRatio,
 } from "../../../src/state/jobs/execution/pacing.ts";
 import { ServerSpeed } from "../../../src/state/jobs/execution/server-speed.ts";
-import { leasesLapsedAt, ServerClock } from "../../../src/state/jobs/execution/server-clock.ts";
+import {
+  isOfLaterBoot,
+  leasesLapsedAt,
+  ServerClock,
+} from "../../../src/state/jobs/execution/server-clock.ts";
 import { ServerHealth } from "../../../src/state/jobs/execution/server-health.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { activeRun, stepRun } from "../../fakes/jobs/run-builders.ts";
@@ -55,26 +59,22 @@
   return activeRun(stepRun(jobRequest(spec)).tasks[0]!, { load });
 }
 
-// Guards against a reply of a new boot that is taken for one of the boot before (TWICE).
-test("a reading that a later boot could give does not prove the former boot", () => {
-  const time = new ServerClock();
-  const first = { clockMs: 10_000, receivedAt: 500 };
-  assert.is(time.bootOf(first, undefined), "unknown", "no list was read");
-  time.listRead(500);
-  assert.is(time.bootOf({ clockMs: 10_900, receivedAt: 1500 }, first), "same");
-  const bootedRightAfterTheList = { clockMs: 999, receivedAt: 1500 };
-  assert.is(time.bootOf(bootedRightAfterTheList, undefined), "unknown");
-  assert.is(time.bootOf(bootedRightAfterTheList, first), "later");
+// Guards against a reading of a new boot that is taken for one of the boot before: clocks of boots begin
+// anywhere, so only a reading that goes back says something.
+test("a reading tells a later boot only if it is below the one known at its request", () => {
+  assert.is(isOfLaterBoot({ clockMs: 900 }, undefined), false);
+  const before = { clockMs: 10_000, receivedAt: 500 };
+  assert.is(isOfLaterBoot({ clockMs: 9999 }, before), true);
+  assert.is(isOfLaterBoot({ clockMs: 10_900 }, before), false);
 });
 
 // Guards against replies that overtake each other: the newest reading may be of a later request.
 test("a reading is compared with the reading that was known at its request", () => {
   const time = new ServerClock();
-  time.listRead(0);
-  const before = { clockMs: 1000, receivedAt: 10 };
-  time.addReading(before);
+  time.addReading({ clockMs: 1000, receivedAt: 10 });
+  const before = time.reading;
   time.addReading({ clockMs: 1900, receivedAt: 910 });
-  assert.is(time.bootOf({ clockMs: 1100, receivedAt: 920 }, before), "same");
+  assert.is(isOfLaterBoot({ clockMs: 1100 }, before), false);
 });
 
 test("fillers stop at once when a serving task exceeds its target and speed up again in steps", () => {
