fix(execution): no run is given up while orders for a former boot may hold its lease

Cause: a deadline is a time on the clock of the boot that an order was issued for. A later boot that carries the order out takes a lease up to the longest one (10 s there), while the scheduler reckoned with the deadlines that it had computed for that boot, and a new scheduler with 6 s from its takeover. Only runs moved to the later boot were kept longer, and only until a list showed them, which shortens no lease. A run that nobody knew to be on a later boot was given up with the former boot's lease.

Change: LeaseBounds holds two bounds for each boot. Runs that a list of the boot has shown lapse by its own deadlines, but not before the longest lease has passed since the last order for a former boot ended, or since the boot's first list where the former scheduler may have issued such orders. All other runs lapse when the longest lease has passed since the last order to the server. That a run is confirmed on a boot whose lease is as granted is stored with its placement (a write of its own only for long-running tasks), so that the next scheduler waits 6 s for those and the longest lease for all others. Lost runs have a module of their own.

Why it works: a lease can be extended only by an order, and an order is carried out before its result or timeout; both bounds count from there and assume the boot that allows most.

--- a/bench/load-measurement.ts
+++ b/bench/load-measurement.ts
@@ -39,7 +39,8 @@
     for (const ready of job.readySteps()) {
       ready.readyAt = 0;
       for (const task of ready.tasks)
-        if (!waiting || n % 2 === 0) task.placement = { server: "s", bootedAt: 0 };
+        if (!waiting || n % 2 === 0)
+          task.placement = { server: "s", bootedAt: 0, confirmed: false };
     }
     return job;
   });
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -2,7 +2,7 @@
 import type { RunLists } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
-import { leasesLapsedAt } from "../../../state/jobs/execution/server-clock.ts";
+import type { PlacementRecord } from "../../../protocol/job-records.ts";
 import type { Job, Task } from "../../../state/jobs/records/job.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import { pollWaitMs } from "../../../state/jobs/execution/poll-wait.ts";
@@ -23,6 +23,7 @@
 import { newRun, recordListed } from "../../../state/jobs/execution/run-progress.ts";
 import type { ProgressWriter } from "../records/progress-writer.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
+import { LostRuns, type LossReason } from "./lost-runs.ts";
 import { RunStarter } from "./run-starter.ts";
 import { RunStopper } from "./run-stopper.ts";
 import { RunEndHandler } from "./run-end-handler.ts";
@@ -59,6 +60,7 @@
 export class RunTracker extends DriverListener {
   readonly runRegistry = new RunRegistry();
   readonly starter: RunStarter;
+  readonly lostRuns: LostRuns;
   readonly #stopper: RunStopper;
   readonly #pacer: FillerPacer;
   readonly #ends: RunEndHandler;
@@ -83,6 +85,15 @@
     const stop = (run: ActiveRun): void => {
       this.#stopper.stop(run);
     };
+    this.lostRuns = new LostRuns({
+      ...{ ...options, runRegistry },
+      repeatStop: (run) => {
+        this.#stopper.repeat(run);
+      },
+      release: (run, reason) => {
+        this.#release(run, reason);
+      },
+    });
     this.#pacer = new FillerPacer({ ...options, runRegistry });
     this.#stragglers = new StragglerDetector({ ...options, runRegistry, stop });
     this.#ends = new RunEndHandler({
@@ -98,11 +109,10 @@
   inheritRuns(job: Job): void {
     for (const task of job.tasks()) {
       if (task.placement === undefined) continue;
-      const { server, bootedAt } = task.placement;
-      const run = this.#add(task, server, bootedAt, "inherited");
+      const { server } = task.placement;
+      const run = this.#add(task, task.placement, "inherited");
       const driver = this.#options.driver(server);
-      if (driver !== undefined && driver.bootedAt > bootedAt)
-        this.#moveToBoot(run, driver.bootedAt);
+      if (driver !== undefined) this.lostRuns.earlierBootEnded(run, driver.bootedAt);
       if (job.final) this.#stopper.stop(run);
     }
   }
@@ -110,8 +120,8 @@
   /** Places a task on a backend server. No order is sent before {@link launch}. */
   place(task: Task, driver: ServerDriver): ActiveRun {
     task.run++;
-    task.placement = { server: driver.id, bootedAt: driver.bootedAt };
-    const run = this.#add(task, driver.id, driver.bootedAt, "recording");
+    task.placement = { server: driver.id, bootedAt: driver.bootedAt, confirmed: false };
+    const run = this.#add(task, task.placement, "recording");
     this.starter.reserve(run);
     return run;
   }
@@ -185,30 +195,13 @@
     this.#options.serverRebooted({ ...driver.registration, bootedAt });
   }
 
-  runsLost(driver: ServerDriver, reason: "gone" | "lapsed"): void {
-    if (reason !== "lapsed") driver.close();
-    const now = this.#options.clock.now();
-    const runs = this.runRegistry
-      .onServer(driver.id)
-      .filter((run) => reason !== "lapsed" || run.leaseInDoubtUntil <= now);
-    if (runs.length === 0) return;
-    const confirmed = runs.filter((run) => run.confirmed).length;
-    const fields = { server: driver.id, reason, runs: runs.length, confirmed };
-    this.#options.log.warn({ ...fields, ...driver.leaseFields }, "runs are gone");
-    this.#releaseAll(runs, reason);
+  serverGone(driver: ServerDriver): void {
+    driver.close();
+    this.lostRuns.serverGone(driver);
   }
 
-  /**
-   * Releases runs that ended with an earlier boot of a backend server. A run that the later boot may
-   * have started in its place is kept as a run on that boot, until a list of that boot shows whether it did.
-   */
-  earlierBootsEnded(server: string, bootedAt: number): void {
-    for (const run of this.runRegistry.onServer(server)) {
-      if (run.bootedAt >= bootedAt) continue;
-      // The order of a run whose placement is being recorded was not sent.
-      if (run.confirmed || run.phase === "recording") this.#release(run, "rebooted");
-      else this.#moveToBoot(run, bootedAt);
-    }
+  checkLeases(driver: ServerDriver): void {
+    this.lostRuns.checkLeases(driver);
   }
 
   /** Restarts runs that hang or are stragglers. */
@@ -233,16 +226,6 @@
     }
   }
 
-  /** Releases inherited runs on unregistered backend servers once their leases have lapsed. */
-  releaseUnregistered(takenOverAt: number): void {
-    const { clock, leaseTtlMs, driver } = this.#options;
-    if (clock.now() <= leasesLapsedAt(takenOverAt, leaseTtlMs)) return;
-    const runs = [...this.runRegistry.all()].filter(
-      (run) => run.phase === "inherited" && driver(run.server) === undefined,
-    );
-    this.#releaseAll(runs, "lapsed");
-  }
-
   fenced(): void {
     this.#options.log.warn(
       { token: this.#options.tenure.token },
@@ -251,28 +234,12 @@
     this.#options.tenure.end();
   }
 
-  /** Continues a run on a later boot of its backend server, which may have started it. */
-  #moveToBoot(run: ActiveRun, bootedAt: number): void {
-    const { clock, log, counters, writer, maxServerLeaseMs } = this.#options;
-    const { task, server, phase } = run;
-    const fields = { task: task.name, run: run.run, server, phase };
-    log.info(fields, "run may have been started by a later boot");
-    counters.event("run_in_doubt_after_reboot");
-    run.bootedAt = bootedAt;
-    run.since = clock.now();
-    // The deadline of an order for the former boot lies far ahead on the clock of the later boot.
-    run.leaseInDoubtUntil = leasesLapsedAt(run.since, maxServerLeaseMs);
-    task.placement = { server, bootedAt };
-    if (phase === "stopping") this.#stopper.repeat(run);
-    void writer.save(task.job);
-  }
-
-  #add(task: Task, server: string, bootedAt: number, phase: RunPhase): ActiveRun {
+  #add(task: Task, placement: PlacementRecord, phase: RunPhase): ActiveRun {
     const { clock, driver } = this.#options;
-    const { registration, coldness } = driver(server) ?? {};
+    const { registration, coldness } = driver(placement.server) ?? {};
     const since = clock.now();
     const run = newRun(task, {
-      ...{ server, bootedAt, phase, since, coldness, rack: registration?.rack },
+      ...{ ...placement, phase, since, coldness, rack: registration?.rack },
     });
     this.runRegistry.add(run);
     return run;
@@ -280,8 +247,10 @@
 
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
+    const { leaseAsGranted } = driver;
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
+      if (leaseAsGranted) this.#confirmPlacement(run);
       // An inherited run may have been added before its server's registration was read.
       if (run.phase === "inherited") run.slowdown = coldSlowdown(driver.coldness);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
@@ -303,6 +272,17 @@
     }
   }
 
+  /**
+   * Records that a run is confirmed, so that the next scheduler does not wait for the longest lease. Only
+   * a long-running task is worth a write of its own; other tasks are stored with the next change of the job.
+   */
+  #confirmPlacement({ task }: ActiveRun): void {
+    const { placement } = task;
+    if (placement === undefined || placement.confirmed) return;
+    task.placement = { ...placement, confirmed: true };
+    if (task.step.spec.longRunning) void this.#options.writer.save(task.job);
+  }
+
   #stopUnknown(driver: ServerDriver, task: string, run: number): void {
     const own = this.runRegistry.forTask(task);
     if (own?.server === driver.id && own.run >= run) return;
@@ -322,10 +302,6 @@
     }
   }
 
-  #releaseAll(runs: readonly ActiveRun[], reason: ReleaseReason): void {
-    for (const run of runs) this.#release(run, reason);
-  }
-
   /** Removes a run that is certainly not running; its task is queued again. */
   #release(run: ActiveRun, reason: ReleaseReason): void {
     const { log, writer, requestRound } = this.#options;
@@ -352,4 +328,4 @@
   }
 }
 
-type ReleaseReason = "not-started" | "rebooted" | "gone" | "lapsed";
+type ReleaseReason = "not-started" | LossReason;
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -11,12 +11,8 @@
 } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
-import {
-  isOfLaterBoot,
-  leasesLapsedAt,
-  ServerClock,
-} from "../../../state/jobs/execution/server-clock.ts";
-import { LeaseGrants } from "../../../state/jobs/execution/lease-grants.ts";
+import { isOfLaterBoot, ServerClock } from "../../../state/jobs/execution/server-clock.ts";
+import { LeaseBounds } from "../../../state/jobs/execution/lease-bounds.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
 import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
@@ -37,8 +33,10 @@
    * acknowledged.
    */
   abstract listsRead(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean>;
-  /** All runs on the server have ended: it was replaced, or its lease lapsed. */
-  abstract runsLost(driver: ServerDriver, reason: "gone" | "lapsed"): void;
+  /** All runs on the server have ended because it was replaced. */
+  abstract serverGone(driver: ServerDriver): void;
+  /** Called repeatedly while the server does not respond, since leases of its runs may have lapsed. */
+  abstract checkLeases(driver: ServerDriver): void;
   /** A list came from a later boot, at Unix time `bootedAt` in ms. The driver is closed. */
   abstract rebooted(driver: ServerDriver, bootedAt: number): void;
   /** An order was refused because the server has seen a higher fencing token. */
@@ -77,8 +75,12 @@
   readonly evacuations: EvacuationGuard;
   /** Time to live in ms of the lease granted to the server. */
   readonly leaseTtlMs: number;
+  /** Longest lease in ms that a backend server accepts, whatever deadline an order carries. */
+  readonly maxServerLeaseMs: number;
   /** Monotonic time in ms at which this scheduler took over. */
   readonly takenOverAt: number;
+  /** Bounds of the former boot's lease, if its driver is known. */
+  readonly formerLease?: LeaseBounds | undefined;
 }
 
 /**
@@ -89,6 +91,8 @@
 export class ServerDriver {
   readonly health = new ServerHealth();
   readonly speed = new ServerSpeed();
+  /** Bounds of the lease of this boot. */
+  readonly leaseBounds: LeaseBounds;
   /** True once the server has responded to a poll of this scheduler. */
   adopted = false;
   /** Monotonic time in ms at which draining was first observed; undefined if not draining. */
@@ -103,7 +107,6 @@
   #registration: RegisteredServer;
   readonly #options: ServerDriverOptions;
   readonly #serverClock = new ServerClock();
-  readonly #grants = new LeaseGrants();
   readonly #coldStart = new ColdStart();
   readonly #closed = new AbortController();
   /** Kept beside the signal, because it is read for each server in each placement round. */
@@ -119,6 +122,9 @@
   constructor(options: ServerDriverOptions) {
     this.#options = options;
     this.#registration = options.registration;
+    this.leaseBounds = new LeaseBounds({
+      ...{ ...options, serverClock: this.#serverClock, former: options.formerLease },
+    });
     if (options.registration.draining) this.drainingSince = options.clock.now();
     this.#observeColdStart();
   }
@@ -191,14 +197,30 @@
     const now = this.#options.clock.now();
     const { reading } = this.#serverClock;
     const clockMs = reading && Math.round(reading.clockMs + now - reading.receivedAt);
-    const endedAt = this.#grants.lastCarriedOutBy(now);
+    const orderAt = this.leaseBounds.lastOrderAt(now);
     return {
       ...{ bootedAt: this.bootedAt, adopted: this.adopted, clockMs },
-      pendingOrders: this.#grants.pending,
-      lastOrderAgoMs: endedAt === undefined ? undefined : Math.round(now - endedAt),
+      pendingOrders: this.leaseBounds.pendingOrders,
+      lastOrderAgoMs: orderAt === undefined ? undefined : Math.round(now - orderAt),
     };
   }
 
+  /**
+   * Monotonic time in ms from which the lease of a run here has certainly lapsed. `confirmed`: a list of
+   * this boot has shown the run, so that it can't be on a later one.
+   */
+  leaseLapsedAt({ confirmed }: { readonly confirmed: boolean }): number {
+    const now = this.#options.clock.now();
+    return confirmed
+      ? this.leaseBounds.ownBootLapsedAt(now)
+      : this.leaseBounds.anyBootLapsedAt(now);
+  }
+
+  /** True unless orders for a former boot may have given this one a longer lease than was granted. */
+  get leaseAsGranted(): boolean {
+    return this.leaseBounds.isAsGranted(this.#options.clock.now());
+  }
+
   /** Applies a newer registration of the same boot. */
   updateRegistration(registration: RegisteredServer): void {
     this.#registration = registration;
@@ -225,7 +247,7 @@
 
   /** Polls until closed. */
   async run(): Promise<void> {
-    const { clock, tenure, listener } = this.#options;
+    const { clock, tenure } = this.#options;
     while (!this.closed) {
       if (this.#idle() && !this.#pollRequested) {
         await this.#pollSignal.promise;
@@ -235,7 +257,7 @@
       this.#pollSignal = new Deferred();
       if (!tenure.valid) await clock.sleep(POLL_RETRY_MS, this.#closed.signal);
       else if (!this.#idle()) await this.#poll();
-      if (this.#leaseLapsed()) listener.runsLost(this, "lapsed");
+      if (!this.reachable) this.#checkLeases();
     }
   }
 
@@ -250,9 +272,9 @@
     if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
     const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
     const before = this.#serverClock.reading;
-    this.#grants.begin();
+    this.leaseBounds.orderSent();
     const result = await backend.start({ ...order, token: tenure.token, deadlineMs });
-    this.#grants.end(clock.now());
+    this.leaseBounds.orderEnded(clock.now());
     if (result.err) {
       this.#handleRefusal(result.val);
       return result;
@@ -285,6 +307,11 @@
     return result.ok;
   }
 
+  #checkLeases(): void {
+    // The poll may have closed the driver.
+    if (!this.closed) this.#options.listener.checkLeases(this);
+  }
+
   #observeColdStart(): void {
     const { clock } = this.#options;
     const { bootedAt, coldRemainingMs } = this.#registration;
@@ -310,9 +337,9 @@
     const waitMs = this.#pollWait();
     const { token } = this.#options.tenure;
     const order: PollOrder = { token, deadlineMs, acknowledged, waitMs };
-    if (deadlineMs !== undefined) this.#grants.begin();
+    if (deadlineMs !== undefined) this.leaseBounds.orderSent();
     const result = await backend.poll(order);
-    if (deadlineMs !== undefined) this.#grants.end(clock.now());
+    if (deadlineMs !== undefined) this.leaseBounds.orderEnded(clock.now());
     if (this.closed) return;
     if (result.err) {
       await this.#pollFailed(result.val);
@@ -353,6 +380,7 @@
     this.#failures = 0;
     this.#serverClock.addReading({ clockMs: lists.clockMs, receivedAt: clock.now() });
     this.adopted = true;
+    this.leaseBounds.listRead(clock.now());
     const last = lists.ended.at(-1)?.sequence;
     const stored = listener.listsRead(this, lists, askedAt);
     // The lease must be renewed even while the store is unresponsive, so limit the wait.
@@ -372,13 +400,6 @@
   #handleRefusal(err: OrderError): void {
     const { listener } = this.#options;
     if (err.kind === "fenced") listener.fenced();
-    if (err.kind === "gone" && !this.closed) listener.runsLost(this, "gone");
-  }
-
-  #leaseLapsed(): boolean {
-    if (this.reachable || this.closed) return false;
-    const { clock, takenOverAt, leaseTtlMs } = this.#options;
-    const inherited = leasesLapsedAt(takenOverAt, leaseTtlMs);
-    return clock.now() > Math.max(inherited, this.#serverClock.lapsedAt() ?? 0);
+    if (err.kind === "gone" && !this.closed) listener.serverGone(this);
   }
 }
--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -183,7 +183,7 @@
     const driver = order.server === undefined ? undefined : scheduler.drivers.get(order.server);
     if (effect === "applied") {
       order.tookEffect = true;
-      if (driver !== undefined) scheduler.tracker.runsLost(driver, "gone");
+      if (driver !== undefined) scheduler.tracker.serverGone(driver);
       return;
     }
     log.info({ wave: wave.request.wave, instance: name }, "instance had been maintained before");
--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -243,7 +243,7 @@
     log.info({ instance, from: listed?.pool, to: pool, ok: result.ok }, "instance moved");
     if (result.ok) {
       this.#moves.accepted(instance, clock.now());
-      if (driver !== undefined) scheduler.tracker.runsLost(driver, "gone");
+      if (driver !== undefined) scheduler.tracker.serverGone(driver);
       return;
     }
     log.warn({ instance, pool, err: result.val }, "move refused");
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -147,7 +147,7 @@
     this.drivers = new FleetDrivers({
       open: (registration, former) => this.#createDriver(registration, former),
       onNewBoot: (server, bootedAt) => {
-        this.tracker.earlierBootsEnded(server, bootedAt);
+        this.tracker.lostRuns.earlierBootsEnded(server, bootedAt);
       },
       onChange: requestRound,
     });
@@ -190,7 +190,7 @@
       this.tracker.restartStragglers();
       this.tracker.evacuateDraining(this.drivers.all());
       if (this.drivers.loaded) zoneEvacuator.run();
-      this.tracker.releaseUnregistered(this.#takenOverAt);
+      this.tracker.lostRuns.checkUnregistered(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
       this.#logLoad();
       this.#requestRound();
@@ -235,14 +235,14 @@
   }
 
   #createDriver(registration: RegisteredServer, former: ServerDriver | undefined): ServerDriver {
-    const { clock, log, tenure, connector, leaseTtlMs } = this.#options;
+    const { clock, log, tenure, connector, leaseTtlMs, maxServerLeaseMs } = this.#options;
     const { id, bootedAt } = registration;
     if (former !== undefined)
       log.info({ server: id, bootedAt, former: former.leaseFields }, "later boot is known");
     const driver = new ServerDriver({
       ...{ clock, log, tenure, registration, leaseTtlMs, listener: this.tracker },
       backend: connector.connect(registration.address, registration.id, registration),
-      takenOverAt: this.#takenOverAt,
+      ...{ maxServerLeaseMs, takenOverAt: this.#takenOverAt, formerLease: former?.leaseBounds },
       evacuations: this.#evacuations,
     });
     this.#learnt.serverOpened(driver);
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -71,6 +71,11 @@
   readonly server: string;
   /** Boot of the backend server, as Unix time in ms. */
   readonly bootedAt: number;
+  /**
+   * True once a list of this boot has shown the run, and no order for a former boot can have given this
+   * one a longer lease than schedulers grant.
+   */
+  readonly confirmed: boolean;
 }
 
 /** Stored progress of one task. Tasks that never started have none. */
@@ -168,6 +173,7 @@
   v.nullable(v.string()),
   v.number(),
   v.optional(v.array(v.number()), []),
+  v.optional(v.boolean(), false),
 ]);
 const ProgressSchema = v.object({
   state: v.picklist(["queued", "running", ...FINAL_STATES] as const),
@@ -253,15 +259,16 @@
 
 function toRow(task: TaskProgressRecord): readonly unknown[] {
   const { occurrence, step, index, run, done, failures, checkpoint, placement } = task;
-  const { server = null, bootedAt = 0 } = placement ?? {};
+  const { server = null, bootedAt = 0, confirmed = false } = placement ?? {};
   const row = [occurrence, step, index, run, done, failures, checkpoint, server, bootedAt];
+  if (confirmed) return [...row, task.givenUpRuns, confirmed];
   return task.givenUpRuns.length === 0 ? row : [...row, task.givenUpRuns];
 }
 
 function fromRow(row: v.InferOutput<typeof TaskRowSchema>): TaskProgressRecord {
-  const [occurrence, step, index, run, done, failures, checkpoint, server, bootedAt, givenUpRuns] =
-    row;
-  const placement = server === null ? undefined : { server, bootedAt };
+  const [occurrence, step, index, run, done, failures, checkpoint] = row;
+  const [, , , , , , , server, bootedAt, givenUpRuns, confirmed] = row;
+  const placement = server === null ? undefined : { server, bootedAt, confirmed };
   return {
     occurrence,
     step,
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -8,6 +8,8 @@
 export interface Assignment {
   readonly server: string;
   readonly bootedAt: number;
+  /** True if a list of the boot has shown the run. @default false */
+  readonly confirmed?: boolean;
   /** Rack of the backend server; undefined if it is not known. */
   readonly rack: string | undefined;
   readonly phase: RunPhase;
@@ -19,7 +21,7 @@
 
 /** Creates the run of a task before its backend server has reported any progress. */
 export function newRun(task: Task, assigned: Assignment): ActiveRun {
-  const { server, bootedAt, rack, phase, since, coldness = 0 } = assigned;
+  const { server, bootedAt, confirmed = false, rack, phase, since, coldness = 0 } = assigned;
   const { dataRack } = task.step.spec;
   // A plain literal without spreads: all runs share one layout, which keeps access to them fast.
   return {
@@ -27,8 +29,7 @@
     run: task.run,
     server,
     bootedAt,
-    confirmed: false,
-    leaseInDoubtUntil: 0,
+    confirmed,
     nearData: dataRack === "" || dataRack === rack,
     phase,
     endOrdered: false,
@@ -59,7 +60,6 @@
   if (run.lastProgress === undefined || percent > run.lastProgress.percent)
     run.advancedAt = clockMs;
   run.confirmed = true;
-  run.leaseInDoubtUntil = 0;
   run.percent = percent;
   run.load = load;
   run.listedAt = askedAt;
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -30,13 +30,8 @@
   readonly server: string;
   /** Boot of the backend server that the run is on, if it was started, as Unix time in ms. */
   bootedAt: number;
-  /** True once a list of the boot `bootedAt` has shown the run; a later boot may have started it before. */
+  /** True once a list of the boot `bootedAt` has shown the run. Until then a later boot may have started it. */
   confirmed: boolean;
-  /**
-   * Monotonic time in ms before which the boot may be running it on a lease that this scheduler did not
-   * grant to the boot; 0 once the boot is known to run it.
-   */
-  leaseInDoubtUntil: number;
   /** True if it runs on the rack of its data, or its data are not tied to a rack. */
   readonly nearData: boolean;
   phase: RunPhase;
--- a/test/coordination/jobs/unanswered-move.test.ts
+++ b/test/coordination/jobs/unanswered-move.test.ts
@@ -74,7 +74,7 @@
       tracker: {
         runRegistry: new RunRegistry(),
         hasRuns: () => false,
-        runsLost: (driver: ServerDriver) => drivers.delete(driver.id),
+        serverGone: (driver: ServerDriver) => drivers.delete(driver.id),
       },
     },
     orders: unrestrictedOrders(),
--- /dev/null
+++ b/test/state/jobs/lease-bounds.test.ts
@@ -0,0 +1,76 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LeaseBounds } from "../../../src/state/jobs/execution/lease-bounds.ts";
+import { ServerClock } from "../../../src/state/jobs/execution/server-clock.ts";
+
+const TTL_MS = 6000;
+const MAX_MS = 10_000;
+const TAKEN_OVER_AT = 100_000;
+/** Lease times on a clock that is 2% slow. */
+const TTL_LAPSED_MS = TTL_MS / 0.98;
+const MAX_LAPSED_MS = MAX_MS / 0.98;
+
+function leaseBounds(former?: LeaseBounds, serverClock = new ServerClock()): LeaseBounds {
+  return new LeaseBounds({
+    ...{ serverClock, former, takenOverAt: TAKEN_OVER_AT },
+    ...{ leaseTtlMs: TTL_MS, maxServerLeaseMs: MAX_MS },
+  });
+}
+
+/** Bounds of a boot that was adopted at `at` and got its last order with a deadline then. */
+function polledAt(at: number, former?: LeaseBounds): LeaseBounds {
+  const serverClock = new ServerClock();
+  const bounds = leaseBounds(former, serverClock);
+  bounds.listRead(at);
+  serverClock.addReading({ clockMs: 50_000, receivedAt: at });
+  serverClock.issueDeadline(at, TTL_MS);
+  bounds.orderSent();
+  bounds.orderEnded(at);
+  return bounds;
+}
+
+test("a run that the former scheduler has confirmed lapses with the leases that it granted", () => {
+  const bounds = leaseBounds();
+  assert.is(bounds.ownBootLapsedAt(TAKEN_OVER_AT), TAKEN_OVER_AT + TTL_LAPSED_MS);
+  assert.is(bounds.anyBootLapsedAt(TAKEN_OVER_AT), TAKEN_OVER_AT + MAX_LAPSED_MS);
+  assert.is(bounds.isAsGranted(TAKEN_OVER_AT + 60_000), false, "no list was read");
+});
+
+// Guards against a lease that the former scheduler's orders for an earlier boot have given to this one.
+test("a boot is not trusted to have the granted lease until the longest one has passed since its first list", () => {
+  const listedAt = TAKEN_OVER_AT + 500;
+  const bounds = leaseBounds();
+  bounds.listRead(listedAt);
+  bounds.listRead(listedAt + 2000);
+  assert.is(bounds.ownBootLapsedAt(listedAt), listedAt + MAX_LAPSED_MS);
+  assert.is(bounds.isAsGranted(listedAt + MAX_LAPSED_MS), false);
+  assert.is(bounds.isAsGranted(listedAt + MAX_LAPSED_MS + 1), true);
+});
+
+test("a long-known boot lapses by the deadlines on its own clock, but not for a run that a later boot may have", () => {
+  const at = TAKEN_OVER_AT + 60_000;
+  const bounds = polledAt(TAKEN_OVER_AT);
+  bounds.orderSent();
+  bounds.orderEnded(at);
+  assert.is(bounds.ownBootLapsedAt(at), TAKEN_OVER_AT + MAX_LAPSED_MS);
+  assert.is(bounds.anyBootLapsedAt(at), at + MAX_LAPSED_MS);
+});
+
+// Guards against a lease on the new boot that an order for the former one extends while it is under way.
+test("orders for a former boot move the bounds of the later one until they have ended", () => {
+  const at = TAKEN_OVER_AT + 60_000;
+  const former = polledAt(at);
+  former.orderSent();
+  const later = polledAt(at, former);
+  const last = polledAt(at, later);
+  assert.is(later.ownBootLapsedAt(at + 700), at + 700 + MAX_LAPSED_MS);
+  assert.is(last.ownBootLapsedAt(at + 700), at + 700 + MAX_LAPSED_MS);
+  former.orderEnded(at + 900);
+  const lapsedAt = at + 900 + MAX_LAPSED_MS;
+  assert.is(later.ownBootLapsedAt(at + 5000), lapsedAt);
+  assert.is(last.ownBootLapsedAt(at + 5000), lapsedAt);
+  assert.is(last.isAsGranted(lapsedAt), false);
+  assert.is(last.isAsGranted(lapsedAt + 1), true);
+});
+
+test.run();
