--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -25,7 +25,10 @@
   endedAt: number | undefined;
   /** How the run ended; undefined while it runs and after a crash. */
   end: RunEnd | undefined;
-  /** Whether the end of the run was acknowledged. */
+  /**
+   * Whether the end of the run was acknowledged before the server's lease lapsed. After that the scheduler
+   * may have started the task elsewhere.
+   */
   acknowledged: boolean;
 }
 
@@ -95,6 +98,8 @@
   readonly #lastEndedRun = new Map<string, number>();
   #ended: EndedRun[] = [];
   #sequence = 0;
+  /** Ended runs up to this position were not acknowledged before the lease lapsed. */
+  #lapsedSequence = 0;
   #token = 0;
   #deadlineMs = 0;
   #bootedAtMonotonic: number;
@@ -132,6 +137,7 @@
     this.#lastEndedRun.clear();
     this.#ended = [];
     this.#sequence = 0;
+    this.#lapsedSequence = 0;
     this.#token = 0;
     this.#deadlineMs = 0;
     this.#bootedAtMonotonic = clock.now();
@@ -187,7 +193,8 @@
     this.#extendLease(deadlineMs ?? 0);
     for (const { sequence, task, run } of this.#ended) {
       const observed = this.history.findLast((entry) => entry.task === task && entry.run === run);
-      if (sequence <= acknowledged && observed !== undefined) observed.acknowledged = true;
+      const inTime = sequence <= acknowledged && sequence > this.#lapsedSequence;
+      if (inTime && observed !== undefined) observed.acknowledged = true;
     }
     this.#ended = this.#ended.filter(({ sequence }) => sequence > acknowledged);
     const now = this.#options.clock.now();
@@ -214,6 +221,7 @@
   }
 
   #extendLease(deadlineMs: number): void {
+    if (this.#clockMs() > this.#deadlineMs) this.#lapsedSequence = this.#sequence;
     const latest = this.#clockMs() + this.#options.maxLeaseMs;
     this.#deadlineMs = Math.max(this.#deadlineMs, Math.min(deadlineMs, latest));
   }
