fix(relay): orders expire at the executor with the link that sent them

Cause: an executor that was frozen or suspended carried out, when it resumed, the batches that had lain in its connection, seconds after the scheduler had given it up, settled the starts and run the tasks elsewhere. A deadline is a time on the clock of the server's former boot, so a server that had booted meanwhile took them.

Change: every reply of an executor carries a reading of its monotonic clock and its time of day; every batch with orders carries, on both clocks, the time at which the link fails unless there are replies. That is when the first of its batches without a reply times out, which can be before this batch would. From then on by either clock the executor answers each order with `not-sent`, counts `relay_orders_expired` and logs `relayed orders had expired`. It keeps the specs of an expired batch. The encoding has version 2.

Why it works: a reading is older than its arrival, so the computed expiry is never later than meant, and a late reading only makes orders go directly. The time of day counts a suspension, the monotonic clock does not depend on a time of day that is set; the next reading ends what a jump did.

Failed before: order-relay.test.ts, a frozen executor with its monotonic clock going on and standing (2 orders carried out, 0 expected) and the time of day set forward; relayed-orders.test.ts, a frozen and a suspended executor (40 starts sent on resuming, 24 of them second runs on three rebooted servers). With one expiry for each batch, "a batch expires with the first of those before it" failed (1 start). Literal messages in the tests of malformed ones have the new version and the times; the former version and missing times were added.

Not covered: orders that have passed the check and wait in the HTTP client when the process freezes, or lie in a server's connection; a link that fails for another reason than a missing reply, or a lock that is lost, leaves orders valid for up to the rest of the 600 ms; a suspension just after the time of day was set back.

--- a/src/coordination/jobs/execution/batch-builder.ts
+++ b/src/coordination/jobs/execution/batch-builder.ts
@@ -1,3 +1,4 @@
+import type { ClockReading } from "../../../ports/clock.ts";
 import {
   encodeOrderBatch,
   type RelayedContent,
@@ -53,9 +54,9 @@
     this.orders.push({ ...order, spec: number });
   }
 
-  /** `holdMs`: time for which the executor may hold its reply. */
-  encode(channel: string, holdMs: number): Uint8Array {
+  /** `holdMs`: time for which the executor may hold its reply; `expiry`: on its clocks. */
+  encode(channel: string, holdMs: number, expiry: ClockReading | undefined): Uint8Array {
     const { specs, orders } = this;
-    return encodeOrderBatch({ channel, holdMs, specs, orders });
+    return encodeOrderBatch({ channel, holdMs, expiry, specs, orders });
   }
 }
--- a/src/coordination/jobs/execution/executor-link.ts
+++ b/src/coordination/jobs/execution/executor-link.ts
@@ -1,15 +1,13 @@
-import type { Result } from "ts-results";
 import type { Clock } from "../../../ports/clock.ts";
-import type { BackendClock, OrderError, RunLists } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { PeerConnection } from "../../../ports/peer-transport.ts";
 import {
   decodeOrderResults,
-  encodeOrderBatch,
   matchesKind,
   type RelayedResult,
 } from "../../../protocol/order-batch.ts";
 import type { SessionRecord } from "../../../protocol/job-records.ts";
+import { ExecutorClocks } from "../../../state/jobs/execution/executor-clocks.ts";
 import { SentSpecs } from "../../../state/jobs/execution/relayed-specs.ts";
 import type { Counters } from "../../ports.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
@@ -22,13 +20,14 @@
   type OrderContent,
   type QueuedOrder,
 } from "./batch-builder.ts";
+import type { RelayOutcome } from "./relay-outcome.ts";
 
 /** Time in ms within which orders share a batch, and shortest time between two batches. */
 const MIN_BATCH_DELAY_MS = 1;
 const BATCH_INTERVAL_MS = 10;
 /** Time in ms for which an executor may hold a reply while there are no results. */
 const HOLD_MS = 300;
-/** An executor that does not reply for this time in ms has failed. */
+/** An executor that does not reply for this time in ms has failed, and orders sent to it expire. */
 const REPLY_TIMEOUT_MS = 600;
 /** Batches without a reply above which further orders are sent directly. */
 const MAX_UNANSWERED = 24;
@@ -39,18 +38,6 @@
 const RESULT_TIMEOUT_MS = 1500;
 const SWEEP_INTERVAL_MS = 300;
 
-/** What became of an order given to an executor. */
-export type RelayOutcome =
-  /** The executor's own result. */
-  | {
-      readonly kind: "answered";
-      readonly result: Result<BackendClock | RunLists, OrderError>;
-    }
-  /** The order certainly did not reach its backend server. */
-  | { readonly kind: "not-sent"; readonly detail: string }
-  /** The order may have reached its backend server, or may still. */
-  | { readonly kind: "unknown"; readonly detail: string };
-
 /** A backend server that orders are for. */
 export interface OrderTarget {
   readonly address: string;
@@ -79,7 +66,9 @@
  * Sends orders to one executor in batches. Every reply carries the results that are complete, and
  * while results are outstanding the executor always has a batch to reply to, which is empty if there
  * is nothing to send. So a slow poll delays no other order. Orders are sent only after an empty
- * batch was answered, so that none depends on an entry instance that can't relay.
+ * batch was answered, so that none depends on an entry instance that can't relay. They expire on
+ * the executor's clocks once the link would have given it up: a server that has booted again can't
+ * tell that an order is late.
  */
 export class ExecutorLink {
   readonly #options: ExecutorLinkOptions;
@@ -90,6 +79,7 @@
   #starts: PendingOrder[] = [];
   #queuedBytes = 0;
   #specs = new SentSpecs();
+  #executorClocks = new ExecutorClocks();
   #connection: PeerConnection | undefined;
   #state: "idle" | "probing" | "ready" = "idle";
   /** Monotonic time in ms before which no probe is sent. */
@@ -100,7 +90,8 @@
   /** Number of the current channel. Replies on earlier channels are ignored. */
   #channel = 0;
   #orderId = 0;
-  #unanswered = 0;
+  /** Batches without a reply, with the monotonic time in ms at which the link fails for each. */
+  readonly #unanswered = new Map<BatchBuilder, number>();
   #flushScheduled = false;
   #flushedAt = -Infinity;
   #sweeping = false;
@@ -118,7 +109,7 @@
   get ready(): boolean {
     const { clock, tenure } = this.#options;
     if (this.#state === "ready")
-      return this.#unanswered < MAX_UNANSWERED && clock.now() >= this.#refusedUntil;
+      return this.#unanswered.size < MAX_UNANSWERED && clock.now() >= this.#refusedUntil;
     if (this.#state !== "idle" || clock.now() < this.#probeAt || tenure.signal.aborted)
       return false;
     void this.#probe();
@@ -185,26 +176,32 @@
     if (batch.orders.length > 0) void this.#send(batch, HOLD_MS);
   }
 
+  /** Monotonic time in ms at which the link fails unless there are replies. */
+  get #failsAt(): number {
+    return Math.min(...this.#unanswered.values());
+  }
+
   /** Sends one batch and handles its reply. */
   async #send(batch: BatchBuilder, holdMs: number): Promise<void> {
-    const { counters, tenure } = this.#options;
+    const { clock, counters, tenure } = this.#options;
     const channel = this.#channel;
     const connection = this.#connection;
     if (connection === undefined) {
       this.#settleBatch(batch, "no connection to the executor");
       return;
     }
-    this.#unanswered++;
+    this.#unanswered.set(batch, clock.now() + this.#replyTimeoutMs);
     counters.event("relay_batches");
     counters.event(`relay_orders_${this.#executor.name}`, batch.orders.length);
     const name = `${tenure.token}.${channel}`;
-    const encoded = batch.encode(name, holdMs);
+    // The first of them fails the link, whatever was sent after it.
+    const encoded = batch.encode(name, holdMs, this.#executorClocks.at(this.#failsAt));
     const reply = await connection.call(
       { type: "order-batch", batch: encoded },
       this.#replyTimeoutMs,
     );
     if (channel !== this.#channel) return;
-    this.#unanswered--;
+    this.#unanswered.delete(batch);
     if (reply.ok) this.#handleReply(reply.val.results, batch);
     else if (reply.val.kind === "ambiguous") this.#fail("no_reply");
     else {
@@ -219,6 +216,7 @@
       this.#fail("malformed");
       return;
     }
+    this.#executorClocks.update(reply.clocks, this.#options.clock.now());
     for (const { id, result } of reply.results) {
       const pending = this.#pending.get(id);
       if (pending !== undefined) this.#handleResult(pending, result);
@@ -230,7 +228,8 @@
   #handleResult(pending: PendingOrder, result: RelayedResult): void {
     if (result !== "no-spec") {
       if (pending.spec !== undefined) this.#recordRoundTrip(pending);
-      if (matchesKind(pending.order.kind, result)) this.#settle(pending, answered(result));
+      if (matchesKind(pending.order.kind, result))
+        this.#settle(pending, { kind: "answered", result });
       else this.#settle(pending, { kind: "unknown", detail: "result of another kind" });
       return;
     }
@@ -251,17 +250,18 @@
 
   /** Keeps one batch at the executor while results are outstanding. */
   #collect(): void {
-    if (this.#state !== "ready" || this.#unanswered > 0 || this.#pending.size === 0) return;
+    if (this.#state !== "ready" || this.#unanswered.size > 0 || this.#pending.size === 0) return;
     if (this.#urgent.length + this.#starts.length > 0) return;
     void this.#send(new BatchBuilder(this.#specs), HOLD_MS);
   }
 
   async #probe(): Promise<void> {
-    const { connections, counters, log } = this.#options;
+    const { clock, connections, counters, log } = this.#options;
     this.#state = "probing";
     const channel = ++this.#channel;
     this.#specs = new SentSpecs();
-    this.#unanswered = 0;
+    this.#executorClocks = new ExecutorClocks();
+    this.#unanswered.clear();
     const connection = await connections.get(this.#executor.peerAddress);
     if (channel !== this.#channel) return;
     this.#connection = connection;
@@ -270,13 +270,15 @@
       return;
     }
     const name = `${this.#options.tenure.token}.${channel}`;
-    const batch = encodeOrderBatch({ channel: name, holdMs: 0, specs: [], orders: [] });
+    const batch = new BatchBuilder(this.#specs).encode(name, 0, undefined);
     const reply = await connection.call({ type: "order-batch", batch }, this.#replyTimeoutMs);
     if (channel !== this.#channel) return;
-    if (reply.err || decodeOrderResults(reply.val.results)?.accepted !== true) {
+    const answer = reply.ok ? decodeOrderResults(reply.val.results) : undefined;
+    if (answer?.accepted !== true) {
       this.#fail("probe");
       return;
     }
+    this.#executorClocks.update(answer.clocks, clock.now());
     counters.event("relay_executor_ready");
     log.info({ executor: this.#executor.name }, "executor relays orders");
     this.#state = "ready";
@@ -350,7 +352,3 @@
     if (this.#pending.delete(pending.order.id)) pending.resolve(outcome);
   }
 }
-
-function answered(result: Result<BackendClock | RunLists, OrderError>): RelayOutcome {
-  return { kind: "answered", result };
-}
--- a/src/coordination/jobs/execution/order-executor.ts
+++ b/src/coordination/jobs/execution/order-executor.ts
@@ -1,5 +1,5 @@
 import { Err } from "ts-results";
-import type { Clock, Timer } from "../../../ports/clock.ts";
+import type { Clock, ClockReading, Timer } from "../../../ports/clock.ts";
 import type { JobBackend, JobBackendConnector, OrderError } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { OrderBatchRequest, OrderResultsReply } from "../../../protocol/peer-messages.ts";
@@ -39,7 +39,8 @@
 /**
  * Sends a scheduler's orders to backend servers and returns their results. It decides nothing and
  * repeats nothing: token, run, deadline and acknowledged position are the scheduler's, so a backend
- * server refuses what arrives late or out of turn as if the scheduler had sent it.
+ * server refuses what arrives late or out of turn as if the scheduler had sent it. Orders that the
+ * scheduler has given up, because this process was paused for instance, are not sent.
  */
 export class OrderExecutor {
   readonly #options: OrderExecutorOptions;
@@ -57,17 +58,18 @@
 
   /** Handles a batch from the peer with the given incarnation. Never rejects. */
   async handle(incarnation: string, req: OrderBatchRequest): Promise<OrderResultsReply> {
+    const { clock, counters } = this.#options;
     const batch = decodeOrderBatch(req.batch);
     if (batch === undefined) {
-      this.#options.counters.event("relay_batch_malformed");
-      return { type: "order-results", results: encodeOrderResults(false, []) };
+      counters.event("relay_batch_malformed");
+      return { type: "order-results", results: encodeOrderResults(false, clock.read(), []) };
     }
     const channel = this.#channel(`${incarnation} ${batch.channel}`);
     const collects = batch.orders.length === 0 && batch.holdMs > 0;
     const accepted = collects || !this.#stopping;
     if (accepted) this.#execute(channel, batch);
     const rows = await channel.nextResults(accepted ? Math.min(MAX_HOLD_MS, batch.holdMs) : 0);
-    return { type: "order-results", results: encodeOrderResults(accepted, rows) };
+    return { type: "order-results", results: encodeOrderResults(accepted, clock.read(), rows) };
   }
 
   #channel(key: string): Channel {
@@ -82,12 +84,33 @@
     return channel;
   }
 
-  #execute(channel: Channel, { specs, orders }: OrderBatch): void {
-    this.#options.counters.event("executor_orders", orders.length);
+  #execute(channel: Channel, { expiry, specs, orders }: OrderBatch): void {
+    // Those of an expired batch too, since later batches only name them.
     for (const [number, spec] of specs) channel.specs.add(number, spec);
+    if (expiry === undefined || orders.length === 0) return;
+    const lateMs = this.#lateMs(expiry);
+    if (lateMs >= 0) {
+      this.#refuseExpired(channel, orders, lateMs);
+      return;
+    }
+    this.#options.counters.event("executor_orders", orders.length);
     for (const order of orders) void this.#executeOrder(channel, order);
   }
 
+  /** Time in ms since the expiry. The monotonic clock does not count a suspension of the machine. */
+  #lateMs(expiry: ClockReading): number {
+    const { now, wallTime } = this.#options.clock.read();
+    return Math.max(now - expiry.now, wallTime - expiry.wallTime);
+  }
+
+  #refuseExpired(channel: Channel, orders: readonly RelayedOrder[], lateMs: number): void {
+    const { counters, log } = this.#options;
+    counters.event("relay_orders_expired", orders.length);
+    log.warn({ orders: orders.length, lateMs: Math.round(lateMs) }, "relayed orders had expired");
+    const expired = Err<OrderError>({ kind: "not-sent", detail: "the order had expired" });
+    for (const { id } of orders) channel.add(id, expired);
+  }
+
   async #executeOrder(channel: Channel, order: RelayedOrder): Promise<void> {
     try {
       channel.add(order.id, await this.#sendOrder(channel.specs, order));
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -4,6 +4,12 @@
   cancel(): void;
 }
 
+/** The same instant on the monotonic clock and in the time of day, in milliseconds. */
+export interface ClockReading {
+  readonly now: number;
+  readonly wallTime: number;
+}
+
 /** Source of time and timers, injected so that code can also run on a virtual clock. */
 export abstract class Clock {
   /** Monotonic time in milliseconds, for durations and leases. */
@@ -12,6 +18,11 @@
   /** Wall-clock time in milliseconds since the Unix epoch, for ids and stored documents. */
   abstract wallTime(): number;
 
+  /** Reads both clocks. */
+  read(): ClockReading {
+    return { now: this.now(), wallTime: this.wallTime() };
+  }
+
   /** Runs the callback once after the delay. */
   abstract schedule(delayMs: number, callback: () => void): Timer;
 
--- a/src/protocol/order-batch.ts
+++ b/src/protocol/order-batch.ts
@@ -5,6 +5,7 @@
  */
 import { decode, encode } from "cbor-x";
 import { Err, Ok, type Result } from "ts-results";
+import type { ClockReading } from "../ports/clock.ts";
 import type {
   BackendClock,
   EndedRun,
@@ -19,7 +20,7 @@
 } from "../ports/job-backend.ts";
 
 /** Version of the encoding; another version is refused. */
-const BATCH_VERSION = 1;
+const BATCH_VERSION = 2;
 
 const KINDS = ["start", "stop", "poll", "pace"] as const;
 const RUN_END_CODES = {
@@ -66,6 +67,8 @@
   readonly channel: string;
   /** Longest time in ms for which the executor may hold its reply to wait for results. */
   readonly holdMs: number;
+  /** From this time on, by either clock of the executor, nothing is sent. Orders always have one. */
+  readonly expiry?: ClockReading | undefined;
   /** Job specs that this channel has not carried before, with their numbers. */
   readonly specs: readonly (readonly [number, string])[];
   readonly orders: readonly RelayedOrder[];
@@ -78,6 +81,8 @@
 export interface OrderResults {
   /** False if the orders of the batch were refused as a whole; nothing was done. */
   readonly accepted: boolean;
+  /** The executor's clocks at the time of the reply. */
+  readonly clocks: ClockReading;
   readonly results: readonly { readonly id: number; readonly result: RelayedResult }[];
 }
 
@@ -85,25 +90,29 @@
 export type ResultRow = readonly unknown[];
 
 /** Encodes a batch of orders. */
-export function encodeOrderBatch({ channel, holdMs, specs, orders }: OrderBatch): Uint8Array {
-  return encode([BATCH_VERSION, channel, holdMs, specs, orders.map(orderRow)]);
+export function encodeOrderBatch(batch: OrderBatch): Uint8Array {
+  const { channel, holdMs, expiry, specs, orders } = batch;
+  const times = expiry === undefined ? [] : [expiry.now, expiry.wallTime];
+  return encode([BATCH_VERSION, channel, holdMs, times, specs, orders.map(orderRow)]);
 }
 
 /** Decodes a batch; undefined if it is malformed. Orders of an unknown kind are kept as such. */
 export function decodeOrderBatch(data: Uint8Array): OrderBatch | undefined {
   const batch = decodeArray(data);
   if (batch === undefined) return undefined;
-  const [version, channel, holdMs, specs, rows] = batch;
+  const [version, channel, holdMs, times, specs, rows] = batch;
   if (version !== BATCH_VERSION || typeof channel !== "string" || !isNumber(holdMs))
     return undefined;
   if (!Array.isArray(specs) || !Array.isArray(rows) || !specs.every(isSpec)) return undefined;
+  const expiry = parseReading(times);
+  if (expiry === undefined && rows.length > 0) return undefined;
   const orders: RelayedOrder[] = [];
   for (const row of rows as unknown[]) {
     const order = Array.isArray(row) ? parseOrder(row) : undefined;
     if (order === undefined) return undefined;
     orders.push(order);
   }
-  return { channel, holdMs, specs, orders };
+  return { channel, holdMs, expiry, specs, orders };
 }
 
 /** Encodes the result of one order as a row. */
@@ -137,17 +146,23 @@
 }
 
 /** Encodes a reply of an executor. */
-export function encodeOrderResults(accepted: boolean, rows: readonly ResultRow[]): Uint8Array {
-  return encode([BATCH_VERSION, accepted, rows]);
+export function encodeOrderResults(
+  accepted: boolean,
+  { now, wallTime }: ClockReading,
+  rows: readonly ResultRow[],
+): Uint8Array {
+  return encode([BATCH_VERSION, accepted, [now, wallTime], rows]);
 }
 
 /** Decodes a reply of an executor; undefined if any part of it is malformed. */
 export function decodeOrderResults(data: Uint8Array): OrderResults | undefined {
   const reply = decodeArray(data);
   if (reply === undefined) return undefined;
-  const [version, accepted, rows] = reply;
+  const [version, accepted, times, rows] = reply;
   if (version !== BATCH_VERSION || typeof accepted !== "boolean" || !Array.isArray(rows))
     return undefined;
+  const clocks = parseReading(times);
+  if (clocks === undefined) return undefined;
   const results: { id: number; result: RelayedResult }[] = [];
   for (const row of rows as unknown[]) {
     if (!Array.isArray(row) || !isNumber(row[0])) return undefined;
@@ -155,7 +170,7 @@
     if (result === undefined) return undefined;
     results.push({ id: row[0], result });
   }
-  return { accepted, results };
+  return { accepted, clocks, results };
 }
 
 function decodeArray(data: Uint8Array): readonly unknown[] | undefined {
@@ -168,6 +183,12 @@
   }
 }
 
+function parseReading(times: unknown): ClockReading | undefined {
+  if (!Array.isArray(times)) return undefined;
+  const [now, wallTime] = times as readonly unknown[];
+  return isNumber(now) && isNumber(wallTime) ? { now, wallTime } : undefined;
+}
+
 function orderRow(relayed: RelayedOrder): readonly unknown[] {
   const { id, address, server } = relayed;
   switch (relayed.kind) {
--- a/test/coordination/jobs/order-relay.test.ts
+++ b/test/coordination/jobs/order-relay.test.ts
@@ -77,6 +77,69 @@
     assert.ok(waitedMs <= 1000, `${waitedMs} ms without a poll`);
   });
 
+// Guards against orders that an executor carries out after the scheduler has given it up.
+for (const monotonicShare of [1, 0])
+  test(`a frozen executor whose monotonic clock counts ${monotonicShare} of the time drops late orders`, async () => {
+    const fixture = await RelayFixture.ready();
+    const begun = { at: fixture.clock.now(), relayed: fixture.relayed.seen.length };
+    fixture.state = "frozen";
+    const start = fixture.start(1);
+    void fixture.poll(2);
+    assert.is(errorKind(await advanceUntilSettled(fixture.clock, start)), "unknown");
+    const frozenMs = fixture.clock.now() - begun.at;
+    fixture.executorTime.monotonicAheadMs -= (1 - monotonicShare) * frozenMs;
+    fixture.resumeExecutor();
+    await fixture.clock.advance(100);
+    assert.is(fixture.relayed.seen.length, begun.relayed);
+    assert.is(fixture.counters.count("relay_orders_expired"), 1);
+    assert.equal(
+      fixture.warnings.map(({ orders }) => orders),
+      [2],
+    );
+    const lateMs = Number(fixture.warnings[0]?.lateMs);
+    assert.ok(lateMs >= 0 && lateMs < frozenMs, `${lateMs} ms late`);
+  });
+
+// Guards against orders sent later than those for which the scheduler gives the executor up.
+test("a batch expires with the first of those before it that have no reply", async () => {
+  const fixture = await RelayFixture.ready();
+  fixture.state = "frozen";
+  void fixture.start(1);
+  await fixture.clock.advance(400);
+  const later = fixture.start(2);
+  assert.is(errorKind(await advanceUntilSettled(fixture.clock, later)), "unknown");
+  fixture.resumeExecutor();
+  await fixture.clock.advance(100);
+  assert.is(fixture.relayed.count("start"), 0);
+});
+
+// Guards against orders that are lost in a short pause, which the scheduler does not notice.
+test("an executor that resumes before it is given up carries out what lies in its connection", async () => {
+  const fixture = await RelayFixture.ready();
+  fixture.state = "frozen";
+  void fixture.start(1);
+  await fixture.clock.advance(500);
+  fixture.resumeExecutor();
+  await fixture.clock.advance(10);
+  assert.is(fixture.relayed.count("start"), 1);
+});
+
+// Guards against a time of day that is set and keeps an executor from relaying for good.
+test("after its time of day was set forward an executor refuses one batch, which goes directly", async () => {
+  const fixture = await RelayFixture.ready();
+  fixture.executorTime.wallTimeAheadMs += 60_000;
+  assert.ok((await advanceUntilSettled(fixture.clock, fixture.start(1, "a", SPEC))).ok);
+  assert.equal([fixture.relayed.count("start"), fixture.direct.count("start")], [0, 1]);
+  // The refused batch carried the job spec, and its reply a new reading.
+  assert.ok((await advanceUntilSettled(fixture.clock, fixture.start(2, "b", SPEC))).ok);
+  assert.equal([fixture.relayed.count("start"), fixture.direct.count("start")], [1, 1]);
+  assert.is(fixture.relayed.seen.at(-1)?.spec, SPEC);
+  assert.is(fixture.counters.count("relay_spec_repeated"), 0);
+  fixture.executorTime.wallTimeAheadMs -= 120_000;
+  assert.ok((await advanceUntilSettled(fixture.clock, fixture.start(3, "c", SPEC))).ok);
+  assert.equal([fixture.relayed.count("start"), fixture.direct.count("start")], [2, 1]);
+});
+
 // Guards against starts that are lost for good when the executor's connection closes.
 test("after the executor is killed, orders go directly at once and it is probed later", async () => {
   const { fixture, kinds } = await startsDuring("killed");
@@ -164,21 +227,29 @@
 
 // Guards against a malformed message that ends a process or is carried out in part.
 test("a malformed batch is refused as a whole and an order of an unknown kind is not sent", async () => {
-  const { executor, relayed, clock } = new RelayFixture();
+  const { executor, relayed, clock, executorTime } = new RelayFixture();
   const start = [1, 0, "a:1", "s", 7, "t", 1, 2500, 1];
+  const spec = [[1, "spec"]];
+  const clocks = executorTime.read();
+  const expiry = [clocks.now + 600, clocks.wallTime + 600];
   const malformed = [
     Uint8Array.of(0xff, 1, 2),
     encode("text"),
-    encode([1, "c", 0, [], [start, [2, 0, "a:1", "s", 7, "t", "1", 2500, 1]]]),
-    encode([1, "c", 0, [[1, 5]], [start]]),
-    encode([2, "c", 0, [[1, "spec"]], [start]]),
-    encode([1, "c", 0, [[1, "spec"]], [[...start.slice(0, 4), Number.NaN, "t", 1, 2500, 1]]]),
+    encode([2, "c", 0, expiry, [], [start, [2, 0, "a:1", "s", 7, "t", "1", 2500, 1]]]),
+    encode([2, "c", 0, expiry, [[1, 5]], [start]]),
+    encode([3, "c", 0, expiry, [[1, "spec"]], [start]]),
+    encode([1, "c", 0, [[1, "spec"]], [start]]),
+    encode([2, "c", 0, expiry, spec, [[...start.slice(0, 4), Number.NaN, "t", 1, 2500, 1]]]),
+    encode([2, "c", 0, [], spec, [start]]),
+    encode([2, "c", 0, [expiry[0]], spec, [start]]),
+    encode([2, "c", 0, [expiry[0], "later"], spec, [start]]),
+    encode([2, "c", 0, null, spec, [start]]),
   ];
   for (const batch of malformed) {
     const reply = await executor.handle("e0", { type: "order-batch", batch });
-    assert.equal(decodeOrderResults(reply.results), { accepted: false, results: [] });
+    assert.equal(decodeOrderResults(reply.results), { accepted: false, clocks, results: [] });
   }
-  const batch = encode([1, "c", 50, [], [[9, 77, "a:1", "s", 7]]]);
+  const batch = encode([2, "c", 50, expiry, [], [[9, 77, "a:1", "s", 7]]]);
   const reply = executor.handle("e0", { type: "order-batch", batch });
   const results = decodeOrderResults((await advanceUntilSettled(clock, reply)).results)?.results;
   const [unknown] = results ?? [];
@@ -191,13 +262,20 @@
 // Guards against a reply of which only some results are well-formed.
 test("replies with a malformed part are malformed", () => {
   const malformed = [
-    [1, true, [[1, 0, "5"]]],
-    [1, true, [[1, 2, 99, ""]]],
-    [1, true, [[1, 1, 5, null, ["t", 1, "", 5], []]]],
-    [1, true, [[1, 1, 5, null, [], [1, "t", 1, 9, ""]]]],
-    [1, "yes", []],
-    [3, true, []],
+    [2, true, [5, 6], [[1, 0, "5"]]],
+    [2, true, [5, 6], [[1, 2, 99, ""]]],
+    [2, true, [5, 6], [[1, 1, 5, null, ["t", 1, "", 5], []]]],
+    [2, true, [5, 6], [[1, 1, 5, null, [], [1, "t", 1, 9, ""]]]],
+    [2, "yes", [5, 6], []],
+    [3, true, [5, 6], []],
+    [1, true, []],
+    [2, true, [], []],
+    [2, true, [5], []],
+    [2, true, [5, Number.NaN], []],
+    [2, true, null, []],
   ];
+  const wellFormed = decodeOrderResults(encode([2, true, [5, 6], [[1, 0, 5]]]));
+  assert.equal(wellFormed?.clocks, { now: 5, wallTime: 6 });
   for (const reply of malformed) assert.is(decodeOrderResults(encode(reply)), undefined);
 });
 
--- a/test/coordination/jobs/relayed-orders.test.ts
+++ b/test/coordination/jobs/relayed-orders.test.ts
@@ -114,6 +114,26 @@
   assert.ok(scheduler.entry.scheduling, "one tenure");
 });
 
+// Guards against late starts that servers can't refuse, since they have booted again meanwhile.
+for (const [pause, state] of [
+  ["freeze", "frozen"],
+  ["suspend", "suspended"],
+] as const)
+  test(`a ${state} executor does not send the starts in its connection when it resumes`, async () => {
+    const { cluster, scheduler, executor } = await relayingCluster();
+    executor.faults[pause]();
+    await submit(cluster, scheduler, "a");
+    await cluster.clock.advance(6000);
+    assert.is(await cluster.state("a"), "completed");
+    for (const id of ["s0", "s1", "s2"]) cluster.rebootUnnoticed(id);
+    const sent = relayed(executor);
+    executor.faults.thaw();
+    await cluster.clock.advance(20);
+    assert.is(relayed(executor) - sent, 0, "starts sent on resuming");
+    await cluster.clock.advance(5000);
+    assert.equal(duplicateStarts(runs(cluster)), []);
+  });
+
 // Guards against a second run when the orders of a failed scheduler leave after the takeover.
 test("orders of the previous scheduler that its executor still holds duplicate no task", async () => {
   const { cluster, scheduler, executor } = await relayingCluster(2500);
--- a/test/fakes/jobs/entry-faults.ts
+++ b/test/fakes/jobs/entry-faults.ts
@@ -57,6 +57,8 @@
   storeConnectivity: StoreConnectivity = { disconnectedMs: 0, unresponsiveMs: 0 };
   readonly #clock: Clock;
   #frozen = false;
+  #suspendedMs = 0;
+  #suspendedSince: number | undefined;
   #waiting: (() => void)[] = [];
 
   constructor(clock: Clock) {
@@ -68,7 +70,22 @@
     this.#frozen = true;
   }
 
+  /** Suspends the machine. The time of day goes on, the monotonic clock of its processes does not. */
+  suspend(): void {
+    this.#suspendedSince ??= this.#clock.now();
+    this.freeze();
+  }
+
+  /** Total time in ms that the monotonic clock of the process did not count. */
+  get suspendedMs(): number {
+    const now = this.#clock.now();
+    return this.#suspendedMs + now - (this.#suspendedSince ?? now);
+  }
+
+  /** Ends a freeze or a suspension. */
   thaw(): void {
+    this.#suspendedMs = this.suspendedMs;
+    this.#suspendedSince = undefined;
     this.#frozen = false;
     const waiting = this.#waiting;
     this.#waiting = [];
@@ -111,7 +128,7 @@
   }
 
   now(): number {
-    return this.#clock.now();
+    return this.#clock.now() - this.#faults.suspendedMs;
   }
 
   wallTime(): number {
--- a/test/fakes/jobs/relay-fixture.ts
+++ b/test/fakes/jobs/relay-fixture.ts
@@ -3,6 +3,7 @@
 import { OrderExecutor } from "../../../src/coordination/jobs/execution/order-executor.ts";
 import { RelayedBackendConnector } from "../../../src/coordination/jobs/execution/relayed-backend.ts";
 import { PeerConnections } from "../../../src/coordination/jobs/peer-connections.ts";
+import { Clock, type Timer } from "../../../src/ports/clock.ts";
 import {
   JobBackend,
   JobBackendConnector,
@@ -14,6 +15,7 @@
   type StartOrder,
   type StopOrder,
 } from "../../../src/ports/job-backend.ts";
+import type { Log } from "../../../src/ports/log.ts";
 import {
   PeerConnection,
   PeerTransport,
@@ -107,11 +109,38 @@
   | "killed"
   /** Nothing is handled and nothing replied. */
   | "paused"
+  /** As when paused, but what lies in the connection is handled when the process resumes. */
+  | "frozen"
   | "replies-lost"
   | "malformed-replies"
   /** Closes the connection on an unknown message. */
   | "former-version";
 
+/** The executor's clocks. They differ from the scheduler's, and tests move them. */
+export class ExecutorTime extends Clock {
+  /** Time in ms by which its clocks are ahead of the scheduler's. */
+  monotonicAheadMs = 5_000_000;
+  wallTimeAheadMs = -400_000;
+  readonly #clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    super();
+    this.#clock = clock;
+  }
+
+  now(): number {
+    return this.#clock.now() + this.monotonicAheadMs;
+  }
+
+  wallTime(): number {
+    return this.#clock.wallTime() + this.wallTimeAheadMs;
+  }
+
+  schedule(delayMs: number, callback: () => void): Timer {
+    return this.#clock.schedule(delayMs, callback);
+  }
+}
+
 /** A scheduler, one executor and 24 backend servers of one zone. */
 export class RelayFixture {
   readonly clock = new VirtualClock();
@@ -121,6 +150,9 @@
   readonly relayed = new RecordingConnector(this.clock);
   readonly batches: Uint8Array[] = [];
   readonly tenure = new LockTenure(this.clock, 7, 1, this.#time());
+  readonly executorTime = new ExecutorTime(this.clock);
+  /** Fields of the executor's warnings. */
+  readonly warnings: Readonly<Record<string, unknown>>[] = [];
   state: ExecutorState = "up";
   executor = this.#newExecutor();
   readonly connector: RelayedBackendConnector;
@@ -128,6 +160,7 @@
   /** Time in ms of the last renewal of the lock. */
   renewedAt = 0;
   #renewing = true;
+  #inConnection: (() => void)[] = [];
 
   constructor() {
     const transport = new FixtureTransport((req, timeoutMs) => this.#call(req, timeoutMs), this);
@@ -166,14 +199,26 @@
     this.executor = this.#newExecutor();
   }
 
+  /** Lets a frozen executor go on, which first handles what lies in its connection. */
+  resumeExecutor(): void {
+    this.state = "up";
+    for (const handle of this.#inConnection.splice(0)) handle();
+  }
+
   /** Lets the lock lapse, although its record is not known to be lost. */
   stopRenewing(): void {
     this.#renewing = false;
   }
 
   #newExecutor(): OrderExecutor {
-    const { clock, counters, relayed } = this;
-    return new OrderExecutor({ clock, log: NOOP_LOG, counters, connector: relayed });
+    const { counters, relayed, warnings } = this;
+    const log: Log = {
+      ...NOOP_LOG,
+      warn: (fields: unknown) => {
+        warnings.push(fields as Readonly<Record<string, unknown>>);
+      },
+    };
+    return new OrderExecutor({ clock: this.executorTime, log, counters, connector: relayed });
   }
 
   async #call(req: PeerRequest, timeoutMs: number): Promise<Result<PeerReply, PeerError>> {
@@ -186,6 +231,10 @@
       .sleep(timeoutMs)
       .then((): Result<PeerReply, PeerError> => Err({ kind: "ambiguous", detail: "no reply" }));
     if (state === "paused") return silence;
+    if (state === "frozen") {
+      this.#inConnection.push(() => void this.executor.handle("e0", req));
+      return silence;
+    }
     const handled = this.executor.handle("e0", req).then((reply) => Ok<PeerReply>(reply));
     if (state === "replies-lost") return silence;
     if (state === "malformed-replies")
