fix(execution): stopping runs on unregistered servers are released too

Change: every run without a driver is released when its lease has lapsed, whatever its phase. Why it works: nobody else can end such a run, and its lease does not depend on the phase.

--- a/src/coordination/jobs/execution/lost-runs.ts
+++ b/src/coordination/jobs/execution/lost-runs.ts
@@ -53,14 +53,17 @@
     this.#release(driver, runs, "lapsed");
   }
 
-  /** Releases inherited runs on unregistered backend servers once their leases have lapsed. */
+  /**
+   * Releases inherited runs on unregistered backend servers once their leases have lapsed, also those
+   * that are being stopped since.
+   */
   checkUnregistered(takenOverAt: number): void {
     const { clock, runRegistry, driver, leaseTtlMs, maxServerLeaseMs, release } = this.#options;
     const now = clock.now();
     if (now <= leasesLapsedAt(takenOverAt, leaseTtlMs)) return;
     const longestLapsed = now > leasesLapsedAt(takenOverAt, maxServerLeaseMs);
     for (const run of [...runRegistry.all()]) {
-      if (run.phase !== "inherited" || driver(run.server) !== undefined) continue;
+      if (driver(run.server) !== undefined) continue;
       if (run.confirmed || longestLapsed) release(run, "lapsed");
     }
   }
