fix(execution): bounds of a lease neither exceed nor miss what former orders allow

Three points of one model, that a lease ends with the orders that may have extended it: - A long-running task whose run was confirmed waited 10.4 s in place of 6.5 or 5.2 s when its server was lost 0.3 or 1 s after a takeover, since the first list of the new scheduler made the lease doubtful again. An inherited run that was confirmed on this boot shows that its lease is as granted. - An order for a former boot extends the lease up to its deadline at most, on whichever clock. Clocks of boots are unrelated, so in many cases the later boot's clock has passed it already, and nothing is in doubt. - Orders of former schedulers were allowed for from the takeover on, where the first known boot never answered; they count until the first list of any boot (run 2 at 25,836 ms while run 1 lapsed at 27,060 ms).

--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -245,8 +245,17 @@
     return run;
   }
 
+  /** A run that the former scheduler confirmed shows that it knew the lease of this boot to be as granted. */
+  #readInheritedBounds(driver: ServerDriver): void {
+    for (const { phase, confirmed, bootedAt } of this.runRegistry.runsOn(driver.id)) {
+      if (phase !== "inherited" || !confirmed || bootedAt !== driver.bootedAt) continue;
+      driver.leaseBounds.grantedByFormerScheduler();
+    }
+  }
+
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
+    this.#readInheritedBounds(driver);
     const { leaseAsGranted } = driver;
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
--- a/src/state/jobs/execution/lease-bounds.ts
+++ b/src/state/jobs/execution/lease-bounds.ts
@@ -20,26 +20,25 @@
  * clock is unrelated, so it may then take the longest lease that it accepts.
  */
 export class LeaseBounds {
-  readonly #serverClock: ServerClock;
-  readonly #leaseTtlMs: number;
-  readonly #maxServerLeaseMs: number;
-  readonly #takenOverAt: number;
-  readonly #firstKnownBoot: boolean;
-  /** Undefined once its orders have ended. */
+  readonly #options: Omit<LeaseBoundsOptions, "former">;
+  /** Bounds of the former boot; undefined once the orders for it and those before it have ended. */
   #former: LeaseBounds | undefined;
-  /** Time from which leases that orders for former boots gave to this one have lapsed. */
-  #formerOrdersLapsedAt = 0;
+  /** Latest deadline of orders for former boots, each on the clock of its boot. */
+  readonly #formerDeadlineMs: number = 0;
+  /** Time of the first list that this scheduler has read of a former boot. */
+  readonly #formerAdoptedAt: number | undefined;
+  #formerOrderAt: number | undefined;
   #adoptedAt: number | undefined;
+  #asFormerSchedulerGranted = false;
   #pendingOrders = 0;
   #lastOrderEndedAt: number | undefined;
 
-  constructor(options: LeaseBoundsOptions) {
-    this.#serverClock = options.serverClock;
-    this.#leaseTtlMs = options.leaseTtlMs;
-    this.#maxServerLeaseMs = options.maxServerLeaseMs;
-    this.#takenOverAt = options.takenOverAt;
-    this.#former = options.former;
-    this.#firstKnownBoot = options.former === undefined;
+  constructor({ former, ...options }: LeaseBoundsOptions) {
+    this.#options = options;
+    this.#former = former;
+    if (former === undefined) return;
+    this.#formerDeadlineMs = former.#latestDeadlineMs;
+    this.#formerAdoptedAt = former.#firstAdoptedAt;
   }
 
   /** Number of orders with a deadline that have no result yet. */
@@ -68,40 +67,70 @@
     this.#adoptedAt ??= now;
   }
 
+  /** Records that the former scheduler knew the lease of this boot to be as granted. */
+  grantedByFormerScheduler(): void {
+    this.#asFormerSchedulerGranted = true;
+  }
+
   /** Monotonic time in ms from which runs have lapsed that are certainly on this boot. */
   ownBootLapsedAt(now: number): number {
-    if (this.#adoptedAt === undefined) return leasesLapsedAt(this.#takenOverAt, this.#leaseTtlMs);
-    return Math.max(this.#serverClock.lapsedAt() ?? 0, this.#formerOrdersLapsed(now));
+    const { serverClock, takenOverAt, leaseTtlMs } = this.#options;
+    const inherited = leasesLapsedAt(takenOverAt, leaseTtlMs);
+    if (this.#adoptedAt === undefined) return inherited;
+    return Math.max(inherited, serverClock.lapsedAt() ?? 0, this.#misdirectedLapsedAt(now));
   }
 
   /** Monotonic time in ms from which runs have lapsed that may be on this boot or on a later one. */
   anyBootLapsedAt(now: number): number {
     const orderAt = this.lastOrderAt(now);
     const lapsedAt = orderAt === undefined ? 0 : this.#longestLapsedAt(orderAt);
-    return Math.max(lapsedAt, this.#formerOrdersLapsed(now));
+    return Math.max(lapsedAt, this.#misdirectedLapsedAt(now));
   }
 
   /** True if the lease of this boot is no longer than schedulers have granted to it. */
   isAsGranted(now: number): boolean {
-    return this.#adoptedAt !== undefined && now > this.#formerOrdersLapsed(now);
+    return this.#adoptedAt !== undefined && now > this.#misdirectedLapsedAt(now);
+  }
+
+  /** Time from which leases have lapsed that orders for former boots may have given to this one. */
+  #misdirectedLapsedAt(now: number): number {
+    return Math.max(this.#ownOrdersLapsedAt(now), this.#formerSchedulerLapsedAt());
+  }
+
+  /** The same for orders of this scheduler. They extend the lease up to their deadlines at most. */
+  #ownOrdersLapsedAt(now: number): number {
+    const orderAt = this.#lastFormerOrderAt(now);
+    if (orderAt === undefined) return 0;
+    const deadlineAt = this.#options.serverClock.passedAt(this.#formerDeadlineMs) ?? Infinity;
+    return Math.min(deadlineAt, this.#longestLapsedAt(orderAt));
+  }
+
+  /** The same for orders of former schedulers. */
+  #formerSchedulerLapsedAt(): number {
+    if (this.#asFormerSchedulerGranted) return 0;
+    return this.#longestLapsedAt(this.#firstAdoptedAt ?? this.#options.takenOverAt);
+  }
+
+  /** Latest time at which an order for a former boot may have been carried out. */
+  #lastFormerOrderAt(now: number): number | undefined {
+    const former = this.#former;
+    if (former === undefined) return this.#formerOrderAt;
+    const times = [former.lastOrderAt(now), former.#lastFormerOrderAt(now)];
+    const known = times.filter((time) => time !== undefined);
+    if (known.length > 0) this.#formerOrderAt = Math.max(...known);
+    if (former.#pendingOrders === 0 && former.#former === undefined) this.#former = undefined;
+    return this.#formerOrderAt;
   }
 
-  #formerOrdersLapsed(now: number): number {
-    // The former scheduler may have issued orders for a boot before the first one that is known here.
-    if (this.#firstKnownBoot) return this.#longestLapsedAt(this.#adoptedAt ?? this.#takenOverAt);
-    if (this.#former !== undefined) {
-      this.#formerOrdersLapsedAt = this.#former.anyBootLapsedAt(now);
-      if (this.#former.#isSettled) this.#former = undefined;
-    }
-    return this.#formerOrdersLapsedAt;
+  get #firstAdoptedAt(): number | undefined {
+    return this.#formerAdoptedAt ?? this.#adoptedAt;
   }
 
-  /** True if nothing can move the bounds of later boots any more. */
-  get #isSettled(): boolean {
-    return this.#pendingOrders === 0 && this.#former === undefined;
+  get #latestDeadlineMs(): number {
+    return Math.max(this.#formerDeadlineMs, this.#options.serverClock.latestDeadlineMs);
   }
 
   #longestLapsedAt(orderAt: number): number {
-    return leasesLapsedAt(orderAt, this.#maxServerLeaseMs);
+    return leasesLapsedAt(orderAt, this.#options.maxServerLeaseMs);
   }
 }
--- a/src/state/jobs/execution/server-clock.ts
+++ b/src/state/jobs/execution/server-clock.ts
@@ -41,6 +41,11 @@
     if (previous === undefined || reading.clockMs >= previous.clockMs) this.#reading = reading;
   }
 
+  /** Latest deadline that was sent, on the backend server's clock in ms; 0 if there is none. */
+  get latestDeadlineMs(): number {
+    return this.#latestDeadlineMs;
+  }
+
   /**
    * Returns a deadline on the backend server's clock, about `ttlMs` ahead, and records it as sent.
    * Undefined before the clock was read.
@@ -58,9 +63,17 @@
    * deadline is sent. Undefined before the clock was read.
    */
   lapsedAt(): number | undefined {
+    return this.passedAt(this.#latestDeadlineMs);
+  }
+
+  /**
+   * Monotonic time in ms from which the backend server's clock has passed a deadline, even if it is the
+   * slowest. Undefined before the clock was read.
+   */
+  passedAt(deadlineMs: number): number | undefined {
     if (this.#reading === undefined) return undefined;
     const { clockMs, receivedAt } = this.#reading;
-    return receivedAt + Math.max(0, this.#latestDeadlineMs - clockMs) / SLOWEST_CLOCK_RATE;
+    return receivedAt + Math.max(0, deadlineMs - clockMs) / SLOWEST_CLOCK_RATE;
   }
 }
 
--- a/test/state/jobs/lease-bounds.test.ts
+++ b/test/state/jobs/lease-bounds.test.ts
@@ -17,12 +17,20 @@
   });
 }
 
-/** Bounds of a boot that was adopted at `at` and got its last order with a deadline then. */
-function polledAt(at: number, former?: LeaseBounds): LeaseBounds {
+interface Polled {
+  readonly former?: LeaseBounds;
+  /** Reading of the boot's clock at its last list. */
+  readonly clockMs?: number;
+  /** Time of the first list. */
+  readonly adoptedAt?: number;
+}
+
+/** Bounds of a boot whose last list and last order came at `at`. */
+function polledAt(at: number, { former, clockMs = 50_000, adoptedAt = at }: Polled = {}) {
   const serverClock = new ServerClock();
   const bounds = leaseBounds(former, serverClock);
-  bounds.listRead(at);
-  serverClock.addReading({ clockMs: 50_000, receivedAt: at });
+  bounds.listRead(adoptedAt);
+  serverClock.addReading({ clockMs, receivedAt: at });
   serverClock.issueDeadline(at, TTL_MS);
   bounds.orderSent();
   bounds.orderEnded(at);
@@ -59,10 +67,10 @@
 // Guards against a lease on the new boot that an order for the former one extends while it is under way.
 test("orders for a former boot move the bounds of the later one until they have ended", () => {
   const at = TAKEN_OVER_AT + 60_000;
-  const former = polledAt(at);
+  const former = polledAt(at, { clockMs: 900_000 });
   former.orderSent();
-  const later = polledAt(at, former);
-  const last = polledAt(at, later);
+  const later = polledAt(at, { former });
+  const last = polledAt(at, { former: later });
   assert.is(later.ownBootLapsedAt(at + 700), at + 700 + MAX_LAPSED_MS);
   assert.is(last.ownBootLapsedAt(at + 700), at + 700 + MAX_LAPSED_MS);
   former.orderEnded(at + 900);
@@ -73,4 +81,37 @@
   assert.is(last.isAsGranted(lapsedAt + 1), true);
 });
 
+// Guards against a wait for leases that no order can have given to the boot.
+test("an order for a former boot extends the lease of a later one up to its deadline at most", () => {
+  const at = TAKEN_OVER_AT + 60_000;
+  const deadlineMs = 48_000 + TTL_MS;
+  const former = polledAt(at, { clockMs: 48_000, adoptedAt: TAKEN_OVER_AT });
+  const later = polledAt(at, { former });
+  assert.is(later.isAsGranted(at + (deadlineMs - 50_000) / 0.98), false);
+  assert.is(later.isAsGranted(at + (deadlineMs - 50_000) / 0.98 + 1), true);
+  assert.is(polledAt(at, { former, clockMs: deadlineMs }).isAsGranted(at + 1), true);
+});
+
+test("a boot whose lease the former scheduler knew to be as granted lapses by its own deadlines", () => {
+  const at = TAKEN_OVER_AT + 500;
+  const bounds = polledAt(at);
+  bounds.grantedByFormerScheduler();
+  assert.is(bounds.ownBootLapsedAt(at), at + TTL_LAPSED_MS);
+  assert.is(bounds.isAsGranted(at), true);
+});
+
+// Guards against an order of the former scheduler that is carried out by a boot that was adopted late.
+test("leases of former schedulers count from the first list, of whichever boot it is", () => {
+  const listedAt = TAKEN_OVER_AT + 4000;
+  const neverAdopted = leaseBounds();
+  assert.is(
+    polledAt(listedAt, { former: neverAdopted }).ownBootLapsedAt(listedAt),
+    listedAt + MAX_LAPSED_MS,
+  );
+  const adopted = polledAt(TAKEN_OVER_AT + 100);
+  const later = leaseBounds(adopted);
+  later.listRead(listedAt);
+  assert.is(later.anyBootLapsedAt(listedAt), TAKEN_OVER_AT + 100 + MAX_LAPSED_MS);
+});
+
 test.run();
