fix(execution): the late end of a former boot ends no runs of a later one

Cause: LostRuns.serverGone released every run of the id. Change: only runs on the driver's boot or before it are released. Measured: lost-runs.test.ts fails before (both runs released) and passes; the tests of jobs, state, platform and fuzzing pass.

--- a/src/coordination/jobs/execution/lost-runs.ts
+++ b/src/coordination/jobs/execution/lost-runs.ts
@@ -40,9 +40,11 @@
     this.#options = options;
   }
 
-  /** Releases all runs of a backend server that was replaced. */
+  /** Releases the runs of a backend server that was replaced, but none of a boot after the driver's. */
   serverGone(driver: ServerDriver): void {
-    this.#release(driver, this.#options.runRegistry.onServer(driver.id), "gone");
+    const runs = this.#options.runRegistry.onServer(driver.id);
+    const ended = runs.filter(({ bootedAt }) => bootedAt <= driver.bootedAt);
+    this.#release(driver, ended, "gone");
   }
 
   /** Releases the runs of a backend server that does not respond whose leases have lapsed. */
