--- a/test/coordination/jobs/lost-runs.test.ts
+++ b/test/coordination/jobs/lost-runs.test.ts
@@ -18,13 +18,13 @@
   const released: string[] = [];
   const lostRuns = new LostRuns({
     ...{ clock: new VirtualClock(), log: NOOP_LOG, counters: new RecordedCounters(), runRegistry },
-    writer: {} as ProgressWriter,
+    writer: {} as unknown as ProgressWriter,
     driver: () => undefined,
     ...{ leaseTtlMs: 6000, maxServerLeaseMs: 10_000 },
     repeatStop: () => undefined,
     release: ({ task }) => released.push(task.name),
   });
-  lostRuns.serverGone({ id: "s1", bootedAt: 1000 } as ServerDriver);
+  lostRuns.serverGone({ id: "s1", bootedAt: 1000 } as unknown as ServerDriver);
   assert.equal(released, [first!.name]);
 });
 
