refactor(execution): the listener and the log fields of drivers stand apart

Change: DriverListener has a module of its own, the log fields of a lease belong to LeaseBounds. No behaviour changes.

--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -28,7 +28,8 @@
 import { RunStopper } from "./run-stopper.ts";
 import { RunEndHandler } from "./run-end-handler.ts";
 import { StragglerDetector } from "./straggler-detector.ts";
-import { DriverListener, type ServerDriver } from "./server-driver.ts";
+import { DriverListener } from "./driver-listener.ts";
+import type { ServerDriver } from "./server-driver.ts";
 
 /** Time in ms during which tasks leave a draining server gradually, within availability budgets. */
 const BUDGETED_EVACUATION_MS = 1200;
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -12,7 +12,7 @@
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
 import { isOfLaterBoot, ServerClock } from "../../../state/jobs/execution/server-clock.ts";
-import { LeaseBounds } from "../../../state/jobs/execution/lease-bounds.ts";
+import { LeaseBounds, type LeaseFields } from "../../../state/jobs/execution/lease-bounds.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
 import { ServerSpeed } from "../../../state/jobs/execution/server-speed.ts";
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
@@ -20,28 +20,7 @@
 import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
 import type { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
-
-/** Receives events of server drivers. */
-export abstract class DriverListener {
-  /** True if there are runs on the server to monitor. */
-  abstract hasRuns(server: string): boolean;
-  /** Maximum time in ms that a poll waits for a run to end, before progress must be checked. */
-  abstract pollWait(server: string): number;
-  /**
-   * Handles the lists returned by a poll that was sent at `askedAt`, a monotonic time in ms.
-   * Resolves true once the effects of the ended runs are stored, so that the ends can be
-   * acknowledged.
-   */
-  abstract listsRead(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean>;
-  /** All runs on the server have ended because it was replaced. */
-  abstract serverGone(driver: ServerDriver): void;
-  /** Called repeatedly while the server does not respond, since leases of its runs may have lapsed. */
-  abstract checkLeases(driver: ServerDriver): void;
-  /** A list came from a later boot, at Unix time `bootedAt` in ms. The driver is closed. */
-  abstract rebooted(driver: ServerDriver, bootedAt: number): void;
-  /** An order was refused because the server has seen a higher fencing token. */
-  abstract fenced(): void;
-}
+import type { DriverListener } from "./driver-listener.ts";
 
 /** Reply to a start order. */
 export interface StartReply extends BackendClock {
@@ -49,18 +28,6 @@
   readonly fromLaterBoot: boolean;
 }
 
-/** What a log line says about the lease of a server; times in ms. */
-export interface LeaseFields {
-  readonly bootedAt: number;
-  readonly adopted: boolean;
-  /** Time on the server's clock; undefined if the clock was not read. */
-  readonly clockMs: number | undefined;
-  /** Orders with a deadline that have no result yet. */
-  readonly pendingOrders: number;
-  /** Time since the last order with a deadline had a result or was given up; undefined if none was sent. */
-  readonly lastOrderAgoMs: number | undefined;
-}
-
 /** Planned work during which a backend server receives no new tasks. */
 export type ReservationReason = "maintenance" | "move" | "surplus";
 
@@ -192,17 +159,9 @@
     return this.#coldStart.coldness(this.#options.clock.now());
   }
 
-  /** Fields for log lines about the server's lease and boot, with times in ms. */
-  get leaseFields(): LeaseFields {
-    const now = this.#options.clock.now();
-    const { reading } = this.#serverClock;
-    const clockMs = reading && Math.round(reading.clockMs + now - reading.receivedAt);
-    const orderAt = this.leaseBounds.lastOrderAt(now);
-    return {
-      ...{ bootedAt: this.bootedAt, adopted: this.adopted, clockMs },
-      pendingOrders: this.leaseBounds.pendingOrders,
-      lastOrderAgoMs: orderAt === undefined ? undefined : Math.round(now - orderAt),
-    };
+  /** Fields for log lines about the server's boot and lease. */
+  get leaseFields(): { readonly bootedAt: number } & LeaseFields {
+    return { bootedAt: this.bootedAt, ...this.leaseBounds.logFields(this.#options.clock.now()) };
   }
 
   /**
--- a/src/state/jobs/execution/lease-bounds.ts
+++ b/src/state/jobs/execution/lease-bounds.ts
@@ -14,6 +14,18 @@
   readonly former?: LeaseBounds | undefined;
 }
 
+/** What log lines say about a lease; times in ms. */
+export interface LeaseFields {
+  /** True if this scheduler has read a list of the boot. */
+  readonly adopted: boolean;
+  /** Time on the server's clock; undefined if the clock was not read. */
+  readonly clockMs: number | undefined;
+  /** Orders with a deadline that have no result yet. */
+  readonly pendingOrders: number;
+  /** Time since the last order with a deadline had a result or was given up; undefined if none was sent. */
+  readonly lastOrderAgoMs: number | undefined;
+}
+
 /**
  * Times from which the lease of one boot of a backend server has certainly lapsed. A deadline is a time on
  * the clock of the boot that the order was issued for. A later boot may carry the order out, and its
@@ -41,9 +53,16 @@
     this.#formerAdoptedAt = former.#firstAdoptedAt;
   }
 
-  /** Number of orders with a deadline that have no result yet. */
-  get pendingOrders(): number {
-    return this.#pendingOrders;
+  /** Fields for log lines. */
+  logFields(now: number): LeaseFields {
+    const { reading } = this.#options.serverClock;
+    const orderAt = this.lastOrderAt(now);
+    return {
+      adopted: this.#adoptedAt !== undefined,
+      clockMs: reading && Math.round(reading.clockMs + now - reading.receivedAt),
+      pendingOrders: this.#pendingOrders,
+      lastOrderAgoMs: orderAt === undefined ? undefined : Math.round(now - orderAt),
+    };
   }
 
   /** Latest time at which an order with a deadline may have been carried out; undefined if none was sent. */
