test(fuzz): a poll that waits ends with the boot that received it

By docs/assumptions.md an order under way when its server reboots does not reach the next boot. Change: a waiting poll of a server that reboots gets no reply until its timeout, as on a connection that is lost silently; so orders still go to the later boot meanwhile.

--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -284,13 +284,17 @@
     return this.#send(() => ({ clockMs: 0 }));
   }
 
+  /** Waits as ordered. The connection is lost silently if the server reboots in the meantime. */
   async poll(order: PollOrder): OrderResult<RunLists> {
     const deadline = this.#clock.now() + order.waitMs;
-    for (;;) {
-      const result = await this.#send(() => this.#server.poll(order));
-      if (result.err || result.val.ended.length > 0 || this.#clock.now() >= deadline) return result;
+    let result = await this.#send(() => this.#server.poll(order));
+    const { bootedAt } = this.#server;
+    while (result.ok && result.val.ended.length === 0 && this.#clock.now() < deadline) {
       await this.#clock.sleep(POLL_STEP_MS);
+      if (this.#server.bootedAt !== bootedAt) return this.#timeOut(deadline - this.#clock.now());
+      result = await this.#send(() => this.#server.poll(order));
     }
+    return result;
   }
 
   async #send<T extends object>(execute: () => T | OrderError): OrderResult<T> {
@@ -301,8 +305,8 @@
     return "kind" in result ? Err(result) : Ok(result);
   }
 
-  async #timeOut(): OrderResult<never> {
-    await this.#clock.sleep(ORDER_TIMEOUT_MS);
+  async #timeOut(waitMs = 0): OrderResult<never> {
+    await this.#clock.sleep(waitMs + ORDER_TIMEOUT_MS);
     return Err({ kind: "unknown", detail: "no reply" });
   }
 
--- a/test/coordination/jobs/lease-of-later-boot.test.ts
+++ b/test/coordination/jobs/lease-of-later-boot.test.ts
@@ -45,7 +45,7 @@
   return { cluster, clock, scheduler, submitWide, advance, cut, runsOnRebooted };
 }
 
-// Guards against runs that are given up too early (TWICE): a poll issued for the former boot gave the new
+// Guards against runs that are given up too early (TWICE): a start issued for the former boot gave the new
 // boot the longest lease, and the scheduler reckoned with its own deadlines only.
 for (const knownAfterMs of [40, 400])
   test(`runs on a new boot that took a lease meant for the former one outlive no cut, known after ${knownAfterMs} ms`, async () => {
@@ -53,6 +53,7 @@
     await submitWide("first");
     await advance(200);
     cluster.rebootUnnoticed("s0");
+    await submitWide("between");
     await advance(knownAfterMs);
     cluster.announce("s0");
     await advance(200);
@@ -71,6 +72,7 @@
   await submitWide("first");
   await advance(200);
   cluster.rebootUnnoticed("s0");
+  await submitWide("between");
   await advance(100);
   cluster.announce("s0");
   await advance(200);
