refactor(execution): names and comments after a reading by a newcomer

Cause: a reader who had not seen the work stumbled on `confirmed` with three meanings, on "own" and "misdirected" orders, on two methods that differ by one letter, and on comments that no longer held (the direction of an estimate, inherited runs only, a class that decides nothing). Change: names and comments; the stored flag is leaseAsGranted, its row is as before; LeaseBounds gets the four options that it uses. No behaviour of the product changes.

--- a/bench/decisions/replay.ts
+++ b/bench/decisions/replay.ts
@@ -164,7 +164,7 @@
     this.#free[server]! -= cores;
     this.#occupy(task.job, cores);
     task.run++;
-    task.placement = { server: String(server), bootedAt: 0, confirmed: false };
+    task.placement = { server: String(server), bootedAt: 0, leaseAsGranted: false };
     this.#ends.push({ heapKey: this.#now + this.#actualMs(task), task, server });
     return true;
   }
--- a/bench/load-measurement.ts
+++ b/bench/load-measurement.ts
@@ -40,7 +40,7 @@
       ready.readyAt = 0;
       for (const task of ready.tasks)
         if (!waiting || n % 2 === 0)
-          task.placement = { server: "s", bootedAt: 0, confirmed: false };
+          task.placement = { server: "s", bootedAt: 0, leaseAsGranted: false };
     }
     return job;
   });
--- a/src/coordination/jobs/execution/batch-builder.ts
+++ b/src/coordination/jobs/execution/batch-builder.ts
@@ -54,7 +54,7 @@
     this.orders.push({ ...order, spec: number });
   }
 
-  /** `holdMs`: time for which the executor may hold its reply; `expiry`: on its clocks. */
+  /** `holdMs`: time for which the executor may hold its reply; `expiry`: time on its clocks from which the orders are not sent. */
   encode(channel: string, holdMs: number, expiry: ClockReading | undefined): Uint8Array {
     const { specs, orders } = this;
     return encodeOrderBatch({ channel, holdMs, expiry, specs, orders });
--- a/src/coordination/jobs/execution/driver-listener.ts
+++ b/src/coordination/jobs/execution/driver-listener.ts
@@ -13,9 +13,9 @@
    * acknowledged.
    */
   abstract listsRead(driver: ServerDriver, lists: RunLists, askedAt: number): Promise<boolean>;
-  /** All runs on the server have ended because it was replaced. */
+  /** The server was replaced, so the runs of the driver's boot and of earlier ones have ended. */
   abstract serverGone(driver: ServerDriver): void;
-  /** Called repeatedly while the server does not respond, since leases of its runs may have lapsed. */
+  /** Called repeatedly while the server does not respond, since its lease may have lapsed. */
   abstract checkLeases(driver: ServerDriver): void;
   /** A list came from a later boot, at Unix time `bootedAt` in ms. The driver is closed. */
   abstract rebooted(driver: ServerDriver, bootedAt: number): void;
--- a/src/coordination/jobs/execution/executor-link.ts
+++ b/src/coordination/jobs/execution/executor-link.ts
@@ -27,7 +27,7 @@
 const BATCH_INTERVAL_MS = 10;
 /** Time in ms for which an executor may hold a reply while there are no results. */
 const HOLD_MS = 300;
-/** An executor that does not reply for this time in ms has failed, and orders sent to it expire. */
+/** Time in ms without a reply, beyond the transfer time of a full batch, after which an executor has failed. */
 const REPLY_TIMEOUT_MS = 600;
 /** Batches without a reply above which further orders are sent directly. */
 const MAX_UNANSWERED = 24;
@@ -66,9 +66,9 @@
  * Sends orders to one executor in batches. Every reply carries the results that are complete, and
  * while results are outstanding the executor always has a batch to reply to, which is empty if there
  * is nothing to send. So a slow poll delays no other order. Orders are sent only after an empty
- * batch was answered, so that none depends on an entry instance that can't relay. They expire on
- * the executor's clocks once the link would have given it up: a server that has booted again can't
- * tell that an order is late.
+ * batch was answered, so that none depends on an entry instance that can't relay. Orders expire on
+ * the executor's clocks when the link would fail for lack of a reply, because a server that has
+ * rebooted can't tell that an order is late.
  */
 export class ExecutorLink {
   readonly #options: ExecutorLinkOptions;
@@ -90,7 +90,7 @@
   /** Number of the current channel. Replies on earlier channels are ignored. */
   #channel = 0;
   #orderId = 0;
-  /** Batches without a reply, with the monotonic time in ms at which the link fails for each. */
+  /** Batches without a reply, and the monotonic time in ms by which each must be answered. */
   readonly #unanswered = new Map<BatchBuilder, number>();
   #flushScheduled = false;
   #flushedAt = -Infinity;
@@ -176,7 +176,7 @@
     if (batch.orders.length > 0) void this.#send(batch, HOLD_MS);
   }
 
-  /** Monotonic time in ms at which the link fails unless there are replies. */
+  /** Earliest of the times by which batches must be answered; Infinity without such batches. */
   get #failsAt(): number {
     return Math.min(...this.#unanswered.values());
   }
@@ -194,7 +194,7 @@
     counters.event("relay_batches");
     counters.event(`relay_orders_${this.#executor.name}`, batch.orders.length);
     const name = `${tenure.token}.${channel}`;
-    // The first of them fails the link, whatever was sent after it.
+    // The link fails with its oldest unanswered batch, so later batches expire with that one.
     const encoded = batch.encode(name, holdMs, this.#executorClocks.at(this.#failsAt));
     const reply = await connection.call(
       { type: "order-batch", batch: encoded },
--- a/src/coordination/jobs/execution/lost-runs.ts
+++ b/src/coordination/jobs/execution/lost-runs.ts
@@ -32,7 +32,10 @@
   readonly release: (run: ActiveRun, reason: LossReason) => void;
 }
 
-/** Finds the runs that have ended with the lease, the boot or the instance of their backend server. */
+/**
+ * Releases runs that have ended with the lease, the boot or the instance of their backend server, and
+ * moves those that a later boot may have started.
+ */
 export class LostRuns {
   readonly #options: LostRunsOptions;
 
@@ -44,7 +47,7 @@
   serverGone(driver: ServerDriver): void {
     const runs = this.#options.runRegistry.onServer(driver.id);
     const ended = runs.filter(({ bootedAt }) => bootedAt <= driver.bootedAt);
-    this.#release(driver, ended, "gone");
+    this.#logAndRelease(driver, ended, "gone");
   }
 
   /** Releases the runs of a backend server that does not respond whose leases have lapsed. */
@@ -52,12 +55,13 @@
     const { clock, runRegistry } = this.#options;
     const now = clock.now();
     const runs = runRegistry.onServer(driver.id).filter((run) => now > driver.leaseLapsedAt(run));
-    this.#release(driver, runs, "lapsed");
+    this.#logAndRelease(driver, runs, "lapsed");
   }
 
   /**
-   * Releases inherited runs on unregistered backend servers once their leases have lapsed, also those
-   * that are being stopped since.
+   * Releases inherited runs, in any phase, on backend servers without a driver once their leases have
+   * lapsed: the granted lease for confirmed runs, the longest lease for others. `takenOverAt`: monotonic
+   * time in ms at which this scheduler took over.
    */
   checkUnregistered(takenOverAt: number): void {
     const { clock, runRegistry, driver, leaseTtlMs, maxServerLeaseMs, release } = this.#options;
@@ -70,24 +74,23 @@
     }
   }
 
-  /** Handles all runs of a backend server of which a later boot became known. */
-  earlierBootsEnded(server: string, bootedAt: number): void {
-    for (const run of this.#options.runRegistry.onServer(server))
-      this.earlierBootEnded(run, bootedAt);
+  /** Releases or moves all runs of a backend server of which a later boot became known. */
+  releaseOrMoveAll(server: string, bootedAt: number): void {
+    for (const run of this.#options.runRegistry.onServer(server)) this.releaseOrMove(run, bootedAt);
   }
 
   /**
    * Releases a run that ended with an earlier boot of its backend server. A run that the later boot may
    * have started in its place is kept as a run on that boot, until a list of that boot shows whether it did.
    */
-  earlierBootEnded(run: ActiveRun, bootedAt: number): void {
+  releaseOrMove(run: ActiveRun, bootedAt: number): void {
     if (run.bootedAt >= bootedAt) return;
     // The order of a run whose placement is being recorded was not sent.
     if (run.confirmed || run.phase === "recording") this.#options.release(run, "rebooted");
     else this.#moveToBoot(run, bootedAt);
   }
 
-  #release(driver: ServerDriver, runs: readonly ActiveRun[], reason: LossReason): void {
+  #logAndRelease(driver: ServerDriver, runs: readonly ActiveRun[], reason: LossReason): void {
     if (runs.length === 0) return;
     const confirmed = runs.filter((run) => run.confirmed).length;
     const fields = { server: driver.id, reason, runs: runs.length, confirmed };
@@ -104,7 +107,7 @@
     counters.event("run_in_doubt_after_reboot");
     run.bootedAt = bootedAt;
     run.since = clock.now();
-    task.placement = { server, bootedAt, confirmed: false };
+    task.placement = { server, bootedAt, leaseAsGranted: false };
     if (phase === "stopping") repeatStop(run);
     void writer.save(task.job);
   }
--- a/src/coordination/jobs/execution/order-executor.ts
+++ b/src/coordination/jobs/execution/order-executor.ts
@@ -37,10 +37,9 @@
 }
 
 /**
- * Sends a scheduler's orders to backend servers and returns their results. It decides nothing and
- * repeats nothing: token, run, deadline and acknowledged position are the scheduler's, so a backend
- * server refuses what arrives late or out of turn as if the scheduler had sent it. Orders that the
- * scheduler has given up, because this process was paused for instance, are not sent.
+ * Sends a scheduler's orders to backend servers and returns their results. Token, run, deadline and
+ * acknowledged position are the scheduler's, and orders are never repeated. A batch past its expiry is
+ * not sent: a server that has rebooted since can't tell that its orders are late.
  */
 export class OrderExecutor {
   readonly #options: OrderExecutorOptions;
@@ -85,8 +84,9 @@
   }
 
   #execute(channel: Channel, { expiry, specs, orders }: OrderBatch): void {
-    // Those of an expired batch too, since later batches only name them.
+    // Specs of an expired batch are kept too: later batches refer to them by number.
     for (const [number, spec] of specs) channel.specs.add(number, spec);
+    // The decoder accepts orders only with an expiry.
     if (expiry === undefined || orders.length === 0) return;
     const lateMs = this.#lateMs(expiry);
     if (lateMs >= 0) {
@@ -97,7 +97,10 @@
     for (const order of orders) void this.#executeOrder(channel, order);
   }
 
-  /** Time in ms since the expiry. The monotonic clock does not count a suspension of the machine. */
+  /**
+   * Time in ms since the expiry, by the clock on which it is later; negative before it. Both are read
+   * because the monotonic clock stops while the machine is suspended.
+   */
   #lateMs(expiry: ClockReading): number {
     const { now, wallTime } = this.#options.clock.read();
     return Math.max(now - expiry.now, wallTime - expiry.wallTime);
--- a/src/coordination/jobs/execution/run-starter.ts
+++ b/src/coordination/jobs/execution/run-starter.ts
@@ -98,7 +98,7 @@
     server.requestPoll();
   }
 
-  /** Records that a start was accepted. The reply does not tell which boot has accepted it. */
+  /** Records that a start was accepted. The run stays unconfirmed, since the reply names no boot. */
   #handleReply(run: ActiveRun, server: ServerDriver, reply: StartReply): void {
     const { log, counters, setPhase } = this.#options;
     const { task, phase } = run;
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -113,7 +113,7 @@
       const { server } = task.placement;
       const run = this.#add(task, task.placement, "inherited");
       const driver = this.#options.driver(server);
-      if (driver !== undefined) this.lostRuns.earlierBootEnded(run, driver.bootedAt);
+      if (driver !== undefined) this.lostRuns.releaseOrMove(run, driver.bootedAt);
       if (job.final) this.#stopper.stop(run);
     }
   }
@@ -121,7 +121,7 @@
   /** Places a task on a backend server. No order is sent before {@link launch}. */
   place(task: Task, driver: ServerDriver): ActiveRun {
     task.run++;
-    task.placement = { server: driver.id, bootedAt: driver.bootedAt, confirmed: false };
+    task.placement = { server: driver.id, bootedAt: driver.bootedAt, leaseAsGranted: false };
     const run = this.#add(task, task.placement, "recording");
     this.starter.reserve(run);
     return run;
@@ -239,28 +239,35 @@
     const { clock, driver } = this.#options;
     const { registration, coldness } = driver(placement.server) ?? {};
     const since = clock.now();
+    const { server, bootedAt, leaseAsGranted } = placement;
     const run = newRun(task, {
-      ...{ ...placement, phase, since, coldness, rack: registration?.rack },
+      ...{ server, bootedAt, confirmed: leaseAsGranted },
+      ...{ phase, since, coldness, rack: registration?.rack },
     });
     this.runRegistry.add(run);
     return run;
   }
 
-  /** A run that the former scheduler confirmed shows that it knew the lease of this boot to be as granted. */
-  #readInheritedBounds(driver: ServerDriver): void {
-    for (const { phase, confirmed, bootedAt } of this.runRegistry.runsOn(driver.id)) {
-      if (phase !== "inherited" || !confirmed || bootedAt !== driver.bootedAt) continue;
-      driver.leaseBounds.grantedByFormerScheduler();
-    }
+  /**
+   * Tells the driver that its lease is as granted if the former scheduler recorded that for a run on this
+   * boot. Called before inherited runs change their phase.
+   */
+  #trustInheritedLease(driver: ServerDriver): void {
+    const runs = [...this.runRegistry.runsOn(driver.id)];
+    const recorded = runs.some(
+      ({ phase, confirmed, bootedAt }) =>
+        phase === "inherited" && confirmed && bootedAt === driver.bootedAt,
+    );
+    if (recorded) driver.leaseBounds.recordGrantedByFormerScheduler();
   }
 
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
-    this.#readInheritedBounds(driver);
+    this.#trustInheritedLease(driver);
     const { leaseAsGranted } = driver;
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
-      if (leaseAsGranted) this.#confirmPlacement(run);
+      if (leaseAsGranted) this.#recordLeaseAsGranted(run);
       // An inherited run may have been added before its server's registration was read.
       if (run.phase === "inherited") run.slowdown = coldSlowdown(driver.coldness);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
@@ -283,13 +290,14 @@
   }
 
   /**
-   * Records that a run is confirmed, so that the next scheduler does not wait for the longest lease. Only
-   * a long-running task is worth a write of its own; other tasks are stored with the next change of the job.
+   * Stores that a listed run's lease is as granted, so that the next scheduler does not wait for the
+   * longest lease. Only a long-running task is worth a write of its own; other tasks are stored with the
+   * next change of the job.
    */
-  #confirmPlacement({ task }: ActiveRun): void {
+  #recordLeaseAsGranted({ task }: ActiveRun): void {
     const { placement } = task;
-    if (placement === undefined || placement.confirmed) return;
-    task.placement = { ...placement, confirmed: true };
+    if (placement === undefined || placement.leaseAsGranted) return;
+    task.placement = { ...placement, leaseAsGranted: true };
     if (task.step.spec.longRunning) void this.#options.writer.save(task.job);
   }
 
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -24,7 +24,7 @@
 
 /** Reply to a start order. */
 export interface StartReply extends BackendClock {
-  /** True if a later boot than the driver's has certainly accepted the start. */
+  /** True if a later boot has certainly accepted the start; for logs and counters only. */
   readonly fromLaterBoot: boolean;
 }
 
@@ -89,8 +89,10 @@
   constructor(options: ServerDriverOptions) {
     this.#options = options;
     this.#registration = options.registration;
+    const { leaseTtlMs, maxServerLeaseMs, takenOverAt, formerLease } = options;
     this.leaseBounds = new LeaseBounds({
-      ...{ ...options, serverClock: this.#serverClock, former: options.formerLease },
+      ...{ serverClock: this.#serverClock, former: formerLease },
+      ...{ leaseTtlMs, maxServerLeaseMs, takenOverAt },
     });
     if (options.registration.draining) this.drainingSince = options.clock.now();
     this.#observeColdStart();
@@ -165,8 +167,8 @@
   }
 
   /**
-   * Monotonic time in ms from which the lease of a run here has certainly lapsed. `confirmed`: a list of
-   * this boot has shown the run, so that it can't be on a later one.
+   * Monotonic time in ms from which the server's lease has certainly lapsed for a run here. `confirmed`:
+   * a list of this boot has shown the run, so that it can't be on a later one.
    */
   leaseLapsedAt({ confirmed }: { readonly confirmed: boolean }): number {
     const now = this.#options.clock.now();
@@ -175,7 +177,7 @@
       : this.leaseBounds.anyBootLapsedAt(now);
   }
 
-  /** True unless orders for a former boot may have given this one a longer lease than was granted. */
+  /** True if the lease is certainly no longer than granted; false before this scheduler's first list. */
   get leaseAsGranted(): boolean {
     return this.leaseBounds.isAsGranted(this.#options.clock.now());
   }
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -147,7 +147,7 @@
     this.drivers = new FleetDrivers({
       open: (registration, former) => this.#createDriver(registration, former),
       onNewBoot: (server, bootedAt) => {
-        this.tracker.lostRuns.earlierBootsEnded(server, bootedAt);
+        this.tracker.lostRuns.releaseOrMoveAll(server, bootedAt);
       },
       onChange: requestRound,
     });
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -4,7 +4,7 @@
   cancel(): void;
 }
 
-/** The same instant on the monotonic clock and in the time of day, in milliseconds. */
+/** One instant on both clocks: monotonic time, and time of day since the Unix epoch, in milliseconds. */
 export interface ClockReading {
   readonly now: number;
   readonly wallTime: number;
--- a/src/ports/job-backend.ts
+++ b/src/ports/job-backend.ts
@@ -39,7 +39,7 @@
 
 /** A reading of the backend server's clock. */
 export interface BackendClock {
-  /** Time in ms on a steady clock. Each boot begins at a reading of its own, not at zero. */
+  /** Time in ms on a steady clock. Readings of different boots can't be compared. */
   readonly clockMs: number;
 }
 
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -75,7 +75,7 @@
    * True once a list of this boot has shown the run, and no order for a former boot can have given this
    * one a longer lease than schedulers grant.
    */
-  readonly confirmed: boolean;
+  readonly leaseAsGranted: boolean;
 }
 
 /** Stored progress of one task. Tasks that never started have none. */
@@ -259,16 +259,17 @@
 
 function toRow(task: TaskProgressRecord): readonly unknown[] {
   const { occurrence, step, index, run, done, failures, checkpoint, placement } = task;
-  const { server = null, bootedAt = 0, confirmed = false } = placement ?? {};
+  const { server = null, bootedAt = 0, leaseAsGranted = false } = placement ?? {};
   const row = [occurrence, step, index, run, done, failures, checkpoint, server, bootedAt];
-  if (confirmed) return [...row, task.givenUpRuns, confirmed];
+  // Columns at the end that have their default are left out.
+  if (leaseAsGranted) return [...row, task.givenUpRuns, leaseAsGranted];
   return task.givenUpRuns.length === 0 ? row : [...row, task.givenUpRuns];
 }
 
 function fromRow(row: v.InferOutput<typeof TaskRowSchema>): TaskProgressRecord {
   const [occurrence, step, index, run, done, failures, checkpoint] = row;
-  const [, , , , , , , server, bootedAt, givenUpRuns, confirmed] = row;
-  const placement = server === null ? undefined : { server, bootedAt, confirmed };
+  const [, , , , , , , server, bootedAt, givenUpRuns, leaseAsGranted] = row;
+  const placement = server === null ? undefined : { server, bootedAt, leaseAsGranted };
   return {
     occurrence,
     step,
--- a/src/protocol/order-batch.ts
+++ b/src/protocol/order-batch.ts
@@ -67,7 +67,7 @@
   readonly channel: string;
   /** Longest time in ms for which the executor may hold its reply to wait for results. */
   readonly holdMs: number;
-  /** From this time on, by either clock of the executor, nothing is sent. Orders always have one. */
+  /** From this time on, by either clock of the executor, nothing is sent. Required if there are orders. */
   readonly expiry?: ClockReading | undefined;
   /** Job specs that this channel has not carried before, with their numbers. */
   readonly specs: readonly (readonly [number, string])[];
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -61,7 +61,7 @@
   readonly behaviour: (task: string) => TaskBehaviour;
   /** Rate of the server's clock relative to `clock`. @default 1 */
   readonly clockRate?: number;
-  /** Reading of the server's clock in ms at its boots, which are counted from 0. @default always 0 */
+  /** Returns the reading in ms at which a boot's clock begins; the first boot is number 0. @default 0 */
   readonly clockStartMs?: (boot: number) => number;
   /** Longest lease in ms that the server accepts; a longer one is shortened. @default unlimited */
   readonly maxLeaseMs?: number;
--- a/src/state/jobs/execution/executor-clocks.ts
+++ b/src/state/jobs/execution/executor-clocks.ts
@@ -6,15 +6,16 @@
   /** Local monotonic time in ms at which the reading arrived. */
   #arrivedAt = 0;
 
-  /** Replaces the reading by a newer one, which arrived at the given local monotonic time. */
+  /** Replaces the reading by the one that arrived last, at the given local monotonic time in ms. */
   update(reading: ClockReading, arrivedAt: number): void {
     this.#reading = reading;
     this.#arrivedAt = arrivedAt;
   }
 
   /**
-   * Times on both clocks of the executor that it reaches at the given local monotonic time, or
-   * later by the time that the reading was on its way. Undefined before the first reading.
+   * Estimates both clocks of the executor at a local monotonic time in ms. The executor reaches these times
+   * up to one transit time of the reading earlier, so orders expire early rather than late. Undefined
+   * before the first reading.
    */
   at(localTime: number): ClockReading | undefined {
     if (this.#reading === undefined) return undefined;
--- a/src/state/jobs/execution/lease-bounds.ts
+++ b/src/state/jobs/execution/lease-bounds.ts
@@ -18,11 +18,14 @@
 export interface LeaseFields {
   /** True if this scheduler has read a list of the boot. */
   readonly adopted: boolean;
-  /** Time on the server's clock; undefined if the clock was not read. */
+  /** Estimated time on the server's clock; undefined if the clock was not read. */
   readonly clockMs: number | undefined;
   /** Orders with a deadline that have no result yet. */
   readonly pendingOrders: number;
-  /** Time since the last order with a deadline had a result or was given up; undefined if none was sent. */
+  /**
+   * Time since the last order with a deadline had a result or was given up; 0 while one is pending,
+   * undefined if none was sent.
+   */
   readonly lastOrderAgoMs: number | undefined;
 }
 
@@ -35,7 +38,7 @@
   readonly #options: Omit<LeaseBoundsOptions, "former">;
   /** Bounds of the former boot; undefined once the orders for it and those before it have ended. */
   #former: LeaseBounds | undefined;
-  /** Latest deadline of orders for former boots, each on the clock of its boot. */
+  /** Highest deadline in orders for former boots, which this boot would read on its own clock. */
   readonly #formerDeadlineMs: number = 0;
   /** Time of the first list that this scheduler has read of a former boot. */
   readonly #formerAdoptedAt: number | undefined;
@@ -56,7 +59,7 @@
   /** Fields for log lines. */
   logFields(now: number): LeaseFields {
     const { reading } = this.#options.serverClock;
-    const orderAt = this.lastOrderAt(now);
+    const orderAt = this.#lastOrderAt(now);
     return {
       adopted: this.#adoptedAt !== undefined,
       clockMs: reading && Math.round(reading.clockMs + now - reading.receivedAt),
@@ -65,8 +68,11 @@
     };
   }
 
-  /** Latest time at which an order with a deadline may have been carried out; undefined if none was sent. */
-  lastOrderAt(now: number): number | undefined {
+  /**
+   * Latest monotonic time in ms at which an order with a deadline may have been carried out; undefined if
+   * none was sent. No order reaches a later boot after it was given up (docs/assumptions.md).
+   */
+  #lastOrderAt(now: number): number | undefined {
     return this.#pendingOrders > 0 ? now : this.#lastOrderEndedAt;
   }
 
@@ -87,54 +93,57 @@
   }
 
   /** Records that the former scheduler knew the lease of this boot to be as granted. */
-  grantedByFormerScheduler(): void {
+  recordGrantedByFormerScheduler(): void {
     this.#asFormerSchedulerGranted = true;
   }
 
-  /** Monotonic time in ms from which runs have lapsed that are certainly on this boot. */
+  /** Monotonic time in ms from which the lease has lapsed for runs that are certainly on this boot. */
   ownBootLapsedAt(now: number): number {
     const { serverClock, takenOverAt, leaseTtlMs } = this.#options;
     const inherited = leasesLapsedAt(takenOverAt, leaseTtlMs);
     if (this.#adoptedAt === undefined) return inherited;
-    return Math.max(inherited, serverClock.lapsedAt() ?? 0, this.#misdirectedLapsedAt(now));
+    return Math.max(inherited, serverClock.lapsedAt() ?? 0, this.#strayOrdersLapsedAt(now));
   }
 
-  /** Monotonic time in ms from which runs have lapsed that may be on this boot or on a later one. */
+  /** Monotonic time in ms from which leases have lapsed for runs that may be on this boot or a later one. */
   anyBootLapsedAt(now: number): number {
-    const orderAt = this.lastOrderAt(now);
+    const orderAt = this.#lastOrderAt(now);
     const lapsedAt = orderAt === undefined ? 0 : this.#longestLapsedAt(orderAt);
-    return Math.max(lapsedAt, this.#misdirectedLapsedAt(now));
+    return Math.max(lapsedAt, this.#strayOrdersLapsedAt(now));
   }
 
-  /** True if the lease of this boot is no longer than schedulers have granted to it. */
+  /** True if the lease is certainly no longer than granted; false before this scheduler's first list. */
   isAsGranted(now: number): boolean {
-    return this.#adoptedAt !== undefined && now > this.#misdirectedLapsedAt(now);
+    return this.#adoptedAt !== undefined && now > this.#strayOrdersLapsedAt(now);
   }
 
-  /** Time from which leases have lapsed that orders for former boots may have given to this one. */
-  #misdirectedLapsedAt(now: number): number {
-    return Math.max(this.#ownOrdersLapsedAt(now), this.#formerSchedulerLapsedAt());
+  /** Monotonic time in ms from which leases have lapsed that orders for former boots may have given to this one. */
+  #strayOrdersLapsedAt(now: number): number {
+    return Math.max(
+      this.#strayOrdersOfThisSchedulerLapsedAt(now),
+      this.#strayOrdersOfFormerSchedulersLapsedAt(),
+    );
   }
 
-  /** The same for orders of this scheduler. They extend the lease up to their deadlines at most. */
-  #ownOrdersLapsedAt(now: number): number {
+  /** Like {@link #strayOrdersLapsedAt}, for orders of this scheduler, which extend the lease to their deadlines at most. */
+  #strayOrdersOfThisSchedulerLapsedAt(now: number): number {
     const orderAt = this.#lastFormerOrderAt(now);
     if (orderAt === undefined) return 0;
     const deadlineAt = this.#options.serverClock.passedAt(this.#formerDeadlineMs) ?? Infinity;
     return Math.min(deadlineAt, this.#longestLapsedAt(orderAt));
   }
 
-  /** The same for orders of former schedulers. */
-  #formerSchedulerLapsedAt(): number {
+  /** Like {@link #strayOrdersLapsedAt}, for orders of former schedulers. */
+  #strayOrdersOfFormerSchedulersLapsedAt(): number {
     if (this.#asFormerSchedulerGranted) return 0;
     return this.#longestLapsedAt(this.#firstAdoptedAt ?? this.#options.takenOverAt);
   }
 
-  /** Latest time at which an order for a former boot may have been carried out. */
+  /** Like {@link #lastOrderAt}, for former boots. Forgets the former boot once its orders have ended. */
   #lastFormerOrderAt(now: number): number | undefined {
     const former = this.#former;
     if (former === undefined) return this.#formerOrderAt;
-    const times = [former.lastOrderAt(now), former.#lastFormerOrderAt(now)];
+    const times = [former.#lastOrderAt(now), former.#lastFormerOrderAt(now)];
     const known = times.filter((time) => time !== undefined);
     if (known.length > 0) this.#formerOrderAt = Math.max(...known);
     if (former.#pendingOrders === 0 && former.#former === undefined) this.#former = undefined;
--- a/test/coordination/jobs/lease-of-later-boot.test.ts
+++ b/test/coordination/jobs/lease-of-later-boot.test.ts
@@ -48,7 +48,7 @@
 // Guards against runs that are given up too early (TWICE): a start issued for the former boot gave the new
 // boot the longest lease, and the scheduler reckoned with its own deadlines only.
 for (const knownAfterMs of [40, 400])
-  test(`runs on a new boot that took a lease meant for the former one outlive no cut, known after ${knownAfterMs} ms`, async () => {
+  test(`no task runs twice when a server that took a start for its former boot is cut off, known after ${knownAfterMs} ms`, async () => {
     const { cluster, submitWide, advance, cut, runsOnRebooted } = await busyCluster();
     await submitWide("first");
     await advance(200);
@@ -65,7 +65,7 @@
     assert.equal(repeatedStarts(cluster.servers.values()), []);
   });
 
-// Guards against the same after a takeover: the new scheduler allowed only for the leases that its
+// Guards against runs that are given up too early after a takeover (TWICE): the new scheduler allowed only for the leases that its
 // predecessor meant to grant.
 test("runs on a new boot with a lease meant for the former one are kept by the next scheduler", async () => {
   const { cluster, scheduler, submitWide, advance, cut, runsOnRebooted } = await busyCluster();
--- a/test/coordination/jobs/start-reply-clock.test.ts
+++ b/test/coordination/jobs/start-reply-clock.test.ts
@@ -13,7 +13,7 @@
 
 // Guards against a run that is taken to have ended with the former boot (TWICE): the clock of the new
 // boot happened to continue the former one's, so the start reply seemed to come from the former boot.
-test("a start reply with a likely clock does not prove which boot has started the run", async () => {
+test("a clock reading that continues the former boot's does not prove which boot has started the run", async () => {
   const cluster = new JobCluster({
     random: new SeededRandom(1),
     servers: 5,
--- a/test/coordination/jobs/unregistered-gang.test.ts
+++ b/test/coordination/jobs/unregistered-gang.test.ts
@@ -41,7 +41,7 @@
   assert.is(hosts().length, 2);
 });
 
-// Guards against the same, with the stop ordered because the member on the other server has failed.
+// Guards against a gang that waits for ever (LOST): the stop was ordered because the other member had failed.
 test("a gang restarts after a member failed while the server of the other was lost with the scheduler", async () => {
   const { cluster, clock, scheduler, hosts } = await clusterWithGang(5000);
   cluster.crash(hosts()[1]!.id);
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -70,7 +70,7 @@
   readonly stopMs?: number;
   /** Longest lease in ms that a server accepts. @default 6250, little more than schedulers grant */
   readonly maxServerLeaseMs?: number;
-  /** Reading in ms of the clock of every server at its boots, counted from 0. @default always 0 */
+  /** Returns the reading in ms at which a boot's clock begins; the first boot is number 0. @default 0 */
   readonly clockStartMs?: (boot: number) => number;
   /** Zone of every backend server. @default two zones without entry instances */
   readonly serverZone?: string;
--- a/test/state/jobs/lease-bounds.test.ts
+++ b/test/state/jobs/lease-bounds.test.ts
@@ -55,6 +55,7 @@
   assert.is(bounds.isAsGranted(listedAt + MAX_LAPSED_MS + 1), true);
 });
 
+// Guards against a task that is started elsewhere while a later boot may still run it.
 test("a long-known boot lapses by the deadlines on its own clock, but not for a run that a later boot may have", () => {
   const at = TAKEN_OVER_AT + 60_000;
   const bounds = polledAt(TAKEN_OVER_AT);
@@ -95,7 +96,7 @@
 test("a boot whose lease the former scheduler knew to be as granted lapses by its own deadlines", () => {
   const at = TAKEN_OVER_AT + 500;
   const bounds = polledAt(at);
-  bounds.grantedByFormerScheduler();
+  bounds.recordGrantedByFormerScheduler();
   assert.is(bounds.ownBootLapsedAt(at), at + TTL_LAPSED_MS);
   assert.is(bounds.isAsGranted(at), true);
 });
--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -109,7 +109,7 @@
       mayStart: () => true,
       place: (task, { id, bootedAt }) => {
         task.run++;
-        task.placement = { server: id, bootedAt, confirmed: false };
+        task.placement = { server: id, bootedAt, leaseAsGranted: false };
         const assigned = { server: id, bootedAt, rack: undefined, phase: "running" as const };
         const run = newRun(task, { ...assigned, since: 0 });
         runRegistry.add(run);
