fix(takeover): schedulers tell their successors which leases are as granted

Cause: schedulers followed each other within 10 s, and each doubted every lease until the longest one had passed since its first list, so none confirmed the run. Change: the record of learnt state says for each boot whether its lease is as granted, which stays true for that boot; a successor trusts it, for runs on that boot only. Why it works: trust is handed on within a second, in place of being regained by waiting.

--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -258,7 +258,7 @@
       ({ phase, confirmed, bootedAt }) =>
         phase === "inherited" && confirmed && bootedAt === driver.bootedAt,
     );
-    if (recorded) driver.leaseBounds.recordGrantedByFormerScheduler();
+    if (recorded) driver.trustLease();
   }
 
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -182,6 +182,11 @@
     return this.leaseBounds.isAsGranted(this.#options.clock.now());
   }
 
+  /** Called if the former scheduler knew the lease of this boot to be as granted. */
+  trustLease(): void {
+    this.leaseBounds.recordGrantedByFormerScheduler();
+  }
+
   /** Applies a newer registration of the same boot. */
   updateRegistration(registration: RegisteredServer): void {
     this.#registration = registration;
--- a/src/coordination/jobs/records/learnt-record-keeper.ts
+++ b/src/coordination/jobs/records/learnt-record-keeper.ts
@@ -55,7 +55,7 @@
     }
   }
 
-  /** Restores speed and health of a server that was just registered. */
+  /** Restores what is known of a server that was just registered. */
   serverOpened(server: LearntAboutServer): void {
     const entry = this.#state.serverEntry(server);
     if (entry !== undefined) restoreServer(entry, server, this.#moment());
--- a/src/protocol/learnt-record.ts
+++ b/src/protocol/learnt-record.ts
@@ -21,7 +21,7 @@
   readonly siblingTail: readonly number[];
 }
 
-/** Speed and health of one boot of a backend server. */
+/** Speed, health and lease of one boot of a backend server. */
 export interface LearntServer {
   readonly kind: "server";
   readonly id: string;
@@ -35,6 +35,8 @@
   readonly failures: number;
   /** Unix time in ms at which the quarantine ends; 0 without one. */
   readonly quarantinedUntil: number;
+  /** True if the boot's lease is certainly no longer than schedulers have granted to it. */
+  readonly leaseAsGranted: boolean;
 }
 
 /** One entry of the record. */
@@ -46,7 +48,11 @@
 const finite = v.pipe(v.number(), v.finite());
 const amount = v.pipe(finite, v.minValue(0));
 const QueueRow = v.tuple([v.string(), amount, v.array(finite), v.array(amount), v.array(amount)]);
-const ServerRow = v.tuple([v.string(), amount, amount, amount, amount, amount]);
+const ServerRow = v.tuple([
+  v.string(),
+  ...([amount, amount, amount, amount, amount] as const),
+  v.optional(v.boolean(), false),
+]);
 const VersionSchema = v.looseObject({ version: v.number() });
 const LearntSchema = v.object({ queues: v.array(QueueRow), servers: v.array(ServerRow) });
 
@@ -66,8 +72,8 @@
 function toRow(entry: LearntEntry): readonly unknown[] {
   if (entry.kind === "queue")
     return [entry.name, entry.changedAt, entry.model, entry.tail, entry.siblingTail];
-  const { id, bootedAt, changedAt, ratio, failures, quarantinedUntil } = entry;
-  return [id, bootedAt, changedAt, ratio, failures, quarantinedUntil];
+  const { id, bootedAt, changedAt, ratio, failures, quarantinedUntil, leaseAsGranted } = entry;
+  return [id, bootedAt, changedAt, ratio, failures, quarantinedUntil, leaseAsGranted];
 }
 
 /** Decodes the entries, or returns why the record can't be used. */
@@ -82,8 +88,9 @@
     ...{ kind: "queue", name, changedAt, model, tail, siblingTail },
   }));
   const servers = stored.servers.map(
-    ([id, bootedAt, changedAt, ratio, failures, quarantinedUntil]): LearntServer => ({
-      ...{ kind: "server", id, bootedAt, changedAt, ratio, failures, quarantinedUntil },
+    ([id, bootedAt, changedAt, ratio, failures, quarantinedUntil, leaseAsGranted]) => ({
+      ...{ kind: "server" as const, id, bootedAt, changedAt, ratio, failures, quarantinedUntil },
+      leaseAsGranted,
     }),
   );
   return [...queues, ...servers];
--- a/src/state/jobs/execution/lease-bounds.ts
+++ b/src/state/jobs/execution/lease-bounds.ts
@@ -109,7 +109,9 @@
   anyBootLapsedAt(now: number): number {
     const orderAt = this.#lastOrderAt(now);
     const lapsedAt = orderAt === undefined ? 0 : this.#longestLapsedAt(orderAt);
-    return Math.max(lapsedAt, this.#strayOrdersLapsedAt(now));
+    // Trust in the lease of this boot says nothing about a later one.
+    const strayOrders = this.#strayOrdersOfFormerSchedulersLapsedAt();
+    return Math.max(lapsedAt, this.#strayOrdersOfThisSchedulerLapsedAt(now), strayOrders);
   }
 
   /** True if the lease is certainly no longer than granted; false before this scheduler's first list. */
@@ -119,10 +121,9 @@
 
   /** Monotonic time in ms from which leases have lapsed that orders for former boots may have given to this one. */
   #strayOrdersLapsedAt(now: number): number {
-    return Math.max(
-      this.#strayOrdersOfThisSchedulerLapsedAt(now),
-      this.#strayOrdersOfFormerSchedulersLapsedAt(),
-    );
+    const strayOrders = this.#strayOrdersOfThisSchedulerLapsedAt(now);
+    if (this.#asFormerSchedulerGranted) return strayOrders;
+    return Math.max(strayOrders, this.#strayOrdersOfFormerSchedulersLapsedAt());
   }
 
   /** Like {@link #strayOrdersLapsedAt}, for orders of this scheduler, which extend the lease to their deadlines at most. */
@@ -135,7 +136,6 @@
 
   /** Like {@link #strayOrdersLapsedAt}, for orders of former schedulers. */
   #strayOrdersOfFormerSchedulersLapsedAt(): number {
-    if (this.#asFormerSchedulerGranted) return 0;
     return this.#longestLapsedAt(this.#firstAdoptedAt ?? this.#options.takenOverAt);
   }
 
--- a/src/state/jobs/records/learnt-state.ts
+++ b/src/state/jobs/records/learnt-state.ts
@@ -4,7 +4,7 @@
 import type { ServerSpeed } from "../execution/server-speed.ts";
 import type { DurationModel, DurationModels } from "../scheduling/duration-model.ts";
 
-/** Deviation from the usual speed below which a server needs no entry. */
+/** Deviation from the usual speed below which the speed is not stored. */
 const MIN_SPEED_DEVIATION = 0.1;
 
 /** A backend server about which something may have been learnt. */
@@ -13,6 +13,10 @@
   readonly bootedAt: number;
   readonly speed: ServerSpeed;
   readonly health: ServerHealth;
+  /** True if the boot's lease is certainly no longer than schedulers have granted to it. */
+  readonly leaseAsGranted: boolean;
+  /** Called if the former scheduler knew the lease of this boot to be as granted. */
+  trustLease(): void;
 }
 
 /** Times of one moment on the two clocks, in milliseconds. */
@@ -73,16 +77,17 @@
   model.siblingTail.restore(entry.siblingTail);
 }
 
-/** Restores speed and health of a server that has the boot of the entry. */
+/** Restores speed, health and trust in the lease of a server that has the boot of the entry. */
 export function restoreServer(
-  { bootedAt, ratio, failures, quarantinedUntil }: LearntServer,
+  { bootedAt, ratio, failures, quarantinedUntil, leaseAsGranted }: LearntServer,
   server: LearntAboutServer,
   { now, wallTime }: Moment,
 ): void {
+  if (server.bootedAt !== bootedAt) return;
+  if (leaseAsGranted) server.trustLease();
   // What this scheduler has measured itself is newer than the record.
-  const measured = server.speed.ratio !== 1 || server.health.consecutiveFailures > 0;
-  if (server.bootedAt !== bootedAt || measured) return;
-  server.speed.restore(ratio, now);
+  if (server.speed.ratio !== 1 || server.health.consecutiveFailures > 0) return;
+  if (ratio !== 1) server.speed.restore(ratio, now);
   if (failures > 0) server.health.restoreProbation(failures, quarantinedUntil - wallTime, now);
 }
 
@@ -94,17 +99,18 @@
 }
 
 function newServerEntry(
-  { id, bootedAt, speed, health }: LearntAboutServer,
+  { id, bootedAt, speed, health, leaseAsGranted }: LearntAboutServer,
   { now, wallTime }: Moment,
 ): LearntServer | undefined {
-  const ratio = Math.round(speed.ratio * 100) / 100;
+  const rounded = Math.round(speed.ratio * 100) / 100;
+  const ratio = Math.abs(rounded - 1) < MIN_SPEED_DEVIATION ? 1 : rounded;
   const failures = health.onProbation ? health.consecutiveFailures : 0;
-  if (failures === 0 && Math.abs(ratio - 1) < MIN_SPEED_DEVIATION) return undefined;
+  if (failures === 0 && ratio === 1 && !leaseAsGranted) return undefined;
   const left = health.quarantinedUntil - now;
   const quarantinedUntil = left > 0 ? Math.round(wallTime + left) : 0;
   return {
     ...{ kind: "server", id, bootedAt, changedAt: wallTime, ratio, failures },
-    quarantinedUntil,
+    ...{ quarantinedUntil, leaseAsGranted },
   };
 }
 
--- a/test/coordination/jobs/learnt-record.test.ts
+++ b/test/coordination/jobs/learnt-record.test.ts
@@ -20,7 +20,14 @@
 const BOOTED_AT = 5000;
 
 function server(id: string, bootedAt = BOOTED_AT) {
-  return { id, bootedAt, speed: new ServerSpeed(), health: new ServerHealth() };
+  return {
+    ...{ id, bootedAt, speed: new ServerSpeed(), health: new ServerHealth() },
+    leaseAsGranted: false,
+    trusted: false,
+    trustLease() {
+      this.trusted = true;
+    },
+  };
 }
 
 /** One store and the schedulers that hold its lock one after the other. */
@@ -96,6 +103,25 @@
   await end();
 });
 
+// Guards against tasks that wait for the longest lease after each of several takeovers in a row (LOST).
+test("a new scheduler trusts the leases that its predecessor knew to be as granted, of the same boot", async () => {
+  const store = new Store();
+  const known = [server("same"), server("rebooted")].map((each) => ({
+    ...each,
+    leaseAsGranted: true,
+  }));
+  const former = await store.takeOver([...known, server("doubtful")]);
+  await store.clock.advance(1100);
+  await former.end();
+  const found = [server("same"), server("rebooted", BOOTED_AT + 1), server("doubtful")];
+  const { end } = await store.takeOver(found);
+  assert.equal(
+    found.map(({ trusted }) => trusted),
+    [true, false, false],
+  );
+  await end();
+});
+
 // A record of a damaged store or of another version must not stop or mislead a scheduler.
 test("an unusable record is discarded with a log line and replaced by what is learnt anew", async () => {
   const version = { version: 99, queues: [], servers: [] };
@@ -142,7 +168,8 @@
 
 test("a record that would exceed its limit keeps the entries that changed most recently", () => {
   const entries = Array.from({ length: 4000 }, (_, index): LearntServer => {
-    const changed = { changedAt: 1_700_000_000_000 + index, quarantinedUntil: 0, failures: 0 };
+    const changedAt = 1_700_000_000_000 + index;
+    const changed = { changedAt, quarantinedUntil: 0, failures: 0, leaseAsGranted: false };
     return { kind: "server", id: `server-${index}`, bootedAt: BOOTED_AT, ratio: 2.5, ...changed };
   });
   const bytes = encodeLearnt(entries);
--- a/test/coordination/jobs/lease-after-takeover.test.ts
+++ b/test/coordination/jobs/lease-after-takeover.test.ts
@@ -42,6 +42,35 @@
     assert.ok(waitedMs <= GRANTED_LEASE_BOUND_MS, `restarted after ${waitedMs} ms`);
   });
 
+// Guards against a long-running task that waits for the longest lease (LOST) because no scheduler lasted
+// long enough to confirm its run.
+test("a run waits for the granted lease although schedulers follow each other every few seconds", async () => {
+  const tenureMs = 7000;
+  const cluster = newCluster(undefined, 4);
+  const { clock } = cluster;
+  cluster.addEntry();
+  await cluster.electScheduler();
+  await clock.advance(CONFIRMED_AFTER_MS);
+  const nextTenure = async (): Promise<void> => {
+    cluster.kill(cluster.scheduler!);
+    await clock.advance(50);
+    await cluster.electScheduler();
+  };
+  await nextTenure();
+  const job = jobRequest(step({ tasks: 1, longRunning: true }));
+  await advanceUntilSettled(clock, cluster.submit(cluster.scheduler!, "job", job));
+  await clock.advance(tenureMs);
+  await nextTenure();
+  await clock.advance(tenureMs);
+  const [lost] = [...cluster.servers.values()].filter(({ running }) => running.length > 0);
+  cluster.kill(cluster.scheduler!);
+  cluster.crash(lost!.id);
+  const lostAt = clock.now();
+  await clock.until(() => [...cluster.servers.values()].some(({ running }) => running.length > 0));
+  const waitedMs = clock.now() - lostAt;
+  assert.ok(waitedMs <= GRANTED_LEASE_BOUND_MS, `restarted after ${waitedMs} ms`);
+});
+
 // Guards against a bound that counts from the takeover (TWICE): a start of the former scheduler arrives
 // later, at a boot that the new scheduler meets only after it has read the registration of the one before.
 test("an order of the former scheduler is allowed for until a list of any boot was read", async () => {
--- a/test/state/jobs/lease-bounds.test.ts
+++ b/test/state/jobs/lease-bounds.test.ts
@@ -99,6 +99,10 @@
   bounds.recordGrantedByFormerScheduler();
   assert.is(bounds.ownBootLapsedAt(at), at + TTL_LAPSED_MS);
   assert.is(bounds.isAsGranted(at), true);
+  assert.is(bounds.anyBootLapsedAt(at), at + MAX_LAPSED_MS, "a run may be on a later boot");
+  const unknown = leaseBounds();
+  unknown.recordGrantedByFormerScheduler();
+  assert.is(unknown.anyBootLapsedAt(at), TAKEN_OVER_AT + MAX_LAPSED_MS);
 });
 
 // Guards against an order of the former scheduler that is carried out by a boot that was adopted late.
