fix(execution): servers that join after a takeover are not in doubt

Cause: a boot counted as possibly extended by orders of the former scheduler for the longest lease after its own first list, however long after the takeover that came; every moved instance is such a boot. Change: those orders have been answered or have timed out 4 s after the takeover, so the bound counts from then at the latest. Why it works: orders are sent under the lock only, and the longest of them is a poll of 2 s with a timeout of 0.9 s; relayed ones expire. A process that is paused with an order in its HTTP client stays as listed.

--- a/src/state/jobs/execution/lease-bounds.ts
+++ b/src/state/jobs/execution/lease-bounds.ts
@@ -1,5 +1,8 @@
 import { leasesLapsedAt, type ServerClock } from "./server-clock.ts";
 
+/** Time in ms after a takeover by which orders of the former scheduler were answered or have timed out. */
+const FORMER_ORDERS_MS = 4000;
+
 /** Options of {@link LeaseBounds}. */
 export interface LeaseBoundsOptions {
   /** Clock of the boot. */
@@ -136,7 +139,10 @@
 
   /** Like {@link #strayOrdersLapsedAt}, for orders of former schedulers. */
   #strayOrdersOfFormerSchedulersLapsedAt(): number {
-    return this.#longestLapsedAt(this.#firstAdoptedAt ?? this.#options.takenOverAt);
+    const { takenOverAt } = this.#options;
+    // From its first list on, the server refuses orders of earlier schedulers.
+    const adoptedAt = this.#firstAdoptedAt ?? takenOverAt;
+    return this.#longestLapsedAt(Math.min(adoptedAt, takenOverAt + FORMER_ORDERS_MS));
   }
 
   /** Like {@link #lastOrderAt}, for former boots. Forgets the former boot once its orders have ended. */
--- a/test/state/jobs/lease-bounds.test.ts
+++ b/test/state/jobs/lease-bounds.test.ts
@@ -105,6 +105,13 @@
   assert.is(unknown.anyBootLapsedAt(at), TAKEN_OVER_AT + MAX_LAPSED_MS);
 });
 
+// Guards against doubt in servers that join long after a takeover, as every moved instance does (LOST).
+test("orders of former schedulers reach no boot that was adopted long after the takeover", () => {
+  const at = TAKEN_OVER_AT + 30_000;
+  assert.is(polledAt(at).isAsGranted(at), true);
+  assert.is(polledAt(at).ownBootLapsedAt(at), at + TTL_LAPSED_MS);
+});
+
 // Guards against an order of the former scheduler that is carried out by a boot that was adopted late.
 test("leases of former schedulers count from the first list, of whichever boot it is", () => {
   const listedAt = TAKEN_OVER_AT + 4000;
