--- a/review/lib-3/site.ts
+++ b/review/lib-3/site.ts
@@ -5,7 +5,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { decodeLock, SCHEDULER_KEY } from "../../src/protocol/job-records.ts";
-import { GangBoard } from "./gangs.ts";
 import { callAsClient, freePorts, type ClientCall } from "./http.ts";
 import type { CaseRecord } from "./record.ts";
 import { Store, VALUE_BYTES } from "./store.ts";
@@ -53,7 +52,6 @@
   readonly machines: Machine[] = [];
   readonly #options: SiteOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "review-"));
-  readonly #gangs = new GangBoard();
   #closing = false;
 
   constructor(options: SiteOptions) {
@@ -71,12 +69,12 @@
   }
 
   /** Starts a new worker of a service. */
-  async startWorker(service: string): Promise<Worker> {
+  async startWorker(service: string, kind = "k1"): Promise<Worker> {
     const number = this.workers.length.toString(16).padStart(8, "0");
-    const worker = new Worker(`5a10c0de${number}`, this.#options.events, this.#gangs);
+    const worker = new Worker(`5a10c0de${number}`, this.#options.events);
     await worker.server.listen();
     this.workers.push(worker);
-    this.register(worker, service);
+    this.register(worker, service, kind);
     return worker;
   }
 
@@ -88,12 +86,12 @@
   }
 
   /** Writes a worker's entry. */
-  register(worker: Worker, service = "almacen"): void {
+  register(worker: Worker, service = "almacen", kind = "k1"): void {
     const { id, born, server } = worker;
     this.store.write(`servers/${id}`, {
       ...{ service, address: server.address, zone: "andina-a", version: "1", slots: 8 },
       ...{ state: "ready", coldRemainingMs: 0, sequence: 1, born },
-      ...{ capacity: { ...this.#options.capacity, gpu: 0 }, labels: ["k1", "r1-1"] },
+      ...{ capacity: { ...this.#options.capacity, gpu: 0 }, labels: [kind, "r1-1"] },
     });
   }
 
@@ -103,18 +101,19 @@
     method: ClientCall["method"],
     rest: string,
     body?: unknown,
+    key = KEY,
   ): ReturnType<typeof callAsClient> {
     const path = rest.startsWith("/") ? rest : `${PREFIX}${rest}`;
-    return callAsClient({ address: machine.front, method, path, host: HOST, key: KEY, body });
+    return callAsClient({ address: machine.front, method, path, host: HOST, key, body });
   }
 
   /** Sends a call to one machine after the other, up to five times, until it has a final answer. */
-  async callUntilAnswered(method: ClientCall["method"], rest: string, body?: unknown) {
+  async callUntilAnswered(method: ClientCall["method"], rest: string, body?: unknown, key = KEY) {
     let last: Awaited<ReturnType<typeof callAsClient>>;
     for (let attempt = 0; attempt < 5; attempt++) {
       const machine = this.machines[attempt % this.machines.length];
       if (machine === undefined) break;
-      last = await this.call(machine, method, rest, body);
+      last = await this.call(machine, method, rest, body, key);
       const text = `${method} ${rest} at ${machine.name}: ${last?.status ?? "no answer"}`;
       this.#options.record.add(`${text} ${JSON.stringify(last?.body ?? {})}`);
       if (last !== undefined && ![429, 502, 503, 504].includes(last.status)) break;
@@ -123,13 +122,11 @@
     return last;
   }
 
-  /** Kills every process of the system; the platform starts them again. */
-  killAll(): void {
-    for (const machine of this.machines) {
-      machine.killed = true;
-      machine.process?.kill("SIGKILL");
-    }
-    this.#options.record.add("all processes are killed");
+  /** Kills the process of a machine; the platform starts it again. */
+  kill(machine: Machine): void {
+    machine.killed = true;
+    machine.process?.kill("SIGKILL");
+    this.#options.record.add(`the process on ${machine.name} is killed`);
   }
 
   /** The machine of the system that schedules now. */
--- a/review/lib-3/store.ts
+++ b/review/lib-3/store.ts
@@ -43,13 +43,6 @@
 
 /** The store. */
 export class Store {
-  /**
-   * Time in ms after which a write is done without an answer; undefined if it is done at once and answered.
-   * Called with the keys of each write.
-   */
-  lateWrite: (keys: readonly string[]) => number | undefined = () => undefined;
-  /** Called with each refused write. */
-  refused: (reason: string, keys: readonly string[]) => void = () => undefined;
   readonly server = new JsonServer((call) => this.#answer(call));
   readonly #items = new Map<string, Item>();
   /** All keys in order. */
@@ -75,19 +68,6 @@
     return item === undefined ? undefined : Buffer.from(item.value, "base64");
   }
 
-  /** Number of keys that begin with the prefix. */
-  count(prefix: string): number {
-    return this.#keys.filter((key) => key.startsWith(prefix)).length;
-  }
-
-  /** Puts records as an earlier life of the system has left them. */
-  leave(records: readonly (readonly [string, Uint8Array])[]): void {
-    for (const [key, value] of records) {
-      this.#revision++;
-      this.#put(key, Buffer.from(value).toString("base64"), 0);
-    }
-  }
-
   delete(key: string): void {
     this.#revision++;
     this.#remove(key);
@@ -184,24 +164,13 @@
     });
   }
 
-  #write(txn: Transaction): Reply | undefined {
+  #write(txn: Transaction): Reply {
     const puts = txn.puts ?? [];
-    const keys = [...puts.map(({ key }) => key), ...(txn.delete ?? [])];
-    const entries = (txn.expectedRevision ?? []).length + keys.length;
-    if (entries > MAX_ENTRIES) return this.#refuse("too many entries", keys);
-    for (const { key, value } of puts) {
-      const bytes = Buffer.byteLength(value, "base64");
-      if (bytes > VALUE_BYTES) return this.#refuse(`value of ${bytes} bytes`, [key]);
-    }
-    const lateMs = this.lateWrite(keys);
-    if (lateMs === undefined) return this.#execute(txn);
-    setTimeout(() => this.#execute(txn), lateMs);
-    return undefined;
-  }
-
-  #refuse(reason: string, keys: readonly string[]): Reply {
-    this.refused(reason, keys);
-    return { status: 400, body: { error: reason } };
+    const entries = [...(txn.expectedRevision ?? []), ...puts, ...(txn.delete ?? [])].length;
+    if (entries > MAX_ENTRIES) return { status: 400 };
+    for (const { value } of puts)
+      if (Buffer.byteLength(value, "base64") > VALUE_BYTES) return { status: 400 };
+    return this.#execute(txn);
   }
 
   #execute(txn: Transaction): Reply {
--- a/review/lib-3/worker.ts
+++ b/review/lib-3/worker.ts
@@ -1,6 +1,5 @@
 /** Workers on loopback, as PROTOCOL describes them. */
 import { JsonServer, type Call, type Reply } from "./http.ts";
-import { GangBoard, type GangMember } from "./gangs.ts";
 
 /** How a run behaves. */
 export interface Behaviour {
@@ -10,14 +9,10 @@
   readonly fails?: boolean;
   /** True if the task makes checkpoints. */
   readonly saves?: boolean;
-  /** Appended to the checkpoints, such as the name of what they are stored under. */
-  readonly suffix?: string;
-  /** Members of the gang; undefined if the task is in none. */
-  readonly gang?: number;
 }
 
 /** How a run ended. */
-export type End = "done" | "failed" | "stopped" | "lapsed" | "broken" | "alone";
+export type End = "done" | "failed" | "stopped" | "lapsed";
 
 /** What the workers tell the case. */
 export interface WorkerEvents {
@@ -41,7 +36,6 @@
   readonly behaviour: Behaviour;
   /** Work that was done before this run, in ms. */
   readonly savedMs: number;
-  readonly member: GangMember | undefined;
 }
 
 type EndedRow = readonly [number, string, number, End, string];
@@ -52,10 +46,10 @@
 const RESTORE_MS = 250;
 const LISTED_ENDS = 500;
 
-/** Checkpoint after the given work: its time, and the name of the task or gang in short. */
-function checkpoint(group: string, workMs: number): string {
+/** Checkpoint after the given work: its time, and the name of the task in short. */
+function checkpoint(task: string, workMs: number): string {
   let hash = 7;
-  for (const char of group) hash = (hash * 31 + char.charCodeAt(0)) % 0x1_0000_0000;
+  for (const char of task) hash = (hash * 31 + char.charCodeAt(0)) % 0x1_0000_0000;
   const [time, name] = [Math.floor(workMs), hash].map((n) => n.toString(16).padStart(8, "0"));
   return `${time ?? ""}${name ?? ""}`;
 }
@@ -67,29 +61,23 @@
   /** Called right before a look that has waited is answered. */
   answersLook: () => void = () => undefined;
   readonly #events: WorkerEvents;
-  readonly #gangs: GangBoard;
   readonly #running = new Map<string, Run>();
   readonly #barred = new Map<string, number>();
   #ended: EndedRow[] = [];
   #sequence = 0;
   #token = 0;
   #deadlineMs = 0;
-  born = Date.now();
-  #bootedAt = performance.now();
-  #clockStart = Math.floor(Math.random() * 500_000);
+  readonly born = Date.now();
+  readonly #bootedAt = performance.now();
+  readonly #clockStart = Math.floor(Math.random() * 500_000);
   #waiting: (() => void)[] = [];
   readonly #timer = setInterval(() => {
     this.#tick();
   }, TICK_MS);
 
-  constructor(id: string, events: WorkerEvents, gangs: GangBoard) {
+  constructor(id: string, events: WorkerEvents) {
     this.id = id;
     this.#events = events;
-    this.#gangs = gangs;
-  }
-
-  get runs(): number {
-    return this.#running.size;
   }
 
   /** Crashes: connections break, and everything that runs is lost. */
@@ -97,23 +85,7 @@
     this.server.close();
     const runs = [...this.#running.values()];
     this.#running.clear();
-    for (const run of runs) {
-      this.#events.ended(this.id, run.task, run.run, "lost");
-      run.member?.leave();
-    }
-  }
-
-  /** Starts again under its id and address, and knows nothing of before. */
-  async boot(): Promise<void> {
-    this.#barred.clear();
-    this.#ended = [];
-    this.#sequence = 0;
-    this.#token = 0;
-    this.#deadlineMs = 0;
-    this.born = Date.now();
-    this.#bootedAt = performance.now();
-    this.#clockStart = Math.floor(Math.random() * 500_000);
-    await this.server.listen();
+    for (const run of runs) this.#events.ended(this.id, run.task, run.run, "lost");
   }
 
   close(): void {
@@ -167,11 +139,7 @@
     const savedMs = given === "" ? 0 : parseInt(given.slice(0, 8), 16);
     const behaviour = this.#events.behaviour(task, run);
     const startedAt = performance.now() + (given === "" ? 0 : RESTORE_MS);
-    const member =
-      behaviour.gang === undefined
-        ? undefined
-        : this.#gangs.join({ task, run, checkpoint: given, size: behaviour.gang });
-    this.#running.set(task, { task, run, startedAt, behaviour, savedMs, member });
+    this.#running.set(task, { task, run, startedAt, behaviour, savedMs });
     this.#events.started(this.id, task, run, given);
     return clock;
   }
@@ -182,7 +150,6 @@
     this.#ended = this.#ended.filter(([number]) => number > lastSeen);
     const waitMs = Number(body.waitMs ?? 0);
     if (waitMs > 0 && this.#ended.length === 0) {
-      const { born } = this;
       await new Promise<void>((resolve) => {
         const timer = setTimeout(resolve, waitMs);
         this.#waiting.push(() => {
@@ -190,7 +157,6 @@
           resolve();
         });
       });
-      if (this.born !== born) return { status: 421 };
       this.answersLook();
     }
     const running = [...this.#running.values()].map((each) => [
@@ -201,10 +167,8 @@
   }
 
   /** Work done in ms, with that of earlier runs. */
-  #workMs({ startedAt, savedMs, member }: Run): number {
-    const since =
-      member === undefined ? startedAt : Math.max(startedAt, member.beganAt ?? Infinity);
-    return savedMs + Math.max(0, performance.now() - since);
+  #workMs({ startedAt, savedMs }: Run): number {
+    return savedMs + Math.max(0, performance.now() - startedAt);
   }
 
   /** Value of the last checkpoint, or of one made now. */
@@ -212,8 +176,7 @@
     if (run.behaviour.saves !== true) return "";
     const workMs = this.#workMs(run);
     const savedMs = now ? workMs : Math.max(run.savedMs, workMs - (workMs % CHECKPOINT_MS));
-    const group = run.member?.gang ?? run.task;
-    return savedMs <= 0 ? "" : `${checkpoint(group, savedMs)}${run.behaviour.suffix ?? ""}`;
+    return savedMs <= 0 ? "" : checkpoint(run.task, savedMs);
   }
 
   #percent(run: Run): number {
@@ -227,21 +190,18 @@
       const { workMs, fails = false } = run.behaviour;
       if (workMs !== undefined && this.#workMs(run) >= workMs)
         this.#end(run, fails ? "failed" : "done");
-      else if (run.member?.broken === true) this.#end(run, "broken");
-      else if (run.member?.alone === true) this.#end(run, "alone");
       else if (lapsed) this.#end(run, "lapsed");
     }
   }
 
   #end(run: Run, end: End): void {
-    const { task, run: number, member } = run;
+    const { task, run: number } = run;
     if (this.#running.get(task) !== run) return;
     const saved = this.#saved(run, end === "stopped");
     this.#running.delete(task);
     this.#barred.set(task, Math.max(number, this.#barred.get(task) ?? 0));
     this.#ended.push([++this.#sequence, task, number, end, saved]);
     this.#events.ended(this.id, task, number, end);
-    if (end !== "done") member?.leave();
     const waiting = this.#waiting;
     this.#waiting = [];
     for (const wake of waiting) wake();
