fix(fleet): stop no long-running task before maintenance without room elsewhere

Cause: MaintenanceRunner stopped a task whenever its availability budget allowed that, without asking whether another server has room, and the reservation of the instance ended only with its maintenance. The stopped task used up the budget that the order waited for, and the free capacity of the reserved instance was kept from it.

Change: tasks leave only while other servers of the pool have room for them. An instance whose tasks have nowhere to go, or that a waiting long-running task needs, takes tasks again and is tried later, also while the instances can't be listed. The steps of an evacuation and the stored progress of waves are modules of their own.

--- a/src/coordination/jobs/config-view.ts
+++ b/src/coordination/jobs/config-view.ts
@@ -7,6 +7,7 @@
   JobQueueConfig,
   WaveRequest,
 } from "../../protocol/fleet-config.ts";
+import type { JobSpec } from "../../protocol/job-spec.ts";
 import { Deferred, waitAtMost } from "../wait.ts";
 import { OperatorListener } from "./job-feeds.ts";
 
@@ -71,6 +72,11 @@
     return this.#pools.get(name);
   }
 
+  /** Name of the pool that runs a job: that of its queue, or the former one if the queue was removed. */
+  poolOf({ queue, pool }: JobSpec): string {
+    return this.queue(queue)?.pool ?? pool;
+  }
+
   organisation(name: string): OrganisationConfig | undefined {
     return this.#organisations.get(name);
   }
--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -7,7 +7,6 @@
 import type { Log } from "../../../ports/log.ts";
 import type { RecordStore } from "../../../ports/record-store.ts";
 import type { WaveRequest } from "../../../protocol/fleet-config.ts";
-import { decodeWaveRecord, encodeWaveRecord, waveKey } from "../../../protocol/job-records.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import {
@@ -22,17 +21,33 @@
 import type { Scheduler } from "../scheduling/scheduler.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
+import type { Counters } from "../../ports.ts";
+import { InstanceEvacuator } from "./instance-evacuator.ts";
+import type { MaintenanceReservation, OngoingMaintenance, WaveProgress } from "./wave-progress.ts";
+import { WaveRecords } from "./wave-records.ts";
 
 const INTERVAL_MS = 300;
 /** Time in ms that a reserved instance gets to finish its short tasks. */
 const SHORT_TASK_GRACE_MS = 3000;
+/** Time in ms in which an instance of another pool takes the place of one that drains for maintenance. */
+const SUBSTITUTE_WAIT_MS = 5000;
+/** Pause in ms before a postponed instance is reserved again. */
+const POSTPONED_MS = 5000;
 /** Consecutive lists without an instance before it counts as removed, because lists lag. */
 const LISTS_WITHOUT_INSTANCE = 8;
 
+/** Why the maintenance of a reserved instance is postponed. */
+type PostponementReason =
+  /** No other server has room for its long-running tasks. */
+  | "no_room"
+  /** A long-running task waits that could run on it. */
+  | "task_waits";
+
 /** Options of {@link MaintenanceRunner}. */
 export interface MaintenanceRunnerOptions {
   readonly clock: Clock;
   readonly log: Log;
+  readonly counters: Counters;
   readonly store: RecordStore;
   readonly tenure: LockTenure;
   readonly config: FleetConfigView;
@@ -47,36 +62,6 @@
   readonly takeoverPauseMs: number;
 }
 
-/** An ordered maintenance whose instance is not up again yet. */
-interface OngoingMaintenance {
-  /** Server that ran on the instance when its maintenance was ordered. */
-  readonly server: string | undefined;
-  /** Monotonic time in ms at which the platform accepted the order; undefined before that. */
-  acceptedAt: number | undefined;
-  /** True once an instance list has shown that the server is gone. */
-  tookEffect: boolean;
-}
-
-/** A reservation of an instance for its maintenance. */
-interface MaintenanceReservation {
-  /** Monotonic time in ms. */
-  readonly since: number;
-  /** Backend server that ran on the instance; undefined if none did. */
-  readonly server: string | undefined;
-}
-
-interface WaveProgress {
-  readonly request: WaveRequest;
-  /** Instances that need no further order: it was accepted, or rejected for good. */
-  readonly done: Set<string>;
-  readonly ongoing: Map<string, OngoingMaintenance>;
-  /** Reservations by instance. */
-  readonly reservations: Map<string, MaintenanceReservation>;
-  /** Number of consecutive lists without each instance. */
-  readonly missing: Map<string, number>;
-  reported: "nothing" | "running" | "completed";
-}
-
 /**
  * Orders the maintenance of all instances of the requested waves, within each wave's limit and the
  * availability budgets of the tasks.
@@ -84,9 +69,13 @@
 export class MaintenanceRunner {
   readonly #options: MaintenanceRunnerOptions;
   readonly #waves = new Map<number, WaveProgress>();
+  readonly #records: WaveRecords;
+  readonly #evacuator: InstanceEvacuator;
 
   constructor(options: MaintenanceRunnerOptions) {
     this.#options = options;
+    this.#records = new WaveRecords(options);
+    this.#evacuator = new InstanceEvacuator(options);
   }
 
   /** Processes the requested waves until the tenure ends. */
@@ -108,23 +97,14 @@
   async #progressOf(request: WaveRequest): Promise<WaveProgress | undefined> {
     const known = this.#waves.get(request.wave);
     if (known !== undefined) return known;
-    const record = await this.#options.store.get(waveKey(request.wave));
-    if (record.err) return undefined;
-    const stored = record.val === undefined ? undefined : decodeWaveRecord(record.val.value);
-    const wave: WaveProgress = {
-      request,
-      done: new Set(stored?.maintained),
-      ongoing: new Map(),
-      reservations: new Map(),
-      missing: new Map(),
-      reported: stored?.completed === true ? "completed" : "nothing",
-    };
-    this.#waves.set(request.wave, wave);
+    const wave = await this.#records.read(request);
+    if (wave !== undefined) this.#waves.set(request.wave, wave);
     return wave;
   }
 
   async #advance(wave: WaveProgress): Promise<void> {
     const { view, operators } = this.#options;
+    this.#postponeBlocked(wave);
     const instances = await view.read();
     if (instances === undefined) return;
     if (wave.reported === "nothing" && (await operators.reportWave(wave.request.wave, "running")))
@@ -221,18 +201,18 @@
       if (state === "up") poolSizes.set(pool, (poolSizes.get(pool) ?? 0) + 1);
     const inMaintenance = instances.filter(({ name }) => wave.ongoing.has(name));
     const { request } = wave;
-    for (const instance of chooseReservations({
-      request,
-      open,
-      inMaintenance,
-      poolSizes,
-    })) {
+    const now = clock.now();
+    const due = open.filter(
+      ({ instance: { name } }) => (wave.postponedUntil.get(name) ?? 0) <= now,
+    );
+    for (const instance of chooseReservations({ request, open: due, inMaintenance, poolSizes })) {
       log.info(
         { wave: request.wave, instance: instance.name, pool: instance.pool },
         "drains for maintenance",
       );
       const { name, server } = instance;
-      wave.reservations.set(name, { since: clock.now(), server });
+      const reservation = { noRoomSince: undefined, orderUnanswered: false };
+      wave.reservations.set(name, { since: now, server, ...reservation });
     }
     for (const { instance } of open) {
       const driver = this.#driverOf(instance);
@@ -250,9 +230,10 @@
     if (shortTasks > 0 && clock.now() - reservation.since < SHORT_TASK_GRACE_MS) return;
     const { runRegistry } = this.#options.scheduler.tracker;
     if (!mayInterrupt(this.#runsOn(instance), runRegistry, clock.now())) {
-      this.#evacuate(instance);
+      this.#evacuate(instance, reservation);
       return;
     }
+    reservation.noRoomSince = undefined;
     const ongoing: OngoingMaintenance = {
       server: instance.server,
       acceptedAt: undefined,
@@ -287,22 +268,54 @@
   }
 
   /** Moves long-running tasks away one by one where their budget does not allow all at once. */
-  #evacuate(instance: ControlledInstance): void {
-    const { clock, scheduler } = this.#options;
-    const { tracker } = scheduler;
-    const now = clock.now();
-    for (const run of this.#runsOn(instance)) {
-      if (!run.task.step.spec.longRunning) continue;
-      if (mayInterrupt([run], tracker.runRegistry, now)) tracker.stop(run);
+  #evacuate(instance: ControlledInstance, reservation: MaintenanceReservation): void {
+    const driver = this.#driverOf(instance);
+    if (driver === undefined) return;
+    const step = this.#evacuator.evacuate(driver);
+    if (step === "in-progress") reservation.noRoomSince = undefined;
+    else reservation.noRoomSince ??= this.#options.clock.now();
+  }
+
+  /**
+   * Lets instances take tasks again whose maintenance can't begin, because their tasks have nowhere to
+   * go, and those that a task needs. Their maintenance is tried again later.
+   */
+  #postponeBlocked(wave: WaveProgress): void {
+    for (const [name, reservation] of [...wave.reservations]) {
+      // An order that may still be carried out would end new tasks.
+      if (reservation.orderUnanswered) continue;
+      const reason = this.#postponementReason(reservation);
+      if (reason !== undefined) this.#postpone(wave, name, reason);
     }
   }
 
+  #postponementReason(reservation: MaintenanceReservation): PostponementReason | undefined {
+    const { clock, scheduler } = this.#options;
+    const { noRoomSince = Infinity, server } = reservation;
+    if (clock.now() - noRoomSince >= SUBSTITUTE_WAIT_MS) return "no_room";
+    const driver = server === undefined ? undefined : scheduler.drivers.get(server);
+    if (driver !== undefined && this.#evacuator.isNeeded(driver)) return "task_waits";
+    return undefined;
+  }
+
+  #postpone(wave: WaveProgress, name: string, reason: PostponementReason): void {
+    const { clock, log, counters, scheduler } = this.#options;
+    const { server } = wave.reservations.get(name) ?? {};
+    log.info({ wave: wave.request.wave, instance: name, reason }, "maintenance postponed");
+    counters.event(`maintenance_postponed_${reason}`);
+    wave.reservations.delete(name);
+    wave.postponedUntil.set(name, clock.now() + POSTPONED_MS);
+    if (server !== undefined) scheduler.drivers.get(server)?.release("maintenance");
+  }
+
   #handleRefusal(wave: WaveProgress, { name }: ControlledInstance, err: ControlError): void {
     const { log, tenure } = this.#options;
     log.warn({ wave: wave.request.wave, instance: name, err }, "maintenance refused");
     if (err.kind === "fenced") tenure.end();
     // An order that got no reply is repeated. Orders are idempotent, so this is safe.
     wave.ongoing.delete(name);
+    const reservation = wave.reservations.get(name);
+    if (reservation !== undefined) reservation.orderUnanswered = err.kind === "unknown";
     if (err.kind !== "not-in-wave" && err.kind !== "invalid") return;
     wave.done.add(name);
     this.#endReservation(wave, name);
@@ -319,37 +332,19 @@
   }
 
   async #markAccepted(wave: WaveProgress, { name }: ControlledInstance): Promise<void> {
-    const { store, tenure } = this.#options;
     wave.done.add(name);
     wave.reservations.delete(name);
-    await this.#storeProgress(wave, false, store, tenure);
+    await this.#records.write(wave, { completed: false });
   }
 
   async #complete(wave: WaveProgress): Promise<void> {
-    const { operators, store, tenure, log } = this.#options;
+    const { operators, log } = this.#options;
     if (!(await operators.reportWave(wave.request.wave, "completed"))) return;
     wave.reported = "completed";
     // Instances that the lists no longer show may come back with the same server.
     for (const name of [...wave.reservations.keys()]) this.#endReservation(wave, name);
     log.info({ wave: wave.request.wave, instances: wave.done.size }, "wave completed");
-    await this.#storeProgress(wave, true, store, tenure);
-  }
-
-  /** Stores a wave's progress. A failed write only causes repeated orders after a takeover. */
-  async #storeProgress(
-    wave: WaveProgress,
-    completed: boolean,
-    store: RecordStore,
-    tenure: LockTenure,
-  ): Promise<void> {
-    const value = encodeWaveRecord({ maintained: [...wave.done], completed });
-    const put = { key: waveKey(wave.request.wave), value };
-    const result = await store.commit({ conditions: [tenure.condition], puts: [put] });
-    if (result.err)
-      this.#options.log.warn(
-        { wave: wave.request.wave, err: result.val },
-        "wave progress could not be stored",
-      );
+    await this.#records.write(wave, { completed: true });
   }
 
   #driverOf({ server }: ControlledInstance): ServerDriver | undefined {
--- a/src/coordination/jobs/fleet/zone-evacuator.ts
+++ b/src/coordination/jobs/fleet/zone-evacuator.ts
@@ -74,7 +74,7 @@
     const pool = drivers[0]?.registration.pool;
     // A task that waits for the same room comes first.
     for (const job of this.#options.openJobs()) {
-      if ((config.queue(job.spec.queue)?.pool ?? job.spec.pool) !== pool) continue;
+      if (config.poolOf(job.spec) !== pool) continue;
       for (const { spec, tasks } of job.readySteps())
         if (spec.longRunning && tasks.some((task) => task.waiting && fits(task))) return;
     }
--- a/src/state/jobs/scheduling/placement.ts
+++ b/src/state/jobs/scheduling/placement.ts
@@ -55,7 +55,7 @@
 export function isAdmissible(
   step: StepSpec,
   demand: Resources,
-  { free, labels, tasksOfStep }: PlacementCandidate,
+  { free, labels, tasksOfStep }: Pick<PlacementCandidate, "free" | "labels" | "tasksOfStep">,
 ): boolean {
   if (step.requiredLabel !== "" && !labels.includes(step.requiredLabel)) return false;
   if (step.maxPerServer > 0 && tasksOfStep >= step.maxPerServer) return false;
--- a/test/fakes/jobs/job-cluster.ts
+++ b/test/fakes/jobs/job-cluster.ts
@@ -34,6 +34,8 @@
 const FAST_LINK_BYTES_PER_MS = 125_000;
 const CALLER_WAIT_MS = 3000;
 const EVACUATIONS_PREFIX = "op/evacuate/";
+const WAVES_PREFIX = "op/wave/";
+const WAVE_DURATION_S = 20;
 
 const NOOP_LOG: Log = {
   debug: () => undefined,
@@ -74,6 +76,8 @@
   readonly clockStartMs?: (boot: number) => number;
   /** Zone of every backend server. @default two zones without entry instances */
   readonly serverZone?: string;
+  /** Creates the control of the servers' instances. @default no instances */
+  readonly instances?: (cluster: JobCluster) => InstanceControl;
   /** Makes entries ignore evacuations, to show that checks notice it. @default false */
   readonly ignoreEvacuations?: boolean;
 }
@@ -86,6 +90,7 @@
   readonly entries: ClusterEntry[] = [];
   readonly #registry = new FakeRegistry(this.servers);
   readonly #operators: FakeOperators;
+  readonly #instances: InstanceControl;
   readonly #options: Required<
     Omit<JobClusterOptions, "entries" | "servers" | "config" | "serverZone">
   >;
@@ -103,7 +108,9 @@
       stopMs: options.stopMs ?? 0,
       maxServerLeaseMs: options.maxServerLeaseMs ?? MAX_SERVER_LEASE_MS,
       clockStartMs: options.clockStartMs ?? (() => 0),
+      instances: options.instances ?? (() => new NoInstances()),
     };
+    this.#instances = this.#options.instances(this);
     this.#operators = new FakeOperators(config, this.#options.ignoreEvacuations);
     const { serverZone } = options;
     if (serverZone !== undefined) this.#registry.zone = () => serverZone;
@@ -146,7 +153,7 @@
         },
       }),
       connector,
-      instances: new NoInstances(),
+      instances: this.#instances,
       advisor: new NoAdvisor(),
       ...{ name, session: { name, peerAddress: name, zone: "z", strength } },
       notifier: new ClusterNotifier(this.entries, faults),
@@ -237,6 +244,12 @@
     this.store.delete(`${EVACUATIONS_PREFIX}${zone}`);
   }
 
+  /** Requests the maintenance of instances, as operators do. */
+  requestWave(wave: number, instances: readonly string[], maxAtOnce = 1): void {
+    const request = { wave, machines: instances, durationS: WAVE_DURATION_S, cap: maxAtOnce };
+    this.store.write(`${WAVES_PREFIX}${wave}`, Buffer.from(JSON.stringify(request)));
+  }
+
   configure(config: FleetConfig): void {
     this.#operators.configure(config);
   }
