fix(execution): read the clock of an idle server before a start

Cause: the deadline of a start is estimated from the last reading of the server's clock at the slowest assumed rate, so it falls behind by 2% of the reading's age, and 125 s use up the 2.5 s that it is ahead. A driver without runs never polls, also when a poll is requested, so nothing renewed the reading; the refused run is removed before the poll is requested.

Change: a start waits for a new reading if the last one is older than 20 s, and a start that was refused as late always causes one. A start on a server that does not answer is not sent. Idle servers are still not polled.

--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -20,6 +20,7 @@
 import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
 import type { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
+import { ClockRefresh } from "./clock-refresh.ts";
 import type { DriverListener } from "./driver-listener.ts";
 
 /** Reply to a start order. */
@@ -74,6 +75,7 @@
   #registration: RegisteredServer;
   readonly #options: ServerDriverOptions;
   readonly #serverClock = new ServerClock();
+  readonly #clockRefresh = new ClockRefresh(this.#serverClock);
   readonly #coldStart = new ColdStart();
   readonly #closed = new AbortController();
   /** Kept beside the signal, because it is read for each server in each placement round. */
@@ -209,6 +211,7 @@
     this.#closed.abort();
     this.#options.backend.close();
     this.requestPoll();
+    this.#clockRefresh.pollEnded();
   }
 
   /** Polls until closed. */
@@ -223,6 +226,7 @@
       this.#pollSignal = new Deferred();
       if (!tenure.valid) await clock.sleep(POLL_RETRY_MS, this.#closed.signal);
       else if (!this.#idle()) await this.#poll();
+      this.#clockRefresh.pollEnded();
       if (!this.reachable) this.#checkLeases();
     }
   }
@@ -230,10 +234,13 @@
   /**
    * Sends a start order. The deadline is only {@link START_VALID_MS} ahead, so the response can't
    * be outstanding for long. It is earlier if the server's availability zone may be evacuated by then
-   * without being known here. The order names no boot, so a later boot may accept it.
+   * without being known here. The order names no boot, so a later boot may accept it. If the reading of the
+   * server's clock is old, it is read again first.
    */
   async start(order: Omit<StartOrder, "token" | "deadlineMs">): OrderResult<StartReply> {
     const { clock, tenure, backend } = this.#options;
+    if (!(await this.#refreshClock()))
+      return Err({ kind: "not-sent", detail: "the server's clock was not read" });
     const validMs = Math.min(START_VALID_MS, this.startValidMs);
     if (validMs <= 0) return Err({ kind: "not-sent", detail: "the zone is or may be evacuated" });
     const deadlineMs = this.#serverClock.issueDeadline(clock.now(), validMs) ?? 0;
@@ -243,6 +250,7 @@
     this.leaseBounds.orderEnded(clock.now());
     if (result.err) {
       this.#handleRefusal(result.val);
+      if (result.val.kind === "late") this.#requestClock();
       return result;
     }
     const fromLaterBoot = isOfLaterBoot(result.val, before);
@@ -273,6 +281,20 @@
     return result.ok;
   }
 
+  /** Resolves true once a start may be sent with a deadline from a recent reading of the server's clock. */
+  async #refreshClock(): Promise<boolean> {
+    const { clock, tenure } = this.#options;
+    if (this.#clockRefresh.isCurrent(clock.now())) return true;
+    this.#requestClock();
+    await this.#clockRefresh.whenPolled();
+    return !this.closed && tenure.valid && this.#clockRefresh.isCurrent(clock.now());
+  }
+
+  #requestClock(): void {
+    this.#clockRefresh.request();
+    this.requestPoll();
+  }
+
   #checkLeases(): void {
     // The poll may have closed the driver.
     if (!this.closed) this.#options.listener.checkLeases(this);
@@ -287,7 +309,7 @@
 
   #idle(): boolean {
     // An unresponsive server is polled until it responds, even if nothing runs on it any more.
-    if (!this.adopted || !this.reachable) return false;
+    if (!this.adopted || !this.reachable || this.#clockRefresh.requested) return false;
     if (this.#acknowledged > this.#acknowledgedByServer) return false;
     return !this.#options.listener.hasRuns(this.id);
   }
@@ -336,7 +358,7 @@
   }
 
   #pollWait(): number {
-    if (!this.adopted || this.#failures > 0) return 0;
+    if (!this.adopted || this.#failures > 0 || this.#clockRefresh.requested) return 0;
     return this.#options.listener.pollWait(this.id);
   }
 
@@ -345,6 +367,7 @@
     if (this.#failures > 0) log.info({ server: this.id }, "backend server responds again");
     this.#failures = 0;
     this.#serverClock.addReading({ clockMs: lists.clockMs, receivedAt: clock.now() });
+    this.#clockRefresh.clockRead();
     this.adopted = true;
     this.leaseBounds.listRead(clock.now());
     const last = lists.ended.at(-1)?.sequence;
