fix(execution): keep the attempts of jobs whose queue was removed

Cause: the attempts were read from the present configuration, and a queue that it lacks counted as one that allows a single attempt.

Change: jobs of a removed queue keep its last known settings, and the record of a job holds the attempts at acceptance, for schedulers that never knew the queue. The order of placement, tickets of the advisor, the demand of pools and the work that admission counts had defaults of their own for removed queues and use the same settings now.

The fake configuration of load-publisher.test.ts got the method that replaced the one it had (it failed with "queueOf is not a function" until then).

--- a/src/coordination/jobs/admission/job-service.ts
+++ b/src/coordination/jobs/admission/job-service.ts
@@ -76,6 +76,7 @@
     const job: JobSpec = {
       ...req,
       ...{ id, queue: queue.name, pool: queue.pool, organisation, acceptedAtMs },
+      maxAttempts: queue.maxAttempts,
     };
     return this.#options.submitter.submit(job, deadline);
   }
--- a/src/coordination/jobs/admission/load-publisher.ts
+++ b/src/coordination/jobs/admission/load-publisher.ts
@@ -91,14 +91,14 @@
   #stepsWait(): boolean {
     const { clock, config, scheduler } = this.#options;
     const { openJobs } = scheduler.jobRegistry;
-    return worthMeasuring(openJobs, ({ spec }) => config.queue(spec.queue), clock.now());
+    return worthMeasuring(openJobs, ({ spec }) => config.queueOf(spec), clock.now());
   }
 
   #workByPool(wallTimeMs: number): ReadonlyMap<string, readonly OutstandingWork[]> {
     const { config, scheduler } = this.#options;
     const pools = new Map<string, OutstandingWork[]>();
     for (const job of scheduler.jobRegistry.openJobs) {
-      const queue = config.queue(job.spec.queue);
+      const queue = config.queueOf(job.spec);
       if (queue === undefined) continue;
       const work = outstandingWork(job, queue, wallTimeMs, scheduler.durations);
       if (work === undefined) continue;
--- a/src/coordination/jobs/config-view.ts
+++ b/src/coordination/jobs/config-view.ts
@@ -11,6 +11,9 @@
 import { Deferred, waitAtMost } from "../wait.ts";
 import { OperatorListener } from "./job-feeds.ts";
 
+/** Number of removed queues whose settings are kept. */
+const MAX_REMOVED_QUEUES = 1000;
+
 /**
  * The newest configuration known to this entry instance, indexed by name. A configuration with the
  * same or an older version is ignored.
@@ -24,6 +27,8 @@
   readonly #evacuatedZones = new Set<string>();
   #config: FleetConfig | undefined;
   #queues = new Map<string, JobQueueConfig>();
+  /** Last settings of queues that were removed, the longest removed first. */
+  readonly #removedQueues = new Map<string, JobQueueConfig>();
   #pools = new Map<string, JobPoolConfig>();
   #organisations = new Map<string, OrganisationConfig>();
   #organisationsByKey = new Map<string, OrganisationConfig>();
@@ -72,9 +77,17 @@
     return this.#pools.get(name);
   }
 
-  /** Name of the pool that runs a job: that of its queue, or the former one if the queue was removed. */
-  poolOf({ queue, pool }: JobSpec): string {
-    return this.queue(queue)?.pool ?? pool;
+  /**
+   * Settings for a job: those of its queue, or the last known ones if the queue was removed. Undefined if
+   * this process never knew the queue.
+   */
+  queueOf({ queue }: JobSpec): JobQueueConfig | undefined {
+    return this.#queues.get(queue) ?? this.#removedQueues.get(queue);
+  }
+
+  /** Name of the pool that runs a job. */
+  poolOf(job: JobSpec): string {
+    return this.queueOf(job)?.pool ?? job.pool;
   }
 
   organisation(name: string): OrganisationConfig | undefined {
@@ -106,7 +119,9 @@
     const before = this.#config?.version;
     if (before !== undefined && config.version <= before) return;
     this.#config = config;
-    this.#queues = new Map(config.queues.map((queue) => [queue.name, queue]));
+    const queues = new Map(config.queues.map((queue) => [queue.name, queue]));
+    this.#keepRemovedQueues(queues);
+    this.#queues = queues;
     this.#pools = new Map(config.pools.map((pool) => [pool.name, pool]));
     this.#organisations = new Map(config.organisations.map((org) => [org.name, org]));
     this.#organisationsByKey = new Map(
@@ -163,6 +178,17 @@
     return true;
   }
 
+  /** Keeps the settings of queues that a new configuration lacks, for their jobs that are not done. */
+  #keepRemovedQueues(queues: ReadonlyMap<string, JobQueueConfig>): void {
+    for (const [name, queue] of this.#queues)
+      if (!queues.has(name)) this.#removedQueues.set(name, queue);
+    for (const name of queues.keys()) this.#removedQueues.delete(name);
+    for (const name of this.#removedQueues.keys()) {
+      if (this.#removedQueues.size <= MAX_REMOVED_QUEUES) break;
+      this.#removedQueues.delete(name);
+    }
+  }
+
   #notifyListeners(): void {
     for (const listener of this.#listeners) listener();
   }
--- a/src/coordination/jobs/execution/run-end-handler.ts
+++ b/src/coordination/jobs/execution/run-end-handler.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../../../ports/clock.ts";
 import type { BackendClock, EndedRun } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
-import { parseTaskName } from "../../../protocol/job-spec.ts";
+import { parseTaskName, type JobSpec } from "../../../protocol/job-spec.ts";
 import type { Job, Task } from "../../../state/jobs/records/job.ts";
 import { retryPauseMs } from "../../../state/jobs/scheduling/retry-policy.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
@@ -11,7 +11,7 @@
 import type { JobRegistry } from "../records/job-registry.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
-/** Maximum attempts for tasks whose queue is no longer configured. */
+/** Maximum attempts for tasks whose queue is unknown, of jobs without a stored limit. */
 const DEFAULT_MAX_ATTEMPTS = 1;
 
 /** Options of {@link RunEndHandler}. */
@@ -136,7 +136,7 @@
   }
 
   #recordFailure(task: Task, server: string): void {
-    const { clock, config, log, failJob } = this.#options;
+    const { clock, log, failJob } = this.#options;
     const { job, step } = task;
     const tasks = step.spec.gang ? step.tasks : [task];
     for (const member of tasks) {
@@ -145,12 +145,17 @@
       if (!step.spec.longRunning) member.notBefore = clock.now() + retryPauseMs(member.failures);
     }
     task.failedOn.add(server);
-    const allowed = config.queue(job.spec.queue)?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+    const allowed = this.#maxAttempts(job.spec);
     if (step.spec.longRunning || task.failures < allowed || job.final) return;
     log.info({ task: task.name, failures: task.failures, allowed, server }, "task failed for good");
     failJob(job);
   }
 
+  #maxAttempts(job: JobSpec): number {
+    const queue = this.#options.config.queueOf(job);
+    return queue?.maxAttempts ?? job.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
+  }
+
   #findTask(name: string): Task | undefined {
     const address = parseTaskName(name);
     if (address === undefined) return undefined;
--- a/src/coordination/jobs/fleet/pool-demand.ts
+++ b/src/coordination/jobs/fleet/pool-demand.ts
@@ -3,7 +3,7 @@
 import type { Resources } from "../../../protocol/job-spec.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import type { Job, StepRun } from "../../../state/jobs/records/job.ts";
-import { rankStep } from "../../../state/jobs/scheduling/job-order.ts";
+import { rankStep, UNKNOWN_QUEUE_URGENCY } from "../../../state/jobs/scheduling/job-order.ts";
 import { instancesNeeded, type PoolClaim } from "../../../state/jobs/fleet/pool-sizing.ts";
 import {
   add,
@@ -17,8 +17,6 @@
 const RISE_WINDOW_MS = 1000;
 /** A demand peak keeps its instances for this time in ms, because work arrives in bursts. */
 const PEAK_HOLD_MS = 1500;
-/** Queue settings for jobs whose queue is no longer configured. */
-const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
 
 /** Demand of one pool at the time of one sample. */
 class PoolSample {
@@ -66,7 +64,7 @@
     const wallTime = this.#clock.wallTime();
     const pools = new Map<string, PoolSample>();
     for (const job of jobs) {
-      const queue = this.#config.queue(job.spec.queue);
+      const queue = this.#config.queueOf(job.spec);
       const name = queue?.pool ?? job.spec.pool;
       let pool = pools.get(name);
       if (pool === undefined) pools.set(name, (pool = new PoolSample()));
@@ -124,5 +122,6 @@
 ): boolean {
   const occurrence = step.job.occurrences[step.occurrence];
   if (occurrence === undefined) return false;
-  return rankStep(step, occurrence, queue ?? REMOVED_QUEUE, wallTime, durations).canBeOnTime;
+  return rankStep(step, occurrence, queue ?? UNKNOWN_QUEUE_URGENCY, wallTime, durations)
+    .canBeOnTime;
 }
--- a/src/coordination/jobs/scheduling/placement-explainer.ts
+++ b/src/coordination/jobs/scheduling/placement-explainer.ts
@@ -6,6 +6,7 @@
 import {
   compareStepRanks,
   rankStep,
+  UNKNOWN_QUEUE_URGENCY,
   type StepRank,
 } from "../../../state/jobs/scheduling/job-order.ts";
 import {
@@ -18,9 +19,6 @@
 import type { ServerDriver } from "../execution/server-driver.ts";
 import type { Scheduler } from "./scheduler.ts";
 
-/** Queue settings for jobs whose queue is no longer configured. */
-const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
-
 /** Options of {@link explainPlacement}. */
 export interface PlacementExplainerOptions {
   readonly clock: Clock;
@@ -67,7 +65,7 @@
 function rankOf(step: StepRun, options: PlacementExplainerOptions): StepRank {
   const { clock, config, scheduler } = options;
   const { job } = step;
-  const queue = config.queue(job.spec.queue) ?? REMOVED_QUEUE;
+  const queue = config.queueOf(job.spec) ?? UNKNOWN_QUEUE_URGENCY;
   const releasedAtMs = job.occurrences[step.occurrence]?.releasedAtMs ?? clock.wallTime();
   const { steps } = job.occurrences[step.occurrence] ?? { steps: [step] };
   const occurrence = { number: step.occurrence, releasedAtMs, steps };
@@ -78,7 +76,7 @@
   const { config, scheduler } = options;
   const ranks: StepRank[] = [];
   for (const job of scheduler.jobRegistry.openJobs) {
-    if ((config.queue(job.spec.queue)?.pool ?? job.spec.pool) !== pool) continue;
+    if (config.poolOf(job.spec) !== pool) continue;
     for (const step of job.readySteps()) ranks.push(rankOf(step, options));
   }
   return ranks;
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -3,7 +3,7 @@
 import type { Resources } from "../../../protocol/job-spec.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import type { Job, Occurrence, StepRun, Task } from "../../../state/jobs/records/job.ts";
-import { rankStep } from "../../../state/jobs/scheduling/job-order.ts";
+import { rankStep, UNKNOWN_QUEUE_URGENCY } from "../../../state/jobs/scheduling/job-order.ts";
 import type { RetryBudgets } from "../../../state/jobs/scheduling/retry-policy.ts";
 import type { RankedStep, StepPlanner } from "../../../state/jobs/scheduling/step-planner.ts";
 import type { WaitReason, WaitReasons } from "../../../state/jobs/scheduling/wait-reasons.ts";
@@ -15,9 +15,6 @@
 import { CandidateServers } from "./candidate-servers.ts";
 import { RoundFleet } from "./round-fleet.ts";
 
-/** Queue settings for jobs whose queue is no longer configured. */
-const REMOVED_QUEUE = { priority: 1, stretch: 1, targetLatencyMs: 0 } as const;
-
 /** Time in ms that a task waits for a healthy server before a slow or failing one is accepted. */
 const DEGRADED_WAIT_MS = 1500;
 
@@ -116,7 +113,7 @@
     const steps: RankedStep[] = [];
     for (const job of jobs) {
       job.release(wallTime);
-      const queue = config.queue(job.spec.queue);
+      const queue = config.queueOf(job.spec);
       for (const step of job.readySteps()) {
         step.readyAt ??= this.#now;
         const occurrence = job.occurrences[step.occurrence];
@@ -139,7 +136,7 @@
     queue: JobQueueConfig | undefined,
     wallTime: number,
   ) {
-    const urgency = queue ?? REMOVED_QUEUE;
+    const urgency = queue ?? UNKNOWN_QUEUE_URGENCY;
     const rank = rankStep(step, occurrence, urgency, wallTime, this.#options.durations);
     return { rank, urgency, pool: queue?.pool ?? step.job.spec.pool };
   }
@@ -205,7 +202,7 @@
   #placeAmong(task: Task, pool: string, kind: keyof PoolServers): ActiveRun | undefined {
     const servers = this.#serversOf(pool)[kind];
     const { step } = task;
-    const advised = this.#options.config.queue(step.job.spec.queue)?.advice;
+    const advised = this.#options.config.queueOf(step.job.spec)?.advice;
     const demand = resourcesOccupied(step.spec);
     const key = `${kind}|${refusalKey(task, pool, demand, advised !== undefined)}`;
     if (this.#refused.has(key)) return undefined;
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -155,6 +155,7 @@
 const JobSpecSchema = v.looseObject({
   ...{ id: v.string(), queue: v.string(), pool: v.string(), spec: v.string() },
   acceptedAtMs: v.number(),
+  maxAttempts: v.optional(v.pipe(amount, v.integer())),
   steps: v.array(StepSpecSchema),
   schedule: v.optional(v.nullable(ScheduleSchema)),
 });
--- a/src/protocol/job-spec.ts
+++ b/src/protocol/job-spec.ts
@@ -72,6 +72,11 @@
   readonly queue: string;
   /** Pool of the queue at acceptance, used if the queue is removed later. */
   readonly pool: string;
+  /**
+   * Failed attempts of a task that the queue allowed at acceptance, used if the queue is removed later.
+   * Undefined for jobs that an earlier version accepted.
+   */
+  readonly maxAttempts?: number | undefined;
   /** Undefined on queues open to all. */
   readonly organisation: string | undefined;
   /** Unix time of acceptance in milliseconds. */
--- a/src/state/jobs/scheduling/job-order.ts
+++ b/src/state/jobs/scheduling/job-order.ts
@@ -11,6 +11,9 @@
   readonly targetLatencyMs: number;
 }
 
+/** Urgency of jobs whose queue was removed before this process knew it. */
+export const UNKNOWN_QUEUE_URGENCY: QueueUrgency = { priority: 1, stretch: 1, targetLatencyMs: 0 };
+
 /** Tolerance, as a part of the remaining chain, for estimates that are often too high. */
 const ESTIMATE_TOLERANCE = 0.25;
 
--- a/test/coordination/jobs/load-publisher.test.ts
+++ b/test/coordination/jobs/load-publisher.test.ts
@@ -23,7 +23,7 @@
   let measured = 0;
   const publisher = new LoadPublisher({
     ...{ clock, tenure: { signal: tenure.signal, valid: true, token: 1 } },
-    config: { current: fleetConfig({ queues: [QUEUE] }), queue: () => QUEUE },
+    config: { current: fleetConfig({ queues: [QUEUE] }), queueOf: () => QUEUE },
     scheduler: {
       ...{ ready: true, durations: new DurationModels(), jobRegistry: { openJobs: [job] } },
       drivers: { all: () => [] },
