fix(execution): record when the doubt in the lease of a boot ends

Cause: a scheduler that doubts whether an order of its predecessor gave a boot the longest lease records nothing until that lease has passed, and its successor counted the longest lease from its own takeover. The end of the doubt could not be recorded, since times of two processes can't be compared.

Change: the record of a placement holds the end of the doubt as a time since the begin of the recording scheduler's tenure. A successor counts it from when its own process first saw the lock of that tenure, which is later, so no time of day is trusted. What is recorded about leases is a module of its own, taken out of the run tracker.

Test: lease-after-takeover.test.ts, both new forms of a server that joined after a takeover fail before (11,560 and 11,760 ms against 8,000) and pass now; three on orders of a scheduler before the former one pass before and after.

--- a/src/coordination/jobs/election/entry-view.ts
+++ b/src/coordination/jobs/election/entry-view.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../../../ports/clock.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { RecordEvent, StoredRecord } from "../../../ports/record-store.ts";
 import {
@@ -7,10 +8,13 @@
   SESSIONS_PREFIX,
   type SessionRecord,
 } from "../../../protocol/job-records.ts";
+import { TenureHistory } from "../../../state/jobs/election/tenure-history.ts";
 import { RecordListener } from "../records/record-follower.ts";
 
 /** Sessions of the live entry instances and the state of the scheduler lock, read from the store. */
 export class EntryView extends RecordListener {
+  /** Tenures of the scheduler lock that were seen. */
+  readonly tenures = new TenureHistory();
   readonly #log: Log;
   readonly #onChange: () => void;
   #sessions = new Map<string, SessionRecord>();
@@ -19,9 +23,11 @@
   /** Name of the entry instance that holds the scheduler lock. */
   #holder: string | undefined;
   #loaded = false;
+  readonly #clock: Clock;
 
-  constructor(log: Log, onChange: () => void) {
+  constructor(clock: Clock, log: Log, onChange: () => void) {
     super();
+    this.#clock = clock;
     this.#log = log;
     this.#onChange = onChange;
   }
@@ -63,8 +69,10 @@
     this.#list = undefined;
   }
 
-  #applyWritten({ key, value }: StoredRecord): void {
+  #applyWritten({ key, value, revision }: StoredRecord): void {
     if (key === SCHEDULER_KEY) {
+      // The lock is written once in a tenure, at the revision that is its fencing token.
+      this.tenures.seen(revision, this.#clock.now());
       this.#locked = true;
       this.#holder = decodeLock(value)?.holder;
     }
--- a/src/coordination/jobs/election/scheduler-lock.ts
+++ b/src/coordination/jobs/election/scheduler-lock.ts
@@ -37,6 +37,7 @@
   readonly leaseId: number;
   readonly #clock: Clock;
   readonly #ended = new AbortController();
+  readonly #requestedAt: LockTime;
   #renewedAt: number;
   #renewedAtWallTime: number;
 
@@ -44,6 +45,7 @@
     this.#clock = clock;
     this.token = token;
     this.leaseId = leaseId;
+    this.#requestedAt = grantedAt;
     this.#renewedAt = grantedAt.now;
     this.#renewedAtWallTime = grantedAt.wallTime;
     // All parts of the scheduler listen to this signal, which can exceed the default listener limit.
@@ -73,6 +75,15 @@
     return Math.abs(elapsedWallTime - elapsed) <= MAX_CLOCK_DIFFERENCE_MS;
   }
 
+  /**
+   * Time in ms since before the lock was requested, and so at least the age of the tenure. The longer one
+   * of both clocks counts, because a suspension stops the monotonic clock.
+   */
+  get elapsedMs(): number {
+    const { now, wallTime } = this.#requestedAt;
+    return Math.max(this.#clock.now() - now, this.#clock.wallTime() - wallTime);
+  }
+
   /** Records a successful renewal that was sent at the given time. */
   renewed(sentAt: LockTime): void {
     this.#renewedAt = sentAt.now;
--- a/src/coordination/jobs/execution/lost-runs.ts
+++ b/src/coordination/jobs/execution/lost-runs.ts
@@ -60,7 +60,7 @@
 
   /**
    * Releases inherited runs, in any phase, on backend servers without a driver once their leases have
-   * lapsed: the granted lease for confirmed runs, the longest lease for others. `takenOverAt`: monotonic
+   * lapsed: the granted lease for confirmed runs, unless it may be longer, and the longest lease for others. `takenOverAt`: monotonic
    * time in ms at which this scheduler took over.
    */
   checkUnregistered(takenOverAt: number): void {
@@ -70,7 +70,8 @@
     const longestLapsed = now > leasesLapsedAt(takenOverAt, maxServerLeaseMs);
     for (const run of [...runRegistry.all()]) {
       if (driver(run.server) !== undefined) continue;
-      if (run.confirmed || longestLapsed) release(run, "lapsed");
+      const lapsed = run.confirmed ? now > run.leaseDoubtedUntil : longestLapsed;
+      if (lapsed) release(run, "lapsed");
     }
   }
 
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -21,8 +21,10 @@
 import { MAX_LISTED_ENDS } from "./order-timing.ts";
 import { coldSlowdown } from "../../../state/jobs/execution/cold-start.ts";
 import { newRun, recordListed } from "../../../state/jobs/execution/run-progress.ts";
+import type { TenureHistory } from "../../../state/jobs/election/tenure-history.ts";
 import type { ProgressWriter } from "../records/progress-writer.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
+import { RecordedLeases } from "./recorded-leases.ts";
 import { LostRuns, type LossReason } from "./lost-runs.ts";
 import { RunStarter } from "./run-starter.ts";
 import { RunStopper } from "./run-stopper.ts";
@@ -53,6 +55,10 @@
   readonly leaseTtlMs: number;
   /** Longest lease in ms that a backend server accepts, whatever deadline an order carries. */
   readonly maxServerLeaseMs: number;
+  /** Tenures that this process has seen. */
+  readonly formerTenures: TenureHistory;
+  /** Monotonic time in ms at which this scheduler took over. */
+  readonly takenOverAt: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
 }
@@ -62,6 +68,7 @@
   readonly runRegistry = new RunRegistry();
   readonly starter: RunStarter;
   readonly lostRuns: LostRuns;
+  readonly #recordedLeases: RecordedLeases;
   readonly #stopper: RunStopper;
   readonly #pacer: FillerPacer;
   readonly #ends: RunEndHandler;
@@ -72,6 +79,7 @@
     super();
     this.#options = options;
     const { runRegistry } = this;
+    this.#recordedLeases = new RecordedLeases({ ...options, runRegistry });
     const notStarted = (run: ActiveRun): void => {
       this.#release(run, "not-started");
     };
@@ -239,35 +247,22 @@
     const { clock, driver } = this.#options;
     const { registration, coldness } = driver(placement.server) ?? {};
     const since = clock.now();
-    const { server, bootedAt, leaseAsGranted } = placement;
+    const { server, bootedAt, leaseAsGranted, leaseDoubt } = placement;
     const run = newRun(task, {
-      ...{ server, bootedAt, confirmed: leaseAsGranted },
+      ...{ server, bootedAt, confirmed: leaseAsGranted || leaseDoubt !== undefined },
+      leaseDoubtedUntil: this.#recordedLeases.doubtedUntil(placement),
       ...{ phase, since, coldness, rack: registration?.rack },
     });
     this.runRegistry.add(run);
     return run;
   }
 
-  /**
-   * Tells the driver that its lease is as granted if the former scheduler recorded that for a run on this
-   * boot. Called before inherited runs change their phase.
-   */
-  #trustInheritedLease(driver: ServerDriver): void {
-    const runs = [...this.runRegistry.runsOn(driver.id)];
-    const recorded = runs.some(
-      ({ phase, confirmed, bootedAt }) =>
-        phase === "inherited" && confirmed && bootedAt === driver.bootedAt,
-    );
-    if (recorded) driver.trustLease();
-  }
-
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
-    this.#trustInheritedLease(driver);
-    const { leaseAsGranted } = driver;
+    this.#recordedLeases.applyTo(driver);
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
-      if (leaseAsGranted) this.#recordLeaseAsGranted(run);
+      this.#recordedLeases.record(run, driver);
       // An inherited run may have been added before its server's registration was read.
       if (run.phase === "inherited") run.slowdown = coldSlowdown(driver.coldness);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
@@ -289,18 +284,6 @@
     }
   }
 
-  /**
-   * Stores that a listed run's lease is as granted, so that the next scheduler does not wait for the
-   * longest lease. Only a long-running task is worth a write of its own; other tasks are stored with the
-   * next change of the job.
-   */
-  #recordLeaseAsGranted({ task }: ActiveRun): void {
-    const { placement } = task;
-    if (placement === undefined || placement.leaseAsGranted) return;
-    task.placement = { ...placement, leaseAsGranted: true };
-    if (task.step.spec.longRunning) void this.#options.writer.save(task.job);
-  }
-
   #stopUnknown(driver: ServerDriver, task: string, run: number): void {
     const own = this.runRegistry.forTask(task);
     if (own?.server === driver.id && own.run >= run) return;
--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -11,6 +11,7 @@
 } from "../../../ports/job-backend.ts";
 import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
+import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import { isOfLaterBoot, ServerClock } from "../../../state/jobs/execution/server-clock.ts";
 import { LeaseBounds, type LeaseFields } from "../../../state/jobs/execution/lease-bounds.ts";
 import { ColdStart } from "../../../state/jobs/execution/cold-start.ts";
@@ -169,13 +170,16 @@
   }
 
   /**
-   * Monotonic time in ms from which the server's lease has certainly lapsed for a run here. `confirmed`:
-   * a list of this boot has shown the run, so that it can't be on a later one.
+   * Monotonic time in ms from which the server's lease has certainly lapsed for a run here. A list of this
+   * boot has shown a confirmed run, so that it can't be on a later one.
    */
-  leaseLapsedAt({ confirmed }: { readonly confirmed: boolean }): number {
+  leaseLapsedAt({
+    confirmed,
+    leaseDoubtedUntil,
+  }: Pick<ActiveRun, "confirmed" | "leaseDoubtedUntil">): number {
     const now = this.#options.clock.now();
     return confirmed
-      ? this.leaseBounds.ownBootLapsedAt(now)
+      ? Math.max(this.leaseBounds.ownBootLapsedAt(now), leaseDoubtedUntil)
       : this.leaseBounds.anyBootLapsedAt(now);
   }
 
--- a/src/coordination/jobs/job-entry.ts
+++ b/src/coordination/jobs/job-entry.ts
@@ -123,7 +123,7 @@
     const admission = new JobAdmission({ ...options, loadView: this.loadView });
     this.service = new JobService({ ...options, submitter, admission, stored });
     this.#lock = new SchedulerLock({ ...options, holder: options.name });
-    this.#view = new EntryView(options.log, () => {
+    this.#view = new EntryView(options.clock, options.log, () => {
       this.#election.viewChanged();
     });
     this.placementAnswers = new PlacementAnswers({
@@ -210,7 +210,10 @@
       connections: this.#options.executorConnections,
       sessions: () => this.sessions,
     });
-    const scheduler = new Scheduler({ ...this.#options, config: this.config, tenure, connector });
+    const scheduler = new Scheduler({
+      ...{ ...this.#options, config: this.config, tenure, connector },
+      formerTenures: this.#view.tenures,
+    });
     this.#scheduler = scheduler;
     const { jobRegistry } = scheduler;
     const openJobs = () => jobRegistry.openJobs;
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -11,6 +11,7 @@
 import { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
 import { StepPlanner } from "../../../state/jobs/scheduling/step-planner.ts";
 import { RetryBudgets } from "../../../state/jobs/scheduling/retry-policy.ts";
+import type { TenureHistory } from "../../../state/jobs/election/tenure-history.ts";
 import { WaitReasons } from "../../../state/jobs/scheduling/wait-reasons.ts";
 import type { Counters } from "../../ports.ts";
 import type { FleetConfigView } from "../config-view.ts";
@@ -49,6 +50,8 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly tenure: LockTenure;
+  /** Tenures that this process has seen. */
+  readonly formerTenures: TenureHistory;
   readonly config: FleetConfigView;
   readonly registry: ServerRegistry;
   readonly connector: JobBackendConnector;
@@ -131,6 +134,8 @@
         requestRound,
         leaseTtlMs,
         maxServerLeaseMs: options.maxServerLeaseMs,
+        formerTenures: options.formerTenures,
+        takenOverAt: this.#takenOverAt,
       },
       ...{ counters, durations: this.durations, linkBytesPerMs: options.linkBytesPerMs },
       ticketCache: this.#ticketCache,
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -66,6 +66,17 @@
     : { id: rest, kind: "job" };
 }
 
+/**
+ * Bound of the leases that orders for former boots may have given to a boot, recorded by a scheduler that
+ * had listed the run there.
+ */
+export interface LeaseDoubt {
+  /** Fencing token of the scheduler. */
+  readonly token: number;
+  /** Time in ms after the begin of its tenure at which such leases have lapsed. */
+  readonly endsMs: number;
+}
+
 /** Where a task was last started. Written before the start, so that no start goes unrecorded. */
 export interface PlacementRecord {
   readonly server: string;
@@ -76,6 +87,8 @@
    * one a longer lease than schedulers grant.
    */
   readonly leaseAsGranted: boolean;
+  /** Undefined until a list of this boot has shown the run. */
+  readonly leaseDoubt?: LeaseDoubt | undefined;
 }
 
 /** Stored progress of one task. Tasks that never started have none. */
@@ -175,6 +188,8 @@
   v.number(),
   v.optional(v.array(v.number()), []),
   v.optional(v.boolean(), false),
+  v.optional(v.number()),
+  v.optional(v.number()),
 ]);
 const ProgressSchema = v.object({
   state: v.picklist(["queued", "running", ...FINAL_STATES] as const),
@@ -260,17 +275,20 @@
 
 function toRow(task: TaskProgressRecord): readonly unknown[] {
   const { occurrence, step, index, run, done, failures, checkpoint, placement } = task;
-  const { server = null, bootedAt = 0, leaseAsGranted = false } = placement ?? {};
+  const { server = null, bootedAt = 0, leaseAsGranted = false, leaseDoubt } = placement ?? {};
   const row = [occurrence, step, index, run, done, failures, checkpoint, server, bootedAt];
   // Columns at the end that have their default are left out.
+  if (leaseDoubt !== undefined)
+    return [...row, task.givenUpRuns, leaseAsGranted, leaseDoubt.token, leaseDoubt.endsMs];
   if (leaseAsGranted) return [...row, task.givenUpRuns, leaseAsGranted];
   return task.givenUpRuns.length === 0 ? row : [...row, task.givenUpRuns];
 }
 
 function fromRow(row: v.InferOutput<typeof TaskRowSchema>): TaskProgressRecord {
   const [occurrence, step, index, run, done, failures, checkpoint] = row;
-  const [, , , , , , , server, bootedAt, givenUpRuns, leaseAsGranted] = row;
-  const placement = server === null ? undefined : { server, bootedAt, leaseAsGranted };
+  const [, , , , , , , server, bootedAt, givenUpRuns, leaseAsGranted, token, endsMs] = row;
+  const leaseDoubt = token === undefined || endsMs === undefined ? undefined : { token, endsMs };
+  const placement = server === null ? undefined : { server, bootedAt, leaseAsGranted, leaseDoubt };
   return {
     occurrence,
     step,
--- a/src/state/jobs/execution/lease-bounds.ts
+++ b/src/state/jobs/execution/lease-bounds.ts
@@ -47,7 +47,8 @@
   readonly #formerAdoptedAt: number | undefined;
   #formerOrderAt: number | undefined;
   #adoptedAt: number | undefined;
-  #asFormerSchedulerGranted = false;
+  /** Monotonic time in ms from which leases have lapsed that orders of former schedulers gave to this boot. */
+  #formerOrdersLapsedAt = Infinity;
   #pendingOrders = 0;
   #lastOrderEndedAt: number | undefined;
 
@@ -97,7 +98,24 @@
 
   /** Records that the former scheduler knew the lease of this boot to be as granted. */
   recordGrantedByFormerScheduler(): void {
-    this.#asFormerSchedulerGranted = true;
+    this.limitFormerOrders(0);
+  }
+
+  /**
+   * Records that leases have lapsed at monotonic time `until` in ms that orders of former schedulers for
+   * former boots may have given to this boot.
+   */
+  limitFormerOrders(until: number): void {
+    this.#formerOrdersLapsedAt = Math.min(this.#formerOrdersLapsedAt, until);
+  }
+
+  /**
+   * Monotonic time in ms until which this boot may have a longer lease than schedulers granted to it.
+   * Undefined before this scheduler's first list, and while its orders for a former boot are pending.
+   */
+  doubtedUntil(now: number): number | undefined {
+    if (this.#adoptedAt === undefined || this.#formerOrderPending) return undefined;
+    return this.#strayOrdersLapsedAt(now);
   }
 
   /** Monotonic time in ms from which the lease has lapsed for runs that are certainly on this boot. */
@@ -125,8 +143,8 @@
   /** Monotonic time in ms from which leases have lapsed that orders for former boots may have given to this one. */
   #strayOrdersLapsedAt(now: number): number {
     const strayOrders = this.#strayOrdersOfThisSchedulerLapsedAt(now);
-    if (this.#asFormerSchedulerGranted) return strayOrders;
-    return Math.max(strayOrders, this.#strayOrdersOfFormerSchedulersLapsedAt());
+    const formerOrders = this.#strayOrdersOfFormerSchedulersLapsedAt();
+    return Math.max(strayOrders, Math.min(formerOrders, this.#formerOrdersLapsedAt));
   }
 
   /** Like {@link #strayOrdersLapsedAt}, for orders of this scheduler, which extend the lease to their deadlines at most. */
@@ -145,6 +163,11 @@
     return this.#longestLapsedAt(Math.min(adoptedAt, takenOverAt + FORMER_ORDERS_MS));
   }
 
+  get #formerOrderPending(): boolean {
+    const former = this.#former;
+    return former !== undefined && (former.#pendingOrders > 0 || former.#formerOrderPending);
+  }
+
   /** Like {@link #lastOrderAt}, for former boots. Forgets the former boot once its orders have ended. */
   #lastFormerOrderAt(now: number): number | undefined {
     const former = this.#former;
--- a/src/state/jobs/execution/run-progress.ts
+++ b/src/state/jobs/execution/run-progress.ts
@@ -10,6 +10,8 @@
   readonly bootedAt: number;
   /** True if a list of the boot has shown the run. @default false */
   readonly confirmed?: boolean;
+  /** See {@link ActiveRun.leaseDoubtedUntil}. @default 0 */
+  readonly leaseDoubtedUntil?: number;
   /** Rack of the backend server; undefined if it is not known. */
   readonly rack: string | undefined;
   readonly phase: RunPhase;
@@ -22,6 +24,7 @@
 /** Creates the run of a task before its backend server has reported any progress. */
 export function newRun(task: Task, assigned: Assignment): ActiveRun {
   const { server, bootedAt, confirmed = false, rack, phase, since, coldness = 0 } = assigned;
+  const { leaseDoubtedUntil = 0 } = assigned;
   const { dataRack } = task.step.spec;
   // A plain literal without spreads: all runs share one layout, which keeps access to them fast.
   return {
@@ -30,6 +33,7 @@
     server,
     bootedAt,
     confirmed,
+    leaseDoubtedUntil,
     nearData: dataRack === "" || dataRack === rack,
     phase,
     endOrdered: false,
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -32,6 +32,11 @@
   bootedAt: number;
   /** True once a list of the boot `bootedAt` has shown the run. Until then a later boot may have started it. */
   confirmed: boolean;
+  /**
+   * Monotonic time in ms until which a confirmed run that was inherited may have a longer lease than former
+   * schedulers granted; 0 if it has none.
+   */
+  readonly leaseDoubtedUntil: number;
   /** True if it runs on the rack of its data, or its data are not tied to a rack. */
   readonly nearData: boolean;
   phase: RunPhase;
--- a/test/coordination/jobs/lease-after-takeover.test.ts
+++ b/test/coordination/jobs/lease-after-takeover.test.ts
@@ -71,9 +71,42 @@
   assert.ok(waitedMs <= GRANTED_LEASE_BOUND_MS, `restarted after ${waitedMs} ms`);
 });
 
-// Guards against a bound that counts from the takeover (TWICE): a start of the former scheduler arrives
-// later, at a boot that the new scheduler meets only after it has read the registration of the one before.
-test("an order of the former scheduler is allowed for until a list of any boot was read", async () => {
+/** Time in ms until some server runs a task. */
+async function timeUntilRunning({ clock, servers }: JobCluster): Promise<number> {
+  const since = clock.now();
+  await clock.until(() => [...servers.values()].some(({ running }) => running.length > 0));
+  return clock.now() - since;
+}
+
+// Guards against a long-running task that waits for the longest lease (LOST), counted anew from the second
+// takeover, because its server had joined within seconds of the first one.
+for (const registered of [false, true])
+  test(`a run on a server that joined after a takeover waits for the granted lease at the next one, if its server is lost and ${registered ? "still" : "no longer"} registered`, async () => {
+    const cluster = newCluster(undefined, 0);
+    const { clock } = cluster;
+    const first = await cluster.electScheduler();
+    await clock.advance(CONFIRMED_AFTER_MS);
+    cluster.kill(first);
+    await clock.advance(3000);
+    const servers = ["s0", "s1"].map((id) => cluster.addServer(id));
+    await clock.advance(1000);
+    const second = await cluster.electScheduler();
+    const job = jobRequest(step({ tasks: 1, longRunning: true }));
+    await advanceUntilSettled(clock, cluster.submit(second, "job", job));
+    await clock.advance(4000);
+    const lost = servers.find(({ running }) => running.length > 0)!;
+    if (registered) lost.crash();
+    else cluster.crash(lost.id);
+    cluster.kill(second);
+    const waitedMs = await timeUntilRunning(cluster);
+    assert.ok(waitedMs <= GRANTED_LEASE_BOUND_MS, `restarted after ${waitedMs} ms`);
+  });
+
+/**
+ * A cluster whose server s0 rebooted while an order of the first scheduler was under way, which the later
+ * boot has carried out. The second scheduler has started a task on that boot.
+ */
+async function clusterWithStrayOrder() {
   const orderDelayMs = 4000;
   const cluster = newCluster(20_000, 5);
   const { clock } = cluster;
@@ -109,9 +142,30 @@
   await advance(200);
   assert.ok(rebooted.running.length > 0, "the new boot runs a task");
   cluster.addServer("s5");
+  return { cluster, rebooted, advance };
+}
+
+// Guards against a bound that counts from the takeover (TWICE): a start of the former scheduler arrives
+// later, at a boot that the new scheduler meets only after it has read the registration of the one before.
+test("an order of the former scheduler is allowed for until a list of any boot was read", async () => {
+  const { cluster, rebooted, advance } = await clusterWithStrayOrder();
   rebooted.faults.unresponsive = true;
   await advance(16_000);
   assert.equal(repeatedStarts(cluster.servers.values()), []);
 });
 
+// Guards against a task that is started elsewhere while the longest lease, given by an order of the first
+// scheduler, has not lapsed (TWICE): the third one trusts what the second one has granted.
+for (const confirmedForMs of [0, 500, 1500])
+  test(`an order of a scheduler before the former one is allowed for ${confirmedForMs} ms after a run was listed`, async () => {
+    const { cluster, rebooted, advance } = await clusterWithStrayOrder();
+    cluster.addEntry();
+    await advance(confirmedForMs);
+    rebooted.faults.unresponsive = true;
+    cluster.kill(cluster.scheduler!);
+    await cluster.electScheduler();
+    await advance(16_000);
+    assert.equal(repeatedStarts(cluster.servers.values()), []);
+  });
+
 test.run();
--- a/test/fakes/jobs/run-builders.ts
+++ b/test/fakes/jobs/run-builders.ts
@@ -21,7 +21,7 @@
 export function activeRun(task: Task, changes: Partial<ActiveRun> = {}): ActiveRun {
   return {
     ...{ task, run: 1, server: "s1", bootedAt: 0, phase: "running", since: 0 },
-    confirmed: true,
+    ...{ confirmed: true, leaseDoubtedUntil: 0 },
     ...{ percent: 100, pace: 100, load: 0, listedAt: 0, nearData: true, endOrdered: false },
     ...{ firstProgress: undefined, lastProgress: undefined, slowdown: 1 },
     ...changes,
--- a/test/state/jobs/job-progress.test.ts
+++ b/test/state/jobs/job-progress.test.ts
@@ -28,7 +28,9 @@
   if (kind === 2) task.failures = value;
   if (kind === 3) task.checkpoint = "c".repeat(value);
   if (kind === 4) {
-    const placement = { server: `s${value}`, bootedAt: 1e12, leaseAsGranted: value % 2 === 0 };
+    const leaseDoubt = value % 3 === 0 ? { token: value, endsMs: 10 * value } : undefined;
+    const lease = { leaseAsGranted: value % 2 === 0, leaseDoubt };
+    const placement = { server: `s${value}`, bootedAt: 1e12, ...lease };
     task.placement = value > 0 ? placement : undefined;
   }
   if (kind === 5 && !task.givenUpRuns.delete(value)) task.givenUpRuns.add(value);
--- a/test/state/jobs/lease-bounds.test.ts
+++ b/test/state/jobs/lease-bounds.test.ts
@@ -126,4 +126,30 @@
   assert.is(later.anyBootLapsedAt(listedAt), TAKEN_OVER_AT + 100 + MAX_LAPSED_MS);
 });
 
+// Guards against a lease that counts as granted before leases have lapsed that a former scheduler doubted.
+test("what a former scheduler recorded shortens the doubt in a boot, but not in a later one", () => {
+  const listedAt = TAKEN_OVER_AT + 100;
+  const doubtedUntil = TAKEN_OVER_AT + 7000;
+  const bounds = leaseBounds();
+  assert.is(bounds.doubtedUntil(listedAt), undefined, "no list was read");
+  bounds.listRead(listedAt);
+  assert.is(bounds.doubtedUntil(listedAt), listedAt + MAX_LAPSED_MS);
+  bounds.limitFormerOrders(doubtedUntil);
+  assert.is(bounds.doubtedUntil(listedAt), doubtedUntil);
+  assert.is(bounds.isAsGranted(doubtedUntil), false);
+  assert.is(bounds.isAsGranted(doubtedUntil + 1), true);
+  assert.is(bounds.anyBootLapsedAt(listedAt), listedAt + MAX_LAPSED_MS);
+});
+
+// Guards against a bound that is recorded while an order for a former boot can still extend the lease.
+test("the end of the doubt in a boot is not known while an order for a former boot is pending", () => {
+  const at = TAKEN_OVER_AT + 60_000;
+  const former = polledAt(at);
+  former.orderSent();
+  const bounds = polledAt(at + 100, { former, clockMs: 100 });
+  assert.is(bounds.doubtedUntil(at + 100), undefined);
+  former.orderEnded(at + 500);
+  assert.is(bounds.doubtedUntil(at + 600), at + 500 + MAX_LAPSED_MS);
+});
+
 test.run();
