refactor(fleet): give blocked maintenance a module of its own

Waiting long-running tasks are collected once a tick, not once for each reserved instance. Two fakes got the list of open jobs that the runner reads. No change of behaviour is meant.

--- a/src/coordination/jobs/execution/lost-runs.ts
+++ b/src/coordination/jobs/execution/lost-runs.ts
@@ -60,8 +60,8 @@
 
   /**
    * Releases inherited runs, in any phase, on backend servers without a driver once their leases have
-   * lapsed: the granted lease for confirmed runs, unless it may be longer, and the longest lease for others. `takenOverAt`: monotonic
-   * time in ms at which this scheduler took over.
+   * lapsed: for confirmed runs the granted lease, or what was recorded of a longer one, and for others the
+   * longest lease. `takenOverAt`: monotonic time in ms at which this scheduler took over.
    */
   checkUnregistered(takenOverAt: number): void {
     const { clock, runRegistry, driver, leaseTtlMs, maxServerLeaseMs, release } = this.#options;
--- a/src/coordination/jobs/fleet/instance-evacuator.ts
+++ b/src/coordination/jobs/fleet/instance-evacuator.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../../ports/clock.ts";
 import type { Log } from "../../../ports/log.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
+import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import type { Task } from "../../../state/jobs/records/job.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
@@ -18,8 +19,8 @@
   readonly scheduler: Scheduler;
 }
 
-/** Result of a step of an evacuation. */
-export type EvacuationStep =
+/** What became of the long-running tasks on a server. */
+export type EvacuationResult =
   /** A task leaves, or waits until its availability budget allows that. */
   | "in-progress"
   /** No task may leave, because no other server has room for it. */
@@ -37,47 +38,55 @@
    * Stops the long-running tasks on a server that may leave now, within their availability budgets and
    * the room on the other servers of the pool, so that they start there.
    */
-  evacuate(driver: ServerDriver): EvacuationStep {
-    const { clock, log, scheduler } = this.#options;
-    const { tracker } = scheduler;
-    const now = clock.now();
-    const runs = tracker.runRegistry
-      .onServer(driver.id)
-      .filter(({ task }) => task.step.spec.longRunning);
+  evacuate(driver: ServerDriver): EvacuationResult {
+    const { log, scheduler } = this.#options;
+    const { runRegistry } = scheduler.tracker;
+    const runs = runRegistry.onServer(driver.id).filter((run) => run.task.step.spec.longRunning);
+    const interruptible = runs.filter((run) => this.#mayInterrupt(run));
+    if (interruptible.length === 0) return "in-progress";
+    const room = this.#roomInPool(driver.registration.pool);
     let leaving = runs.some(({ phase }) => phase === "stopping");
-    let lacksRoom = false;
-    let room: LongTaskRoom | undefined;
-    for (const run of runs) {
-      if (run.phase !== "running" || !mayInterrupt([run], tracker.runRegistry, now)) continue;
-      room ??= this.#roomInPool(driver.registration.pool);
-      if (!room.take(run.task)) {
-        lacksRoom = true;
-        continue;
-      }
+    for (const run of interruptible) {
+      // A task of the same step that was just stopped has used up the budget.
+      if (!this.#mayInterrupt(run) || !room.take(run.task)) continue;
       log.info({ task: run.task.name, server: driver.id }, "task leaves before maintenance");
-      tracker.stop(run);
+      scheduler.tracker.stop(run);
       leaving = true;
     }
-    return lacksRoom && !leaving ? "no-room" : "in-progress";
+    return leaving ? "in-progress" : "no-room";
   }
 
-  /** True if a long-running task that has waited for some time could run on a reserved server. */
-  isNeeded(driver: ServerDriver): boolean {
+  /** Long-running tasks that have waited for some time, so that a reserved server has to take them. */
+  overdueTasks(): readonly Task[] {
     const now = this.#options.clock.now();
-    for (const task of this.#waitingTasks(driver.registration.pool)) {
-      const waitingSince = Math.max(task.step.readyAt ?? now, task.lastRunEndedAt);
-      if (now - waitingSince < MAX_TASK_WAIT_MS) continue;
-      if (this.#roomOn([driver]).take(task)) return true;
-    }
-    return false;
+    return [...this.#waitingTasks()].filter(({ step, lastRunEndedAt }) => {
+      const waitingSince = Math.max(step.readyAt ?? now, lastRunEndedAt);
+      return now - waitingSince >= MAX_TASK_WAIT_MS;
+    });
+  }
+
+  /** True if one of the tasks is of the server's pool and could run on it if it were not reserved. */
+  isNeeded(driver: ServerDriver, tasks: readonly Task[]): boolean {
+    return tasks.some((task) => {
+      const inPool = this.#options.config.poolOf(task.job.spec) === driver.registration.pool;
+      return inPool && this.#roomOn([driver]).take(task);
+    });
+  }
+
+  #mayInterrupt(run: ActiveRun): boolean {
+    const { clock, scheduler } = this.#options;
+    const { runRegistry } = scheduler.tracker;
+    return run.phase === "running" && mayInterrupt([run], runRegistry, clock.now());
   }
 
   #roomInPool(pool: string): LongTaskRoom {
-    const now = this.#options.clock.now();
-    const drivers = this.#options.scheduler.drivers.inPool(pool);
-    const room = this.#roomOn(drivers.filter((driver) => driver.acceptsTasks(now)));
+    const { clock, config, scheduler } = this.#options;
+    const now = clock.now();
+    const drivers = scheduler.drivers.inPool(pool).filter((driver) => driver.acceptsTasks(now));
+    const room = this.#roomOn(drivers);
     // Waiting tasks are placed before the tasks that are about to leave.
-    for (const task of this.#waitingTasks(pool)) room.take(task);
+    for (const task of this.#waitingTasks())
+      if (config.poolOf(task.job.spec) === pool) room.take(task);
     return room;
   }
 
@@ -88,13 +97,10 @@
     return new LongTaskRoom({ drivers, runRegistry: tracker.runRegistry, durations, now });
   }
 
-  /** Long-running tasks that wait in a pool. */
-  *#waitingTasks(pool: string): Iterable<Task> {
-    const { config, scheduler } = this.#options;
-    for (const job of scheduler.jobRegistry.openJobs) {
-      if (config.poolOf(job.spec) !== pool) continue;
+  /** Long-running tasks that wait for their start. */
+  *#waitingTasks(): Iterable<Task> {
+    for (const job of this.#options.scheduler.jobRegistry.openJobs)
       for (const { spec, tasks } of job.readySteps())
         if (spec.longRunning) yield* tasks.filter((task) => task.waiting);
-    }
   }
 }
--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -22,27 +22,16 @@
 import type { LockTenure } from "../election/scheduler-lock.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
 import type { Counters } from "../../ports.ts";
-import { InstanceEvacuator } from "./instance-evacuator.ts";
-import type { MaintenanceReservation, OngoingMaintenance, WaveProgress } from "./wave-progress.ts";
+import { BlockedMaintenance } from "./blocked-maintenance.ts";
+import type { OngoingMaintenance, WaveProgress } from "./wave-progress.ts";
 import { WaveRecords } from "./wave-records.ts";
 
 const INTERVAL_MS = 300;
 /** Time in ms that a reserved instance gets to finish its short tasks. */
 const SHORT_TASK_GRACE_MS = 3000;
-/** Time in ms in which an instance of another pool takes the place of one that drains for maintenance. */
-const SUBSTITUTE_WAIT_MS = 5000;
-/** Pause in ms before a postponed instance is reserved again. */
-const POSTPONED_MS = 5000;
 /** Consecutive lists without an instance before it counts as removed, because lists lag. */
 const LISTS_WITHOUT_INSTANCE = 8;
 
-/** Why the maintenance of a reserved instance is postponed. */
-type PostponementReason =
-  /** No other server has room for its long-running tasks. */
-  | "no_room"
-  /** A long-running task waits that could run on it. */
-  | "task_waits";
-
 /** Options of {@link MaintenanceRunner}. */
 export interface MaintenanceRunnerOptions {
   readonly clock: Clock;
@@ -70,12 +59,12 @@
   readonly #options: MaintenanceRunnerOptions;
   readonly #waves = new Map<number, WaveProgress>();
   readonly #records: WaveRecords;
-  readonly #evacuator: InstanceEvacuator;
+  readonly #blocked: BlockedMaintenance;
 
   constructor(options: MaintenanceRunnerOptions) {
     this.#options = options;
     this.#records = new WaveRecords(options);
-    this.#evacuator = new InstanceEvacuator(options);
+    this.#blocked = new BlockedMaintenance(options);
   }
 
   /** Processes the requested waves until the tenure ends. */
@@ -104,7 +93,7 @@
 
   async #advance(wave: WaveProgress): Promise<void> {
     const { view, operators } = this.#options;
-    this.#postponeBlocked(wave);
+    this.#blocked.postpone(wave);
     const instances = await view.read();
     if (instances === undefined) return;
     if (wave.reported === "nothing" && (await operators.reportWave(wave.request.wave, "running")))
@@ -230,7 +219,8 @@
     if (shortTasks > 0 && clock.now() - reservation.since < SHORT_TASK_GRACE_MS) return;
     const { runRegistry } = this.#options.scheduler.tracker;
     if (!mayInterrupt(this.#runsOn(instance), runRegistry, clock.now())) {
-      this.#evacuate(instance, reservation);
+      const driver = this.#driverOf(instance);
+      if (driver !== undefined) this.#blocked.evacuate(driver, reservation);
       return;
     }
     reservation.noRoomSince = undefined;
@@ -267,47 +257,6 @@
     }
   }
 
-  /** Moves long-running tasks away one by one where their budget does not allow all at once. */
-  #evacuate(instance: ControlledInstance, reservation: MaintenanceReservation): void {
-    const driver = this.#driverOf(instance);
-    if (driver === undefined) return;
-    const step = this.#evacuator.evacuate(driver);
-    if (step === "in-progress") reservation.noRoomSince = undefined;
-    else reservation.noRoomSince ??= this.#options.clock.now();
-  }
-
-  /**
-   * Lets instances take tasks again whose maintenance can't begin, because their tasks have nowhere to
-   * go, and those that a task needs. Their maintenance is tried again later.
-   */
-  #postponeBlocked(wave: WaveProgress): void {
-    for (const [name, reservation] of [...wave.reservations]) {
-      // An order that may still be carried out would end new tasks.
-      if (reservation.orderUnanswered) continue;
-      const reason = this.#postponementReason(reservation);
-      if (reason !== undefined) this.#postpone(wave, name, reason);
-    }
-  }
-
-  #postponementReason(reservation: MaintenanceReservation): PostponementReason | undefined {
-    const { clock, scheduler } = this.#options;
-    const { noRoomSince = Infinity, server } = reservation;
-    if (clock.now() - noRoomSince >= SUBSTITUTE_WAIT_MS) return "no_room";
-    const driver = server === undefined ? undefined : scheduler.drivers.get(server);
-    if (driver !== undefined && this.#evacuator.isNeeded(driver)) return "task_waits";
-    return undefined;
-  }
-
-  #postpone(wave: WaveProgress, name: string, reason: PostponementReason): void {
-    const { clock, log, counters, scheduler } = this.#options;
-    const { server } = wave.reservations.get(name) ?? {};
-    log.info({ wave: wave.request.wave, instance: name, reason }, "maintenance postponed");
-    counters.event(`maintenance_postponed_${reason}`);
-    wave.reservations.delete(name);
-    wave.postponedUntil.set(name, clock.now() + POSTPONED_MS);
-    if (server !== undefined) scheduler.drivers.get(server)?.release("maintenance");
-  }
-
   #handleRefusal(wave: WaveProgress, { name }: ControlledInstance, err: ControlError): void {
     const { log, tenure } = this.#options;
     log.warn({ wave: wave.request.wave, instance: name, err }, "maintenance refused");
--- a/src/coordination/jobs/fleet/wave-progress.ts
+++ b/src/coordination/jobs/fleet/wave-progress.ts
@@ -17,7 +17,7 @@
   readonly since: number;
   /** Backend server that ran on the instance; undefined if none did. */
   readonly server: string | undefined;
-  /** Monotonic time in ms since when no task could leave for lack of room; undefined if that is not so. */
+  /** Monotonic time in ms since which tasks can't leave for lack of room; undefined if they can. */
   noRoomSince: number | undefined;
   /** True if an order got no reply, so that it may still be carried out. */
   orderUnanswered: boolean;
--- a/test/coordination/jobs/maintenance-takeover.test.ts
+++ b/test/coordination/jobs/maintenance-takeover.test.ts
@@ -34,7 +34,10 @@
     config: { waves: [{ wave: 1, instances: ["m"], durationMs: 20_000, maxAtOnce: 1 }] },
     operators: { reportWave: () => Promise.resolve(true) },
     view: { read: () => Promise.resolve([INSTANCE]) },
-    scheduler: { drivers: { get: noop }, tracker: { runRegistry: new RunRegistry() } },
+    scheduler: {
+      ...{ drivers: { get: noop }, tracker: { runRegistry: new RunRegistry() } },
+      jobRegistry: { openJobs: [] },
+    },
     orders: unrestrictedOrders(),
     instances: {
       maintain: () => {
--- a/test/coordination/jobs/refused-maintenance.test.ts
+++ b/test/coordination/jobs/refused-maintenance.test.ts
@@ -35,7 +35,10 @@
     config: { waves: [{ wave: 1, instances: ["m"], durationMs: 20_000, maxAtOnce: 1 }] },
     operators: { reportWave: () => Promise.resolve(true) },
     view: { read: () => Promise.resolve([instance]) },
-    scheduler: { drivers: { get: () => driver }, tracker: { runRegistry: new RunRegistry() } },
+    scheduler: {
+      ...{ drivers: { get: () => driver }, tracker: { runRegistry: new RunRegistry() } },
+      jobRegistry: { openJobs: [] },
+    },
     orders: unrestrictedOrders(),
     instances: {
       maintain: () => {
