fix(execution): let restarted processes know the age of former tenures

Cause: the begin of a former tenure was bounded only by what the own process had seen, so the former bound, the longest lease from the own takeover, was all that a new process had.

Change: while the lease of a long-running task's server is in doubt, the scheduler writes the age of its tenure once a second, and keeps those of the tenures before. A successor takes the better one of both bounds. Without doubt nothing is written.

Test: a third form of "a run on a server that joined after a takeover", with all processes restarted, fails on (11,550 ms against 8,000) and passes now; tenure-ages.test.ts.

--- a/src/coordination/jobs/election/scheduler-lock.ts
+++ b/src/coordination/jobs/election/scheduler-lock.ts
@@ -75,13 +75,17 @@
     return Math.abs(elapsedWallTime - elapsed) <= MAX_CLOCK_DIFFERENCE_MS;
   }
 
+  /** Time in ms that has at least passed since the lock was requested. */
+  get minAgeMs(): number {
+    return this.#clock.now() - this.#requestedAt.now;
+  }
+
   /**
-   * Time in ms since before the lock was requested, and so at least the age of the tenure. The longer one
-   * of both clocks counts, because a suspension stops the monotonic clock.
+   * Time in ms that has at most passed since the lock was requested. The longer one of both clocks counts,
+   * because a suspension stops the monotonic clock.
    */
-  get elapsedMs(): number {
-    const { now, wallTime } = this.#requestedAt;
-    return Math.max(this.#clock.now() - now, this.#clock.wallTime() - wallTime);
+  get maxAgeMs(): number {
+    return Math.max(this.minAgeMs, this.#clock.wallTime() - this.#requestedAt.wallTime);
   }
 
   /** Records a successful renewal that was sent at the given time. */
--- a/src/coordination/jobs/execution/recorded-leases.ts
+++ b/src/coordination/jobs/execution/recorded-leases.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "../../../ports/clock.ts";
 import type { PlacementRecord } from "../../../protocol/job-records.ts";
+import { TenureAges } from "../../../state/jobs/election/tenure-ages.ts";
 import type { TenureHistory } from "../../../state/jobs/election/tenure-history.ts";
 import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import { leasesLapsedAt } from "../../../state/jobs/execution/server-clock.ts";
@@ -28,11 +29,24 @@
  */
 export class RecordedLeases {
   readonly #options: RecordedLeasesOptions;
+  #formerAges = new TenureAges([], 0);
+  /** Latest monotonic time in ms until which the lease of a boot with a long-running task is in doubt. */
+  #inDoubtUntil = 0;
 
   constructor(options: RecordedLeasesOptions) {
     this.#options = options;
   }
 
+  /** True while a successor would need the age of this tenure to know when the doubt in a lease ends. */
+  get inDoubt(): boolean {
+    return this.#options.clock.now() <= this.#inDoubtUntil;
+  }
+
+  /** Passes the ages that earlier schedulers recorded, before any run is inherited. */
+  formerAgesRead(ages: TenureAges): void {
+    this.#formerAges = ages;
+  }
+
   /**
    * Monotonic time in ms until which the boot of an inherited run may have a longer lease than former
    * schedulers granted; 0 if it has none. Known only for runs that a list of the boot has shown.
@@ -40,8 +54,13 @@
   doubtedUntil({ leaseAsGranted, leaseDoubt }: PlacementRecord): number {
     if (leaseAsGranted || leaseDoubt === undefined) return 0;
     const { formerTenures, takenOverAt, maxServerLeaseMs } = this.#options;
-    const begunBy = formerTenures.begunBy(leaseDoubt.token) ?? Infinity;
-    return Math.min(begunBy + leaseDoubt.endsMs, leasesLapsedAt(takenOverAt, maxServerLeaseMs));
+    const { token, endsMs } = leaseDoubt;
+    const begunBySight = formerTenures.begunBy(token) ?? Infinity;
+    const begunByRecord = takenOverAt - this.#formerAges.atTakeover(token);
+    const endsAt = Math.min(begunBySight, begunByRecord) + endsMs;
+    const until = Math.min(endsAt, leasesLapsedAt(takenOverAt, maxServerLeaseMs));
+    this.#inDoubtUntil = Math.max(this.#inDoubtUntil, until);
+    return until;
   }
 
   /**
@@ -80,7 +99,8 @@
     const now = clock.now();
     const doubtedUntil = driver.leaseBounds.doubtedUntil(now);
     if (doubtedUntil === undefined) return undefined;
-    const endsMs = Math.ceil(tenure.elapsedMs + doubtedUntil - now);
+    this.#inDoubtUntil = Math.max(this.#inDoubtUntil, doubtedUntil);
+    const endsMs = Math.ceil(tenure.maxAgeMs + doubtedUntil - now);
     return { ...placement, leaseDoubt: { token: tenure.token, endsMs } };
   }
 }
--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -68,7 +68,7 @@
   readonly runRegistry = new RunRegistry();
   readonly starter: RunStarter;
   readonly lostRuns: LostRuns;
-  readonly #recordedLeases: RecordedLeases;
+  readonly recordedLeases: RecordedLeases;
   readonly #stopper: RunStopper;
   readonly #pacer: FillerPacer;
   readonly #ends: RunEndHandler;
@@ -79,7 +79,7 @@
     super();
     this.#options = options;
     const { runRegistry } = this;
-    this.#recordedLeases = new RecordedLeases({ ...options, runRegistry });
+    this.recordedLeases = new RecordedLeases({ ...options, runRegistry });
     const notStarted = (run: ActiveRun): void => {
       this.#release(run, "not-started");
     };
@@ -250,7 +250,7 @@
     const { server, bootedAt, leaseAsGranted, leaseDoubt } = placement;
     const run = newRun(task, {
       ...{ server, bootedAt, confirmed: leaseAsGranted || leaseDoubt !== undefined },
-      leaseDoubtedUntil: this.#recordedLeases.doubtedUntil(placement),
+      leaseDoubtedUntil: this.recordedLeases.doubtedUntil(placement),
       ...{ phase, since, coldness, rack: registration?.rack },
     });
     this.runRegistry.add(run);
@@ -259,10 +259,10 @@
 
   #reconcile(driver: ServerDriver, lists: RunLists, askedAt: number, touched: Set<Job>): void {
     const found = reconcile(this.runRegistry.runsOn(driver.id), lists, askedAt);
-    this.#recordedLeases.applyTo(driver);
+    this.recordedLeases.applyTo(driver);
     for (const [run, listed] of found.present) {
       recordListed(run, listed, lists, askedAt);
-      this.#recordedLeases.record(run, driver);
+      this.recordedLeases.record(run, driver);
       // An inherited run may have been added before its server's registration was read.
       if (run.phase === "inherited") run.slowdown = coldSlowdown(driver.coldness);
       if (run.phase === "unconfirmed" || run.phase === "inherited") this.#setPhase(run, "running");
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -24,6 +24,7 @@
 import { PlacementRound } from "./placement-round.ts";
 import { ProgressWriter } from "../records/progress-writer.ts";
 import { LearntRecordKeeper } from "../records/learnt-record-keeper.ts";
+import { TenureAgeKeeper } from "../records/tenure-age-keeper.ts";
 import { RecordFollower } from "../records/record-follower.ts";
 import { RunTracker } from "../execution/run-tracker.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
@@ -86,6 +87,7 @@
   readonly #options: SchedulerOptions;
   readonly #ticketCache: PlacementTicketCache;
   readonly #learnt: LearntRecordKeeper;
+  readonly #tenureAges: TenureAgeKeeper;
   readonly #takenOverAt: number;
   readonly #load: SchedulerLoad;
   readonly #evacuations: EvacuationGuard;
@@ -144,6 +146,10 @@
         this.drivers.rebooted(registration);
       },
     });
+    this.#tenureAges = new TenureAgeKeeper({
+      ...{ ...options, takenOverAt: this.#takenOverAt },
+      needed: () => this.tracker.recordedLeases.inDoubt,
+    });
     const servers = (): Iterable<ServerDriver> => this.drivers.all();
     this.#learnt = new LearntRecordKeeper({
       ...{ ...options, durations: this.durations, servers },
@@ -185,6 +191,7 @@
     const followingJobs = new RecordFollower(jobs).run(signal);
     // Unknown runs on backend servers can be recognised only once all jobs are loaded.
     await this.jobRegistry.whenLoaded(signal);
+    const keepingAge = this.#tenureAges.run();
     const followingServers = registry.follow(this.drivers, signal);
     const stopListening = config.onChange(() => {
       this.#requestRound();
@@ -202,7 +209,7 @@
     }
     stopListening();
     this.drivers.close();
-    await Promise.all([followingJobs, followingServers, keepingLearnt]);
+    await Promise.all([followingJobs, followingServers, keepingLearnt, keepingAge]);
     log.info({ token: tenure.token }, "scheduling ended");
   }
 
@@ -210,8 +217,12 @@
   async #readProgress(): Promise<boolean> {
     const { store, clock, tenure, log, counters } = this.#options;
     while (!tenure.signal.aborted) {
-      const range = await store.range(PROGRESS_PREFIX);
+      const [range, tenureAges] = await Promise.all([
+        store.range(PROGRESS_PREFIX),
+        this.#tenureAges.read(),
+      ]);
       if (range.ok) {
+        this.tracker.recordedLeases.formerAgesRead(tenureAges);
         this.jobRegistry.loadProgress(range.val.records);
         const durationMs = Math.round(clock.now() - this.#takenOverAt);
         counters.duration("takeover_read", durationMs);
--- a/src/protocol/job-records.ts
+++ b/src/protocol/job-records.ts
@@ -18,6 +18,8 @@
 export const INSTANCE_ORDERS_KEY = `${KEY_PREFIX}instance-orders`;
 /** What the scheduler has learnt about durations and servers; content in `learnt-record.ts`. */
 export const LEARNT_KEY = `${KEY_PREFIX}learnt`;
+/** Ages of the last tenures of the scheduler lock. */
+export const TENURE_AGES_KEY = `${KEY_PREFIX}tenure-ages`;
 /** Scheduler lock. Its creation revision is the fencing token. */
 export const SCHEDULER_KEY = `${ENTRIES_PREFIX}scheduler`;
 /** Sessions under {@link ENTRIES_PREFIX}. */
@@ -136,6 +138,14 @@
   readonly nonce: string;
 }
 
+/** Age of a tenure of the scheduler lock. */
+export interface TenureAge {
+  /** Fencing token of the tenure. */
+  readonly token: number;
+  /** Time in ms that had at least passed since its begin when the record was written. */
+  readonly ageMs: number;
+}
+
 /** Number of jobs without a started task, per queue. */
 export interface PendingJobsRecord {
   readonly pending: Readonly<Record<string, number>>;
@@ -201,6 +211,9 @@
   strength: v.optional(v.number(), 1),
 });
 const LockSchema = v.object({ holder: v.string(), nonce: v.string() });
+const TenureAgesSchema = v.object({
+  tenures: v.array(v.object({ token: v.number(), ageMs: amount })),
+});
 const PendingSchema = v.object({ pending: v.record(v.string(), v.number()) });
 const WaveSchema = v.object({ maintained: v.array(v.string()), completed: v.boolean() });
 
@@ -225,6 +238,16 @@
   return decodeCbor(LockSchema, bytes);
 }
 
+/** Encodes the ages of tenures. */
+export function encodeTenureAges(tenures: readonly TenureAge[]): Uint8Array {
+  return encode({ tenures });
+}
+
+/** Decodes the ages of tenures; undefined if the bytes are malformed. */
+export function decodeTenureAges(bytes: Uint8Array): readonly TenureAge[] | undefined {
+  return decodeCbor(TenureAgesSchema, bytes)?.tenures;
+}
+
 /** Encodes a job's progress. */
 export function encodeProgress({ state, endedAtMs, tasks }: JobProgressRecord): Uint8Array {
   return encode({ state, endedAtMs, tasks: tasks.map(toRow) });
--- a/test/coordination/jobs/lease-after-takeover.test.ts
+++ b/test/coordination/jobs/lease-after-takeover.test.ts
@@ -80,8 +80,12 @@
 
 // Guards against a long-running task that waits for the longest lease (LOST), counted anew from the second
 // takeover, because its server had joined within seconds of the first one.
-for (const registered of [false, true])
-  test(`a run on a server that joined after a takeover waits for the granted lease at the next one, if its server is lost and ${registered ? "still" : "no longer"} registered`, async () => {
+for (const { registered, restarted } of [
+  { registered: false, restarted: false },
+  { registered: true, restarted: false },
+  { registered: false, restarted: true },
+])
+  test(`a run on a server that joined after a takeover waits for the granted lease at the next one, if its server is lost and ${registered ? "still" : "no longer"} registered${restarted ? " and all entry instances were restarted" : ""}`, async () => {
     const cluster = newCluster(undefined, 0);
     const { clock } = cluster;
     const first = await cluster.electScheduler();
@@ -97,7 +101,10 @@
     const lost = servers.find(({ running }) => running.length > 0)!;
     if (registered) lost.crash();
     else cluster.crash(lost.id);
-    cluster.kill(second);
+    // A restarted process has not seen the former tenures.
+    if (restarted) for (const entry of cluster.liveEntries) cluster.kill(entry);
+    else cluster.kill(second);
+    if (restarted) cluster.addEntry();
     const waitedMs = await timeUntilRunning(cluster);
     assert.ok(waitedMs <= GRANTED_LEASE_BOUND_MS, `restarted after ${waitedMs} ms`);
   });
