--- a/src/coordination/jobs/execution/recorded-leases.ts
+++ b/src/coordination/jobs/execution/recorded-leases.ts
@@ -30,7 +30,7 @@
 export class RecordedLeases {
   readonly #options: RecordedLeasesOptions;
   #formerAges = new TenureAges([], 0);
-  /** Latest monotonic time in ms until which the lease of a boot with a long-running task is in doubt. */
+  /** Latest monotonic time in ms until which the lease of a boot with a listed run is in doubt. */
   #inDoubtUntil = 0;
 
   constructor(options: RecordedLeasesOptions) {
@@ -55,9 +55,9 @@
     if (leaseAsGranted || leaseDoubt === undefined) return 0;
     const { formerTenures, takenOverAt, maxServerLeaseMs } = this.#options;
     const { token, endsMs } = leaseDoubt;
-    const begunBySight = formerTenures.begunBy(token) ?? Infinity;
-    const begunByRecord = takenOverAt - this.#formerAges.atTakeover(token);
-    const endsAt = Math.min(begunBySight, begunByRecord) + endsMs;
+    const firstSeenAt = formerTenures.begunBy(token) ?? Infinity;
+    const recordedBegin = takenOverAt - this.#formerAges.atTakeover(token);
+    const endsAt = Math.min(firstSeenAt, recordedBegin) + endsMs;
     const until = Math.min(endsAt, leasesLapsedAt(takenOverAt, maxServerLeaseMs));
     this.#inDoubtUntil = Math.max(this.#inDoubtUntil, until);
     return until;
