fix(fleet): count substitutes as room for the tasks of a due instance

Cause: a task left only once a server of its pool had room, and a pool that is short of room gets a substitute from the spare pool only seconds later.

Change: instances on their way to the pool or idle in the spare pool count as room, unless the task needs a label.

--- a/src/coordination/jobs/fleet/blocked-maintenance.ts
+++ b/src/coordination/jobs/fleet/blocked-maintenance.ts
@@ -1,3 +1,4 @@
+import type { ControlledInstance } from "../../../ports/instance-control.ts";
 import type { Task } from "../../../state/jobs/records/job.ts";
 import type { Counters } from "../../ports.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
@@ -35,8 +36,12 @@
   }
 
   /** Moves long-running tasks away one by one while other servers have room for them. */
-  evacuate(driver: ServerDriver, reservation: MaintenanceReservation): void {
-    const result = this.#evacuator.evacuate(driver);
+  evacuate(
+    driver: ServerDriver,
+    reservation: MaintenanceReservation,
+    instances: readonly ControlledInstance[],
+  ): void {
+    const result = this.#evacuator.evacuate(driver, instances);
     if (result === "in-progress") reservation.noRoomSince = undefined;
     else reservation.noRoomSince ??= this.#options.clock.now();
   }
--- a/src/coordination/jobs/fleet/instance-evacuator.ts
+++ b/src/coordination/jobs/fleet/instance-evacuator.ts
@@ -1,5 +1,7 @@
 import type { Clock } from "../../../ports/clock.ts";
+import type { ControlledInstance } from "../../../ports/instance-control.ts";
 import type { Log } from "../../../ports/log.ts";
+import type { Resources } from "../../../protocol/job-spec.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import type { Task } from "../../../state/jobs/records/job.ts";
@@ -36,15 +38,16 @@
 
   /**
    * Stops the long-running tasks on a server that may leave now, within their availability budgets and
-   * the room on the other servers of the pool, so that they start there.
+   * the room on the other servers of the pool, so that they start there. Instances that the pool gets as
+   * substitutes count as room.
    */
-  evacuate(driver: ServerDriver): EvacuationResult {
+  evacuate(driver: ServerDriver, instances: readonly ControlledInstance[]): EvacuationResult {
     const { log, scheduler } = this.#options;
     const { runRegistry } = scheduler.tracker;
     const runs = runRegistry.onServer(driver.id).filter((run) => run.task.step.spec.longRunning);
     const interruptible = runs.filter((run) => this.#mayInterrupt(run));
     if (interruptible.length === 0) return "in-progress";
-    const room = this.#roomInPool(driver.registration.pool);
+    const room = this.#roomInPool(driver.registration.pool, instances);
     let leaving = runs.some(({ phase }) => phase === "stopping");
     for (const run of interruptible) {
       // A task of the same step that was just stopped has used up the budget.
@@ -79,22 +82,35 @@
     return run.phase === "running" && mayInterrupt([run], runRegistry, clock.now());
   }
 
-  #roomInPool(pool: string): LongTaskRoom {
+  #roomInPool(pool: string, instances: readonly ControlledInstance[]): LongTaskRoom {
     const { clock, config, scheduler } = this.#options;
     const now = clock.now();
     const drivers = scheduler.drivers.inPool(pool).filter((driver) => driver.acceptsTasks(now));
-    const room = this.#roomOn(drivers);
+    const room = this.#roomOn(drivers, this.#substitutes(pool, instances));
     // Waiting tasks are placed before the tasks that are about to leave.
     for (const task of this.#waitingTasks())
       if (config.poolOf(task.job.spec) === pool) room.take(task);
     return room;
   }
 
-  #roomOn(drivers: readonly ServerDriver[]): LongTaskRoom {
+  #roomOn(drivers: readonly ServerDriver[], substitutes: readonly Resources[] = []): LongTaskRoom {
     const { clock, scheduler } = this.#options;
     const { durations, tracker } = scheduler;
     const now = clock.now();
-    return new LongTaskRoom({ drivers, runRegistry: tracker.runRegistry, durations, now });
+    const { runRegistry } = tracker;
+    return new LongTaskRoom({ drivers, substitutes, runRegistry, durations, now });
+  }
+
+  /** Capacities of instances that are on their way to a pool, or idle in the spare pool. */
+  #substitutes(pool: string, instances: readonly ControlledInstance[]): readonly Resources[] {
+    const sparePool = this.#options.config.current?.pools.find(({ spare }) => spare)?.name;
+    return instances
+      .filter(
+        (instance) =>
+          (instance.state === "moving" && instance.pool === pool) ||
+          (instance.state === "up" && instance.pool === sparePool),
+      )
+      .map(({ capacity }) => capacity);
   }
 
   /** Long-running tasks that wait for their start. */
--- a/src/coordination/jobs/fleet/long-task-room.ts
+++ b/src/coordination/jobs/fleet/long-task-room.ts
@@ -10,7 +10,7 @@
   resourcesOccupied,
   subtract,
 } from "../../../state/jobs/scheduling/resources.ts";
-import type { Resources } from "../../../protocol/job-spec.ts";
+import type { Resources, StepSpec } from "../../../protocol/job-spec.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
 
 /** Time in ms within which the end of a short task counts as room, because long-running tasks come first. */
@@ -20,6 +20,8 @@
 export interface LongTaskRoomOptions {
   /** Backend servers that may take tasks. */
   readonly drivers: readonly ServerDriver[];
+  /** Capacities of instances that join the pool within seconds if it needs them. @default none */
+  readonly substitutes?: readonly Resources[];
   readonly runRegistry: RunRegistry;
   readonly durations: DurationModels;
   /** Monotonic time in ms. */
@@ -30,12 +32,14 @@
 export class LongTaskRoom {
   readonly #options: LongTaskRoomOptions;
   readonly #free: Map<ServerDriver, Resources>;
+  readonly #freeOnSubstitutes: Resources[];
   /** Backend servers of tasks taken so far. */
   readonly #taken = new Map<Task, ServerDriver>();
 
   constructor(options: LongTaskRoomOptions) {
     this.#options = options;
     this.#free = new Map(options.drivers.map((driver) => [driver, this.#freeSoon(driver)]));
+    this.#freeOnSubstitutes = [...(options.substitutes ?? [])];
   }
 
   /** Uses up the room for a task. Returns false if no server has room for it. */
@@ -47,7 +51,17 @@
       this.#taken.set(task, driver);
       return true;
     }
-    return false;
+    return this.#takeOnSubstitute(task.step.spec, demand);
+  }
+
+  #takeOnSubstitute({ requiredLabel }: StepSpec, demand: Resources): boolean {
+    // The kind of a server that has not joined yet is not known.
+    if (requiredLabel !== "") return false;
+    const index = this.#freeOnSubstitutes.findIndex((free) => fits(demand, free));
+    const free = this.#freeOnSubstitutes[index];
+    if (free === undefined) return false;
+    this.#freeOnSubstitutes[index] = subtract(free, demand);
+    return true;
   }
 
   #admits(driver: ServerDriver, free: Resources, { step }: Task): boolean {
--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -101,7 +101,7 @@
     this.#updateOngoing(wave, instances);
     const open = this.#pendingInstances(wave, instances);
     this.#reserve(wave, instances, open);
-    await Promise.all(open.map((candidate) => this.#maintain(wave, candidate)));
+    await Promise.all(open.map((candidate) => this.#maintain(wave, candidate, instances)));
     const left = wave.request.instances.filter((name) => !this.#isFinished(wave, name));
     if (left.length === 0 && wave.ongoing.size === 0) await this.#complete(wave);
   }
@@ -210,7 +210,11 @@
     }
   }
 
-  async #maintain(wave: WaveProgress, { instance, shortTasks }: WaveInstance): Promise<void> {
+  async #maintain(
+    wave: WaveProgress,
+    { instance, shortTasks }: WaveInstance,
+    listed: readonly ControlledInstance[],
+  ): Promise<void> {
     const { clock, log, instances, tenure, holder } = this.#options;
     const reservation = wave.reservations.get(instance.name);
     if (reservation === undefined || instance.state !== "up") return;
@@ -220,7 +224,7 @@
     const { runRegistry } = this.#options.scheduler.tracker;
     if (!mayInterrupt(this.#runsOn(instance), runRegistry, clock.now())) {
       const driver = this.#driverOf(instance);
-      if (driver !== undefined) this.#blocked.evacuate(driver, reservation);
+      if (driver !== undefined) this.#blocked.evacuate(driver, reservation, listed);
       return;
     }
     reservation.noRoomSince = undefined;
