fix(placement): spread replicas over servers that are about to answer

Cause: a placement round takes the servers that have answered their first poll. A job that arrives before the second one has, or waits at a takeover, is packed on the first.

Change: a task that would join more than its server's share of the step waits for a server that has been known for less than 1 s, has not answered its first poll and has room for it. Tasks within the share start at once. Wait reason `first-poll`. `PoolCandidates` takes the grouping of servers out of `PlacementRound`; the options of `ServerDriver` get a module.

The fixture of placement-index.test.ts gets the driver's new method.

--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -1,15 +1,12 @@
 import { Err, Ok } from "ts-results";
-import type { Clock } from "../../../ports/clock.ts";
 import type {
   BackendClock,
-  JobBackend,
   OrderError,
   OrderResult,
   PollOrder,
   RunLists,
   StartOrder,
 } from "../../../ports/job-backend.ts";
-import type { Log } from "../../../ports/log.ts";
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
 import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import { isOfLaterBoot, ServerClock } from "../../../state/jobs/execution/server-clock.ts";
@@ -19,10 +16,8 @@
 import { ServerHealth } from "../../../state/jobs/execution/server-health.ts";
 import { Deferred, waitAtMost } from "../../wait.ts";
 import { POLL_RETRY_MS, START_VALID_MS, STOP_RETRY_MS } from "./order-timing.ts";
-import type { EvacuationGuard } from "../fleet/evacuation-guard.ts";
-import type { LockTenure } from "../election/scheduler-lock.ts";
 import { ClockRefresh } from "./clock-refresh.ts";
-import type { DriverListener } from "./driver-listener.ts";
+import type { ServerDriverOptions } from "./server-driver-options.ts";
 
 /** Reply to a start order. */
 export interface StartReply extends BackendClock {
@@ -30,28 +25,12 @@
   readonly fromLaterBoot: boolean;
 }
 
+/** Time in ms for which a backend server is expected to answer its first poll. */
+const FIRST_POLL_WAIT_MS = 1000;
+
 /** Planned work during which a backend server receives no new tasks. */
 export type ReservationReason = "maintenance" | "move" | "surplus";
 
-/** Options of {@link ServerDriver}. */
-export interface ServerDriverOptions {
-  readonly backend: JobBackend;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly tenure: LockTenure;
-  readonly listener: DriverListener;
-  readonly registration: RegisteredServer;
-  readonly evacuations: EvacuationGuard;
-  /** Time to live in ms of the lease granted to the server. */
-  readonly leaseTtlMs: number;
-  /** Longest lease in ms that a backend server accepts, whatever deadline an order carries. */
-  readonly maxServerLeaseMs: number;
-  /** Monotonic time in ms at which this scheduler took over. */
-  readonly takenOverAt: number;
-  /** Bounds of the former boot's lease, if its driver is known. */
-  readonly formerLease?: LeaseBounds | undefined;
-}
-
 /**
  * Manages one boot of a backend server: polls its lists, which renews its lease, and sends orders.
  * The server is adopted once it has responded to this scheduler's fencing token; from then on it
@@ -78,6 +57,7 @@
   readonly #serverClock = new ServerClock();
   readonly #clockRefresh = new ClockRefresh(this.#serverClock);
   readonly #coldStart = new ColdStart();
+  readonly #openedAt: number;
   readonly #closed = new AbortController();
   /** Kept beside the signal, because it is read for each server in each placement round. */
   #isClosed = false;
@@ -92,6 +72,7 @@
   constructor(options: ServerDriverOptions) {
     this.#options = options;
     this.#registration = options.registration;
+    this.#openedAt = options.clock.now();
     const { leaseTtlMs, maxServerLeaseMs, takenOverAt, formerLease } = options;
     this.leaseBounds = new LeaseBounds({
       ...{ serverClock: this.#serverClock, former: formerLease },
@@ -154,9 +135,18 @@
 
   /** True if new tasks may be placed on the server. */
   acceptsTasks(now: number): boolean {
-    if (!this.adopted || this.absent || this.reserved || !this.reachable || this.closed)
-      return false;
-    return !this.#registration.draining && !this.evacuated && this.notBefore <= now;
+    return this.adopted && this.reachable && this.#isOpenForTasks && this.notBefore <= now;
+  }
+
+  /** True if new tasks may be placed on the server once it answers its first poll, which is expected soon. */
+  awaitsFirstPoll(now: number): boolean {
+    if (this.adopted || now - this.#openedAt >= FIRST_POLL_WAIT_MS) return false;
+    return this.#isOpenForTasks;
+  }
+
+  get #isOpenForTasks(): boolean {
+    if (this.absent || this.reserved || this.closed) return false;
+    return !this.#registration.draining && !this.evacuated;
   }
 
   /** 1 if the server has just started and is slow, falling to 0 while it becomes warm. */
--- a/src/coordination/jobs/scheduling/candidate-servers.ts
+++ b/src/coordination/jobs/scheduling/candidate-servers.ts
@@ -1,6 +1,7 @@
 import type { StepRun, Task } from "../../../state/jobs/records/job.ts";
 import {
   choosePlacement,
+  exceedsShare,
   type PlacementCandidate,
 } from "../../../state/jobs/scheduling/placement.ts";
 import { FreeCapacityIndex } from "../../../state/jobs/scheduling/free-capacity-index.ts";
@@ -119,6 +120,13 @@
     return chosen?.driver;
   }
 
+  /** True if a backend server runs its share of the tasks of a long-running step already. */
+  exceedsShare(step: StepRun, server: string): boolean {
+    this.#countTasksOf(step);
+    const { tasksOfStep = 0 } = this.#servers.find(({ id }) => id === server) ?? {};
+    return exceedsShare(step.spec, tasksOfStep);
+  }
+
   /** Subtracts the demand of a task that was placed on a backend server. */
   allocate(server: string, step: StepRun): void {
     this.#change(server, (candidate) => {
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -12,7 +12,8 @@
 import type { PlacementTicketCache } from "./placement-ticket-cache.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
-import { CandidateServers } from "./candidate-servers.ts";
+import type { CandidateServers } from "./candidate-servers.ts";
+import { PoolCandidates } from "./pool-candidates.ts";
 import { RoundFleet } from "./round-fleet.ts";
 
 /** Time in ms that a task waits for a healthy server before a slow or failing one is accepted. */
@@ -41,23 +42,18 @@
   readonly undoPlacement: (run: ActiveRun) => void;
 }
 
-/** Backend servers of a pool that accept tasks. */
-interface PoolServers {
-  readonly healthy: CandidateServers;
-  /** Slow or failing servers, used only for tasks that have waited for some time. */
-  readonly degraded: CandidateServers;
-}
-
 /** One pass over all waiting tasks, which assigns them to backend servers in order of rank. */
 export class PlacementRound {
   readonly #options: PlacementRoundOptions;
   readonly #now: number;
   /** Servers by pool, collected when the first task of the pool is placed. */
-  readonly #pools = new Map<string, PoolServers>();
+  readonly #pools = new Map<string, PoolCandidates>();
   /** Keys of demands that did not fit. Later tasks with the same key are skipped. */
   readonly #refused = new Set<string>();
   /** Retries beyond the budgets of their queues, which are placed after all first attempts. */
   readonly #deferredRetries: { readonly task: Task; readonly pool: string }[] = [];
+  /** Steps with tasks that wait for the first poll of a server. */
+  readonly #awaitingFirstPoll = new Set<StepRun>();
 
   constructor(options: PlacementRoundOptions) {
     this.#options = options;
@@ -101,6 +97,7 @@
     if (!step.tasks.some((task) => task.waiting && task.notBefore <= this.#now))
       return "retry-pause";
     if (!mayStart()) return "no-starts";
+    if (this.#awaitingFirstPoll.has(step)) return "first-poll";
     if (organisation !== undefined && !this.#withinCap(organisation, step.spec.demand))
       return "cap";
     const beyondShare = planner.isShort(pool) && planner.planned(step)?.withinShare === false;
@@ -194,12 +191,16 @@
     const { spec, job } = task.step;
     const { organisation } = job.spec;
     if (organisation !== undefined && !this.#withinCap(organisation, spec.demand)) return undefined;
+    if (this.#serversOf(pool).shouldWaitForFirstPoll(task)) {
+      this.#awaitingFirstPoll.add(task.step);
+      return undefined;
+    }
     const healthy = this.#placeAmong(task, pool, "healthy");
     if (healthy !== undefined || this.#shouldWait(task)) return healthy;
     return this.#placeAmong(task, pool, "degraded");
   }
 
-  #placeAmong(task: Task, pool: string, kind: keyof PoolServers): ActiveRun | undefined {
+  #placeAmong(task: Task, pool: string, kind: "healthy" | "degraded"): ActiveRun | undefined {
     const servers = this.#serversOf(pool)[kind];
     const { step } = task;
     const advised = this.#options.config.queueOf(step.job.spec)?.advice;
@@ -243,33 +244,17 @@
     return withinCap(runRegistry.usedByOrganisation(organisation), demand, settings.cap);
   }
 
-  #serversOf(pool: string): PoolServers {
+  #serversOf(pool: string): PoolCandidates {
     const known = this.#pools.get(pool);
     if (known !== undefined) return known;
     const { runRegistry, driversOf, indexAfterChoices } = this.#options;
-    const healthy: ServerDriver[] = [];
-    const degraded: ServerDriver[] = [];
-    for (const driver of driversOf(pool))
-      if (driver.acceptsTasks(this.#now))
-        (this.#isHealthy(driver) ? healthy : degraded).push(driver);
-    const servers = {
-      healthy: new CandidateServers(healthy, runRegistry, indexAfterChoices),
-      degraded: new CandidateServers(degraded, runRegistry, indexAfterChoices),
-    };
+    const now = this.#now;
+    const servers = new PoolCandidates({
+      ...{ drivers: driversOf(pool), runRegistry, now, indexAfterChoices },
+    });
     this.#pools.set(pool, servers);
     return servers;
   }
-
-  /**
-   * False for slow or failing servers. From time to time such a server counts as healthy while it
-   * has no short task, so that it gets a single one as a trial.
-   */
-  #isHealthy({ id, health, speed }: ServerDriver): boolean {
-    if (!speed.slow && !health.onProbation) return true;
-    if (health.quarantined(this.#now) || (speed.slow && !speed.isTrialDue(this.#now))) return false;
-    const { runRegistry } = this.#options;
-    return runRegistry.countOn(id) === runRegistry.longTasksOn(id);
-  }
 }
 
 function refusalKey({ step }: Task, pool: string, demand: Resources, advised: boolean): string {
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -44,6 +44,8 @@
 export interface ServerFaults {
   /** Orders get no reply and have no effect. */
   unresponsive: boolean;
+  /** Time in milliseconds that an order takes to arrive. */
+  latencyMs: number;
   /** Number of upcoming starts that are carried out late and get no reply. */
   lateStarts: number;
   /** Delay of late starts in milliseconds. */
@@ -75,7 +77,7 @@
 }
 
 const ORDER_TIMEOUT_MS = 900;
-const LATENCY_MS = 2;
+const DEFAULT_LATENCY_MS = 2;
 /** Time until a task that runs until it is stopped reports 100 percent, in milliseconds. */
 const SERVING_STARTUP_MS = 500;
 const POLL_STEP_MS = 10;
@@ -85,8 +87,8 @@
   readonly id: string;
   readonly capacity: Resources;
   readonly faults: ServerFaults = {
-    ...{ unresponsive: false, lateStarts: 0, lateStartDelayMs: 0 },
-    rebootDiscardsLateStarts: false,
+    ...{ unresponsive: false, latencyMs: DEFAULT_LATENCY_MS },
+    ...{ lateStarts: 0, lateStartDelayMs: 0, rebootDiscardsLateStarts: false },
   };
   /** Every run that was started, in start order and across boots. */
   readonly history: ObservedRun[] = [];
@@ -299,7 +301,7 @@
 
   async #send<T extends object>(execute: () => T | OrderError): OrderResult<T> {
     if (this.#unreachable()) return this.#timeOut();
-    await this.#clock.sleep(LATENCY_MS);
+    await this.#clock.sleep(this.#server.faults.latencyMs);
     if (this.#unreachable()) return this.#timeOut();
     const result = execute();
     return "kind" in result ? Err(result) : Ok(result);
--- a/src/state/jobs/scheduling/placement.ts
+++ b/src/state/jobs/scheduling/placement.ts
@@ -80,7 +80,7 @@
     rackMismatch(step, a) - rackMismatch(step, b) ||
     a.consecutiveFailures - b.consecutiveFailures ||
     interruptedSoon(step, a) - interruptedSoon(step, b) ||
-    exceedsShare(step, a) - exceedsShare(step, b) ||
+    Number(exceedsShare(step, a.tasksOfStep)) - Number(exceedsShare(step, b.tasksOfStep)) ||
     joinsLongTasks(step, b) - joinsLongTasks(step, a)
   );
 }
@@ -97,10 +97,14 @@
   return step.longRunning && maintenancePending ? 1 : 0;
 }
 
-/** 1 if too many tasks of a long-running step would run on one backend server, else 0. */
-function exceedsShare(step: StepSpec, { tasksOfStep }: PlacementCandidate): number {
-  if (!step.longRunning) return 0;
-  return tasksOfStep < Math.ceil(step.tasks / MIN_LONG_TASK_SERVERS) ? 0 : 1;
+/** Most tasks of a long-running step that one backend server should run. */
+export function shareOfServer({ tasks }: StepSpec): number {
+  return Math.ceil(tasks / MIN_LONG_TASK_SERVERS);
+}
+
+/** True if one more task of a long-running step would be too many on a server that runs `tasksOfStep`. */
+export function exceedsShare(step: StepSpec, tasksOfStep: number): boolean {
+  return step.longRunning && tasksOfStep >= shareOfServer(step);
 }
 
 /**
--- a/src/state/jobs/scheduling/wait-reasons.ts
+++ b/src/state/jobs/scheduling/wait-reasons.ts
@@ -4,6 +4,8 @@
 export type WaitReason =
   /** No server of the pool has room for a task. */
   | "no-room"
+  /** A server that may take a task of the step has not answered its first poll yet. */
+  | "first-poll"
   /** No further start orders may be sent at the moment. */
   | "no-starts"
   /** The work is beyond the share of its organisation, and the pool is short of capacity. */
--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -67,7 +67,7 @@
     ...{ id: registration.id, registration, health, speed, adopted: true, absent: false },
     ...{ reserved: false, reachable: true, closed: false, notBefore: 0, bootedAt: 1 },
     ...{ maintenancePending: server.maintenancePending, coldness: server.coldness },
-    acceptsTasks: () => !draining,
+    ...{ acceptsTasks: () => !draining, awaitsFirstPoll: () => false },
   } as unknown as ServerDriver;
 }
 
