fix(fleet): keep the place of a task that moves before a maintenance

Seen by callers: nothing breaks a rule, but a long-running task on an instance that is due is stopped, waits 2 s, starts on the same server and is stopped again a few seconds later, for as long as its place does not come.

Cause: room on other servers counted at one moment and was not held. It counted short tasks past their expected end, substitutes that may not join, servers without a ticket, and did not ask for the organisation's cap; a more urgent task could take it during the stop, and each instance of a wave counted the same room again.

Change: `TaskRelocator` reserves capacity on the target in `RunRegistry`, stops the run only once that capacity is free, and keeps it until the task has started there. Without a spare pool a blocked maintenance is postponed at once. `LongTaskRoom` goes; its test for substitutes is replaced, since it asked for the fault itself (a place that has not joined yet): in its place an instance that never joins, is too small or of another kind must cause no stop in 40 s, and one that joins must get the task within 1 s of its stop and the maintenance within 10 s.

--- a/src/coordination/jobs/config-view.ts
+++ b/src/coordination/jobs/config-view.ts
@@ -77,6 +77,11 @@
     return this.#pools.get(name);
   }
 
+  /** Name of the pool whose instances are switched off; undefined if instances don't change their pool. */
+  get sparePool(): string | undefined {
+    return this.#config?.pools.find(({ spare }) => spare)?.name;
+  }
+
   /**
    * Settings for a job: those of its queue, or the last known ones if the queue was removed. Undefined if
    * this process never knew the queue.
--- a/src/coordination/jobs/fleet/blocked-maintenance.ts
+++ b/src/coordination/jobs/fleet/blocked-maintenance.ts
@@ -1,4 +1,4 @@
-import type { ControlledInstance } from "../../../ports/instance-control.ts";
+import type { Log } from "../../../ports/log.ts";
 import type { Task } from "../../../state/jobs/records/job.ts";
 import type { Counters } from "../../ports.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
@@ -19,6 +19,7 @@
 
 /** Options of {@link BlockedMaintenance}. */
 export interface BlockedMaintenanceOptions extends InstanceEvacuatorOptions {
+  readonly log: Log;
   readonly counters: Counters;
 }
 
@@ -36,12 +37,8 @@
   }
 
   /** Moves long-running tasks away one by one while other servers have room for them. */
-  evacuate(
-    driver: ServerDriver,
-    reservation: MaintenanceReservation,
-    instances: readonly ControlledInstance[],
-  ): void {
-    const result = this.#evacuator.evacuate(driver, instances);
+  evacuate(driver: ServerDriver, reservation: MaintenanceReservation): void {
+    const result = this.#evacuator.evacuate(driver);
     if (result === "in-progress") reservation.noRoomSince = undefined;
     else reservation.noRoomSince ??= this.#options.clock.now();
   }
@@ -65,8 +62,10 @@
     { server, noRoomSince = Infinity }: MaintenanceReservation,
     overdue: readonly Task[],
   ): PostponementReason | undefined {
-    const { clock, scheduler } = this.#options;
-    if (clock.now() - noRoomSince >= SUBSTITUTE_WAIT_MS) return "no_room";
+    const { clock, config, scheduler } = this.#options;
+    // Without a spare pool no instance changes its pool.
+    const waitMs = config.sparePool === undefined ? 0 : SUBSTITUTE_WAIT_MS;
+    if (clock.now() - noRoomSince >= waitMs) return "no_room";
     const driver = server === undefined ? undefined : scheduler.drivers.get(server);
     if (driver !== undefined && this.#evacuator.isNeeded(driver, overdue)) return "task_waits";
     return undefined;
--- a/src/coordination/jobs/fleet/instance-evacuator.ts
+++ b/src/coordination/jobs/fleet/instance-evacuator.ts
@@ -1,14 +1,10 @@
 import type { Clock } from "../../../ports/clock.ts";
-import type { ControlledInstance } from "../../../ports/instance-control.ts";
-import type { Log } from "../../../ports/log.ts";
-import type { Resources } from "../../../protocol/job-spec.ts";
-import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
 import type { Task } from "../../../state/jobs/records/job.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
 import type { Scheduler } from "../scheduling/scheduler.ts";
-import { LongTaskRoom } from "./long-task-room.ts";
+import type { RelocationResult } from "../scheduling/task-relocator.ts";
 
 /** Time in ms that a long-running task waits for another server before a reserved one has to take it. */
 const MAX_TASK_WAIT_MS = 2000;
@@ -16,7 +12,6 @@
 /** Options of {@link InstanceEvacuator}. */
 export interface InstanceEvacuatorOptions {
   readonly clock: Clock;
-  readonly log: Log;
   readonly config: FleetConfigView;
   readonly scheduler: Scheduler;
 }
@@ -37,26 +32,15 @@
   }
 
   /**
-   * Stops the long-running tasks on a server that may leave now, within their availability budgets and
-   * the room on the other servers of the pool, so that they start there. Instances that the pool gets as
-   * substitutes count as room.
+   * Moves the long-running tasks on a server to other servers of the pool, within their availability budgets
+   * and the room there.
    */
-  evacuate(driver: ServerDriver, instances: readonly ControlledInstance[]): EvacuationResult {
-    const { log, scheduler } = this.#options;
-    const { runRegistry } = scheduler.tracker;
-    const runs = runRegistry.onServer(driver.id).filter((run) => run.task.step.spec.longRunning);
-    const interruptible = runs.filter((run) => this.#mayInterrupt(run));
-    if (interruptible.length === 0) return "in-progress";
-    const room = this.#roomInPool(driver.registration.pool, instances);
-    let leaving = runs.some(({ phase }) => phase === "stopping");
-    for (const run of interruptible) {
-      // A task of the same step that was just stopped has used up the budget.
-      if (!this.#mayInterrupt(run) || !room.take(run.task)) continue;
-      log.info({ task: run.task.name, server: driver.id }, "task leaves before maintenance");
-      scheduler.tracker.stop(run);
-      leaving = true;
-    }
-    return leaving ? "in-progress" : "no-room";
+  evacuate(driver: ServerDriver): EvacuationResult {
+    const { relocator, tracker } = this.#options.scheduler;
+    const runs = tracker.runRegistry.onServer(driver.id).filter(isLongRunning);
+    const results = relocator.relocate(runs, { reason: "maintenance" });
+    const blocked = results.includes("no-room") && results.every(isBlocked);
+    return blocked ? "no-room" : "in-progress";
   }
 
   /** Long-running tasks that have waited for some time, so that a reserved server has to take them. */
@@ -72,47 +56,10 @@
   isNeeded(driver: ServerDriver, tasks: readonly Task[]): boolean {
     return tasks.some((task) => {
       const inPool = this.#options.config.poolOf(task.job.spec) === driver.registration.pool;
-      return inPool && this.#roomOn([driver]).take(task);
+      return inPool && this.#options.scheduler.relocator.hasRoom(driver, task);
     });
   }
 
-  #mayInterrupt(run: ActiveRun): boolean {
-    const { clock, scheduler } = this.#options;
-    const { runRegistry } = scheduler.tracker;
-    return run.phase === "running" && mayInterrupt([run], runRegistry, clock.now());
-  }
-
-  #roomInPool(pool: string, instances: readonly ControlledInstance[]): LongTaskRoom {
-    const { clock, config, scheduler } = this.#options;
-    const now = clock.now();
-    const drivers = scheduler.drivers.inPool(pool).filter((driver) => driver.acceptsTasks(now));
-    const room = this.#roomOn(drivers, this.#substitutes(pool, instances));
-    // Waiting tasks are placed before the tasks that are about to leave.
-    for (const task of this.#waitingTasks())
-      if (config.poolOf(task.job.spec) === pool) room.take(task);
-    return room;
-  }
-
-  #roomOn(drivers: readonly ServerDriver[], substitutes: readonly Resources[] = []): LongTaskRoom {
-    const { clock, scheduler } = this.#options;
-    const { durations, tracker } = scheduler;
-    const now = clock.now();
-    const { runRegistry } = tracker;
-    return new LongTaskRoom({ drivers, substitutes, runRegistry, durations, now });
-  }
-
-  /** Capacities of instances that are on their way to a pool, or idle in the spare pool. */
-  #substitutes(pool: string, instances: readonly ControlledInstance[]): readonly Resources[] {
-    const sparePool = this.#options.config.current?.pools.find(({ spare }) => spare)?.name;
-    return instances
-      .filter(
-        (instance) =>
-          (instance.state === "moving" && instance.pool === pool) ||
-          (instance.state === "up" && instance.pool === sparePool),
-      )
-      .map(({ capacity }) => capacity);
-  }
-
   /** Long-running tasks that wait for their start. */
   *#waitingTasks(): Iterable<Task> {
     for (const job of this.#options.scheduler.jobRegistry.openJobs)
@@ -120,3 +67,12 @@
         if (spec.longRunning) yield* tasks.filter((task) => task.waiting);
   }
 }
+
+function isLongRunning({ task }: ActiveRun): boolean {
+  return task.step.spec.longRunning;
+}
+
+/** True unless a task leaves, or will leave once its place is free. */
+function isBlocked(result: RelocationResult): boolean {
+  return result === "no-room" || result === "not-now";
+}
--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -101,7 +101,7 @@
     this.#updateOngoing(wave, instances);
     const open = this.#pendingInstances(wave, instances);
     this.#reserve(wave, instances, open);
-    await Promise.all(open.map((candidate) => this.#maintain(wave, candidate, instances)));
+    await Promise.all(open.map((candidate) => this.#maintain(wave, candidate)));
     const left = wave.request.instances.filter((name) => !this.#isFinished(wave, name));
     if (left.length === 0 && wave.ongoing.size === 0) await this.#complete(wave);
   }
@@ -192,7 +192,8 @@
     const { request } = wave;
     const now = clock.now();
     const due = open.filter(
-      ({ instance: { name } }) => (wave.postponedUntil.get(name) ?? 0) <= now,
+      ({ instance }) =>
+        (wave.postponedUntil.get(instance.name) ?? 0) <= now && !this.#isMoveTarget(instance),
     );
     for (const instance of chooseReservations({ request, open: due, inMaintenance, poolSizes })) {
       log.info(
@@ -210,11 +211,7 @@
     }
   }
 
-  async #maintain(
-    wave: WaveProgress,
-    { instance, shortTasks }: WaveInstance,
-    listed: readonly ControlledInstance[],
-  ): Promise<void> {
+  async #maintain(wave: WaveProgress, { instance, shortTasks }: WaveInstance): Promise<void> {
     const { clock, log, instances, tenure, holder } = this.#options;
     const reservation = wave.reservations.get(instance.name);
     if (reservation === undefined || instance.state !== "up") return;
@@ -224,7 +221,7 @@
     const { runRegistry } = this.#options.scheduler.tracker;
     if (!mayInterrupt(this.#runsOn(instance), runRegistry, clock.now())) {
       const driver = this.#driverOf(instance);
-      if (driver !== undefined) this.#blocked.evacuate(driver, reservation, listed);
+      if (driver !== undefined) this.#blocked.evacuate(driver, reservation);
       return;
     }
     reservation.noRoomSince = undefined;
@@ -300,6 +297,12 @@
     await this.#records.write(wave, { completed: true });
   }
 
+  /** True while a long-running task is about to start on an instance. */
+  #isMoveTarget({ server }: ControlledInstance): boolean {
+    const { runRegistry } = this.#options.scheduler.tracker;
+    return server !== undefined && runRegistry.reservationsOn(server) > 0;
+  }
+
   #driverOf({ server }: ControlledInstance): ServerDriver | undefined {
     return server === undefined ? undefined : this.#options.scheduler.drivers.get(server);
   }
--- a/src/coordination/jobs/fleet/pool-sizer.ts
+++ b/src/coordination/jobs/fleet/pool-sizer.ts
@@ -211,16 +211,18 @@
       if (!this.#options.orders.allowed(name)) return [];
       const driver = this.#driver(instance);
       if (!spare && (driver?.adopted !== true || driver.reserved)) return [];
-      const runs = server === undefined ? [] : scheduler.tracker.runRegistry.onServer(server);
-      if (runs.length > 0) this.#idleSince.delete(name);
+      const { runRegistry } = scheduler.tracker;
+      const runs = server === undefined ? [] : runRegistry.onServer(server);
+      const incoming = server === undefined ? 0 : runRegistry.reservationsOn(server);
+      const idle = runs.length === 0 && incoming === 0;
+      if (!idle) this.#idleSince.delete(name);
       else if (!this.#idleSince.has(name)) this.#idleSince.set(name, now);
       const idleMs = now - (this.#idleSince.get(name) ?? now);
-      const longTasks = runs.filter((run) => run.task.step.spec.longRunning).length;
-      const shortTasks = runs.length - longTasks;
+      const runningLong = runs.filter((run) => run.task.step.spec.longRunning).length;
+      const shortTasks = runs.length - runningLong;
+      const longTasks = runningLong + incoming;
       const draining = driver?.hasReservation("surplus") === true;
-      return [
-        { name, pool, spare, idle: runs.length === 0, idleMs, draining, shortTasks, longTasks },
-      ];
+      return [{ name, pool, spare, idle, idleMs, draining, shortTasks, longTasks }];
     });
   }
 
@@ -233,7 +235,8 @@
     const driver = listed === undefined ? undefined : this.#driver(listed);
     if (driver !== undefined) {
       // A task may have been placed since the plan was made.
-      if (scheduler.tracker.hasRuns(driver.id)) return;
+      const { runRegistry } = scheduler.tracker;
+      if (runRegistry.countOn(driver.id) > 0 || runRegistry.reservationsOn(driver.id) > 0) return;
       driver.reserve("move");
     }
     this.#moves.planned(instance, pool, driver?.id);
--- a/src/coordination/jobs/scheduling/candidate-servers.ts
+++ b/src/coordination/jobs/scheduling/candidate-servers.ts
@@ -5,7 +5,12 @@
   type PlacementCandidate,
 } from "../../../state/jobs/scheduling/placement.ts";
 import { FreeCapacityIndex } from "../../../state/jobs/scheduling/free-capacity-index.ts";
-import { add, resourcesOccupied, subtract } from "../../../state/jobs/scheduling/resources.ts";
+import {
+  add,
+  NO_RESOURCES,
+  resourcesOccupied,
+  subtract,
+} from "../../../state/jobs/scheduling/resources.ts";
 import { keptFreeWhileCold } from "../../../state/jobs/execution/cold-start.ts";
 import type { RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { Resources } from "../../../protocol/job-spec.ts";
@@ -35,7 +40,7 @@
   failedHere = false;
   #limited = false;
 
-  constructor(driver: ServerDriver, runRegistry: RunRegistry) {
+  constructor(driver: ServerDriver, runRegistry: RunRegistry, endingSoon: Resources) {
     const { id, rack, zone, labels, capacity } = driver.registration;
     this.driver = driver;
     this.id = id;
@@ -46,8 +51,8 @@
     this.coldness = driver.coldness;
     this.maintenancePending = driver.maintenancePending;
     this.consecutiveFailures = driver.health.consecutiveFailures;
-    this.free = subtract(capacity, runRegistry.usedOnServer(id));
-    this.longTasks = runRegistry.longTasksOn(id);
+    this.free = add(subtract(capacity, runRegistry.usedOnServer(id)), endingSoon);
+    this.longTasks = runRegistry.longTasksOn(id) + runRegistry.reservationsOn(id);
     if (this.coldness > 0 && runRegistry.countOn(id) > 0) this.#limitWhileCold();
   }
 
@@ -71,6 +76,14 @@
   }
 }
 
+/** Options of {@link CandidateServers}. */
+export interface CandidateServersOptions {
+  /** Choices after which the servers are indexed. @default 8 */
+  readonly indexAfterChoices?: number | undefined;
+  /** Capacity in use on a backend server that counts as free. @default none */
+  readonly endingSoon?: ((server: string) => Resources) | undefined;
+}
+
 /**
  * Backend servers that tasks are placed on during one round. Free capacity is computed once and then
  * updated, because a round at a demand peak places hundreds of tasks on hundreds of servers.
@@ -87,11 +100,14 @@
   constructor(
     drivers: readonly ServerDriver[],
     runRegistry: RunRegistry,
-    indexAfterChoices = INDEX_AFTER_CHOICES,
+    { indexAfterChoices, endingSoon }: CandidateServersOptions = {},
   ) {
     this.#runRegistry = runRegistry;
-    this.#indexAfterChoices = indexAfterChoices;
-    this.#servers = drivers.map((driver) => new CandidateServer(driver, runRegistry));
+    this.#indexAfterChoices = indexAfterChoices ?? INDEX_AFTER_CHOICES;
+    this.#servers = drivers.map((driver) => {
+      const ending = endingSoon?.(driver.id) ?? NO_RESOURCES;
+      return new CandidateServer(driver, runRegistry, ending);
+    });
   }
 
   /** Ids of the backend servers. */
@@ -165,10 +181,9 @@
     const { longRunning, maxPerServer, sameRack } = step.spec;
     if (!longRunning && maxPerServer === 0 && !sameRack) return;
     const onServer = new Map<string, number>();
-    for (const task of step.tasks) {
-      const server = this.#runRegistry.forTask(task.name)?.server;
-      if (server !== undefined) onServer.set(server, (onServer.get(server) ?? 0) + 1);
-    }
+    for (const task of step.tasks)
+      for (const server of this.#runRegistry.serversOf(task))
+        onServer.set(server, (onServer.get(server) ?? 0) + 1);
     const onRack = new Map<string, number>();
     for (const server of this.#servers) {
       server.tasksOfStep = onServer.get(server.id) ?? 0;
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -7,8 +7,9 @@
 import type { RetryBudgets } from "../../../state/jobs/scheduling/retry-policy.ts";
 import type { RankedStep, StepPlanner } from "../../../state/jobs/scheduling/step-planner.ts";
 import type { WaitReason, WaitReasons } from "../../../state/jobs/scheduling/wait-reasons.ts";
-import { resourcesOccupied, withinCap } from "../../../state/jobs/scheduling/resources.ts";
+import { resourcesOccupied } from "../../../state/jobs/scheduling/resources.ts";
 import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
+import { withinOrganisationCap } from "./organisation-cap.ts";
 import type { PlacementTicketCache } from "./placement-ticket-cache.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
@@ -93,13 +94,11 @@
 
   #waitReason(step: StepRun, pool: string): WaitReason {
     const { planner, mayStart } = this.#options;
-    const { organisation } = step.job.spec;
     if (!step.tasks.some((task) => task.waiting && task.notBefore <= this.#now))
       return "retry-pause";
     if (!mayStart()) return "no-starts";
     if (this.#awaitingFirstPoll.has(step)) return "first-poll";
-    if (organisation !== undefined && !this.#withinCap(organisation, step.spec.demand))
-      return "cap";
+    if (!this.#withinCap(step)) return "cap";
     const beyondShare = planner.isShort(pool) && planner.planned(step)?.withinShare === false;
     return beyondShare ? "share" : "no-room";
   }
@@ -181,16 +180,13 @@
     const run = this.#options.runRegistry.forTask(task.name);
     if (run === undefined) return;
     this.#options.undoPlacement(run);
-    for (const { healthy, degraded } of this.#pools.values()) {
-      healthy.release(server, task.step);
-      degraded.release(server, task.step);
-    }
+    for (const servers of this.#pools.values()) servers.release(server, task.step);
   }
 
   #placeTask(task: Task, pool: string): ActiveRun | undefined {
-    const { spec, job } = task.step;
-    const { organisation } = job.spec;
-    if (organisation !== undefined && !this.#withinCap(organisation, spec.demand)) return undefined;
+    const reserved = this.#options.runRegistry.reservedServer(task);
+    if (reserved !== undefined) return this.#placeReserved(task, pool, reserved);
+    if (!this.#withinCap(task.step)) return undefined;
     if (this.#serversOf(pool).shouldWaitForFirstPoll(task)) {
       this.#awaitingFirstPoll.add(task.step);
       return undefined;
@@ -200,6 +196,35 @@
     return this.#placeAmong(task, pool, "degraded");
   }
 
+  /**
+   * Places a task on the server on which capacity is reserved for it, or on any if that one can't take it.
+   * The capacity stays reserved while a ticket for the server is missing.
+   */
+  #placeReserved(task: Task, pool: string, server: string): ActiveRun | undefined {
+    const { config, runRegistry } = this.#options;
+    const { step } = task;
+    const servers = this.#serversOf(pool);
+    const usable = servers.healthy.ids.includes(server) || servers.degraded.ids.includes(server);
+    const advised = config.queueOf(step.job.spec)?.advice;
+    if (usable && this.#ticketFilter(step, [server], advised)?.(server) === false) return undefined;
+    runRegistry.cancelReservation(task);
+    servers.release(server, step);
+    if (!this.#withinCap(step)) return undefined;
+    const demand = resourcesOccupied(step.spec);
+    const onServer = (id: string): boolean => id === server;
+    for (const candidates of [servers.healthy, servers.degraded]) {
+      const chosen = candidates.choose(task, demand, onServer);
+      if (chosen !== undefined) return this.#placeOn(task, chosen, candidates);
+    }
+    return this.#placeTask(task, pool);
+  }
+
+  #placeOn(task: Task, driver: ServerDriver, candidates: CandidateServers): ActiveRun {
+    const run = this.#options.place(task, driver);
+    candidates.allocate(driver.id, task.step);
+    return run;
+  }
+
   #placeAmong(task: Task, pool: string, kind: "healthy" | "degraded"): ActiveRun | undefined {
     const servers = this.#serversOf(pool)[kind];
     const { step } = task;
@@ -207,14 +232,10 @@
     const demand = resourcesOccupied(step.spec);
     const key = `${kind}|${refusalKey(task, pool, demand, advised !== undefined)}`;
     if (this.#refused.has(key)) return undefined;
-    const chosen = servers.choose(task, demand, this.#ticketFilter(step, servers, advised));
-    if (chosen === undefined) {
-      this.#refused.add(key);
-      return undefined;
-    }
-    const run = this.#options.place(task, chosen);
-    servers.allocate(chosen.id, step);
-    return run;
+    const chosen = servers.choose(task, demand, this.#ticketFilter(step, servers.ids, advised));
+    if (chosen !== undefined) return this.#placeOn(task, chosen, servers);
+    this.#refused.add(key);
+    return undefined;
   }
 
   /**
@@ -223,12 +244,12 @@
    */
   #ticketFilter(
     step: StepRun,
-    servers: CandidateServers,
+    servers: readonly string[],
     timing: AdvisorTiming | undefined,
   ): ((server: string) => boolean) | undefined {
     if (timing === undefined) return undefined;
     const { ticketCache } = this.#options;
-    ticketCache.requestTickets(step, servers.ids, timing);
+    ticketCache.requestTickets(step, servers, timing);
     return (server) => ticketCache.ticket(step, server) !== undefined;
   }
 
@@ -237,11 +258,8 @@
     return this.#now - Math.max(step.readyAt ?? this.#now, lastRunEndedAt) < DEGRADED_WAIT_MS;
   }
 
-  #withinCap(organisation: string, demand: Resources): boolean {
-    const { config, runRegistry } = this.#options;
-    const settings = config.organisation(organisation);
-    if (settings === undefined) return true;
-    return withinCap(runRegistry.usedByOrganisation(organisation), demand, settings.cap);
+  #withinCap({ spec, job }: StepRun): boolean {
+    return withinOrganisationCap(job.spec.organisation, spec.demand, this.#options);
   }
 
   #serversOf(pool: string): PoolCandidates {
--- a/src/coordination/jobs/scheduling/pool-candidates.ts
+++ b/src/coordination/jobs/scheduling/pool-candidates.ts
@@ -1,4 +1,4 @@
-import type { Task } from "../../../state/jobs/records/job.ts";
+import type { StepRun, Task } from "../../../state/jobs/records/job.ts";
 import { resourcesOccupied } from "../../../state/jobs/scheduling/resources.ts";
 import type { RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
@@ -32,9 +32,16 @@
       else if (driver.acceptsTasks(now))
         (isHealthy(driver, runRegistry, now) ? healthy : degraded).push(driver);
     }
-    this.healthy = new CandidateServers(healthy, runRegistry, indexAfterChoices);
-    this.degraded = new CandidateServers(degraded, runRegistry, indexAfterChoices);
-    this.#joining = new CandidateServers(joining, runRegistry, indexAfterChoices);
+    const options = { indexAfterChoices };
+    this.healthy = new CandidateServers(healthy, runRegistry, options);
+    this.degraded = new CandidateServers(degraded, runRegistry, options);
+    this.#joining = new CandidateServers(joining, runRegistry, options);
+  }
+
+  /** Adds the demand of a task back that was placed on a server, or that capacity was reserved for. */
+  release(server: string, step: StepRun): void {
+    this.healthy.release(server, step);
+    this.degraded.release(server, step);
   }
 
   /**
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -29,6 +29,7 @@
 import { RunTracker } from "../execution/run-tracker.ts";
 import type { LockTenure } from "../election/scheduler-lock.ts";
 import { SchedulerLoad } from "./scheduler-load.ts";
+import { TaskRelocator } from "./task-relocator.ts";
 import { ServerDriver } from "../execution/server-driver.ts";
 
 /** Changes within this time in ms are handled by the same placement round. */
@@ -65,6 +66,8 @@
   readonly evacuateMs: number;
   /** Bandwidth of this entry instance's network link, in bytes per millisecond. */
   readonly linkBytesPerMs: number;
+  /** Time in ms after a takeover during which no run is interrupted. */
+  readonly takeoverPauseMs: number;
 }
 
 /**
@@ -75,6 +78,7 @@
   readonly jobRegistry: JobRegistry;
   readonly drivers: FleetDrivers;
   readonly tracker: RunTracker;
+  readonly relocator: TaskRelocator;
   readonly writer: ProgressWriter;
   /** Cores of each pool once it has the size that its demand requires. Empty if instances don't move. */
   expectedPoolCores: ReadonlyMap<string, number> = new Map();
@@ -162,6 +166,7 @@
       },
       onChange: requestRound,
     });
+    this.relocator = this.#createRelocator();
   }
 
   /** True once jobs, backend servers and the configuration are loaded. */
@@ -200,6 +205,7 @@
     while (!signal.aborted) {
       await clock.sleep(IDLE_ROUND_INTERVAL_MS, signal);
       this.tracker.restartStragglers();
+      this.relocator.update();
       this.tracker.evacuateDraining(this.drivers.all());
       if (this.drivers.loaded) zoneEvacuator.run();
       this.tracker.lostRuns.checkUnregistered(this.#takenOverAt);
@@ -239,6 +245,20 @@
     this.#requestRound();
   }
 
+  #createRelocator(): TaskRelocator {
+    return new TaskRelocator({
+      ...{ ...this.#options, runRegistry: this.tracker.runRegistry, durations: this.durations },
+      ticketCache: this.#ticketCache,
+      driver: (server) => this.drivers.get(server),
+      driversInPool: (pool) => this.drivers.inPool(pool),
+      openJobs: () => this.jobRegistry.openJobs,
+      stop: (run) => {
+        this.tracker.stop(run);
+      },
+      startsAt: this.#takenOverAt + this.#options.takeoverPauseMs,
+    });
+  }
+
   #createZoneEvacuator(): ZoneEvacuator {
     return new ZoneEvacuator({
       ...{ ...this.#options, runRegistry: this.tracker.runRegistry },
--- /dev/null
+++ b/src/coordination/jobs/scheduling/task-relocator.ts
@@ -0,0 +1,258 @@
+import type { Log } from "../../../ports/log.ts";
+import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
+import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
+import type { Task } from "../../../state/jobs/records/job.ts";
+import { ENDING_SOON_MS } from "../../../state/jobs/scheduling/ending-soon.ts";
+import { fits, NO_RESOURCES, subtract } from "../../../state/jobs/scheduling/resources.ts";
+import type { Counters } from "../../ports.ts";
+import type { ServerDriver } from "../execution/server-driver.ts";
+import { withinOrganisationCap } from "./organisation-cap.ts";
+import { RelocationPauses } from "./relocation-pauses.ts";
+import {
+  RelocationRoom,
+  type RelocationRoomOptions,
+  type RelocationTarget,
+} from "./relocation-room.ts";
+
+/** Time in ms that a run gets to stop, and its task to start again, before its place is given up. */
+const MAX_MOVE_MS = 3000;
+
+/** Options of {@link TaskRelocator}. */
+export interface TaskRelocatorOptions extends RelocationRoomOptions {
+  readonly log: Log;
+  readonly counters: Counters;
+  readonly driver: (server: string) => ServerDriver | undefined;
+  /** Stops a run, so that its task is placed again. */
+  readonly stop: (run: ActiveRun) => void;
+  /**
+   * Monotonic time in ms until which no run is stopped, because runs that the previous scheduler's last
+   * orders end may still be listed as running.
+   */
+  readonly startsAt: number;
+}
+
+/** What became of a run whose task should move to another backend server. */
+export type RelocationResult =
+  /** The run is being stopped, and a place elsewhere is kept for its task. */
+  | "moving"
+  /** A place elsewhere is kept and will be free soon. The run goes on until then. */
+  | "place-not-free"
+  /** The run must go on for now, because of the availability budget of its step. */
+  | "not-now"
+  /** The task could not start on any other server now. */
+  | "no-room";
+
+/** Why tasks move, for logs and counters. */
+export type RelocationReason = "maintenance" | "evacuation" | "draining";
+
+/** Options of {@link TaskRelocator.relocate}. */
+export interface RelocateOptions {
+  readonly reason: RelocationReason;
+  /** Largest number of the tasks that are on the move at the same time. @default unlimited */
+  readonly most?: number;
+  /** Servers that a task may move to. @default all of its pool */
+  readonly isTarget?: (driver: ServerDriver) => boolean;
+}
+
+/** A move of a task for which capacity is reserved on its target. */
+interface Relocation {
+  readonly task: Task;
+  /** The run that is stopped once the target has room. */
+  readonly run: ActiveRun;
+  /** Id of the backend server that the task moves to. */
+  readonly target: string;
+  readonly reason: RelocationReason;
+  /** Monotonic time in ms at which the capacity was reserved. */
+  readonly reservedAt: number;
+  /** Monotonic time in ms at which the run's stop was ordered; undefined before that. */
+  stoppedAt: number | undefined;
+}
+
+/** How a place for a task is looked for. */
+interface TargetSearch {
+  /** Room that is left in this pass, by pool. */
+  readonly rooms: Map<string, RelocationRoom>;
+  readonly isTarget?: (driver: ServerDriver) => boolean;
+}
+
+interface BeginOptions extends TargetSearch {
+  readonly reason: RelocationReason;
+}
+
+/**
+ * Moves long-running tasks between backend servers of their pool. A run is stopped only once another server
+ * has free capacity for its task, and that capacity is reserved until the task has started there.
+ *
+ * Reservations end with the tenure: a new scheduler places tasks that were stopped by their rank.
+ */
+export class TaskRelocator {
+  readonly #options: TaskRelocatorOptions;
+  readonly #relocations = new Map<Task, Relocation>();
+  readonly #pauses = new RelocationPauses();
+
+  constructor(options: TaskRelocatorOptions) {
+    this.#options = options;
+  }
+
+  /** Begins to move the tasks of runs within one pool. Returns the result of each run. */
+  relocate(
+    runs: readonly ActiveRun[],
+    { reason, most = Infinity, isTarget = () => true }: RelocateOptions,
+  ): readonly RelocationResult[] {
+    const rooms = new Map<string, RelocationRoom>();
+    let moving = runs.filter((run) => this.#progressOf(run) !== undefined).length;
+    return runs.map((run) => {
+      const progress = this.#progressOf(run);
+      if (progress !== undefined) return progress;
+      if (moving >= most || !this.#mayStop(run)) return "not-now";
+      const result = this.#begin(run, { rooms, isTarget, reason });
+      if (result !== "no-room") moving++;
+      return result;
+    });
+  }
+
+  /**
+   * Stops runs that would end soon in any case, whether or not another server has room for their tasks. A
+   * place is kept for those that have one.
+   */
+  relocateAtOnce(runs: readonly ActiveRun[], reason: RelocationReason): void {
+    const rooms = new Map<string, RelocationRoom>();
+    for (const run of runs) {
+      if (this.#progressOf(run) === "moving") continue;
+      const known = this.#relocations.get(run.task);
+      const target = known === undefined ? this.#findTarget(run, { rooms }) : undefined;
+      const relocation = target === undefined ? known : this.#reserve(run, target, reason);
+      if (relocation === undefined) this.#options.stop(run);
+      else this.#stop(relocation);
+    }
+  }
+
+  /** True if a server could take a task, with what is free there now or soon. */
+  hasRoom(driver: ServerDriver, task: Task): boolean {
+    const room = new RelocationRoom(driver.registration.pool, {
+      ...this.#options,
+      driversInPool: () => [driver],
+      openJobs: () => [],
+    });
+    return room.take(task) !== undefined;
+  }
+
+  /** Stops runs whose place has become free, and ends moves that are over or have failed. */
+  update(): void {
+    for (const relocation of [...this.#relocations.values()]) {
+      if (relocation.stoppedAt === undefined) this.#updateReserved(relocation);
+      else this.#updateStopped(relocation, relocation.stoppedAt);
+    }
+  }
+
+  /** Progress of a run whose task is on the move; undefined if it is not. */
+  #progressOf({ task, phase }: ActiveRun): "moving" | "place-not-free" | undefined {
+    const relocation = this.#relocations.get(task);
+    if (phase === "stopping" || relocation?.stoppedAt !== undefined) return "moving";
+    return relocation === undefined ? undefined : "place-not-free";
+  }
+
+  #begin(run: ActiveRun, { reason, ...search }: BeginOptions): RelocationResult {
+    const { clock } = this.#options;
+    const { task } = run;
+    const { organisation } = task.job.spec;
+    if (task.step.spec.gang || this.#pauses.isPaused(task, clock.now())) return "no-room";
+    if (!withinOrganisationCap(organisation, NO_RESOURCES, this.#options)) return "no-room";
+    const target = this.#findTarget(run, search);
+    if (target === undefined) return "no-room";
+    const relocation = this.#reserve(run, target, reason);
+    if (!target.free) return "place-not-free";
+    this.#stop(relocation);
+    return "moving";
+  }
+
+  /** True if the availability budget of its step allows that a run is stopped now. */
+  #mayStop(run: ActiveRun): boolean {
+    const { clock, runRegistry, startsAt } = this.#options;
+    const now = clock.now();
+    return run.phase === "running" && now >= startsAt && mayInterrupt([run], runRegistry, now);
+  }
+
+  #findTarget(
+    { task, server }: ActiveRun,
+    { rooms, isTarget = () => true }: TargetSearch,
+  ): RelocationTarget | undefined {
+    const pool = this.#options.config.poolOf(task.job.spec);
+    let room = rooms.get(pool);
+    if (room === undefined) rooms.set(pool, (room = new RelocationRoom(pool, this.#options)));
+    return room.take(task, (driver) => driver.id !== server && isTarget(driver));
+  }
+
+  #reserve(run: ActiveRun, { driver }: RelocationTarget, reason: RelocationReason): Relocation {
+    const { clock, runRegistry } = this.#options;
+    const { task } = run;
+    runRegistry.reserve(task, driver.id);
+    const reservedAt = clock.now();
+    const relocation = { task, run, target: driver.id, reason, reservedAt, stoppedAt: undefined };
+    this.#relocations.set(task, relocation);
+    return relocation;
+  }
+
+  #stop(relocation: Relocation): void {
+    const { clock, log, counters, stop } = this.#options;
+    const { task, run, target, reason } = relocation;
+    log.info({ task: task.name, from: run.server, to: target, reason }, "task moves");
+    counters.event(`task_move_${reason}`);
+    relocation.stoppedAt = clock.now();
+    stop(run);
+  }
+
+  #updateReserved(relocation: Relocation): void {
+    const { clock, runRegistry, driver } = this.#options;
+    const { task, run, target, reservedAt } = relocation;
+    const now = clock.now();
+    const server = driver(target);
+    const runsOn = runRegistry.forTask(task.name) === run && run.phase === "running";
+    const usable = runsOn && server?.acceptsTasks(now) === true;
+    if (usable && this.#isFree(server) && this.#mayStop(run)) this.#stop(relocation);
+    else if (!usable || now - reservedAt > ENDING_SOON_MS) {
+      if (usable) this.#options.counters.event("task_move_place_not_free");
+      this.#end(relocation);
+    }
+  }
+
+  /** True if nothing occupies the capacity that is reserved on a server. */
+  #isFree({ id, registration }: ServerDriver): boolean {
+    const used = this.#options.runRegistry.usedOnServer(id);
+    return fits(NO_RESOURCES, subtract(registration.capacity, used));
+  }
+
+  #updateStopped(relocation: Relocation, stoppedAt: number): void {
+    const { clock, runRegistry } = this.#options;
+    const { task, run, target } = relocation;
+    const current = runRegistry.forTask(task.name);
+    const now = clock.now();
+    if (current !== undefined && current !== run) {
+      this.#moved(relocation, current.server === target, now - stoppedAt);
+    } else if (task.done || task.job.final) {
+      this.#end(relocation);
+    } else if (now - stoppedAt > MAX_MOVE_MS || runRegistry.reservedServer(task) === undefined) {
+      this.#moved(relocation, false, now - stoppedAt);
+    }
+  }
+
+  /** Ends a move whose run was stopped. `tookMs`: time in ms since then. */
+  #moved(relocation: Relocation, toTarget: boolean, tookMs: number): void {
+    const { clock, log, counters } = this.#options;
+    const { task, target } = relocation;
+    this.#end(relocation);
+    counters.duration("task_move", Math.round(tookMs));
+    counters.event(toTarget ? "task_move_done" : "task_move_failed");
+    if (toTarget) {
+      this.#pauses.succeeded(task);
+      return;
+    }
+    log.warn({ task: task.name, target, tookMs: Math.round(tookMs) }, "task did not get its place");
+    this.#pauses.failed(task, clock.now());
+  }
+
+  #end({ task }: Relocation): void {
+    this.#relocations.delete(task);
+    this.#options.runRegistry.cancelReservation(task);
+  }
+}
--- a/src/stand-ins/simulated-job-server.ts
+++ b/src/stand-ins/simulated-job-server.ts
@@ -121,6 +121,18 @@
     return [...this.#running.keys()];
   }
 
+  /** Names of the tasks whose stop was ordered and that still run. */
+  get stopping(): readonly string[] {
+    return [...this.#running].flatMap(
+      ([
+        task,
+        {
+          observed: { run },
+        },
+      ]) => (run <= (this.#lastEndedRun.get(task) ?? 0) ? [task] : []),
+    );
+  }
+
   /** Creates a client of the server. */
   client(): JobBackend {
     return new SimulatedJobBackend(this, this.#options.clock);
--- a/src/state/jobs/execution/run-registry.ts
+++ b/src/state/jobs/execution/run-registry.ts
@@ -65,16 +65,23 @@
   load: number;
 }
 
-/** Runs on one backend server and what they occupy there. */
+/** Runs on one backend server, and what is occupied or reserved there. */
 class ServerRuns {
   readonly runs = new Map<string, ActiveRun>();
+  /** Tasks for which capacity is reserved. */
+  readonly reservedFor = new Set<Task>();
   used = NO_RESOURCES;
   longTasks = 0;
 }
 
-/** All active runs, with the resource totals that limits are checked against. */
+/**
+ * All active runs, with the resource totals that limits are checked against. Capacity that is reserved for
+ * a task counts as used on its server. It counts for its organisation while the task has no run.
+ */
 export class RunRegistry {
   readonly #byTask = new Map<string, ActiveRun>();
+  /** Backend servers with capacity that is reserved, by task. */
+  readonly #reservations = new Map<Task, string>();
   readonly #byServer = new Map<string, ServerRuns>();
   readonly #usedByOrganisation = new Map<string, Resources>();
 
@@ -82,14 +89,15 @@
     return this.#byTask.size;
   }
 
-  /** Adds a run. Its task must not have another run here. */
+  /** Adds a run. Its task must not have another run here, and needs no reserved capacity any more. */
   add(run: ActiveRun): void {
+    this.cancelReservation(run.task);
     this.#byTask.set(run.task.name, run);
-    let onServer = this.#byServer.get(run.server);
-    if (onServer === undefined) this.#byServer.set(run.server, (onServer = new ServerRuns()));
+    const onServer = this.#runsOf(run.server);
     onServer.runs.set(run.task.name, run);
     if (run.task.step.spec.longRunning) onServer.longTasks++;
-    this.#updateUsage(run, onServer, add);
+    this.#updateServer(run.task, onServer, add);
+    this.#updateOrganisation(run.task, add);
   }
 
   /** Removes a run that is certainly not active any more. */
@@ -100,7 +108,49 @@
     if (onServer === undefined) return;
     onServer.runs.delete(run.task.name);
     if (run.task.step.spec.longRunning) onServer.longTasks--;
-    this.#updateUsage(run, onServer, subtract);
+    this.#updateServer(run.task, onServer, subtract);
+    if (!this.#reservations.has(run.task)) this.#updateOrganisation(run.task, subtract);
+  }
+
+  /** Reserves the capacity that a task needs on a backend server, in place of an earlier reservation. */
+  reserve(task: Task, server: string): void {
+    this.cancelReservation(task);
+    this.#reservations.set(task, server);
+    const onServer = this.#runsOf(server);
+    onServer.reservedFor.add(task);
+    this.#updateServer(task, onServer, add);
+    if (!this.#byTask.has(task.name)) this.#updateOrganisation(task, add);
+  }
+
+  /** Frees the capacity that is reserved for a task, if any. */
+  cancelReservation(task: Task): void {
+    const server = this.#reservations.get(task);
+    if (server === undefined) return;
+    this.#reservations.delete(task);
+    const onServer = this.#runsOf(server);
+    onServer.reservedFor.delete(task);
+    this.#updateServer(task, onServer, subtract);
+    if (!this.#byTask.has(task.name)) this.#updateOrganisation(task, subtract);
+  }
+
+  /** Id of the backend server on which capacity is reserved for a task; undefined if there is none. */
+  reservedServer(task: Task): string | undefined {
+    return this.#reservations.get(task);
+  }
+
+  /** Backend servers on which a task runs or has capacity reserved. */
+  serversOf(task: Task): ReadonlySet<string> {
+    const servers = new Set<string>();
+    const run = this.#byTask.get(task.name);
+    if (run !== undefined) servers.add(run.server);
+    const reserved = this.#reservations.get(task);
+    if (reserved !== undefined) servers.add(reserved);
+    return servers;
+  }
+
+  /** Number of tasks for which capacity is reserved on a backend server. */
+  reservationsOn(server: string): number {
+    return this.#byServer.get(server)?.reservedFor.size ?? 0;
   }
 
   forTask(name: string): ActiveRun | undefined {
@@ -131,25 +181,32 @@
     return this.#byTask.values();
   }
 
+  /** What runs occupy on a backend server, and what is reserved there. */
   usedOnServer(server: string): Resources {
     return this.#byServer.get(server)?.used ?? NO_RESOURCES;
   }
 
-  /** Declared demand of an organisation's runs on all backend servers. */
+  /** Declared demand of an organisation's tasks that run, or whose capacity is reserved, on any server. */
   usedByOrganisation(organisation: string): Resources {
     return this.#usedByOrganisation.get(organisation) ?? NO_RESOURCES;
   }
 
-  #updateUsage(
-    run: ActiveRun,
-    onServer: ServerRuns,
-    combine: (a: Resources, b: Resources) => Resources,
-  ): void {
-    const { spec } = run.task.step;
-    const { organisation } = run.task.job.spec;
-    onServer.used = combine(onServer.used, resourcesOccupied(spec));
+  #runsOf(server: string): ServerRuns {
+    let onServer = this.#byServer.get(server);
+    if (onServer === undefined) this.#byServer.set(server, (onServer = new ServerRuns()));
+    return onServer;
+  }
+
+  #updateServer({ step }: Task, onServer: ServerRuns, combine: Combine): void {
+    onServer.used = combine(onServer.used, resourcesOccupied(step.spec));
+  }
+
+  #updateOrganisation({ step, job }: Task, combine: Combine): void {
+    const { organisation } = job.spec;
     if (organisation === undefined) return;
-    const used = combine(this.usedByOrganisation(organisation), spec.demand);
+    const used = combine(this.usedByOrganisation(organisation), step.spec.demand);
     this.#usedByOrganisation.set(organisation, used);
   }
 }
+
+type Combine = (a: Resources, b: Resources) => Resources;
