fix(fleet): keep the place of tasks that leave zones and draining servers

Seen by callers: a long-running task that left an evacuated zone waited 9.5 s because a more urgent one took its place during the stop; on a draining server tasks were stopped at once although no other server had room and the server served on.

`ZoneEvacuator` counted room without tickets and caps and did not hold it; `evacuateDraining` did not ask for room.

Change: both use `TaskRelocator`; the latter becomes `DrainingEvacuator`. As before, 1.2 s after a server begins to drain the tasks that remain are stopped in any case. `evacuation_move` becomes `task_move_evacuation`.

Tests: two in planned-move.test.ts, both failed before (9518 ms without a run in place of 1000; stops within 1 s of the draining).

--- a/src/coordination/jobs/execution/run-tracker.ts
+++ b/src/coordination/jobs/execution/run-tracker.ts
@@ -4,7 +4,6 @@
 import type { RegisteredServer } from "../../../protocol/fleet-config.ts";
 import type { PlacementRecord } from "../../../protocol/job-records.ts";
 import type { Job, Task } from "../../../state/jobs/records/job.ts";
-import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import { pollWaitMs } from "../../../state/jobs/execution/poll-wait.ts";
 import { reconcile } from "../../../state/jobs/execution/reconciliation.ts";
 import type { DurationModels } from "../../../state/jobs/scheduling/duration-model.ts";
@@ -33,9 +32,6 @@
 import { DriverListener } from "./driver-listener.ts";
 import type { ServerDriver } from "./server-driver.ts";
 
-/** Time in ms during which tasks leave a draining server gradually, within availability budgets. */
-const BUDGETED_EVACUATION_MS = 1200;
-
 /** Options of {@link RunTracker}. */
 export interface RunTrackerOptions {
   readonly clock: Clock;
@@ -218,23 +214,6 @@
     this.#stragglers.stopStragglers();
   }
 
-  /**
-   * Stops long-running tasks on draining servers so that they restart elsewhere: at first within
-   * their availability budgets, then all that remain, since they end with the server anyway.
-   */
-  evacuateDraining(drivers: Iterable<ServerDriver>): void {
-    const now = this.#options.clock.now();
-    for (const driver of drivers) {
-      const { drainingSince } = driver;
-      if (drainingSince === undefined) continue;
-      const urgent = now - drainingSince > BUDGETED_EVACUATION_MS;
-      for (const run of this.runRegistry.onServer(driver.id)) {
-        if (!run.task.step.spec.longRunning) continue;
-        if (urgent || mayInterrupt([run], this.runRegistry, now)) this.stop(run);
-      }
-    }
-  }
-
   fenced(): void {
     this.#options.log.warn(
       { token: this.#options.tenure.token },
--- a/src/coordination/jobs/fleet/zone-evacuator.ts
+++ b/src/coordination/jobs/fleet/zone-evacuator.ts
@@ -1,25 +1,18 @@
-import type { Clock } from "../../../ports/clock.ts";
 import type { Log } from "../../../ports/log.ts";
-import type { Job, Task } from "../../../state/jobs/records/job.ts";
-import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
-import { resourcesOccupied } from "../../../state/jobs/scheduling/resources.ts";
-import type { ActiveRun, RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
+import type { RunRegistry } from "../../../state/jobs/execution/run-registry.ts";
 import type { Counters } from "../../ports.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import type { ServerDriver } from "../execution/server-driver.ts";
-import { CandidateServers } from "../scheduling/candidate-servers.ts";
+import type { TaskRelocator } from "../scheduling/task-relocator.ts";
 
 /** Options of {@link ZoneEvacuator}. */
 export interface ZoneEvacuatorOptions {
-  readonly clock: Clock;
   readonly log: Log;
   readonly counters: Counters;
   readonly config: FleetConfigView;
   readonly runRegistry: RunRegistry;
+  readonly relocator: TaskRelocator;
   readonly drivers: () => Iterable<ServerDriver>;
-  readonly openJobs: () => Iterable<Job>;
-  /** Stops a run, so that its task is placed again. */
-  readonly stop: (run: ActiveRun) => void;
 }
 
 /**
@@ -60,31 +53,11 @@
   }
 
   #moveOne(drivers: readonly ServerDriver[]): void {
-    const { clock, config, counters, log, runRegistry, stop } = this.#options;
+    const { runRegistry, relocator } = this.#options;
     const leaving = drivers
       .filter(({ evacuated }) => evacuated)
       .flatMap(({ id }) => runRegistry.onServer(id))
-      .filter(({ task }) => task.step.spec.longRunning && !task.step.spec.gang);
-    if (leaving.length === 0 || leaving.some(({ phase }) => phase === "stopping")) return;
-    const now = clock.now();
-    const accepting = drivers.filter((driver) => driver.acceptsTasks(now) && !driver.speed.slow);
-    const room = new CandidateServers(accepting, runRegistry);
-    const fits = (task: Task): boolean =>
-      room.choose(task, resourcesOccupied(task.step.spec)) !== undefined;
-    const pool = drivers[0]?.registration.pool;
-    // A task that waits for the same room comes first.
-    for (const job of this.#options.openJobs()) {
-      if (config.poolOf(job.spec) !== pool) continue;
-      for (const { spec, tasks } of job.readySteps())
-        if (spec.longRunning && tasks.some((task) => task.waiting && fits(task))) return;
-    }
-    const run = leaving.find(
-      (found) =>
-        found.phase === "running" && mayInterrupt([found], runRegistry, now) && fits(found.task),
-    );
-    if (run === undefined) return;
-    log.info({ task: run.task.name, server: run.server }, "task leaves the evacuated zone");
-    counters.event("evacuation_move");
-    stop(run);
+      .filter(({ task }) => task.step.spec.longRunning);
+    relocator.relocate(leaving, { reason: "evacuation", most: 1 });
   }
 }
--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -16,6 +16,7 @@
 import type { Counters } from "../../ports.ts";
 import type { FleetConfigView } from "../config-view.ts";
 import { PlacementTicketCache } from "./placement-ticket-cache.ts";
+import { DrainingEvacuator } from "../fleet/draining-evacuator.ts";
 import { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import { FleetDrivers } from "../fleet/fleet-drivers.ts";
 import { ZoneEvacuator } from "../fleet/zone-evacuator.ts";
@@ -201,12 +202,15 @@
     const stopListening = config.onChange(() => {
       this.#requestRound();
     });
-    const zoneEvacuator = this.#createZoneEvacuator();
+    const runs = { relocator: this.relocator, runRegistry: this.tracker.runRegistry };
+    const drivers = (): Iterable<ServerDriver> => this.drivers.all();
+    const zoneEvacuator = new ZoneEvacuator({ ...this.#options, ...runs, drivers });
+    const drainingEvacuator = new DrainingEvacuator({ clock, ...runs, drivers });
     while (!signal.aborted) {
       await clock.sleep(IDLE_ROUND_INTERVAL_MS, signal);
       this.tracker.restartStragglers();
       this.relocator.update();
-      this.tracker.evacuateDraining(this.drivers.all());
+      drainingEvacuator.run();
       if (this.drivers.loaded) zoneEvacuator.run();
       this.tracker.lostRuns.checkUnregistered(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
@@ -259,17 +263,6 @@
     });
   }
 
-  #createZoneEvacuator(): ZoneEvacuator {
-    return new ZoneEvacuator({
-      ...{ ...this.#options, runRegistry: this.tracker.runRegistry },
-      drivers: () => this.drivers.all(),
-      openJobs: () => this.jobRegistry.openJobs,
-      stop: (run) => {
-        this.tracker.stop(run);
-      },
-    });
-  }
-
   #createDriver(registration: RegisteredServer, former: ServerDriver | undefined): ServerDriver {
     const { clock, log, tenure, connector, leaseTtlMs, maxServerLeaseMs } = this.#options;
     const { id, bootedAt } = registration;
--- a/test/coordination/jobs/planned-move.test.ts
+++ b/test/coordination/jobs/planned-move.test.ts
@@ -12,6 +12,7 @@
   type CrowdedClusterOptions,
 } from "../../fakes/jobs/crowded-cluster.ts";
 import { FakeInstances } from "../../fakes/jobs/fake-instances.ts";
+import { zoneOfServer } from "../../fakes/jobs/zones.ts";
 import { cpu, jobRequest, queueConfig, step } from "../../fakes/jobs/job-builders.ts";
 
 const WATCHED_MS = 40_000;
@@ -19,6 +20,13 @@
 const MAX_MOVE_MS = 1000;
 const TIMING = { decideMs: 20, eachMs: 1, validMs: 60_000 };
 
+const URGENT_QUEUE = configWithSparePool({
+  queues: [
+    queueConfig({ name: "regular", priority: 1 }),
+    queueConfig({ name: "urgent", prefix: "/urgent/", priority: 0 }),
+  ],
+});
+
 /** Requests the maintenance of the server with two ledger tasks and checks that neither is stopped. */
 async function assertNoStops(options: CrowdedClusterOptions, change?: () => void): Promise<void> {
   const { cluster, advance, requestWave } = await crowdedCluster(options);
@@ -92,12 +100,8 @@
 // Guards against a place that only counted once: a task of a more urgent queue that arrived during the
 // stop took it, and the stopped task had nowhere to go.
 test("the place of a task that is being moved is not given to a more urgent one", async () => {
-  const queues = [
-    queueConfig({ name: "regular", priority: 1 }),
-    queueConfig({ name: "urgent", prefix: "/urgent/", priority: 0 }),
-  ];
   const { cluster, clock, due, submit, advance, requestWave } = await crowdedCluster({
-    ...{ config: configWithSparePool({ queues }), filling: longRunningStep(1, 4000), stopMs: 500 },
+    ...{ config: URGENT_QUEUE, filling: longRunningStep(1, 4000), stopMs: 500 },
   });
   requestWave();
   await clock.until(() => due.stopping.length > 0);
@@ -107,6 +111,28 @@
   assert.ok(longestMoveMs(cluster) <= MAX_MOVE_MS, `${longestMoveMs(cluster)} ms without a run`);
 });
 
+test("the place of a task that leaves an evacuated zone is not given to a more urgent one", async () => {
+  const { cluster, clock, due, submit, advance } = await crowdedCluster({
+    ...{ config: URGENT_QUEUE, filling: longRunningStep(1, 4000), stopMs: 500 },
+  });
+  cluster.evacuate(zoneOfServer(due.id));
+  await clock.until(() => due.stopping.length > 0);
+  await submit("urgent", jobRequest(longRunningStep(1, 4000)), "urgent");
+  await advance(10_000);
+  assert.ok(longestMoveMs(cluster) <= MAX_MOVE_MS, `${longestMoveMs(cluster)} ms without a run`);
+});
+
+// Guards against tasks that are stopped as soon as their server drains although no other one has room.
+test("a task on a draining server runs on while no other server has room, until it has to leave", async () => {
+  const { cluster, clock, due, advance } = await crowdedCluster();
+  cluster.drain(due.id);
+  const drainedAt = clock.now();
+  await advance(5000);
+  const stops = due.history.filter(({ end }) => end === "stopped");
+  assert.is(stops.length, 2);
+  for (const { endedAt } of stops) assert.ok(endedAt! - drainedAt >= 1000);
+});
+
 test("a task moves once an instance has joined the pool, and the maintenance follows", async () => {
   const capacity = { cpuMillis: 12_000, memoryMb: 8000, accelerators: 0 };
   const { cluster, due, advance, requestWave, maintained } = await crowdedCluster({
