fix(fleet): order no maintenance before the jobs are read

Seen by callers: after a takeover during a wave all long-running tasks of an instance ended at once, beyond the availability budget of their step.

Cause: `MaintenanceRunner` relied on the pause after a takeover. If the read of the job records takes longer, no run is known yet, the instance looks idle, and its maintenance is ordered.

Change: no wave is advanced until the scheduler is ready, as `PoolSizer` does already. The fixtures of two tests say that their scheduler is.

Test: one in planned-move.test.ts, with a read of 4 s; before the change the instance with two of three tasks was maintained.

--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -69,11 +69,13 @@
 
   /** Processes the requested waves until the tenure ends. */
   async run(): Promise<void> {
-    const { clock, tenure, config, orders, takeoverPauseMs } = this.#options;
+    const { clock, tenure, config, orders, scheduler, takeoverPauseMs } = this.#options;
     // Tasks that the previous scheduler's last orders interrupt may still be listed as running.
     await clock.sleep(takeoverPauseMs, tenure.signal);
     while (!tenure.signal.aborted) {
       await clock.sleep(INTERVAL_MS, tenure.signal);
+      // Before the jobs are read an instance full of tasks looks idle.
+      if (!scheduler.ready) continue;
       for (const request of config.waves) {
         if (!tenure.valid || !(await orders.load())) break;
         const wave = await this.#progressOf(request);
--- a/test/coordination/jobs/maintenance-takeover.test.ts
+++ b/test/coordination/jobs/maintenance-takeover.test.ts
@@ -36,7 +36,7 @@
     view: { read: () => Promise.resolve([INSTANCE]) },
     scheduler: {
       ...{ drivers: { get: noop }, tracker: { runRegistry: new RunRegistry() } },
-      jobRegistry: { openJobs: [] },
+      ...{ jobRegistry: { openJobs: [] }, ready: true },
     },
     orders: unrestrictedOrders(),
     instances: {
--- a/test/coordination/jobs/planned-move.test.ts
+++ b/test/coordination/jobs/planned-move.test.ts
@@ -1,6 +1,7 @@
 import { Ok } from "ts-results";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { JOBS_PREFIX } from "../../../src/protocol/job-records.ts";
 import { PlacementAdvisor } from "../../../src/ports/placement-advisor.ts";
 import {
   configWithSparePool,
@@ -144,4 +145,17 @@
   assert.ok(longestMoveMs(cluster) <= MAX_MOVE_MS, `${longestMoveMs(cluster)} ms without a run`);
 });
 
+// Guards against tasks that end all at once with a maintenance (AVAIL), because a new scheduler that had not
+// read the jobs yet took the instance for idle.
+test("a new scheduler orders no maintenance before it has read the jobs", async () => {
+  const { cluster, due, advance, requestWave, maintained } = await crowdedCluster();
+  const before = [...due.running];
+  for (const { faults } of cluster.liveEntries) faults.readDelayMs.set(JOBS_PREFIX, 4000);
+  cluster.kill(cluster.scheduler!);
+  requestWave();
+  await advance(WATCHED_MS);
+  assert.equal(maintained, []);
+  assert.equal([...due.running], before);
+});
+
 test.run();
--- a/test/coordination/jobs/refused-maintenance.test.ts
+++ b/test/coordination/jobs/refused-maintenance.test.ts
@@ -37,7 +37,7 @@
     view: { read: () => Promise.resolve([instance]) },
     scheduler: {
       ...{ drivers: { get: () => driver }, tracker: { runRegistry: new RunRegistry() } },
-      jobRegistry: { openJobs: [] },
+      ...{ jobRegistry: { openJobs: [] }, ready: true },
     },
     orders: unrestrictedOrders(),
     instances: {
--- a/test/fakes/jobs/entry-faults.ts
+++ b/test/fakes/jobs/entry-faults.ts
@@ -51,6 +51,8 @@
   cutFromServers = false;
   /** Whether watches of operator records get no reply until this is switched off. */
   stallOperatorWatches = false;
+  /** Time in ms that reads of each prefix of the store take, in addition. */
+  readonly readDelayMs = new Map<string, number>();
   /** The link shared by calls to the store and to backend servers. */
   link: SlowLink | undefined;
   /** The store connectivity reported to the entry. */
@@ -97,6 +99,12 @@
     while (this.stallOperatorWatches) await this.#clock.sleep(WATCH_STALL_STEP_MS);
   }
 
+  /** Resolves once the store is about to answer a read of the prefix. */
+  async untilRead(prefix: string): Promise<void> {
+    const delayMs = this.readDelayMs.get(prefix) ?? 0;
+    if (delayMs > 0) await this.#clock.sleep(delayMs);
+  }
+
   /** Resolves once the process is not frozen. */
   untilRunning(): Promise<void> {
     if (!this.#frozen) return Promise.resolve();
@@ -167,7 +175,10 @@
   }
 
   range(prefix: string) {
-    return this.#faults.runInProcess(() => this.#client.range(prefix));
+    return this.#faults.runInProcess(async () => {
+      await this.#faults.untilRead(prefix);
+      return this.#client.range(prefix);
+    });
   }
 
   watch(prefix: string, after: number, waitMs: number) {
