fix(fleet): spread replicas that run on too few servers

Seen by callers: replicas of a long-running job stayed on one backend server for good, because the others of its pool registered later or were full.

Cause: a server's share of a step counted only when a task was placed.

Change: `LongTaskSpreader` checks long-running steps each second and moves one task of a step at a time off a server with more than its share, through `TaskRelocator`: within the availability budget and only to a place that is kept for it.

Tests: two in long-task-spread.test.ts. "tasks on one server spread once another server joins" failed before (3 tasks on one server after 5 s); the other keeps tasks where they are while no other server has room.

--- a/src/coordination/jobs/scheduling/scheduler.ts
+++ b/src/coordination/jobs/scheduling/scheduler.ts
@@ -19,6 +19,7 @@
 import { DrainingEvacuator } from "../fleet/draining-evacuator.ts";
 import { EvacuationGuard } from "../fleet/evacuation-guard.ts";
 import { FleetDrivers } from "../fleet/fleet-drivers.ts";
+import { LongTaskSpreader } from "../fleet/long-task-spreader.ts";
 import { ZoneEvacuator } from "../fleet/zone-evacuator.ts";
 import { JobRegistry } from "../records/job-registry.ts";
 import type { ServerRegistry } from "../job-feeds.ts";
@@ -206,11 +207,14 @@
     const drivers = (): Iterable<ServerDriver> => this.drivers.all();
     const zoneEvacuator = new ZoneEvacuator({ ...this.#options, ...runs, drivers });
     const drainingEvacuator = new DrainingEvacuator({ clock, ...runs, drivers });
+    const openJobs = (): Iterable<Job> => this.jobRegistry.openJobs;
+    const spreader = new LongTaskSpreader({ clock, ...runs, openJobs });
     while (!signal.aborted) {
       await clock.sleep(IDLE_ROUND_INTERVAL_MS, signal);
       this.tracker.restartStragglers();
       this.relocator.update();
       drainingEvacuator.run();
+      spreader.run();
       if (this.drivers.loaded) zoneEvacuator.run();
       this.tracker.lostRuns.checkUnregistered(this.#takenOverAt);
       this.drivers.prune((server) => this.tracker.hasRuns(server));
--- a/src/coordination/jobs/scheduling/task-relocator.ts
+++ b/src/coordination/jobs/scheduling/task-relocator.ts
@@ -43,7 +43,7 @@
   | "no-room";
 
 /** Why tasks move, for logs and counters. */
-export type RelocationReason = "maintenance" | "evacuation" | "draining";
+export type RelocationReason = "maintenance" | "evacuation" | "draining" | "spread";
 
 /** Options of {@link TaskRelocator.relocate}. */
 export interface RelocateOptions {
--- a/test/coordination/jobs/long-task-spread.test.ts
+++ b/test/coordination/jobs/long-task-spread.test.ts
@@ -7,6 +7,9 @@
 
 const JOB = "ledger";
 const TASKS = 3;
+/** Most tasks of the job that the loss of one server may end. */
+const MAX_ON_ONE_SERVER = 2;
+const SPREAD_WITHIN_MS = 5000;
 
 function ledgerCluster(servers: number): JobCluster {
   return new JobCluster({
@@ -52,6 +55,21 @@
   assert.equal(loads(cluster), [3, 0]);
 });
 
+// Guards against replicas that stay on one server for good because the others registered later.
+test("tasks on one server spread once another server joins, within their budget", async () => {
+  const cluster = ledgerCluster(1);
+  const scheduler = await cluster.electScheduler();
+  await submitLedger(cluster, scheduler);
+  await cluster.clock.advance(3000);
+  assert.equal(loads(cluster), [3]);
+  cluster.addServer("s1");
+  await cluster.clock.advance(SPREAD_WITHIN_MS);
+  assert.ok(loads(cluster)[0]! <= MAX_ON_ONE_SERVER);
+  assert.is(startCount(cluster), TASKS + 1, "one task moved");
+  await cluster.clock.advance(60_000);
+  assert.is(startCount(cluster), TASKS + 1, "no task moves again");
+});
+
 // Guards against replicas that a new scheduler starts on the server that answers it first.
 test("tasks that wait at a takeover don't all start on the server that answers first", async () => {
   const cluster = ledgerCluster(2);
@@ -67,4 +85,14 @@
   assert.is(startCount(cluster), TASKS, "no task was moved");
 });
 
+test("tasks stay on one server while no other server has room for them", async () => {
+  const cluster = ledgerCluster(1);
+  const scheduler = await cluster.electScheduler();
+  await submitLedger(cluster, scheduler);
+  cluster.addServer("s1", { cpuMillis: 500, memoryMb: 8000, accelerators: 0 });
+  await cluster.clock.advance(30_000);
+  assert.equal(loads(cluster), [3, 0]);
+  assert.is(startCount(cluster), TASKS);
+});
+
 test.run();
