fix(fleet): keep the places of tasks that a maintenance order ends

Seen by callers: a long-running task that an accepted maintenance ended waited until its instance was back, because a more urgent task took its place before the instance list showed the end of the old run.

Cause: a maintenance order ends tasks whose budgets allow that without a stop of their own, so nothing had looked for their places.

Change: the places are reserved before the order is recorded and sent, and given up if the order is refused.

Test: one in planned-move.test.ts, failed before (2009 ms without a run in place of 1000).

--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -163,7 +163,19 @@
     if (driver !== undefined) driver.maintenancePending = false;
     const runs =
       order.server === undefined ? [] : scheduler.tracker.runRegistry.onServer(order.server);
+    this.#runsGoOn(runs);
+  }
+
+  /** Notes that an order to their instance is about to end runs, and keeps places for their tasks. */
+  #endsOrdered(runs: readonly ActiveRun[]): void {
+    for (const run of runs) run.endOrdered = true;
+    if (runs.length > 0) this.#options.scheduler.relocator.keepPlaces(runs, "maintenance");
+  }
+
+  /** Notes that an order to their instance did not end runs. */
+  #runsGoOn(runs: readonly ActiveRun[]): void {
     for (const run of runs) run.endOrdered = false;
+    if (runs.length > 0) this.#options.scheduler.relocator.giveUpPlaces(runs);
   }
 
   #pendingInstances(
@@ -236,11 +248,11 @@
     // Instances are checked one after the other, so these runs count as unavailable from now on.
     // Otherwise the next check would spend the same availability budget again.
     const runs = this.#runsOn(instance);
-    for (const run of runs) run.endOrdered = true;
+    this.#endsOrdered(runs);
     const persisted = await this.#options.orders.persist([instance.name]);
     if (!persisted || !mayInterrupt(this.#runsOn(instance), runRegistry, clock.now())) {
       wave.ongoing.delete(instance.name);
-      for (const run of runs) run.endOrdered = false;
+      this.#runsGoOn(runs);
       return;
     }
     const order = { instance: instance.name, holder, token: tenure.token };
@@ -252,7 +264,7 @@
     );
     if (result.err) {
       // An order that got no reply may still be carried out.
-      for (const run of runs) run.endOrdered = result.val.kind === "unknown";
+      if (result.val.kind !== "unknown") this.#runsGoOn(runs);
       this.#handleRefusal(wave, instance, result.val);
     } else {
       ongoing.acceptedAt = clock.now();
--- a/src/coordination/jobs/scheduling/task-relocator.ts
+++ b/src/coordination/jobs/scheduling/task-relocator.ts
@@ -64,8 +64,8 @@
   readonly reason: RelocationReason;
   /** Monotonic time in ms at which the capacity was reserved. */
   readonly reservedAt: number;
-  /** Monotonic time in ms at which the run's stop was ordered; undefined before that. */
-  stoppedAt: number | undefined;
+  /** Monotonic time in ms at which the run's end was ordered; undefined before that. */
+  endOrderedAt: number | undefined;
 }
 
 /** How a place for a task is looked for. */
@@ -127,6 +127,27 @@
     }
   }
 
+  /** Keeps places for the tasks of runs that an order to their instance is about to end. */
+  keepPlaces(runs: readonly ActiveRun[], reason: RelocationReason): void {
+    const rooms = new Map<string, RelocationRoom>();
+    for (const run of runs) {
+      const { spec } = run.task.step;
+      if (!spec.longRunning || spec.gang || this.#progressOf(run) === "moving") continue;
+      const known = this.#relocations.get(run.task);
+      const target = known === undefined ? this.#findTarget(run, { rooms }) : undefined;
+      const relocation = target === undefined ? known : this.#reserve(run, target, reason);
+      if (relocation !== undefined) this.#leave(relocation);
+    }
+  }
+
+  /** Gives up the places of runs that go on after all. */
+  giveUpPlaces(runs: readonly ActiveRun[]): void {
+    for (const run of runs) {
+      const relocation = this.#relocations.get(run.task);
+      if (relocation?.run === run) this.#end(relocation);
+    }
+  }
+
   /** True if a server could take a task, with what is free there now or soon. */
   hasRoom(driver: ServerDriver, task: Task): boolean {
     const room = new RelocationRoom(driver.registration.pool, {
@@ -140,15 +161,15 @@
   /** Stops runs whose place has become free, and ends moves that are over or have failed. */
   update(): void {
     for (const relocation of [...this.#relocations.values()]) {
-      if (relocation.stoppedAt === undefined) this.#updateReserved(relocation);
-      else this.#updateStopped(relocation, relocation.stoppedAt);
+      if (relocation.endOrderedAt === undefined) this.#updateReserved(relocation);
+      else this.#updateLeaving(relocation, relocation.endOrderedAt);
     }
   }
 
   /** Progress of a run whose task is on the move; undefined if it is not. */
   #progressOf({ task, phase }: ActiveRun): "moving" | "place-not-free" | undefined {
     const relocation = this.#relocations.get(task);
-    if (phase === "stopping" || relocation?.stoppedAt !== undefined) return "moving";
+    if (phase === "stopping" || relocation?.endOrderedAt !== undefined) return "moving";
     return relocation === undefined ? undefined : "place-not-free";
   }
 
@@ -188,18 +209,29 @@
     const { task } = run;
     runRegistry.reserve(task, driver.id);
     const reservedAt = clock.now();
-    const relocation = { task, run, target: driver.id, reason, reservedAt, stoppedAt: undefined };
+    const relocation = {
+      task,
+      run,
+      target: driver.id,
+      reason,
+      reservedAt,
+      endOrderedAt: undefined,
+    };
     this.#relocations.set(task, relocation);
     return relocation;
   }
 
   #stop(relocation: Relocation): void {
-    const { clock, log, counters, stop } = this.#options;
+    this.#leave(relocation);
+    this.#options.stop(relocation.run);
+  }
+
+  #leave(relocation: Relocation): void {
+    const { clock, log, counters } = this.#options;
     const { task, run, target, reason } = relocation;
     log.info({ task: task.name, from: run.server, to: target, reason }, "task moves");
     counters.event(`task_move_${reason}`);
-    relocation.stoppedAt = clock.now();
-    stop(run);
+    relocation.endOrderedAt = clock.now();
   }
 
   #updateReserved(relocation: Relocation): void {
@@ -222,21 +254,24 @@
     return fits(NO_RESOURCES, subtract(registration.capacity, used));
   }
 
-  #updateStopped(relocation: Relocation, stoppedAt: number): void {
+  #updateLeaving(relocation: Relocation, endOrderedAt: number): void {
     const { clock, runRegistry } = this.#options;
     const { task, run, target } = relocation;
     const current = runRegistry.forTask(task.name);
     const now = clock.now();
     if (current !== undefined && current !== run) {
-      this.#moved(relocation, current.server === target, now - stoppedAt);
+      this.#moved(relocation, current.server === target, now - endOrderedAt);
     } else if (task.done || task.job.final) {
       this.#end(relocation);
-    } else if (now - stoppedAt > MAX_MOVE_MS || runRegistry.reservedServer(task) === undefined) {
-      this.#moved(relocation, false, now - stoppedAt);
+    } else if (current?.phase === "running") {
+      // The order that ends the run has not taken effect.
+      if (now - endOrderedAt > MAX_MOVE_MS) this.#end(relocation);
+    } else if (now - endOrderedAt > MAX_MOVE_MS || runRegistry.reservedServer(task) === undefined) {
+      this.#moved(relocation, false, now - endOrderedAt);
     }
   }
 
-  /** Ends a move whose run was stopped. `tookMs`: time in ms since then. */
+  /** Ends a move whose run has left its server. `tookMs`: time in ms since its end was ordered. */
   #moved(relocation: Relocation, toTarget: boolean, tookMs: number): void {
     const { clock, log, counters } = this.#options;
     const { task, target } = relocation;
--- a/test/coordination/jobs/planned-move.test.ts
+++ b/test/coordination/jobs/planned-move.test.ts
@@ -8,6 +8,7 @@
   crowdedCluster,
   FILLING_JOB,
   ledgerStops,
+  longestGapsMs,
   longestMoveMs,
   longRunningStep,
   type CrowdedClusterOptions,
@@ -123,6 +124,22 @@
   assert.ok(longestMoveMs(cluster) <= MAX_MOVE_MS, `${longestMoveMs(cluster)} ms without a run`);
 });
 
+// Guards against a task that an accepted maintenance ends although its place has been taken since.
+test("the place of a task that a maintenance is about to end is not given to a more urgent one", async () => {
+  const { cluster, clock, submit, advance, requestWave, maintained } = await crowdedCluster({
+    ...{ config: URGENT_QUEUE, ledger: { availabilityBudget: 3 } },
+    filling: longRunningStep(1, 4000),
+  });
+  requestWave();
+  await clock.until(() => maintained.length > 0, 5000, 1);
+  await submit("urgent", jobRequest(longRunningStep(1, 4000)), "urgent");
+  await advance(10_000);
+  const [first] = longestGapsMs(cluster)
+    .filter((gap) => gap > 0)
+    .sort((a, b) => a - b);
+  assert.ok(first! <= MAX_MOVE_MS, `${first} ms without a run`);
+});
+
 // Guards against tasks that are stopped as soon as their server drains although no other one has room.
 test("a task on a draining server runs on while no other server has room, until it has to leave", async () => {
   const { cluster, clock, due, advance } = await crowdedCluster();
--- a/test/fakes/jobs/crowded-cluster.ts
+++ b/test/fakes/jobs/crowded-cluster.ts
@@ -134,11 +134,14 @@
   return Math.max(0, ...moves);
 }
 
-/** Longest time in ms that a task of the ledger job was without a run, up to now. */
-export function longestGapMs(cluster: JobCluster): number {
+/** Longest time in ms that each ledger task was without a run, up to now. */
+export function longestGapsMs(cluster: JobCluster): readonly number[] {
   const now = cluster.clock.now();
-  const gaps = ledgerRuns(cluster).map((runs) =>
-    runs.map(({ endedAt = now }, position) => (runs[position + 1]?.startedAt ?? now) - endedAt),
+  return ledgerRuns(cluster).map((runs) =>
+    Math.max(
+      ...runs.map(
+        ({ endedAt = now }, position) => (runs[position + 1]?.startedAt ?? now) - endedAt,
+      ),
+    ),
   );
-  return Math.max(...gaps.flat());
 }
