test(fleet): one fixture for crowded clusters

Cause: the fixture of maintenance-room.test.ts stood again in the one of planned-move.test.ts. Change: the former uses crowded-cluster.ts; its checks are the same.

--- a/test/coordination/jobs/maintenance-room.test.ts
+++ b/test/coordination/jobs/maintenance-room.test.ts
@@ -1,83 +1,32 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { JobRequest } from "../../../src/protocol/job-spec.ts";
+import {
+  crowdedCluster,
+  FILLING_JOB,
+  LEDGER,
+  longestGapsMs,
+} from "../../fakes/jobs/crowded-cluster.ts";
 import { FakeInstances } from "../../fakes/jobs/fake-instances.ts";
-import { cpu, jobRequest, step } from "../../fakes/jobs/job-builders.ts";
-import { JobCluster } from "../../fakes/jobs/job-cluster.ts";
-import { SeededRandom } from "../../fakes/seeded-random.ts";
+import { fleetConfig } from "../../fakes/jobs/job-builders.ts";
+import type { JobCluster } from "../../fakes/jobs/job-cluster.ts";
 import { advanceUntilSettled } from "../../fakes/virtual-clock.ts";
 
-const LEDGER = "ledger";
-const LEDGER_TASKS = 3;
-const FILLING_JOB = "roll";
 /** A task may be without a run for 6 s after its last one and another 3 s. */
 const MAX_WITHOUT_RUN_MS = 9000;
-const STEP_MS = 100;
 const WATCHED_MS = 30_000;
+/** Time in ms from the submission of the ledger job to that of the job that fills the other server. */
+const FILLED_AFTER_MS = 4000;
 
-function longRunning(tasks: number, cpuMillis: number): JobRequest {
-  return jobRequest(
-    step({ tasks, longRunning: true, availabilityBudget: 1, demand: cpu(cpuMillis) }),
-  );
-}
-
-/**
- * Two full servers of twelve cores. Runs of the ledger job's first task that start before the filling job
- * fail after `failsAfterMs`. Two tasks of the ledger job run on the one that is due for
- * maintenance, one task of it and the only task of the filling job on the other.
- */
-async function fullCluster(failsAfterMs?: number) {
-  let instances: FakeInstances | undefined;
-  let failingUntil = Infinity;
-  const cluster: JobCluster = new JobCluster({
-    ...{ random: new SeededRandom(1), entries: 2, servers: 2 },
-    capacity: { cpuMillis: 12_000, memoryMb: 8000, accelerators: 0 },
-    behaviour: (task) => {
-      const fails = task === `${LEDGER}.0.0.0` && cluster.clock.now() < failingUntil;
-      return fails ? { durationMs: failsAfterMs, fails } : { durationMs: undefined };
-    },
-    instances: (owner) => (instances = new FakeInstances(owner)),
-  });
-  const { clock } = cluster;
-  const scheduler = await cluster.electScheduler();
-  const submit = async (id: string, job: JobRequest): Promise<void> => {
-    await advanceUntilSettled(clock, cluster.submit(scheduler, id, job));
-    await clock.advance(4000);
-  };
-  await submit(LEDGER, longRunning(LEDGER_TASKS, 4000));
-  failingUntil = clock.now();
-  const due = [...cluster.servers.values()].find(({ running }) => running.length === 2)!;
-  await submit(FILLING_JOB, longRunning(1, 8000));
-  const advance = async (ms: number): Promise<void> => {
-    for (let passed = 0; passed < ms; passed += STEP_MS) {
-      await clock.advance(STEP_MS);
-      cluster.updateServers();
-    }
-  };
-  return { cluster, clock, scheduler, due, advance, maintained: instances!.maintained };
-}
-
-/** Longest time in ms that a task of the ledger job was without a run, up to now. */
-function longestGapMs({ servers, clock }: JobCluster): number {
-  const runs = [...servers.values()].flatMap(({ history }) => history);
-  const gaps = Array.from({ length: LEDGER_TASKS }, (_, index) => {
-    const own = runs
-      .filter(({ task }) => task === `${LEDGER}.0.0.${index}`)
-      .sort((a, b) => a.startedAt - b.startedAt);
-    return own.map(
-      ({ endedAt = clock.now() }, position) =>
-        (own[position + 1]?.startedAt ?? clock.now()) - endedAt,
-    );
-  });
-  return Math.max(...gaps.flat());
+function longestGapMs(cluster: JobCluster): number {
+  return Math.max(...longestGapsMs(cluster));
 }
 
 // Guards against a long-running task that is stopped before a maintenance although no other server has
 // room for it, and stays without a run for good (LOST).
 test("a long-running task stays on a server that is due for maintenance while no other has room", async () => {
-  const { cluster, due, advance, maintained } = await fullCluster();
+  const { due, advance, requestWave, maintained } = await crowdedCluster({ config: fleetConfig() });
   const before = [...due.running];
-  cluster.requestWave(1, [FakeInstances.nameOf(due.id)]);
+  requestWave();
   await advance(WATCHED_MS);
   assert.equal([...due.running], before);
   assert.equal(maintained, []);
@@ -85,8 +34,10 @@
 
 // Guards against a wave that never ends because it was given up for lack of room.
 test("maintenance begins once another server has room for the tasks", async () => {
-  const { cluster, clock, scheduler, due, advance, maintained } = await fullCluster();
-  cluster.requestWave(1, [FakeInstances.nameOf(due.id)]);
+  const { cluster, clock, scheduler, due, advance, requestWave, maintained } = await crowdedCluster(
+    { config: fleetConfig() },
+  );
+  requestWave();
   await advance(WATCHED_MS);
   const deadline = clock.now() + 3000;
   await advanceUntilSettled(
@@ -102,8 +53,17 @@
 // task that has nowhere else to run waits (LOST).
 test("a task that fails on a server that is due for maintenance is started there again", async () => {
   for (const failsAfterMs of [9000, 12_000, 15_000]) {
-    const { cluster, due, advance } = await fullCluster(failsAfterMs);
-    cluster.requestWave(1, [FakeInstances.nameOf(due.id)]);
+    let firstStartAt: number | undefined;
+    const { cluster, advance, requestWave } = await crowdedCluster({
+      config: fleetConfig(),
+      // Runs of the first task fail if they start before the other server is filled.
+      behaviour: (task, { clock }) => {
+        firstStartAt ??= clock.now();
+        const fails = task === `${LEDGER}.0.0.0` && clock.now() < firstStartAt + FILLED_AFTER_MS;
+        return fails ? { durationMs: failsAfterMs, fails } : { durationMs: undefined };
+      },
+    });
+    requestWave();
     await advance(WATCHED_MS);
     assert.ok(
       longestGapMs(cluster) <= MAX_WITHOUT_RUN_MS,
