fix(fleet): let a server that waits for a substitute take overdue tasks

Cause: since `TaskRelocator.hasRoom` asked whether a server accepts tasks, which a reserved one never does, so a task that had nowhere else to run waited for as long as the maintenance did (29 s in the test).

Change: `RelocationRoom` takes the servers that it counts; only the search for a target leaves out those that accept no tasks.

Test: "a server that waits for a substitute takes a task that has waited for 2 s" in maintenance-room.test.ts, 29,000 ms without a run before this change, 3000 are allowed.

--- a/src/coordination/jobs/scheduling/relocation-room.ts
+++ b/src/coordination/jobs/scheduling/relocation-room.ts
@@ -17,9 +17,6 @@
   readonly runRegistry: RunRegistry;
   readonly durations: DurationModels;
   readonly ticketCache: PlacementTicketCache;
-  /** Returns the backend servers of a pool. */
-  readonly driversInPool: (pool: string) => readonly ServerDriver[];
-  readonly openJobs: () => Iterable<Job>;
 }
 
 /** A backend server that a task can move to. */
@@ -29,28 +26,28 @@
   readonly free: boolean;
 }
 
-/**
- * Room for long-running tasks on the healthy backend servers of a pool at one moment. The long-running
- * tasks that wait already come first.
- */
+/** Room for long-running tasks on some backend servers at one moment. Each task that is taken uses it up. */
 export class RelocationRoom {
   readonly #options: RelocationRoomOptions;
   readonly #drivers: readonly ServerDriver[];
   readonly #freeNow: CandidateServers;
   readonly #freeSoon: CandidateServers;
 
-  constructor(pool: string, options: RelocationRoomOptions) {
+  constructor(drivers: readonly ServerDriver[], options: RelocationRoomOptions) {
     this.#options = options;
-    const { clock, runRegistry, durations, driversInPool } = options;
+    this.#drivers = drivers;
+    const { clock, runRegistry, durations } = options;
     const now = clock.now();
-    this.#drivers = driversInPool(pool).filter(
-      (driver) => driver.acceptsTasks(now) && !driver.speed.slow && !driver.health.onProbation,
-    );
-    this.#freeNow = new CandidateServers(this.#drivers, runRegistry);
-    this.#freeSoon = new CandidateServers(this.#drivers, runRegistry, {
+    this.#freeNow = new CandidateServers(drivers, runRegistry);
+    this.#freeSoon = new CandidateServers(drivers, runRegistry, {
       endingSoon: (server) => capacityEndingSoon(server, runRegistry, durations, now),
     });
-    for (const task of this.#waitingTasks(pool)) this.take(task);
+  }
+
+  /** Uses up the room for the long-running tasks of jobs that the next placement round may start. */
+  takeWaiting(jobs: Iterable<Job>): void {
+    for (const job of jobs)
+      for (const step of job.readySteps()) if (step.spec.longRunning) this.#takeWaitingOf(step);
   }
 
   /** Uses up the room for a task on an allowed server. Returns undefined if none has room for it. */
@@ -82,20 +79,13 @@
     return (server) => allowed.has(server) && ticketCache.ticket(step, server) !== undefined;
   }
 
-  /** Long-running tasks of the pool that the next placement round may start. */
-  *#waitingTasks(pool: string): Iterable<Task> {
-    const { clock, config, runRegistry, openJobs } = this.#options;
+  #takeWaitingOf({ job, spec, tasks }: StepRun): void {
+    const { clock, runRegistry } = this.#options;
+    if (!withinOrganisationCap(job.spec.organisation, spec.demand, this.#options)) return;
     const now = clock.now();
-    for (const job of openJobs()) {
-      if (config.poolOf(job.spec) !== pool) continue;
-      for (const { spec, tasks } of job.readySteps()) {
-        if (!spec.longRunning) continue;
-        if (!withinOrganisationCap(job.spec.organisation, spec.demand, this.#options)) continue;
-        for (const task of tasks) {
-          const mayStart = task.waiting && task.notBefore <= now;
-          if (mayStart && runRegistry.reservedServer(task) === undefined) yield task;
-        }
-      }
+    for (const task of tasks) {
+      const mayStart = task.waiting && task.notBefore <= now;
+      if (mayStart && runRegistry.reservedServer(task) === undefined) this.take(task);
     }
   }
 }
--- a/src/coordination/jobs/scheduling/task-relocator.ts
+++ b/src/coordination/jobs/scheduling/task-relocator.ts
@@ -1,7 +1,7 @@
 import type { Log } from "../../../ports/log.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
-import type { Task } from "../../../state/jobs/records/job.ts";
+import type { Job, Task } from "../../../state/jobs/records/job.ts";
 import { ENDING_SOON_MS } from "../../../state/jobs/scheduling/ending-soon.ts";
 import { fits, NO_RESOURCES, subtract } from "../../../state/jobs/scheduling/resources.ts";
 import type { Counters } from "../../ports.ts";
@@ -22,6 +22,9 @@
   readonly log: Log;
   readonly counters: Counters;
   readonly driver: (server: string) => ServerDriver | undefined;
+  /** Returns the backend servers of a pool. */
+  readonly driversInPool: (pool: string) => readonly ServerDriver[];
+  readonly openJobs: () => Iterable<Job>;
   /** Stops a run, so that its task is placed again. */
   readonly stop: (run: ActiveRun) => void;
   /**
@@ -148,14 +151,9 @@
     }
   }
 
-  /** True if a server could take a task, with what is free there now or soon. */
+  /** True if a server has room for a task, now or soon, whether or not it accepts tasks. */
   hasRoom(driver: ServerDriver, task: Task): boolean {
-    const room = new RelocationRoom(driver.registration.pool, {
-      ...this.#options,
-      driversInPool: () => [driver],
-      openJobs: () => [],
-    });
-    return room.take(task) !== undefined;
+    return new RelocationRoom([driver], this.#options).take(task) !== undefined;
   }
 
   /** Stops runs whose place has become free, and ends moves that are over or have failed. */
@@ -200,10 +198,22 @@
   ): RelocationTarget | undefined {
     const pool = this.#options.config.poolOf(task.job.spec);
     let room = rooms.get(pool);
-    if (room === undefined) rooms.set(pool, (room = new RelocationRoom(pool, this.#options)));
+    if (room === undefined) rooms.set(pool, (room = this.#roomIn(pool)));
     return room.take(task, (driver) => driver.id !== server && isTarget(driver));
   }
 
+  /** Room on the healthy servers of a pool, without what the tasks that wait already will use. */
+  #roomIn(pool: string): RelocationRoom {
+    const { clock, config, driversInPool, openJobs } = this.#options;
+    const now = clock.now();
+    const drivers = driversInPool(pool).filter(
+      (driver) => driver.acceptsTasks(now) && !driver.speed.slow && !driver.health.onProbation,
+    );
+    const room = new RelocationRoom(drivers, this.#options);
+    room.takeWaiting([...openJobs()].filter(({ spec }) => config.poolOf(spec) === pool));
+    return room;
+  }
+
   #reserve(run: ActiveRun, { driver }: RelocationTarget, reason: RelocationReason): Relocation {
     const { clock, runRegistry } = this.#options;
     const { task } = run;
--- a/test/coordination/jobs/maintenance-room.test.ts
+++ b/test/coordination/jobs/maintenance-room.test.ts
@@ -5,9 +5,10 @@
   FILLING_JOB,
   LEDGER,
   longestGapsMs,
+  type CrowdedClusterOptions,
 } from "../../fakes/jobs/crowded-cluster.ts";
 import { FakeInstances } from "../../fakes/jobs/fake-instances.ts";
-import { fleetConfig } from "../../fakes/jobs/job-builders.ts";
+import { cpu, fleetConfig } from "../../fakes/jobs/job-builders.ts";
 import type { JobCluster } from "../../fakes/jobs/job-cluster.ts";
 import { advanceUntilSettled } from "../../fakes/virtual-clock.ts";
 
@@ -49,19 +50,22 @@
   assert.ok(longestGapMs(cluster) <= MAX_WITHOUT_RUN_MS);
 });
 
+/** Runs of the first ledger task fail after a time in ms if they start before the other server is filled. */
+function failingAtFirst(failsAfterMs: number): NonNullable<CrowdedClusterOptions["behaviour"]> {
+  let firstStartAt: number | undefined;
+  return (task, { clock }) => {
+    firstStartAt ??= clock.now();
+    const fails = task === `${LEDGER}.0.0.0` && clock.now() < firstStartAt + FILLED_AFTER_MS;
+    return fails ? { durationMs: failsAfterMs, fails } : { durationMs: undefined };
+  };
+}
+
 // Guards against a server that takes no tasks for good, since its maintenance waits for room, while a
 // task that has nowhere else to run waits (LOST).
 test("a task that fails on a server that is due for maintenance is started there again", async () => {
   for (const failsAfterMs of [9000, 12_000, 15_000]) {
-    let firstStartAt: number | undefined;
     const { cluster, advance, requestWave } = await crowdedCluster({
-      config: fleetConfig(),
-      // Runs of the first task fail if they start before the other server is filled.
-      behaviour: (task, { clock }) => {
-        firstStartAt ??= clock.now();
-        const fails = task === `${LEDGER}.0.0.0` && clock.now() < firstStartAt + FILLED_AFTER_MS;
-        return fails ? { durationMs: failsAfterMs, fails } : { durationMs: undefined };
-      },
+      ...{ config: fleetConfig(), behaviour: failingAtFirst(failsAfterMs) },
     });
     requestWave();
     await advance(WATCHED_MS);
@@ -72,4 +76,17 @@
   }
 });
 
+// Guards against a task that waits beside the only server with room, which waits for a substitute.
+test("a server that waits for a substitute takes a task that has waited for 2 s", async () => {
+  const spares = [{ name: "spare", capacity: cpu(12_000), joins: false }];
+  const { cluster, advance, requestWave } = await crowdedCluster({
+    ...{ spares, behaviour: failingAtFirst(9000) },
+  });
+  requestWave();
+  await advance(WATCHED_MS);
+  const gapMs = longestGapMs(cluster);
+  assert.ok(gapMs > 1000, "the task failed while its server was reserved");
+  assert.ok(gapMs <= 3000, `${gapMs} ms without a run`);
+});
+
 test.run();
