refactor(fleet): plain names for reservations of moving tasks

Cause: on reading, places that are "kept" and "given up" had to be explained, a refused order could end the reservation of a run that was being stopped for another reason, and the reservation of a run stood twice.

--- a/src/coordination/jobs/fleet/instance-evacuator.ts
+++ b/src/coordination/jobs/fleet/instance-evacuator.ts
@@ -72,7 +72,7 @@
   return task.step.spec.longRunning;
 }
 
-/** True unless a task leaves, or will leave once its place is free. */
+/** True unless a task leaves, or will leave once its capacity elsewhere is free. */
 function isBlocked(result: RelocationResult): boolean {
   return result === "no-room" || result === "not-now";
 }
--- a/src/coordination/jobs/fleet/long-task-spreader.ts
+++ b/src/coordination/jobs/fleet/long-task-spreader.ts
@@ -51,7 +51,7 @@
     const crowded = runs.filter(({ server }) => countOn(server) > shareOfServer(step.spec));
     if (crowded.length === 0) return;
     relocator.relocate(crowded, {
-      ...{ reason: "spread", most: 1 },
+      ...{ reason: "spread", maxMoving: 1 },
       isTarget: ({ id, maintenancePending }) =>
         !maintenancePending && !exceedsShare(step.spec, countOn(id)),
     });
--- a/src/coordination/jobs/fleet/maintenance-runner.ts
+++ b/src/coordination/jobs/fleet/maintenance-runner.ts
@@ -166,16 +166,16 @@
     this.#runsGoOn(runs);
   }
 
-  /** Notes that an order to their instance is about to end runs, and keeps places for their tasks. */
+  /** Notes that an order to their instance is about to end runs, and reserves capacity for their tasks. */
   #endsOrdered(runs: readonly ActiveRun[]): void {
     for (const run of runs) run.endOrdered = true;
-    if (runs.length > 0) this.#options.scheduler.relocator.keepPlaces(runs, "maintenance");
+    if (runs.length > 0) this.#options.scheduler.relocator.endOrdered(runs, "maintenance");
   }
 
   /** Notes that an order to their instance did not end runs. */
   #runsGoOn(runs: readonly ActiveRun[]): void {
     for (const run of runs) run.endOrdered = false;
-    if (runs.length > 0) this.#options.scheduler.relocator.giveUpPlaces(runs);
+    if (runs.length > 0) this.#options.scheduler.relocator.endRefused(runs);
   }
 
   #pendingInstances(
--- a/src/coordination/jobs/fleet/zone-evacuator.ts
+++ b/src/coordination/jobs/fleet/zone-evacuator.ts
@@ -58,6 +58,6 @@
       .filter(({ evacuated }) => evacuated)
       .flatMap(({ id }) => runRegistry.onServer(id))
       .filter(({ task }) => task.step.spec.longRunning);
-    relocator.relocate(leaving, { reason: "evacuation", most: 1 });
+    relocator.relocate(leaving, { reason: "evacuation", maxMoving: 1 });
   }
 }
--- a/src/coordination/jobs/scheduling/relocation-pauses.ts
+++ b/src/coordination/jobs/scheduling/relocation-pauses.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * Pauses between the moves of tasks that did not get the place that was kept for them, so that a task is
- * not stopped again every few seconds.
+ * Pauses between the moves of tasks that did not start where capacity was reserved for them, so that a
+ * task is not stopped again every few seconds.
  */
 export class RelocationPauses {
   readonly #pauses = new WeakMap<Task, Pause>();
@@ -22,12 +22,12 @@
     return now < (this.#pauses.get(task)?.until ?? -Infinity);
   }
 
-  /** Records that a task got the place that was kept for it. */
+  /** Records that a task started where capacity was reserved for it. */
   succeeded(task: Task): void {
     this.#pauses.delete(task);
   }
 
-  /** Records that a task was stopped and did not get the place that was kept for it. */
+  /** Records that a task was stopped and did not start where capacity was reserved for it. */
   failed(task: Task, now: number): void {
     const failures = (this.#pauses.get(task)?.failures ?? 0) + 1;
     const pauseMs = Math.min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (failures - 1));
--- a/src/coordination/jobs/scheduling/task-relocator.ts
+++ b/src/coordination/jobs/scheduling/task-relocator.ts
@@ -14,7 +14,7 @@
   type RelocationTarget,
 } from "./relocation-room.ts";
 
-/** Time in ms that a run gets to stop, and its task to start again, before its place is given up. */
+/** Time in ms that a run gets to stop, and its task to start again, before its reservation ends. */
 const MAX_MOVE_MS = 3000;
 
 /** Options of {@link TaskRelocator}. */
@@ -36,10 +36,10 @@
 
 /** What became of a run whose task should move to another backend server. */
 export type RelocationResult =
-  /** The run is being stopped, and a place elsewhere is kept for its task. */
+  /** The run is being stopped, and capacity elsewhere is reserved for its task. */
   | "moving"
-  /** A place elsewhere is kept and will be free soon. The run goes on until then. */
-  | "place-not-free"
+  /** Capacity elsewhere is reserved and will be free soon. The run goes on until then. */
+  | "awaiting-capacity"
   /** The run must go on for now, because of the availability budget of its step. */
   | "not-now"
   /** The task could not start on any other server now. */
@@ -52,7 +52,7 @@
 export interface RelocateOptions {
   readonly reason: RelocationReason;
   /** Largest number of the tasks that are on the move at the same time. @default unlimited */
-  readonly most?: number;
+  readonly maxMoving?: number;
   /** Servers that a task may move to. @default all of its pool */
   readonly isTarget?: (driver: ServerDriver) => boolean;
 }
@@ -71,7 +71,7 @@
   endOrderedAt: number | undefined;
 }
 
-/** How a place for a task is looked for. */
+/** How a target for a task is looked for. */
 interface TargetSearch {
   /** Room that is left in this pass, by pool. */
   readonly rooms: Map<string, RelocationRoom>;
@@ -100,14 +100,14 @@
   /** Begins to move the tasks of runs within one pool. Returns the result of each run. */
   relocate(
     runs: readonly ActiveRun[],
-    { reason, most = Infinity, isTarget = () => true }: RelocateOptions,
+    { reason, maxMoving = Infinity, isTarget = () => true }: RelocateOptions,
   ): readonly RelocationResult[] {
     const rooms = new Map<string, RelocationRoom>();
     let moving = runs.filter((run) => this.#progressOf(run) !== undefined).length;
     return runs.map((run) => {
       const progress = this.#progressOf(run);
       if (progress !== undefined) return progress;
-      if (moving >= most || !this.#mayStop(run)) return "not-now";
+      if (moving >= maxMoving || !this.#mayStop(run)) return "not-now";
       const result = this.#begin(run, { rooms, isTarget, reason });
       if (result !== "no-room") moving++;
       return result;
@@ -115,39 +115,34 @@
   }
 
   /**
-   * Stops runs that would end soon in any case, whether or not another server has room for their tasks. A
-   * place is kept for those that have one.
+   * Stops runs that would end soon in any case, whether or not another server has room for their tasks.
+   * Capacity is reserved for those that have room elsewhere.
    */
   relocateAtOnce(runs: readonly ActiveRun[], reason: RelocationReason): void {
     const rooms = new Map<string, RelocationRoom>();
     for (const run of runs) {
       if (this.#progressOf(run) === "moving") continue;
-      const known = this.#relocations.get(run.task);
-      const target = known === undefined ? this.#findTarget(run, { rooms }) : undefined;
-      const relocation = target === undefined ? known : this.#reserve(run, target, reason);
+      const relocation = this.#reserveIfPossible(run, rooms, reason);
       if (relocation === undefined) this.#options.stop(run);
       else this.#stop(relocation);
     }
   }
 
-  /** Keeps places for the tasks of runs that an order to their instance is about to end. */
-  keepPlaces(runs: readonly ActiveRun[], reason: RelocationReason): void {
+  /** Reserves capacity for the tasks of runs that an order to their instance is about to end. */
+  endOrdered(runs: readonly ActiveRun[], reason: RelocationReason): void {
     const rooms = new Map<string, RelocationRoom>();
     for (const run of runs) {
-      const { spec } = run.task.step;
-      if (!spec.longRunning || spec.gang || this.#progressOf(run) === "moving") continue;
-      const known = this.#relocations.get(run.task);
-      const target = known === undefined ? this.#findTarget(run, { rooms }) : undefined;
-      const relocation = target === undefined ? known : this.#reserve(run, target, reason);
+      if (!run.task.step.spec.longRunning || this.#progressOf(run) === "moving") continue;
+      const relocation = this.#reserveIfPossible(run, rooms, reason);
       if (relocation !== undefined) this.#leave(relocation);
     }
   }
 
-  /** Gives up the places of runs that go on after all. */
-  giveUpPlaces(runs: readonly ActiveRun[]): void {
+  /** Ends the moves of runs that an order to their instance did not end after all. */
+  endRefused(runs: readonly ActiveRun[]): void {
     for (const run of runs) {
       const relocation = this.#relocations.get(run.task);
-      if (relocation?.run === run) this.#end(relocation);
+      if (relocation?.run === run && run.phase === "running") this.#end(relocation);
     }
   }
 
@@ -156,7 +151,7 @@
     return new RelocationRoom([driver], this.#options).take(task) !== undefined;
   }
 
-  /** Stops runs whose place has become free, and ends moves that are over or have failed. */
+  /** Stops runs whose reserved capacity has become free, and ends moves that are over or have failed. */
   update(): void {
     for (const relocation of [...this.#relocations.values()]) {
       if (relocation.endOrderedAt === undefined) this.#updateReserved(relocation);
@@ -165,10 +160,10 @@
   }
 
   /** Progress of a run whose task is on the move; undefined if it is not. */
-  #progressOf({ task, phase }: ActiveRun): "moving" | "place-not-free" | undefined {
+  #progressOf({ task, phase }: ActiveRun): "moving" | "awaiting-capacity" | undefined {
     const relocation = this.#relocations.get(task);
     if (phase === "stopping" || relocation?.endOrderedAt !== undefined) return "moving";
-    return relocation === undefined ? undefined : "place-not-free";
+    return relocation === undefined ? undefined : "awaiting-capacity";
   }
 
   #begin(run: ActiveRun, { reason, ...search }: BeginOptions): RelocationResult {
@@ -180,11 +175,22 @@
     const target = this.#findTarget(run, search);
     if (target === undefined) return "no-room";
     const relocation = this.#reserve(run, target, reason);
-    if (!target.free) return "place-not-free";
+    if (!target.free) return "awaiting-capacity";
     this.#stop(relocation);
     return "moving";
   }
 
+  #reserveIfPossible(
+    run: ActiveRun,
+    rooms: Map<string, RelocationRoom>,
+    reason: RelocationReason,
+  ): Relocation | undefined {
+    const known = this.#relocations.get(run.task);
+    if (known !== undefined || run.task.step.spec.gang) return known;
+    const target = this.#findTarget(run, { rooms });
+    return target === undefined ? undefined : this.#reserve(run, target, reason);
+  }
+
   /** True if the availability budget of its step allows that a run is stopped now. */
   #mayStop(run: ActiveRun): boolean {
     const { clock, runRegistry, startsAt } = this.#options;
@@ -253,7 +259,7 @@
     const usable = runsOn && server?.acceptsTasks(now) === true;
     if (usable && this.#isFree(server) && this.#mayStop(run)) this.#stop(relocation);
     else if (!usable || now - reservedAt > ENDING_SOON_MS) {
-      if (usable) this.#options.counters.event("task_move_place_not_free");
+      if (usable) this.#options.counters.event("task_move_capacity_not_free");
       this.#end(relocation);
     }
   }
@@ -292,7 +298,10 @@
       this.#pauses.succeeded(task);
       return;
     }
-    log.warn({ task: task.name, target, tookMs: Math.round(tookMs) }, "task did not get its place");
+    log.warn(
+      { task: task.name, target, tookMs: Math.round(tookMs) },
+      "task did not start on its reserved server",
+    );
     this.#pauses.failed(task, clock.now());
   }
 
