fix(placement): start replicas on servers that drain as surplus

Cause: a server that drains as surplus takes no task, though the pool needs two servers as soon as it has a long-running task. The spread did not know of the wave.

Change: a task that would exceed its server's share starts on a surplus server if one has room; the pool then keeps it. A step is not spread within 10 s of another planned move in it.

Tests: "tasks start on servers that drain as surplus ..." failed before (3, 0, 0 in place of 2, 1, 0); "the tasks of a step are not spread while a wave moves them".

--- a/src/coordination/jobs/execution/server-driver.ts
+++ b/src/coordination/jobs/execution/server-driver.ts
@@ -135,17 +135,27 @@
 
   /** True if new tasks may be placed on the server. */
   acceptsTasks(now: number): boolean {
-    return this.adopted && this.reachable && this.#isOpenForTasks && this.notBefore <= now;
+    return this.#isUsable(now) && !this.reserved;
+  }
+
+  /** True if new tasks may be placed on the server, though it drains because its pool has a surplus. */
+  isSurplus(now: number): boolean {
+    return this.#isUsable(now) && this.#reservations.size === 1 && this.hasReservation("surplus");
   }
 
   /** True if new tasks may be placed on the server once it answers its first poll, which is expected soon. */
   awaitsFirstPoll(now: number): boolean {
     if (this.adopted || now - this.#openedAt >= FIRST_POLL_WAIT_MS) return false;
-    return this.#isOpenForTasks;
+    return this.#isOpen && !this.reserved;
+  }
+
+  /** True if tasks can run on the server now, whether or not it is reserved. */
+  #isUsable(now: number): boolean {
+    return this.adopted && this.reachable && this.#isOpen && this.notBefore <= now;
   }
 
-  get #isOpenForTasks(): boolean {
-    if (this.absent || this.reserved || this.closed) return false;
+  get #isOpen(): boolean {
+    if (this.absent || this.closed) return false;
     return !this.#registration.draining && !this.evacuated;
   }
 
--- a/src/coordination/jobs/scheduling/placement-round.ts
+++ b/src/coordination/jobs/scheduling/placement-round.ts
@@ -187,10 +187,7 @@
     const reserved = this.#options.runRegistry.reservedServer(task);
     if (reserved !== undefined) return this.#placeReserved(task, pool, reserved);
     if (!this.#withinCap(task.step)) return undefined;
-    if (this.#serversOf(pool).shouldWaitForFirstPoll(task)) {
-      this.#awaitingFirstPoll.add(task.step);
-      return undefined;
-    }
+    if (this.#serversOf(pool).isConcentrated(task)) return this.#placeApart(task, pool);
     const healthy = this.#placeAmong(task, pool, "healthy");
     if (healthy !== undefined || this.#shouldWait(task)) return healthy;
     return this.#placeAmong(task, pool, "degraded");
@@ -225,7 +222,21 @@
     return run;
   }
 
-  #placeAmong(task: Task, pool: string, kind: "healthy" | "degraded"): ActiveRun | undefined {
+  /** Places a task whose step has enough tasks on the healthy servers that have room. */
+  #placeApart(task: Task, pool: string): ActiveRun | undefined {
+    const servers = this.#serversOf(pool);
+    if (servers.mayJoin(task)) {
+      this.#awaitingFirstPoll.add(task.step);
+      return undefined;
+    }
+    return this.#placeAmong(task, pool, "surplus") ?? this.#placeAmong(task, pool, "healthy");
+  }
+
+  #placeAmong(
+    task: Task,
+    pool: string,
+    kind: "healthy" | "degraded" | "surplus",
+  ): ActiveRun | undefined {
     const servers = this.#serversOf(pool)[kind];
     const { step } = task;
     const advised = this.#options.config.queueOf(step.job.spec)?.advice;
--- a/src/coordination/jobs/scheduling/pool-candidates.ts
+++ b/src/coordination/jobs/scheduling/pool-candidates.ts
@@ -20,21 +20,26 @@
   readonly healthy: CandidateServers;
   /** Slow or failing servers, used only for tasks that have waited for some time. */
   readonly degraded: CandidateServers;
+  /** Healthy servers that drain as surplus, for long-running tasks that the others have too many of. */
+  readonly surplus: CandidateServers;
   /** Servers that get no task yet, but soon will unless their first poll fails. */
   readonly #joining: CandidateServers;
 
   constructor({ drivers, runRegistry, now, indexAfterChoices }: PoolCandidatesOptions) {
     const healthy: ServerDriver[] = [];
     const degraded: ServerDriver[] = [];
+    const surplus: ServerDriver[] = [];
     const joining: ServerDriver[] = [];
     for (const driver of drivers) {
       if (driver.awaitsFirstPoll(now)) joining.push(driver);
       else if (driver.acceptsTasks(now))
         (isHealthy(driver, runRegistry, now) ? healthy : degraded).push(driver);
+      else if (driver.isSurplus(now) && isHealthy(driver, runRegistry, now)) surplus.push(driver);
     }
     const options = { indexAfterChoices };
     this.healthy = new CandidateServers(healthy, runRegistry, options);
     this.degraded = new CandidateServers(degraded, runRegistry, options);
+    this.surplus = new CandidateServers(surplus, runRegistry, options);
     this.#joining = new CandidateServers(joining, runRegistry, options);
   }
 
@@ -42,19 +47,21 @@
   release(server: string, step: StepRun): void {
     this.healthy.release(server, step);
     this.degraded.release(server, step);
+    this.surplus.release(server, step);
   }
 
-  /**
-   * True if a long-running task would join too many others of its step on one server, while a server that
-   * is about to answer its first poll could take it.
-   */
-  shouldWaitForFirstPoll(task: Task): boolean {
+  /** True if a long-running task would join too many others of its step on one healthy server. */
+  isConcentrated(task: Task): boolean {
     const { spec } = task.step;
-    if (!spec.longRunning || spec.gang || this.#joining.ids.length === 0) return false;
-    const demand = resourcesOccupied(spec);
-    const chosen = this.healthy.choose(task, demand);
-    if (chosen === undefined || !this.healthy.exceedsShare(task.step, chosen.id)) return false;
-    return this.#joining.choose(task, demand) !== undefined;
+    if (!spec.longRunning || spec.gang) return false;
+    if (this.surplus.ids.length === 0 && this.#joining.ids.length === 0) return false;
+    const chosen = this.healthy.choose(task, resourcesOccupied(spec));
+    return chosen !== undefined && this.healthy.exceedsShare(task.step, chosen.id);
+  }
+
+  /** True if a server that is about to answer its first poll could take a task. */
+  mayJoin(task: Task): boolean {
+    return this.#joining.choose(task, resourcesOccupied(task.step.spec)) !== undefined;
   }
 }
 
--- a/src/coordination/jobs/scheduling/task-relocator.ts
+++ b/src/coordination/jobs/scheduling/task-relocator.ts
@@ -1,7 +1,7 @@
 import type { Log } from "../../../ports/log.ts";
 import { mayInterrupt } from "../../../state/jobs/fleet/availability.ts";
 import type { ActiveRun } from "../../../state/jobs/execution/run-registry.ts";
-import type { Job, Task } from "../../../state/jobs/records/job.ts";
+import type { Job, StepRun, Task } from "../../../state/jobs/records/job.ts";
 import { ENDING_SOON_MS } from "../../../state/jobs/scheduling/ending-soon.ts";
 import { fits, NO_RESOURCES, subtract } from "../../../state/jobs/scheduling/resources.ts";
 import type { Counters } from "../../ports.ts";
@@ -17,6 +17,9 @@
 /** Time in ms that a run gets to stop, and its task to start again, before its reservation ends. */
 const MAX_MOVE_MS = 3000;
 
+/** Time in ms after another planned move in a step during which its tasks are not spread. */
+const SPREAD_PAUSE_MS = 10_000;
+
 /** Options of {@link TaskRelocator}. */
 export interface TaskRelocatorOptions extends RelocationRoomOptions {
   readonly log: Log;
@@ -92,6 +95,8 @@
   readonly #options: TaskRelocatorOptions;
   readonly #relocations = new Map<Task, Relocation>();
   readonly #pauses = new RelocationPauses();
+  /** Monotonic time in ms of the last move in a step that did not spread its tasks. */
+  readonly #movedAt = new WeakMap<StepRun, number>();
 
   constructor(options: TaskRelocatorOptions) {
     this.#options = options;
@@ -170,6 +175,7 @@
     const { clock } = this.#options;
     const { task } = run;
     const { organisation } = task.job.spec;
+    if (reason === "spread" && this.#movedLately(task.step)) return "not-now";
     if (task.step.spec.gang || this.#pauses.isPaused(task, clock.now())) return "no-room";
     if (!withinOrganisationCap(organisation, NO_RESOURCES, this.#options)) return "no-room";
     const target = this.#findTarget(run, search);
@@ -180,6 +186,12 @@
     return "moving";
   }
 
+  /** True if a wave or another kind of planned work is likely to move further tasks of a step. */
+  #movedLately(step: StepRun): boolean {
+    const movedAt = this.#movedAt.get(step) ?? -Infinity;
+    return this.#options.clock.now() - movedAt < SPREAD_PAUSE_MS;
+  }
+
   #reserveIfPossible(
     run: ActiveRun,
     rooms: Map<string, RelocationRoom>,
@@ -248,6 +260,7 @@
     log.info({ task: task.name, from: run.server, to: target, reason }, "task moves");
     counters.event(`task_move_${reason}`);
     relocation.endOrderedAt = clock.now();
+    if (reason !== "spread") this.#movedAt.set(task.step, clock.now());
   }
 
   #updateReserved(relocation: Relocation): void {
--- a/test/coordination/jobs/long-task-spread.test.ts
+++ b/test/coordination/jobs/long-task-spread.test.ts
@@ -1,5 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { configWithSparePool } from "../../fakes/jobs/crowded-cluster.ts";
+import { FakeInstances } from "../../fakes/jobs/fake-instances.ts";
 import { jobRequest, step } from "../../fakes/jobs/job-builders.ts";
 import { JobCluster, type ClusterEntry } from "../../fakes/jobs/job-cluster.ts";
 import { SeededRandom } from "../../fakes/seeded-random.ts";
@@ -55,6 +57,22 @@
   assert.equal(loads(cluster), [3, 0]);
 });
 
+// Guards against replicas that start on one server while the others of a pool drain because nothing ran.
+test("tasks start on servers that drain as surplus rather than all on the one that does not", async () => {
+  const cluster = new JobCluster({
+    ...{ random: new SeededRandom(1), entries: 2, servers: 3, config: configWithSparePool() },
+    behaviour: () => ({ durationMs: undefined }),
+    instances: (owner) => new FakeInstances(owner),
+  });
+  const scheduler = await cluster.electScheduler();
+  await cluster.clock.advance(800);
+  await submitLedger(cluster, scheduler);
+  await cluster.clock.advance(100);
+  assert.equal(loads(cluster), [2, 1, 0]);
+  await cluster.clock.advance(10_000);
+  assert.is(startCount(cluster), TASKS, "no task was moved, nor its instance");
+});
+
 // Guards against replicas that stay on one server for good because the others registered later.
 test("tasks on one server spread once another server joins, within their budget", async () => {
   const cluster = ledgerCluster(1);
--- a/test/coordination/jobs/task-relocator.test.ts
+++ b/test/coordination/jobs/task-relocator.test.ts
@@ -113,4 +113,18 @@
   assert.is(runRegistry.usedOnServer("free").cpuMillis, 4000);
 });
 
+// Guards against a task that a wave moves one way and the spread moves back, again and again.
+test("the tasks of a step are not spread while a wave moves them", async () => {
+  const { clock, runRegistry, relocator, runOn, start } = relocatorBeside(6000);
+  const run = runOn("s1", "j1");
+  relocator.relocate([run], MAINTENANCE);
+  runRegistry.remove(run);
+  const second = start(run.task, "s2");
+  relocator.update();
+  assert.equal(relocator.relocate([second], { reason: "spread" }), ["not-now"]);
+  await clock.advance(10_000);
+  second.listedAt = clock.now();
+  assert.equal(relocator.relocate([second], { reason: "spread" }), ["moving"]);
+});
+
 test.run();
--- a/test/state/jobs/placement-index.test.ts
+++ b/test/state/jobs/placement-index.test.ts
@@ -68,6 +68,7 @@
     ...{ reserved: false, reachable: true, closed: false, notBefore: 0, bootedAt: 1 },
     ...{ maintenancePending: server.maintenancePending, coldness: server.coldness },
     ...{ acceptsTasks: () => !draining, awaitsFirstPoll: () => false },
+    isSurplus: () => false,
   } as unknown as ServerDriver;
 }
 
