--- a/src/state/jobs/scheduling/ending-soon.ts
+++ b/src/state/jobs/scheduling/ending-soon.ts
@@ -8,7 +8,7 @@
 
 /**
  * What the short tasks on a backend server occupy that are expected to end soon. A task that has run past
- * its expected end does not count, since nothing tells when it ends. `now`: monotonic time in ms.
+ * its expected end does not count, since its end can't be predicted. `now`: monotonic time in ms.
  */
 export function capacityEndingSoon(
   server: string,
--- a/test/coordination/jobs/task-relocator.test.ts
+++ b/test/coordination/jobs/task-relocator.test.ts
@@ -127,4 +127,17 @@
   assert.equal(relocator.relocate([second], { reason: "spread" }), ["moving"]);
 });
 
+// Guards against a stopped task whose reservation ends because an order to its instance was refused meanwhile.
+test("a refused order ends the moves of running tasks only", () => {
+  const { runRegistry, relocator, runOn } = relocatorBeside(8000);
+  const stopping = runOn("s1", "j1");
+  const running = runOn("s1", "j2");
+  relocator.relocate([stopping], MAINTENANCE);
+  relocator.endOrdered([stopping, running], "maintenance");
+  assert.is(runRegistry.reservationsOn("free"), 2);
+  relocator.endRefused([stopping, running]);
+  assert.is(runRegistry.reservedServer(stopping.task), "free");
+  assert.is(runRegistry.reservedServer(running.task), undefined);
+});
+
 test.run();
